--- /dev/null
+++ b/src/onyxgap/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Input and output: HTTP, peer connections and the platform."""
--- /dev/null
+++ b/src/onyxgap/adapters/http_server.py
@@ -0,0 +1,77 @@
+"""Runs an ASGI application under uvicorn inside a task group."""
+
+import contextlib
+import socket
+import typing as t
+
+import anyio
+import anyio.abc
+import attrs
+import uvicorn
+
+from ..settings import Address
+
+BACKLOG = 2048
+START_POLL_S = 0.01
+KEEP_ALIVE_S = 75
+
+
+class _Server(uvicorn.Server):
+    @contextlib.contextmanager
+    def capture_signals(self) -> t.Iterator[None]:
+        # the daemon handles signals itself
+        yield
+
+
+@attrs.define
+class HttpServer:
+    """An HTTP server for one ASGI application.
+
+    :param app: the application.
+    :param listen: address to listen on; port 0 lets the system choose.
+    :param grace_s: seconds that requests may take after :meth:`stop`.
+    """
+
+    app: t.Any
+    listen: Address
+    grace_s: float = 30.0
+    _server: _Server | None = None
+
+    async def run(
+        self,
+        *,
+        task_status: anyio.abc.TaskStatus[Address] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until stopped; reports the bound address when started."""
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((self.listen.host, self.listen.port))
+        config = uvicorn.Config(
+            self.app,
+            http="h11",
+            ws="none",
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            date_header=False,
+            backlog=BACKLOG,
+            timeout_keep_alive=KEEP_ALIVE_S,
+            timeout_graceful_shutdown=max(1, int(self.grace_s)),
+        )
+        self._server = _Server(config)
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._serve, listener)
+            while not self._server.started:
+                await anyio.sleep(START_POLL_S)
+            port = listener.getsockname()[1]
+            task_status.started(Address(self.listen.host, port))
+
+    async def _serve(self, listener: socket.socket) -> None:
+        assert self._server is not None
+        await self._server.serve(sockets=[listener])
+
+    def stop(self) -> None:
+        """Stop accepting; :meth:`run` returns once all answers are sent."""
+        if self._server is not None:
+            self._server.should_exit = True
--- /dev/null
+++ b/src/onyxgap/adapters/target_client.py
@@ -0,0 +1,205 @@
+"""Carries out one attempt with one target over HTTP/1.1.
+
+The answer is read whole before anything of it is used. A connection is used
+again only after a clean exchange with a target that echoed the request's id,
+since only then would a crossed answer be noticed.
+"""
+
+import collections
+import time
+import typing as t
+
+import anyio
+import attrs
+import httpcore
+
+from .. import defaults
+from ..request.messages import DEADLINE_HEADER
+from ..request.messages import KEY_HEADER
+from ..request.messages import NOT_STARTED
+from ..request.messages import REQUEST_ID_HEADER
+from ..request.messages import STARTED_HEADER
+from ..request.messages import TRACE_HEADER
+from ..request.messages import Exchange
+from ..request.messages import IdentifiedRequest
+from ..request.messages import Outcome
+from ..request.messages import Reason
+from ..settings import parse_address
+from ..verdict import Verdict
+
+REUSE_IDLE_S = 1.0
+SERVER_ERROR = 500
+NO_BODY_STATUSES = (204, 304)
+_PASSED_HEADERS = frozenset({"content-type", "content-language", "etag", "location"})
+
+
+@attrs.define
+class _Connection:
+    http: httpcore.AsyncHTTP11Connection
+    idle_since: float = 0.0
+
+
+class _Broken(Exception):  # noqa: N818 - a signal within this module
+    def __init__(self, reason: Reason) -> None:
+        super().__init__(reason.value)
+        self.reason = reason
+
+
+@attrs.define
+class HttpTargetClient:
+    """Sends requests to targets.
+
+    :param max_answer_bytes: largest answer that is taken.
+    :param connect_timeout_s: longest wait for a connection.
+    """
+
+    max_answer_bytes: int = defaults.MAX_ANSWER_BYTES
+    connect_timeout_s: float = defaults.CONNECT_TIMEOUT_S
+    _idle: dict[str, collections.deque[_Connection]] = attrs.field(factory=dict)
+    _backend: httpcore.AnyIOBackend = attrs.field(factory=httpcore.AnyIOBackend)
+
+    async def exchange(
+        self, request: IdentifiedRequest, address: str, timeout_s: float
+    ) -> Exchange:
+        """Send the request once and read the whole answer.
+
+        :param request: the request.
+        :param address: ``host:port`` of the target.
+        :param timeout_s: time left for the attempt.
+        """
+        connection = await self._connect(address, timeout_s)
+        if connection is None:
+            return Exchange(
+                Verdict.NOT_RUN, Outcome.UNREACHABLE, reason=Reason.UNREACHABLE
+            )
+        exchange: Exchange | None = None
+        clean = False
+        try:
+            with anyio.fail_after(timeout_s):
+                exchange, clean = await self._exchange(connection, request, address)
+        except TimeoutError:
+            exchange = _break_exchange(Reason.TIMEOUT)
+        except _Broken as broken:
+            exchange = _break_exchange(broken.reason)
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ):
+            exchange = _break_exchange(Reason.BROKEN_ANSWER)
+        finally:
+            if clean:
+                self._keep(address, connection)
+            else:
+                await _close(connection)
+        return exchange
+
+    async def _connect(self, address: str, timeout_s: float) -> _Connection | None:
+        idle = self._idle.get(address)
+        while idle:
+            connection = idle.pop()
+            age = time.monotonic() - connection.idle_since
+            if age <= REUSE_IDLE_S and not connection.http.has_expired():
+                return connection
+            await _close(connection)
+        target = parse_address(address)
+        try:
+            stream = await self._backend.connect_tcp(
+                target.host,
+                target.port,
+                timeout=min(timeout_s, self.connect_timeout_s),
+            )
+        except (httpcore.ConnectError, httpcore.ConnectTimeout, OSError):
+            return None
+        origin = httpcore.Origin(b"http", target.host.encode(), target.port)
+        return _Connection(httpcore.AsyncHTTP11Connection(origin, stream))
+
+    async def _exchange(
+        self, connection: _Connection, request: IdentifiedRequest, address: str
+    ) -> tuple[Exchange, bool]:
+        response = await connection.http.handle_async_request(
+            _build_request(request, address)
+        )
+        headers = _decode_headers(response.headers)
+        echoed = headers.get(REQUEST_ID_HEADER.lower())
+        if echoed not in (None, request.caller.request_id):
+            raise _Broken(Reason.CROSSED_ANSWER)
+        body = await self._read_body(response, headers)
+        await response.aclose()
+        clean = echoed is not None and connection.http.is_idle()
+        return _judge_answer(response.status, headers, body), clean
+
+    async def _read_body(
+        self, response: httpcore.Response, headers: t.Mapping[str, str]
+    ) -> bytes:
+        if not _has_known_end(response.status, headers):
+            raise _Broken(Reason.BROKEN_ANSWER)
+        parts = []
+        size = 0
+        async for part in response.aiter_stream():
+            size += len(part)
+            if size > self.max_answer_bytes:
+                raise _Broken(Reason.ANSWER_TOO_LARGE)
+            parts.append(part)
+        return b"".join(parts)
+
+    def _keep(self, address: str, connection: _Connection) -> None:
+        connection.idle_since = time.monotonic()
+        idle = self._idle.setdefault(address, collections.deque())
+        idle.append(connection)
+
+    async def aclose(self) -> None:
+        """Close all idle connections."""
+        for idle in self._idle.values():
+            while idle:
+                await _close(idle.pop())
+
+
+async def _close(connection: _Connection) -> None:
+    with anyio.move_on_after(1, shield=True):
+        await connection.http.aclose()
+
+
+def _build_request(request: IdentifiedRequest, address: str) -> httpcore.Request:
+    caller = request.caller
+    headers = [
+        ("Host", address),
+        ("Content-Type", caller.content_type),
+        ("Content-Length", str(len(caller.body))),
+        (REQUEST_ID_HEADER, caller.request_id),
+        (DEADLINE_HEADER, str(request.job.deadline_ms)),
+    ]
+    if caller.key is not None:
+        headers.append((KEY_HEADER, caller.key))
+    if caller.trace:
+        headers.append((TRACE_HEADER, caller.trace))
+    url = f"http://{address}/{caller.service}/{caller.job}"
+    return httpcore.Request("POST", url, headers=headers, content=caller.body)
+
+
+def _decode_headers(raw: t.Iterable[tuple[bytes, bytes]]) -> dict[str, str]:
+    return {
+        name.decode("latin-1").lower(): value.decode("latin-1") for name, value in raw
+    }
+
+
+def _has_known_end(status: int, headers: t.Mapping[str, str]) -> bool:
+    return (
+        status in NO_BODY_STATUSES
+        or "content-length" in headers
+        or "chunked" in headers.get("transfer-encoding", "")
+    )
+
+
+def _judge_answer(status: int, headers: t.Mapping[str, str], body: bytes) -> Exchange:
+    if headers.get(STARTED_HEADER.lower()) == NOT_STARTED:
+        return Exchange(
+            Verdict.NOT_RUN, Outcome.OVERLOADED, reason=Reason.TARGET_REFUSED
+        )
+    passed = tuple(item for item in headers.items() if item[0] in _PASSED_HEADERS)
+    outcome = Outcome.FAILED if status >= SERVER_ERROR else Outcome.SERVED
+    return Exchange(Verdict.RAN, outcome, status, passed, body)
+
+
+def _break_exchange(reason: Reason) -> Exchange:
+    return Exchange(Verdict.MAY_HAVE_RUN, Outcome.FAILED, reason=reason)
--- /dev/null
+++ b/src/onyxgap/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/src/onyxgap/cli/commands.py
@@ -0,0 +1,249 @@
+"""Operators' commands: tables for people, JSON for machines."""
+
+import argparse
+import contextlib
+import json
+import pathlib
+import sys
+import typing as t
+
+import anyio
+import attrs
+
+from .. import operations
+from ..adapters.platform_client import PlatformClient
+from ..clocks import SystemClocks
+from ..exceptions import DocumentError
+from ..exceptions import Fault
+from ..fleet.messages import View
+from ..fleet.messages import find_wanted
+from ..fleet.observation import Observer
+from ..fleet.pipe import list_pools
+from ..fleet.planning import FreeVms
+from ..fleet.planning import plan_pool
+from ..fleet.report import summarize_plan
+from ..manifest import Manifest
+from ..manifest import parse_manifest
+from ..shared.events import encode_entry
+from ..shared.state import FleetState
+
+WAIT_POLL_S = 0.2
+
+
+@contextlib.asynccontextmanager
+async def connect(arguments: argparse.Namespace) -> t.AsyncIterator[PlatformClient]:
+    """Open a client of the platform for one command.
+
+    :param arguments: parsed arguments.
+    """
+    client = PlatformClient(arguments.platform)
+    try:
+        yield client
+    finally:
+        await client.aclose()
+
+
+def print_table(
+    headings: t.Sequence[str], rows: t.Iterable[t.Sequence[object]]
+) -> None:
+    """Print rows under headings, in columns.
+
+    :param headings: one a column.
+    :param rows: cells of each row.
+    """
+    cells = [list(map(str, row)) for row in (headings, *rows)]
+    widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
+    for row in cells:
+        padded = (cell.ljust(width) for cell, width in zip(row, widths, strict=True))
+        print("  ".join(padded).rstrip())
+
+
+def _print_json(value: t.Any) -> None:
+    print(json.dumps(value, indent=2, default=str))
+
+
+def read_manifest(path: str) -> Manifest:
+    """Read and check a manifest file.
+
+    :param path: the file.
+    :raises DocumentError: with every fault and its JSON path.
+    """
+    try:
+        text = pathlib.Path(path).read_bytes()
+    except OSError as error:
+        raise DocumentError([Fault("$", f"cannot be read: {error.strerror}")]) from None
+    return parse_manifest(text)
+
+
+async def run_check(arguments: argparse.Namespace) -> int:
+    """Check a manifest offline."""
+    try:
+        manifest = read_manifest(arguments.manifest)
+    except DocumentError as error:
+        if not arguments.json:
+            raise
+        _print_json({"faults": [attrs.asdict(fault) for fault in error.faults]})
+        return 2
+    if arguments.json:
+        _print_json({"faults": []})
+    else:
+        pools, services = len(manifest.pools), len(manifest.services)
+        print(f"{manifest.deployment}: {pools} pools, {services} services, no faults")
+    return 0
+
+
+async def run_apply(arguments: argparse.Namespace) -> int:
+    """Have a manifest accepted, and wait for its roll-out if asked to."""
+    manifest = read_manifest(arguments.manifest)
+    async with connect(arguments) as platform:
+        version = await operations.apply_manifest(
+            platform, manifest, arguments.author, arguments.if_version
+        )
+        if arguments.json:
+            _print_json({"version": version})
+        else:
+            print(f"version {version} accepted")
+        if not arguments.wait:
+            return 0
+        return await _follow_roll_out(platform, arguments.timeout_s)
+
+
+async def _follow_roll_out(platform: PlatformClient, timeout_s: float) -> int:
+    sequence = (await operations.load_state(platform)).sequence
+    if not await operations.list_members(platform, sequence):
+        print("no process of the system is running", file=sys.stderr)
+        return 1
+    shown: set[str] | None = None
+    with anyio.move_on_after(timeout_s):
+        while True:
+            lagging = await operations.list_lagging(platform, sequence)
+            names = {item.name for item in lagging}
+            if not names:
+                print("in force on every entry")
+                return 0
+            if names != shown:
+                print(f"waiting for {', '.join(sorted(names))}")
+                shown = names
+            await anyio.sleep(WAIT_POLL_S)
+    for item in await operations.list_lagging(platform, sequence):
+        reason = f"{item.name} is {item.behind} entries behind; its row still stands"
+        print(reason, file=sys.stderr)
+    return 1
+
+
+async def run_status(arguments: argparse.Namespace) -> int:
+    """Show what is in force where."""
+    async with connect(arguments) as platform:
+        state = await operations.load_state(platform)
+        members = await operations.list_members(platform, state.sequence)
+    pools = operations.summarize_pools(state)
+    if arguments.json:
+        _print_json(
+            {
+                "version": state.version,
+                "sequence": state.sequence,
+                "members": [attrs.asdict(member) for member in members],
+                "pools": [attrs.asdict(pool) for pool in pools],
+            }
+        )
+        return 0
+    print(f"version {state.version} by {state.version_author}, entry {state.sequence}")
+    print_table(
+        ("POOL", "WANTED", "SERVING", "OUT", "BUDGET"),
+        ((p.pool, p.wanted, p.serving, p.out, p.max_out) for p in pools),
+    )
+    print()
+    print_table(
+        ("MEMBER", "ROLE", "ZONE", "HTTP", "BEHIND"),
+        ((m.name, m.role, m.zone, m.http, m.behind) for m in members),
+    )
+    return 0
+
+
+async def _look(platform: PlatformClient, state: FleetState) -> View:
+    vm_list = await platform.list_vms()
+    now = anyio.current_time()
+    # one list decides here: the command looks once and goes
+    observer = Observer(needed=1)
+    observer.take(vm_list, state.vms.keys(), now)
+    return View(
+        state=state,
+        observation=observer.observe(now),
+        wall=SystemClocks().read_wall(),
+        acknowledged=state.sequence,
+        in_flight={},
+    )
+
+
+async def run_report(arguments: argparse.Namespace) -> int:
+    """Show what cannot be brought in line and why, and the plan's measures."""
+    async with connect(arguments) as platform:
+        state = await operations.load_state(platform)
+        view = await _look(platform, state)
+    free = FreeVms.collect(view)
+    steps = [plan_pool(name, view, free) for name in list_pools(state)]
+    reports = [report for step in steps for report in step.reports]
+    summary = summarize_plan(view)
+    if arguments.json:
+        _print_json(
+            {
+                "reports": [attrs.asdict(report) for report in reports],
+                "plan": attrs.asdict(summary),
+            }
+        )
+    else:
+        rows = [(r.finding.value, r.subject, r.reason) for r in reports]
+        print_table(("FINDING", "SUBJECT", "REASON"), rows)
+        print()
+        for line in summary.render():
+            print(line)
+    return 1 if reports else 0
+
+
+async def run_audit(arguments: argparse.Namespace) -> int:
+    """Show who changed what."""
+    async with connect(arguments) as platform:
+        entries = await operations.list_audit(platform)
+    if arguments.json:
+        _print_json([encode_entry(entry) for entry in entries])
+        return 0
+    print_table(
+        ("ENTRY", "AT", "AUTHOR", "WHY", "EVENTS"),
+        ((e.sequence, f"{e.at:.3f}", e.author, e.why, len(e.events)) for e in entries),
+    )
+    return 0
+
+
+async def run_explain(arguments: argparse.Namespace) -> int:
+    """Show the life of a VM, task, attempt or pool in order."""
+    async with connect(arguments) as platform:
+        entries = await operations.list_audit(platform)
+        state = await operations.load_state(platform)
+    subject = arguments.subject
+    lines = [
+        (entry, event)
+        for entry in entries
+        for event in operations.find_mentions(entry, subject)
+    ]
+    if arguments.json:
+        _print_json(
+            [
+                {
+                    "entry": entry.sequence,
+                    "at": entry.at,
+                    "author": entry.author,
+                    "why": entry.why,
+                    "event": operations.describe_event(event),
+                }
+                for entry, event in lines
+            ]
+        )
+        return 0
+    for entry, event in lines:
+        text = operations.describe_event(event)
+        print(f"{entry.sequence:>6}  {entry.at:.3f}  {entry.author}: {text}")
+    record = state.vms.get(subject)
+    if record is not None:
+        pool = find_wanted(state, record.pool)
+        print(f"now {record.state.value} in {pool.name}: {record.reason}")
+    return 0 if lines else 1
--- /dev/null
+++ b/src/onyxgap/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Thin programs that tie pipes to adapters."""
--- /dev/null
+++ b/src/onyxgap/daemons/control.py
@@ -0,0 +1,351 @@
+"""The control process: shares out the pools and keeps them in line."""
+
+import collections
+import random
+import time
+import typing as t
+
+import anyio
+import anyio.abc
+import attrs
+import structlog
+
+from .. import defaults
+from ..adapters.asgi import Receive
+from ..adapters.asgi import Scope
+from ..adapters.asgi import Send
+from ..adapters.asgi import send_answer
+from ..adapters.asgi import send_json
+from ..adapters.http_server import HttpServer
+from ..adapters.peer_link import PeerHub
+from ..adapters.platform_client import PlatformClient
+from ..clocks import SystemClocks
+from ..exceptions import PlatformUnavailableError
+from ..fleet.messages import Order
+from ..fleet.messages import PowerOrder
+from ..fleet.messages import Report
+from ..fleet.messages import Step
+from ..fleet.messages import StopOrder
+from ..fleet.messages import View
+from ..fleet.observation import Observer
+from ..fleet.pipe import PoolSelector
+from ..fleet.pipe import list_owned
+from ..fleet.pipe import plan_pass
+from ..metrics import Metrics
+from ..platform import ListedTask
+from ..platform import Platform
+from ..platform import StartTask
+from ..request.pipe import Clocks
+from ..settings import Settings
+from ..shared.events import Event
+from ..shared.journal import SNAPSHOT_KEY
+from ..shared.membership import CONTROL_ROLE
+from ..shared.membership import ENTRY_ROLE
+from ..shared.membership import MemberRow
+from ..shared.membership import pick_owner
+from ..shared.node import Node
+from ..shared.node import PeerSender
+from .entry import build_row
+from .entry import describe_node
+
+MAX_EVENTS_PER_ENTRY = 2_000
+ORDERS_AT_ONCE = 16
+STORE_SILENT_S = 5.0
+_LOG = structlog.get_logger()
+
+
+@attrs.define
+class ControlParts:
+    """The parts of a control process, apart from sockets.
+
+    :param row: what the process says of itself.
+    :param platform: the platform's services.
+    :param peers: sends frames to other members.
+    :param clocks: the clocks.
+    :param rng: seeded generator.
+    """
+
+    row: MemberRow
+    platform: Platform
+    peers: PeerSender
+    clocks: Clocks
+    rng: random.Random
+    poll_interval_s: float = 1.0
+    drain_grace_s: float = defaults.DRAIN_GRACE_S
+    node: Node = attrs.field(init=False)
+    observer: Observer = attrs.field(factory=Observer)
+    selector: PoolSelector = attrs.field(factory=PoolSelector)
+    metrics: Metrics = attrs.field(factory=Metrics)
+    reports: dict[str, tuple[Report, ...]] = attrs.field(factory=dict)
+    conflicts: int = 0
+    passes: int = 0
+    pass_cpu_s: float = 0.0
+    stopping: bool = False
+    _saved: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        self.node = Node(
+            self.row,
+            self.platform,
+            self.peers,
+            self.clocks,
+            self.rng,
+            self.poll_interval_s,
+        )
+        self.metrics.gauges.update(
+            conflicts=lambda: self.conflicts,
+            journal_sequence=lambda: self.node.state.sequence,
+            passes=lambda: self.passes,
+            pass_cpu_seconds=lambda: self.pass_cpu_s,
+            reports=lambda: sum(map(len, self.reports.values())),
+        )
+
+    def handle_frame(self, frame: t.Any) -> None:
+        """Take in a frame of another member.
+
+        :param frame: the frame.
+        """
+        self.node.handle_frame(frame)
+
+    async def run(self) -> None:
+        """Keep the pools in line until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.node.run)
+            while not self.node.loaded:
+                await anyio.sleep(self.poll_interval_s / 10)
+            while True:
+                await self._run_pass_safely()
+                jitter = 0.8 + 0.4 * self.rng.random()
+                await anyio.sleep(defaults.PASS_INTERVAL_S * jitter)
+
+    async def _run_pass_safely(self) -> None:
+        try:
+            await self.run_pass()
+        except PlatformUnavailableError as error:
+            _LOG.warning("pass-failed", reason=str(error))
+
+    async def run_pass(self) -> None:
+        """Look at the owned pools once and take the steps that are due.
+
+        :raises PlatformUnavailableError: when the platform does not answer.
+        """
+        asked_at = self.node.now()
+        vm_list = await self.platform.list_vms()
+        self.observer.take(vm_list, self.node.state.vms.keys(), asked_at)
+        listed = {task.attempt: task for task in await self._list_tasks()}
+        started = time.process_time()
+        view = self.look()
+        pools = self.selector.choose(self.list_owned_pools(), view)
+        steps = plan_pass(pools, view, listed)
+        self.pass_cpu_s += time.process_time() - started
+        self.passes += 1
+        await self._act(steps)
+        await self._save_snapshot()
+
+    async def _list_tasks(self) -> tuple[ListedTask, ...]:
+        if not self.node.state.attempts:
+            return ()
+        return await self.platform.list_tasks()
+
+    def list_owned_pools(self) -> list[str]:
+        """List the pools that this control looks after."""
+        live = self.node.membership.list_live(self.node.now(), CONTROL_ROLE)
+        names = [row.name for row in live if not row.stopping]
+        return list_owned(self.node.state, self.node.name, names)
+
+    def look(self) -> View:
+        """Build the view that a pass looks at."""
+        now = self.node.now()
+        live = self.node.membership.list_live(now, ENTRY_ROLE)
+        lapsed = self.node.membership.list_lapsed(now, ENTRY_ROLE)
+        in_flight: collections.Counter[str] = collections.Counter()
+        for row in live:
+            in_flight.update(row.draining)
+        # a minority that has lapsed may be dead; a majority rather means that
+        # we are the ones who are cut off
+        cautious = len(lapsed) > len(live) or self.node.store_age() > STORE_SILENT_S
+        return View(
+            state=self.node.state,
+            observation=self.observer.observe(now),
+            wall=self.clocks.read_wall(),
+            acknowledged=min((row.sequence for row in live), default=0)
+            if live
+            else self.node.state.sequence,
+            in_flight=in_flight,
+            cautious=cautious,
+            drain_grace_s=self.drain_grace_s,
+        )
+
+    async def _act(self, steps: t.Sequence[Step]) -> None:
+        for step in steps:
+            self.reports[step.pool] = tuple(step.reports)
+        # orders are due on the state as it stands, so they come first
+        await self._carry_out([order for step in steps for order in step.orders])
+        events: list[Event] = []
+        pools = []
+        for step in steps:
+            if step.events and len(events) < MAX_EVENTS_PER_ENTRY:
+                events.extend(step.events)
+                pools.append(step.pool)
+        if not events:
+            return
+        if await self.node.append(events, f"bring in line: {', '.join(pools)}"):
+            _LOG.info("appended", events=len(events), pools=pools)
+        else:
+            self.conflicts += 1
+            await self.node.catch_up()
+
+    async def _carry_out(self, orders: t.Sequence[Order]) -> None:
+        limiter = anyio.CapacityLimiter(ORDERS_AT_ONCE)
+        async with anyio.create_task_group() as group:
+            for order in orders:
+                group.start_soon(self._carry_out_one, order, limiter)
+
+    async def _carry_out_one(
+        self, order: Order, limiter: anyio.CapacityLimiter
+    ) -> None:
+        async with limiter:
+            try:
+                await _ORDERS[type(order)](self.platform, order)
+            except PlatformUnavailableError as error:
+                # it is repeated in the next pass
+                _LOG.warning("order-failed", order=repr(order), reason=str(error))
+
+    async def _save_snapshot(self) -> None:
+        state = self.node.state
+        due = state.sequence // defaults.SNAPSHOT_EVERY_ENTRIES
+        if not due or due == self._saved:
+            return
+        live = self.node.membership.list_live(self.node.now(), CONTROL_ROLE)
+        if pick_owner(SNAPSHOT_KEY, [row.name for row in live]) == self.node.name:
+            await self.node.journal.save_snapshot(state)
+        self._saved = due
+
+    def is_ready(self) -> bool:
+        """Tell whether it has loaded the state."""
+        return self.node.loaded and not self.stopping
+
+    def describe(self) -> dict[str, t.Any]:
+        """Describe the process as JSON, with what it cannot bring in line."""
+        described = describe_node(self.node, self.metrics, self.stopping)
+        described["pools"] = self.list_owned_pools()
+        described["reports"] = [
+            {
+                "pool": pool,
+                "finding": report.finding.value,
+                "subject": report.subject,
+                "reason": report.reason,
+            }
+            for pool, reports in sorted(self.reports.items())
+            for report in reports
+        ]
+        return described
+
+
+async def _carry_out_power(platform: Platform, order: t.Any) -> None:
+    await platform.act_on_vm(order.vm, order.action, order.action_id)
+
+
+async def _carry_out_start(platform: Platform, order: t.Any) -> None:
+    await platform.start_task(order)
+
+
+async def _carry_out_stop(platform: Platform, order: t.Any) -> None:
+    await platform.stop_task(order.attempt)
+
+
+_ORDERS: dict[type, t.Callable[[Platform, t.Any], t.Awaitable[None]]] = {
+    PowerOrder: _carry_out_power,
+    StartTask: _carry_out_start,
+    StopOrder: _carry_out_stop,
+}
+
+
+@attrs.define
+class ControlFront:
+    """ASGI application of a control: health, metrics and status.
+
+    :param parts: the process.
+    """
+
+    parts: ControlParts | None = None
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one HTTP request."""
+        if scope["type"] != "http":
+            return
+        route = _ROUTES.get(scope["path"])
+        if route is None or self.parts is None:
+            await send_json(send, 404 if route is None else 503, {})
+        else:
+            await route(self.parts, send)
+
+
+async def _serve_live(parts: ControlParts, send: Send) -> None:
+    await send_json(send, 200, {"live": True})
+
+
+async def _serve_ready(parts: ControlParts, send: Send) -> None:
+    ready = parts.is_ready()
+    await send_json(send, 200 if ready else 503, {"ready": ready})
+
+
+async def _serve_metrics(parts: ControlParts, send: Send) -> None:
+    headers = [("Content-Type", "text/plain; version=0.0.4")]
+    await send_answer(send, 200, parts.metrics.render(), headers)
+
+
+async def _serve_status(parts: ControlParts, send: Send) -> None:
+    await send_json(send, 200, parts.describe())
+
+
+_ROUTES: dict[str, t.Callable[[ControlParts, Send], t.Awaitable[None]]] = {
+    "/healthz": _serve_live,
+    "/readyz": _serve_ready,
+    "/metrics": _serve_metrics,
+    "/status": _serve_status,
+}
+
+
+async def run_control(
+    settings: Settings,
+    stop: anyio.Event,
+    *,
+    task_status: anyio.abc.TaskStatus[t.Any] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Run a control process until it is asked to stop.
+
+    :param settings: its settings.
+    :param stop: set to ask for a planned stop.
+    """
+    rng = random.Random()
+    platform = PlatformClient(settings.platform)
+    hub = PeerHub(settings.peer)
+    front = ControlFront()
+    async with anyio.create_task_group() as group:
+        peer = await group.start(hub.run)
+        server = HttpServer(front, settings.http, settings.stop_grace_s)
+        http = await group.start(server.run)
+        row = build_row(settings, CONTROL_ROLE, peer, http, rng)
+        parts = ControlParts(
+            row,
+            platform,
+            hub,
+            SystemClocks(),
+            rng,
+            settings.poll_interval_s,
+            settings.drain_grace_s,
+        )
+        hub.on_frame = parts.handle_frame
+        front.parts = parts
+        group.start_soon(parts.run)
+        _LOG.info("started", http=str(http), peer=str(peer))
+        task_status.started(http)
+        await stop.wait()
+        parts.stopping = True
+        parts.node.mark_stopping()
+        server.stop()
+        await parts.node.leave()
+        group.cancel_scope.cancel()
+    await platform.aclose()
+    _LOG.info("stopped")
--- /dev/null
+++ b/src/onyxgap/daemons/entry.py
@@ -0,0 +1,264 @@
+"""The entry process: callers' requests on one side, targets on the other."""
+
+import contextlib
+import random
+import typing as t
+
+import anyio
+import anyio.abc
+import attrs
+import structlog
+
+from ..adapters.http_front import HttpFront
+from ..adapters.http_server import HttpServer
+from ..adapters.peer_link import PeerHub
+from ..adapters.platform_client import PlatformClient
+from ..adapters.slot_link import NodeSlotLink
+from ..adapters.slot_link import feed_broker
+from ..adapters.target_client import HttpTargetClient
+from ..clocks import SystemClocks
+from ..metrics import Metrics
+from ..platform import Platform
+from ..request.allocation import SlotBroker
+from ..request.claims import ClaimKeeper
+from ..request.messages import Answer
+from ..request.messages import TargetClient
+from ..request.pipe import Clocks
+from ..request.pipe import RequestPipe
+from ..settings import Settings
+from ..shared.events import Entry
+from ..shared.membership import ENTRY_ROLE
+from ..shared.membership import MemberRow
+from ..shared.node import Node
+from ..shared.node import PeerSender
+from ..shared.state import VmState
+from ..wire.peer import ttypes
+
+TICK_S = 0.05
+SETTLE_ON_STOP_S = 5.0
+_TAKES_NO_WORK = (VmState.DRAINING, VmState.QUARANTINED)
+_LOG = structlog.get_logger()
+
+
+@attrs.define
+class EntryParts:
+    """The parts of an entry process, apart from sockets.
+
+    Tests build it with fakes in place of the platform, peers and targets.
+
+    :param row: what the process says of itself.
+    :param platform: the platform's services.
+    :param peers: sends frames to other members.
+    :param client: carries out attempts.
+    :param clocks: the clocks.
+    :param rng: seeded generator.
+    """
+
+    row: MemberRow
+    platform: Platform
+    peers: PeerSender
+    client: TargetClient
+    clocks: Clocks
+    rng: random.Random
+    poll_interval_s: float = 1.0
+    node: Node = attrs.field(init=False)
+    broker: SlotBroker = attrs.field(init=False)
+    claims: ClaimKeeper = attrs.field(init=False)
+    pipe: RequestPipe = attrs.field(init=False)
+    metrics: Metrics = attrs.field(factory=Metrics)
+    stopping: bool = False
+
+    def __attrs_post_init__(self) -> None:
+        self.node = Node(
+            self.row,
+            self.platform,
+            self.peers,
+            self.clocks,
+            self.rng,
+            self.poll_interval_s,
+        )
+        link = NodeSlotLink(self.node)
+        self.broker = SlotBroker(self.node.name, link, self.rng)
+        self.claims = ClaimKeeper(self.platform)
+        self.pipe = RequestPipe(
+            self.node, self.broker, self.claims, self.client, self.clocks, self.rng
+        )
+        self.node.on_change.append(self._refresh_targets)
+        self.node.on_members.append(self._refresh_entries)
+        self.node.count_draining = self._count_draining
+        self.metrics.gauges.update(
+            in_flight=lambda: self.pipe.in_flight,
+            journal_sequence=lambda: self.node.state.sequence,
+            manifest_version=lambda: self.node.state.version,
+            may_serve=lambda: float(self.node.may_serve()),
+            retries=lambda: self.pipe.retries,
+            unsettled_claims=lambda: len(self.claims.unsettled),
+        )
+
+    def _refresh_targets(self, entries: t.Sequence[Entry]) -> None:
+        self.broker.refresh(self.node.state, self.node.now())
+
+    def _refresh_entries(self) -> None:
+        self.broker.set_entries(self.node.list_entries(), self.node.now())
+
+    def _count_draining(self) -> dict[str, int]:
+        counts = {}
+        for name, record in self.node.state.vms.items():
+            if record.state in _TAKES_NO_WORK:
+                in_flight = self.broker.count_in_flight(name)
+                if in_flight:
+                    counts[name] = in_flight
+        return counts
+
+    def handle_frame(self, frame: ttypes.Frame) -> None:
+        """Take in a frame of another member.
+
+        :param frame: the frame.
+        """
+        self.node.handle_frame(frame)
+        try:
+            feed_broker(self.broker, frame, self.node.now())
+        except ValueError as error:
+            _LOG.warning("bad-frame", sender=frame.sender, reason=str(error))
+
+    async def run(self) -> None:
+        """Run everything that goes on beside requests, until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.node.run)
+            group.start_soon(self.claims.run)
+            group.start_soon(self._tick)
+
+    async def _tick(self) -> None:
+        while True:
+            await anyio.sleep(TICK_S)
+            self.broker.tick(self.node.now())
+
+    async def drain(self, grace_s: float) -> None:
+        """Wait until no request is in flight and every claim is settled.
+
+        :param grace_s: longest wait, in seconds.
+        """
+        with anyio.move_on_after(grace_s):
+            while self.pipe.in_flight:
+                await anyio.sleep(TICK_S)
+        with anyio.move_on_after(SETTLE_ON_STOP_S):
+            while self.claims.unsettled:
+                await self.claims.settle_once()
+        await self.node.leave()
+
+    def is_ready(self) -> bool:
+        """Tell whether the balancer may send requests here."""
+        return self.node.may_serve() and not self.stopping
+
+    def render_metrics(self) -> bytes:
+        """Render metrics in the usual text format."""
+        return self.metrics.render()
+
+    def count_answer(self, answer: Answer, service: str, job: str, took: float) -> None:
+        """Count one finished request."""
+        reason = answer.reason.value if answer.reason else ""
+        self.metrics.count(answer.verdict.value, reason, service, took)
+
+    def describe(self) -> dict[str, t.Any]:
+        """Describe the process as JSON."""
+        return describe_node(self.node, self.metrics, self.stopping)
+
+
+def describe_node(node: Node, metrics: Metrics, stopping: bool) -> dict[str, t.Any]:
+    """Describe a process for its status path.
+
+    :param node: its node.
+    :param metrics: its metrics.
+    :param stopping: whether a planned stop is under way.
+    """
+    return {
+        "member": node.name,
+        "role": node.row.role,
+        "sequence": node.state.sequence,
+        "version": node.state.version,
+        "fresh": node.may_serve(),
+        "stopping": stopping,
+        "corrupt_rows": node.journal.corrupt,
+        "metrics": metrics.summarize(),
+    }
+
+
+def build_row(
+    settings: Settings, role: str, peer: object, http: object, rng: random.Random
+) -> MemberRow:
+    """Build the row that a process shows of itself.
+
+    :param settings: its settings.
+    :param role: ``entry`` or ``control``.
+    :param peer: its bound peer address.
+    :param http: its bound HTTP address.
+    :param rng: generator for the incarnation.
+    """
+    return MemberRow(
+        name=settings.member,
+        role=role,
+        peer=str(peer),
+        incarnation=f"{rng.getrandbits(64):016x}",
+        http=str(http),
+        zone=settings.zone,
+    )
+
+
+async def run_entry(
+    settings: Settings,
+    stop: anyio.Event,
+    *,
+    task_status: anyio.abc.TaskStatus[t.Any] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Run an entry process until it is asked to stop.
+
+    :param settings: its settings.
+    :param stop: set to ask for a planned stop.
+    """
+    rng = random.Random()
+    platform = PlatformClient(settings.platform)
+    hub = PeerHub(settings.peer)
+    client = HttpTargetClient()
+    async with anyio.create_task_group() as group:
+        peer = await group.start(hub.run)
+        late = _LateFront()
+        server = HttpServer(late, settings.http, settings.stop_grace_s)
+        http = await group.start(server.run)
+        row = build_row(settings, ENTRY_ROLE, peer, http, rng)
+        parts = EntryParts(
+            row, platform, hub, client, SystemClocks(), rng, settings.poll_interval_s
+        )
+        hub.on_frame = parts.handle_frame
+        late.front = HttpFront(parts.pipe, parts, lambda: f"{rng.getrandbits(96):024x}")
+        group.start_soon(parts.run)
+        _LOG.info("started", http=str(http), peer=str(peer))
+        task_status.started(http)
+        await stop.wait()
+        await _stop_gracefully(parts, server, settings)
+        group.cancel_scope.cancel()
+    with contextlib.suppress(Exception):
+        await client.aclose()
+        await platform.aclose()
+    _LOG.info("stopped")
+
+
+async def _stop_gracefully(
+    parts: EntryParts, server: HttpServer, settings: Settings
+) -> None:
+    _LOG.info("stopping", in_flight=parts.pipe.in_flight)
+    parts.stopping = True
+    parts.node.mark_stopping()
+    # the balancer needs a moment to see that we are not ready
+    await anyio.sleep(settings.lame_duck_s)
+    server.stop()
+    await parts.drain(settings.stop_grace_s)
+
+
+@attrs.define
+class _LateFront:
+    front: HttpFront | None = None
+
+    async def __call__(self, scope: t.Any, receive: t.Any, send: t.Any) -> None:
+        while self.front is None:
+            await anyio.sleep(TICK_S)
+        await self.front(scope, receive, send)
--- /dev/null
+++ b/src/onyxgap/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Filters that bring the fleet in line with the manifest."""
--- /dev/null
+++ b/src/onyxgap/fleet/placement.py
@@ -0,0 +1,332 @@
+"""Places tasks on a pool's workers: urgent first, by preemption if need be."""
+
+import collections
+import typing as t
+
+import attrs
+
+from ..manifest import Priority
+from ..manifest import Task
+from ..manifest import Team
+from ..platform import ListedTask
+from ..platform import StartTask
+from ..platform import TaskStatus
+from ..shared import events as ev
+from ..shared.state import Attempt
+from ..shared.state import FleetState
+from ..shared.state import TaskHistory
+from ..shared.state import VmState
+from .diagnosis import find_unrunnable
+from .learning import Size
+from .learning import estimate_size
+from .messages import Finding
+from .messages import Step
+from .messages import StopOrder
+
+_ENDED = {
+    TaskStatus.DONE: "done",
+    TaskStatus.FAILED: "failed",
+    TaskStatus.STOPPED: "stopped",
+    TaskStatus.LOST: "lost",
+}
+
+
+@attrs.define(slots=True)
+class Worker:
+    """Room on one VM.
+
+    :param cores: free cores.
+    :param memory_gb: free memory.
+    :param attempts: what runs there.
+    """
+
+    vm: str
+    zone: str
+    rack: str
+    cores: float
+    memory_gb: float
+    attempts: list[Attempt] = attrs.field(factory=list)
+
+    def fits(self, size: Size) -> bool:
+        """Tell whether there is room.
+
+        :param size: what is needed.
+        """
+        return self.cores >= size.cores and self.memory_gb >= size.memory_gb
+
+    def change(self, cores: float, memory_gb: float) -> None:
+        """Add to the free room; negative numbers take from it.
+
+        :param cores: processor cores.
+        :param memory_gb: memory in GB.
+        """
+        self.cores += cores
+        self.memory_gb += memory_gb
+
+
+@attrs.define
+class _Pass:
+    state: FleetState
+    step: Step
+    tasks: dict[str, Task]
+    workers: list[Worker]
+    running: dict[str, list[Attempt]]
+    team_cores: dict[str, float]
+
+
+def settle_attempts(
+    state: FleetState,
+    attempts: t.Iterable[Attempt],
+    listed: t.Mapping[str, ListedTask],
+    step: Step,
+) -> None:
+    """End the attempts that the platform shows as ended; repeat open orders.
+
+    :param state: the agreed state.
+    :param attempts: attempts of the pool.
+    :param listed: what the platform reports, by attempt.
+    :param step: collects the outcome.
+    """
+    for attempt in attempts:
+        seen = listed.get(attempt.attempt)
+        if seen is not None and seen.status in _ENDED:
+            step.events.append(
+                ev.TaskEnded(
+                    attempt=attempt.attempt,
+                    outcome=_ENDED[seen.status],
+                    cores=seen.cores,
+                    memory_gb=seen.memory_gb,
+                    run_time_s=seen.run_time_s,
+                )
+            )
+        elif attempt.stopping:
+            step.orders.append(StopOrder(attempt.attempt))
+        elif seen is None:
+            step.orders.append(_build_order(state, attempt))
+
+
+def _build_order(state: FleetState, attempt: Attempt) -> StartTask:
+    task = state.find_chunk(f"tasks/{attempt.task}")
+    return StartTask(
+        attempt=attempt.attempt,
+        vm=attempt.vm,
+        cores=attempt.cores,
+        memory_gb=attempt.memory_gb,
+        run_time_s=float(task.run_time_s) if task else 0.0,
+    )
+
+
+def place_tasks(
+    pool: str,
+    state: FleetState,
+    listed: t.Mapping[str, ListedTask],
+    step: Step,
+) -> None:
+    """Bring the tasks of one pool in line with the manifest.
+
+    :param pool: the pool.
+    :param state: the agreed state.
+    :param listed: attempts as the platform reports them.
+    :param step: what the pass has decided for the pool so far; extended.
+    """
+    touched = {getattr(event, "vm", "") for event in step.events}
+    attempts = [
+        attempt
+        for attempt in state.attempts.values()
+        if _find_pool(state, attempt) == pool
+    ]
+    settle_attempts(state, attempts, listed, step)
+    ended = {e.attempt for e in step.events if isinstance(e, ev.TaskEnded)}
+    live = [attempt for attempt in attempts if attempt.attempt not in ended]
+    work = _open_pass(pool, state, live, touched, step)
+    _stop_unwanted(work)
+    for task in _order_tasks(work):
+        _place_task(work, task)
+
+
+def _find_pool(state: FleetState, attempt: Attempt) -> str:
+    record = state.vms.get(attempt.vm)
+    if record is not None:
+        return record.pool
+    task = state.find_chunk(f"tasks/{attempt.task}")
+    return task.pool if task else ""
+
+
+def _open_pass(
+    pool: str,
+    state: FleetState,
+    attempts: list[Attempt],
+    touched: set[str],
+    step: Step,
+) -> _Pass:
+    tasks = {
+        task.name: task
+        for name in state.chunks
+        if isinstance(task := state.find_chunk(name), Task) and task.pool == pool
+    }
+    running: dict[str, list[Attempt]] = collections.defaultdict(list)
+    by_vm: dict[str, list[Attempt]] = collections.defaultdict(list)
+    for attempt in attempts:
+        running[attempt.task].append(attempt)
+        by_vm[attempt.vm].append(attempt)
+    workers = []
+    for record in state.list_pool(pool):
+        if record.state is VmState.SERVING and record.name not in touched:
+            worker = Worker(
+                record.name,
+                record.zone,
+                record.rack,
+                float(record.cores),
+                float(record.memory_gb),
+                by_vm[record.name],
+            )
+            for attempt in worker.attempts:
+                worker.change(-attempt.cores, -attempt.memory_gb)
+            workers.append(worker)
+    team_cores = _sum_team_cores(state)
+    return _Pass(state, step, tasks, workers, running, team_cores)
+
+
+def _sum_team_cores(state: FleetState) -> dict[str, float]:
+    used: dict[str, float] = collections.defaultdict(float)
+    for attempt in state.attempts.values():
+        task = state.find_chunk(f"tasks/{attempt.task}")
+        if task is not None and task.team is not None:
+            used[task.team] += attempt.cores
+    return used
+
+
+def _stop_unwanted(work: _Pass) -> None:
+    serving = {worker.vm for worker in work.workers}
+    for name, attempts in work.running.items():
+        task = work.tasks.get(name)
+        wanted = task.count if task else 0
+        for index, attempt in enumerate(attempts):
+            if attempt.stopping:
+                continue
+            if index >= wanted:
+                _stop(work, attempt, "no longer wanted")
+            elif attempt.vm not in serving and _is_leaving(work.state, attempt.vm):
+                _stop(work, attempt, "its worker drains")
+
+
+def _is_leaving(state: FleetState, vm: str) -> bool:
+    record = state.vms.get(vm)
+    return record is not None and record.state is VmState.DRAINING
+
+
+def _stop(work: _Pass, attempt: Attempt, reason: str) -> None:
+    work.step.events.append(ev.TaskStopping(attempt.attempt, reason))
+
+
+def _order_tasks(work: _Pass) -> list[Task]:
+    return sorted(work.tasks.values(), key=lambda t: (t.priority.rank, t.name))
+
+
+def _count_open(work: _Pass, task: Task) -> int:
+    history = work.state.tasks.get(task.name, TaskHistory())
+    running = len(work.running.get(task.name, ()))
+    if task.idempotent:
+        return task.count - history.done - running
+    # each start may have run: none of them is ever repeated
+    return task.count - history.started
+
+
+def _place_task(work: _Pass, task: Task) -> None:
+    history = work.state.tasks.get(task.name)
+    if history is not None and task.name in find_unrunnable({task.name: history}):
+        reason = f"failed on {', '.join(history.failed_on)} and never ran"
+        work.step.report(Finding.UNRUNNABLE, task.name, reason)
+        return
+    if history is not None and history.lost and not task.idempotent:
+        reason = f"{history.lost} attempts lost; they may have run"
+        work.step.report(Finding.LOST_TASK, task.name, reason)
+    size = estimate_size(task, history)
+    started = history.started if history else 0
+    for number in range(_count_open(work, task)):
+        if not _start_one(work, task, size, f"{task.name}#{started + number + 1}"):
+            return
+
+
+def _start_one(work: _Pass, task: Task, size: Size, attempt: str) -> bool:
+    if not _is_within_quota(work, task, size):
+        reason = f"team {task.team} has its cores in use"
+        work.step.report(Finding.OVER_QUOTA, task.name, reason)
+        return False
+    worker = _choose_worker(work, task, size)
+    if worker is None:
+        if task.priority is Priority.URGENT and _preempt(work, size):
+            return False
+        work.step.report(Finding.NO_ROOM, task.name, "no worker has room for it")
+        return False
+    event = ev.TaskStarted(task.name, attempt, worker.vm, size.cores, size.memory_gb)
+    work.step.events.append(event)
+    worker.change(-size.cores, -size.memory_gb)
+    placed = Attempt(attempt, task.name, worker.vm, size.cores, size.memory_gb, 0.0)
+    worker.attempts.append(placed)
+    if task.team is not None:
+        work.team_cores[task.team] = work.team_cores.get(task.team, 0.0) + size.cores
+    return True
+
+
+def _is_within_quota(work: _Pass, task: Task, size: Size) -> bool:
+    team = work.state.find_chunk(f"teams/{task.team}")
+    if not isinstance(team, Team) or team.cores is None:
+        return True
+    return work.team_cores.get(team.name, 0.0) + size.cores <= team.cores
+
+
+def _choose_worker(work: _Pass, task: Task, size: Size) -> Worker | None:
+    history = work.state.tasks.get(task.name, TaskHistory())
+    fitting = [worker for worker in work.workers if worker.fits(size)]
+    fresh = [worker for worker in fitting if worker.vm not in history.failed_on]
+    if not fresh:
+        return None
+
+    def rank(worker: Worker) -> tuple[int, int, float, str]:
+        same = [item for item in worker.attempts if item.task == task.name]
+        in_rack = _count_in(work, task.name, "rack", worker.rack)
+        return len(same), in_rack, worker.memory_gb - size.memory_gb, worker.vm
+
+    return min(fresh, key=rank)
+
+
+def _count_in(work: _Pass, task: str, domain: str, value: str) -> int:
+    return sum(
+        item.task == task
+        for worker in work.workers
+        if getattr(worker, domain) == value
+        for item in worker.attempts
+    )
+
+
+def _preempt(work: _Pass, size: Size) -> bool:
+    """Stop the fewest less urgent attempts that make room on one worker."""
+    choices = []
+    for worker in work.workers:
+        victims = _find_victims(work, worker, size)
+        if victims is not None:
+            choices.append((len(victims), worker.vm, victims))
+    if not choices:
+        return False
+    for victim in min(choices, key=lambda choice: choice[:2])[2]:
+        if not victim.stopping:
+            _stop(work, victim, "makes room for urgent work")
+    return True
+
+
+def _find_victims(work: _Pass, worker: Worker, size: Size) -> list[Attempt] | None:
+    cores, memory = worker.cores, worker.memory_gb
+    victims = []
+    for attempt in sorted(worker.attempts, key=lambda item: -item.memory_gb):
+        if cores >= size.cores and memory >= size.memory_gb:
+            break
+        task = work.state.find_chunk(f"tasks/{attempt.task}")
+        if task is None or task.priority is Priority.URGENT or not task.idempotent:
+            continue
+        victims.append(attempt)
+        cores += attempt.cores
+        memory += attempt.memory_gb
+    if cores < size.cores or memory < size.memory_gb:
+        return None
+    return victims
--- /dev/null
+++ b/src/onyxgap/fleet/report.py
@@ -0,0 +1,81 @@
+"""Sums up the present plan by the three measures, beside the next best."""
+
+import typing as t
+
+import attrs
+
+from ..shared.state import VmState
+from .maintenance import order_wave
+from .messages import View
+from .messages import find_wanted
+from .pipe import list_pools
+from .planning import FreeVms
+from .planning import count_tasks
+from .planning import list_pool_options
+from .pricing import Option
+
+
+@attrs.frozen
+class PlanSummary:
+    """The measures of the present plan, and the price of the next best.
+
+    :param buffer_vms: free VMs and VMs out within their budgets.
+    :param moves: tasks and VMs that the plan relocates.
+    :param roll_out_s: seconds until the plan is in force.
+    :param price: weighted sum.
+    :param next_price: price of the next best plan, or ``None``.
+    """
+
+    buffer_vms: int
+    moves: int
+    roll_out_s: float
+    price: float
+    next_price: float | None
+
+    def render(self) -> t.Iterator[str]:
+        """Render it line by line, for people."""
+        yield f"buffer: {self.buffer_vms} VMs free or out"
+        yield f"moves: {self.moves}"
+        yield f"roll-out: {self.roll_out_s:.0f} s"
+        yield f"price: {self.price:.2f}"
+        if self.next_price is not None:
+            yield f"next best plan: {self.next_price:.2f}"
+
+
+def summarize_plan(view: View) -> PlanSummary:
+    """Price the plan that the pools of a view are about to follow.
+
+    :param view: what the pass looks at.
+    """
+    options = [_list_options(name, view) for name in list_pools(view.state)]
+    chosen = [pool_options[0] for pool_options in options if pool_options]
+    free = sum(map(len, FreeVms.collect(view).by_zone.values()))
+    out = sum(record.state is not VmState.SERVING for record in view.state.vms.values())
+    price = sum(option.price for option in chosen)
+    return PlanSummary(
+        buffer_vms=free + out,
+        moves=sum(option.measures.moves for option in chosen),
+        roll_out_s=max((o.measures.roll_out_s for o in chosen), default=0.0),
+        price=price,
+        next_price=_price_next(options, price),
+    )
+
+
+def _list_options(name: str, view: View) -> list[Option]:
+    manifest = view.state.manifest
+    if manifest is None:
+        return []
+    pool = find_wanted(view.state, name)
+    wave = order_wave(
+        view.state.list_pool(name),
+        pool,
+        manifest.maintenance_days,
+        view.wall,
+        count_tasks(view.state),
+    )
+    return list_pool_options(pool, view, wave, pool.max_out)
+
+
+def _price_next(options: t.Iterable[list[Option]], price: float) -> float | None:
+    steps = [pool[1].price - pool[0].price for pool in options if len(pool) > 1]
+    return price + min(steps) if steps else None
--- /dev/null
+++ b/src/onyxgap/operations.py
@@ -0,0 +1,233 @@
+"""What operators' commands do, apart from printing."""
+
+import random
+import time
+import typing as t
+
+import attrs
+
+from .exceptions import ConflictError
+from .exceptions import OnyxgapError
+from .manifest import Manifest
+from .manifest import split_manifest
+from .platform import Platform
+from .shared import events as ev
+from .shared.events import Entry
+from .shared.journal import Journal
+from .shared.membership import ENTRY_ROLE
+from .shared.membership import PREFIX as MEMBER_PREFIX
+from .shared.state import FleetState
+from .shared.state import VmState
+
+APPLY_ATTEMPTS = 50
+_SHOWN_FIELDS = ("vm", "pool", "purpose", "action", "reason", "task", "outcome")
+
+
+async def load_state(platform: Platform) -> FleetState:
+    """Read the newest state from the platform's store.
+
+    :param platform: the platform.
+    :raises PlatformUnavailableError: when the store does not answer.
+    """
+    journal = Journal(platform)
+    state = await journal.load_state()
+    while True:
+        entries = await journal.read_after(state.sequence)
+        if not entries:
+            return state
+        for entry in entries:
+            state.apply(entry)
+
+
+async def list_audit(platform: Platform, limit: int = 10_000) -> list[Entry]:
+    """Read the audit trail: the newest entries of the journal, oldest first.
+
+    :param platform: the platform.
+    :param limit: most entries.
+    :raises PlatformUnavailableError: when the store does not answer.
+    """
+    journal = Journal(platform)
+    newest = (await load_state(platform)).sequence
+    entries: list[Entry] = []
+    sequence = max(0, newest - limit)
+    while page := await journal.read_after(sequence):
+        entries.extend(page)
+        sequence = page[-1].sequence
+    return entries
+
+
+def diff_manifest(
+    state: FleetState, manifest: Manifest
+) -> tuple[dict[str, t.Any], list[str]]:
+    """Find what a new manifest changes.
+
+    :param state: the state in force.
+    :param manifest: the new manifest.
+    :returns: changed chunks by name, and the names of removed ones.
+    """
+    wanted = split_manifest(manifest)
+    changed = {
+        name: value for name, value in wanted.items() if state.chunks.get(name) != value
+    }
+    return changed, sorted(set(state.chunks) - set(wanted))
+
+
+async def apply_manifest(
+    platform: Platform,
+    manifest: Manifest,
+    author: str,
+    if_version: int | None = None,
+    rng: random.Random | None = None,
+) -> int:
+    """Have a manifest accepted; it is in force once it stands in the journal.
+
+    Without ``if_version`` the version read at the start is the condition, so
+    that two operators who race do not overwrite each other unseen.
+
+    :param platform: the platform.
+    :param manifest: the checked manifest.
+    :param author: who applies it.
+    :param if_version: version that must be in force.
+    :param rng: generator for the writer's token.
+    :returns: the accepted version; the present one when nothing changes.
+    :raises ConflictError: when another version is in force.
+    :raises UnknownOutcomeError: when the outcome could not be settled.
+    """
+    journal = Journal(platform)
+    rng = rng or random.SystemRandom()
+    expected = if_version
+    for _ in range(APPLY_ATTEMPTS):
+        state = await load_state(platform)
+        if expected is None:
+            expected = state.version
+        if state.version != expected:
+            raise ConflictError(state.version, state.version_author)
+        changed, removed = diff_manifest(state, manifest)
+        if not changed and not removed:
+            return state.version
+        entry = Entry(
+            sequence=state.sequence + 1,
+            author=author,
+            at=time.time(),
+            why="apply manifest",
+            token=f"{rng.getrandbits(128):032x}",
+            events=(ev.ManifestAccepted(state.version + 1, changed, removed),),
+        )
+        if await journal.append(entry):
+            return state.version + 1
+    raise OnyxgapError("the journal is too busy; try again")
+
+
+@attrs.frozen
+class MemberStatus:
+    """How far one process is.
+
+    :param behind: journal entries it has not folded yet.
+    """
+
+    name: str
+    role: str
+    zone: str
+    http: str
+    sequence: int
+    behind: int
+    stopping: bool
+
+
+async def list_members(platform: Platform, sequence: int) -> list[MemberStatus]:
+    """List the processes that have a row, and how far they are.
+
+    :param platform: the platform.
+    :param sequence: sequence to compare with.
+    """
+    rows = await platform.scan(MEMBER_PREFIX, MEMBER_PREFIX, 1000)
+    return [
+        MemberStatus(
+            name=row.value["name"],
+            role=row.value["role"],
+            zone=row.value.get("zone", ""),
+            http=row.value.get("http", ""),
+            sequence=row.value.get("sequence", 0),
+            behind=max(0, sequence - row.value.get("sequence", 0)),
+            stopping=row.value.get("stopping", False),
+        )
+        for row in rows
+    ]
+
+
+async def list_lagging(platform: Platform, sequence: int) -> list[MemberStatus]:
+    """List the entries that have not yet acknowledged a sequence.
+
+    :param platform: the platform.
+    :param sequence: the sequence.
+    """
+    members = await list_members(platform, sequence)
+    return [item for item in members if item.role == ENTRY_ROLE and item.behind]
+
+
+@attrs.frozen
+class PoolStatus:
+    """How one pool stands against the manifest."""
+
+    pool: str
+    wanted: int
+    serving: int
+    out: int
+    max_out: int
+    by_state: dict[str, int]
+
+
+def summarize_pools(state: FleetState) -> list[PoolStatus]:
+    """Compare each pool with the manifest in force.
+
+    :param state: the agreed state.
+    """
+    summaries = []
+    manifest = state.manifest
+    for pool in manifest.pools if manifest else []:
+        by_state: dict[str, int] = {}
+        for record in state.list_pool(pool.name):
+            name = record.state.value
+            by_state[name] = by_state.get(name, 0) + 1
+        serving = by_state.get(VmState.SERVING.value, 0)
+        summaries.append(
+            PoolStatus(
+                pool.name,
+                pool.size,
+                serving,
+                max(0, pool.size - serving),
+                pool.max_out,
+                by_state,
+            )
+        )
+    return summaries
+
+
+def find_mentions(entry: Entry, subject: str) -> list[ev.Event]:
+    """Find the events of an entry that concern a VM, task, attempt or pool.
+
+    :param entry: the entry.
+    :param subject: its name.
+    """
+    fields = ("vm", "task", "attempt", "pool")
+    return [
+        event
+        for event in entry.events
+        if any(getattr(event, field, None) == subject for field in fields)
+    ]
+
+
+def describe_event(event: ev.Event) -> str:
+    """Describe an event in one line.
+
+    :param event: the event.
+    """
+    if isinstance(event, ev.ManifestAccepted):
+        count = len(event.changed) + len(event.removed)
+        return f"manifest version {event.version} accepted, {count} parts changed"
+    fields = ", ".join(
+        f"{field.name}={getattr(event, field.name)}"
+        for field in attrs.fields(type(event))
+        if field.name in _SHOWN_FIELDS
+    )
+    return f"{type(event).__name__}({fields})"
--- /dev/null
+++ b/src/onyxgap/request/__init__.py
@@ -0,0 +1,1 @@
+"""Filters a caller's request passes through, from identity to answer."""
--- /dev/null
+++ b/src/onyxgap/shared/__init__.py
@@ -0,0 +1,1 @@
+"""What the processes of one deployment agree on."""
--- /dev/null
+++ b/src/onyxgap/shared/snapshots.py
@@ -0,0 +1,70 @@
+"""Snapshots of the agreed state, so that a new process reads few entries."""
+
+import json
+import typing as t
+import zlib
+
+import attrs
+from cattrs import Converter
+
+from .state import Attempt
+from .state import FleetState
+from .state import TaskHistory
+from .state import VmRecord
+
+_CONVERTER = Converter(omit_if_default=True)
+
+
+@attrs.frozen
+class Snapshot:
+    """The part of :class:`FleetState` that is not derived."""
+
+    sequence: int
+    version: int
+    version_author: str
+    chunks: dict[str, t.Any]
+    vms: list[VmRecord]
+    attempts: list[Attempt]
+    tasks: dict[str, TaskHistory]
+
+
+def encode_snapshot(state: FleetState) -> bytes:
+    """Write the state down, compressed.
+
+    :param state: the state.
+    """
+    snapshot = Snapshot(
+        sequence=state.sequence,
+        version=state.version,
+        version_author=state.version_author,
+        chunks=state.chunks,
+        vms=list(state.vms.values()),
+        attempts=list(state.attempts.values()),
+        tasks=dict(state.tasks),
+    )
+    text = json.dumps(_CONVERTER.unstructure(snapshot), separators=(",", ":"))
+    return zlib.compress(text.encode())
+
+
+def decode_snapshot(body: bytes) -> FleetState:
+    """Rebuild the state.
+
+    :param body: what :func:`encode_snapshot` wrote.
+    :raises ValueError: when the bytes are damaged.
+    """
+    try:
+        document = json.loads(zlib.decompress(body))
+        snapshot = _CONVERTER.structure(document, Snapshot)
+    except Exception as error:
+        raise ValueError(f"damaged snapshot: {error}") from None
+    state = FleetState(
+        sequence=snapshot.sequence,
+        version=snapshot.version,
+        version_author=snapshot.version_author,
+    )
+    state.load_chunks(snapshot.chunks)
+    for record in snapshot.vms:
+        state.add_vm(record)
+    state.attempts.update({item.attempt: item for item in snapshot.attempts})
+    state.tasks.update(snapshot.tasks)
+    return state
--- /dev/null
+++ b/src/onyxgap/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and the targets."""
--- /dev/null
+++ b/src/onyxgap/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the system's own processes."""
--- /dev/null
+++ b/src/onyxgap/wire/peer.thrift
@@ -0,0 +1,64 @@
+// Messages between onyxgap's own processes; one Frame is one length-prefixed
+// compact-protocol struct on a TCP connection.
+
+struct Heartbeat {
+  1: required i64 sequence;             // last journal entry folded by the sender
+  2: required bool fresh;               // the sender itself may serve
+  3: required bool stopping;            // planned stop under way
+  4: optional map<string, i32> draining; // leaving VM -> requests in flight
+}
+
+struct SlotAsk {
+  1: required i64 ask;
+  2: required string service_name;
+  3: required i8 priority;
+  4: required i32 remaining_ms;
+  5: optional string team;
+  6: optional list<string> avoid;
+}
+
+struct SlotGrant {
+  1: required i64 ask;
+  2: required string vm;
+}
+
+struct SlotRefusal {
+  1: required i64 ask;
+  2: required string reason;
+  3: required i32 retry_after_ms;
+}
+
+struct SlotRelease {
+  1: required i64 ask;
+  2: required i8 outcome;
+  3: required i64 took_us;
+}
+
+struct SlotHeld {
+  1: required i64 ask;
+  2: required string service_name;
+  3: required string vm;
+  4: optional string team;
+}
+
+struct JournalPull {
+  1: required i64 after;
+}
+
+struct JournalPage {
+  1: required list<binary> entries;
+  2: optional binary snapshot;
+}
+
+struct Frame {
+  1: required string sender;
+  2: optional Heartbeat heartbeat;
+  3: optional list<SlotAsk> asks;
+  4: optional list<SlotGrant> grants;
+  5: optional list<SlotRefusal> refusals;
+  6: optional list<SlotRelease> releases;
+  7: optional list<SlotHeld> held;
+  8: optional JournalPull pull;
+  9: optional JournalPage page;
+  10: optional bool probe;
+}
--- /dev/null
+++ b/src/onyxgap/wire/peer/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
