--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the system, apart from its tests."""
--- a/src/onyxgap/adapters/http_server.py
+++ b/src/onyxgap/adapters/http_server.py
@@ -44,9 +44,7 @@
     ) -> None:
         """Serve until stopped; reports the bound address when started."""
         # asyncio switches Nagle's algorithm off only where the protocol is named
-        listener = socket.socket(
-            socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP
-        )
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.bind((self.listen.host, self.listen.port))
         config = uvicorn.Config(
--- a/src/onyxgap/daemons/entry.py
+++ b/src/onyxgap/daemons/entry.py
@@ -146,6 +146,19 @@
                 await self.claims.settle_once()
         await self.node.leave()
 
+    @property
+    def version(self) -> int:
+        """Manifest version in force here."""
+        return self.node.state.version
+
+    def list_targets(self) -> list[tuple[str, str]]:
+        """List each serving VM with the pool that this entry knows it in."""
+        return [
+            (name, record.pool)
+            for name, record in self.node.state.vms.items()
+            if record.state is VmState.SERVING
+        ]
+
     def is_ready(self) -> bool:
         """Tell whether the balancer may send requests here."""
         return self.node.may_serve() and not self.stopping
--- a/src/onyxgap/shared/node.py
+++ b/src/onyxgap/shared/node.py
@@ -130,7 +130,6 @@
 
     async def _load(self) -> None:
         while not self.loaded:
-            asked_at = self.now()
             try:
                 self.state = await self.journal.load_state()
                 await self.catch_up()
@@ -141,7 +140,6 @@
                 await anyio.sleep(self.poll_interval_s)
                 continue
             self.loaded = True
-            self.freshness.hear_store(asked_at)
             _LOG.info("loaded", member=self.name, sequence=self.state.sequence)
             self._notify([])
 
@@ -165,9 +163,10 @@
         while True:
             asked_at = self.now()
             entries = await self.journal.read_after(self.state.sequence)
-            self.freshness.hear_store(asked_at)
             self._fold(entries)
             if len(entries) < defaults.JOURNAL_PAGE_ROWS:
+                # only now nothing that stood when we asked is unknown to us
+                self.freshness.hear_store(asked_at)
                 return
 
     def _fold(self, entries: t.Iterable[Entry]) -> None:
@@ -266,7 +265,6 @@
     async def _read_members(self) -> None:
         asked_at = self.now()
         rows = await self.platform.scan(MEMBER_PREFIX, MEMBER_PREFIX, MEMBER_PAGE_ROWS)
-        self.freshness.hear_store(asked_at)
         members = []
         for row in rows:
             try:
@@ -326,7 +324,6 @@
             # a newcomer: learn its row before answering it
             self._scan_due.set()
             return
-        self.freshness.hear_peer(frame.sender, self.now())
         if frame.heartbeat is not None:
             self._handle_heartbeat(frame.sender, address, frame.heartbeat)
         if frame.probe:
@@ -346,7 +343,10 @@
             heartbeat.stopping,
             self.now(),
         )
-        if heartbeat.sequence > self.state.sequence and self.loaded:
+        if heartbeat.sequence <= self.state.sequence:
+            # a peer that knows more proves that we are behind, not fresh
+            self.freshness.hear_peer(sender, self.now())
+        elif self.loaded:
             pull = ttypes.JournalPull(after=self.state.sequence)
             self.peers.send(address, ttypes.Frame(sender=self.name, pull=pull))
         if changed:
--- a/src/onyxgap/standins/memory_platform.py
+++ b/src/onyxgap/standins/memory_platform.py
@@ -85,6 +85,7 @@
     actions: dict[str, str] = attrs.field(factory=dict)
     vms: dict[str, ListedVm] = attrs.field(factory=dict)
     runs: dict[str, _Run] = attrs.field(factory=dict)
+    on_action: t.Callable[[str, VmStatus, str], None] = lambda vm, before, action: None
     _rows: t.Any = attrs.field(factory=sortedcontainers.SortedDict)
     _versions: dict[str, int] = attrs.field(factory=dict)
     _objects: dict[str, bytes] = attrs.field(factory=dict)
@@ -201,7 +202,9 @@
         if action_id in self.actions or vm not in self.vms:
             return
         self.actions[action_id] = f"{action.value} {vm}"
+        before = self.vms[vm].status
         self.set_status(vm, VmStatus.DOWN)
+        self.on_action(vm, before, action_id)
         self._boots.append(_Boot(vm, anyio.current_time() + self.boot_s))
 
     def set_status(self, vm: str, status: VmStatus) -> None:
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of onyxgap."""
