--- a/src/onyxgap/standins/memory_platform.py
+++ b/src/onyxgap/standins/memory_platform.py
@@ -156,6 +156,14 @@
         self._versions[put.key] = version
         self._rows[put.key] = Row(put.key, copy.deepcopy(put.value), version)
 
+    def peek(self, key: str) -> Row:
+        """Read a row past all faults, for tests.
+
+        :param key: its key.
+        """
+        row: Row = self._rows[key]
+        return row
+
     def list_keys(self, prefix: str) -> list[str]:
         """List the keys with a prefix, for tests.
 
--- a/src/onyxgap/standins/memory_targets.py
+++ b/src/onyxgap/standins/memory_targets.py
@@ -45,6 +45,7 @@
     service: str
     job: str
     started_at: float
+    ended_at: float = 0.0
     cut: bool = False
     done: bool = False
 
@@ -79,7 +80,6 @@
     faults: dict[str, Fault] = attrs.field(factory=dict)
     executions: list[Execution] = attrs.field(factory=list)
     running: collections.Counter[str] = attrs.field(factory=collections.Counter)
-    busy_s: float = 0.0
     sent: int = 0
     refused_full: int = 0
 
@@ -139,7 +139,7 @@
             await self._work(caller.service, caller.job, vm)
         finally:
             self.running[vm] -= 1
-            self.busy_s += anyio.current_time() - execution.started_at
+            execution.ended_at = anyio.current_time()
         if not self.is_up(vm) or self.platform.vms[vm].boots != boots:
             execution.cut = True
             return _break_answer()
--- a/src/onyxgap/standins/stage.py
+++ b/src/onyxgap/standins/stage.py
@@ -12,6 +12,8 @@
 from ..manifest import Manifest
 from ..manifest import parse_manifest
 from ..platform import ListedVm
+from ..platform import StartTask
+from ..platform import TaskStatus
 from ..platform import VmStatus
 from ..shared.membership import CONTROL_ROLE
 from ..shared.membership import ENTRY_ROLE
@@ -67,6 +69,8 @@
     breaches: list[Breach] = attrs.field(factory=list)
     pool_of: dict[str, str] = attrs.field(factory=dict)
     started_at: float = 0.0
+    on_settled: t.Callable[[], None] = lambda: None
+    in_force: dict[int, float] = attrs.field(factory=dict)
     _leaving: dict[str, float] = attrs.field(factory=dict)
     _planned: dict[str, list[float]] = attrs.field(
         factory=lambda: collections.defaultdict(list)
@@ -111,6 +115,7 @@
             if running.role == ENTRY_ROLE:
                 self.pool_of.update(running.parts.list_targets())
         self._watch_power_actions()
+        self.on_settled()
 
     def _watch_power_actions(self) -> None:
         limits = {pool.name: pool.max_out for pool in self.deployment.manifest.pools}
@@ -232,6 +237,25 @@
                 size = int(count) + (author == "operator-2")
                 group.start_soon(self._apply_change, pool, zone, size, author)
 
+    async def _cancel_tasks(self) -> None:
+        tasks = [attrs.evolve(task, count=0) for task in self.deployment.manifest.tasks]
+        changed = attrs.evolve(self.deployment.manifest, tasks=tasks)
+        await self.deployment.apply(changed, "pipeline")
+
+    async def _misjudge(self, factor: str) -> None:
+        def judge(order: StartTask) -> tuple[TaskStatus, float]:
+            return TaskStatus.DONE, order.run_time_s * float(factor)
+
+        self.deployment.platform.judge = judge
+
+    async def _spoil(self, vm: str) -> None:
+        judge = self.deployment.platform.judge
+
+        def spoiled(order: StartTask) -> tuple[TaskStatus, float]:
+            return (TaskStatus.FAILED, 1.0) if order.vm == vm else judge(order)
+
+        self.deployment.platform.judge = spoiled
+
     async def _apply_change(
         self, pool: str, zone: str, count: int, author: str
     ) -> None:
@@ -273,7 +297,11 @@
         now = anyio.current_time()
         due = [v for at, v in self.deployment.accepted if now - at > IN_FORCE_LIMIT_S]
         wanted = max(due, default=0)
-        for name, parts in self._list_serving():
+        serving = self._list_serving()
+        for at, version in self.deployment.accepted:
+            if all(parts.version >= version for _, parts in serving):
+                self.in_force.setdefault(version, now - at)
+        for name, parts in serving:
             if parts.version < self._versions.get(name, 0):
                 self._breach("config", f"{name} went back to {parts.version}")
             if parts.version < wanted:
@@ -354,4 +382,7 @@
     "age": Stage._age,
     "resize": Stage._resize,
     "race": Stage._race,
+    "cancel-tasks": Stage._cancel_tasks,
+    "misjudge": Stage._misjudge,
+    "spoil": Stage._spoil,
 }
