Find the least loaded target without looking at all, and compare like with like

Cause 1: each ask counted the slots of all targets and sorted their run times. Change: targets stand in levels by slots in use, totals are kept, the median is taken once a round; a run time counts as a multiple of the usual one of the same priority. Ruled out: choosing the better of two at random, which misses the last free slots of a busy service.

--- a/src/onyxgap/request/scheduling.py
+++ b/src/onyxgap/request/scheduling.py
@@ -21,6 +21,7 @@
 URGENT_RANK = 0
 MEAN_SMOOTHING = 0.05
 INITIAL_MEAN_S = 0.05
+MIN_USUAL_S = 0.001
 
 
 @attrs.frozen(slots=True)
@@ -50,6 +51,7 @@
 class _Held:
     vm: str
     team: str | None
+    rank: int | None
 
 
 @attrs.define
@@ -70,6 +72,7 @@
     mean_s: float = INITIAL_MEAN_S
     _held: dict[tuple[str, int], _Held] = attrs.field(factory=dict)
     _by_team: dict[str, int] = attrs.field(factory=dict)
+    _usual_s: dict[int, float] = attrs.field(factory=dict)
     _urgent_run: int = 0
 
     def submit(self, ask: Ask, now: float) -> list[Decision]:
@@ -167,14 +170,15 @@
         target = self.targets.choose(now, ask.avoid)
         if target is None:
             return Refused(ask, Reason.NO_TARGET, defaults.EJECT_BASE_S)
-        self._hold(ask.member, ask.ask, target.vm, ask.team)
+        held = _Held(target.vm, ask.team, ask.rank)
+        self._hold(ask.member, ask.ask, held)
         return Granted(ask, target.vm)
 
-    def _hold(self, member: str, ask: int, vm: str, team: str | None) -> None:
-        self._held[member, ask] = _Held(vm, team)
-        self.targets.take(vm)
-        if team is not None:
-            self._by_team[team] = self._by_team.get(team, 0) + 1
+    def _hold(self, member: str, ask: int, held: _Held) -> None:
+        self._held[member, ask] = held
+        self.targets.take(held.vm)
+        if held.team is not None:
+            self._by_team[held.team] = self._by_team.get(held.team, 0) + 1
 
     def adopt(self, member: str, ask: int, vm: str, team: str | None) -> None:
         """Count a slot that an earlier owner granted.
@@ -185,7 +189,7 @@
         :param team: whose quota it uses.
         """
         if (member, ask) not in self._held:
-            self._hold(member, ask, vm, team)
+            self._hold(member, ask, _Held(vm, team, None))
 
     def release(
         self, member: str, ask: int, outcome: Outcome, took_s: float, now: float
@@ -206,11 +210,25 @@
         return self.grant_free(now)
 
     def _free(self, held: _Held, outcome: Outcome, took_s: float, now: float) -> None:
-        self.targets.give_back(held.vm, outcome, took_s, now)
-        if held.team is not None:
-            self._by_team[held.team] -= 1
         if outcome is Outcome.SERVED:
             self.mean_s += MEAN_SMOOTHING * (took_s - self.mean_s)
+        slowness = self._rate_slowness(held.rank, outcome, took_s)
+        self.targets.give_back(held.vm, outcome, slowness, now)
+        if held.team is not None:
+            self._by_team[held.team] -= 1
+
+    def _rate_slowness(
+        self, rank: int | None, outcome: Outcome, took_s: float
+    ) -> float:
+        """Rate a run time against the usual one of the same priority.
+
+        Long work is no sign of a slow target, so only like is compared.
+        """
+        if rank is None or outcome is not Outcome.SERVED:
+            return 1.0
+        usual = self._usual_s.setdefault(rank, max(took_s, MIN_USUAL_S))
+        self._usual_s[rank] = usual + MEAN_SMOOTHING * (took_s - usual)
+        return took_s / max(usual, MIN_USUAL_S)
 
     def drop_member(self, member: str, now: float) -> list[Decision]:
         """Free what a lapsed entry holds and forget what it asked.
--- a/src/onyxgap/request/targets.py
+++ b/src/onyxgap/request/targets.py
@@ -31,7 +31,7 @@
     :param slots: requests it runs at once.
     :param limit: how many it is given at present.
     :param in_use: granted slots.
-    :param mean_s: smoothed time it takes for a request, in seconds.
+    :param slowness: smoothed ratio of its run times to the usual ones.
     """
 
     vm: str
@@ -40,7 +40,7 @@
     slots: int
     limit: float
     in_use: int = 0
-    mean_s: float = 0.0
+    slowness: float = 1.0
     failures: int = 0
     ejections: int = 0
     ejected_until: float = float("-inf")
@@ -60,13 +60,22 @@
 class TargetSet:
     """The targets of one service.
 
-    :param rng: seeded generator that breaks ties.
+    Targets stand in levels by the slots in use, so that the least loaded one
+    is found without looking at all of them.
+
+    :param rng: seeded generator that spreads the order of new targets.
     :param eject_share: greatest share of targets ejected at once.
     """
 
     rng: Random
     eject_share: float = defaults.EJECT_SHARE_CAP
     by_vm: dict[str, Target] = attrs.field(factory=dict)
+    _levels: list[dict[str, Target]] = attrs.field(factory=list)
+    _total: int = 0
+    _free: int = 0
+    _recount_at: float = float("-inf")
+    _usual: float = 1.0
+    _usual_left: int = 0
 
     def replace(self, wanted: t.Iterable[tuple[str, str, str, int]]) -> None:
         """Set the serving targets; others stay only while they are in use.
@@ -74,21 +83,38 @@
         :param wanted: VM, zone, rack and slots of each serving target.
         """
         serving = set()
-        for vm, zone, rack, slots in wanted:
+        for vm, zone, rack, slots in sorted(wanted, key=self._shuffle):
             serving.add(vm)
             target = self.by_vm.get(vm)
             if target is None or target.slots != slots:
-                in_use = target.in_use if target else 0
+                in_use = self._drop(vm)
                 target = Target(vm, zone, rack, slots, float(slots), in_use)
                 self.by_vm[vm] = target
+                self._level(in_use)[vm] = target
             target.serving = True
         for vm in set(self.by_vm) - serving:
             self.by_vm[vm].serving = False
             self._forget_idle(self.by_vm[vm])
+        self._recount_soon()
+
+    def _shuffle(self, item: object) -> float:
+        return self.rng.random()
+
+    def _drop(self, vm: str) -> int:
+        target = self.by_vm.pop(vm, None)
+        if target is None:
+            return 0
+        self._level(target.in_use).pop(vm, None)
+        return target.in_use
+
+    def _level(self, in_use: int) -> dict[str, Target]:
+        while len(self._levels) <= in_use:
+            self._levels.append({})
+        return self._levels[in_use]
 
     def _forget_idle(self, target: Target) -> None:
         if not target.serving and target.in_use <= 0:
-            self.by_vm.pop(target.vm, None)
+            self._drop(target.vm)
 
     def choose(self, now: float, avoid: t.Collection[str] = ()) -> Target | None:
         """Choose the least loaded open target, away from the avoided ones.
@@ -96,75 +122,106 @@
         :param now: monotonic seconds.
         :param avoid: VMs and zones that an earlier attempt failed in.
         """
-        best: Target | None = None
-        best_rank = (True, 2.0, 2.0)
-        for target in self.by_vm.values():
-            if not target.is_open(now):
-                continue
-            avoided = target.vm in avoid or target.zone in avoid
-            rank = (avoided, target.in_use / target.limit, self.rng.random())
-            if rank < best_rank:
-                best, best_rank = target, rank
-        if best is not None and best.vm in avoid:
-            return None
-        return best
+        second: Target | None = None
+        for level in self._levels:
+            for target in level.values():
+                if not target.is_open(now) or target.vm in avoid:
+                    continue
+                if target.zone not in avoid:
+                    return target
+                second = second or target
+        return second
 
     def count_slots(self, now: float) -> tuple[int, int]:
         """Count the slots of serving targets, and those that are free.
 
         :param now: monotonic seconds.
         """
-        total = free = 0
+        if now >= self._recount_at:
+            self._recount(now)
+        return self._total, self._free
+
+    def _recount_soon(self) -> None:
+        self._recount_at = float("-inf")
+
+    def _recount(self, now: float) -> None:
+        self._total = self._free = 0
+        self._recount_at = float("inf")
         for target in self.by_vm.values():
-            if target.serving and now >= target.ejected_until:
-                total += int(target.limit)
-                free += max(0, int(target.limit) - target.in_use)
-        return total, free
+            if target.ejected_until > now:
+                self._recount_at = min(self._recount_at, target.ejected_until)
+            elif target.serving:
+                self._total += int(target.limit)
+                self._free += max(0, int(target.limit) - target.in_use)
 
     def take(self, vm: str) -> None:
         """Count one more slot of a target as used.
 
         :param vm: the target.
         """
-        if vm in self.by_vm:
-            self.by_vm[vm].in_use += 1
-
-    def give_back(self, vm: str, outcome: Outcome, took_s: float, now: float) -> None:
+        target = self.by_vm.get(vm)
+        if target is not None:
+            if target.in_use < int(target.limit):
+                self._free -= 1
+            else:
+                self._recount_soon()
+            self._move(target, target.in_use + 1)
+
+    def _move(self, target: Target, in_use: int) -> None:
+        self._levels[target.in_use].pop(target.vm, None)
+        target.in_use = in_use
+        # the one used last goes to the end of its level
+        self._level(in_use)[target.vm] = target
+
+    def give_back(self, vm: str, outcome: Outcome, slowness: float, now: float) -> None:
         """Free a slot and learn from how it was used.
 
         :param vm: the target.
         :param outcome: how the attempt ended.
-        :param took_s: how long it took, in seconds.
+        :param slowness: its run time as a multiple of the usual one.
         :param now: monotonic seconds.
         """
         target = self.by_vm.get(vm)
-        if target is None:
+        if target is None or target.in_use <= 0:
             return
-        target.in_use = max(0, target.in_use - 1)
-        _LEARN[outcome](self, target, took_s, now)
+        limit = int(target.limit)
+        plain = target.serving and target.in_use <= limit
+        plain = plain and now >= target.ejected_until
+        self._move(target, target.in_use - 1)
+        _LEARN[outcome](self, target, slowness, now)
+        if plain and int(target.limit) == limit and now >= target.ejected_until:
+            self._free += 1
+        else:
+            self._recount_soon()
         self._forget_idle(target)
 
-    def _learn_served(self, target: Target, took_s: float, now: float) -> None:
+    def _learn_served(self, target: Target, slowness: float, now: float) -> None:
         target.failures = 0
         target.ejections = 0
-        if not target.mean_s:
-            target.mean_s = took_s
-        target.mean_s += SMOOTHING * (took_s - target.mean_s)
+        target.slowness += SMOOTHING * (slowness - target.slowness)
         ceiling = self._find_ceiling(target)
         target.limit = min(ceiling, target.limit + 1 / target.limit)
 
     def _find_ceiling(self, target: Target) -> float:
-        means = [item.mean_s for item in self.by_vm.values() if item.mean_s]
-        usual = statistics.median_low(means)
-        if target.mean_s <= SLOW_RATIO * usual:
+        usual = self._find_usual()
+        if target.slowness <= SLOW_RATIO * usual:
             return float(target.slots)
-        share = SLOW_RATIO * usual / target.mean_s
+        share = SLOW_RATIO * usual / target.slowness
         return max(MIN_LIMIT, target.slots * share)
 
-    def _learn_overloaded(self, target: Target, took_s: float, now: float) -> None:
+    def _find_usual(self) -> float:
+        # the median moves slowly: it is taken anew once a round
+        if self._usual_left <= 0:
+            rates = [item.slowness for item in self.by_vm.values()]
+            self._usual = statistics.median_low(rates)
+            self._usual_left = len(rates)
+        self._usual_left -= 1
+        return self._usual
+
+    def _learn_overloaded(self, target: Target, slowness: float, now: float) -> None:
         target.limit = max(MIN_LIMIT, target.limit * SHRINK_FACTOR)
 
-    def _learn_failed(self, target: Target, took_s: float, now: float) -> None:
+    def _learn_failed(self, target: Target, slowness: float, now: float) -> None:
         target.failures += 1
         if target.failures >= defaults.EJECT_AFTER_FAILURES:
             self._eject(target, now)
@@ -180,7 +237,7 @@
         # one more failure after the pause ejects it again at once
         target.failures = defaults.EJECT_AFTER_FAILURES - 1
 
-    def _learn_nothing(self, target: Target, took_s: float, now: float) -> None:
+    def _learn_nothing(self, target: Target, slowness: float, now: float) -> None:
         return None
 
 
