Index tasks by pool and count free VMs only when one is wanted

Cause: each pool of a pass sorted the whole list of VMs and looked at every chunk and attempt of the fleet; the rank of a worker counted its whole rack anew.

--- a/src/onyxgap/cli/commands.py
+++ b/src/onyxgap/cli/commands.py
@@ -180,7 +180,7 @@
     async with connect(arguments) as platform:
         state = await operations.load_state(platform)
         view = await _look(platform, state)
-    free = FreeVms.collect(view)
+    free = FreeVms(view)
     steps = [plan_pool(name, view, free) for name in list_pools(state)]
     reports = [report for step in steps for report in step.reports]
     summary = summarize_plan(view)
--- a/src/onyxgap/fleet/pipe.py
+++ b/src/onyxgap/fleet/pipe.py
@@ -15,6 +15,7 @@
 from .messages import Step
 from .messages import View
 from .messages import find_wanted
+from .placement import TeamCores
 from .placement import place_tasks
 from .planning import FreeVms
 from .planning import plan_pool
@@ -89,10 +90,7 @@
             return True
         if not view.observation.is_live(vm):
             return True
-    return any(
-        chunk.startswith("tasks/") and view.state.find_chunk(chunk).pool == name
-        for chunk in view.state.chunks
-    )
+    return bool(view.state.tasks_in.get(name) or view.state.attempts_in.get(name))
 
 
 def plan_pass(
@@ -104,13 +102,14 @@
     :param view: what the pass looks at.
     :param listed: attempts as the platform reports them.
     """
-    free = FreeVms.collect(view)
+    free = FreeVms(view)
+    team_cores = TeamCores(view.state)
     steps = []
     faulty = find_faulty(view.state.tasks)
     for name in pools:
         step = plan_pool(name, view, free)
         _quarantine(name, faulty, view, step)
-        place_tasks(name, view.state, listed, step)
+        place_tasks(name, view.state, listed, team_cores, step)
         steps.append(step)
     return steps
 
--- a/src/onyxgap/fleet/placement.py
+++ b/src/onyxgap/fleet/placement.py
@@ -64,6 +64,42 @@
         self.memory_gb += memory_gb
 
 
+@attrs.define
+class TeamCores:
+    """Cores that each team's tasks hold, counted once a pass and kept up.
+
+    :param state: the agreed state.
+    """
+
+    state: FleetState
+    _used: dict[str, float] | None = None
+
+    def _read(self) -> dict[str, float]:
+        if self._used is None:
+            self._used = collections.defaultdict(float)
+            for attempt in self.state.attempts.values():
+                task = self.state.find_chunk(f"tasks/{attempt.task}")
+                if task is not None and task.team is not None:
+                    self._used[task.team] += attempt.cores
+        return self._used
+
+    def count(self, team: str) -> float:
+        """Count the cores of one team.
+
+        :param team: the team.
+        """
+        return self._read().get(team, 0.0)
+
+    def add(self, team: str | None, cores: float) -> None:
+        """Count cores that a team has just been given.
+
+        :param team: the team, or ``None``.
+        :param cores: how many.
+        """
+        if team is not None:
+            self._read()[team] += cores
+
+
 @attrs.define
 class _Pass:
     state: FleetState
@@ -71,7 +107,7 @@
     tasks: dict[str, Task]
     workers: list[Worker]
     running: dict[str, list[Attempt]]
-    team_cores: dict[str, float]
+    team_cores: TeamCores
 
 
 def settle_attempts(
@@ -120,6 +156,7 @@
     pool: str,
     state: FleetState,
     listed: t.Mapping[str, ListedTask],
+    team_cores: TeamCores,
     step: Step,
 ) -> None:
     """Bring the tasks of one pool in line with the manifest.
@@ -127,43 +164,31 @@
     :param pool: the pool.
     :param state: the agreed state.
     :param listed: attempts as the platform reports them.
+    :param team_cores: cores in use by team, shared by the pools of the pass.
     :param step: what the pass has decided for the pool so far; extended.
     """
     touched = {getattr(event, "vm", "") for event in step.events}
-    attempts = [
-        attempt
-        for attempt in state.attempts.values()
-        if _find_pool(state, attempt) == pool
-    ]
+    attempts = list(state.attempts_in.get(pool, {}).values())
+    if not attempts and not state.tasks_in.get(pool):
+        return
     settle_attempts(state, attempts, listed, step)
     ended = {e.attempt for e in step.events if isinstance(e, ev.TaskEnded)}
     live = [attempt for attempt in attempts if attempt.attempt not in ended]
-    work = _open_pass(pool, state, live, touched, step)
+    work = _open_pass(pool, state, live, touched, team_cores, step)
     _stop_unwanted(work)
     for task in _order_tasks(work):
         _place_task(work, task)
 
 
-def _find_pool(state: FleetState, attempt: Attempt) -> str:
-    record = state.vms.get(attempt.vm)
-    if record is not None:
-        return record.pool
-    task = state.find_chunk(f"tasks/{attempt.task}")
-    return task.pool if task else ""
-
-
 def _open_pass(
     pool: str,
     state: FleetState,
     attempts: list[Attempt],
     touched: set[str],
+    team_cores: TeamCores,
     step: Step,
 ) -> _Pass:
-    tasks = {
-        task.name: task
-        for name in state.chunks
-        if isinstance(task := state.find_chunk(name), Task) and task.pool == pool
-    }
+    tasks = state.tasks_in.get(pool, {})
     running: dict[str, list[Attempt]] = collections.defaultdict(list)
     by_vm: dict[str, list[Attempt]] = collections.defaultdict(list)
     for attempt in attempts:
@@ -183,19 +208,9 @@
             for attempt in worker.attempts:
                 worker.change(-attempt.cores, -attempt.memory_gb)
             workers.append(worker)
-    team_cores = _sum_team_cores(state)
     return _Pass(state, step, tasks, workers, running, team_cores)
 
 
-def _sum_team_cores(state: FleetState) -> dict[str, float]:
-    used: dict[str, float] = collections.defaultdict(float)
-    for attempt in state.attempts.values():
-        task = state.find_chunk(f"tasks/{attempt.task}")
-        if task is not None and task.team is not None:
-            used[task.team] += attempt.cores
-    return used
-
-
 def _stop_unwanted(work: _Pass) -> None:
     serving = {worker.vm for worker in work.workers}
     for name, attempts in work.running.items():
@@ -262,10 +277,11 @@
     event = ev.TaskStarted(task.name, attempt, worker.vm, size.cores, size.memory_gb)
     work.step.events.append(event)
     worker.change(-size.cores, -size.memory_gb)
-    placed = Attempt(attempt, task.name, worker.vm, size.cores, size.memory_gb, 0.0)
+    placed = Attempt(
+        attempt, task.name, worker.vm, task.pool, size.cores, size.memory_gb, 0.0
+    )
     worker.attempts.append(placed)
-    if task.team is not None:
-        work.team_cores[task.team] = work.team_cores.get(task.team, 0.0) + size.cores
+    work.team_cores.add(task.team, size.cores)
     return True
 
 
@@ -273,7 +289,7 @@
     team = work.state.find_chunk(f"teams/{task.team}")
     if not isinstance(team, Team) or team.cores is None:
         return True
-    return work.team_cores.get(team.name, 0.0) + size.cores <= team.cores
+    return work.team_cores.count(team.name) + size.cores <= team.cores
 
 
 def _choose_worker(work: _Pass, task: Task, size: Size) -> Worker | None:
@@ -283,23 +299,20 @@
     if not fresh:
         return None
 
+    by_vm: collections.Counter[str] = collections.Counter()
+    by_rack: collections.Counter[str] = collections.Counter()
+    for worker in work.workers:
+        same = sum(item.task == task.name for item in worker.attempts)
+        by_vm[worker.vm] += same
+        by_rack[worker.rack] += same
+
     def rank(worker: Worker) -> tuple[int, int, float, str]:
-        same = [item for item in worker.attempts if item.task == task.name]
-        in_rack = _count_in(work, task.name, "rack", worker.rack)
-        return len(same), in_rack, worker.memory_gb - size.memory_gb, worker.vm
+        spare = worker.memory_gb - size.memory_gb
+        return by_vm[worker.vm], by_rack[worker.rack], spare, worker.vm
 
     return min(fresh, key=rank)
 
 
-def _count_in(work: _Pass, task: str, domain: str, value: str) -> int:
-    return sum(
-        item.task == task
-        for worker in work.workers
-        if getattr(worker, domain) == value
-        for item in worker.attempts
-    )
-
-
 def _preempt(work: _Pass, size: Size) -> bool:
     """Stop the fewest less urgent attempts that make room on one worker."""
     choices = []
--- a/src/onyxgap/fleet/planning.py
+++ b/src/onyxgap/fleet/planning.py
@@ -30,22 +30,26 @@
 
 @attrs.define
 class FreeVms:
-    """VMs that belong to no pool, shared by the pools of one pass."""
+    """VMs that belong to no pool, shared by the pools of one pass.
 
-    by_zone: dict[str, list[ListedVm]] = attrs.field(factory=dict)
+    They are collected only once a pool asks for one.
 
-    @classmethod
-    def collect(cls, view: View) -> "FreeVms":
-        """Collect the free VMs of a view.
+    :param view: what the pass looks at.
+    """
 
-        :param view: what the pass looks at.
-        """
-        by_zone: dict[str, list[ListedVm]] = collections.defaultdict(list)
-        for name in sorted(view.observation.listed):
-            if name not in view.state.vms and view.observation.is_live(name):
-                vm = view.observation.listed[name]
-                by_zone[vm.zone].append(vm)
-        return cls(by_zone)
+    view: View
+    _by_zone: dict[str, list[ListedVm]] | None = None
+
+    def collect(self) -> dict[str, list[ListedVm]]:
+        """Collect the free VMs by zone."""
+        if self._by_zone is None:
+            self._by_zone = collections.defaultdict(list)
+            free = self.view.observation.listed.keys() - self.view.state.vms.keys()
+            for name in sorted(free):
+                if self.view.observation.is_live(name):
+                    vm = self.view.observation.listed[name]
+                    self._by_zone[vm.zone].append(vm)
+        return self._by_zone
 
     def take(self, zone: str, pool: Pool) -> ListedVm | None:
         """Take the smallest free VM of a zone that the pool accepts.
@@ -53,11 +57,12 @@
         :param zone: the availability zone.
         :param pool: the pool.
         """
-        fitting = [vm for vm in self.by_zone.get(zone, ()) if pool.shape.fits(vm)]
+        in_zone = self.collect().get(zone, [])
+        fitting = [vm for vm in in_zone if pool.shape.fits(vm)]
         if not fitting:
             return None
         best = min(fitting, key=lambda vm: (vm.cores, vm.memory_gb, vm.name))
-        self.by_zone[zone].remove(best)
+        in_zone.remove(best)
         return best
 
 
@@ -146,15 +151,6 @@
         )
 
 
-def count_tasks(state: FleetState) -> t.Callable[[str], int]:
-    """Build a function that counts the running tasks of a VM.
-
-    :param state: the agreed state.
-    """
-    counts = collections.Counter(item.vm for item in state.attempts.values())
-    return lambda vm: counts[vm]
-
-
 def _drain_surplus(
     pool: Pool,
     records: t.Sequence[VmRecord],
@@ -163,7 +159,7 @@
     state: FleetState,
     step: Step,
 ) -> None:
-    tasks = count_tasks(state)
+    tasks = state.count_attempts(pool.name)
     serving = [record for record in records if record.state is VmState.SERVING]
     for record in sorted(serving, key=lambda item: (tasks(item.name), item.name))[
         :count
@@ -187,7 +183,7 @@
     manifest = view.state.manifest
     if manifest is None:
         return []
-    tasks = count_tasks(view.state)
+    tasks = view.state.count_attempts(pool.name)
     loads = [tasks(record.name) for record in wave]
     return list_options(loads, max(0, left), manifest.weights)
 
@@ -205,7 +201,7 @@
         return
     days = manifest.maintenance_days
     untouched = [record for record in records if record.name not in touched]
-    tasks = count_tasks(view.state)
+    tasks = view.state.count_attempts(pool.name)
     wave = order_wave(untouched, pool, days, view.wall, tasks)
     if not wave:
         return
--- a/src/onyxgap/fleet/report.py
+++ b/src/onyxgap/fleet/report.py
@@ -10,7 +10,6 @@
 from .messages import find_wanted
 from .pipe import list_pools
 from .planning import FreeVms
-from .planning import count_tasks
 from .planning import list_pool_options
 from .pricing import Option
 
@@ -49,7 +48,7 @@
     """
     options = [_list_options(name, view) for name in list_pools(view.state)]
     chosen = [pool_options[0] for pool_options in options if pool_options]
-    free = sum(map(len, FreeVms.collect(view).by_zone.values()))
+    free = sum(map(len, FreeVms(view).collect().values()))
     out = sum(record.state is not VmState.SERVING for record in view.state.vms.values())
     price = sum(option.price for option in chosen)
     return PlanSummary(
@@ -71,7 +70,7 @@
         pool,
         manifest.maintenance_days,
         view.wall,
-        count_tasks(view.state),
+        view.state.count_attempts(name),
     )
     return list_pool_options(pool, view, wave, pool.max_out)
 
--- a/src/onyxgap/shared/snapshots.py
+++ b/src/onyxgap/shared/snapshots.py
@@ -65,6 +65,7 @@
     state.load_chunks(snapshot.chunks)
     for record in snapshot.vms:
         state.add_vm(record)
-    state.attempts.update({item.attempt: item for item in snapshot.attempts})
+    for attempt in snapshot.attempts:
+        state.add_attempt(attempt)
     state.tasks.update(snapshot.tasks)
     return state
--- a/src/onyxgap/shared/state.py
+++ b/src/onyxgap/shared/state.py
@@ -9,6 +9,7 @@
 
 from ..manifest import Manifest
 from ..manifest import Pool
+from ..manifest import Task
 from ..manifest import join_chunks
 from ..manifest import structure_chunk
 from . import events as ev
@@ -62,6 +63,7 @@
     attempt: str
     task: str
     vm: str
+    pool: str
     cores: float
     memory_gb: float
     at: float
@@ -127,6 +129,12 @@
         factory=lambda: collections.defaultdict(TaskHistory)
     )
     refused: int = 0
+    tasks_in: dict[str, dict[str, Task]] = attrs.field(
+        factory=lambda: collections.defaultdict(dict)
+    )
+    attempts_in: dict[str, dict[str, Attempt]] = attrs.field(
+        factory=lambda: collections.defaultdict(dict)
+    )
     _structured: dict[str, t.Any] = attrs.field(factory=dict)
     _manifest: Manifest | None = None
 
@@ -185,7 +193,11 @@
         self._manifest = None
         self.chunks.update(chunks)
         for name, value in chunks.items():
-            self._structured[name] = structure_chunk(name, value)
+            self._forget_task(name)
+            chunk = structure_chunk(name, value)
+            self._structured[name] = chunk
+            if isinstance(chunk, Task):
+                self.tasks_in[chunk.pool][chunk.name] = chunk
 
     def drop_chunk(self, name: str) -> None:
         """Forget one chunk.
@@ -193,9 +205,41 @@
         :param name: its name.
         """
         self._manifest = None
+        self._forget_task(name)
         self.chunks.pop(name, None)
         self._structured.pop(name, None)
 
+    def _forget_task(self, name: str) -> None:
+        chunk = self._structured.get(name)
+        if isinstance(chunk, Task):
+            self.tasks_in[chunk.pool].pop(chunk.name, None)
+
+    def add_attempt(self, attempt: Attempt) -> None:
+        """Put a running attempt on its VM.
+
+        :param attempt: the attempt.
+        """
+        self.attempts[attempt.attempt] = attempt
+        self.attempts_in[attempt.pool][attempt.attempt] = attempt
+
+    def end_attempt(self, name: str) -> Attempt:
+        """Take an attempt away and return it.
+
+        :param name: id of the attempt.
+        """
+        attempt = self.attempts.pop(name)
+        self.attempts_in[attempt.pool].pop(name, None)
+        return attempt
+
+    def count_attempts(self, pool: str) -> t.Callable[[str], int]:
+        """Build a function that counts the running attempts of a pool's VM.
+
+        :param pool: the pool.
+        """
+        attempts = self.attempts_in.get(pool, {}).values()
+        counts = collections.Counter(attempt.vm for attempt in attempts)
+        return lambda vm: counts[vm]
+
     def add_vm(self, record: VmRecord) -> None:
         """Put a VM into its pool.
 
@@ -342,13 +386,16 @@
 @_apply.register
 def _(event: ev.TaskStarted, state: FleetState, entry: ev.Entry) -> None:
     state.tasks[event.task].started += 1
-    state.attempts[event.attempt] = Attempt(
-        attempt=event.attempt,
-        task=event.task,
-        vm=event.vm,
-        cores=event.cores,
-        memory_gb=event.memory_gb,
-        at=entry.at,
+    state.add_attempt(
+        Attempt(
+            attempt=event.attempt,
+            task=event.task,
+            vm=event.vm,
+            pool=state.vms[event.vm].pool,
+            cores=event.cores,
+            memory_gb=event.memory_gb,
+            at=entry.at,
+        )
     )
 
 
@@ -359,7 +406,7 @@
 
 @_apply.register
 def _(event: ev.TaskEnded, state: FleetState, entry: ev.Entry) -> None:
-    attempt = state.attempts.pop(event.attempt)
+    attempt = state.end_attempt(event.attempt)
     history = state.tasks[attempt.task]
     _OUTCOMES.get(event.outcome, _skip)(history, attempt)
     if event.run_time_s:
