--- a/src/onyxgap/adapters/target_client.py
+++ b/src/onyxgap/adapters/target_client.py
@@ -1,8 +1,8 @@
 """Carries out one attempt with one target over HTTP/1.1.
 
 The answer is read whole before anything of it is used. A connection is used
-again only after a clean exchange with a target that echoed the request's id,
-since only then would a crossed answer be noticed.
+again only if the target echoed the request's id, since only then would a
+crossed answer be noticed, and if not a byte followed the answer.
 """
 
 import collections
@@ -29,13 +29,57 @@
 
 REUSE_IDLE_S = 1.0
 SERVER_ERROR = 500
+HEAD_END = b"\r\n\r\n"
 NO_BODY_STATUSES = (204, 304)
 _PASSED_HEADERS = frozenset({"content-type", "content-language", "etag", "location"})
 
 
+@attrs.define
+class _CountingStream(httpcore.AsyncNetworkStream):
+    """Counts what arrives, to notice bytes that follow an answer."""
+
+    stream: httpcore.AsyncNetworkStream
+    received: int = 0
+    _head: bytes = b""
+    _head_bytes: int = 0
+
+    def start_exchange(self) -> None:
+        """Count anew."""
+        self.received = 0
+        self._head = b""
+        self._head_bytes = 0
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        """Read some bytes."""
+        data = await self.stream.read(max_bytes, timeout)
+        self.received += len(data)
+        if not self._head_bytes:
+            self._head += data
+            end = self._head.find(HEAD_END)
+            self._head_bytes = end + len(HEAD_END) if end >= 0 else 0
+        return data
+
+    def ends_after(self, body_bytes: int) -> bool:
+        """Tell whether nothing followed a body of this length."""
+        return self.received == self._head_bytes + body_bytes
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        """Write all bytes."""
+        await self.stream.write(buffer, timeout)
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        await self.stream.aclose()
+
+    def get_extra_info(self, info: str) -> t.Any:
+        """Look up a fact of the connection."""
+        return self.stream.get_extra_info(info)
+
+
 @attrs.define
 class _Connection:
     http: httpcore.AsyncHTTP11Connection
+    stream: _CountingStream
     idle_since: float = 0.0
 
 
@@ -112,11 +156,13 @@
         except (httpcore.ConnectError, httpcore.ConnectTimeout, OSError):
             return None
         origin = httpcore.Origin(b"http", target.host.encode(), target.port)
-        return _Connection(httpcore.AsyncHTTP11Connection(origin, stream))
+        counting = _CountingStream(stream)
+        return _Connection(httpcore.AsyncHTTP11Connection(origin, counting), counting)
 
     async def _exchange(
         self, connection: _Connection, request: IdentifiedRequest, address: str
     ) -> tuple[Exchange, bool]:
+        connection.stream.start_exchange()
         response = await connection.http.handle_async_request(
             _build_request(request, address)
         )
@@ -126,7 +172,12 @@
             raise _Broken(Reason.CROSSED_ANSWER)
         body = await self._read_body(response, headers)
         await response.aclose()
-        clean = echoed is not None and connection.http.is_idle()
+        clean = (
+            echoed is not None
+            and connection.http.is_idle()
+            and "content-length" in headers
+            and connection.stream.ends_after(len(body))
+        )
         return _judge_answer(response.status, headers, body), clean
 
     async def _read_body(
--- a/src/onyxgap/daemons/control.py
+++ b/src/onyxgap/daemons/control.py
@@ -337,6 +337,10 @@
             settings.drain_grace_s,
         )
         hub.on_frame = parts.handle_frame
+        parts.metrics.gauges.update(
+            peer_bytes=lambda: hub.bytes_in + hub.bytes_out,
+            platform_bytes=lambda: platform.bytes_moved,
+        )
         front.parts = parts
         group.start_soon(parts.run)
         _LOG.info("started", http=str(http), peer=str(peer))
--- a/src/onyxgap/daemons/entry.py
+++ b/src/onyxgap/daemons/entry.py
@@ -242,6 +242,10 @@
             row, platform, hub, client, SystemClocks(), rng, settings.poll_interval_s
         )
         hub.on_frame = parts.handle_frame
+        parts.metrics.gauges.update(
+            peer_bytes=lambda: hub.bytes_in + hub.bytes_out,
+            platform_bytes=lambda: platform.bytes_moved,
+        )
         late.front = HttpFront(parts.pipe, parts, lambda: f"{rng.getrandbits(96):024x}")
         group.start_soon(parts.run)
         _LOG.info("started", http=str(http), peer=str(peer))
--- /dev/null
+++ b/tests/test_purity.py
@@ -0,0 +1,48 @@
+"""Decision modules do no input or output and read no clock or randomness."""
+
+import ast
+import pathlib
+
+import pytest
+
+from tests.conftest import ROOT
+
+PACKAGE = ROOT / "src" / "onyxgap"
+DECISIONS = sorted(
+    [
+        *(PACKAGE / "fleet").glob("*.py"),
+        *(
+            PACKAGE / "request" / name
+            for name in (
+                "identity.py",
+                "queue.py",
+                "retries.py",
+                "scheduling.py",
+                "targets.py",
+            )
+        ),
+        *(
+            PACKAGE / "shared" / name
+            for name in ("events.py", "membership.py", "snapshots.py", "state.py")
+        ),
+        PACKAGE / "manifest.py",
+        PACKAGE / "verdict.py",
+    ]
+)
+BANNED = {"anyio", "asyncio", "httpcore", "random", "socket", "thrift", "time"}
+BANNED |= {"trio", "uvicorn"}
+
+
+def list_imports(path: pathlib.Path) -> set[str]:
+    names = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            names |= {alias.name.partition(".")[0] for alias in node.names}
+        elif isinstance(node, ast.ImportFrom) and not node.level:
+            names.add((node.module or "").partition(".")[0])
+    return names
+
+
+@pytest.mark.parametrize("path", DECISIONS, ids=lambda path: path.stem)
+def test_decision_module_is_pure(path: pathlib.Path) -> None:
+    assert not list_imports(path) & BANNED
--- /dev/null
+++ b/tests/test_target_client.py
@@ -0,0 +1,212 @@
+"""What the target client makes of broken, late and crossed answers.
+
+Each target here is a few lines over a real socket that answer byte by byte.
+"""
+
+import random
+import typing as t
+
+import anyio
+import anyio.abc
+import pytest
+
+from onyxgap.adapters.target_client import HttpTargetClient
+from onyxgap.manifest import Job
+from onyxgap.manifest import Priority
+from onyxgap.request.messages import CallerRequest
+from onyxgap.request.messages import Exchange
+from onyxgap.request.messages import IdentifiedRequest
+from onyxgap.request.messages import Outcome
+from onyxgap.request.messages import Reason
+from onyxgap.verdict import Verdict
+
+Script = t.Callable[[anyio.abc.SocketStream, bytes], t.Awaitable[None]]
+ECHO = b"Onyxgap-Request-Id: r1\r\n"
+WHOLE = b"HTTP/1.1 200 OK\r\n" + ECHO + b"Content-Length: 5\r\n\r\nwhole"
+
+
+def build_request(request_id: str = "r1") -> IdentifiedRequest:
+    job = Job("confirm-bid", Priority.URGENT, False)
+    caller = CallerRequest(request_id, "live-bidding", "confirm-bid", b"lot", "k")
+    return IdentifiedRequest(caller, job, "live-bidding", False, 1e9)
+
+
+async def exchange_with(script: Script, timeout_s: float = 5.0) -> Exchange:
+    """Exchange once with a scripted target."""
+    exchanges = await exchange_often(script, [timeout_s])
+    return exchanges[0]
+
+
+async def exchange_often(script: Script, timeouts: list[float]) -> list[Exchange]:
+    """Exchange once for each time-out with a scripted target, on one client."""
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+
+    async def serve(stream: anyio.abc.SocketStream) -> None:
+        async with stream:
+            try:
+                while True:
+                    await script(stream, await stream.receive())
+            except (anyio.EndOfStream, OSError, anyio.BrokenResourceError):
+                return
+            except anyio.ClosedResourceError:
+                return
+
+    client = HttpTargetClient(max_answer_bytes=1000)
+    async with anyio.create_task_group() as group:
+        group.start_soon(listener.serve, serve)
+        exchanges = [
+            await client.exchange(build_request(), f"127.0.0.1:{port}", timeout_s)
+            for timeout_s in timeouts
+        ]
+        await client.aclose()
+        group.cancel_scope.cancel()
+    return exchanges
+
+
+def answer(data: bytes, close: bool = True) -> Script:
+    """Build a script that answers with these bytes."""
+
+    async def script(stream: anyio.abc.SocketStream, request: bytes) -> None:
+        await stream.send(data)
+        if close:
+            await stream.aclose()
+
+    return script
+
+
+async def answer_never(stream: anyio.abc.SocketStream, request: bytes) -> None:
+    await anyio.sleep_forever()
+
+
+BROKEN = {
+    "nothing": b"",
+    "part of the headers": b"HTTP/1.1 200 OK\r\nContent-Le",
+    "truncated body": b"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nshort",
+    "no length": b"HTTP/1.1 200 OK\r\n\r\nends when it ends",
+    "two lengths": b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+    b"Content-Length: 5\r\n\r\nwhole",
+    "bad length": b"HTTP/1.1 200 OK\r\nContent-Length: many\r\n\r\nwhole",
+    "truncated chunks": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"5\r\nwhole\r\n",
+    "bad chunk": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nx",
+    "not HTTP": b"\x00\x01\x02\x03\r\n\r\n",
+}
+
+
+@pytest.mark.promise("whole-answer")
+@pytest.mark.parametrize("data", BROKEN.values(), ids=BROKEN.keys())
+def test_broken_answer_is_never_passed_on(data: bytes) -> None:
+    exchange = anyio.run(exchange_with, answer(data))
+    assert exchange.verdict is Verdict.MAY_HAVE_RUN
+    assert exchange.reason is Reason.BROKEN_ANSWER
+    assert exchange.body == b""
+
+
+@pytest.mark.promise("whole-answer")
+def test_whole_answers_are_passed_on() -> None:
+    chunked = (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"
+    )
+    for data in (WHOLE, chunked):
+        exchange = anyio.run(exchange_with, answer(data))
+        assert (exchange.verdict, exchange.body) == (Verdict.RAN, b"whole")
+
+
+@pytest.mark.promise("whole-answer")
+def test_oversize_answer_is_refused() -> None:
+    data = b"HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + b"x" * 2000
+    exchange = anyio.run(exchange_with, answer(data))
+    assert exchange.reason is Reason.ANSWER_TOO_LARGE
+    assert exchange.verdict is Verdict.MAY_HAVE_RUN
+
+
+@pytest.mark.promise("whole-answer")
+def test_answer_to_another_request_is_refused() -> None:
+    crossed = WHOLE.replace(b"r1", b"r2")
+    exchange = anyio.run(exchange_with, answer(crossed))
+    assert exchange.verdict is Verdict.MAY_HAVE_RUN
+    assert exchange.reason is Reason.CROSSED_ANSWER
+
+
+@pytest.mark.promise("whole-answer")
+def test_bytes_after_the_end_reach_no_later_request() -> None:
+    # the second answer lies on the connection before anybody asks for it
+    stale = WHOLE.replace(b"whole", b"stale")
+    exchanges = anyio.run(exchange_often, answer(WHOLE + stale, close=False), [5] * 3)
+    assert all(exchange.body in (b"whole", b"") for exchange in exchanges)
+    assert exchanges[0].body == b"whole"
+
+
+@pytest.mark.promise("whole-answer")
+def test_late_answer_reaches_no_later_request() -> None:
+    calls = 0
+
+    async def script(stream: anyio.abc.SocketStream, request: bytes) -> None:
+        nonlocal calls
+        calls += 1
+        if calls == 1:
+            await anyio.sleep(0.3)
+            await stream.send(WHOLE.replace(b"whole", b"late!"))
+        else:
+            await stream.send(WHOLE)
+
+    first, second = anyio.run(exchange_often, script, [0.1, 5])
+    assert (first.verdict, first.reason) == (Verdict.MAY_HAVE_RUN, Reason.TIMEOUT)
+    assert second.body == b"whole"
+
+
+@pytest.mark.promise("whole-answer")
+def test_connection_without_echo_is_not_used_again() -> None:
+    streams = set()
+
+    async def script(stream: anyio.abc.SocketStream, request: bytes) -> None:
+        streams.add(id(stream))
+        await stream.send(WHOLE.replace(ECHO, b""))
+
+    exchanges = anyio.run(exchange_often, script, [5] * 3)
+    assert len(streams) == 3
+    assert all(exchange.verdict is Verdict.RAN for exchange in exchanges)
+
+
+@pytest.mark.promise("not-run")
+def test_refused_connection_was_not_run() -> None:
+    async def run() -> Exchange:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        await listener.aclose()
+        address = f"127.0.0.1:{port}"
+        return await HttpTargetClient().exchange(build_request(), address, 1)
+
+    exchange = anyio.run(run)
+    assert exchange.verdict is Verdict.NOT_RUN
+    assert exchange.outcome is Outcome.UNREACHABLE
+
+
+@pytest.mark.promise("not-run")
+def test_refusal_with_proof_was_not_run() -> None:
+    data = b"HTTP/1.1 503 Busy\r\nOnyxgap-Started: no\r\nContent-Length: 0\r\n\r\n"
+    exchange = anyio.run(exchange_with, answer(data))
+    assert exchange.verdict is Verdict.NOT_RUN
+    assert exchange.outcome is Outcome.OVERLOADED
+
+
+@pytest.mark.promise("not-run")
+def test_refusal_without_proof_ran() -> None:
+    data = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+    exchange = anyio.run(exchange_with, answer(data))
+    assert (exchange.verdict, exchange.status) == (Verdict.RAN, 503)
+
+
+@pytest.mark.promise("not-run")
+def test_silent_target_may_have_run() -> None:
+    exchange = anyio.run(exchange_with, answer_never, 0.1)
+    assert exchange.verdict is Verdict.MAY_HAVE_RUN
+
+
+@pytest.mark.promise("whole-answer")
+def test_answer_cut_at_every_byte_is_never_passed_on() -> None:
+    rng = random.Random(3)
+    for cut in rng.sample(range(len(WHOLE)), 20):
+        exchange = anyio.run(exchange_with, answer(WHOLE[:cut]))
+        assert exchange.verdict is Verdict.MAY_HAVE_RUN, cut
