Let a drain wait for tasks, finish a wave zone by zone, look at due pools

Cause 2: a pool with nothing but due VMs was looked at in every 30th pass only; the demo's wave did not end within 120 s. Cause 3: a wave picked the next zone by name after each round, and could overlap two zones in one pass. Cause 4: a task that failed was placed again in the same pass, before its failure was folded, on the worker that had just failed it. Change: as named, each with a test that failed first in tests/test_fleet.py.

--- a/src/onyxgap/daemons/control.py
+++ b/src/onyxgap/daemons/control.py
@@ -311,12 +311,14 @@
     settings: Settings,
     stop: anyio.Event,
     *,
+    clocks: Clocks | None = None,
     task_status: anyio.abc.TaskStatus[t.Any] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
     """Run a control process until it is asked to stop.
 
     :param settings: its settings.
     :param stop: set to ask for a planned stop.
+    :param clocks: the clocks, those of the system by default.
     """
     rng = random.Random()
     platform = PlatformClient(settings.platform)
@@ -331,7 +333,7 @@
             row,
             platform,
             hub,
-            SystemClocks(),
+            clocks or SystemClocks(),
             rng,
             settings.poll_interval_s,
             settings.drain_grace_s,
--- a/src/onyxgap/fleet/lifecycle.py
+++ b/src/onyxgap/fleet/lifecycle.py
@@ -65,8 +65,8 @@
 def is_drained(record: VmRecord, view: View, step: Step) -> bool:
     """Tell whether a leaving VM may be touched.
 
-    Every live entry must have acknowledged the mark, and its requests must
-    have ended or the grace have passed; the latter is reported.
+    Every live entry must have acknowledged the mark, and its requests and
+    tasks must have ended or the grace have passed; the latter is reported.
 
     :param record: the VM.
     :param view: what the pass looks at.
@@ -74,12 +74,16 @@
     """
     if view.acknowledged < record.since:
         return False
-    if not view.in_flight.get(record.name):
+    requests = view.in_flight.get(record.name, 0)
+    tasks = view.state.count_attempts(record.pool)(record.name)
+    if not requests and not tasks:
         return True
     if view.wall - record.at < view.drain_grace_s:
         return False
-    count = view.in_flight[record.name]
-    reason = f"{count} requests outlasted the grace of {view.drain_grace_s:.0f} s"
+    reason = (
+        f"{requests} requests and {tasks} tasks outlasted the grace "
+        f"of {view.drain_grace_s:.0f} s"
+    )
     step.report(Finding.DRAIN_FORCED, record.name, reason)
     return True
 
--- a/src/onyxgap/fleet/maintenance.py
+++ b/src/onyxgap/fleet/maintenance.py
@@ -1,5 +1,6 @@
 """Maintenance waves: which VMs are due, and in which order they go."""
 
+import collections
 import typing as t
 
 from ..manifest import Pool
@@ -72,7 +73,7 @@
     ]
     if not due:
         return []
-    zone = _find_wave_zone(records) or min(due, key=_find_age).zone
+    zone = _find_wave_zone(records) or _find_next_zone(due)
     wave = [record for record in due if record.zone == zone]
 
     def rank(record: VmRecord) -> tuple[str, int, float, str]:
@@ -82,8 +83,10 @@
     return sorted(wave, key=rank)
 
 
-def _find_age(record: VmRecord) -> tuple[float, str]:
-    return record.maintained_at, record.name
+def _find_next_zone(due: t.Iterable[VmRecord]) -> str:
+    # the zone with the fewest left has been begun and is finished first
+    counts = collections.Counter(record.zone for record in due)
+    return min(counts, key=lambda zone: (counts[zone], zone))
 
 
 def _find_wave_zone(records: t.Iterable[VmRecord]) -> str | None:
--- a/src/onyxgap/fleet/pipe.py
+++ b/src/onyxgap/fleet/pipe.py
@@ -11,6 +11,7 @@
 from ..shared.state import VmState
 from .budget import count_headroom
 from .diagnosis import find_faulty
+from .maintenance import find_due_at
 from .messages import Finding
 from .messages import Step
 from .messages import View
@@ -81,6 +82,7 @@
     members = view.state.members.get(name, set())
     if len(members) != pool.size:
         return True
+    days = view.state.maintenance_days
     for vm in members:
         record = view.state.vms[vm]
         if record.state is not VmState.SERVING:
@@ -90,6 +92,8 @@
             return True
         if not view.observation.is_live(vm):
             return True
+        if view.wall >= find_due_at(record, pool, days):
+            return True
     return bool(view.state.tasks_in.get(name) or view.state.attempts_in.get(name))
 
 
--- a/src/onyxgap/fleet/placement.py
+++ b/src/onyxgap/fleet/placement.py
@@ -23,6 +23,7 @@
 from .messages import Step
 from .messages import StopOrder
 
+LEAVING_STATES = (VmState.DRAINING, VmState.QUARANTINED)
 _ENDED = {
     TaskStatus.DONE: "done",
     TaskStatus.FAILED: "failed",
@@ -174,10 +175,13 @@
     settle_attempts(state, attempts, listed, step)
     ended = {e.attempt for e in step.events if isinstance(e, ev.TaskEnded)}
     live = [attempt for attempt in attempts if attempt.attempt not in ended]
+    # what these attempts teach is known only in the next pass
+    unsettled = {attempt.task for attempt in attempts if attempt.attempt in ended}
     work = _open_pass(pool, state, live, touched, team_cores, step)
     _stop_unwanted(work)
     for task in _order_tasks(work):
-        _place_task(work, task)
+        if task.name not in unsettled:
+            _place_task(work, task)
 
 
 def _open_pass(
@@ -221,13 +225,16 @@
                 continue
             if index >= wanted:
                 _stop(work, attempt, "no longer wanted")
-            elif attempt.vm not in serving and _is_leaving(work.state, attempt.vm):
+            elif attempt.vm not in serving and _may_leave(work.state, attempt, task):
                 _stop(work, attempt, "its worker drains")
 
 
-def _is_leaving(state: FleetState, vm: str) -> bool:
-    record = state.vms.get(vm)
-    return record is not None and record.state is VmState.DRAINING
+def _may_leave(state: FleetState, attempt: Attempt, task: Task | None) -> bool:
+    record = state.vms.get(attempt.vm)
+    if record is None or record.state not in LEAVING_STATES:
+        return False
+    # what may run only once is given the whole grace to end by itself
+    return task is None or task.idempotent
 
 
 def _stop(work: _Pass, attempt: Attempt, reason: str) -> None:
--- a/src/onyxgap/fleet/planning.py
+++ b/src/onyxgap/fleet/planning.py
@@ -200,9 +200,9 @@
     if manifest is None:
         return
     days = manifest.maintenance_days
-    untouched = [record for record in records if record.name not in touched]
     tasks = view.state.count_attempts(pool.name)
-    wave = order_wave(untouched, pool, days, view.wall, tasks)
+    wave = order_wave(records, pool, days, view.wall, tasks)
+    wave = [record for record in wave if record.name not in touched]
     if not wave:
         return
     halt = find_halt(records)
--- a/src/onyxgap/shared/state.py
+++ b/src/onyxgap/shared/state.py
@@ -89,6 +89,7 @@
 
 
 SIZES_KEPT = 20
+NO_CYCLE_DAYS = 3_650
 
 _TRANSITIONS: dict[tuple[VmState, type], VmState] = {
     (VmState.SERVING, ev.VmDraining): VmState.DRAINING,
@@ -145,6 +146,11 @@
             self._manifest = join_chunks(self._structured)
         return self._manifest
 
+    @property
+    def maintenance_days(self) -> int:
+        """Length of the maintenance cycle in days."""
+        return self.manifest.maintenance_days if self.manifest else NO_CYCLE_DAYS
+
     def find_pool(self, name: str) -> Pool | None:
         """Look up a pool of the manifest in force.
 
--- a/src/onyxgap/standins/memory_platform.py
+++ b/src/onyxgap/standins/memory_platform.py
@@ -254,6 +254,17 @@
 
     # tasks
 
+    def list_running(self, vm: str) -> list[str]:
+        """List the attempts that run on a VM, for tests.
+
+        :param vm: the VM.
+        """
+        return [
+            attempt
+            for attempt, run in self.runs.items()
+            if run.order.vm == vm and run.status is TaskStatus.RUNNING
+        ]
+
     async def list_tasks(self) -> tuple[ListedTask, ...]:
         """Read the attempts the platform knows."""
         await self._enter()
--- a/src/onyxgap/standins/stage.py
+++ b/src/onyxgap/standins/stage.py
@@ -125,6 +125,8 @@
             if before is not VmStatus.LIVE or pool is None:
                 return
             self._planned[vm].append(anyio.current_time())
+            for attempt in self.deployment.platform.list_running(vm):
+                self._breach("graceful", f"task {attempt} was cut off on {vm}")
             out = self._count_out(pool)
             if out > limits.get(pool, 0):
                 self._breach("budget", f"{out} VMs of {pool} out after {action_id}")
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,357 @@
+"""The fleet pipe's decisions, one pool at a time."""
+
+import typing as t
+
+import attrs
+import pytest
+
+from onyxgap.fleet.diagnosis import find_faulty
+from onyxgap.fleet.diagnosis import find_unrunnable
+from onyxgap.fleet.learning import estimate_size
+from onyxgap.fleet.maintenance import order_wave
+from onyxgap.fleet.messages import Finding
+from onyxgap.fleet.messages import PowerOrder
+from onyxgap.fleet.messages import Step
+from onyxgap.fleet.messages import StopOrder
+from onyxgap.fleet.messages import View
+from onyxgap.fleet.observation import Observer
+from onyxgap.fleet.pipe import needs_attention
+from onyxgap.fleet.pipe import plan_pass
+from onyxgap.fleet.pricing import list_options
+from onyxgap.manifest import Manifest
+from onyxgap.manifest import Pool
+from onyxgap.manifest import Priority
+from onyxgap.manifest import Task
+from onyxgap.manifest import Team
+from onyxgap.manifest import Weights
+from onyxgap.manifest import split_manifest
+from onyxgap.platform import ListedTask
+from onyxgap.platform import ListedVm
+from onyxgap.platform import StartTask
+from onyxgap.platform import TaskStatus
+from onyxgap.platform import VmList
+from onyxgap.platform import VmStatus
+from onyxgap.shared import events as ev
+from onyxgap.shared.events import Entry
+from onyxgap.shared.state import FleetState
+from onyxgap.shared.state import TaskHistory
+from onyxgap.shared.state import VmState
+
+DAY_S = 86_400.0
+ZONES = ("a", "b")
+
+
+@attrs.define
+class Fleet:
+    """One pool of eight VMs, two spares, and what the platform lists."""
+
+    manifest: Manifest
+    state: FleetState = attrs.field(factory=FleetState)
+    vms: dict[str, ListedVm] = attrs.field(factory=dict)
+    listed: dict[str, ListedTask] = attrs.field(factory=dict)
+    wall: float = 1000.0
+    in_flight: dict[str, int] = attrs.field(factory=dict)
+    acknowledged: int = 1_000_000
+    age_s: float = 0.0
+    view: t.Any = None
+
+    def fold(self, *events: ev.Event) -> None:
+        entry = Entry(self.state.sequence + 1, "c", self.wall, "w", "t", events)
+        self.state.apply(entry)
+
+    def plan(self) -> Step:
+        observer = Observer(needed=1)
+        vm_list = VmList(self.age_s, tuple(self.vms.values()))
+        observer.take(vm_list, self.state.vms.keys(), 100.0)
+        self.view = View(
+            self.state,
+            observer.observe(100.0),
+            self.wall,
+            self.acknowledged,
+            self.in_flight,
+        )
+        (step,) = plan_pass(["p"], self.view, self.listed)
+        return step
+
+    def advance(self) -> Step:
+        step = self.plan()
+        self.fold(*step.events)
+        return step
+
+    def set_vm(self, vm: str, **changes: t.Any) -> None:
+        self.vms[vm] = attrs.evolve(self.vms[vm], **changes)
+
+
+def build_fleet(
+    tasks: t.Sequence[Task] = (), teams: t.Sequence[Team] = (), **pool: t.Any
+) -> Fleet:
+    options = {"zones": {"a": 4, "b": 4}, "max_out": 2, **pool}
+    manifest = Manifest(
+        1, "d", list(ZONES), [Pool("p", **options)], [], list(tasks), list(teams)
+    )
+    fleet = Fleet(manifest)
+    fleet.fold(ev.ManifestAccepted(1, split_manifest(manifest)))
+    for number in range(10):
+        zone = ZONES[number % 2]
+        name = f"vm-{number}"
+        fleet.vms[name] = ListedVm(
+            name, VmStatus.LIVE, zone, f"{zone}-{number // 4}", f"x:{number}"
+        )
+    fleet.advance()
+    fleet.advance()
+    return fleet
+
+
+def find_events(step: Step, kind: type) -> list[t.Any]:
+    return [event for event in step.events if isinstance(event, kind)]
+
+
+def test_pool_is_filled_by_zone() -> None:
+    fleet = build_fleet()
+    zones = sorted(record.zone for record in fleet.state.list_pool("p"))
+    assert zones == ["a"] * 4 + ["b"] * 4
+    assert fleet.plan().events == []
+
+
+def test_shortage_is_reported_with_its_zone() -> None:
+    fleet = build_fleet(zones={"a": 6, "b": 4})
+    (report,) = fleet.plan().reports
+    assert report.finding is Finding.SHORT_OF_VMS
+    assert "1 VMs short in a" in report.reason
+
+
+def test_failed_vm_is_rebooted_replaced_then_given_up() -> None:
+    fleet = build_fleet()
+    fleet.set_vm("vm-0", status=VmStatus.DOWN)
+    states = []
+    orders = []
+    for _ in range(16):
+        step = fleet.advance()
+        orders += [order for order in step.orders if isinstance(order, PowerOrder)]
+        states.append(fleet.state.vms["vm-0"].state)
+        fleet.wall += 200
+    assert states[-1] is VmState.RETIRED
+    assert [order.action.value for order in orders] == ["reboot", "replace"]
+    assert len({order.action_id for order in orders}) == 2
+    # a spare of the same zone has taken its place
+    assert fleet.state.vms["vm-8"].pool == "p"
+    assert fleet.plan().reports[0].finding is Finding.GIVEN_UP
+
+
+def test_vm_that_flickers_once_is_left_alone() -> None:
+    fleet = build_fleet()
+    observer = Observer(needed=3)
+    for number in range(4):
+        gone = () if number == 1 else tuple(fleet.vms.values())
+        observer.take(VmList(0.0, gone), fleet.state.vms.keys(), float(number))
+        assert not observer.observe(float(number)).missing
+
+
+def test_vm_listed_twice_is_reported_and_not_touched() -> None:
+    fleet = build_fleet()
+    observer = Observer(needed=1)
+    twin = attrs.evolve(fleet.vms["vm-0"], address="y:0")
+    vm_list = VmList(0.0, (*fleet.vms.values(), twin))
+    observer.take(vm_list, fleet.state.vms.keys(), 0.0)
+    view = View(fleet.state, observer.observe(0.0), 0.0, 1_000, {})
+    (step,) = plan_pass(["p"], view, {})
+    assert step.events == []
+    assert step.reports[0].finding is Finding.CONTRADICTORY
+
+
+@pytest.mark.promise("budget")
+def test_wave_takes_no_more_than_the_budget_with_failures_counted() -> None:
+    fleet = build_fleet(max_out=2)
+    fleet.wall += 40 * DAY_S
+    fleet.fold(ev.VmFailed("vm-1", "gone"))
+    fleet.set_vm("vm-1", status=VmStatus.DOWN)
+    step = fleet.plan()
+    halted = [r for r in step.reports if r.finding is Finding.HALTED]
+    assert halted
+    assert not find_events(step, ev.VmDraining)
+
+
+@pytest.mark.promise("budget")
+def test_nothing_voluntary_on_a_stale_list() -> None:
+    fleet = build_fleet()
+    fleet.wall += 40 * DAY_S
+    fleet.age_s = 60.0
+    step = fleet.plan()
+    assert not find_events(step, ev.VmDraining)
+    (overdue,) = [r for r in step.reports if r.finding is Finding.OVERDUE]
+    assert "60 s old" in overdue.reason
+
+
+def test_whole_wave_goes_zone_by_zone() -> None:
+    fleet = build_fleet()
+    fleet.wall += 40 * DAY_S
+    order = []
+    for _ in range(60):
+        step = fleet.advance()
+        order += [event.vm for event in find_events(step, ev.VmDraining)]
+        out = [r for r in fleet.state.vms.values() if r.state is not VmState.SERVING]
+        assert len(out) <= 2
+        assert len({record.zone for record in out}) <= 1
+        for record in out:
+            if record.state is VmState.DOWN:
+                fleet.set_vm(record.name, boots=fleet.vms[record.name].boots + 1)
+    zones = [fleet.vms[vm].zone for vm in order]
+    assert len(order) == len(set(order)) == 8
+    assert zones == sorted(zones)
+    assert not needs_attention("p", fleet.view)
+
+
+def test_due_pool_needs_attention() -> None:
+    fleet = build_fleet()
+    fleet.plan()
+    assert not needs_attention("p", fleet.view)
+    fleet.wall += 40 * DAY_S
+    fleet.plan()
+    assert needs_attention("p", fleet.view)
+
+
+@pytest.mark.promise("leaving")
+def test_drain_waits_for_acknowledgement_and_requests() -> None:
+    fleet = build_fleet()
+    fleet.fold(ev.VmDraining("vm-0", ev.Purpose.MAINTENANCE))
+    fleet.acknowledged = fleet.state.sequence - 1
+    assert not find_events(fleet.plan(), ev.VmRestarting)
+    fleet.acknowledged = fleet.state.sequence
+    fleet.in_flight = {"vm-0": 1}
+    assert not find_events(fleet.plan(), ev.VmRestarting)
+    fleet.in_flight = {}
+    assert find_events(fleet.plan(), ev.VmRestarting)
+
+
+@pytest.mark.promise("graceful")
+def test_grace_that_passes_is_reported() -> None:
+    fleet = build_fleet()
+    fleet.fold(ev.VmDraining("vm-0", ev.Purpose.MAINTENANCE))
+    fleet.in_flight = {"vm-0": 3}
+    fleet.wall += 31
+    step = fleet.plan()
+    assert find_events(step, ev.VmRestarting)
+    assert step.reports[0].finding is Finding.DRAIN_FORCED
+
+
+@pytest.mark.promise("graceful")
+def test_drain_waits_for_tasks() -> None:
+    fleet = build_fleet([Task("t", "p", Priority.BULK, count=1)])
+    (attempt,) = fleet.state.attempts.values()
+    fleet.fold(ev.VmDraining(attempt.vm, ev.Purpose.MAINTENANCE))
+    running = ListedTask(attempt.attempt, attempt.vm, TaskStatus.RUNNING)
+    fleet.listed = {attempt.attempt: running}
+    step = fleet.advance()
+    assert not find_events(step, ev.VmRestarting)
+    assert find_events(step, ev.TaskStopping)
+    step = fleet.advance()
+    assert [o for o in step.orders if isinstance(o, StopOrder)]
+    assert not find_events(step, ev.VmRestarting)
+    fleet.listed = {attempt.attempt: attrs.evolve(running, status=TaskStatus.STOPPED)}
+    fleet.advance()
+    assert find_events(fleet.plan(), ev.VmRestarting)
+
+
+def run_task(fleet: Fleet, status: TaskStatus) -> str:
+    """Let one open attempt end, and return the VM it ran on."""
+    attempt = next(iter(fleet.state.attempts.values()))
+    fleet.listed = {attempt.attempt: ListedTask(attempt.attempt, attempt.vm, status)}
+    fleet.advance()
+    fleet.listed = {}
+    fleet.advance()
+    return attempt.vm
+
+
+def test_tasks_spread_and_orders_are_repeated() -> None:
+    fleet = build_fleet([Task("t", "p", Priority.BULK, count=4)])
+    step = fleet.plan()
+    starts = [order for order in step.orders if isinstance(order, StartTask)]
+    assert len({order.vm for order in starts}) == 4
+    assert [o.attempt for o in fleet.plan().orders] == [o.attempt for o in starts]
+
+
+@pytest.mark.promise("at-most-once")
+def test_lost_task_runs_again_only_if_idempotent() -> None:
+    for idempotent, starts in ((True, 2), (False, 1)):
+        task = Task("t", "p", Priority.NORMAL, idempotent=idempotent)
+        fleet = build_fleet([task])
+        run_task(fleet, TaskStatus.LOST)
+        assert fleet.state.tasks["t"].started == starts
+    assert fleet.plan().reports[0].finding is Finding.LOST_TASK
+
+
+def test_task_that_never_runs_is_told_from_a_worker_that_fails() -> None:
+    fleet = build_fleet([Task("bad", "p", Priority.NORMAL)])
+    vms = [run_task(fleet, TaskStatus.FAILED) for _ in range(3)]
+    assert len(set(vms)) == 3
+    assert find_unrunnable(fleet.state.tasks) == {"bad"}
+    assert not fleet.state.attempts
+    assert fleet.plan().reports[0].finding is Finding.UNRUNNABLE
+    failing = {f"t{n}": TaskHistory(2, 1, 0, ["vm-9"]) for n in range(3)}
+    assert find_faulty(failing) == {"vm-9"}
+    assert find_faulty({"bad": fleet.state.tasks["bad"]}) == set()
+
+
+def test_faulty_worker_is_quarantined_within_the_budget() -> None:
+    fleet = build_fleet(max_out=1)
+    for number in range(3):
+        fleet.state.tasks[f"t{number}"] = TaskHistory(2, 1, 0, ["vm-0", "vm-2"])
+    step = fleet.advance()
+    assert len(find_events(step, ev.VmQuarantined)) == 1
+    assert len(step.reports) == 2
+    assert not find_events(fleet.plan(), ev.VmQuarantined)
+
+
+def test_urgent_task_preempts_the_fewest() -> None:
+    bulk = Task("bulk", "p", Priority.BULK, cores=32, memory_gb=128, count=16)
+    fleet = build_fleet([bulk])
+    assert len(fleet.state.attempts) == 16
+    fleet.listed = {
+        name: ListedTask(name, attempt.vm, TaskStatus.RUNNING)
+        for name, attempt in fleet.state.attempts.items()
+    }
+    urgent = Task("now", "p", Priority.URGENT, cores=20, memory_gb=100)
+    manifest = attrs.evolve(fleet.manifest, tasks=[bulk, urgent])
+    fleet.fold(ev.ManifestAccepted(2, split_manifest(manifest)))
+    stopping = find_events(fleet.advance(), ev.TaskStopping)
+    assert len(stopping) == 1
+    assert not find_events(fleet.plan(), ev.TaskStopping)
+
+
+def test_cancellation_wave_takes_one_pass() -> None:
+    tasks = [Task(f"t{n}", "p", Priority.BULK, count=4) for n in range(10)]
+    fleet = build_fleet(tasks)
+    fleet.fold(ev.ManifestAccepted(2, {}, [f"tasks/t{number}" for number in range(10)]))
+    assert len(find_events(fleet.plan(), ev.TaskStopping)) == 40
+
+
+def test_team_quota_caps_cores() -> None:
+    task = Task("t", "p", Priority.BULK, team="x", cores=4, count=8)
+    fleet = build_fleet([task], [Team("x", cores=10)])
+    assert len(fleet.state.attempts) == 2
+    assert fleet.plan().reports[0].finding is Finding.OVER_QUOTA
+
+
+def test_sizes_are_learned() -> None:
+    task = Task("t", "p", Priority.BULK, cores=1, memory_gb=1, run_time_s=10)
+    assert estimate_size(task, None).memory_gb == 1.0
+    history = TaskHistory(sizes=[(10.0, 20.0, 100.0)] * 5)
+    size = estimate_size(task, history)
+    assert (size.cores, size.memory_gb) == (pytest.approx(11), pytest.approx(22))
+
+
+def test_weights_choose_how_many_go_at_once() -> None:
+    loads = [0, 0, 3, 3]
+    careful = list_options(loads, 4, Weights(moves=5, buffer=1, roll_out=1))
+    hasty = list_options(loads, 4, Weights(moves=0, buffer=0, roll_out=5))
+    assert careful[0].parallel < hasty[0].parallel == 4
+    assert careful[0].price < careful[1].price
+
+
+def test_wave_prefers_vms_without_tasks() -> None:
+    fleet = build_fleet()
+    pool = fleet.manifest.pools[0]
+    records = [r for r in fleet.state.list_pool("p") if r.rack == "a-0"]
+    busy = records[0].name
+    wave = order_wave(records, pool, 35, 40 * DAY_S, lambda vm: vm == busy)
+    assert [record.name for record in wave][-1] == busy
