--- a/bench/wall.py
+++ b/bench/wall.py
@@ -194,6 +194,8 @@
     manifest = json.loads((EXAMPLE / "manifest.json").read_text())
     for pool in manifest["pools"]:
         pool["slots"] = 256
+    for team in manifest["teams"]:
+        team["quotas"] = {}
     with start_processes() as processes:
         processes.run_fleet(slots=256, work_ms=3000)
         time.sleep(START_S)
--- a/src/onyxgap/daemons/control.py
+++ b/src/onyxgap/daemons/control.py
@@ -47,6 +47,8 @@
 from ..shared.node import PeerSender
 from .entry import build_row
 from .entry import describe_node
+from .retention import OWNER_KEY as RETENTION_KEY
+from .retention import Sweeper
 
 MAX_EVENTS_PER_ENTRY = 2_000
 ORDERS_AT_ONCE = 16
@@ -73,6 +75,7 @@
     poll_interval_s: float = 1.0
     drain_grace_s: float = defaults.DRAIN_GRACE_S
     node: Node = attrs.field(init=False)
+    sweeper: Sweeper = attrs.field(init=False)
     observer: Observer = attrs.field(factory=Observer)
     selector: PoolSelector = attrs.field(factory=PoolSelector)
     metrics: Metrics = attrs.field(factory=Metrics)
@@ -82,6 +85,9 @@
     pass_cpu_s: float = 0.0
     stopping: bool = False
     _saved: int = 0
+    _sweep_at: float = 0.0
+    _tasks_at: float = 0.0
+    _listed_tasks: dict[str, ListedTask] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self.node = Node(
@@ -92,7 +98,9 @@
             self.rng,
             self.poll_interval_s,
         )
+        self.sweeper = Sweeper(self.platform)
         self.metrics.gauges.update(
+            swept_rows=lambda: self.sweeper.removed,
             conflicts=lambda: self.conflicts,
             journal_sequence=lambda: self.node.state.sequence,
             passes=lambda: self.passes,
@@ -132,26 +140,52 @@
         asked_at = self.node.now()
         vm_list = await self.platform.list_vms()
         self.observer.take(vm_list, self.node.state.vms.keys(), asked_at)
-        listed = {task.attempt: task for task in await self._list_tasks()}
+        await self._read_tasks()
         started = time.process_time()
         view = self.look()
         pools = self.selector.choose(self.list_owned_pools(), view)
-        steps = plan_pass(pools, view, listed)
+        steps = plan_pass(pools, view, self._listed_tasks)
         self.pass_cpu_s += time.process_time() - started
         self.passes += 1
         await self._act(steps)
         await self._save_snapshot()
+        await self._sweep()
 
-    async def _list_tasks(self) -> tuple[ListedTask, ...]:
-        if not self.node.state.attempts:
-            return ()
-        return await self.platform.list_tasks()
+    async def _sweep(self) -> None:
+        now = self.node.now()
+        if now < self._sweep_at or not self._owns(RETENTION_KEY):
+            return
+        self._sweep_at = now + defaults.SWEEP_INTERVAL_S
+        await self.sweeper.sweep_claims(self.clocks.read_wall())
+        await self.sweeper.sweep_members(self.node.membership, self.node.now())
+
+    def _owns(self, key: str) -> bool:
+        return pick_owner(key, self._list_controls()) == self.node.name
+
+    def _list_controls(self) -> list[str]:
+        live = self.node.membership.list_live(self.node.now(), CONTROL_ROLE)
+        return [row.name for row in live if not row.stopping]
+
+    async def _read_tasks(self) -> None:
+        attempts = [
+            attempt
+            for pool in self.list_owned_pools()
+            for attempt in self.node.state.attempts_in.get(pool, {}).values()
+        ]
+        now = self.node.now()
+        awaited = any(
+            attempt.stopping or attempt.attempt not in self._listed_tasks
+            for attempt in attempts
+        )
+        if not attempts or (now < self._tasks_at and not awaited):
+            return
+        self._tasks_at = now + defaults.TASK_LIST_INTERVAL_S
+        listed = await self.platform.list_tasks()
+        self._listed_tasks = {task.attempt: task for task in listed}
 
     def list_owned_pools(self) -> list[str]:
         """List the pools that this control looks after."""
-        live = self.node.membership.list_live(self.node.now(), CONTROL_ROLE)
-        names = [row.name for row in live if not row.stopping]
-        return list_owned(self.node.state, self.node.name, names)
+        return list_owned(self.node.state, self.node.name, self._list_controls())
 
     def look(self) -> View:
         """Build the view that a pass looks at."""
@@ -216,8 +250,7 @@
         due = state.sequence // defaults.SNAPSHOT_EVERY_ENTRIES
         if not due or due == self._saved:
             return
-        live = self.node.membership.list_live(self.node.now(), CONTROL_ROLE)
-        if pick_owner(SNAPSHOT_KEY, [row.name for row in live]) == self.node.name:
+        if self._owns(SNAPSHOT_KEY):
             await self.node.journal.save_snapshot(state)
         self._saved = due
 
--- a/src/onyxgap/shared/membership.py
+++ b/src/onyxgap/shared/membership.py
@@ -160,6 +160,18 @@
             if row.name not in live and role in (None, row.role)
         ]
 
+    def list_forgotten(self, now: float, limit_s: float) -> list[tuple[str, int]]:
+        """List members silent for long, with the version of their row.
+
+        :param now: monotonic seconds.
+        :param limit_s: silence, in seconds.
+        """
+        return [
+            (name, seen.version)
+            for name, seen in sorted(self._seen.items())
+            if name != self.me and self._silence(name, now) > limit_s
+        ]
+
     def _silence(self, name: str, now: float) -> float:
         seen = self._seen[name]
         return now - max(seen.changed_at, seen.heard_at)
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,107 @@
+"""Duties of a control apart from planning: snapshots and retention."""
+
+import random
+
+import anyio
+
+from bench.virtual import run_virtually
+from onyxgap import defaults
+from onyxgap.daemons.retention import Sweeper
+from onyxgap.platform import Put
+from onyxgap.shared.membership import Freshness
+from onyxgap.shared.membership import MemberRow
+from onyxgap.shared.membership import Membership
+from onyxgap.shared.membership import pick_owner
+from onyxgap.shared.membership import rank_by_hash
+from onyxgap.standins.memory_platform import MemoryPlatform
+
+
+def build_row(name: str, incarnation: str = "1", sequence: int = 0) -> MemberRow:
+    return MemberRow(name, "entry", name, incarnation, sequence)
+
+
+def test_old_claims_are_swept_page_by_page() -> None:
+    async def run() -> list[str]:
+        platform = MemoryPlatform(random.Random(1))
+        for number in range(450):
+            at = 0.0 if number % 3 else 1_000_000.0
+            platform.write([Put(f"claim/s/j/{number:04d}", {"at": at}, 0)])
+        sweeper = Sweeper(platform)
+        for _ in range(4):
+            await sweeper.sweep_claims(defaults.CLAIM_RETENTION_S + 1.0)
+        assert sweeper.removed == 300
+        return platform.list_keys("claim/")
+
+    assert len(run_virtually(run)) == 150
+
+
+def test_row_of_a_dead_member_is_removed_and_a_live_one_stays() -> None:
+    async def run() -> list[str]:
+        platform = MemoryPlatform(random.Random(1))
+        membership = Membership("me")
+        for name in ("me", "dead", "live"):
+            platform.write([Put(f"member/{name}", {"name": name}, 0)])
+        membership.observe([(build_row(n), 1) for n in ("me", "dead", "live")], 0.0)
+        membership.hear("live", 1, {}, False, 650.0)
+        sweeper = Sweeper(platform)
+        await sweeper.sweep_members(membership, 700.0)
+        return platform.list_keys("member/")
+
+    assert run_virtually(run) == ["member/live", "member/me"]
+
+
+def test_member_lapses_by_silence_on_our_clock_alone() -> None:
+    membership = Membership("me", lapse_s=6.0)
+    rows = [(build_row("me"), 1), (build_row("other"), 1)]
+    membership.observe(rows, 0.0)
+    assert [row.name for row in membership.list_live(6.0)] == ["me", "other"]
+    assert [row.name for row in membership.list_lapsed(6.1)] == ["other"]
+    membership.observe([rows[0], (build_row("other"), 2)], 7.0)
+    assert [row.name for row in membership.list_live(13.0)] == ["me", "other"]
+    assert membership.hear("other", 9, {"vm": 1}, False, 20.0)
+    (other,) = [row for row in membership.list_live(25.0) if row.name == "other"]
+    assert (other.sequence, other.draining) == (9, {"vm": 1})
+
+
+def test_restarted_member_forgets_what_it_had_acknowledged() -> None:
+    membership = Membership("me")
+    membership.observe([(build_row("other", "1"), 4)], 0.0)
+    membership.hear("other", 50, {}, False, 1.0)
+    membership.observe([(build_row("other", "2", 3), 5)], 2.0)
+    (other,) = membership.list_known()
+    assert other.sequence == 3
+
+
+def test_freshness_needs_the_store_or_a_majority() -> None:
+    freshness = Freshness(limit_s=2.0)
+    others = ["a", "b", "c", "d"]
+    assert not freshness.is_fresh(0.0, others)
+    freshness.hear_store(0.0)
+    assert freshness.is_fresh(2.0, others)
+    assert not freshness.is_fresh(2.1, others)
+    freshness.hear_peer("a", 3.0)
+    assert not freshness.is_fresh(3.0, others)
+    freshness.hear_peer("b", 3.5)
+    assert freshness.is_fresh(4.5, others)
+    assert not freshness.is_fresh(5.1, others)
+    # the only process cannot tell an outage from a cut: it goes on
+    assert freshness.is_fresh(100.0, [])
+
+
+def test_ownership_moves_only_from_the_one_that_left() -> None:
+    names = [f"entry-{number}" for number in range(9)]
+    keys = [f"service-{number}" for number in range(400)]
+    before = {key: pick_owner(key, names) for key in keys}
+    after = {key: pick_owner(key, names[1:]) for key in keys}
+    moved = [key for key in keys if before[key] != after[key]]
+    assert all(before[key] == names[0] for key in moved)
+    assert 20 < len(moved) < 80
+    assert rank_by_hash("k", names)[0] == pick_owner("k", names)
+
+
+def test_platform_in_memory_runs_in_virtual_time() -> None:
+    async def run() -> float:
+        await anyio.sleep(3600)
+        return anyio.current_time()
+
+    assert run_virtually(run) == 3600.0
