Look a released slot up instead of searching every queue for it

Cause: an owner offered each release to all its schedulers, and each of them that did not hold the slot searched its whole queue for a waiting ask. Ruled out: shorter queues, which refuse work that still has time.

--- a/src/onyxgap/request/allocation.py
+++ b/src/onyxgap/request/allocation.py
@@ -21,6 +21,7 @@
 from .queue import Ask
 from .scheduling import Decision
 from .scheduling import Granted
+from .scheduling import Refused
 from .scheduling import SlotScheduler
 from .targets import TargetSet
 
@@ -93,6 +94,8 @@
     _suspects: set[str] = attrs.field(factory=set)
     _owners: dict[str, str] = attrs.field(factory=dict)
     _schedulers: dict[str, SlotScheduler] = attrs.field(factory=dict)
+    # service of every ask and slot that a scheduler here knows of
+    _known: dict[tuple[str, int], str] = attrs.field(factory=dict)
     _pending: dict[int, _Pending] = attrs.field(factory=dict)
     _held: dict[int, Slot] = attrs.field(factory=dict)
     _heard_at: dict[str, float] = attrs.field(factory=dict)
@@ -207,6 +210,8 @@
         self._move_ownership(now)
 
     def _drop_member(self, name: str, now: float) -> None:
+        for key in [key for key in self._known if key[0] == name]:
+            del self._known[key]
         for scheduler in self._schedulers.values():
             self._tell(scheduler.drop_member(name, now))
 
@@ -330,6 +335,7 @@
             team=message.team,
             avoid=message.avoid,
         )
+        self._known[member, message.ask] = message.service
         self._tell(scheduler.submit(ask, now))
         self.on_busy()
 
@@ -341,6 +347,7 @@
         :param now: monotonic seconds.
         """
         scheduler = self._find_scheduler(slot.service)
+        self._known[member, slot.ask] = slot.service
         scheduler.adopt(member, slot.ask, slot.vm, slot.team)
 
     def handle_release(
@@ -354,11 +361,15 @@
         :param took_s: how long, in seconds.
         :param now: monotonic seconds.
         """
-        for scheduler in self._schedulers.values():
+        service = self._known.pop((member, ask), None)
+        if service is not None:
+            scheduler = self._schedulers[service]
             self._tell(scheduler.release(member, ask, outcome, took_s, now))
 
     def _tell(self, decisions: t.Iterable[Decision]) -> None:
         for decision in decisions:
+            if isinstance(decision, Refused):
+                self._known.pop((decision.ask.member, decision.ask.ask), None)
             if decision.ask.member != self.me:
                 self.link.send_decision(decision)
             else:
