Refuse what waits when a process may not serve; bound and prune idle connections

Cause: asks that waited in a process that had been cut off were held until their deadline; idle connections to targets were kept without bound and never closed.

--- a/src/onyxgap/adapters/target_client.py
+++ b/src/onyxgap/adapters/target_client.py
@@ -29,6 +29,7 @@
 from ..verdict import Verdict
 
 REUSE_IDLE_S = 1.0
+PRUNE_INTERVAL_S = 5.0
 LATE_TIMER_S = 0.02
 CONNECTS_AT_ONCE = 32
 SERVER_ERROR = 500
@@ -138,9 +139,7 @@
         ):
             exchange = _break_exchange(Reason.BROKEN_ANSWER)
         finally:
-            if clean:
-                self._keep(address, connection)
-            else:
+            if not clean or not self._keep(address, connection):
                 await _close(connection)
         return exchange
 
@@ -216,10 +215,30 @@
             parts.append(part)
         return b"".join(parts)
 
-    def _keep(self, address: str, connection: _Connection) -> None:
-        connection.idle_since = time.monotonic()
+    def _keep(self, address: str, connection: _Connection) -> bool:
         idle = self._idle.setdefault(address, collections.deque())
+        if len(idle) >= defaults.KEEP_IDLE_CONNECTIONS:
+            return False
+        connection.idle_since = time.monotonic()
         idle.append(connection)
+        return True
+
+    async def prune(self) -> None:
+        """Close connections that are too old to be used again, until cancelled."""
+        while True:
+            await anyio.sleep(PRUNE_INTERVAL_S)
+            await self.prune_once(time.monotonic())
+
+    async def prune_once(self, now: float) -> None:
+        """Close the connections that are too old at a moment.
+
+        :param now: monotonic seconds.
+        """
+        for address, idle in list(self._idle.items()):
+            while idle and now - idle[0].idle_since > REUSE_IDLE_S:
+                await _close(idle.popleft())
+            if not idle:
+                self._idle.pop(address, None)
 
     async def aclose(self) -> None:
         """Close all idle connections."""
--- a/src/onyxgap/cli/main.py
+++ b/src/onyxgap/cli/main.py
@@ -14,7 +14,6 @@
 from . import commands
 from . import processes
 
-EXIT_OK = 0
 EXIT_NOT_IN_LINE = 1
 EXIT_BAD_INPUT = 2
 EXIT_CONFLICT = 3
--- a/src/onyxgap/daemons/entry.py
+++ b/src/onyxgap/daemons/entry.py
@@ -137,6 +137,8 @@
                 await self._busy.wait()
             await anyio.sleep(TICK_S)
             self.broker.tick(self.node.now())
+            if not self.node.may_serve():
+                self.broker.refuse_all(self.node.now())
 
     async def drain(self, grace_s: float) -> None:
         """Wait until no request is in flight and every claim is settled.
@@ -253,6 +255,7 @@
         )
         late.front = HttpFront(parts.pipe, parts, lambda: f"{rng.getrandbits(96):024x}")
         group.start_soon(parts.run)
+        group.start_soon(client.prune)
         _LOG.info("started", http=str(http), peer=str(peer))
         task_status.started(http)
         await stop.wait()
--- a/src/onyxgap/manifest.py
+++ b/src/onyxgap/manifest.py
@@ -31,7 +31,6 @@
 
 
 _RANKS = {Priority.URGENT: 0, Priority.NORMAL: 1, Priority.BULK: 2}
-PRIORITY_BY_RANK = {rank: priority for priority, rank in _RANKS.items()}
 
 
 @attrs.frozen
--- a/src/onyxgap/request/allocation.py
+++ b/src/onyxgap/request/allocation.py
@@ -410,10 +410,13 @@
         scheduler.targets.replace(list_targets(self._state, service))
         scheduler.quotas = find_quotas(self._state, service)
 
-    def refuse_all(self) -> None:
-        """End every waiting ask; used when this process may not serve."""
+    def refuse_all(self, now: float) -> None:
+        """End every waiting ask at once, since this process may not serve.
+
+        :param now: monotonic seconds.
+        """
         for ask, pending in list(self._pending.items()):
-            del self._pending[ask]
+            self.withdraw(ask, now)
             pending.on_done(Refusal(Reason.NOT_FRESH, defaults.FRESHNESS_LIMIT_S))
 
 
--- a/src/onyxgap/sentinels.py
+++ b/src/onyxgap/sentinels.py
@@ -22,8 +22,4 @@
 
 
 NOT_FOUND = Missing("no such row")
-NOT_READ = Missing("not read yet")
-STORE_UNAVAILABLE = Missing("the platform's store did not answer")
-NO_TARGET = Missing("no serving target")
-NO_BUDGET = Missing("availability budget is used up")
-"""Sentinels with fixed reasons; compare them by identity or by truth."""
+"""What a read of a row gives where none stands; compare it by truth."""
--- a/src/onyxgap/standins/deployment.py
+++ b/src/onyxgap/standins/deployment.py
@@ -26,7 +26,6 @@
 from ..shared.membership import CONTROL_ROLE
 from ..shared.membership import ENTRY_ROLE
 from ..shared.membership import MemberRow
-from ..shared.node import Node
 from ..verdict import Verdict
 from .gate import KilledError
 from .gate import PlatformGate
@@ -85,17 +84,6 @@
         return exchange
 
 
-class Member(t.Protocol):
-    """What a deployment needs of an entry or control."""
-
-    @property
-    def node(self) -> Node:
-        """Its node."""
-
-    async def run(self) -> None:
-        """Run until cancelled."""
-
-
 @attrs.define
 class Running:
     """A running member.
--- a/tests/test_allocation.py
+++ b/tests/test_allocation.py
@@ -238,3 +238,16 @@
     single = alone.brokers["entry-1"]
     kept: t.Any = rng.choice(list(single._held.values()))
     single.release(kept, Outcome.SERVED, 0.01, 0.0)
+
+
+def test_process_that_may_not_serve_refuses_what_waits(entries: Entries) -> None:
+    broker = entries.pick_other()
+    total = count_slots(entries)
+    entries.acquire(broker, total + 5)
+    broker.refuse_all(1.0)
+    refusals = entries.done[total:]
+    assert [item.reason for item in refusals if isinstance(item, Refusal)] == (
+        [Reason.NOT_FRESH] * 5
+    )
+    owner = entries.brokers[entries.owner]
+    assert owner._schedulers[SERVICE].queue.count_all() == 0
--- a/tests/test_target_client.py
+++ b/tests/test_target_client.py
@@ -14,6 +14,7 @@
 
 from onyxgap.adapters.target_client import CONNECTS_AT_ONCE
 from onyxgap.adapters.target_client import HttpTargetClient
+from onyxgap.defaults import KEEP_IDLE_CONNECTIONS
 from onyxgap.manifest import Job
 from onyxgap.manifest import Priority
 from onyxgap.request.messages import CallerRequest
@@ -271,3 +272,31 @@
 
     anyio.run(run)
     assert 0 < peak <= CONNECTS_AT_ONCE
+
+
+def test_few_connections_are_kept_and_old_ones_closed() -> None:
+    async def script(stream: anyio.abc.SocketStream, request: bytes) -> None:
+        await stream.send(WHOLE)
+
+    async def run() -> tuple[int, int]:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        address = f"127.0.0.1:{listener.extra(anyio.abc.SocketAttribute.local_port)}"
+
+        async def serve(stream: anyio.abc.SocketStream) -> None:
+            await script(stream, await stream.receive())
+            await anyio.sleep_forever()
+
+        client = HttpTargetClient()
+        async with anyio.create_task_group() as group:
+            group.start_soon(listener.serve, serve)
+            async with anyio.create_task_group() as calls:
+                for _ in range(20):
+                    calls.start_soon(client.exchange, build_request(), address, 60)
+            kept = len(client._idle[address])
+            await client.prune_once(time.monotonic() + 3600)
+            group.cancel_scope.cancel()
+        return kept, len(client._idle)
+
+    kept, left = anyio.run(run)
+    assert 0 < kept <= KEEP_IDLE_CONNECTIONS
+    assert left == 0
