Show the tasks' findings in report, too

Cause: report planned pools without their tasks, so over-quota, no-room and unrunnable were seen on a control's status path only.

--- a/src/onyxgap/cli/commands.py
+++ b/src/onyxgap/cli/commands.py
@@ -19,8 +19,7 @@
 from ..fleet.messages import find_wanted
 from ..fleet.observation import Observer
 from ..fleet.pipe import list_pools
-from ..fleet.planning import FreeVms
-from ..fleet.planning import plan_pool
+from ..fleet.pipe import plan_pass
 from ..fleet.report import summarize_plan
 from ..manifest import Manifest
 from ..manifest import parse_manifest
@@ -180,8 +179,8 @@
     async with connect(arguments) as platform:
         state = await operations.load_state(platform)
         view = await _look(platform, state)
-    free = FreeVms(view)
-    steps = [plan_pool(name, view, free) for name in list_pools(state)]
+        listed = {task.attempt: task for task in await platform.list_tasks()}
+    steps = plan_pass(list_pools(state), view, listed)
     reports = [report for step in steps for report in step.reports]
     summary = summarize_plan(view)
     if arguments.json:
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -142,6 +142,8 @@
     wait_for(is_replayed)
     status = processes.command("status", "--json")
     assert json.loads(status.stdout)["version"] == 1
+    report = processes.command("report", "--json")
+    assert json.loads(report.stdout)["plan"]["buffer_vms"] >= 4
     explained = processes.command("explain", "lance-vm-001")
     assert "VmJoined" in explained.stdout
     assert json.loads(processes.command("audit", "--json").stdout)[0]["sequence"] == 1
