--- a/src/onyxgap/standins/stage.py
+++ b/src/onyxgap/standins/stage.py
@@ -11,9 +11,15 @@
 from ..platform import StartTask
 from ..platform import TaskStatus
 from ..platform import VmStatus
+from ..shared.events import VmDraining
+from ..shared.events import VmJoined
+from ..shared.events import VmReturned
+from ..shared.events import decode_entry
+from ..shared.journal import PREFIX as JOURNAL_PREFIX
 from ..shared.membership import CONTROL_ROLE
 from ..shared.membership import ENTRY_ROLE
 from ..verdict import Verdict
+from .deployment import WALL_START_S
 from .deployment import CallRecord
 from .deployment import Deployment
 from .memory_platform import Faults
@@ -26,6 +32,7 @@
 SETTLE_S = 8.0
 SAMPLE_S = 0.25
 LEAVING_LIMIT_S = 4.0
+JOURNAL_MARK_LIMIT_S = 2.0
 IN_FORCE_LIMIT_S = 9.0
 RESEND_AFTER_S = 0.08
 
@@ -80,6 +87,7 @@
             group.cancel_scope.cancel()
         self._check_calls()
         self._check_leaving()
+        self._check_journal_marks()
         self._check_cut()
         self._check_accepted()
         return self.breaches
@@ -349,6 +357,32 @@
                 detail = f"{execution.vm} got work {late:.1f} s after the mark"
                 self._breach("leaving", detail)
 
+    def _check_journal_marks(self) -> None:
+        """Check that a VM marked in the journal gets no work 2 s later."""
+        for vm, start, end in self._list_marks():
+            for execution in self.deployment.targets.executions:
+                late = execution.started_at - start
+                within = execution.vm == vm and execution.started_at < end
+                if within and late > JOURNAL_MARK_LIMIT_S:
+                    detail = f"{vm} got work {late:.1f} s after its entry"
+                    self._breach("leaving", detail)
+
+    def _list_marks(self) -> list[tuple[str, float, float]]:
+        """List each VM's spans from its mark until it serves again."""
+        marked: dict[str, float] = {}
+        spans: list[tuple[str, float, float]] = []
+        for key in self.deployment.platform.list_keys(JOURNAL_PREFIX):
+            entry = decode_entry(self.deployment.platform.peek(key).value)
+            if entry is None:
+                continue
+            at = entry.at - WALL_START_S
+            for event in entry.events:
+                if isinstance(event, VmDraining):
+                    marked[event.vm] = at
+                elif isinstance(event, VmReturned | VmJoined) and event.vm in marked:
+                    spans.append((event.vm, marked.pop(event.vm), at))
+        return spans + [(vm, at, float("inf")) for vm, at in marked.items()]
+
     def _check_cut(self) -> None:
         for execution in self.deployment.targets.executions:
             planned = self._planned.get(execution.vm, ())
