--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -11,8 +11,8 @@
 from bench.virtual import run_virtually
 from onyxgap.standins.deployment import Deployment
 from onyxgap.standins.examples import load_example
+from onyxgap.standins.promises import Breach
 from onyxgap.standins.scenario import parse_scenario
-from onyxgap.standins.stage import Breach
 from onyxgap.standins.stage import Stage
 
 ROOT = pathlib.Path(__file__).parent.parent
