--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -30,10 +30,10 @@
 from onyxgap.manifest import Task
 from onyxgap.manifest import Team
 from onyxgap.manifest import split_manifest
-from onyxgap.platform import ListedVm
-from onyxgap.platform import Put
-from onyxgap.platform import VmList
-from onyxgap.platform import VmStatus
+from onyxgap.ports import ListedVm
+from onyxgap.ports import Put
+from onyxgap.ports import VmList
+from onyxgap.ports import VmStatus
 from onyxgap.request.allocation import SlotBroker
 from onyxgap.request.claims import BatchWriter
 from onyxgap.request.link import AskMessage
--- a/bench/naive.py
+++ b/bench/naive.py
@@ -17,10 +17,10 @@
 from onyxgap.manifest import join_chunks
 from onyxgap.manifest import split_manifest
 from onyxgap.manifest import structure_chunk
-from onyxgap.platform import Platform
-from onyxgap.platform import Put
-from onyxgap.platform import VmAction
-from onyxgap.platform import VmStatus
+from onyxgap.ports import Platform
+from onyxgap.ports import Put
+from onyxgap.ports import VmAction
+from onyxgap.ports import VmStatus
 from onyxgap.request.messages import Answer
 from onyxgap.request.messages import CallerRequest
 from onyxgap.request.messages import Exchange
--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -11,7 +11,7 @@
 
 from onyxgap.manifest import Priority
 from onyxgap.manifest import Task
-from onyxgap.platform import VmStatus
+from onyxgap.ports import VmStatus
 from onyxgap.shared.records import VmState
 from onyxgap.standins.deployment import Deployment
 from onyxgap.standins.examples import load_example
--- a/src/onyxgap/adapters/platform_client.py
+++ b/src/onyxgap/adapters/platform_client.py
@@ -11,15 +11,15 @@
 
 from .. import defaults
 from ..exceptions import PlatformUnavailableError
-from ..platform import ListedTask
-from ..platform import ListedVm
-from ..platform import Put
-from ..platform import Row
-from ..platform import StartTask
-from ..platform import VmAction
-from ..platform import VmList
-from ..platform import WriteOutcome
-from ..platform import WriteResult
+from ..ports import ListedTask
+from ..ports import ListedVm
+from ..ports import Put
+from ..ports import Row
+from ..ports import StartTask
+from ..ports import VmAction
+from ..ports import VmList
+from ..ports import WriteOutcome
+from ..ports import WriteResult
 from ..sentinels import NOT_FOUND
 from ..sentinels import Missing
 from ..settings import Address
--- a/src/onyxgap/daemons/control.py
+++ b/src/onyxgap/daemons/control.py
@@ -33,9 +33,9 @@
 from ..fleet.pipe import list_owned
 from ..fleet.pipe import plan_pass
 from ..metrics import Metrics
-from ..platform import ListedTask
-from ..platform import Platform
-from ..platform import StartTask
+from ..ports import ListedTask
+from ..ports import Platform
+from ..ports import StartTask
 from ..settings import Settings
 from ..shared.events import Event
 from ..shared.journal import SNAPSHOT_KEY
--- a/src/onyxgap/daemons/entry.py
+++ b/src/onyxgap/daemons/entry.py
@@ -19,7 +19,7 @@
 from ..clocks import Clocks
 from ..clocks import SystemClocks
 from ..metrics import Metrics
-from ..platform import Platform
+from ..ports import Platform
 from ..request.allocation import SlotBroker
 from ..request.claims import ClaimKeeper
 from ..request.messages import Answer
--- a/src/onyxgap/daemons/retention.py
+++ b/src/onyxgap/daemons/retention.py
@@ -4,9 +4,9 @@
 import structlog
 
 from .. import defaults
-from ..platform import Platform
-from ..platform import Put
-from ..platform import WriteOutcome
+from ..ports import Platform
+from ..ports import Put
+from ..ports import WriteOutcome
 from ..request.claims import PREFIX as CLAIM_PREFIX
 from ..shared.membership import PREFIX as MEMBER_PREFIX
 from ..shared.membership import Membership
--- a/src/onyxgap/fleet/lifecycle.py
+++ b/src/onyxgap/fleet/lifecycle.py
@@ -3,9 +3,9 @@
 import typing as t
 
 from .. import defaults
-from ..platform import ListedVm
-from ..platform import VmAction
-from ..platform import VmStatus
+from ..ports import ListedVm
+from ..ports import VmAction
+from ..ports import VmStatus
 from ..shared import events as ev
 from ..shared.records import VmRecord
 from ..shared.records import VmState
--- a/src/onyxgap/fleet/messages.py
+++ b/src/onyxgap/fleet/messages.py
@@ -6,8 +6,8 @@
 import attrs
 
 from ..manifest import Pool
-from ..platform import StartTask
-from ..platform import VmAction
+from ..ports import StartTask
+from ..ports import VmAction
 from ..shared.events import Event
 from ..shared.state import FleetState
 from .observation import Observation
--- a/src/onyxgap/fleet/observation.py
+++ b/src/onyxgap/fleet/observation.py
@@ -5,9 +5,9 @@
 import attrs
 
 from .. import defaults
-from ..platform import ListedVm
-from ..platform import VmList
-from ..platform import VmStatus
+from ..ports import ListedVm
+from ..ports import VmList
+from ..ports import VmStatus
 
 
 @attrs.frozen
--- a/src/onyxgap/fleet/pipe.py
+++ b/src/onyxgap/fleet/pipe.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from ..platform import ListedTask
+from ..ports import ListedTask
 from ..shared import events as ev
 from ..shared.membership import pick_owner
 from ..shared.records import VmState
--- a/src/onyxgap/fleet/placement.py
+++ b/src/onyxgap/fleet/placement.py
@@ -8,9 +8,9 @@
 from ..manifest import Priority
 from ..manifest import Task
 from ..manifest import Team
-from ..platform import ListedTask
-from ..platform import StartTask
-from ..platform import TaskStatus
+from ..ports import ListedTask
+from ..ports import StartTask
+from ..ports import TaskStatus
 from ..shared import events as ev
 from ..shared.records import Attempt
 from ..shared.records import TaskHistory
--- a/src/onyxgap/fleet/planning.py
+++ b/src/onyxgap/fleet/planning.py
@@ -7,7 +7,7 @@
 
 from .. import defaults
 from ..manifest import Pool
-from ..platform import ListedVm
+from ..ports import ListedVm
 from ..shared import events as ev
 from ..shared.records import VmRecord
 from ..shared.records import VmState
--- a/src/onyxgap/operations.py
+++ b/src/onyxgap/operations.py
@@ -10,7 +10,7 @@
 from .exceptions import OnyxgapError
 from .manifest import Manifest
 from .manifest import split_manifest
-from .platform import Platform
+from .ports import Platform
 from .shared import events as ev
 from .shared.events import Entry
 from .shared.journal import Journal
--- a/src/onyxgap/request/claims.py
+++ b/src/onyxgap/request/claims.py
@@ -13,10 +13,10 @@
 from .. import defaults
 from ..exceptions import PlatformUnavailableError
 from ..exceptions import UnknownOutcomeError
-from ..platform import ABSENT
-from ..platform import Put
-from ..platform import Row
-from ..platform import WriteOutcome
+from ..ports import ABSENT
+from ..ports import Put
+from ..ports import Row
+from ..ports import WriteOutcome
 from ..shared.journal import Store
 from ..verdict import Verdict
 from .messages import Answer
--- a/src/onyxgap/shared/node.py
+++ b/src/onyxgap/shared/node.py
@@ -18,8 +18,8 @@
 from ..clocks import Clocks
 from ..exceptions import PlatformUnavailableError
 from ..exceptions import UnknownOutcomeError
-from ..platform import Platform
-from ..platform import Put
+from ..ports import Platform
+from ..ports import Put
 from ..wire.peer import ttypes
 from .events import Entry
 from .events import Event
--- a/src/onyxgap/standins/deployment.py
+++ b/src/onyxgap/standins/deployment.py
@@ -16,7 +16,7 @@
 from ..daemons.entry import EntryParts
 from ..manifest import Manifest
 from ..operations import apply_manifest
-from ..platform import ListedVm
+from ..ports import ListedVm
 from ..request.messages import Answer
 from ..request.messages import CallerRequest
 from ..request.messages import Exchange
--- a/src/onyxgap/standins/examples.py
+++ b/src/onyxgap/standins/examples.py
@@ -4,7 +4,7 @@
 
 from ..manifest import Manifest
 from ..manifest import parse_manifest
-from ..platform import ListedVm
+from ..ports import ListedVm
 from .platform_server import load_fleet
 
 
--- a/src/onyxgap/standins/gate.py
+++ b/src/onyxgap/standins/gate.py
@@ -6,14 +6,14 @@
 import attrs
 
 from ..exceptions import PlatformUnavailableError
-from ..platform import ListedTask
-from ..platform import Put
-from ..platform import Row
-from ..platform import StartTask
-from ..platform import VmAction
-from ..platform import VmList
-from ..platform import WriteOutcome
-from ..platform import WriteResult
+from ..ports import ListedTask
+from ..ports import Put
+from ..ports import Row
+from ..ports import StartTask
+from ..ports import VmAction
+from ..ports import VmList
+from ..ports import WriteOutcome
+from ..ports import WriteResult
 from ..sentinels import Missing
 from .memory_platform import MemoryPlatform
 
--- a/src/onyxgap/standins/memory_targets.py
+++ b/src/onyxgap/standins/memory_targets.py
@@ -8,7 +8,7 @@
 import anyio
 import attrs
 
-from ..platform import VmStatus
+from ..ports import VmStatus
 from ..request.messages import Exchange
 from ..request.messages import IdentifiedRequest
 from ..request.messages import Outcome
--- a/src/onyxgap/standins/stage.py
+++ b/src/onyxgap/standins/stage.py
@@ -8,9 +8,9 @@
 import attrs
 
 from ..exceptions import ConflictError
-from ..platform import StartTask
-from ..platform import TaskStatus
-from ..platform import VmStatus
+from ..ports import StartTask
+from ..ports import TaskStatus
+from ..ports import VmStatus
 from ..shared.membership import CONTROL_ROLE
 from ..shared.membership import ENTRY_ROLE
 from .deployment import Deployment
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -7,7 +7,7 @@
 from bench.virtual import run_virtually
 from onyxgap import defaults
 from onyxgap.daemons.retention import Sweeper
-from onyxgap.platform import Put
+from onyxgap.ports import Put
 from onyxgap.shared.membership import Freshness
 from onyxgap.shared.membership import MemberRow
 from onyxgap.shared.membership import Membership
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -25,12 +25,12 @@
 from onyxgap.manifest import Team
 from onyxgap.manifest import Weights
 from onyxgap.manifest import split_manifest
-from onyxgap.platform import ListedTask
-from onyxgap.platform import ListedVm
-from onyxgap.platform import StartTask
-from onyxgap.platform import TaskStatus
-from onyxgap.platform import VmList
-from onyxgap.platform import VmStatus
+from onyxgap.ports import ListedTask
+from onyxgap.ports import ListedVm
+from onyxgap.ports import StartTask
+from onyxgap.ports import TaskStatus
+from onyxgap.ports import VmList
+from onyxgap.ports import VmStatus
 from onyxgap.shared import events as ev
 from onyxgap.shared.events import Entry
 from onyxgap.shared.records import TaskHistory
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -21,7 +21,7 @@
 from onyxgap.operations import apply_manifest
 from onyxgap.operations import list_audit
 from onyxgap.operations import load_state
-from onyxgap.platform import Put
+from onyxgap.ports import Put
 from onyxgap.shared import events as ev
 from onyxgap.shared.events import Entry
 from onyxgap.shared.journal import Journal
