--- /dev/null
+++ b/src/onyxgap/__main__.py
@@ -0,0 +1,7 @@
+"""Runs the command line as ``python -m onyxgap``."""
+
+import sys
+
+from .cli.main import main
+
+sys.exit(main())
--- a/src/onyxgap/adapters/http_server.py
+++ b/src/onyxgap/adapters/http_server.py
@@ -49,7 +49,7 @@
         listener.bind((self.listen.host, self.listen.port))
         config = uvicorn.Config(
             self.app,
-            http="h11",
+            http="auto",
             ws="none",
             lifespan="off",
             log_config=None,
--- a/src/onyxgap/cli/main.py
+++ b/src/onyxgap/cli/main.py
@@ -1,6 +1,7 @@
 """The ``onyxgap`` command: arguments, dispatch and exit codes."""
 
 import argparse
+import os
 import sys
 import typing as t
 
@@ -10,6 +11,8 @@
 from ..exceptions import DocumentError
 from ..exceptions import OnyxgapError
 from ..exceptions import PlatformUnavailableError
+from ..logs import LEVELS
+from ..platform.settings import PATH_VARIABLE
 from ..settings import parse_address
 from . import commands
 from . import processes
@@ -63,6 +66,16 @@
     ):
         parser = _add_command(group, name, f"run an {name} process", run)
         parser.add_argument("--settings", required=True, metavar="FILE")
+    node = _add_command(
+        group, "node", "run a node on the users' platform", processes.run_platform_node
+    )
+    node.add_argument(
+        "--settings",
+        default=os.environ.get(PATH_VARIABLE),
+        metavar="FILE",
+        help=f"the platform's settings file, by default that of ${PATH_VARIABLE}",
+    )
+    node.add_argument("--log-level", choices=sorted(LEVELS), default="info")
     stand_in = group.add_parser("stand-in", help="run a stand-in on loopback")
     kinds = stand_in.add_subparsers(required=True, metavar="KIND")
     platform = _add_command(
--- a/src/onyxgap/cli/processes.py
+++ b/src/onyxgap/cli/processes.py
@@ -9,7 +9,11 @@
 
 from ..daemons.control import run_control
 from ..daemons.entry import run_entry
+from ..exceptions import DocumentError
+from ..exceptions import Fault
+from ..logs import configure_bounded_logs
 from ..logs import configure_logs
+from ..platform.settings import PATH_VARIABLE
 from ..settings import load_settings
 from ..settings import parse_address
 from ..standins.platform_server import load_fleet
@@ -47,6 +51,17 @@
     return await _run_until_signal(lambda stop: run_control(settings, stop))
 
 
+async def run_platform_node(arguments: argparse.Namespace) -> int:
+    """Run a node on the users' platform."""
+    # the node's libraries are not needed by the other commands
+    from ..daemons.node_process import run_node_process
+
+    if not arguments.settings:
+        raise DocumentError([Fault("--settings", f"or {PATH_VARIABLE} is required")])
+    configure_bounded_logs(arguments.log_level)
+    return await run_node_process(arguments.settings)
+
+
 async def run_platform_process(arguments: argparse.Namespace) -> int:
     """Run the stand-in platform."""
     configure_logs("info", member="platform")
--- /dev/null
+++ b/src/onyxgap/daemons/desk.py
@@ -0,0 +1,288 @@
+"""Answers callers from the store and from the shards that this node owns."""
+
+import typing as t
+
+import anyio
+import attrs
+import structlog
+
+from ..clocks import Clocks
+from ..exceptions import DocumentError
+from ..exceptions import PlatformUnavailableError
+from ..jobs import tables
+from ..jobs.desk import SubmitOutcome
+from ..jobs.desk import SubmitResult
+from ..jobs.desk import Unavailable
+from ..jobs.health import StoreHealth
+from ..jobs.job import decode_state
+from ..jobs.messages import JobState
+from ..jobs.messages import Submission
+from ..jobs.ownership import OwnerView
+from ..jobs.routing import DEFAULT_BODY_BYTES
+from ..jobs.routing import Route
+from ..jobs.routing import RouteTable
+from ..jobs.store import ABSENT
+from ..jobs.store import Applied
+from ..jobs.store import Batch
+from ..jobs.store import Conflict
+from ..jobs.store import NotApplied
+from ..jobs.store import Store
+from ..jobs.store import WriteOutcome
+from ..jobs.submissions import decode_submission
+from ..jobs.submissions import encode_submission
+from ..jobs.submissions import is_same_request
+from .owner import ShardOwner
+
+SETTLE_S = 2.0
+"""How long a write without an answer is settled; callers wait for 3 s."""
+SETTLE_PAUSE_S = 0.08
+OUTAGE_RETRY_AFTER_S = 2
+MAX_REMEMBERED = 4_000
+"""Final states kept in memory; about 100 bytes each."""
+
+_LOG = structlog.get_logger()
+
+
+@attrs.define
+class NodeDesk:
+    """Answers callers of one node.
+
+    :param store: the store.
+    :param health: whether it answers.
+    :param clocks: the process's clocks.
+    :param routes: the configuration in force.
+    :param views: what is known of the shards' owners.
+    :param owners: shards that this node owns.
+    :param on_answer: counts an answer: what was asked, outcome, seconds.
+    """
+
+    store: Store
+    health: StoreHealth
+    clocks: Clocks
+    routes: RouteTable
+    views: dict[str, OwnerView]
+    owners: dict[str, ShardOwner]
+    on_answer: t.Callable[[str, str, float], None] = lambda *_: None
+    stopping: bool = False
+    _final: dict[str, JobState] = attrs.field(factory=dict)
+
+    def find_route(self, host: str, path: str) -> Route | None | Unavailable:
+        """Find the queue that a request is for."""
+        if self.routes.configuration is None:
+            return Unavailable.CONFIGURATION
+        return self.routes.find(host, path)
+
+    def get_max_body_bytes(self) -> int:
+        """Give the longest body that is read."""
+        configuration = self.routes.configuration
+        return configuration.max_body_bytes if configuration else DEFAULT_BODY_BYTES
+
+    def is_ready(self) -> bool:
+        """Tell whether new connections should come here."""
+        return (
+            not self.stopping
+            and self.routes.configuration is not None
+            and not self._is_store_down()
+        )
+
+    def _is_store_down(self) -> bool:
+        return self.health.is_down(self.clocks.read_monotonic())
+
+    async def submit(self, submission: Submission) -> SubmitResult:
+        """Accept a job, or say why not."""
+        started = self.clocks.read_monotonic()
+        result = await self._submit(submission)
+        took_s = self.clocks.read_monotonic() - started
+        self.on_answer("submit", result.outcome.value, took_s)
+        _LOG.info(
+            "submission answered",
+            job=submission.job_id,
+            queue=submission.policy.queue,
+            service=submission.policy.service,
+            outcome=result.outcome.value,
+            reason=result.reason,
+            configuration=self._get_version(),
+            took_s=round(took_s, 4),
+        )
+        return result
+
+    def _get_version(self) -> int:
+        configuration = self.routes.configuration
+        return configuration.version if configuration else 0
+
+    async def _submit(self, submission: Submission) -> SubmitResult:
+        if self._is_store_down():
+            reason = Unavailable.STORE.value
+            return SubmitResult(SubmitOutcome.REFUSED, reason, OUTAGE_RETRY_AFTER_S)
+        for shard in self.routes.list_former(submission.policy):
+            try:
+                known = await self._read_submission(shard, submission.job_id)
+            except PlatformUnavailableError as error:
+                return SubmitResult(SubmitOutcome.REFUSED, str(error))
+            if known is not None:
+                return _compare(known, submission)
+        accepted_ms = int(self.clocks.read_wall() * 1000)
+        return await self._store(attrs.evolve(submission, accepted_ms=accepted_ms))
+
+    async def _store(self, submission: Submission) -> SubmitResult:
+        row = tables.get_job_row(submission.policy.service, submission.job_id)
+        batch = Batch({row: ABSENT}, {row: encode_submission(submission)})
+        outcome = await self._settle(batch)
+        if isinstance(outcome, Applied):
+            return SubmitResult(SubmitOutcome.ACCEPTED)
+        if isinstance(outcome, NotApplied):
+            return SubmitResult(SubmitOutcome.REFUSED, outcome.reason)
+        if isinstance(outcome, Conflict):
+            present = outcome.find(row)
+            try:
+                known = decode_submission(present.value) if present else None
+            except DocumentError as error:
+                _LOG.warning("stored job unreadable", row=row.key, reason=str(error))
+                known = None
+            if known is not None:
+                return _compare(known, submission)
+        return SubmitResult(SubmitOutcome.UNKNOWN, "the write was not confirmed")
+
+    async def _settle(self, batch: Batch) -> WriteOutcome:
+        """Repeat a conditional insert until its outcome is certain, or time is up.
+
+        A refusal counts only while no earlier try may still be applied.
+        """
+        give_up = self.clocks.read_monotonic() + SETTLE_S
+        uncertain: WriteOutcome | None = None
+        while True:
+            outcome = await self.store.write(batch)
+            if isinstance(outcome, Applied | Conflict):
+                return outcome
+            if isinstance(outcome, NotApplied):
+                if uncertain is None:
+                    return outcome
+            else:
+                uncertain = outcome
+            if self.clocks.read_monotonic() >= give_up:
+                return uncertain
+            await anyio.sleep(SETTLE_PAUSE_S)
+
+    async def _read_submission(self, shard: str, job_id: str) -> Submission | None:
+        row = tables.get_job_row(shard, job_id)
+        page = await self.store.read(row.table, row.part, row.key)
+        return decode_submission(page.rows[0].value) if page.rows else None
+
+    def _list_shards(self, route: Route) -> list[str]:
+        """List shards that may hold a job, the likeliest first."""
+        policy = route.policy
+        configuration = self.routes.configuration
+        others = configuration.list_shards() if configuration else ()
+        former = self.routes.list_former(policy)
+        return list(dict.fromkeys([policy.service, *former, *others]))
+
+    async def get_state(
+        self, route: Route, job_id: str
+    ) -> JobState | None | Unavailable:
+        """Give the state of a job, ``None`` where there is no such job."""
+        started = self.clocks.read_monotonic()
+        state = await self._get_state(route, job_id)
+        took_s = self.clocks.read_monotonic() - started
+        outcome = state.name.lower() if state is not None else "unknown-job"
+        self.on_answer("state", outcome, took_s)
+        if state is None or isinstance(state, Unavailable):
+            _LOG.info(
+                "state not given",
+                job=job_id,
+                queue=route.policy.queue,
+                outcome=outcome,
+                configuration=self._get_version(),
+                took_s=round(took_s, 4),
+            )
+        return state
+
+    async def _get_state(
+        self, route: Route, job_id: str
+    ) -> JobState | None | Unavailable:
+        if job_id in self._final:
+            return self._final[job_id]
+        owner = self.owners.get(route.policy.service)
+        if owner is not None and owner.loaded:
+            state = owner.state.get_state(job_id)
+            if state is not None:
+                return state
+        if self._is_store_down():
+            return Unavailable.STORE
+        try:
+            for shard in self._list_shards(route):
+                state = await self._read_state(shard, job_id)
+                if state is not None:
+                    return state
+        except PlatformUnavailableError:
+            return Unavailable.STORE
+        return None
+
+    async def _read_state(self, shard: str, job_id: str) -> JobState | None:
+        row = tables.get_progress_row(shard, job_id)
+        page = await self.store.read(row.table, row.part, row.key)
+        if page.rows:
+            state = decode_state(page.rows[0].value)
+            if state.final:
+                self._remember(job_id, state)
+            return state
+        if await self._read_submission(shard, job_id) is not None:
+            return JobState.QUEUED
+        return None
+
+    def _remember(self, job_id: str, state: JobState) -> None:
+        self._final[job_id] = state
+        if len(self._final) > MAX_REMEMBERED:
+            del self._final[next(iter(self._final))]
+
+    async def cancel(self, route: Route, job_id: str) -> bool | Unavailable:
+        """Cancel a job; false where there is no such job."""
+        started = self.clocks.read_monotonic()
+        known = await self._cancel(route, job_id)
+        took_s = self.clocks.read_monotonic() - started
+        outcome = known.value if isinstance(known, Unavailable) else str(known)
+        self.on_answer("cancel", outcome, took_s)
+        _LOG.info(
+            "cancel answered",
+            job=job_id,
+            queue=route.policy.queue,
+            outcome=outcome,
+            took_s=round(took_s, 4),
+        )
+        return known
+
+    async def _cancel(self, route: Route, job_id: str) -> bool | Unavailable:
+        if self._is_store_down():
+            return Unavailable.STORE
+        try:
+            for shard in self._list_shards(route):
+                if await self._read_submission(shard, job_id) is not None:
+                    return await self._store_cancel(shard, job_id)
+        except PlatformUnavailableError:
+            return Unavailable.STORE
+        return False
+
+    async def _store_cancel(self, shard: str, job_id: str) -> bool | Unavailable:
+        row = tables.get_cancel_row(shard, job_id)
+        outcome = await self._settle(Batch({row: ABSENT}, {row: b"1"}))
+        if isinstance(outcome, Applied | Conflict):
+            return True
+        return Unavailable.STORE
+
+    def count_waiting(self, route: Route) -> int | Unavailable:
+        """Count the jobs of a queue of which nothing has started."""
+        policy = route.policy
+        owner = self.owners.get(policy.service)
+        if owner is not None and owner.loaded:
+            return owner.state.count_waiting().get(policy.queue, 0)
+        view = self.views.get(policy.service)
+        if view is None or view.row is None:
+            return 0
+        return view.row.waiting.get(policy.queue, 0)
+
+
+def _compare(known: Submission, submission: Submission) -> SubmitResult:
+    if is_same_request(known, submission):
+        return SubmitResult(SubmitOutcome.ACCEPTED, "known")
+    return SubmitResult(
+        SubmitOutcome.OTHER_REQUEST, "the id stands for another request"
+    )
--- /dev/null
+++ b/src/onyxgap/daemons/follower.py
@@ -0,0 +1,83 @@
+"""Follows the changes of a table and hands them on."""
+
+import random
+import typing as t
+
+import anyio
+import attrs
+import structlog
+
+from ..exceptions import HistoryLostError
+from ..exceptions import PlatformUnavailableError
+from ..jobs.store import Page
+from ..jobs.store import Store
+from ..jobs.store import StoredRow
+
+WAIT_S = 1.2
+"""Longest wait for a change: a channel that went silent is found within 1.9 s,
+below the 2 s in which a new configuration must be in force."""
+RETRY_MIN_S = 0.05
+RETRY_MAX_S = 0.4
+
+_LOG = structlog.get_logger()
+
+OnRows = t.Callable[[t.Sequence[StoredRow], bool], None]
+
+
+@attrs.define
+class Follower:
+    """Reads some partitions of a table whole, then every change.
+
+    :param store: the store.
+    :param table: the table.
+    :param parts: partitions to read at the start.
+    :param on_rows: takes rows, and whether they are all that there is.
+    :param rng: spreads retries.
+    :param wait_s: longest wait of one call.
+    :param pause_s: pause between calls, for changes that may be late.
+    :param after: version to start from without reading, 0 to read.
+    """
+
+    store: Store
+    table: str
+    parts: t.Callable[[], t.Sequence[str]]
+    on_rows: OnRows
+    rng: random.Random
+    wait_s: float = WAIT_S
+    pause_s: float = 0.0
+    after: int = 0
+
+    async def run(self) -> t.NoReturn:
+        """Follow the table for ever, through outages of the store."""
+        delay = RETRY_MIN_S
+        while True:
+            try:
+                await self._advance()
+                delay = RETRY_MIN_S
+                if self.pause_s:
+                    await anyio.sleep(self.pause_s)
+            except HistoryLostError:
+                _LOG.info("history lost, reading again", table=self.table)
+                self.after = 0
+            except PlatformUnavailableError:
+                await anyio.sleep(delay * self.rng.uniform(0.5, 1.0))
+                delay = min(delay * 2, RETRY_MAX_S)
+
+    async def _advance(self) -> None:
+        if not self.after:
+            await self._read_whole()
+            return
+        page = await self.store.follow(self.table, self.after, self.wait_s)
+        self.after = max(self.after, page.version)
+        if page.rows:
+            self.on_rows(page.rows, False)
+
+    async def _read_whole(self) -> None:
+        pages: list[Page] = []
+        for part in self.parts():
+            pages.append(await self.store.read(self.table, part))
+        rows = [row for page in pages for row in page.rows]
+        self.on_rows(rows, True)
+        self.after = min((page.version for page in pages), default=0)
+        if not pages:
+            await anyio.sleep(RETRY_MAX_S)
--- /dev/null
+++ b/src/onyxgap/daemons/node_process.py
@@ -0,0 +1,106 @@
+"""The process of a node on the users' platform: listeners, signals and logs."""
+
+import os
+import random
+import signal
+
+import anyio
+import structlog
+
+from ..adapters.http_server import HttpServer
+from ..clocks import SystemClocks
+from ..jobs.health import StoreHealth
+from ..jobs.health import WatchedStore
+from ..jobs.settings import NodeSettings
+from ..platform import registry
+from ..platform.callers import CallerApp
+from ..platform.callers import ReadyApp
+from ..platform.http import HttpClient
+from ..platform.settings import load_settings
+from ..platform.store import PlatformStore
+from ..platform.workers import PlatformWorkers
+from .node import Decoders
+from .node import Node
+
+LINGER_S = 2.5
+"""The balancer needs two failed probes, a second apart, to send no more callers."""
+STORE_CONNECTIONS = 48
+RELEASE_LIMIT_S = 1.5
+CLOSE_LIMIT_S = 1.0
+
+_LOG = structlog.get_logger()
+
+
+DECODERS = Decoders(
+    registry.WORKER_TABLE,
+    registry.OPERATOR_TABLE,
+    registry.CONFIGURATION_KEY,
+    registry.decode_worker,
+    registry.decode_configuration,
+)
+
+
+def build_node(settings: NodeSettings) -> Node:
+    """Build a node that talks to the users' platform.
+
+    :param settings: its settings.
+    """
+    clocks = SystemClocks()
+    health = StoreHealth()
+    store = PlatformStore(HttpClient(settings.store, STORE_CONNECTIONS))
+    return Node(
+        settings,
+        WatchedStore(store, health, clocks),
+        health,
+        PlatformWorkers(),
+        DECODERS,
+        clocks,
+        random.Random(os.urandom(8)),
+    )
+
+
+async def run_node_process(path: str) -> int:
+    """Run a node until it is told to stop.
+
+    :param path: path of the settings file.
+    :returns: the exit code.
+    """
+    settings = load_settings(path)
+    node = build_node(settings)
+    _LOG.info("start", boot=node.boot, zone=settings.zone, store=settings.store)
+    callers = CallerApp(node.desk)
+    front = HttpServer(callers, settings.front, CLOSE_LIMIT_S)
+    ready = HttpServer(ReadyApp(node.desk, lambda: b""), settings.ready, CLOSE_LIMIT_S)
+    with anyio.open_signal_receiver(
+        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+    ) as signals:
+        async with anyio.create_task_group() as group:
+            group.start_soon(ready.run)
+            group.start_soon(front.run)
+            group.start_soon(node.run)
+            async for number in signals:
+                if number != signal.SIGHUP:
+                    break
+                _reload(path, settings)
+            await _stop(node, callers, front, ready)
+            group.cancel_scope.cancel()
+    _LOG.info("stop", boot=node.boot)
+    return 0
+
+
+def _reload(path: str, settings: NodeSettings) -> None:
+    changed = load_settings(path) != settings
+    _LOG.info("reload", changed=changed, note="addresses take effect at a restart")
+
+
+async def _stop(
+    node: Node, callers: CallerApp, front: HttpServer, ready: HttpServer
+) -> None:
+    _LOG.info("stopping", owned=len(node.owners))
+    callers.closing = True
+    with anyio.move_on_after(RELEASE_LIMIT_S):
+        await node.release()
+    await anyio.sleep(LINGER_S)
+    front.stop()
+    await anyio.sleep(CLOSE_LIMIT_S / 4)
+    ready.stop()
--- /dev/null
+++ b/src/onyxgap/daemons/owner.py
@@ -0,0 +1,465 @@
+"""Runs one shard: stores what it decides, then sends the orders."""
+
+import math
+import random
+import typing as t
+
+import anyio
+import anyio.abc
+import attrs
+import structlog
+
+from ..clocks import Clocks
+from ..exceptions import DocumentError
+from ..exceptions import OwnershipLostError
+from ..jobs import tables
+from ..jobs.health import StoreHealth
+from ..jobs.job import encode_progress
+from ..jobs.job import restore_job
+from ..jobs.messages import JobState
+from ..jobs.messages import WorkerEntry
+from ..jobs.settings import TimeLimits
+from ..jobs.shard import Shard
+from ..jobs.store import Applied
+from ..jobs.store import Batch
+from ..jobs.store import Conflict
+from ..jobs.store import RowId
+from ..jobs.store import Store
+from ..jobs.store import StoredRow
+from ..jobs.submissions import decode_submission
+from ..jobs.tables import OwnerRow
+from ..jobs.workers import HoldOrder
+from ..jobs.workers import HoldReport
+from ..jobs.workers import ReplyKind
+from ..jobs.workers import StartOrder
+from ..jobs.workers import StopOrder
+from ..jobs.workers import Workers
+from .follower import Follower
+
+BEAT_S = 0.7
+"""Three renewals fit into the silence after which others claim the shard."""
+TICK_S = 0.2
+"""Longest pause of the decision loop; occurrences may start 250 ms early."""
+LEASE_S = 5.0
+"""Covers a change of the owner: 2.2 s of silence, the claim and the first hold."""
+LEASE_MARGIN_S = 0.3
+"""Below the longest lease that a worker grants."""
+HOLD_WAIT_S = 1.0
+"""A worker answers at the first end, or after this."""
+HOLD_WITHOUT_STORE_S = 8.0
+"""Outages of the store last up to about 9 s in all; see ``ORPHAN_WAIT_S``."""
+STORED_WAIT_S = 2.0
+RETRY_MIN_S = 0.03
+RETRY_MAX_S = 0.4
+MAX_BATCH_JOBS = 90
+"""A transaction takes 100 entries; some are the owner's own rows."""
+RETENTION_FACTOR = 1.5
+"""States stay readable this much longer than the deployment asks for."""
+
+_LOG = structlog.get_logger()
+
+
+@attrs.define
+class OwnerContext:
+    """What the owners of a node share.
+
+    :param node: name of the node.
+    :param boot: unique id of the process.
+    :param store: the store.
+    :param workers: calls to workers.
+    :param clocks: the process's clocks.
+    :param health: whether the store answers.
+    :param limits: time limits of the deployment.
+    :param rng: spreads retries.
+    """
+
+    node: str
+    boot: str
+    store: Store
+    workers: Workers
+    clocks: Clocks
+    health: StoreHealth
+    limits: TimeLimits
+    rng: random.Random
+
+
+@attrs.frozen
+class _Commit:
+    """What one transaction stores, and what follows from it."""
+
+    batch: Batch
+    nonce: str
+    states: dict[str, JobState]
+    orders: tuple[StartOrder, ...]
+    seen: dict[str, int]
+    expired: tuple[str, ...]
+
+
+@attrs.define(eq=False)
+class ShardOwner:
+    """Owner of one shard, from its claim to its loss or release.
+
+    :param shard: name of the shard.
+    :param epoch: fencing token.
+    :param fence_version: version of the fence row at the claim.
+    :param context: what the owners of the node share.
+    """
+
+    shard: str
+    epoch: int
+    fence_version: int
+    context: OwnerContext
+    nonce: str
+    state: Shard = attrs.field(init=False)
+    loaded: bool = False
+    releasing: bool = False
+    released: anyio.Event = attrs.field(factory=anyio.Event)
+    _beat: int = 0
+    _beat_at: float = -math.inf
+    _wake: anyio.Event = attrs.field(factory=anyio.Event)
+    _stored: anyio.Event = attrs.field(factory=anyio.Event)
+    _group: anyio.abc.TaskGroup | None = None
+    _held: set[str] = attrs.field(factory=set)
+    _sequence: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        now = self.context.clocks.read_monotonic()
+        self.state = Shard(self.shard, self.epoch, now)
+
+    def _now(self) -> float:
+        return self.context.clocks.read_monotonic()
+
+    def _wall_ms(self) -> float:
+        return self.context.clocks.read_wall() * 1000
+
+    def wake(self) -> None:
+        """Have the decision loop look again."""
+        self._wake.set()
+
+    async def run(self, entries: t.Iterable[WorkerEntry]) -> None:
+        """Own the shard until it is released.
+
+        :param entries: registered workers of the service.
+        :raises OwnershipLostError: when another node has claimed it.
+        """
+        for entry in entries:
+            self.state.observe_worker(entry, self._now())
+        after = await self._load()
+        follower = Follower(
+            self.context.store,
+            tables.get_job_table(self.shard),
+            lambda: [self.shard],
+            self._take_rows,
+            self.context.rng,
+            after=after,
+        )
+        try:
+            async with anyio.create_task_group() as group:
+                self._group = group
+                for worker_id in list(self.state.workers):
+                    self._start_hold(worker_id)
+                group.start_soon(follower.run)
+                await self._decide_until_released()
+                group.cancel_scope.cancel()
+        except* OwnershipLostError as errors:
+            raise OwnershipLostError(str(errors.exceptions[0])) from None
+        finally:
+            self._group = None
+            self.released.set()
+
+    async def _load(self) -> int:
+        store = self.context.store
+        jobs = await store.read(tables.get_job_table(self.shard), self.shard)
+        progress = await store.read(tables.PROGRESS_TABLE, self.shard)
+        values = {row.row_id.key: row.value for row in progress.rows}
+        self._take_rows(jobs.rows, True, values)
+        self.loaded = True
+        _LOG.info(
+            "shard loaded",
+            shard=self.shard,
+            epoch=self.epoch,
+            jobs=len(self.state.jobs),
+            ended=len(self.state.final),
+            version=jobs.version,
+        )
+        return jobs.version
+
+    def _take_rows(
+        self,
+        rows: t.Sequence[StoredRow],
+        whole: bool,
+        progress: t.Mapping[str, bytes] | None = None,
+    ) -> None:
+        now, wall_ms = self._now(), self._wall_ms()
+        for row in rows:
+            if row.row_id.part != self.shard or row.removed:
+                continue
+            key = row.row_id.key
+            if key.endswith(tables.CANCEL_SUFFIX):
+                self.state.cancel(key.removesuffix(tables.CANCEL_SUFFIX))
+                continue
+            try:
+                submission = decode_submission(row.value)
+                job = restore_job(submission, (progress or {}).get(key))
+            except (DocumentError, ValueError, KeyError) as error:
+                _LOG.warning("row skipped", row=key, reason=str(error))
+                continue
+            self.state.add_job(job, now, wall_ms)
+        if rows:
+            self.wake()
+
+    # workers
+
+    def observe_worker(self, entry: WorkerEntry) -> None:
+        """Take in a registration of the service."""
+        self.state.observe_worker(entry, self._now())
+        self._start_hold(entry.worker_id)
+        self.wake()
+
+    def miss_worker(self, worker_id: str) -> None:
+        """Take in that a registration is gone."""
+        self.state.miss_worker(worker_id)
+
+    def _start_hold(self, worker_id: str) -> None:
+        record = self.state.workers.get(worker_id)
+        if self._group is None or record is None or not record.entry.address:
+            return
+        if worker_id not in self._held:
+            self._held.add(worker_id)
+            self._group.start_soon(self._hold_worker, worker_id)
+
+    def _build_hold(self, worker_id: str) -> HoldOrder:
+        record = self.state.workers[worker_id]
+        now = self._now()
+        deadline_ms: float | None = None
+        silent_s = now - self.context.health.answered_at
+        if record.clock is not None and silent_s < HOLD_WITHOUT_STORE_S:
+            lease_s = min(LEASE_S, self.context.limits.max_lease_s - LEASE_MARGIN_S)
+            deadline_ms = record.clock.estimate(now) + lease_s * 1000
+            record.lease_ms = max(record.lease_ms, deadline_ms)
+        wait_ms = int(HOLD_WAIT_S * 1000) if record.held else 0
+        entry = record.entry
+        return HoldOrder(
+            worker_id,
+            entry.address,
+            self.epoch,
+            record.acknowledged,
+            deadline_ms,
+            wait_ms,
+        )
+
+    async def _hold_worker(self, worker_id: str) -> None:
+        delay = RETRY_MIN_S
+        while worker_id in self.state.workers:
+            order = self._build_hold(worker_id)
+            sent_at = self._now()
+            report = await self.context.workers.hold(order)
+            now = self._now()
+            if isinstance(report, HoldReport):
+                delay = RETRY_MIN_S
+                await self._take_report(worker_id, report, sent_at)
+                continue
+            if report.kind is ReplyKind.STALE_OWNER:
+                raise OwnershipLostError(f"worker {worker_id} knows a later owner")
+            self.state.apply_failure(worker_id, report, now)
+            self.wake()
+            await anyio.sleep(delay * self.context.rng.uniform(0.5, 1.0))
+            delay = min(delay * 2, RETRY_MAX_S)
+        self._held.discard(worker_id)
+        await self.context.workers.forget(worker_id)
+
+    async def _take_report(
+        self, worker_id: str, report: HoldReport, sent_at: float
+    ) -> None:
+        record = self.state.workers.get(worker_id)
+        if record is None:
+            return
+        was_held = record.held and record.failing_since is None
+        self.state.apply_report(worker_id, report, sent_at, self._now())
+        if report.ended or not was_held:
+            self.wake()
+        # a hold sent before its ends are stored would be answered at once
+        with anyio.move_on_after(STORED_WAIT_S):
+            while record.acknowledged < record.seen:
+                await self._stored.wait()
+
+    # decisions
+
+    async def _decide_until_released(self) -> None:
+        while not self.releasing:
+            with anyio.move_on_after(self._get_pause()):
+                await self._wake.wait()
+            self._wake = anyio.Event()
+            self.state.expire_workers(self._now())
+            orders = self.state.plan(self._now(), self._wall_ms())
+            self._send_stops(self.state.list_stops(self._now()))
+            await self._commit(orders)
+        await self._release()
+
+    def _get_pause(self) -> float:
+        due_s = self.state.find_next_due(self._wall_ms()) / 1000
+        return max(0.0, min(TICK_S, due_s))
+
+    async def _commit(self, orders: t.Sequence[StartOrder]) -> None:
+        while True:
+            commit = self._build_commit(orders)
+            if commit is None:
+                self._publish_seen(self._read_seen())
+                return
+            await self._write(commit.batch, commit.nonce)
+            self._publish(commit)
+            sent = set(commit.orders)
+            orders = [order for order in orders if order not in sent]
+            if not orders:
+                return
+
+    def _read_seen(self) -> dict[str, int]:
+        return {key: record.seen for key, record in self.state.workers.items()}
+
+    def _build_commit(self, orders: t.Sequence[StartOrder]) -> _Commit | None:
+        now = self._now()
+        wanted = [order.task.job_id for order in orders]
+        dirty = list(dict.fromkeys([*wanted, *self.state.dirty]))[:MAX_BATCH_JOBS]
+        beat = now - self._beat_at >= BEAT_S
+        if not dirty and not beat:
+            return None
+        chosen = set(dirty)
+        complete = len(chosen) >= len(self.state.dirty | set(wanted))
+        puts: dict[RowId, bytes] = {}
+        states = {}
+        for job_id in dirty:
+            self.state.dirty.discard(job_id)
+            job = self.state.jobs.get(job_id)
+            if job is not None:
+                row = tables.get_progress_row(self.shard, job_id)
+                puts[row] = encode_progress(job)
+                states[job_id] = job.state
+        expired: tuple[str, ...] = ()
+        if beat:
+            expired = self._list_expired(now)
+            puts[tables.get_owner_row(self.shard)] = self._encode_beat(False)
+            self._beat_at = now
+        nonce = self._draw_nonce()
+        puts[self._fence] = nonce.encode()
+        batch = Batch({self._fence: self.fence_version}, puts, self._rows_of(expired))
+        return _Commit(
+            batch,
+            nonce,
+            states,
+            tuple(order for order in orders if order.task.job_id in chosen),
+            self._read_seen() if complete else {},
+            expired,
+        )
+
+    @property
+    def _fence(self) -> RowId:
+        return tables.get_fence_row(self.shard)
+
+    def _list_expired(self, now: float) -> tuple[str, ...]:
+        retention_s = self.context.limits.status_s * RETENTION_FACTOR
+        return tuple(self.state.list_expired(now, retention_s)[:2])
+
+    def _rows_of(self, job_ids: t.Iterable[str]) -> tuple[RowId, ...]:
+        rows: list[RowId] = []
+        for job_id in job_ids:
+            rows.append(tables.get_job_row(self.shard, job_id))
+            rows.append(tables.get_cancel_row(self.shard, job_id))
+            rows.append(tables.get_progress_row(self.shard, job_id))
+        return tuple(rows)
+
+    def _draw_nonce(self) -> str:
+        self._sequence += 1
+        return f"{self.context.boot}/{self.epoch}/{self._sequence}"
+
+    def _encode_beat(self, released: bool) -> bytes:
+        self._beat += 1
+        return tables.encode_owner(
+            OwnerRow(
+                self.context.node,
+                self.context.boot,
+                self.epoch,
+                self._beat,
+                released,
+                self.state.count_waiting(),
+            )
+        )
+
+    async def _write(self, batch: Batch, nonce: str) -> None:
+        """Write until the outcome is certain; the fence settles lost answers."""
+        delay = RETRY_MIN_S
+        while True:
+            outcome = await self.context.store.write(batch)
+            if isinstance(outcome, Applied):
+                self.fence_version, self.nonce = outcome.version, nonce
+                return
+            if isinstance(outcome, Conflict):
+                row = outcome.find(self._fence)
+                written = row.value.decode() if row else ""
+                if row is not None and written == nonce:
+                    self.fence_version, self.nonce = row.version, nonce
+                    return
+                if row is None or written != self.nonce:
+                    raise OwnershipLostError(f"fence of {self.shard} is {written!r}")
+                # nothing but the version differs from what we wrote last
+                batch = attrs.evolve(batch, expected={self._fence: row.version})
+                continue
+            await anyio.sleep(delay * self.context.rng.uniform(0.5, 1.0))
+            delay = min(delay * 2, RETRY_MAX_S)
+
+    def _publish(self, commit: _Commit) -> None:
+        now = self._now()
+        for job_id, state in commit.states.items():
+            self.state.mark_stored(job_id, state, now)
+        self.state.forget_jobs(commit.expired)
+        self._publish_seen(commit.seen)
+        for order in commit.orders:
+            self._spawn(self._send_start, order)
+
+    def _publish_seen(self, seen: t.Mapping[str, int]) -> None:
+        for worker_id, sequence in seen.items():
+            record = self.state.workers.get(worker_id)
+            if record is not None:
+                record.acknowledged = max(record.acknowledged, sequence)
+        self._stored.set()
+        self._stored = anyio.Event()
+
+    def _spawn(
+        self, run: t.Callable[..., t.Coroutine[t.Any, t.Any, None]], *args: t.Any
+    ) -> None:
+        assert self._group is not None
+        self._group.start_soon(run, *args)
+
+    async def _send_start(self, order: StartOrder) -> None:
+        ready = self.state.prepare_start(order, self._now())
+        if ready is None:
+            self.wake()
+            return
+        reply = await self.context.workers.start(ready)
+        if reply.kind is ReplyKind.STALE_OWNER:
+            raise OwnershipLostError(f"worker {order.worker_id} knows a later owner")
+        self.state.apply_start_reply(ready, reply, self._now())
+        if reply.kind is not ReplyKind.DONE:
+            self.wake()
+
+    def _send_stops(self, orders: t.Iterable[StopOrder]) -> None:
+        for order in orders:
+            self._spawn(self._send_stop, order)
+
+    async def _send_stop(self, order: StopOrder) -> None:
+        reply = await self.context.workers.stop(order)
+        _LOG.info(
+            "stop ordered",
+            task=str(order.task),
+            run=order.run,
+            worker=order.worker_id,
+            reply=reply.kind.value,
+        )
+
+    async def _release(self) -> None:
+        nonce = self._draw_nonce()
+        puts = {
+            tables.get_owner_row(self.shard): self._encode_beat(True),
+            self._fence: nonce.encode(),
+        }
+        await self._write(Batch({self._fence: self.fence_version}, puts), nonce)
+        _LOG.info("shard released", shard=self.shard, epoch=self.epoch)
--- a/src/onyxgap/exceptions.py
+++ b/src/onyxgap/exceptions.py
@@ -58,3 +58,11 @@
 
 class FrameError(OnyxgapError):
     """A peer sent bytes that are not a valid frame."""
+
+
+class HistoryLostError(OnyxgapError):
+    """The store dropped the changes that were asked for; read everything again."""
+
+
+class OwnershipLostError(OnyxgapError):
+    """Another process owns the shard now; nothing more may be decided here."""
--- /dev/null
+++ b/src/onyxgap/jobs/health.py
@@ -0,0 +1,109 @@
+"""Whether the store answers; refuses at once what would only wait for it."""
+
+import attrs
+import structlog
+
+from ..clocks import Clocks
+from ..exceptions import PlatformUnavailableError
+from .store import Applied
+from .store import Batch
+from .store import Conflict
+from .store import Page
+from .store import Store
+from .store import WriteOutcome
+
+OUTAGE_S = 0.6
+"""Failing for this long counts as an outage: longer than a slow store's 300 ms."""
+
+_LOG = structlog.get_logger()
+
+
+@attrs.define
+class StoreHealth:
+    """When the store answered last, and since when it does not.
+
+    :param answered_at: monotonic seconds of the last answer.
+    :param failing_since: monotonic seconds of the first failure after it.
+    """
+
+    answered_at: float = 0.0
+    failing_since: float | None = None
+
+    def note_answer(self, now: float) -> None:
+        """Take in an answer."""
+        if self.failing_since is not None and now - self.failing_since > OUTAGE_S:
+            _LOG.info("store regained", away_s=now - self.failing_since)
+        self.answered_at = now
+        self.failing_since = None
+
+    def note_failure(self, now: float, reason: str) -> None:
+        """Take in that a call got no answer or was refused.
+
+        :param now: monotonic seconds.
+        :param reason: for the log.
+        """
+        if self.failing_since is None:
+            self.failing_since = now
+            _LOG.info("store call failed", reason=reason)
+
+    def is_down(self, now: float) -> bool:
+        """Tell whether calls fail without an answer between them."""
+        return self.failing_since is not None and now - self.failing_since >= OUTAGE_S
+
+
+@attrs.define
+class WatchedStore:
+    """A store whose answers and failures are noted.
+
+    :param store: the store.
+    :param health: takes the notes.
+    :param clocks: the process's clocks.
+    """
+
+    store: Store
+    health: StoreHealth
+    clocks: Clocks
+
+    async def write(self, batch: Batch) -> WriteOutcome:
+        """Try a batch once; never raises for a failed call."""
+        outcome = await self.store.write(batch)
+        now = self.clocks.read_monotonic()
+        if isinstance(outcome, Applied | Conflict):
+            self.health.note_answer(now)
+        else:
+            self.health.note_failure(now, f"write: {outcome.reason}")
+        return outcome
+
+    async def read(self, table: str, part: str, key: str = "") -> Page:
+        """Read a partition, or one row of it.
+
+        :raises PlatformUnavailableError: when no answer came.
+        """
+        try:
+            page = await self.store.read(table, part, key)
+        except PlatformUnavailableError as error:
+            self.health.note_failure(self.clocks.read_monotonic(), f"read: {error}")
+            raise
+        self.health.note_answer(self.clocks.read_monotonic())
+        return page
+
+    async def list_parts(self, table: str) -> tuple[str, ...]:
+        """List the partitions of a table.
+
+        :raises PlatformUnavailableError: when no answer came.
+        """
+        return await self.store.list_parts(table)
+
+    async def follow(self, table: str, after: int, wait_s: float) -> Page:
+        """Wait for changes of a table after a version.
+
+        :raises HistoryLostError: when the store no longer has the changes.
+        :raises PlatformUnavailableError: when no answer came.
+        """
+        try:
+            page = await self.store.follow(table, after, wait_s)
+        except PlatformUnavailableError as error:
+            self.health.note_failure(self.clocks.read_monotonic(), f"follow: {error}")
+            raise
+        self.health.note_answer(self.clocks.read_monotonic())
+        return page
--- /dev/null
+++ b/src/onyxgap/jobs/ownership.py
@@ -0,0 +1,98 @@
+"""When a node may claim a shard; answers owners that die, freeze or stop.
+
+A claim is safe at any time, since it fences the earlier owner off. These limits
+only keep shards from moving without need.
+"""
+
+import typing as t
+import zlib
+
+import attrs
+
+from .tables import OwnerRow
+
+SILENCE_S = 2.2
+"""An owner renews each 0.7 s; three renewals in a row must be missing."""
+SPREAD_S = 0.5
+"""Range of the delay that differs from node to node, so that one is first."""
+OWNED_DELAY_S = 0.3
+"""Further delay for each shard that a node owns, so that they spread."""
+
+
+@attrs.define(slots=True)
+class OwnerView:
+    """What a node has seen of a shard's owner.
+
+    :param row: newest owner row, ``None`` where none stands.
+    :param version: its version, 0 where none stands.
+    :param changed_at: monotonic seconds when it was last seen to change.
+    """
+
+    row: OwnerRow | None
+    version: int
+    changed_at: float
+
+
+def get_spread(boot: str, shard: str) -> float:
+    """Give the delay of a node for a shard, the same each time.
+
+    :param boot: unique id of the process.
+    :param shard: the shard.
+    """
+    return SPREAD_S * (zlib.crc32(f"{boot}/{shard}".encode()) % 1000) / 1000
+
+
+@attrs.frozen(slots=True)
+class Claimant:
+    """A node that may claim shards.
+
+    :param node: its name.
+    :param boot: unique id of its process.
+    :param owned: number of shards that it owns.
+    """
+
+    node: str
+    boot: str
+    owned: int
+
+
+def get_claim_time(
+    view: OwnerView, shard: str, claimant: Claimant, heard_since: float
+) -> float:
+    """Give the monotonic second from which a node may claim a shard.
+
+    :param view: what it has seen of the owner.
+    :param shard: the shard.
+    :param claimant: the node.
+    :param heard_since: since when it hears the store without a gap; silence
+        before that shows nothing.
+    """
+    delay = get_spread(claimant.boot, shard) + OWNED_DELAY_S * claimant.owned
+    row = view.row
+    if row is None or row.released:
+        return view.changed_at + delay
+    if row.node == claimant.node and row.boot != claimant.boot:
+        # the row is from an earlier process of this node, which is gone
+        return view.changed_at
+    return max(view.changed_at, heard_since) + SILENCE_S + delay
+
+
+def list_claimable(
+    views: t.Mapping[str, OwnerView],
+    claimant: Claimant,
+    heard_since: float,
+    now: float,
+) -> list[str]:
+    """List the shards that a node may claim now.
+
+    :param views: what it has seen, by shard.
+    :param claimant: the node.
+    :param heard_since: since when it hears the store without a gap.
+    :param now: monotonic seconds.
+    """
+    return [
+        shard
+        for shard, view in views.items()
+        if (view.row is None or view.row.boot != claimant.boot or view.row.released)
+        and now >= get_claim_time(view, shard, claimant, heard_since)
+    ]
--- /dev/null
+++ b/src/onyxgap/jobs/placing.py
@@ -0,0 +1,160 @@
+"""Chooses a worker for a task; answers a load of tasks that compete for room.
+
+Tasks are packed: a worker that already runs something is taken before an idle
+one, so that whole VMs come free for other pools. Serving tasks are the exception,
+they are spread, since losing one VM must not take several of them.
+"""
+
+import typing as t
+
+import attrs
+
+from .messages import Step
+from .messages import WorkerEntry
+from .messages import WorkerState
+from .workers import WorkerClock
+
+
+@attrs.define(slots=True, eq=False)
+class WorkerRecord:
+    """What the owner of a shard knows of a worker.
+
+    :param entry: its newest registration.
+    :param registered: whether the registration still stands.
+    :param clock: its clock, or ``None`` before the first report.
+    :param held: whether it answered a hold under the owner's epoch.
+    :param lease_ms: latest end of a lease that was sent, on its clock.
+    :param failing_since: monotonic seconds of the first call that failed since
+        the last answer, or ``None``.
+    :param cpu_used: thousandths of a core of the runs that may be there.
+    :param memory_used: MB of them.
+    :param accelerators_used: accelerators of them.
+    :param present: number of runs that may be there, by step of a job.
+    :param seen: sequence of the newest end that was taken in.
+    :param acknowledged: sequence of the newest end that is stored.
+    :param strikes: first failures of tasks there since the last success.
+    :param blocked_until: monotonic seconds before which nothing is placed there.
+    :param cordoned: whether it is to be emptied.
+    :param gone: whether this life of the worker is known to be over.
+    """
+
+    entry: WorkerEntry
+    registered: bool = True
+    clock: WorkerClock | None = None
+    held: bool = False
+    lease_ms: float = 0.0
+    failing_since: float | None = None
+    cpu_used: int = 0
+    memory_used: int = 0
+    accelerators_used: int = 0
+    present: dict[tuple[str, int, int], int] = attrs.field(factory=dict)
+    seen: int = 0
+    acknowledged: int = 0
+    strikes: int = 0
+    blocked_until: float = 0.0
+    cordoned: bool = False
+    gone: bool = False
+
+    def is_open(self, now: float) -> bool:
+        """Tell whether new tasks may be placed there at all."""
+        return (
+            self.held
+            and self.registered
+            and not self.cordoned
+            and not self.gone
+            and self.failing_since is None
+            and self.entry.state is WorkerState.READY
+            and now >= self.blocked_until
+        )
+
+    def has_room(self, step: Step) -> bool:
+        """Tell whether a task of a step fits beside what is there."""
+        entry = self.entry
+        cpu = 0 if step.fills else step.cpu
+        return (
+            self.cpu_used + cpu <= entry.cpu
+            and self.memory_used + step.memory_mb <= entry.memory_mb
+            and self.accelerators_used + step.accelerators <= entry.accelerators
+        )
+
+    def reserve(self, step: Step, group: tuple[str, int, int]) -> None:
+        """Count a run as present.
+
+        :param step: its step.
+        :param group: job, occurrence and number of the step.
+        """
+        self.cpu_used += 0 if step.fills else step.cpu
+        self.memory_used += step.memory_mb
+        self.accelerators_used += step.accelerators
+        self.present[group] = self.present.get(group, 0) + 1
+
+    def free(self, step: Step, group: tuple[str, int, int]) -> None:
+        """Count a run as gone; the reverse of :meth:`reserve`."""
+        self.cpu_used -= 0 if step.fills else step.cpu
+        self.memory_used -= step.memory_mb
+        self.accelerators_used -= step.accelerators
+        self.present[group] -= 1
+        if not self.present[group]:
+            del self.present[group]
+
+    def count_present(self) -> int:
+        """Count the runs that may be there."""
+        return sum(self.present.values())
+
+    def get_rack(self) -> str:
+        """Give the label of the rack, the last of the labels."""
+        return self.entry.labels[-1] if self.entry.labels else ""
+
+
+def is_eligible(
+    worker: WorkerRecord, step: Step, group: tuple[str, int, int], now: float
+) -> bool:
+    """Tell whether a task may be placed on a worker now.
+
+    :param worker: the worker.
+    :param step: the task's step.
+    :param group: job, occurrence and number of the step.
+    :param now: monotonic seconds.
+    """
+    if not worker.is_open(now) or not worker.has_room(step):
+        return False
+    if step.requires and step.requires not in worker.entry.labels:
+        return False
+    return not step.anti_affinity or worker.present.get(group, 0) < step.anti_affinity
+
+
+def rank_worker(
+    worker: WorkerRecord, step: Step, avoid: t.Collection[str]
+) -> tuple[bool, bool, int, float, str]:
+    """Rank an eligible worker; the lowest rank is taken.
+
+    :param worker: the worker.
+    :param step: the task's step.
+    :param avoid: workers on which the task failed before.
+    """
+    entry = worker.entry
+    far = bool(step.affinity) and step.affinity not in entry.labels
+    load = worker.cpu_used / entry.cpu if entry.cpu else 0.0
+    spread = load if step.long_running or step.fills else -load
+    return (entry.worker_id in avoid, far, worker.strikes, spread, entry.worker_id)
+
+
+def choose_worker(
+    workers: t.Iterable[WorkerRecord],
+    step: Step,
+    group: tuple[str, int, int],
+    now: float,
+    avoid: t.Collection[str] = (),
+) -> WorkerRecord | None:
+    """Choose a worker for a task, or ``None`` when none has room.
+
+    :param workers: the shard's workers.
+    :param step: the task's step.
+    :param group: job, occurrence and number of the step.
+    :param now: monotonic seconds.
+    :param avoid: workers on which the task failed before.
+    """
+    eligible = [worker for worker in workers if is_eligible(worker, step, group, now)]
+    if not eligible:
+        return None
+    return min(eligible, key=lambda worker: rank_worker(worker, step, avoid))
--- /dev/null
+++ b/src/onyxgap/jobs/priorities.py
@@ -0,0 +1,49 @@
+"""The order in which jobs get room; answers more work than the pool holds.
+
+Jobs that can still meet their objective go first, by the latest moment at which
+their next step must start. A job that is late anyway takes only what is left:
+serving it first would make the next one late as well.
+"""
+
+import typing as t
+
+from .job import Job
+
+CHAIN_MARGIN = 1.0
+"""Share of the estimated chain that must still fit before the objective."""
+MS = 1000.0
+
+
+class Urgency(t.NamedTuple):
+    """Sort key of a step of a job; the least goes first.
+
+    :param late: whether its objective can no longer be met.
+    :param priority: priority of the queue, 0 first.
+    :param latest_start: monotonic seconds by which the step must start.
+    """
+
+    late: bool
+    priority: int
+    latest_start: float
+
+
+def get_objective(job: Job) -> float:
+    """Give the monotonic second by which a job should have ended.
+
+    :param job: the job.
+    """
+    policy = job.submission.policy
+    return job.seen_at + (policy.stretch * job.chain_ms + policy.slo_ms) / MS
+
+
+def rate_urgency(job: Job, step: int, now: float) -> Urgency:
+    """Rate a step that is ready to start.
+
+    :param job: the job.
+    :param step: number of the step.
+    :param now: monotonic seconds.
+    """
+    serving = job.submission.steps[step].long_running
+    latest = get_objective(job) - CHAIN_MARGIN * job.tails_ms[step] / MS
+    late = now > latest and not serving
+    return Urgency(late, job.submission.policy.priority, latest)
--- /dev/null
+++ b/src/onyxgap/jobs/routing.py
@@ -0,0 +1,116 @@
+"""The configuration in force: queues by host and path, and services."""
+
+import typing as t
+
+import attrs
+
+from .messages import QueuePolicy
+
+DEFAULT_BODY_BYTES = 262_144
+
+
+@attrs.frozen(slots=True)
+class Route:
+    """Where callers reach a queue.
+
+    :param host: value of the ``Host`` header.
+    :param prefix: start of the path.
+    :param policy: policy of the queue.
+    :param timeout_ms: longest time for one request.
+    """
+
+    host: str
+    prefix: str
+    policy: QueuePolicy
+    timeout_ms: int = 3_000
+
+
+@attrs.frozen(slots=True)
+class Service:
+    """A pool of VMs.
+
+    :param name: its name.
+    :param guarded: whether its workers refuse what does not fit.
+    :param spare: whether its VMs are switched off and cost nothing.
+    """
+
+    name: str
+    guarded: bool = True
+    spare: bool = False
+
+
+@attrs.frozen(slots=True)
+class Configuration:
+    """A version of the configuration.
+
+    :param version: rises with each change.
+    :param routes: all routes.
+    :param services: all services by name.
+    :param max_body_bytes: longest body of a request.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    services: t.Mapping[str, Service]
+    max_body_bytes: int = DEFAULT_BODY_BYTES
+
+    def list_shards(self) -> tuple[str, ...]:
+        """List the services that run jobs of any route, in order of name."""
+        return tuple(sorted({route.policy.service for route in self.routes}))
+
+
+def _index_routes(configuration: Configuration) -> dict[str, list[Route]]:
+    index: dict[str, list[Route]] = {}
+    for route in configuration.routes:
+        index.setdefault(route.host, []).append(route)
+    for routes in index.values():
+        routes.sort(key=lambda route: -len(route.prefix))
+    return index
+
+
+@attrs.define
+class RouteTable:
+    """Finds routes; adopts newer versions only.
+
+    :param configuration: the version in force, ``None`` before the first.
+    :param former: services that a queue had under earlier versions.
+    """
+
+    configuration: Configuration | None = None
+    former: dict[str, set[str]] = attrs.field(factory=dict)
+    _index: dict[str, list[Route]] = attrs.field(factory=dict)
+
+    def adopt(self, configuration: Configuration) -> bool:
+        """Put a version in force.
+
+        :param configuration: the version.
+        :returns: whether it is newer than the one in force.
+        """
+        present = self.configuration
+        if present is not None and configuration.version <= present.version:
+            return False
+        if present is not None:
+            self._remember(present)
+        self.configuration = configuration
+        self._index = _index_routes(configuration)
+        return True
+
+    def _remember(self, earlier: Configuration) -> None:
+        for route in earlier.routes:
+            policy = route.policy
+            self.former.setdefault(policy.queue, set()).add(policy.service)
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Find the route with the longest prefix of a path.
+
+        :param host: value of the ``Host`` header.
+        :param path: path of the request.
+        """
+        for route in self._index.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def list_former(self, policy: QueuePolicy) -> tuple[str, ...]:
+        """List other services that a queue had while this process ran."""
+        return tuple(sorted(self.former.get(policy.queue, set()) - {policy.service}))
--- /dev/null
+++ b/src/onyxgap/jobs/submissions.py
@@ -0,0 +1,98 @@
+"""Checks and the stored form of what callers submit."""
+
+import typing as t
+
+import attrs
+import orjson
+
+from ..exceptions import DocumentError
+from ..exceptions import Fault
+from .messages import QueuePolicy
+from .messages import Step
+from .messages import Submission
+
+MAX_SPEC_BYTES = 4_000
+"""Longest text for the workers; the platform's published bound."""
+MAX_TASKS = 1_500
+"""Tasks of all steps; their progress then fits a row of 64 KB."""
+MAX_STEPS = 100
+MAX_TIMES = 10_000
+
+
+def _check_step(number: int, step: Step, count: int) -> t.Iterator[Fault]:
+    path = f"$.steps[{number}]"
+    if step.count < 1:
+        yield Fault(f"{path}.count", "must be at least 1")
+    for name in ("cpu", "memory_mb", "accelerators", "estimate_ms"):
+        if getattr(step, name) < 0:
+            yield Fault(f"{path}.{name}", "must not be negative")
+    for earlier in step.after:
+        if not 0 <= earlier < number:
+            yield Fault(f"{path}.after", f"{earlier} is no earlier step of {count}")
+
+
+def check_submission(submission: Submission) -> Submission:
+    """Check the parts of a submission against each other.
+
+    :param submission: what the caller sent.
+    :raises DocumentError: with every fault.
+    """
+    faults = []
+    if len(submission.spec.encode()) > MAX_SPEC_BYTES:
+        faults.append(Fault("$.spec", f"longer than {MAX_SPEC_BYTES} bytes"))
+    if not 1 <= len(submission.steps) <= MAX_STEPS:
+        faults.append(Fault("$.steps", f"must be 1 to {MAX_STEPS} steps"))
+    if not 0 <= submission.times <= MAX_TIMES:
+        faults.append(Fault("$.times", f"must be 0 to {MAX_TIMES}"))
+    for number, step in enumerate(submission.steps):
+        faults += _check_step(number, step, len(submission.steps))
+    if sum(step.count for step in submission.steps) > MAX_TASKS:
+        faults.append(Fault("$.steps", f"more than {MAX_TASKS} tasks"))
+    if faults:
+        raise DocumentError(faults)
+    return submission
+
+
+def encode_submission(submission: Submission) -> bytes:
+    """Encode a submission for its row.
+
+    :param submission: the job.
+    """
+    value = attrs.asdict(
+        submission,
+        filter=lambda attribute, value: value != attribute.default,
+    )
+    return orjson.dumps(value)
+
+
+def _build_step(raw: t.Mapping[str, t.Any]) -> Step:
+    return Step(**{**raw, "after": tuple(raw.get("after", ()))})
+
+
+def decode_submission(value: bytes) -> Submission:
+    """Read a submission from its row.
+
+    :param value: what :func:`encode_submission` gave.
+    :raises DocumentError: when the row is foreign or damaged.
+    """
+    try:
+        raw = orjson.loads(value)
+        raw["policy"] = QueuePolicy(**raw["policy"])
+        raw["steps"] = tuple(map(_build_step, raw["steps"]))
+        return Submission(**raw)
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise DocumentError([Fault("$", f"no stored job: {error!r}")]) from None
+
+
+def is_same_request(first: Submission, second: Submission) -> bool:
+    """Tell whether two submissions under one id ask for the same.
+
+    :param first: the stored one.
+    :param second: the one that arrived.
+    """
+    return (first.spec, first.steps, first.times, first.start_at_ms) == (
+        second.spec,
+        second.steps,
+        second.times,
+        second.start_at_ms,
+    )
--- /dev/null
+++ b/src/onyxgap/jobs/tables.py
@@ -0,0 +1,84 @@
+"""Where the product keeps its rows, and what the owner rows hold."""
+
+import typing as t
+import zlib
+
+import attrs
+import orjson
+
+from ..exceptions import DocumentError
+from ..exceptions import Fault
+from .store import RowId
+
+JOB_TABLES = 32
+"""Tables that the shards share; a shard's owner follows only its own."""
+PROGRESS_TABLE = "onyxgap-progress"
+OWNER_TABLE = "onyxgap-owners"
+FENCE_TABLE = "onyxgap-fences"
+CANCEL_SUFFIX = ".cancel"
+
+
+def get_job_table(shard: str) -> str:
+    """Give the table that holds the submissions of a shard."""
+    return f"onyxgap-jobs-{zlib.crc32(shard.encode()) % JOB_TABLES}"
+
+
+def get_job_row(shard: str, job_id: str) -> RowId:
+    """Give the row of a submission."""
+    return RowId(get_job_table(shard), shard, job_id)
+
+
+def get_cancel_row(shard: str, job_id: str) -> RowId:
+    """Give the row that says that a job is cancelled."""
+    return RowId(get_job_table(shard), shard, job_id + CANCEL_SUFFIX)
+
+
+def get_progress_row(shard: str, job_id: str) -> RowId:
+    """Give the row of a job's progress."""
+    return RowId(PROGRESS_TABLE, shard, job_id)
+
+
+def get_owner_row(shard: str) -> RowId:
+    """Give the row that tells who owns a shard."""
+    return RowId(OWNER_TABLE, shard, "owner")
+
+
+def get_fence_row(shard: str) -> RowId:
+    """Give the row whose version every write of an owner expects."""
+    return RowId(FENCE_TABLE, shard, "fence")
+
+
+@attrs.frozen(slots=True)
+class OwnerRow:
+    """Who owns a shard, renewed as a heartbeat.
+
+    :param node: name of the node.
+    :param boot: unique id of its process.
+    :param epoch: fencing token.
+    :param beat: rises with each renewal.
+    :param released: whether the owner gave the shard up.
+    :param waiting: jobs of which nothing has started, by queue.
+    """
+
+    node: str
+    boot: str
+    epoch: int
+    beat: int = 0
+    released: bool = False
+    waiting: t.Mapping[str, int] = attrs.field(factory=dict)
+
+
+def encode_owner(row: OwnerRow) -> bytes:
+    """Encode an owner row."""
+    return orjson.dumps(attrs.asdict(row))
+
+
+def decode_owner(value: bytes) -> OwnerRow:
+    """Read an owner row.
+
+    :raises DocumentError: when the row is foreign or damaged.
+    """
+    try:
+        return OwnerRow(**orjson.loads(value))
+    except (ValueError, TypeError) as error:
+        raise DocumentError([Fault("$", f"no owner row: {error!r}")]) from None
--- a/src/onyxgap/logs.py
+++ b/src/onyxgap/logs.py
@@ -1,8 +1,13 @@
-"""JSON-line logs on standard error."""
+"""JSON-line logs: on standard error, or bounded on standard output."""
 
 import logging
+import os
 import sys
+import time
+import typing as t
 
+import attrs
+import orjson
 import structlog
 
 LEVELS = {
@@ -31,3 +36,81 @@
         cache_logger_on_first_use=False,
     )
     structlog.contextvars.bind_contextvars(**bound)
+
+
+LINES_PER_S = 80.0
+"""Sustained rate; a node on its heaviest measured second decided about 60 times."""
+BURST_LINES = 800.0
+PENDING_BYTES = 65_536
+"""Most that waits for a reader that is slow; more is dropped and counted."""
+
+
+@attrs.define
+class BoundedLines:
+    """Writes lines without ever waiting; drops and counts what is too much.
+
+    :param fd: file descriptor, set to non-blocking.
+    :param read_clock: monotonic seconds.
+    """
+
+    fd: int
+    read_clock: t.Callable[[], float] = time.monotonic
+    dropped: int = 0
+    dropped_total: int = 0
+    _tokens: float = BURST_LINES
+    _refilled_at: float = 0.0
+    _pending: bytes = b""
+
+    def msg(self, line: bytes) -> None:
+        """Write one line, or count it as dropped."""
+        now = self.read_clock()
+        self._tokens += (now - self._refilled_at) * LINES_PER_S
+        self._tokens = min(self._tokens, BURST_LINES)
+        self._refilled_at = now
+        if self._tokens < 1 or len(self._pending) > PENDING_BYTES:
+            self.dropped += 1
+            self.dropped_total += 1
+            return
+        self._tokens -= 1
+        if self.dropped:
+            note = {"event": "log lines dropped", "level": "warning"}
+            self._write(orjson.dumps({**note, "count": self.dropped}) + b"\n")
+            self.dropped = 0
+        self._write(line + b"\n")
+
+    debug = info = warning = error = critical = exception = msg
+
+    def _write(self, data: bytes) -> None:
+        self._pending += data
+        try:
+            written = os.write(self.fd, self._pending)
+        except BlockingIOError:
+            return
+        except OSError:
+            # nobody reads any more; the process must go on
+            written = len(self._pending)
+        self._pending = self._pending[written:]
+
+
+def configure_bounded_logs(level: str, **bound: str) -> BoundedLines:
+    """Set structlog up to write bounded JSON lines to standard output.
+
+    :param level: least level that is written.
+    :param bound: fields of every line.
+    :returns: the writer, which counts what it dropped.
+    """
+    os.set_blocking(sys.stdout.fileno(), False)
+    lines = BoundedLines(sys.stdout.fileno())
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.JSONRenderer(serializer=orjson.dumps),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]),
+        logger_factory=lambda *_: lines,
+        cache_logger_on_first_use=True,
+    )
+    structlog.contextvars.bind_contextvars(**bound)
+    return lines
--- /dev/null
+++ b/src/onyxgap/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Names, formats and calls of the users' platform; decides nothing."""
--- /dev/null
+++ b/src/onyxgap/platform/callers.py
@@ -0,0 +1,274 @@
+"""The callers' interface over ASGI: decodes requests and encodes answers."""
+
+import re
+import typing as t
+
+import attrs
+import orjson
+
+from ..adapters.asgi import BodyTooLargeError
+from ..adapters.asgi import CallerGoneError
+from ..adapters.asgi import HeaderList
+from ..adapters.asgi import Receive
+from ..adapters.asgi import Scope
+from ..adapters.asgi import Send
+from ..adapters.asgi import read_body
+from ..adapters.asgi import send_answer
+from ..exceptions import DocumentError
+from ..exceptions import Fault
+from ..jobs.desk import Desk
+from ..jobs.desk import SubmitOutcome
+from ..jobs.desk import SubmitResult
+from ..jobs.desk import Unavailable
+from ..jobs.messages import Step
+from ..jobs.messages import Submission
+from ..jobs.routing import Route
+from ..jobs.submissions import check_submission
+
+READY_PATH = "/readyz"
+_JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
+_JSON = ("Content-Type", "application/json")
+_PROBLEM = ("Content-Type", "application/problem+json")
+
+# field of the platform, field of a step, and the type that it must have
+_STEP_FIELDS: t.Mapping[str, tuple[str, type]] = {
+    "count": ("count", int),
+    "cpu": ("cpu", int),
+    "mem_mb": ("memory_mb", int),
+    "gpu": ("accelerators", int),
+    "estimate_ms": ("estimate_ms", int),
+    "checkpointing": ("checkpointing", bool),
+    "gang": ("gang", bool),
+    "same_rack": ("same_rack", bool),
+    "requires": ("requires", str),
+    "affinity": ("affinity", str),
+    "anti_affinity": ("anti_affinity", int),
+    "speculative": ("speculative", bool),
+    "long_running": ("long_running", bool),
+    "image": ("image", str),
+    "target_ms": ("target_ms", int),
+    "fills": ("fills", bool),
+    "may_miss": ("may_miss", int),
+}
+
+_SUBMIT_STATUS: t.Mapping[SubmitOutcome, int] = {
+    SubmitOutcome.ACCEPTED: 200,
+    SubmitOutcome.OTHER_REQUEST: 409,
+    SubmitOutcome.REFUSED: 503,
+    SubmitOutcome.UNKNOWN: 504,
+}
+
+
+def _fail(path: str, reason: str) -> t.NoReturn:
+    raise DocumentError([Fault(path, reason)])
+
+
+def _check_type(path: str, value: t.Any, kind: type) -> t.Any:
+    if kind is int and isinstance(value, float) and value.is_integer():
+        return int(value)
+    if not isinstance(value, kind) or (kind is int and isinstance(value, bool)):
+        _fail(path, f"expected {kind.__name__}")
+    return value
+
+
+def _decode_step(number: int, raw: t.Any) -> Step:
+    path = f"$.steps[{number}]"
+    if not isinstance(raw, dict):
+        _fail(path, "expected an object")
+    after = raw.get("after") or []
+    if not isinstance(after, list):
+        _fail(f"{path}.after", "expected an array")
+    fields: dict[str, t.Any] = {
+        "after": tuple(_check_type(f"{path}.after", item, int) for item in after)
+    }
+    for name, (field, kind) in _STEP_FIELDS.items():
+        if name in raw:
+            fields[field] = _check_type(f"{path}.{name}", raw[name], kind)
+    if "count" not in fields:
+        _fail(f"{path}.count", "required key is missing")
+    return Step(**fields)
+
+
+def decode_submission(body: bytes, job_id: str, route: Route) -> Submission:
+    """Read the body of a submission.
+
+    :param body: the body.
+    :param job_id: id from the path.
+    :param route: route of the queue.
+    :raises DocumentError: with what is wrong.
+    """
+    try:
+        raw = orjson.loads(body)
+    except ValueError as error:
+        _fail("$", f"not JSON: {error}")
+    if not isinstance(raw, dict):
+        _fail("$", "expected an object")
+    steps = raw.get("steps")
+    if not isinstance(steps, list):
+        _fail("$.steps", "expected an array")
+    submission = Submission(
+        job_id=job_id,
+        policy=route.policy,
+        spec=_check_type("$.spec", raw.get("spec", ""), str),
+        steps=tuple(_decode_step(number, step) for number, step in enumerate(steps)),
+        times=_check_type("$.times", raw.get("times", 0), int),
+        start_at_ms=_check_type("$.start_at_ms", raw.get("start_at_ms", 0), int),
+        interval_ms=_check_type("$.interval_ms", raw.get("interval_ms", 0), int),
+    )
+    return check_submission(submission)
+
+
+@attrs.frozen(slots=True)
+class _Request:
+    method: str
+    route: Route
+    rest: str
+    body: bytes
+
+
+async def _send_problem(
+    send: Send, status: int, reason: str, headers: HeaderList = ()
+) -> None:
+    body = orjson.dumps({"status": status, "title": reason})
+    await send_answer(send, status, body, [_PROBLEM, *headers])
+
+
+async def _send_unavailable(send: Send, reason: Unavailable) -> None:
+    await _send_problem(send, 503, reason.value, [("Retry-After", "1")])
+
+
+@attrs.define
+class CallerApp:
+    """The ASGI application for callers.
+
+    :param desk: answers them.
+    :param closing: whether answers should end their connections.
+    """
+
+    desk: Desk
+    closing: bool = False
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one request."""
+        if scope["type"] != "http":
+            return
+        if self.closing:
+            send = _close_after(send)
+        host = ""
+        for name, value in scope["headers"]:
+            if name == b"host":
+                host = value.decode("latin-1")
+        path = scope["path"]
+        try:
+            body = await read_body(receive, self.desk.get_max_body_bytes())
+        except BodyTooLargeError:
+            await _send_problem(send, 413, "body too large")
+            return
+        except CallerGoneError:
+            return
+        found = self.desk.find_route(host, path)
+        if isinstance(found, Unavailable):
+            await _send_unavailable(send, found)
+            return
+        if found is None:
+            await _send_problem(send, 404, "no such queue")
+            return
+        rest = path[len(found.prefix) :]
+        await self._dispatch(_Request(scope["method"], found, rest, body), send)
+
+    async def _dispatch(self, request: _Request, send: Send) -> None:
+        if not request.rest and request.method == "GET":
+            await self._count(request, send)
+            return
+        if not _JOB_ID.fullmatch(request.rest):
+            await _send_problem(send, 404, "a job's id has 16 hexadecimal digits")
+            return
+        answer = {
+            "POST": self._submit,
+            "GET": self._get_state,
+            "DELETE": self._cancel,
+        }.get(request.method)
+        if answer is None:
+            await _send_problem(send, 405, "unknown method")
+            return
+        await answer(request, send)
+
+    async def _submit(self, request: _Request, send: Send) -> None:
+        try:
+            submission = decode_submission(request.body, request.rest, request.route)
+        except DocumentError as error:
+            await _send_problem(send, 400, str(error))
+            return
+        result = await self.desk.submit(submission)
+        await self._send_result(result, send)
+
+    @staticmethod
+    async def _send_result(result: SubmitResult, send: Send) -> None:
+        status = _SUBMIT_STATUS[result.outcome]
+        if result.outcome is SubmitOutcome.ACCEPTED:
+            await send_answer(send, status, b"{}", [_JSON])
+            return
+        headers = []
+        if result.outcome is SubmitOutcome.REFUSED:
+            headers.append(("Retry-After", str(result.retry_after_s)))
+        await _send_problem(send, status, result.reason, headers)
+
+    async def _get_state(self, request: _Request, send: Send) -> None:
+        state = await self.desk.get_state(request.route, request.rest)
+        if isinstance(state, Unavailable):
+            await _send_unavailable(send, state)
+        elif state is None:
+            await _send_problem(send, 410, "no such job")
+        else:
+            body = orjson.dumps({"state": state.value})
+            await send_answer(send, 200, body, [_JSON])
+
+    async def _cancel(self, request: _Request, send: Send) -> None:
+        known = await self.desk.cancel(request.route, request.rest)
+        if isinstance(known, Unavailable):
+            await _send_unavailable(send, known)
+        elif known:
+            await send_answer(send, 200, b"{}", [_JSON])
+        else:
+            await _send_problem(send, 410, "no such job")
+
+    async def _count(self, request: _Request, send: Send) -> None:
+        count = self.desk.count_waiting(request.route)
+        if isinstance(count, Unavailable):
+            await _send_unavailable(send, count)
+            return
+        await send_answer(send, 200, orjson.dumps({"waiting": count}), [_JSON])
+
+
+def _close_after(send: Send) -> Send:
+    async def send_with_close(message: dict[str, t.Any]) -> None:
+        if message["type"] == "http.response.start":
+            headers = [*message["headers"], (b"connection", b"close")]
+            message = {**message, "headers": headers}
+        await send(message)
+
+    return send_with_close
+
+
+@attrs.define
+class ReadyApp:
+    """The ASGI application for readiness probes and metrics.
+
+    :param desk: knows whether the node is ready.
+    :param render: renders the metrics.
+    """
+
+    desk: Desk
+    render: t.Callable[[], bytes]
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one probe."""
+        if scope["type"] != "http":
+            return
+        if scope["path"] == READY_PATH:
+            status = 200 if self.desk.is_ready() else 503
+            await send_answer(send, status, b"")
+        elif scope["path"] == "/metrics":
+            await send_answer(send, 200, self.render())
+        else:
+            await send_answer(send, 404, b"")
--- /dev/null
+++ b/src/onyxgap/platform/registry.py
@@ -0,0 +1,105 @@
+"""Decodes what the platform and the operator write to the store."""
+
+import typing as t
+
+import orjson
+
+from ..exceptions import DocumentError
+from ..exceptions import Fault
+from ..jobs.messages import QueuePolicy
+from ..jobs.messages import WorkerEntry
+from ..jobs.messages import WorkerState
+from ..jobs.routing import DEFAULT_BODY_BYTES
+from ..jobs.routing import Configuration
+from ..jobs.routing import Route
+from ..jobs.routing import Service
+
+WORKER_TABLE = "servers"
+OPERATOR_TABLE = "op"
+STATUS_TABLE = "status"
+CONFIGURATION_KEY = "config"
+WAVE_PREFIX = "wave/"
+
+_STATES = {"ready": WorkerState.READY, "draining": WorkerState.DRAINING}
+
+
+def _parse(value: bytes) -> dict[str, t.Any]:
+    try:
+        raw = orjson.loads(value)
+    except ValueError as error:
+        raise DocumentError([Fault("$", f"not JSON: {error}")]) from None
+    if not isinstance(raw, dict):
+        raise DocumentError([Fault("$", "expected an object")])
+    return raw
+
+
+def decode_worker(key: str, value: bytes) -> WorkerEntry:
+    """Read a worker's registration.
+
+    :param key: key of the row, the worker's id.
+    :param value: the row.
+    :raises DocumentError: when it has another form.
+    """
+    raw = _parse(value)
+    try:
+        room = raw.get("capacity") or {}
+        return WorkerEntry(
+            worker_id=key,
+            service=str(raw["service"]),
+            address=str(raw["address"]),
+            zone=str(raw.get("zone", "")),
+            state=_STATES.get(raw.get("state", "ready"), WorkerState.DRAINING),
+            cpu=int(room.get("cpu", 0)),
+            memory_mb=int(room.get("mem_mb", 0)),
+            accelerators=int(room.get("gpu", 0)),
+            labels=tuple(map(str, raw.get("labels") or ())),
+            clock_ms=float(raw.get("clock_ms", 0)),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise DocumentError([Fault("$", f"no worker: {error!r}")]) from None
+
+
+def _decode_route(raw: t.Mapping[str, t.Any]) -> Route:
+    policy = QueuePolicy(
+        queue=str(raw["name"]),
+        service=str(raw["service"]),
+        priority=int(raw.get("priority", 0)),
+        max_attempts=int(raw.get("max_attempts", 1)),
+        stretch=float(raw.get("stretch", 1.0)),
+        slo_ms=int(raw.get("slo_ms", 0)),
+        advised=bool(raw.get("advice")),
+    )
+    return Route(
+        host=str(raw["host"]),
+        prefix=str(raw["path_prefix"]),
+        policy=policy,
+        timeout_ms=int(raw.get("timeout_ms", 3_000)),
+    )
+
+
+def _decode_service(raw: t.Mapping[str, t.Any]) -> Service:
+    return Service(
+        name=str(raw["name"]),
+        guarded=bool(raw.get("admission_check", False)),
+        spare=bool(raw.get("spare", False)),
+    )
+
+
+def decode_configuration(value: bytes) -> Configuration:
+    """Read the operator's configuration.
+
+    :param value: the row.
+    :raises DocumentError: when it has another form.
+    """
+    raw = _parse(value)
+    try:
+        services = [_decode_service(item) for item in raw.get("services", ())]
+        limits = raw.get("limits") or {}
+        return Configuration(
+            version=int(raw["version"]),
+            routes=tuple(map(_decode_route, raw.get("routes", ()))),
+            services={service.name: service for service in services},
+            max_body_bytes=int(limits.get("max_body_bytes", DEFAULT_BODY_BYTES)),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise DocumentError([Fault("$", f"no configuration: {error!r}")]) from None
--- /dev/null
+++ b/src/onyxgap/platform/settings.py
@@ -0,0 +1,117 @@
+"""Reads the platform's settings file into the product's own settings."""
+
+import pathlib
+import typing as t
+
+from ..exceptions import DocumentError
+from ..exceptions import Fault
+from ..jobs.settings import NodeSettings
+from ..jobs.settings import TimeLimits
+from ..settings import Address
+from ..settings import parse_address
+
+PATH_VARIABLE = "ONYXGAP_CONFIG"
+"""Environment variable that holds the path of the file."""
+SUPPORTED_CONTROL = "invoke"
+
+
+def _parse_lines(text: str) -> dict[str, str]:
+    values = {}
+    for line in text.splitlines():
+        key, separator, value = line.partition("=")
+        if separator:
+            values[key.strip()] = value.strip()
+    return values
+
+
+class _Reader:
+    """Reads typed values and collects what is wrong."""
+
+    def __init__(self, values: t.Mapping[str, str]) -> None:
+        self.values = values
+        self.faults: list[Fault] = []
+
+    def read(
+        self, key: str, parse: t.Callable[[str], t.Any], default: t.Any = None
+    ) -> t.Any:
+        text = self.values.get(key, "")
+        if not text:
+            if default is None:
+                self.faults.append(Fault(key, "required key is missing"))
+            return default
+        try:
+            return parse(text)
+        except ValueError:
+            self.faults.append(Fault(key, f"cannot be read: {text[:40]!r}"))
+            return default
+
+    def read_ms(self, key: str, default_s: float) -> float:
+        value: float = self.read(key, lambda text: float(text) / 1000, default_s)
+        return value
+
+    def read_s(self, key: str, default_s: float) -> float:
+        value: float = self.read(key, float, default_s)
+        return value
+
+
+def _parse_ports(text: str) -> tuple[int, int]:
+    first, last = text.split(",")
+    return int(first), int(last)
+
+
+def _read_limits(reader: _Reader) -> TimeLimits:
+    return TimeLimits(
+        max_lease_s=reader.read_ms("bounds.max_hold_ms", 6.0),
+        stop_s=reader.read_ms("bounds.stop_ms", 0.4),
+        status_s=reader.read_s("bounds.status_s", 120.0),
+        grace_s=reader.read_s("bounds.grace_s", 6.0),
+        early_s=reader.read_ms("bounds.early_ms", 0.25),
+        holder_pause_s=reader.read_ms("bounds.lease_ms", 3.0),
+        move_s=reader.read_s("bounds.move_s", 1.5),
+        upkeep_s=reader.read_s("bounds.upkeep_s", 2.0),
+        notice_s=reader.read_ms("bounds.notice_ms", 4.5),
+        far_factor=reader.read_s("bounds.far_x", 1.5),
+    )
+
+
+def read_settings(text: str) -> NodeSettings:
+    """Read the text of a settings file.
+
+    :param text: lines of the form ``a.b=value``.
+    :raises DocumentError: with every fault.
+    """
+    reader = _Reader(_parse_lines(text))
+    control = reader.read("control_mode", str, SUPPORTED_CONTROL)
+    if control != SUPPORTED_CONTROL:
+        reader.faults.append(Fault("control_mode", f"{control!r} is not supported"))
+    ports = reader.read("port_range", _parse_ports, (0, 0))
+    settings = NodeSettings(
+        node=reader.read("node", str),
+        zone=reader.read("zone", str, "-"),
+        front=reader.read("listen.front", parse_address, Address()),
+        ready=reader.read("listen.ready", parse_address, Address()),
+        store=reader.read("platform.address", str),
+        cloud=reader.read("cloud.address", str, "-"),
+        advice=reader.read("advice", str, "-"),
+        peer_ports=ports,
+        limits=_read_limits(reader),
+    )
+    for key in ("listen.front", "listen.ready"):
+        if key not in reader.values:
+            reader.faults.append(Fault(key, "required key is missing"))
+    if reader.faults:
+        raise DocumentError(reader.faults)
+    return settings
+
+
+def load_settings(path: str | pathlib.Path) -> NodeSettings:
+    """Read and check a settings file.
+
+    :param path: the file.
+    :raises DocumentError: with every fault.
+    """
+    try:
+        text = pathlib.Path(path).read_text()
+    except OSError as error:
+        raise DocumentError([Fault("$", f"cannot be read: {error.strerror}")]) from None
+    return read_settings(text)
--- /dev/null
+++ b/src/onyxgap/platform/store.py
@@ -0,0 +1,180 @@
+"""The platform's store behind the product's :class:`~onyxgap.jobs.store.Store`."""
+
+import base64
+import typing as t
+import urllib.parse
+
+import attrs
+
+from ..exceptions import HistoryLostError
+from ..exceptions import PlatformUnavailableError
+from ..jobs.store import Applied
+from ..jobs.store import Batch
+from ..jobs.store import Conflict
+from ..jobs.store import NotApplied
+from ..jobs.store import OutcomeUnknown
+from ..jobs.store import Page
+from ..jobs.store import RowId
+from ..jobs.store import StoredRow
+from ..jobs.store import WriteOutcome
+from .http import Answer
+from .http import CallFailure
+from .http import HttpClient
+
+WRITE_TIMEOUT_S = 1.0
+"""A transaction takes 5 ms, and 300 ms when the store is 60 times slower."""
+READ_TIMEOUT_S = 1.0
+FOLLOW_MARGIN_S = 0.7
+"""Beyond the wait that was asked for; a channel that went silent ends by it."""
+PAGE_ROWS = 500
+_REFUSED = (429, 503)
+
+
+def _encode_id(row_id: RowId) -> dict[str, t.Any]:
+    return {"table": row_id.table, "part": row_id.part, "key": row_id.key}
+
+
+def _decode_row(raw: t.Mapping[str, t.Any]) -> StoredRow:
+    row_id = RowId(raw["table"], raw.get("part", ""), raw["key"])
+    value = base64.b64decode(raw.get("value") or "")
+    return StoredRow(
+        row_id, value, int(raw.get("ver", 0)), bool(raw.get("deleted", False))
+    )
+
+
+def encode_batch(batch: Batch) -> dict[str, t.Any]:
+    """Encode a transaction's body.
+
+    :param batch: the writes and their conditions.
+    """
+    return {
+        "expected": [
+            {**_encode_id(row_id), "ver": version}
+            for row_id, version in batch.expected.items()
+        ],
+        "puts": [
+            {**_encode_id(row_id), "value": base64.b64encode(value).decode()}
+            for row_id, value in batch.puts.items()
+        ],
+        "remove": [_encode_id(row_id) for row_id in batch.removals],
+    }
+
+
+def decode_outcome(answer: Answer) -> WriteOutcome:
+    """Read what became of a transaction.
+
+    :param answer: the store's answer, or why there is none.
+    """
+    if answer.failure is CallFailure.NOT_SENT or answer.status in _REFUSED:
+        return NotApplied(answer.reason or f"status {answer.status}")
+    body = answer.read_object()
+    if answer.status == 200 and "ver" in body:
+        return Applied(int(body["ver"]))
+    if answer.status == 412:
+        return Conflict(tuple(map(_decode_row, body.get("rows", ()))))
+    return OutcomeUnknown(answer.reason or f"status {answer.status}")
+
+
+def _decode_page(answer: Answer) -> tuple[Page, bool]:
+    if answer.status == 410:
+        raise HistoryLostError
+    if answer.status != 200:
+        raise PlatformUnavailableError(answer.reason or f"status {answer.status}")
+    body = answer.read_object()
+    try:
+        rows = tuple(map(_decode_row, body.get("rows", ())))
+        page = Page(rows, int(body["ver"]), float(body.get("now_ms", 0)))
+    except (KeyError, TypeError, ValueError) as error:
+        raise PlatformUnavailableError(f"malformed answer: {error!r}") from None
+    return page, bool(body.get("has_more", False))
+
+
+@attrs.define
+class PlatformStore:
+    """Rows of the platform's store over HTTP.
+
+    :param http: client of its address.
+    :param calls: calls made so far, by kind.
+    """
+
+    http: HttpClient
+    calls: dict[str, int] = attrs.field(factory=dict)
+
+    def _count(self, kind: str) -> None:
+        self.calls[kind] = self.calls.get(kind, 0) + 1
+
+    async def write(self, batch: Batch) -> WriteOutcome:
+        """Try a batch once; never raises for a failed call."""
+        self._count("write")
+        answer = await self.http.call(
+            "POST", "/rows-tx", encode_batch(batch), timeout_s=WRITE_TIMEOUT_S
+        )
+        return decode_outcome(answer)
+
+    async def _get(
+        self, path: str, timeout_s: float, **query: str | int
+    ) -> tuple[Page, bool]:
+        target = f"{path}?{urllib.parse.urlencode(query)}"
+        return _decode_page(await self.http.call("GET", target, timeout_s=timeout_s))
+
+    async def read(self, table: str, part: str, key: str = "") -> Page:
+        """Read a partition, or one row of it.
+
+        :raises PlatformUnavailableError: when no answer came.
+        """
+        query: dict[str, str | int] = {"table": table, "part": part}
+        if key:
+            query |= {"from": key, "to": key + "\0", "limit": 1}
+        else:
+            query |= {"limit": PAGE_ROWS}
+        first: Page | None = None
+        rows: list[StoredRow] = []
+        more = True
+        while more:
+            self._count("read")
+            page, more = await self._get("/rows-get", READ_TIMEOUT_S, **query)
+            first = first or page
+            rows += page.rows
+            more = more and not key and bool(page.rows)
+            if more:
+                query["from"] = page.rows[-1].row_id.key + "\0"
+        assert first is not None
+        # a feed that starts at the first page's version repeats later changes
+        return Page(tuple(rows), first.version, first.now_ms)
+
+    async def list_parts(self, table: str) -> tuple[str, ...]:
+        """List the partitions of a table.
+
+        :raises PlatformUnavailableError: when no answer came.
+        """
+        parts: list[str] = []
+        while True:
+            self._count("read")
+            query = urllib.parse.urlencode(
+                {"table": table, **({"after": parts[-1]} if parts else {})}
+            )
+            answer = await self.http.call(
+                "GET", f"/rows-parts?{query}", timeout_s=READ_TIMEOUT_S
+            )
+            if answer.status != 200:
+                raise PlatformUnavailableError(answer.reason or str(answer.status))
+            body = answer.read_object()
+            parts += body.get("parts", ())
+            if not (body.get("has_more") and body.get("parts")):
+                return tuple(parts)
+
+    async def follow(self, table: str, after: int, wait_s: float) -> Page:
+        """Wait for changes of a table after a version.
+
+        :raises HistoryLostError: when the store no longer has the changes.
+        :raises PlatformUnavailableError: when no answer came.
+        """
+        self._count("follow")
+        page, _ = await self._get(
+            "/rows-feed",
+            wait_s + FOLLOW_MARGIN_S,
+            table=table,
+            after=after,
+            wait_ms=int(wait_s * 1000),
+        )
+        return page
--- /dev/null
+++ b/src/onyxgap/platform/workers.py
@@ -0,0 +1,192 @@
+"""Calls to workers: start, stop, pace and hold with a report of what runs."""
+
+import typing as t
+
+import attrs
+
+from ..jobs.messages import EndedTask
+from ..jobs.messages import EndKind
+from ..jobs.messages import RunningTask
+from ..jobs.messages import parse_task_id
+from ..jobs.workers import HoldOrder
+from ..jobs.workers import HoldReport
+from ..jobs.workers import Reply
+from ..jobs.workers import ReplyKind
+from ..jobs.workers import StartOrder
+from ..jobs.workers import StopOrder
+from .http import Answer
+from .http import CallFailure
+from .http import HttpClient
+
+ORDER_TIMEOUT_S = 0.8
+"""A worker answers within milliseconds; a lost order is settled by its deadline."""
+HOLD_MARGIN_S = 0.8
+WORKER_CONNECTIONS = 48
+"""Below the 64 connections that a worker takes."""
+
+_BY_STATUS: t.Mapping[int, ReplyKind] = {
+    200: ReplyKind.DONE,
+    400: ReplyKind.INVALID,
+    421: ReplyKind.OTHER_LIFE,
+    429: ReplyKind.UNHEALTHY,
+    503: ReplyKind.UNHEALTHY,
+}
+_BY_REASON: t.Mapping[str, ReplyKind] = {
+    "fence": ReplyKind.STALE_OWNER,
+    "old": ReplyKind.STALE_RUN,
+    "late": ReplyKind.TOO_LATE,
+    "room": ReplyKind.NO_ROOM,
+    "ticket": ReplyKind.NO_TICKET,
+}
+
+
+def decode_reply(answer: Answer) -> Reply:
+    """Read what a worker did with an order.
+
+    :param answer: its answer, or why there is none.
+    """
+    if answer.failure is CallFailure.NOT_SENT:
+        return Reply(ReplyKind.NOT_SENT, detail=answer.reason)
+    if answer.failure is not None:
+        return Reply(ReplyKind.NO_ANSWER, detail=answer.reason)
+    body = answer.read_object()
+    reason = str(body.get("reason", ""))
+    clock = body.get("clock_ms")
+    clock_ms = float(clock) if isinstance(clock, int | float) else None
+    if answer.status == 409:
+        kind = _BY_REASON.get(reason, ReplyKind.NO_ANSWER)
+    else:
+        kind = _BY_STATUS.get(answer.status, ReplyKind.NO_ANSWER)
+    return Reply(kind, clock_ms, reason or f"status {answer.status}")
+
+
+def _decode_running(raw: t.Sequence[t.Any]) -> RunningTask:
+    figure = float(raw[4]) if len(raw) > 4 else 0.0
+    return RunningTask(
+        parse_task_id(raw[0]), int(raw[1]), str(raw[2] or ""), int(raw[3]), figure
+    )
+
+
+def _decode_ended(raw: t.Sequence[t.Any]) -> EndedTask:
+    return EndedTask(
+        int(raw[0]),
+        parse_task_id(raw[1]),
+        int(raw[2]),
+        EndKind(raw[3]),
+        str(raw[4] or ""),
+    )
+
+
+def decode_report(answer: Answer) -> HoldReport | Reply:
+    """Read a worker's lists.
+
+    :param answer: its answer, or why there is none.
+    """
+    if answer.status != 200:
+        return decode_reply(answer)
+    body = answer.read_object()
+    try:
+        return HoldReport(
+            float(body["clock_ms"]),
+            tuple(map(_decode_running, body.get("running") or ())),
+            tuple(map(_decode_ended, body.get("ended") or ())),
+        )
+    except (KeyError, IndexError, TypeError, ValueError) as error:
+        return Reply(ReplyKind.NO_ANSWER, detail=f"malformed report: {error!r}")
+
+
+@attrs.define
+class PlatformWorkers:
+    """Calls to workers over HTTP; one client for each life of a worker."""
+
+    _clients: dict[str, HttpClient] = attrs.field(factory=dict)
+
+    def _find_client(self, worker_id: str, address: str) -> HttpClient:
+        client = self._clients.get(worker_id)
+        if client is None:
+            client = HttpClient(address, WORKER_CONNECTIONS)
+            self._clients[worker_id] = client
+        return client
+
+    async def _order(
+        self,
+        worker_id: str,
+        address: str,
+        path: str,
+        body: t.Mapping[str, t.Any],
+        timeout_s: float = ORDER_TIMEOUT_S,
+    ) -> Answer:
+        client = self._find_client(worker_id, address)
+        return await client.call(
+            "POST",
+            path,
+            body,
+            timeout_s=timeout_s,
+            headers=[("Expected-Instance", worker_id)],
+        )
+
+    async def start(self, order: StartOrder) -> Reply:
+        """Order a run to start."""
+        body: dict[str, t.Any] = {
+            "task": str(order.task),
+            "run": order.run,
+            "spec": order.spec,
+            "deadline_ms": int(order.deadline_ms),
+            "fencing_token": order.epoch,
+        }
+        if order.checkpoint:
+            body["checkpoint"] = order.checkpoint
+        if order.ticket:
+            body["ticket"] = order.ticket
+        answer = await self._order(order.worker_id, order.address, "/run-start", body)
+        return decode_reply(answer)
+
+    async def stop(self, order: StopOrder) -> Reply:
+        """Order a run to stop; it never starts afterwards."""
+        body = {
+            "task": str(order.task),
+            "run": order.run,
+            "fencing_token": order.epoch,
+        }
+        answer = await self._order(order.worker_id, order.address, "/run-stop", body)
+        return decode_reply(answer)
+
+    async def set_pace(self, order: StopOrder, percent: int) -> Reply:
+        """Order a run to work at a share of its speed.
+
+        :param order: the run.
+        :param percent: 0 to 100.
+        """
+        body = {
+            "task": str(order.task),
+            "run": order.run,
+            "percent": percent,
+            "fencing_token": order.epoch,
+        }
+        answer = await self._order(order.worker_id, order.address, "/pace", body)
+        return decode_reply(answer)
+
+    async def hold(self, order: HoldOrder) -> HoldReport | Reply:
+        """Extend the lease of everything on a worker and read its lists."""
+        body: dict[str, t.Any] = {
+            "fencing_token": order.epoch,
+            "acked_upto": order.acknowledged,
+        }
+        if order.deadline_ms is not None:
+            body["deadline_ms"] = int(order.deadline_ms)
+        if order.wait_ms:
+            body["wait_ms"] = order.wait_ms
+        answer = await self._order(
+            order.worker_id,
+            order.address,
+            "/hold",
+            body,
+            order.wait_ms / 1000 + HOLD_MARGIN_S,
+        )
+        return decode_report(answer)
+
+    async def forget(self, worker_id: str) -> None:
+        """Close the connections to a worker that is gone."""
+        client = self._clients.pop(worker_id, None)
+        if client is not None:
+            await client.close()
