--- a/src/onyxgap/clocks.py
+++ b/src/onyxgap/clocks.py
@@ -15,6 +15,9 @@
     def read_wall(self) -> float:
         """Read wall-clock seconds, for people and long cycles only."""
 
+    def read_boot(self) -> float:
+        """Read monotonic seconds that also count while the VM is suspended."""
+
 
 class SystemClocks:
     """Reads the event loop's clock and the wall clock."""
@@ -26,3 +29,7 @@
     def read_wall(self) -> float:
         """Read wall-clock seconds since the epoch."""
         return time.time()
+
+    def read_boot(self) -> float:
+        """Read monotonic seconds that also count while the VM is suspended."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
--- /dev/null
+++ b/src/onyxgap/daemons/fleet.py
@@ -0,0 +1,241 @@
+"""Holds the fleet duty: maintains and moves VMs, one holder at a time."""
+
+import random
+import typing as t
+
+import anyio
+import anyio.abc
+import attrs
+import structlog
+
+from ..clocks import Clocks
+from ..exceptions import DocumentError
+from ..exceptions import OwnershipLostError
+from ..exceptions import PlatformUnavailableError
+from ..jobs import tables
+from ..jobs.routing import RouteTable
+from ..jobs.settings import TimeLimits
+from ..jobs.store import Applied
+from ..jobs.store import Batch
+from ..jobs.store import RowId
+from ..jobs.store import Store
+from ..jobs.store import StoredRow
+from ..pools.messages import Cloud
+from ..pools.messages import FleetRow
+from ..pools.messages import VmOrder
+from ..pools.messages import VmReply
+from ..pools.messages import Wave
+from ..pools.messages import decode_fleet_row
+from ..pools.messages import decode_report
+from ..pools.messages import encode_fleet_row
+from ..pools.planner import FleetPlanner
+from ..pools.sizing import PoolSizer
+from .fence import FencedWriter
+from .follower import Follower
+
+TICK_S = 0.2
+LIST_S = 0.5
+"""Pause between two lists of VMs; a move or maintenance takes 1.5 s or more."""
+HOLDER_MARGIN_S = 0.7
+"""Added to the pause between two holders, for calls still under way."""
+SEND_WITHIN_S = 0.8
+"""An order is sent within this time of the write that permits it, or not at all:
+a process that stood still meanwhile may have a successor."""
+
+_LOG = structlog.get_logger()
+
+
+@attrs.define(eq=False)
+class FleetHolder:
+    """Holder of the fleet duty, from its claim to its loss or release.
+
+    :param writer: writes the duty's rows under its fence.
+    :param cloud: calls about VMs.
+    :param store: the store.
+    :param clocks: the process's clocks.
+    :param limits: time limits of the deployment.
+    :param routes: the configuration in force.
+    :param waves: waves that the operator asked for.
+    :param encode_status: gives the row that tells how far a wave is.
+    :param rng: spreads retries.
+    :param first: whether there was no holder before.
+    """
+
+    writer: FencedWriter
+    cloud: Cloud
+    store: Store
+    clocks: Clocks
+    limits: TimeLimits
+    routes: RouteTable
+    waves: t.Mapping[int, Wave]
+    encode_status: t.Callable[[int, bool], tuple[RowId, bytes]]
+    rng: random.Random
+    first: bool
+    releasing: bool = False
+    released: anyio.Event = attrs.field(factory=anyio.Event)
+    planner: FleetPlanner = attrs.field(init=False)
+    sizer: PoolSizer = attrs.field(factory=PoolSizer)
+    _earlier: FleetRow = attrs.field(factory=FleetRow)
+    _stored: bytes = b""
+    _reported: dict[int, bool] = attrs.field(factory=dict)
+    _wake: anyio.Event = attrs.field(factory=anyio.Event)
+    _group: anyio.abc.TaskGroup | None = None
+
+    def __attrs_post_init__(self) -> None:
+        self.planner = FleetPlanner(self.limits.upkeep_s, self.writer.owner.epoch)
+
+    def _now(self) -> float:
+        return self.clocks.read_monotonic()
+
+    def wake(self) -> None:
+        """Have the planning loop look again."""
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Hold the duty until it is released.
+
+        :raises OwnershipLostError: when another node has claimed it.
+        """
+        reports = Follower(
+            self.store,
+            tables.REPORT_TABLE,
+            self._list_parts,
+            self._take_reports,
+            self.rng,
+        )
+        try:
+            await self._load()
+            async with anyio.create_task_group() as group:
+                self._group = group
+                group.start_soon(reports.run)
+                group.start_soon(self._list_forever)
+                await self._plan_until_released()
+                group.cancel_scope.cancel()
+        except* OwnershipLostError as errors:
+            raise OwnershipLostError(str(errors.exceptions[0])) from None
+        finally:
+            self._group = None
+            self.released.set()
+
+    async def _load(self) -> None:
+        claimed_at = self._now()
+        page = await self.store.read(tables.FLEET_TABLE, tables.FLEET_SHARD)
+        for row in page.rows:
+            try:
+                self._earlier = decode_fleet_row(row.value)
+            except DocumentError as error:
+                _LOG.warning("fleet row skipped", reason=str(error))
+        self._take_inputs()
+        self.planner.restore(self._earlier)
+        if not self.first:
+            # an earlier holder's last call must be over before the first of ours
+            pause_s = self.limits.holder_pause_s + HOLDER_MARGIN_S
+            while self._now() < claimed_at + pause_s:
+                await self._write({})
+                await anyio.sleep(TICK_S)
+        _LOG.info("fleet duty held", epoch=self.writer.owner.epoch, first=self.first)
+
+    def _list_parts(self) -> t.Sequence[str]:
+        configuration = self.routes.configuration
+        return configuration.list_shards() if configuration else ()
+
+    def _take_reports(self, rows: t.Sequence[StoredRow], whole: bool) -> None:
+        for row in rows:
+            try:
+                report = decode_report(row.value)
+            except DocumentError as error:
+                _LOG.warning("report skipped", reason=str(error))
+                continue
+            self.planner.reports[report.shard] = report
+            self.sizer.observe(report, self._now())
+        if rows:
+            self.wake()
+
+    async def _list_forever(self) -> None:
+        while True:
+            sent_at = self._now()
+            try:
+                vms = await self.cloud.list_vms()
+            except PlatformUnavailableError as error:
+                _LOG.info("VMs not listed", reason=str(error))
+            else:
+                self.planner.apply_list(vms, sent_at)
+                self.wake()
+            await anyio.sleep(LIST_S)
+
+    def _take_inputs(self) -> None:
+        configuration = self.routes.configuration
+        if configuration is not None:
+            self.planner.shards = frozenset(configuration.list_shards())
+            spare = [
+                item.name for item in configuration.services.values() if item.spare
+            ]
+            self.planner.spare_pool = spare[0] if spare else ""
+        for number, wave in self.waves.items():
+            if number not in self.planner.waves:
+                self.planner.add_wave(wave, self._now())
+                self.planner.restore_done(self._earlier)
+
+    async def _plan_until_released(self) -> None:
+        while not self.releasing:
+            with anyio.move_on_after(TICK_S):
+                await self._wake.wait()
+            self._wake = anyio.Event()
+            self._take_inputs()
+            now = self._now()
+            self.sizer.advance(now)
+            self.planner.sizes = self.sizer.choose_sizes(
+                self.planner.reports, self.planner.base, now
+            )
+            orders = self.planner.plan(now)
+            await self._store(orders)
+            await self._report_waves()
+        await self.writer.release()
+        _LOG.info("fleet duty released", epoch=self.writer.owner.epoch)
+
+    async def _store(self, orders: t.Sequence[VmOrder]) -> None:
+        value = encode_fleet_row(self.planner.get_row())
+        puts = {} if value == self._stored else {tables.get_fleet_row(): value}
+        if not puts and not orders and not self.writer.is_beat_due(self._now()):
+            return
+        started = self.clocks.read_boot()
+        await self._write(puts)
+        self._stored = value
+        assert self._group is not None
+        for order in orders:
+            self._group.start_soon(self._send, order, started)
+
+    async def _write(self, puts: dict[RowId, bytes]) -> None:
+        now = self._now()
+        if self.writer.is_beat_due(now):
+            self.writer.put_beat(puts, now, {})
+        if puts:
+            await self.writer.write(puts)
+
+    async def _send(self, order: VmOrder, permitted_at: float) -> None:
+        if self.clocks.read_boot() - permitted_at > SEND_WITHIN_S:
+            self.planner.apply_reply(order, VmReply.RETRY, self._now())
+            return
+        owner = self.writer.owner
+        reply = await self.cloud.send(order, owner.boot, owner.epoch)
+        if reply is VmReply.STALE_HOLDER:
+            raise OwnershipLostError("the platform knows a later holder")
+        self.planner.apply_reply(order, reply, self._now())
+        self.wake()
+
+    async def _report_waves(self) -> None:
+        complete = set(self.planner.find_complete())
+        for number in self.planner.waves:
+            done = number in complete
+            if self._reported.get(number) is done:
+                continue
+            row, value = self.encode_status(number, done)
+            outcome = await self.store.write(Batch({}, {row: value}))
+            _LOG.info(
+                "wave reported",
+                wave=number,
+                complete=done,
+                outcome=type(outcome).__name__,
+            )
+            if isinstance(outcome, Applied):
+                self._reported[number] = done
--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -25,17 +25,26 @@
 from ..jobs.store import Applied
 from ..jobs.store import Batch
 from ..jobs.store import Conflict
+from ..jobs.store import RowId
 from ..jobs.store import Store
 from ..jobs.store import StoredRow
 from ..jobs.tables import OwnerRow
 from ..jobs.workers import Workers
+from ..pools.messages import Cloud
+from ..pools.messages import Wave
 from .desk import NodeDesk
+from .fence import FencedWriter
+from .fleet import FleetHolder
 from .follower import Follower
 from .owner import OwnerContext
 from .owner import ShardOwner
 
 POLL_S = 0.7
 """Pause between two looks at the owner rows, which are renewed as often."""
+WORKER_PAUSE_S = 0.5
+"""Pause between two looks at the registrations: each worker writes every 1.5 s,
+and following each write would cost half of all calls; nothing may start on a
+leaving worker 2 s after it said so."""
 HEARD_GAP_S = 2.0
 """A longer gap between two answers of the store says nothing of an owner."""
 CLAIM_TRIES = 4
@@ -51,15 +60,21 @@
     :param worker_table: table of the workers' registrations.
     :param operator_table: table of the operator.
     :param configuration_key: row of the configuration.
+    :param wave_prefix: start of the keys of maintenance waves.
     :param decode_worker: reads a registration from its key and value.
     :param decode_configuration: reads the configuration.
+    :param decode_wave: reads a maintenance wave from its key and value.
+    :param encode_wave_status: gives the row that tells how far a wave is.
     """
 
     worker_table: str
     operator_table: str
     configuration_key: str
+    wave_prefix: str
     decode_worker: t.Callable[[str, bytes], WorkerEntry]
     decode_configuration: t.Callable[[bytes], Configuration]
+    decode_wave: t.Callable[[str, bytes], Wave]
+    encode_wave_status: t.Callable[[int, bool], tuple[RowId, bytes]]
 
 
 @attrs.define(eq=False)
@@ -70,6 +85,7 @@
     :param store: the store, watched.
     :param health: whether the store answers.
     :param workers: calls to workers.
+    :param cloud: calls about VMs, ``None`` where there are none.
     :param decoders: how foreign rows are read.
     :param clocks: the process's clocks.
     :param rng: spreads retries.
@@ -80,6 +96,7 @@
     store: Store
     health: StoreHealth
     workers: Workers
+    cloud: Cloud | None
     decoders: Decoders
     clocks: Clocks
     rng: random.Random
@@ -88,6 +105,8 @@
     views: dict[str, OwnerView] = attrs.field(factory=dict)
     owners: dict[str, ShardOwner] = attrs.field(factory=dict)
     entries: dict[str, WorkerEntry] = attrs.field(factory=dict)
+    waves: dict[int, Wave] = attrs.field(factory=dict)
+    holder: FleetHolder | None = None
     desk: NodeDesk = attrs.field(init=False)
     _heard_since: float | None = None
     _heard_at: float = 0.0
@@ -108,37 +127,51 @@
         """Work until cancelled."""
         async with anyio.create_task_group() as group:
             self._group = group
-            group.start_soon(self._build_follower(self._take_operator, "op").run)
-            group.start_soon(self._build_follower(self._take_workers, "workers").run)
+            operator = self._build_follower(
+                self.decoders.operator_table, self._take_operator
+            )
+            workers = self._build_follower(
+                self.decoders.worker_table, self._take_workers, WORKER_PAUSE_S
+            )
+            group.start_soon(operator.run)
+            group.start_soon(workers.run)
             group.start_soon(self._watch_owners)
 
     def _build_follower(
-        self, on_rows: t.Callable[[t.Sequence[StoredRow], bool], None], kind: str
+        self,
+        table: str,
+        on_rows: t.Callable[[t.Sequence[StoredRow], bool], None],
+        pause_s: float = 0.0,
     ) -> Follower:
-        table = {
-            "op": self.decoders.operator_table,
-            "workers": self.decoders.worker_table,
-        }[kind]
-        return Follower(self.store, table, lambda: [""], on_rows, self.rng)
+        return Follower(
+            self.store, table, lambda: [""], on_rows, self.rng, pause_s=pause_s
+        )
 
     # what the operator and the workers write
 
     def _take_operator(self, rows: t.Sequence[StoredRow], whole: bool) -> None:
         for row in rows:
-            if row.row_id.key != self.decoders.configuration_key or row.removed:
-                continue
+            key = row.row_id.key
             try:
-                configuration = self.decoders.decode_configuration(row.value)
+                if row.removed:
+                    continue
+                if key == self.decoders.configuration_key:
+                    self._adopt(row)
+                elif key.startswith(self.decoders.wave_prefix):
+                    wave = self.decoders.decode_wave(key, row.value)
+                    self.waves[wave.number] = wave
             except DocumentError as error:
-                _LOG.warning("configuration skipped", reason=str(error))
-                continue
-            if self.routes.adopt(configuration):
-                _LOG.info(
-                    "configuration in force",
-                    version=configuration.version,
-                    routes=len(configuration.routes),
-                    row_version=row.version,
-                )
+                _LOG.warning("operator's row skipped", key=key, reason=str(error))
+
+    def _adopt(self, row: StoredRow) -> None:
+        configuration = self.decoders.decode_configuration(row.value)
+        if self.routes.adopt(configuration):
+            _LOG.info(
+                "configuration in force",
+                version=configuration.version,
+                routes=len(configuration.routes),
+                row_version=row.version,
+            )
 
     def _take_workers(self, rows: t.Sequence[StoredRow], whole: bool) -> None:
         present = set()
@@ -202,7 +235,13 @@
 
     def _list_shards(self) -> t.Sequence[str]:
         configuration = self.routes.configuration
-        return configuration.list_shards() if configuration else ()
+        if configuration is None:
+            return ()
+        duties = [tables.FLEET_SHARD] if self.cloud is not None else []
+        return [*configuration.list_shards(), *duties]
+
+    def _count_owned(self) -> int:
+        return len(self.owners) + (self.holder is not None)
 
     def _take_owners(self, rows: t.Sequence[StoredRow], whole: bool) -> None:
         now = self.clocks.read_monotonic()
@@ -228,9 +267,9 @@
         views = {
             shard: view
             for shard, view in self.views.items()
-            if shard not in self.owners and shard in self._list_shards()
+            if not self._owns(shard) and shard in self._list_shards()
         }
-        claimant = Claimant(self.settings.node, self.boot, len(self.owners))
+        claimant = Claimant(self.settings.node, self.boot, self._count_owned())
         assert self._group is not None
         for shard in list_claimable(views, claimant, heard_since, now)[:1]:
             self._group.start_soon(self._claim, shard)
@@ -244,6 +283,11 @@
         self._heard_at = answered_at
         return self._heard_since
 
+    def _owns(self, shard: str) -> bool:
+        if shard == tables.FLEET_SHARD:
+            return self.holder is not None
+        return shard in self.owners
+
     async def _claim(self, shard: str) -> None:
         view = self.views[shard]
         earlier = view.row.epoch if view.row else 0
@@ -277,9 +321,27 @@
             await anyio.sleep(CLAIM_PAUSE_S)
 
     def _start_owner(self, shard: str, row: OwnerRow, version: int, nonce: str) -> None:
+        assert self._group is not None
+        _LOG.info("shard claimed", shard=shard, epoch=row.epoch, version=version)
+        writer = FencedWriter(shard, row, version, nonce, self.store, self.rng)
+        if shard == tables.FLEET_SHARD:
+            assert self.cloud is not None
+            holder = FleetHolder(
+                writer,
+                self.cloud,
+                self.store,
+                self.clocks,
+                self.settings.limits,
+                self.routes,
+                self.waves,
+                self.decoders.encode_wave_status,
+                self.rng,
+                first=row.epoch == 1,
+            )
+            self.holder = holder
+            self._group.start_soon(self._run_owner, shard, holder.run)
+            return
         context = OwnerContext(
-            self.settings.node,
-            self.boot,
             self.store,
             self.workers,
             self.clocks,
@@ -287,23 +349,28 @@
             self.settings.limits,
             self.rng,
         )
-        owner = ShardOwner(shard, row.epoch, version, context, nonce)
-        _LOG.info("shard claimed", shard=shard, epoch=row.epoch, version=version)
+        owner = ShardOwner(writer, context)
         self.owners[shard] = owner
-        assert self._group is not None
-        self._group.start_soon(self._run_owner, shard, owner)
-
-    async def _run_owner(self, shard: str, owner: ShardOwner) -> None:
         entries = [item for item in self.entries.values() if item.service == shard]
+        self._group.start_soon(self._run_owner, shard, owner.run, entries)
+
+    async def _run_owner(
+        self, shard: str, run: t.Callable[..., t.Awaitable[None]], *args: t.Any
+    ) -> None:
         try:
-            await owner.run(entries)
+            await run(*args)
         except OwnershipLostError as error:
-            _LOG.info("shard lost", shard=shard, epoch=owner.epoch, reason=str(error))
+            _LOG.info("shard lost", shard=shard, reason=str(error))
         except PlatformUnavailableError as error:
             _LOG.info("shard not loaded", shard=shard, reason=str(error))
+        except Exception:
+            # a fault in one shard must not end the others; the shard is claimed anew
+            _LOG.exception("shard failed", shard=shard)
         finally:
-            if self.owners.get(shard) is owner:
-                del self.owners[shard]
+            if shard == tables.FLEET_SHARD:
+                self.holder = None
+            else:
+                self.owners.pop(shard, None)
         view = self.views[shard]
         self.views[shard] = attrs.evolve(view, changed_at=self.clocks.read_monotonic())
 
@@ -311,7 +378,9 @@
         """Hand every shard over; the node claims none afterwards."""
         self._stopping = True
         self.desk.stopping = True
-        owners = list(self.owners.values())
+        owners: list[ShardOwner | FleetHolder] = list(self.owners.values())
+        if self.holder is not None:
+            owners.append(self.holder)
         for owner in owners:
             owner.releasing = True
             owner.wake()
--- a/src/onyxgap/daemons/node_process.py
+++ b/src/onyxgap/daemons/node_process.py
@@ -15,6 +15,7 @@
 from ..platform import registry
 from ..platform.callers import CallerApp
 from ..platform.callers import ReadyApp
+from ..platform.cloud import PlatformCloud
 from ..platform.http import HttpClient
 from ..platform.settings import load_settings
 from ..platform.store import PlatformStore
@@ -35,8 +36,11 @@
     registry.WORKER_TABLE,
     registry.OPERATOR_TABLE,
     registry.CONFIGURATION_KEY,
+    registry.WAVE_PREFIX,
     registry.decode_worker,
     registry.decode_configuration,
+    registry.decode_wave,
+    registry.encode_wave_status,
 )
 
 
@@ -53,6 +57,7 @@
         WatchedStore(store, health, clocks),
         health,
         PlatformWorkers(),
+        None if settings.cloud == "-" else PlatformCloud(HttpClient(settings.cloud)),
         DECODERS,
         clocks,
         random.Random(os.urandom(8)),
--- a/src/onyxgap/daemons/owner.py
+++ b/src/onyxgap/daemons/owner.py
@@ -20,30 +20,32 @@
 from ..jobs.messages import WorkerEntry
 from ..jobs.settings import TimeLimits
 from ..jobs.shard import Shard
-from ..jobs.store import Applied
-from ..jobs.store import Batch
-from ..jobs.store import Conflict
 from ..jobs.store import RowId
 from ..jobs.store import Store
 from ..jobs.store import StoredRow
 from ..jobs.submissions import decode_submission
-from ..jobs.tables import OwnerRow
 from ..jobs.workers import HoldOrder
 from ..jobs.workers import HoldReport
 from ..jobs.workers import ReplyKind
 from ..jobs.workers import StartOrder
 from ..jobs.workers import StopOrder
 from ..jobs.workers import Workers
+from ..pools.messages import PoolReport
+from ..pools.messages import decode_fleet_row
+from ..pools.messages import encode_report
+from .fence import FencedWriter
 from .follower import Follower
 
-BEAT_S = 0.7
-"""Three renewals fit into the silence after which others claim the shard."""
 TICK_S = 0.2
 """Longest pause of the decision loop; occurrences may start 250 ms early."""
 LEASE_S = 5.0
 """Covers a change of the owner: 2.2 s of silence, the claim and the first hold."""
 LEASE_MARGIN_S = 0.3
 """Below the longest lease that a worker grants."""
+REPORT_S = 0.3
+"""Pause between two reports to the fleet's holder, which follows demand by them."""
+REPORT_MIN_S = 0.05
+"""Least pause, also when a worker that is to be emptied has become empty."""
 HOLD_WAIT_S = 1.0
 """A worker answers at the first end, or after this."""
 HOLD_WITHOUT_STORE_S = 8.0
@@ -63,8 +65,6 @@
 class OwnerContext:
     """What the owners of a node share.
 
-    :param node: name of the node.
-    :param boot: unique id of the process.
     :param store: the store.
     :param workers: calls to workers.
     :param clocks: the process's clocks.
@@ -73,8 +73,6 @@
     :param rng: spreads retries.
     """
 
-    node: str
-    boot: str
     store: Store
     workers: Workers
     clocks: Clocks
@@ -87,8 +85,7 @@
 class _Commit:
     """What one transaction stores, and what follows from it."""
 
-    batch: Batch
-    nonce: str
+    puts: dict[RowId, bytes]
     states: dict[str, JobState]
     orders: tuple[StartOrder, ...]
     seen: dict[str, int]
@@ -99,32 +96,36 @@
 class ShardOwner:
     """Owner of one shard, from its claim to its loss or release.
 
-    :param shard: name of the shard.
-    :param epoch: fencing token.
-    :param fence_version: version of the fence row at the claim.
+    :param writer: writes the shard's rows under its fence.
     :param context: what the owners of the node share.
     """
 
-    shard: str
-    epoch: int
-    fence_version: int
+    writer: FencedWriter
     context: OwnerContext
-    nonce: str
     state: Shard = attrs.field(init=False)
     loaded: bool = False
     releasing: bool = False
     released: anyio.Event = attrs.field(factory=anyio.Event)
-    _beat: int = 0
-    _beat_at: float = -math.inf
     _wake: anyio.Event = attrs.field(factory=anyio.Event)
     _stored: anyio.Event = attrs.field(factory=anyio.Event)
     _group: anyio.abc.TaskGroup | None = None
     _held: set[str] = attrs.field(factory=set)
-    _sequence: int = 0
+    _cordons: t.Mapping[str, str] = attrs.field(factory=dict)
+    _reported_at: float = -math.inf
+    _reported: PoolReport | None = None
 
     def __attrs_post_init__(self) -> None:
-        now = self.context.clocks.read_monotonic()
-        self.state = Shard(self.shard, self.epoch, now)
+        self.state = Shard(self.shard, self.epoch, self._now())
+
+    @property
+    def shard(self) -> str:
+        """Name of the shard."""
+        return self.writer.shard
+
+    @property
+    def epoch(self) -> int:
+        """Fencing token of this owner."""
+        return self.writer.owner.epoch
 
     def _now(self) -> float:
         return self.context.clocks.read_monotonic()
@@ -153,12 +154,20 @@
             self.context.rng,
             after=after,
         )
+        cordons = Follower(
+            self.context.store,
+            tables.FLEET_TABLE,
+            lambda: [tables.FLEET_SHARD],
+            self._take_fleet_rows,
+            self.context.rng,
+        )
         try:
             async with anyio.create_task_group() as group:
                 self._group = group
                 for worker_id in list(self.state.workers):
                     self._start_hold(worker_id)
                 group.start_soon(follower.run)
+                group.start_soon(cordons.run)
                 await self._decide_until_released()
                 group.cancel_scope.cancel()
         except* OwnershipLostError as errors:
@@ -172,6 +181,8 @@
         jobs = await store.read(tables.get_job_table(self.shard), self.shard)
         progress = await store.read(tables.PROGRESS_TABLE, self.shard)
         values = {row.row_id.key: row.value for row in progress.rows}
+        fleet = await store.read(tables.FLEET_TABLE, tables.FLEET_SHARD)
+        self._take_fleet_rows(fleet.rows, True)
         self._take_rows(jobs.rows, True, values)
         self.loaded = True
         _LOG.info(
@@ -208,6 +219,16 @@
         if rows:
             self.wake()
 
+    def _take_fleet_rows(self, rows: t.Sequence[StoredRow], whole: bool) -> None:
+        for row in rows:
+            try:
+                fleet = decode_fleet_row(row.value)
+            except DocumentError as error:
+                _LOG.warning("fleet row skipped", reason=str(error))
+                continue
+            self.state.set_cordons(fleet.cordons, fleet.due)
+            self.wake()
+
     # workers
 
     def observe_worker(self, entry: WorkerEntry) -> None:
@@ -233,7 +254,10 @@
         now = self._now()
         deadline_ms: float | None = None
         silent_s = now - self.context.health.answered_at
-        if record.clock is not None and silent_s < HOLD_WITHOUT_STORE_S:
+        # what was sent to a silent worker may be carried out late: its lease stays
+        # as it is, so that it is certainly over some time
+        answering = record.failing_since is None
+        if record.clock and answering and silent_s < HOLD_WITHOUT_STORE_S:
             lease_s = min(LEASE_S, self.context.limits.max_lease_s - LEASE_MARGIN_S)
             deadline_ms = record.clock.estimate(now) + lease_s * 1000
             record.lease_ms = max(record.lease_ms, deadline_ms)
@@ -306,7 +330,7 @@
             if commit is None:
                 self._publish_seen(self._read_seen())
                 return
-            await self._write(commit.batch, commit.nonce)
+            await self.writer.write(commit.puts, self._rows_of(commit.expired))
             self._publish(commit)
             sent = set(commit.orders)
             orders = [order for order in orders if order not in sent]
@@ -320,8 +344,9 @@
         now = self._now()
         wanted = [order.task.job_id for order in orders]
         dirty = list(dict.fromkeys([*wanted, *self.state.dirty]))[:MAX_BATCH_JOBS]
-        beat = now - self._beat_at >= BEAT_S
-        if not dirty and not beat:
+        beat = self.writer.is_beat_due(now)
+        report = self._find_report(now)
+        if not dirty and not beat and report is None:
             return None
         chosen = set(dirty)
         complete = len(chosen) >= len(self.state.dirty | set(wanted))
@@ -337,23 +362,28 @@
         expired: tuple[str, ...] = ()
         if beat:
             expired = self._list_expired(now)
-            puts[tables.get_owner_row(self.shard)] = self._encode_beat(False)
-            self._beat_at = now
-        nonce = self._draw_nonce()
-        puts[self._fence] = nonce.encode()
-        batch = Batch({self._fence: self.fence_version}, puts, self._rows_of(expired))
+            self.writer.put_beat(puts, now, self.state.count_waiting())
+        if report is not None:
+            puts[tables.get_report_row(self.shard)] = encode_report(report)
+            self._reported, self._reported_at = report, now
         return _Commit(
-            batch,
-            nonce,
+            puts,
             states,
             tuple(order for order in orders if order.task.job_id in chosen),
             self._read_seen() if complete else {},
             expired,
         )
 
-    @property
-    def _fence(self) -> RowId:
-        return tables.get_fence_row(self.shard)
+    def _find_report(self, now: float) -> PoolReport | None:
+        """Give the report if it should be written now, or ``None``."""
+        age_s = now - self._reported_at
+        if age_s < REPORT_MIN_S:
+            return None
+        report = self.state.build_report(now)
+        emptied = self._reported.emptied if self._reported else {}
+        if age_s < REPORT_S and report.emptied == emptied:
+            return None
+        return None if report == self._reported else report
 
     def _list_expired(self, now: float) -> tuple[str, ...]:
         retention_s = self.context.limits.status_s * RETENTION_FACTOR
@@ -367,45 +397,6 @@
             rows.append(tables.get_progress_row(self.shard, job_id))
         return tuple(rows)
 
-    def _draw_nonce(self) -> str:
-        self._sequence += 1
-        return f"{self.context.boot}/{self.epoch}/{self._sequence}"
-
-    def _encode_beat(self, released: bool) -> bytes:
-        self._beat += 1
-        return tables.encode_owner(
-            OwnerRow(
-                self.context.node,
-                self.context.boot,
-                self.epoch,
-                self._beat,
-                released,
-                self.state.count_waiting(),
-            )
-        )
-
-    async def _write(self, batch: Batch, nonce: str) -> None:
-        """Write until the outcome is certain; the fence settles lost answers."""
-        delay = RETRY_MIN_S
-        while True:
-            outcome = await self.context.store.write(batch)
-            if isinstance(outcome, Applied):
-                self.fence_version, self.nonce = outcome.version, nonce
-                return
-            if isinstance(outcome, Conflict):
-                row = outcome.find(self._fence)
-                written = row.value.decode() if row else ""
-                if row is not None and written == nonce:
-                    self.fence_version, self.nonce = row.version, nonce
-                    return
-                if row is None or written != self.nonce:
-                    raise OwnershipLostError(f"fence of {self.shard} is {written!r}")
-                # nothing but the version differs from what we wrote last
-                batch = attrs.evolve(batch, expected={self._fence: row.version})
-                continue
-            await anyio.sleep(delay * self.context.rng.uniform(0.5, 1.0))
-            delay = min(delay * 2, RETRY_MAX_S)
-
     def _publish(self, commit: _Commit) -> None:
         now = self._now()
         for job_id, state in commit.states.items():
@@ -456,10 +447,5 @@
         )
 
     async def _release(self) -> None:
-        nonce = self._draw_nonce()
-        puts = {
-            tables.get_owner_row(self.shard): self._encode_beat(True),
-            self._fence: nonce.encode(),
-        }
-        await self._write(Batch({self._fence: self.fence_version}, puts), nonce)
+        await self.writer.release()
         _LOG.info("shard released", shard=self.shard, epoch=self.epoch)
--- a/src/onyxgap/jobs/placing.py
+++ b/src/onyxgap/jobs/placing.py
@@ -1,8 +1,8 @@
 """Chooses a worker for a task; answers a load of tasks that compete for room.
 
 Tasks are packed: a worker that already runs something is taken before an idle
-one, so that whole VMs come free for other pools. Serving tasks are the exception,
-they are spread, since losing one VM must not take several of them.
+one, so that whole VMs come free for other pools. Serving tasks with a target for
+their response times are the exception, they suffer from what runs beside them.
 """
 
 import typing as t
@@ -35,6 +35,8 @@
     :param strikes: first failures of tasks there since the last success.
     :param blocked_until: monotonic seconds before which nothing is placed there.
     :param cordoned: whether it is to be emptied.
+    :param due: whether its VM is due for maintenance.
+    :param reserved: whether its room is kept for a serving task in this plan.
     :param gone: whether this life of the worker is known to be over.
     """
 
@@ -53,6 +55,8 @@
     strikes: int = 0
     blocked_until: float = 0.0
     cordoned: bool = False
+    due: bool = False
+    reserved: bool = False
     gone: bool = False
 
     def is_open(self, now: float) -> bool:
@@ -61,6 +65,7 @@
             self.held
             and self.registered
             and not self.cordoned
+            and not self.reserved
             and not self.gone
             and self.failing_since is None
             and self.entry.state is WorkerState.READY
@@ -116,8 +121,34 @@
     :param group: job, occurrence and number of the step.
     :param now: monotonic seconds.
     """
-    if not worker.is_open(now) or not worker.has_room(step):
-        return False
+    return (
+        worker.is_open(now)
+        and worker.has_room(step)
+        and _is_allowed(worker, step, group)
+    )
+
+
+def may_ever_run(worker: WorkerRecord, step: Step, group: tuple[str, int, int]) -> bool:
+    """Tell whether a task could run on a worker once other tasks have ended.
+
+    :param worker: the worker.
+    :param step: the task's step.
+    :param group: job, occurrence and number of the step.
+    """
+    entry = worker.entry
+    return (
+        worker.held
+        and worker.registered
+        and not worker.cordoned
+        and entry.state is WorkerState.READY
+        and step.cpu <= entry.cpu
+        and step.memory_mb <= entry.memory_mb
+        and step.accelerators <= entry.accelerators
+        and _is_allowed(worker, step, group)
+    )
+
+
+def _is_allowed(worker: WorkerRecord, step: Step, group: tuple[str, int, int]) -> bool:
     if step.requires and step.requires not in worker.entry.labels:
         return False
     return not step.anti_affinity or worker.present.get(group, 0) < step.anti_affinity
@@ -125,7 +156,7 @@
 
 def rank_worker(
     worker: WorkerRecord, step: Step, avoid: t.Collection[str]
-) -> tuple[bool, bool, int, float, str]:
+) -> tuple[bool, bool, int, bool, float, str]:
     """Rank an eligible worker; the lowest rank is taken.
 
     :param worker: the worker.
@@ -135,8 +166,10 @@
     entry = worker.entry
     far = bool(step.affinity) and step.affinity not in entry.labels
     load = worker.cpu_used / entry.cpu if entry.cpu else 0.0
-    spread = load if step.long_running or step.fills else -load
-    return (entry.worker_id in avoid, far, worker.strikes, spread, entry.worker_id)
+    spread = load if step.target_ms or step.fills else -load
+    # a serving task would have to leave a worker that is due
+    due = step.long_running and worker.due
+    return (entry.worker_id in avoid, far, worker.strikes, due, spread, entry.worker_id)
 
 
 def choose_worker(
--- a/src/onyxgap/jobs/routing.py
+++ b/src/onyxgap/jobs/routing.py
@@ -54,6 +54,13 @@
     services: t.Mapping[str, Service]
     max_body_bytes: int = DEFAULT_BODY_BYTES
 
+    def find_spare(self) -> str:
+        """Give the service whose VMs are off, or an empty string."""
+        for service in self.services.values():
+            if service.spare:
+                return service.name
+        return ""
+
     def list_shards(self) -> tuple[str, ...]:
         """List the services that run jobs of any route, in order of name."""
         return tuple(sorted({route.policy.service for route in self.routes}))
--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -9,6 +9,8 @@
 import attrs
 import structlog
 
+from ..pools.messages import PoolReport
+from ..pools.messages import WorkerLoad
 from .job import Job
 from .job import Task
 from .job import TaskPhase
@@ -22,6 +24,7 @@
 from .messages import WorkerState
 from .placing import WorkerRecord
 from .placing import choose_worker
+from .placing import may_ever_run
 from .priorities import Urgency
 from .priorities import rate_urgency
 from .workers import MS
@@ -66,6 +69,34 @@
     tasks: list[Task]
 
 
+def is_at_work(task: Task) -> bool:
+    """Tell whether a serving task was reported at work and is to stay so."""
+    return task.phase is TaskPhase.RUNNING and task.percent >= 100 and not task.stopping
+
+
+def _list_wanting(job: Job) -> t.Iterator[Task]:
+    """Yield tasks that run, or that could run now."""
+    if job.state.final:
+        return
+    for occurrence, number in job.list_ready():
+        for task in occurrence.steps[number]:
+            if task.phase is not TaskPhase.DONE:
+                yield task
+
+
+def measure_share(step: Step, capacity: tuple[int, int]) -> float:
+    """Measure which part of a worker a task takes.
+
+    :param step: its step.
+    :param capacity: cores in thousandths and MB of a worker.
+    """
+    cpu, memory_mb = capacity
+    if not cpu or not memory_mb:
+        return 0.0
+    share = 0.0 if step.fills else step.cpu / cpu
+    return max(share, step.memory_mb / memory_mb)
+
+
 def get_group(task: Task) -> Group:
     """Give job, occurrence and step of a task."""
     task_id = task.task_id
@@ -90,6 +121,9 @@
     workers: dict[str, WorkerRecord] = attrs.field(factory=dict)
     dirty: set[str] = attrs.field(factory=set)
     early_cancels: set[str] = attrs.field(factory=set)
+    cordons: t.Mapping[str, str] = attrs.field(factory=dict)
+    due: frozenset[str] = frozenset()
+    arrived_jobs: int = 0
     strays: dict[tuple[str, TaskId, int], StopOrder] = attrs.field(factory=dict)
 
     # jobs
@@ -112,6 +146,7 @@
         self.jobs[job_id] = job
         if job.stored_state is None:
             self.dirty.add(job_id)
+            self.arrived_jobs += 1
         for task in job.list_placed():
             record = self._find_record(task.worker_id)
             record.reserve(job.get_step(task), get_group(task))
@@ -205,10 +240,106 @@
             self.workers[entry.worker_id] = record
         record.entry = entry
         record.registered = True
+        record.cordoned = entry.worker_id in self.cordons
+        record.due = entry.worker_id in self.due
         if record.clock is None:
             record.clock = WorkerClock(entry.clock_ms, now)
         return record
 
+    def set_cordons(
+        self, cordons: t.Mapping[str, str], due: frozenset[str] = frozenset()
+    ) -> None:
+        """Take in which workers are to be emptied.
+
+        :param cordons: workers to be emptied now, with the reason.
+        :param due: workers whose VMs are due for maintenance.
+        """
+        self.cordons, self.due = cordons, due
+        for worker_id, record in self.workers.items():
+            record.cordoned = worker_id in cordons
+            record.due = worker_id in due
+
+    def get_capacity(self) -> tuple[int, int]:
+        """Give cores in thousandths and MB of the largest worker seen."""
+        return max(
+            ((item.entry.cpu, item.entry.memory_mb) for item in self.workers.values()),
+            default=(0, 0),
+        )
+
+    def build_report(self, now: float) -> PoolReport:
+        """Report the load for the holder of the fleet duty.
+
+        :param now: monotonic seconds.
+        """
+        capacity = self.get_capacity()
+        sums = {"queued": 0.0, "batch": 0.0, "serving": 0.0}
+        serving: dict[str, int] = {}
+        for job in self.jobs.values():
+            for task in _list_wanting(job):
+                step = job.get_step(task)
+                kind = "serving" if step.long_running else "batch"
+                if step.long_running and task.placed:
+                    serving[task.worker_id] = serving.get(task.worker_id, 0) + 1
+                if not task.placed and not step.long_running:
+                    kind = "queued"
+                sums[kind] += measure_share(step, capacity)
+        workers = {
+            worker_id: WorkerLoad(
+                record.count_present(), serving.get(worker_id, 0), record.cpu_used
+            )
+            for worker_id, record in self.workers.items()
+            if record.registered
+        }
+        emptied = {
+            worker_id: self.cordons[worker_id]
+            for worker_id, record in self.workers.items()
+            if record.cordoned and record.held and not record.present
+        }
+        return PoolReport(
+            self.service,
+            workers,
+            emptied,
+            **{name: round(value, 3) for name, value in sums.items()},
+            arrived_jobs=self.arrived_jobs,
+            epoch=self.epoch,
+        )
+
+    def evict_serving(self, now: float) -> None:
+        """Mark serving tasks on cordoned workers to be stopped, within budget.
+
+        :param now: monotonic seconds.
+        """
+        cordoned = {key for key, item in self.workers.items() if item.cordoned}
+        if not cordoned:
+            return
+        for job in self.jobs.values():
+            for occurrence in job.occurrences.values():
+                for number, step in enumerate(job.submission.steps):
+                    if step.long_running:
+                        self._evict_step(step, occurrence.steps[number], cordoned, now)
+
+    def _evict_step(
+        self, step: Step, tasks: t.Sequence[Task], cordoned: set[str], now: float
+    ) -> None:
+        budget = max(1, step.may_miss)
+        away = sum(not is_at_work(task) for task in tasks)
+        for task in tasks:
+            if away >= budget:
+                return
+            if task.worker_id not in cordoned or not is_at_work(task):
+                continue
+            if choose_worker(self.workers.values(), step, get_group(task), now) is None:
+                return
+            task.stopping = True
+            away += 1
+            _LOG.info(
+                "serving task evicted",
+                task=str(task.task_id),
+                worker=task.worker_id,
+                away=away,
+                budget=budget,
+            )
+
     def miss_worker(self, worker_id: str) -> None:
         """Take in that a registration is gone; the worker may still run on."""
         record = self.workers.get(worker_id)
@@ -510,6 +641,9 @@
         :returns: orders to send once the intents are stored.
         """
         orders: list[StartOrder] = []
+        self.evict_serving(now)
+        for record in self.workers.values():
+            record.reserved = False
         for ready in self._list_ready(now, wall_ms):
             if ready.job.submission.steps[ready.step].gang:
                 orders += self._place_gang(ready, now)
@@ -543,9 +677,24 @@
                 self.workers.values(), step, get_group(task), now, task.failed_on
             )
             if record is None:
+                if step.long_running:
+                    self._reserve(step, get_group(task))
                 return
             yield self._place(ready.job, step, task, record, task.run + 1, now)
 
+    def _reserve(self, step: Step, group: Group) -> None:
+        """Keep the worker that will first have room for a serving task.
+
+        Otherwise smaller tasks take each bit of room as it comes free.
+        """
+        fitting = [
+            record
+            for record in self.workers.values()
+            if not record.reserved and may_ever_run(record, step, group)
+        ]
+        if fitting:
+            min(fitting, key=lambda record: record.cpu_used).reserved = True
+
     def _place_gang(self, ready: Ready, now: float) -> list[StartOrder]:
         step = ready.job.submission.steps[ready.step]
         if len(ready.tasks) != step.count:
--- a/src/onyxgap/jobs/tables.py
+++ b/src/onyxgap/jobs/tables.py
@@ -15,6 +15,10 @@
 PROGRESS_TABLE = "onyxgap-progress"
 OWNER_TABLE = "onyxgap-owners"
 FENCE_TABLE = "onyxgap-fences"
+REPORT_TABLE = "onyxgap-reports"
+FLEET_TABLE = "onyxgap-fleet"
+FLEET_SHARD = "~fleet"
+"""Shard of the fleet duty; no service has such a name."""
 CANCEL_SUFFIX = ".cancel"
 
 
@@ -48,6 +52,16 @@
     return RowId(FENCE_TABLE, shard, "fence")
 
 
+def get_report_row(shard: str) -> RowId:
+    """Give the row in which a shard's owner reports its load."""
+    return RowId(REPORT_TABLE, shard, "report")
+
+
+def get_fleet_row() -> RowId:
+    """Give the row in which the holder of the fleet duty keeps its state."""
+    return RowId(FLEET_TABLE, FLEET_SHARD, "state")
+
+
 @attrs.frozen(slots=True)
 class OwnerRow:
     """Who owns a shard, renewed as a heartbeat.
--- a/src/onyxgap/logs.py
+++ b/src/onyxgap/logs.py
@@ -106,6 +106,7 @@
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
             structlog.processors.JSONRenderer(serializer=orjson.dumps),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]),
--- /dev/null
+++ b/src/onyxgap/platform/cloud.py
@@ -0,0 +1,116 @@
+"""The platform's interface to VMs behind :class:`~onyxgap.pools.messages.Cloud`."""
+
+import typing as t
+import urllib.parse
+
+import attrs
+
+from ..exceptions import PlatformUnavailableError
+from ..pools.messages import Vm
+from ..pools.messages import VmActionKind
+from ..pools.messages import VmOrder
+from ..pools.messages import VmReply
+from ..pools.messages import VmState
+from .http import Answer
+from .http import CallFailure
+from .http import HttpClient
+
+LIST_TIMEOUT_S = 1.0
+ORDER_TIMEOUT_S = 1.0
+
+_BY_REASON: t.Mapping[str, VmReply] = {
+    "fence": VmReply.STALE_HOLDER,
+    "busy": VmReply.BUSY,
+    "wave": VmReply.NOT_DUE,
+}
+_BY_STATUS: t.Mapping[int, VmReply] = {
+    200: VmReply.DONE,
+    400: VmReply.INVALID,
+    429: VmReply.RETRY,
+    503: VmReply.RETRY,
+}
+
+
+def decode_vm(raw: t.Mapping[str, t.Any]) -> Vm:
+    """Read a VM of the list.
+
+    :param raw: its entry.
+    """
+    room = raw.get("capacity") or {}
+    labels = raw.get("labels") or ()
+    return Vm(
+        name=str(raw["machine"]),
+        pool=str(raw.get("pool", "")),
+        state=VmState(raw.get("state", "down")),
+        zone=str(raw.get("zone", "")),
+        rack=str(labels[-1]) if labels else "",
+        cpu=int(room.get("cpu", 0)),
+        memory_mb=int(room.get("mem_mb", 0)),
+        worker_id=str(raw.get("id") or ""),
+    )
+
+
+def decode_vm_reply(answer: Answer) -> VmReply:
+    """Read what became of an order.
+
+    :param answer: the platform's answer, or why there is none.
+    """
+    if answer.failure is CallFailure.NOT_SENT:
+        return VmReply.RETRY
+    if answer.failure is not None:
+        return VmReply.UNKNOWN
+    if answer.status == 409:
+        reason = str(answer.read_object().get("reason", ""))
+        return _BY_REASON.get(reason, VmReply.UNKNOWN)
+    return _BY_STATUS.get(answer.status, VmReply.UNKNOWN)
+
+
+@attrs.define
+class PlatformCloud:
+    """VMs over HTTP.
+
+    :param http: client of the interface's address.
+    """
+
+    http: HttpClient
+
+    async def list_vms(self) -> tuple[Vm, ...]:
+        """List all VMs.
+
+        :raises PlatformUnavailableError: when no answer came.
+        """
+        vms: list[Vm] = []
+        token = ""
+        while True:
+            query = f"?{urllib.parse.urlencode({'page_token': token})}" if token else ""
+            answer = await self.http.call(
+                "GET", f"/machines{query}", timeout_s=LIST_TIMEOUT_S
+            )
+            if answer.status != 200:
+                raise PlatformUnavailableError(answer.reason or str(answer.status))
+            body = answer.read_object()
+            try:
+                vms += map(decode_vm, body.get("machines") or ())
+            except (KeyError, ValueError, TypeError) as error:
+                raise PlatformUnavailableError(f"malformed list: {error!r}") from None
+            token = str(body.get("next_token") or "")
+            if not token:
+                return tuple(vms)
+
+    async def send(self, order: VmOrder, holder: str, token: int) -> VmReply:
+        """Send an order; repeating one that was done does nothing more."""
+        path, body = {
+            VmActionKind.UPKEEP: (
+                "/machine-upkeep",
+                {"machine": order.vm, "wave": order.wave},
+            ),
+            VmActionKind.MOVE: (
+                "/machine-move",
+                {"machine": order.vm, "pool": order.pool},
+            ),
+        }[order.kind]
+        headers = [("Lease-Holder", holder), ("Fencing-Token", str(token))]
+        answer = await self.http.call(
+            "POST", path, body, timeout_s=ORDER_TIMEOUT_S, headers=headers
+        )
+        return decode_vm_reply(answer)
--- a/src/onyxgap/platform/registry.py
+++ b/src/onyxgap/platform/registry.py
@@ -13,6 +13,8 @@
 from ..jobs.routing import Configuration
 from ..jobs.routing import Route
 from ..jobs.routing import Service
+from ..jobs.store import RowId
+from ..pools.messages import Wave
 
 WORKER_TABLE = "servers"
 OPERATOR_TABLE = "op"
@@ -103,3 +105,33 @@
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise DocumentError([Fault("$", f"no configuration: {error!r}")]) from None
+
+
+def decode_wave(key: str, value: bytes) -> Wave:
+    """Read the operator's request for a wave of maintenance.
+
+    :param key: key of the row.
+    :param value: the row.
+    :raises DocumentError: when it has another form.
+    """
+    raw = _parse(value)
+    try:
+        return Wave(
+            number=int(raw.get("wave", key.removeprefix(WAVE_PREFIX))),
+            vms=tuple(map(str, raw.get("machines") or ())),
+            duration_s=float(raw.get("duration_s", 0)),
+            cap=int(raw.get("cap", 1)),
+        )
+    except (ValueError, TypeError) as error:
+        raise DocumentError([Fault("$", f"no wave: {error!r}")]) from None
+
+
+def encode_wave_status(number: int, complete: bool) -> tuple[RowId, bytes]:
+    """Encode what the operator reads of a wave.
+
+    :param number: number of the wave.
+    :param complete: whether each of its VMs has begun or left.
+    """
+    state = "succeeded" if complete else "running"
+    row = RowId(STATUS_TABLE, "", f"{WAVE_PREFIX}{number}")
+    return row, orjson.dumps({"wave": number, "state": state})
--- /dev/null
+++ b/src/onyxgap/pools/__init__.py
@@ -0,0 +1,1 @@
+"""The VMs of a deployment: which pool each is in, and when each is maintained."""
--- /dev/null
+++ b/src/onyxgap/pools/sizing.py
@@ -0,0 +1,98 @@
+"""How many VMs each pool should have; answers a demand that moves between pools.
+
+A VM in a pool is paid by the second, a VM in the spare pool is not, and a move
+costs as much as about 1.2 of those seconds.
+"""
+
+import math
+import typing as t
+
+import attrs
+
+from .messages import PoolReport
+from .turns import TurnForecast
+
+HEADROOM = 1.2
+"""Tasks do not fill a VM to the last core: about four fifths were filled when
+tasks of an eighth of a VM were packed first-fit."""
+QUEUE_SHARE = 0.5
+"""Share of the queue that a pool is sized for: tasks last about a second, and a VM
+that is asked for now serves 2.2 s later."""
+MIN_VMS = 2
+"""A pool keeps two VMs, so that losing one does not stop its urgent jobs."""
+LEAD_S = 2.6
+"""A move takes 1.5 s; then the worker registers and is held for the first time."""
+GROWTH = 1.5
+"""Most VMs of a pool in its turn, as a multiple of its size in the beginning: its
+demand is then about five times its mean, more than it holds."""
+
+
+@attrs.define
+class PoolSizer:
+    """Chooses the sizes of the pools.
+
+    :param forecast: turns of the shards.
+    """
+
+    forecast: TurnForecast = attrs.field(factory=TurnForecast)
+    _counts: dict[str, tuple[int, int]] = attrs.field(factory=dict)
+
+    def observe(self, report: PoolReport, now: float) -> None:
+        """Take in a shard's report.
+
+        :param report: the report.
+        :param now: monotonic seconds.
+        """
+        epoch, jobs = self._counts.get(
+            report.shard, (report.epoch, report.arrived_jobs)
+        )
+        if epoch != report.epoch:
+            jobs = 0
+        self._counts[report.shard] = (report.epoch, report.arrived_jobs)
+        self.forecast.observe(report.shard, now, max(0, report.arrived_jobs - jobs))
+        self.forecast.note_need(report.shard, get_need(report))
+
+    def advance(self, now: float) -> None:
+        """Let time pass for shards that reported nothing new."""
+        for shard in self._counts:
+            self.forecast.observe(shard, now, 0)
+
+    def choose_sizes(
+        self,
+        reports: t.Mapping[str, PoolReport],
+        base: t.Mapping[str, int],
+        now: float,
+    ) -> dict[str, int]:
+        """Choose the number of VMs for each pool that runs jobs.
+
+        :param reports: newest report by shard.
+        :param base: VMs of each pool in the beginning.
+        :param now: monotonic seconds.
+        """
+        return {
+            shard: self._choose_size(report, base.get(shard, MIN_VMS), now)
+            for shard, report in reports.items()
+        }
+
+    def _choose_size(self, report: PoolReport, base: int, now: float) -> int:
+        need = math.ceil(get_need(report) * HEADROOM)
+        most = math.ceil(base * GROWTH)
+        if self._is_quiet(report.shard, now):
+            return min(max(need, MIN_VMS), most)
+        return min(max(need, base), most)
+
+    def _is_quiet(self, shard: str, now: float) -> bool:
+        """Tell whether a shard's turn is over and the next one is not near."""
+        arrivals = self.forecast.shards.get(shard)
+        if arrivals is None or arrivals.busy:
+            return False
+        start = self.forecast.get_next_start(shard)
+        return start is not None and now < start - LEAD_S
+
+
+def get_need(report: PoolReport) -> float:
+    """Give the VMs that a shard could fill at once.
+
+    :param report: its report.
+    """
+    return QUEUE_SHARE * report.queued + report.batch + report.serving
--- a/src/onyxgap/standins/deployment.py
+++ b/src/onyxgap/standins/deployment.py
@@ -52,6 +52,10 @@
         """Read the wall clock that goes with it."""
         return WALL_START_S + anyio.current_time()
 
+    def read_boot(self) -> float:
+        """Read the virtual clock, which is never suspended."""
+        return anyio.current_time()
+
 
 def _always(address: str) -> bool:
     return True
