--- a/src/onyxgap/daemons/fleet.py
+++ b/src/onyxgap/daemons/fleet.py
@@ -30,6 +30,7 @@
 from ..pools.messages import encode_fleet_row
 from ..pools.planner import FleetPlanner
 from ..pools.sizing import PoolSizer
+from ..pools.sizing import get_need
 from .fence import FencedWriter
 from .follower import Follower
 
@@ -184,15 +185,30 @@
             self._take_inputs()
             now = self._now()
             self.sizer.advance(now)
-            self.planner.sizes = self.sizer.choose_sizes(
-                self.planner.reports, self.planner.base, now
-            )
+            self._choose_sizes(now)
             orders = self.planner.plan(now)
             await self._store(orders)
             await self._report_waves()
         await self.writer.release()
         _LOG.info("fleet duty released", epoch=self.writer.owner.epoch)
 
+    def _choose_sizes(self, now: float) -> None:
+        sizes = self.sizer.choose_sizes(self.planner.reports, self.planner.base, now)
+        busy = self.sizer.forecast.list_busy()
+        if sizes != self.planner.sizes:
+            _LOG.info(
+                "pool sizes chosen",
+                sizes=sizes,
+                needs={
+                    shard: round(get_need(report), 1)
+                    for shard, report in self.planner.reports.items()
+                },
+                busy=sorted(busy),
+                period_s=self.sizer.forecast.get_period(),
+            )
+        self.planner.sizes = sizes
+        self.planner.busy = busy
+
     async def _store(self, orders: t.Sequence[VmOrder]) -> None:
         value = encode_fleet_row(self.planner.get_row())
         puts = {} if value == self._stored else {tables.get_fleet_row(): value}
--- a/src/onyxgap/pools/planner.py
+++ b/src/onyxgap/pools/planner.py
@@ -19,6 +19,7 @@
 from .messages import VmReply
 from .messages import VmState
 from .messages import Wave
+from .sizing import count_needed
 
 UPKEEP_REASON = "upkeep"
 MOVE_REASON = "move"
@@ -30,6 +31,8 @@
 """Maintenance is certainly over this long after the time that it takes."""
 WAVE_MARGIN_S = 4.0
 """A wave is planned to begin its last VM this long before it is due."""
+IDLE_SHARE = 0.5
+"""Share of an idle pool that stays open during maintenance, which takes 2 s."""
 DRAIN_S = 2.5
 """Time that a cordoned worker takes to become empty: most tasks end within 2 s."""
 
@@ -79,6 +82,7 @@
     :param reports: newest report by shard.
     :param cordons: workers to be emptied, with the reason.
     :param flights: orders under way, by VM.
+    :param busy: pools whose turn is on.
     :param base: VMs of each pool when the first holder began.
     :param sizes: wanted number of VMs by pool; pools without one keep theirs.
     """
@@ -93,6 +97,7 @@
     cordons: dict[str, str] = attrs.field(factory=dict)
     flights: dict[str, Flight] = attrs.field(factory=dict)
     sizes: dict[str, int] = attrs.field(factory=dict)
+    busy: frozenset[str] = frozenset()
     base: dict[str, int] = attrs.field(factory=dict)
     _cordons_made: int = 0
     _settled: bool = False
@@ -307,7 +312,7 @@
         for vm in fresh:
             if pending >= progress.wave.cap:
                 return
-            if pending >= forced and self._count_spareable(vm.pool) < 1:
+            if pending >= forced and self._count_slack(vm.pool) < 1:
                 continue
             self._cordon(vm, UPKEEP_REASON)
             pending += 1
@@ -323,15 +328,13 @@
     def _count_forced(self, progress: WaveProgress, left: int, now: float) -> int:
         """Count VMs that must be emptied at once for the wave to end in time."""
         due = progress.seen_at + progress.wave.duration_s - WAVE_MARGIN_S
-        rounds = (due - now) / (self.upkeep_s + DRAIN_S)
-        if rounds < 1:
-            return left
-        return math.floor(left / rounds)
+        rounds = math.floor((due - now) / (self.upkeep_s + DRAIN_S))
+        return left - progress.wave.cap * max(0, rounds - 1)
 
     def _rate_load(self, vm: Vm) -> tuple[int, int, int, str]:
         report = self.reports.get(vm.pool)
         load = report.workers.get(vm.worker_id) if report else None
-        spare = -self._count_spareable(vm.pool)
+        spare = -self._count_slack(vm.pool)
         if load is None:
             return (spare, 0, 0, vm.name)
         return (spare, load.serving, load.cpu_used, vm.name)
@@ -345,9 +348,17 @@
             for vm in self.vms.values()
         )
 
-    def _count_spareable(self, pool: str) -> int:
-        """Count open VMs of a pool beyond what it needs now."""
-        return self._count_open(pool) - self.sizes.get(pool, 0)
+    def _count_slack(self, pool: str) -> int:
+        """Count open VMs of a pool that could be maintained without being missed.
+
+        An idle pool keeps half of its VMs, in case its turn comes; a busy one keeps
+        its size, since its need rises and falls within a second.
+        """
+        report = self.reports.get(pool)
+        needed = count_needed(report) if report else 0
+        share = 1.0 if pool in self.busy else IDLE_SHARE
+        kept = max(needed, math.ceil(self.sizes.get(pool, 0) * share))
+        return self._count_open(pool) - kept
 
     # moves
 
--- a/src/onyxgap/pools/sizing.py
+++ b/src/onyxgap/pools/sizing.py
@@ -22,6 +22,9 @@
 """A pool keeps two VMs, so that losing one does not stop its urgent jobs."""
 LEAD_S = 2.6
 """A move takes 1.5 s; then the worker registers and is held for the first time."""
+HOLD_S = 2.0
+"""A pool keeps the size that it needed within this time: giving a VM back and asking
+for it again costs two moves and 1.5 s without it."""
 GROWTH = 1.5
 """Most VMs of a pool in its turn, as a multiple of its size in the beginning: its
 demand is then about five times its mean, more than it holds."""
@@ -36,6 +39,7 @@
 
     forecast: TurnForecast = attrs.field(factory=TurnForecast)
     _counts: dict[str, tuple[int, int]] = attrs.field(factory=dict)
+    _recent: dict[str, list[tuple[float, int]]] = attrs.field(factory=dict)
 
     def observe(self, report: PoolReport, now: float) -> None:
         """Take in a shard's report.
@@ -75,12 +79,21 @@
         }
 
     def _choose_size(self, report: PoolReport, base: int, now: float) -> int:
-        need = math.ceil(get_need(report) * HEADROOM)
+        need = self._hold_need(report.shard, count_needed(report), now)
         most = math.ceil(base * GROWTH)
         if self._is_quiet(report.shard, now):
             return min(max(need, MIN_VMS), most)
         return min(max(need, base), most)
 
+    def _hold_need(self, shard: str, need: int, now: float) -> int:
+        recent = [
+            (at, earlier)
+            for at, earlier in self._recent.get(shard, ())
+            if at > now - HOLD_S and earlier > need
+        ]
+        self._recent[shard] = [*recent, (now, need)]
+        return max(earlier for _, earlier in self._recent[shard])
+
     def _is_quiet(self, shard: str, now: float) -> bool:
         """Tell whether a shard's turn is over and the next one is not near."""
         arrivals = self.forecast.shards.get(shard)
@@ -96,3 +109,11 @@
     :param report: its report.
     """
     return QUEUE_SHARE * report.queued + report.batch + report.serving
+
+
+def count_needed(report: PoolReport) -> int:
+    """Count the VMs that a shard needs now, with headroom.
+
+    :param report: its report.
+    """
+    return math.ceil(get_need(report) * HEADROOM)
--- a/src/onyxgap/pools/turns.py
+++ b/src/onyxgap/pools/turns.py
@@ -24,6 +24,9 @@
 """A turn lasts at least this long; a shorter pause in it is chance."""
 SAME_TURN_FACTOR = 2.0
 """Busy again within this many turn lengths is still the same turn."""
+EARLY_SHARE = 0.85
+"""Share of the period, reckoned from one turn's length, that a pool may rest. A
+turn of few jobs looks shorter than it is, so the longest one seen counts."""
 KEPT_STARTS = 6
 
 
@@ -108,6 +111,12 @@
         if arrivals is not None and arrivals.busy:
             arrivals.peak_need = max(arrivals.peak_need, need)
 
+    def list_busy(self) -> frozenset[str]:
+        """List the shards whose turn is on."""
+        return frozenset(
+            shard for shard, arrivals in self.shards.items() if arrivals.busy
+        )
+
     def get_period(self) -> float | None:
         """Give the least seconds from a turn of a shard to its next, if known."""
         spans = [
@@ -124,7 +133,7 @@
         ]
         if not lengths or len(self.shards) < 2:
             return None
-        return min(lengths) * len(self.shards)
+        return EARLY_SHARE * max(lengths) * len(self.shards)
 
     def get_next_start(self, shard: str) -> float | None:
         """Forecast the earliest start of a shard's next turn, if that is known."""
