--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -38,6 +38,7 @@
 from .follower import Follower
 from .owner import OwnerContext
 from .owner import ShardOwner
+from .vm_watch import VmWatch
 
 POLL_S = 0.7
 """Pause between two looks at the owner rows, which are renewed as often."""
@@ -110,6 +111,7 @@
     desk: NodeDesk = attrs.field(init=False)
     _heard_since: float | None = None
     _heard_at: float = 0.0
+    _claiming: set[str] = attrs.field(factory=set)
     _group: anyio.abc.TaskGroup | None = None
     _stopping: bool = False
 
@@ -136,6 +138,9 @@
             group.start_soon(operator.run)
             group.start_soon(workers.run)
             group.start_soon(self._watch_owners)
+            if self.cloud is not None:
+                watch = VmWatch(self.cloud, self.clocks, self._list_owners)
+                group.start_soon(watch.run)
 
     def _build_follower(
         self,
@@ -240,6 +245,9 @@
         duties = [tables.FLEET_SHARD] if self.cloud is not None else []
         return [*configuration.list_shards(), *duties]
 
+    def _list_owners(self) -> list[ShardOwner]:
+        return list(self.owners.values())
+
     def _count_owned(self) -> int:
         return len(self.owners) + (self.holder is not None)
 
@@ -267,11 +275,14 @@
         views = {
             shard: view
             for shard, view in self.views.items()
-            if not self._owns(shard) and shard in self._list_shards()
+            if not self._owns(shard)
+            and shard not in self._claiming
+            and shard in self._list_shards()
         }
         claimant = Claimant(self.settings.node, self.boot, self._count_owned())
         assert self._group is not None
         for shard in list_claimable(views, claimant, heard_since, now)[:1]:
+            self._claiming.add(shard)
             self._group.start_soon(self._claim, shard)
 
     def _note_heard(self, now: float) -> float | None:
@@ -289,6 +300,13 @@
         return shard in self.owners
 
     async def _claim(self, shard: str) -> None:
+        # a second claim beside this one would find its row and take it for its own
+        try:
+            await self._try_claim(shard)
+        finally:
+            self._claiming.discard(shard)
+
+    async def _try_claim(self, shard: str) -> None:
         view = self.views[shard]
         earlier = view.row.epoch if view.row else 0
         row = OwnerRow(self.settings.node, self.boot, earlier + 1)
--- a/src/onyxgap/daemons/owner.py
+++ b/src/onyxgap/daemons/owner.py
@@ -20,6 +20,7 @@
 from ..jobs.messages import WorkerEntry
 from ..jobs.settings import TimeLimits
 from ..jobs.shard import Shard
+from ..jobs.store import Batch
 from ..jobs.store import RowId
 from ..jobs.store import Store
 from ..jobs.store import StoredRow
@@ -149,7 +150,7 @@
         follower = Follower(
             self.context.store,
             tables.get_job_table(self.shard),
-            lambda: [self.shard],
+            self._list_job_parts,
             self._take_rows,
             self.context.rng,
             after=after,
@@ -178,12 +179,15 @@
 
     async def _load(self) -> int:
         store = self.context.store
-        jobs = await store.read(tables.get_job_table(self.shard), self.shard)
+        table = tables.get_job_table(self.shard)
+        jobs = [await store.read(table, part) for part in self._list_job_parts()]
         progress = await store.read(tables.PROGRESS_TABLE, self.shard)
         values = {row.row_id.key: row.value for row in progress.rows}
         fleet = await store.read(tables.FLEET_TABLE, tables.FLEET_SHARD)
         self._take_fleet_rows(fleet.rows, True)
-        self._take_rows(jobs.rows, True, values)
+        rows = [row for page in jobs for row in page.rows]
+        version = min(page.version for page in jobs)
+        self._take_rows(rows, True, values)
         self.loaded = True
         _LOG.info(
             "shard loaded",
@@ -191,9 +195,12 @@
             epoch=self.epoch,
             jobs=len(self.state.jobs),
             ended=len(self.state.final),
-            version=jobs.version,
+            version=version,
         )
-        return jobs.version
+        return version
+
+    def _list_job_parts(self) -> t.Sequence[str]:
+        return tables.list_job_parts(self.shard)
 
     def _take_rows(
         self,
@@ -202,8 +209,9 @@
         progress: t.Mapping[str, bytes] | None = None,
     ) -> None:
         now, wall_ms = self._now(), self._wall_ms()
+        parts = frozenset(self._list_job_parts())
         for row in rows:
-            if row.row_id.part != self.shard or row.removed:
+            if row.row_id.part not in parts or row.removed:
                 continue
             key = row.row_id.key
             if key.endswith(tables.CANCEL_SUFFIX):
@@ -241,6 +249,15 @@
         """Take in that a registration is gone."""
         self.state.miss_worker(worker_id)
 
+    def has_silent_workers(self) -> bool:
+        """Tell whether any worker gives no answer."""
+        return self.loaded and bool(self.state.list_silent())
+
+    def apply_live_workers(self, live: t.Collection[str], sent_at: float) -> None:
+        """Take in which workers are alive by the platform's list of VMs."""
+        self.state.apply_live_workers(live, sent_at)
+        self.wake()
+
     def _start_hold(self, worker_id: str) -> None:
         record = self.state.workers.get(worker_id)
         if self._group is None or record is None or not record.entry.address:
@@ -331,6 +348,8 @@
                 self._publish_seen(self._read_seen())
                 return
             await self.writer.write(commit.puts, self._rows_of(commit.expired))
+            for job_id in commit.expired:
+                self._spawn(self._remove_job, job_id)
             self._publish(commit)
             sent = set(commit.orders)
             orders = [order for order in orders if order not in sent]
@@ -390,12 +409,15 @@
         return tuple(self.state.list_expired(now, retention_s)[:2])
 
     def _rows_of(self, job_ids: t.Iterable[str]) -> tuple[RowId, ...]:
-        rows: list[RowId] = []
-        for job_id in job_ids:
-            rows.append(tables.get_job_row(self.shard, job_id))
-            rows.append(tables.get_cancel_row(self.shard, job_id))
-            rows.append(tables.get_progress_row(self.shard, job_id))
-        return tuple(rows)
+        return tuple(tables.get_progress_row(self.shard, job_id) for job_id in job_ids)
+
+    async def _remove_job(self, job_id: str) -> None:
+        rows = (
+            tables.get_job_row(self.shard, job_id),
+            tables.get_cancel_row(self.shard, job_id),
+        )
+        outcome = await self.context.store.write(Batch({}, {}, rows))
+        _LOG.info("job removed", job=job_id, outcome=type(outcome).__name__)
 
     def _publish(self, commit: _Commit) -> None:
         now = self._now()
--- a/src/onyxgap/jobs/ownership.py
+++ b/src/onyxgap/jobs/ownership.py
@@ -85,7 +85,7 @@
 ) -> list[str]:
     """List the shards that a node may claim now.
 
-    :param views: what it has seen, by shard.
+    :param views: what it has seen, by shard that it does not run itself.
     :param claimant: the node.
     :param heard_since: since when it hears the store without a gap.
     :param now: monotonic seconds.
@@ -93,6 +93,5 @@
     return [
         shard
         for shard, view in views.items()
-        if (view.row is None or view.row.boot != claimant.boot or view.row.released)
-        and now >= get_claim_time(view, shard, claimant, heard_since)
+        if now >= get_claim_time(view, shard, claimant, heard_since)
     ]
--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -366,6 +366,25 @@
         )
         del self.workers[worker_id]
 
+    def list_silent(self) -> list[WorkerRecord]:
+        """List workers that give no answer, or whose registration is gone."""
+        return [
+            record
+            for record in self.workers.values()
+            if record.failing_since is not None or not record.registered
+        ]
+
+    def apply_live_workers(self, live: t.Collection[str], sent_at: float) -> None:
+        """Take in which workers are alive by the platform's list of VMs.
+
+        :param live: workers of VMs that are up.
+        :param sent_at: monotonic seconds when the list was asked for.
+        """
+        for record in self.list_silent():
+            silent_since = record.failing_since or self.claimed_at
+            if record.entry.worker_id not in live and sent_at > silent_since:
+                self.end_worker(record.entry.worker_id, "its VM is down or reborn")
+
     def expire_workers(self, now: float) -> None:
         """Release the runs of silent workers whose lease is certainly over."""
         for record in list(self.workers.values()):
--- a/src/onyxgap/jobs/tables.py
+++ b/src/onyxgap/jobs/tables.py
@@ -12,6 +12,9 @@
 
 JOB_TABLES = 32
 """Tables that the shards share; a shard's owner follows only its own."""
+JOB_PARTS = 8
+"""Partitions of a shard's submissions: a slow store does 4 transactions a second
+in each, and a busy service takes in 20 jobs a second."""
 PROGRESS_TABLE = "onyxgap-progress"
 OWNER_TABLE = "onyxgap-owners"
 FENCE_TABLE = "onyxgap-fences"
@@ -27,14 +30,29 @@
     return f"onyxgap-jobs-{zlib.crc32(shard.encode()) % JOB_TABLES}"
 
 
+def get_job_part(shard: str, job_id: str) -> str:
+    """Give the partition of a submission.
+
+    Submissions are spread, so that many of them neither wait for each other nor
+    for the owner's writes, even when the store is slow.
+    """
+    return f"{shard}/{zlib.crc32(job_id.encode()) % JOB_PARTS}"
+
+
+def list_job_parts(shard: str) -> tuple[str, ...]:
+    """List the partitions that hold the submissions of a shard."""
+    return tuple(f"{shard}/{number}" for number in range(JOB_PARTS))
+
+
 def get_job_row(shard: str, job_id: str) -> RowId:
     """Give the row of a submission."""
-    return RowId(get_job_table(shard), shard, job_id)
+    return RowId(get_job_table(shard), get_job_part(shard, job_id), job_id)
 
 
 def get_cancel_row(shard: str, job_id: str) -> RowId:
     """Give the row that says that a job is cancelled."""
-    return RowId(get_job_table(shard), shard, job_id + CANCEL_SUFFIX)
+    row = get_job_row(shard, job_id)
+    return RowId(row.table, row.part, job_id + CANCEL_SUFFIX)
 
 
 def get_progress_row(shard: str, job_id: str) -> RowId:
--- a/src/onyxgap/platform/workers.py
+++ b/src/onyxgap/platform/workers.py
@@ -20,7 +20,7 @@
 
 ORDER_TIMEOUT_S = 0.8
 """A worker answers within milliseconds; a lost order is settled by its deadline."""
-HOLD_MARGIN_S = 0.8
+HOLD_MARGIN_S = 0.5
 WORKER_CONNECTIONS = 48
 """Below the 64 connections that a worker takes."""
 
