--- /dev/null
+++ b/src/onyxgap/standins/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform in memory and in virtual time, for tests and experiments."""
--- /dev/null
+++ b/src/onyxgap/standins/emulator/callers.py
@@ -0,0 +1,244 @@
+"""Callers: hand jobs in, ask for their state, cancel some; note what they are told."""
+
+import math
+import random
+import typing as t
+
+import anyio
+import attrs
+
+from ...jobs.desk import SubmitOutcome
+from ...jobs.desk import Unavailable
+from ...jobs.messages import JobState
+from ...jobs.messages import QueuePolicy
+from ...jobs.messages import Step
+from ...jobs.messages import Submission
+from ...jobs.messages import TaskId
+from ...jobs.routing import Route
+from .script import LoadLine
+from .script import ServeLine
+
+POLL_S = 0.5
+RETRIES = 4
+RETRY_S = 0.4
+PATIENCE_S = 3.0
+WORK_SPREAD = 0.5
+STRETCH = 1.6
+SLO_MS = 600
+MAX_ATTEMPTS = 3
+
+
+class CallerNode(t.Protocol):
+    """A node as callers reach it, if it is up."""
+
+    async def submit(self, submission: Submission) -> SubmitOutcome | None:
+        """Hand a job in; ``None`` when the connection broke."""
+
+    async def get_state(self, route: Route, job_id: str) -> t.Any:
+        """Ask for a job's state; ``Unavailable`` when the node gives none."""
+
+    async def cancel(self, route: Route, job_id: str) -> t.Any:
+        """Cancel a job."""
+
+
+@attrs.define
+class JobNotes:
+    """What a caller was told of a job.
+
+    :param submission: the job.
+    :param route: where it was handed in.
+    :param sent_at: monotonic seconds of the first try.
+    :param objective_s: seconds within which it should end.
+    :param outcomes: answers to each try to hand it in.
+    :param accepted_at: monotonic seconds of the first acceptance.
+    :param cancelled_at: monotonic seconds when a cancel was confirmed.
+    :param shown: states that it was shown in, with the time of each change.
+    :param poison: whether its tasks always fail.
+    :param work_s: run time of its tasks.
+    """
+
+    submission: Submission
+    route: Route
+    sent_at: float
+    objective_s: float
+    poison: bool = False
+    outcomes: list[SubmitOutcome | None] = attrs.field(factory=list)
+    accepted_at: float | None = None
+    cancelled_at: float | None = None
+    shown: list[tuple[float, JobState | None]] = attrs.field(factory=list)
+    work_s: dict[TaskId, float] = attrs.field(factory=dict)
+
+    def get_last_state(self) -> JobState | None:
+        """Give the last state that the caller was shown."""
+        return self.shown[-1][1] if self.shown else None
+
+    def find_final_at(self) -> float | None:
+        """Give the second at which a final state was first shown."""
+        for at, state in self.shown:
+            if state is not None and state.final:
+                return at
+        return None
+
+
+def _draw_step(load: LoadLine, number: int, rng: random.Random) -> Step:
+    width = max(1, round(rng.lognormvariate(math.log(load.width), 0.4)))
+    work_s = load.work * rng.lognormvariate(0, 0.3)
+    return Step(
+        count=width,
+        cpu=int(load.cpu * 1000),
+        memory_mb=int(load.memory * 1000),
+        estimate_ms=int(work_s * 1000),
+        after=(number - 1,) if number else (),
+        checkpointing=rng.random() < 0.3,
+        anti_affinity=2 if rng.random() < 0.1 else 0,
+    )
+
+
+@attrs.define(eq=False)
+class Callers:
+    """All callers of a day.
+
+    :param nodes: gives the nodes in the order in which a caller tries them.
+    :param rng: draws jobs.
+    :param jobs: what they were told, by job.
+    """
+
+    nodes: t.Callable[[], list[CallerNode]]
+    rng: random.Random
+    jobs: dict[str, JobNotes] = attrs.field(factory=dict)
+
+    def find_step(self, task: TaskId) -> tuple[Step, float, bool]:
+        """Give a task's step, its run time, and whether it always fails."""
+        notes = self.jobs[task.job_id]
+        step = notes.submission.steps[task.step]
+        if task not in notes.work_s:
+            spread = self.rng.lognormvariate(0, 0.15)
+            notes.work_s[task] = step.estimate_ms / 1000 * spread
+        return step, notes.work_s[task], notes.poison
+
+    def _add(
+        self, route: Route, steps: tuple[Step, ...], objective_s: float, poison: bool
+    ) -> JobNotes:
+        job_id = f"{self.rng.getrandbits(64):016x}"
+        submission = Submission(job_id, route.policy, f"spec of {job_id}", steps)
+        notes = JobNotes(
+            submission, route, anyio.current_time(), objective_s, poison=poison
+        )
+        self.jobs[job_id] = notes
+        return notes
+
+    async def run_load(
+        self, load: LoadLine, route: Route, is_due: t.Callable[[], float]
+    ) -> None:
+        """Hand jobs in at random moments.
+
+        :param load: how many and which.
+        :param route: where.
+        :param is_due: factor on the rate at this moment.
+        """
+        await anyio.sleep(load.start)
+        async with anyio.create_task_group() as group:
+            while anyio.current_time() < load.stop:
+                rate = is_due() / load.every
+                await anyio.sleep(self.rng.expovariate(rate) if rate else load.every)
+                steps = tuple(
+                    _draw_step(load, number, self.rng) for number in range(load.steps)
+                )
+                chain_ms = sum(step.estimate_ms for step in steps)
+                objective_s = (STRETCH * chain_ms + SLO_MS) / 1000
+                poison = self.rng.random() < load.poison
+                notes = self._add(route, steps, objective_s, poison)
+                group.start_soon(self._live, notes, load)
+
+    async def run_service(self, serve: ServeLine, route: Route) -> None:
+        """Hand in a job that serves until the end.
+
+        :param serve: its tasks.
+        :param route: where.
+        """
+        step = Step(
+            count=serve.tasks,
+            cpu=int(serve.cpu * 1000),
+            memory_mb=int(serve.memory * 1000),
+            long_running=True,
+            may_miss=serve.may_miss,
+        )
+        notes = self._add(route, (step,), 1e9, False)
+        await anyio.sleep(1.0)
+        while not await self._submit(notes):
+            await anyio.sleep(RETRY_S)
+
+    async def _live(self, notes: JobNotes, load: LoadLine) -> None:
+        if not await self._submit(notes):
+            return
+        async with anyio.create_task_group() as group:
+            if self.rng.random() < load.resend:
+                group.start_soon(self._resend, notes)
+            if self.rng.random() < load.cancel:
+                group.start_soon(self._cancel, notes)
+            await self._poll(notes)
+
+    async def _submit(self, notes: JobNotes) -> bool:
+        for _ in range(1 + RETRIES):
+            node = self.rng.choice(self.nodes() or [None])
+            outcome = None
+            if node is not None:
+                with anyio.move_on_after(PATIENCE_S):
+                    outcome = await node.submit(notes.submission)
+            notes.outcomes.append(outcome)
+            if outcome is SubmitOutcome.ACCEPTED:
+                notes.accepted_at = notes.accepted_at or anyio.current_time()
+                return True
+            await anyio.sleep(RETRY_S)
+        return False
+
+    async def _resend(self, notes: JobNotes) -> None:
+        await anyio.sleep(self.rng.uniform(0.1, 3.0))
+        nodes = self.nodes()
+        if nodes:
+            with anyio.move_on_after(PATIENCE_S):
+                notes.outcomes.append(
+                    await self.rng.choice(nodes).submit(notes.submission)
+                )
+
+    async def _cancel(self, notes: JobNotes) -> None:
+        await anyio.sleep(self.rng.uniform(0.2, 1.5))
+        while notes.cancelled_at is None and notes.find_final_at() is None:
+            nodes = self.nodes()
+            if nodes:
+                with anyio.move_on_after(PATIENCE_S):
+                    node = self.rng.choice(nodes)
+                    job_id = notes.submission.job_id
+                    if await node.cancel(notes.route, job_id) is True:
+                        notes.cancelled_at = anyio.current_time()
+            await anyio.sleep(RETRY_S)
+
+    async def _poll(self, notes: JobNotes) -> None:
+        while notes.find_final_at() is None:
+            await anyio.sleep(POLL_S)
+            await self.ask(notes)
+
+    async def ask(self, notes: JobNotes) -> None:
+        """Ask once for a job's state and note the answer."""
+        nodes = self.nodes()
+        if not nodes:
+            return
+        state: t.Any = Unavailable.STORE
+        with anyio.move_on_after(PATIENCE_S):
+            node = self.rng.choice(nodes)
+            state = await node.get_state(notes.route, notes.submission.job_id)
+        if isinstance(state, Unavailable):
+            return
+        if not notes.shown or notes.get_last_state() is not state:
+            notes.shown.append((anyio.current_time(), state))
+
+
+def build_policy(pool: str) -> QueuePolicy:
+    """Build the policy of a pool's queue."""
+    return QueuePolicy(
+        f"queue-{pool}",
+        pool,
+        max_attempts=MAX_ATTEMPTS,
+        stretch=STRETCH,
+        slo_ms=SLO_MS,
+    )
--- /dev/null
+++ b/src/onyxgap/standins/emulator/checks.py
@@ -0,0 +1,271 @@
+"""Checks of a finished day: which rules were broken, and what callers got."""
+
+import collections
+import itertools
+import typing as t
+
+import attrs
+
+from ...jobs.desk import SubmitOutcome
+from ...jobs.messages import JobState
+from ...jobs.messages import TaskId
+from ...pools.messages import VmActionKind
+from ...pools.messages import Wave
+from .callers import Callers
+from .callers import JobNotes
+from .cloud import UPKEEP_S
+from .cloud import OrderRecord
+from .workers import RunRecord
+
+CANCEL_S = 3.0
+"""A task may start this long after its job's cancel was confirmed."""
+HOLDER_PAUSE_S = 3.0
+
+
+@attrs.frozen
+class Breach:
+    """A broken rule.
+
+    :param rule: its name.
+    :param at: monotonic seconds.
+    :param detail: what happened.
+    """
+
+    rule: str
+    at: float
+    detail: str
+
+
+@attrs.frozen
+class Evidence:
+    """Everything that the checks look at.
+
+    :param callers: what callers did and were told.
+    :param records: runs on workers.
+    :param orders: orders about VMs.
+    :param waves: waves that the operator asked for.
+    :param maintained: waves that each VM has begun.
+    """
+
+    callers: Callers
+    records: list[RunRecord]
+    orders: list[OrderRecord]
+    waves: tuple[Wave, ...]
+    maintained: t.Mapping[str, set[int]]
+
+
+def _group_runs(evidence: Evidence) -> dict[TaskId, list[RunRecord]]:
+    runs: dict[TaskId, list[RunRecord]] = collections.defaultdict(list)
+    for record in evidence.records:
+        runs[record.task].append(record)
+    return runs
+
+
+def check_twice(evidence: Evidence) -> t.Iterator[Breach]:
+    """Check that no task runs twice at once, nor again after it was done."""
+    for task, runs in _group_runs(evidence).items():
+        for earlier, later in itertools.pairwise(sorted(runs, key=lambda r: r.began)):
+            if earlier.ended is None or earlier.ended > later.began:
+                yield Breach("twice", later.began, f"{task} runs twice at once")
+            elif earlier.how == "done":
+                yield Breach("twice", later.began, f"{task} runs again after done")
+
+
+def check_order(evidence: Evidence) -> t.Iterator[Breach]:
+    """Check that no step starts before those that it comes after are done."""
+    done_at: dict[tuple[str, int, int], list[float]] = collections.defaultdict(list)
+    for record in evidence.records:
+        if record.how == "done" and record.ended is not None:
+            done_at[record.task[:3]].append(record.ended)
+    for record in evidence.records:
+        task = record.task
+        steps = evidence.callers.jobs[task.job_id].submission.steps
+        for earlier in steps[task.step].after:
+            ends = done_at[(task.job_id, task.occurrence, earlier)]
+            before = sum(end <= record.began for end in ends)
+            if before < steps[earlier].count:
+                yield Breach("order", record.began, f"{task} before step {earlier}")
+
+
+def check_budget(evidence: Evidence) -> t.Iterator[Breach]:
+    """Check that no task starts after it has failed as often as it may."""
+    for task, runs in _group_runs(evidence).items():
+        job = evidence.callers.jobs[task.job_id].submission
+        if job.steps[task.step].long_running:
+            continue
+        for record in runs:
+            failures = sum(
+                run.how == "failed"
+                and run.ended is not None
+                and run.ended <= record.began
+                for run in runs
+            )
+            if failures >= job.policy.max_attempts:
+                yield Breach("budget", record.began, f"{task} after {failures} fails")
+
+
+def check_unasked(evidence: Evidence) -> t.Iterator[Breach]:
+    """Check that nothing starts after a cancel, or of a job that was refused."""
+    for record in evidence.records:
+        notes = evidence.callers.jobs[record.task.job_id]
+        cancelled = notes.cancelled_at
+        if cancelled is not None and record.began > cancelled + CANCEL_S:
+            yield Breach("unasked", record.began, f"{record.task} after its cancel")
+        refusals = [item is SubmitOutcome.REFUSED for item in notes.outcomes]
+        if refusals and all(refusals):
+            yield Breach("refused", record.began, f"{record.task} of a refused job")
+
+
+def _count_done(evidence: Evidence, notes: JobNotes, until: float) -> int:
+    job_id = notes.submission.job_id
+    return len(
+        {
+            record.task
+            for record in evidence.records
+            if record.task.job_id == job_id
+            and record.how == "done"
+            and record.ended is not None
+            and record.ended <= until
+        }
+    )
+
+
+def check_states(evidence: Evidence) -> t.Iterator[Breach]:
+    """Check that what callers are shown is true, and that no job is lost."""
+    for job_id, notes in evidence.callers.jobs.items():
+        tasks = sum(step.count for step in notes.submission.steps)
+        for at, state in notes.shown:
+            done = _count_done(evidence, notes, at)
+            if state is JobState.SUCCEEDED and done < tasks:
+                yield Breach("mixed", at, f"{job_id} succeeded with {done} of {tasks}")
+            if state is None:
+                yield Breach("lost", at, f"{job_id} is not known")
+            if state is JobState.FAILED and not notes.poison:
+                yield Breach("lost", at, f"{job_id} failed without cause")
+        serving = notes.submission.steps[0].long_running
+        open_ended = notes.accepted_at is None or serving
+        if not open_ended and notes.find_final_at() is None:
+            yield Breach("lost", 0.0, f"{job_id} never ended")
+
+
+def check_serving(evidence: Evidence, end_s: float) -> t.Iterator[Breach]:
+    """Check that each serving task runs at the end of the day."""
+    running = {record.task for record in evidence.records if record.ended is None}
+    for job_id, notes in evidence.callers.jobs.items():
+        step = notes.submission.steps[0]
+        if not step.long_running or notes.accepted_at is None:
+            continue
+        for position in range(step.count):
+            if TaskId(job_id, 0, 0, position) not in running:
+                yield Breach("lost", end_s, f"{job_id} lacks serving task {position}")
+
+
+def check_waves(evidence: Evidence) -> t.Iterator[Breach]:
+    """Check that waves keep their cap and that every VM is maintained."""
+    for wave in evidence.waves:
+        begun = [
+            record.at
+            for record in evidence.orders
+            if record.order.kind is VmActionKind.UPKEEP
+            and record.order.wave == wave.number
+        ]
+        for at in begun:
+            down = sum(at - UPKEEP_S < other <= at for other in begun)
+            if down > wave.cap:
+                yield Breach("limit", at, f"{down} VMs down, cap {wave.cap}")
+        for name in wave.vms:
+            if wave.number not in evidence.maintained.get(name, set()):
+                yield Breach("wave", 0.0, f"{name} was not maintained")
+
+
+def check_holders(evidence: Evidence) -> t.Iterator[Breach]:
+    """Check that orders for VMs come from one holder, with rising numbers."""
+    for earlier, later in itertools.pairwise(evidence.orders):
+        if later.token < earlier.token:
+            yield Breach("one", later.at, "an earlier holder after a later one")
+        taken = later.holder != earlier.holder
+        if taken and later.at - earlier.at < HOLDER_PAUSE_S:
+            yield Breach("one", later.at, "two holders take turns")
+
+
+def list_breaches(evidence: Evidence, end_s: float) -> list[Breach]:
+    """List the broken rules of a day, in order of time.
+
+    :param evidence: what happened.
+    :param end_s: when the day ended.
+    """
+    checks = (
+        check_twice,
+        check_order,
+        check_budget,
+        check_unasked,
+        check_states,
+        check_waves,
+        check_holders,
+    )
+    breaches = [breach for check in checks for breach in check(evidence)]
+    breaches += check_serving(evidence, end_s)
+    return sorted(breaches, key=lambda breach: breach.at)
+
+
+@attrs.frozen
+class Account:
+    """What callers got.
+
+    :param accepted: jobs accepted.
+    :param refused: jobs of which every try was refused or broken.
+    :param in_time: jobs that ended within their objective.
+    :param late: jobs that ended later.
+    :param runs: runs that began.
+    :param wasted_s: core-seconds of runs that did not end as done.
+    :param vm_s: seconds of VMs in pools.
+    :param moves: moves of VMs.
+    :param store_calls: calls to the store.
+    """
+
+    accepted: int
+    refused: int
+    in_time: int
+    late: int
+    runs: int
+    wasted_s: float
+    vm_s: float
+    moves: int
+    store_calls: int
+
+
+def settle_account(evidence: Evidence, vm_s: float, store_calls: int) -> Account:
+    """Sum up what callers got and what it took.
+
+    :param evidence: what happened.
+    :param vm_s: seconds of VMs in pools.
+    :param store_calls: calls to the store.
+    """
+    counts: collections.Counter[str] = collections.Counter()
+    for notes in evidence.callers.jobs.values():
+        if notes.submission.steps[0].long_running:
+            continue
+        counts["accepted" if notes.accepted_at is not None else "refused"] += 1
+        final_at = notes.find_final_at()
+        if final_at is not None and notes.cancelled_at is None:
+            in_time = final_at - notes.sent_at <= notes.objective_s
+            counts["in_time" if in_time else "late"] += 1
+    wasted_s = sum(
+        (record.ended - record.began)
+        * evidence.callers.find_step(record.task)[0].cpu
+        / 1000
+        for record in evidence.records
+        if record.ended is not None and record.how not in ("done", "failed")
+    )
+    moves = sum(item.order.kind is VmActionKind.MOVE for item in evidence.orders)
+    return Account(
+        accepted=counts["accepted"],
+        refused=counts["refused"],
+        in_time=counts["in_time"],
+        late=counts["late"],
+        runs=len(evidence.records),
+        wasted_s=round(wasted_s, 1),
+        vm_s=round(vm_s, 1),
+        moves=moves,
+        store_calls=store_calls,
+    )
--- /dev/null
+++ b/src/onyxgap/standins/emulator/cloud.py
@@ -0,0 +1,228 @@
+"""VMs with pools, moves and maintenance; each life of a worker is registered."""
+
+import random
+import typing as t
+
+import anyio
+import anyio.abc
+import attrs
+import orjson
+
+from ...exceptions import PlatformUnavailableError
+from ...jobs.messages import Step
+from ...jobs.messages import TaskId
+from ...jobs.messages import WorkerEntry
+from ...jobs.messages import WorkerState
+from ...jobs.store import RowId
+from ...pools.messages import Vm
+from ...pools.messages import VmActionKind
+from ...pools.messages import VmOrder
+from ...pools.messages import VmReply
+from ...pools.messages import VmState
+from .gate import NodeGate
+from .store import EmulatedStore
+from .workers import EmulatedWorker
+from .workers import EmulatedWorkers
+
+MOVE_S = 1.5
+UPKEEP_S = 2.0
+LAPSE_S = 4.5
+"""Time after which the registration of a silent worker is gone."""
+WORKER_TABLE = "workers"
+ORDER_DELAY_S = 0.005
+
+FindStep = t.Callable[[TaskId], tuple[Step, float, bool]]
+
+
+@attrs.frozen(slots=True)
+class OrderRecord:
+    """An order about a VM, for the checks.
+
+    :param at: monotonic seconds.
+    :param order: the order.
+    :param holder: who gave it.
+    :param token: fencing token.
+    :param node: node that sent it.
+    """
+
+    at: float
+    order: VmOrder
+    holder: str
+    token: int
+    node: str
+
+
+@attrs.define(eq=False)
+class EmulatedCloud:
+    """All VMs.
+
+    :param store: where workers register.
+    :param workers: lives of workers.
+    :param group: runs moves and maintenance.
+    :param find_step: gives the step of a task.
+    :param rng: draws clocks.
+    :param spare_pool: pool whose VMs are off.
+    """
+
+    store: EmulatedStore
+    workers: EmulatedWorkers
+    group: anyio.abc.TaskGroup
+    find_step: FindStep
+    rng: random.Random
+    spare_pool: str
+    vms: dict[str, Vm] = attrs.field(factory=dict)
+    orders: list[OrderRecord] = attrs.field(factory=list)
+    maintained: dict[str, set[int]] = attrs.field(factory=dict)
+    paid_s: float = 0.0
+    _paid_at: float = 0.0
+    _lives: int = 0
+
+    def add(self, vm: Vm) -> None:
+        """Add a VM that is up."""
+        self.vms[vm.name] = vm
+        self._boot(vm.name)
+
+    def settle_bill(self) -> None:
+        """Count the seconds of VMs in pools that are paid for."""
+        now = anyio.current_time()
+        paid = sum(vm.pool != self.spare_pool for vm in self.vms.values())
+        self.paid_s += paid * (now - self._paid_at)
+        self._paid_at = now
+
+    def get_worker(self, name: str) -> EmulatedWorker | None:
+        """Give the present worker of a VM."""
+        return self.workers.lives.get(self.vms[name].worker_id)
+
+    def _boot(self, name: str) -> None:
+        vm = self.vms[name]
+        worker_id = ""
+        if vm.pool != self.spare_pool:
+            self._lives += 1
+            worker_id = f"w{self._lives}-{name}"
+            entry = WorkerEntry(
+                worker_id,
+                vm.pool,
+                f"{name}:1",
+                vm.zone,
+                WorkerState.READY,
+                vm.cpu,
+                vm.memory_mb,
+                0,
+                ("a", vm.rack),
+                5e4,
+            )
+            self.workers.lives[worker_id] = EmulatedWorker(
+                entry,
+                self.find_step,
+                self.rng,
+                self.workers.records,
+                drift=self.rng.uniform(0, 0.02),
+            )
+            self._register(entry)
+        self.vms[name] = attrs.evolve(vm, state=VmState.UP, worker_id=worker_id)
+
+    def _register(self, entry: WorkerEntry) -> None:
+        value = attrs.asdict(entry)
+        value["state"] = entry.state.value
+        self.store.put(RowId(WORKER_TABLE, "", entry.worker_id), orjson.dumps(value))
+
+    def crash(self, name: str, for_s: float) -> None:
+        """Crash a VM; it comes back with another worker."""
+        self._end_life(name, VmState.DOWN)
+        self.group.start_soon(self._return_after, name, for_s)
+
+    def cut(self, name: str, for_s: float) -> None:
+        """Cut a VM off from everything; its worker runs on."""
+        worker = self.get_worker(name)
+        if worker is not None:
+            worker.dark = True
+            self.group.start_soon(self._heal_after, worker, for_s)
+
+    async def _heal_after(self, worker: EmulatedWorker, for_s: float) -> None:
+        row = RowId(WORKER_TABLE, "", worker.entry.worker_id)
+        if for_s > LAPSE_S:
+            await anyio.sleep(LAPSE_S)
+            self.store.remove(row)
+            await anyio.sleep(for_s - LAPSE_S)
+        else:
+            await anyio.sleep(for_s)
+        worker.dark = False
+        if worker.alive:
+            self._register(worker.entry)
+
+    def _end_life(self, name: str, state: VmState) -> None:
+        vm = self.vms[name]
+        worker = self.get_worker(name)
+        if worker is not None and worker.alive:
+            worker.crash()
+            self.group.start_soon(self._unregister, vm.worker_id)
+        self.vms[name] = attrs.evolve(vm, state=state, worker_id="")
+
+    async def _unregister(self, worker_id: str) -> None:
+        await anyio.sleep(LAPSE_S)
+        self.store.remove(RowId(WORKER_TABLE, "", worker_id))
+
+    async def _return_after(self, name: str, for_s: float) -> None:
+        await anyio.sleep(for_s)
+        self._boot(name)
+
+    def carry_out(self, order: VmOrder) -> VmReply:
+        """Carry out an order."""
+        vm = self.vms.get(order.vm)
+        if vm is None:
+            return VmReply.INVALID
+        if order.kind is VmActionKind.UPKEEP:
+            if order.wave in self.maintained.get(order.vm, set()):
+                return VmReply.DONE
+        elif vm.pool == order.pool:
+            return VmReply.DONE
+        if vm.state is not VmState.UP:
+            return VmReply.BUSY
+        self.settle_bill()
+        if order.kind is VmActionKind.UPKEEP:
+            self.maintained.setdefault(order.vm, set()).add(order.wave)
+            self._end_life(order.vm, VmState.UPKEEP)
+            self.group.start_soon(self._return_after, order.vm, UPKEEP_S)
+        else:
+            self._end_life(order.vm, VmState.MOVING)
+            moved = attrs.evolve(self.vms[order.vm], pool=order.pool)
+            self.vms[order.vm] = moved
+            self.group.start_soon(self._return_after, order.vm, MOVE_S)
+        return VmReply.DONE
+
+
+@attrs.define(eq=False)
+class EmulatedCloudClient:
+    """VMs as one node reaches them.
+
+    :param cloud: all VMs.
+    :param gate: freezes and cuts of the node.
+    """
+
+    cloud: EmulatedCloud
+    gate: NodeGate
+
+    async def list_vms(self) -> tuple[Vm, ...]:
+        """List all VMs."""
+        await self.gate.pass_through()
+        await anyio.sleep(ORDER_DELAY_S)
+        if "cloud" in self.gate.cut_from:
+            await anyio.sleep(1.0)
+            raise PlatformUnavailableError("no answer")
+        vms = tuple(self.cloud.vms.values())
+        await self.gate.pass_through()
+        return vms
+
+    async def send(self, order: VmOrder, holder: str, token: int) -> VmReply:
+        """Send an order; repeating one that was done does nothing more."""
+        await self.gate.pass_through()
+        await anyio.sleep(ORDER_DELAY_S)
+        if "cloud" in self.gate.cut_from:
+            await anyio.sleep(1.0)
+            return VmReply.UNKNOWN
+        now = anyio.current_time()
+        self.cloud.orders.append(OrderRecord(now, order, holder, token, self.gate.node))
+        reply = self.cloud.carry_out(order)
+        await anyio.sleep(ORDER_DELAY_S)
+        await self.gate.pass_through()
+        return reply
--- /dev/null
+++ b/src/onyxgap/standins/emulator/gate.py
@@ -0,0 +1,73 @@
+"""What stands between a node and the services that it calls."""
+
+import random
+import typing as t
+
+import anyio
+import attrs
+
+
+@attrs.define(eq=False)
+class NodeGate:
+    """Freezes or cuts one node at the edges of its calls.
+
+    :param node: name of the node.
+    :param cut_from: services that it does not reach: ``store``, ``workers``,
+        ``cloud``.
+    """
+
+    node: str
+    cut_from: set[str] = attrs.field(factory=set)
+    _open: anyio.Event = attrs.field(factory=anyio.Event)
+
+    def __attrs_post_init__(self) -> None:
+        self._open.set()
+
+    def freeze(self) -> None:
+        """Have every call wait, also those whose answer is under way."""
+        self._open = anyio.Event()
+
+    def thaw(self) -> None:
+        """Let the calls go on."""
+        self._open.set()
+
+    async def pass_through(self) -> None:
+        """Wait while the node stands still."""
+        await self._open.wait()
+
+
+@attrs.define
+class Link:
+    """Delays and losses of one kind of call.
+
+    :param delay_s: one-way delay in seconds.
+    :param rng: draws losses.
+    :param lose_share: share of calls whose answer is lost after they were done.
+    :param late_share: share of calls that are done seconds later, unanswered.
+    """
+
+    delay_s: float
+    rng: random.Random
+    lose_share: float = 0.0
+    late_share: float = 0.0
+
+    def draw_loss(self) -> bool:
+        """Draw whether an answer is lost."""
+        return bool(self.lose_share) and self.rng.random() < self.lose_share
+
+    def draw_late(self) -> float:
+        """Draw how many seconds late a call is done, 0 for at once."""
+        if self.late_share and self.rng.random() < self.late_share:
+            return self.rng.uniform(1.0, 6.0)
+        return 0.0
+
+
+async def run_late(delay_s: float, run: t.Callable[..., t.Any], *args: t.Any) -> None:
+    """Do something after a delay.
+
+    :param delay_s: seconds.
+    :param run: what to do.
+    :param args: its arguments.
+    """
+    await anyio.sleep(delay_s)
+    run(*args)
--- /dev/null
+++ b/src/onyxgap/standins/emulator/script.py
@@ -0,0 +1,278 @@
+"""A small language for days of the emulator: pools, load, waves and faults.
+
+One statement a line; ``#`` begins a comment. Times are in seconds::
+
+    nodes 4
+    pool ring vms 4 cores 64 memory 256
+    spare 3
+    serve ring tasks 4 cpu 5 memory 20 may-miss 1
+    load ring every 0.2 from 2 to 20 width 6 work 0.6 cpu 3.5 memory 12
+    turns 5
+    wave at 3 of 5 cap 2 within 15
+    at 5 kill owner ring for 2
+    end 40
+"""
+
+import pathlib
+import typing as t
+
+import attrs
+
+from ...exceptions import DocumentError
+from ...exceptions import Fault
+
+
+@attrs.frozen
+class PoolLine:
+    """A pool of VMs.
+
+    :param name: name of its service.
+    :param vms: number of VMs.
+    :param cores: cores of each.
+    :param memory: GB of each.
+    """
+
+    name: str
+    vms: int
+    cores: float = 64.0
+    memory: float = 256.0
+
+
+@attrs.frozen
+class ServeLine:
+    """A job whose tasks serve until it is cancelled.
+
+    :param pool: where it runs.
+    :param tasks: number of tasks.
+    :param cpu: cores of each.
+    :param memory: GB of each.
+    :param may_miss: tasks that may be away by the system's own actions.
+    """
+
+    pool: str
+    tasks: int
+    cpu: float = 5.0
+    memory: float = 20.0
+    may_miss: int = 1
+
+
+@attrs.frozen
+class LoadLine:
+    """Jobs handed in at random moments.
+
+    :param pool: where they run.
+    :param every: mean seconds between two jobs.
+    :param start: when the load begins.
+    :param stop: when it ends.
+    :param width: mean tasks of a step.
+    :param work: mean seconds of a task.
+    :param cpu: cores of a task.
+    :param memory: GB of a task.
+    :param steps: steps of a job.
+    :param cancel: share that is cancelled a second later.
+    :param poison: share that always fails.
+    :param resend: share that is handed in a second time, elsewhere.
+    """
+
+    pool: str
+    every: float
+    start: float
+    stop: float
+    width: float = 6.0
+    work: float = 0.6
+    cpu: float = 3.5
+    memory: float = 12.0
+    steps: int = 1
+    cancel: float = 0.0
+    poison: float = 0.0
+    resend: float = 0.0
+
+
+@attrs.frozen
+class WaveLine:
+    """A wave of maintenance.
+
+    :param at: when the operator asks for it.
+    :param of: number of VMs.
+    :param cap: most at once.
+    :param within: time in which all should begin.
+    """
+
+    at: float
+    of: int
+    cap: int
+    within: float
+
+
+@attrs.frozen
+class FaultLine:
+    """Something that happens.
+
+    :param at: when.
+    :param verb: what.
+    :param target: to what or whom.
+    :param name: which one, or empty.
+    :param seconds: for how long.
+    :param strength: how strong.
+    """
+
+    at: float
+    verb: str
+    target: str
+    name: str = ""
+    seconds: float = 4.0
+    strength: float = 0.3
+
+
+@attrs.define
+class Script:
+    """A whole day.
+
+    :param name: its name.
+    """
+
+    name: str
+    nodes: int = 3
+    spare: int = 0
+    turn_s: float = 0.0
+    end_s: float = 40.0
+    pools: list[PoolLine] = attrs.field(factory=list)
+    serves: list[ServeLine] = attrs.field(factory=list)
+    loads: list[LoadLine] = attrs.field(factory=list)
+    waves: list[WaveLine] = attrs.field(factory=list)
+    faults: list[FaultLine] = attrs.field(factory=list)
+
+
+FAULTS = frozenset(
+    {
+        ("kill", "owner"),
+        ("kill", "holder"),
+        ("kill", "node"),
+        ("kill", "all"),
+        ("freeze", "owner"),
+        ("freeze", "holder"),
+        ("stop", "owner"),
+        ("cut", "owner"),
+        ("cut", "vm"),
+        ("crash", "vm"),
+        ("fail", "vm"),
+        ("hang", "vm"),
+        ("slow", "store"),
+        ("down", "store"),
+        ("lose", "store"),
+        ("late", "store"),
+        ("forget", "store"),
+        ("refuse", "node"),
+        ("late", "orders"),
+        ("lose", "orders"),
+        ("configure", "routes"),
+    }
+)
+
+
+def _read_pairs(
+    words: t.Sequence[str], kinds: t.Mapping[str, type]
+) -> dict[str, t.Any]:
+    if len(words) % 2:
+        raise ValueError("expected pairs of a word and a value")
+    pairs = {}
+    for key, value in zip(words[::2], words[1::2], strict=True):
+        name = {"from": "start", "to": "stop", "for": "seconds", "by": "strength"}.get(
+            key, key.replace("-", "_")
+        )
+        if name not in kinds:
+            raise ValueError(f"unknown word {key!r}")
+        pairs[name] = kinds[name](value)
+    return pairs
+
+
+def _kinds_of(kind: type) -> dict[str, type]:
+    return {field.name: t.cast(type, field.type) for field in attrs.fields(kind)}
+
+
+def _read_pool(script: Script, words: list[str]) -> None:
+    pairs = _read_pairs(words[1:], _kinds_of(PoolLine))
+    script.pools.append(PoolLine(words[0], **pairs))
+
+
+def _read_serve(script: Script, words: list[str]) -> None:
+    pairs = _read_pairs(words[1:], _kinds_of(ServeLine))
+    script.serves.append(ServeLine(words[0], **pairs))
+
+
+def _read_load(script: Script, words: list[str]) -> None:
+    pairs = _read_pairs(words[1:], _kinds_of(LoadLine))
+    script.loads.append(LoadLine(words[0], **pairs))
+
+
+def _read_wave(script: Script, words: list[str]) -> None:
+    script.waves.append(WaveLine(**_read_pairs(words, _kinds_of(WaveLine))))
+
+
+def _read_fault(script: Script, words: list[str]) -> None:
+    at, verb, target, *rest = words
+    if (verb, target) not in FAULTS:
+        raise ValueError(f"unknown fault {verb} {target}")
+    name = rest.pop(0) if len(rest) % 2 else ""
+    pairs = _read_pairs(rest, _kinds_of(FaultLine))
+    script.faults.append(FaultLine(float(at), verb, target, name, **pairs))
+
+
+def _read_number(field: str, kind: type) -> t.Callable[[Script, list[str]], None]:
+    def read(script: Script, words: list[str]) -> None:
+        setattr(script, field, kind(words[0]))
+
+    return read
+
+
+_STATEMENTS: t.Mapping[str, t.Callable[[Script, list[str]], None]] = {
+    "nodes": _read_number("nodes", int),
+    "spare": _read_number("spare", int),
+    "turns": _read_number("turn_s", float),
+    "end": _read_number("end_s", float),
+    "pool": _read_pool,
+    "serve": _read_serve,
+    "load": _read_load,
+    "wave": _read_wave,
+    "at": _read_fault,
+}
+
+
+def parse_script(name: str, text: str) -> Script:
+    """Read a day.
+
+    :param name: its name.
+    :param text: its statements.
+    :raises DocumentError: with every faulty line.
+    """
+    script = Script(name)
+    faults = []
+    for number, line in enumerate(text.splitlines(), 1):
+        words = line.partition("#")[0].split()
+        if not words:
+            continue
+        read = _STATEMENTS.get(words[0])
+        try:
+            if read is None:
+                raise ValueError(f"unknown statement {words[0]!r}")
+            read(script, words[1:])
+        except (ValueError, TypeError, IndexError) as error:
+            faults.append(Fault(f"line {number}", str(error)))
+    if faults:
+        raise DocumentError(faults)
+    return script
+
+
+def load_script(path: str | pathlib.Path) -> Script:
+    """Read a day from a file.
+
+    :param path: the file.
+    :raises DocumentError: with every faulty line.
+    """
+    path = pathlib.Path(path)
+    try:
+        return parse_script(path.stem, path.read_text())
+    except OSError as error:
+        raise DocumentError(
+            [Fault(str(path), error.strerror or "unreadable")]
+        ) from None
--- /dev/null
+++ b/src/onyxgap/standins/emulator/store.py
@@ -0,0 +1,215 @@
+"""The platform's store: rows, conditions, feeds, rates and outages."""
+
+import random
+
+import anyio
+import anyio.abc
+import attrs
+
+from ...exceptions import HistoryLostError
+from ...exceptions import PlatformUnavailableError
+from ...jobs.store import Applied
+from ...jobs.store import Batch
+from ...jobs.store import Conflict
+from ...jobs.store import NotApplied
+from ...jobs.store import OutcomeUnknown
+from ...jobs.store import Page
+from ...jobs.store import RowId
+from ...jobs.store import StoredRow
+from ...jobs.store import WriteOutcome
+from .gate import Link
+from .gate import NodeGate
+from .gate import run_late
+
+TRANSACTION_S = 0.005
+QUEUE_LIMIT_S = 1.0
+CALL_TIMEOUT_S = 1.0
+
+
+@attrs.define(eq=False)
+class EmulatedStore:
+    """State of the store, shared by all nodes.
+
+    :param rng: draws losses.
+    :param group: runs late writes.
+    :param down: whether it gives no answer to anybody.
+    :param refusing: nodes that it turns away.
+    :param slowness: factor on the time of each call.
+    """
+
+    rng: random.Random
+    group: anyio.abc.TaskGroup
+    down: bool = False
+    refusing: set[str] = attrs.field(factory=set)
+    slowness: float = 1.0
+    link: Link = attrs.field(init=False)
+    version: int = 0
+    calls: int = 0
+    rows: dict[RowId, StoredRow] = attrs.field(factory=dict)
+    _history: list[StoredRow] = attrs.field(factory=list)
+    _forgotten: int = 0
+    _changed: anyio.Event = attrs.field(factory=anyio.Event)
+    _busy_until: dict[str, float] = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        self.link = Link(0.002, self.rng)
+
+    def put(self, row_id: RowId, value: bytes) -> None:
+        """Write a row as the operator or a worker does."""
+        self.apply(Batch({}, {row_id: value}))
+
+    def remove(self, row_id: RowId) -> None:
+        """Remove a row as the platform does."""
+        self.apply(Batch({}, {}, (row_id,)))
+
+    def apply(self, batch: Batch) -> WriteOutcome:
+        """Apply a batch at this moment."""
+        for row_id, version in batch.expected.items():
+            row = self.rows.get(row_id)
+            if (row.version if row else 0) != version:
+                return self._report_conflict(batch)
+        self.version += 1
+        for row_id, value in batch.puts.items():
+            self._change(StoredRow(row_id, value, self.version))
+        for row_id in batch.removals:
+            if row_id in self.rows:
+                self._change(StoredRow(row_id, b"", self.version, removed=True))
+        self._changed.set()
+        self._changed = anyio.Event()
+        return Applied(self.version)
+
+    def _report_conflict(self, batch: Batch) -> Conflict:
+        rows = tuple(self.rows[item] for item in batch.expected if item in self.rows)
+        return Conflict(rows)
+
+    def _change(self, row: StoredRow) -> None:
+        if row.removed:
+            del self.rows[row.row_id]
+        else:
+            self.rows[row.row_id] = row
+        self._history.append(row)
+
+    def forget_history(self) -> None:
+        """Drop all changes made so far, so that feeds must begin anew."""
+        self._history.clear()
+        self._forgotten = self.version
+
+    def list_changes(self, table: str, after: int) -> list[StoredRow]:
+        """List the changes of a table after a version.
+
+        :raises HistoryLostError: when they were dropped.
+        """
+        if after < self._forgotten:
+            raise HistoryLostError
+        return [
+            row
+            for row in self._history
+            if row.version > after and row.row_id.table == table
+        ]
+
+    async def wait_for_change(self, timeout_s: float) -> None:
+        """Wait until something is written, or for a time."""
+        with anyio.move_on_after(timeout_s):
+            await self._changed.wait()
+
+    def reserve_partition(self, part: str) -> float:
+        """Queue a transaction; returns its waiting time, negative when refused."""
+        now = anyio.current_time()
+        start = max(now, self._busy_until.get(part, 0.0))
+        if start - now > QUEUE_LIMIT_S:
+            return -1.0
+        self._busy_until[part] = start + TRANSACTION_S * self.slowness
+        return self._busy_until[part] - now
+
+
+@attrs.define(eq=False)
+class EmulatedStoreClient:
+    """The store as one node reaches it.
+
+    :param store: the store.
+    :param gate: freezes and cuts of the node.
+    """
+
+    store: EmulatedStore
+    gate: NodeGate
+
+    def _is_unreachable(self) -> bool:
+        return self.store.down or "store" in self.gate.cut_from
+
+    async def _enter(self) -> None:
+        await self.gate.pass_through()
+        self.store.calls += 1
+        if self._is_unreachable():
+            await anyio.sleep(CALL_TIMEOUT_S)
+            await self.gate.pass_through()
+            raise PlatformUnavailableError("no answer")
+        await anyio.sleep(self.store.link.delay_s * self.store.slowness)
+        if self.gate.node in self.store.refusing:
+            raise PlatformUnavailableError("turned away")
+
+    async def write(self, batch: Batch) -> WriteOutcome:
+        """Try a batch once; never raises for a failed call."""
+        try:
+            await self._enter()
+        except PlatformUnavailableError as error:
+            if str(error) == "turned away":
+                return NotApplied(str(error))
+            return OutcomeUnknown(str(error))
+        parts = {row_id.part for row_id in [*batch.expected, *batch.puts]}
+        parts |= {row_id.part for row_id in batch.removals}
+        assert len(parts) == 1, f"transaction over several partitions: {parts}"
+        wait_s = self.store.reserve_partition(parts.pop())
+        if wait_s < 0:
+            return NotApplied("partition is full")
+        late_s = self.store.link.draw_late()
+        if late_s:
+            self.store.group.start_soon(run_late, late_s, self.store.apply, batch)
+            await anyio.sleep(CALL_TIMEOUT_S)
+            return OutcomeUnknown("no answer")
+        await anyio.sleep(wait_s)
+        outcome = self.store.apply(batch)
+        if self.store.link.draw_loss():
+            await anyio.sleep(CALL_TIMEOUT_S)
+            outcome = OutcomeUnknown("no answer")
+        await anyio.sleep(self.store.link.delay_s)
+        await self.gate.pass_through()
+        return outcome
+
+    async def read(self, table: str, part: str, key: str = "") -> Page:
+        """Read a partition, or one row of it."""
+        await self._enter()
+        rows = sorted(
+            (
+                row
+                for row_id, row in self.store.rows.items()
+                if (row_id.table, row_id.part) == (table, part)
+                and key in ("", row_id.key)
+            ),
+            key=lambda row: row.row_id.key,
+        )
+        page = Page(tuple(rows), self.store.version, anyio.current_time() * 1000)
+        await anyio.sleep(self.store.link.delay_s)
+        await self.gate.pass_through()
+        return page
+
+    async def list_parts(self, table: str) -> tuple[str, ...]:
+        """List the partitions of a table."""
+        await self._enter()
+        return tuple(
+            sorted({row.part for row in self.store.rows if row.table == table})
+        )
+
+    async def follow(self, table: str, after: int, wait_s: float) -> Page:
+        """Wait for changes of a table after a version."""
+        await self._enter()
+        give_up = anyio.current_time() + wait_s
+        rows = self.store.list_changes(table, after)
+        while not rows and anyio.current_time() < give_up:
+            await self.store.wait_for_change(give_up - anyio.current_time())
+            rows = self.store.list_changes(table, after)
+        page = Page(tuple(rows), self.store.version, anyio.current_time() * 1000)
+        if self._is_unreachable():
+            await anyio.sleep(CALL_TIMEOUT_S)
+            raise PlatformUnavailableError("no answer")
+        await self.gate.pass_through()
+        return page
--- /dev/null
+++ b/src/onyxgap/standins/emulator/workers.py
@@ -0,0 +1,346 @@
+"""Workers with leases, fences, ends and faults."""
+
+import enum
+import random
+import typing as t
+
+import anyio
+import anyio.abc
+import attrs
+
+from ...jobs.messages import EndedTask
+from ...jobs.messages import EndKind
+from ...jobs.messages import RunningTask
+from ...jobs.messages import Step
+from ...jobs.messages import TaskId
+from ...jobs.messages import WorkerEntry
+from ...jobs.workers import HoldOrder
+from ...jobs.workers import HoldReport
+from ...jobs.workers import Reply
+from ...jobs.workers import ReplyKind
+from ...jobs.workers import StartOrder
+from ...jobs.workers import StopOrder
+from .gate import Link
+from .gate import NodeGate
+from .gate import run_late
+
+STOP_S = 0.1
+STARTUP_S = 0.7
+"""Time after which a serving task is at work."""
+CHECKPOINT_S = 0.5
+CALL_TIMEOUT_S = 0.8
+MAX_LEASE_MS = 10_000.0
+
+
+class Mood(enum.Enum):
+    """How a worker behaves."""
+
+    SOUND = "sound"
+    FAILING = "failing"
+    HANGING = "hanging"
+
+
+@attrs.define(slots=True)
+class RunRecord:
+    """A run as the emulator saw it, for the checks.
+
+    :param task: the task.
+    :param run: its number.
+    :param worker_id: where it ran.
+    :param node: node that gave the order.
+    :param epoch: fencing token of the order.
+    :param began: monotonic seconds.
+    :param ended: monotonic seconds, or ``None``.
+    :param how: how it ended, ``gone`` with its worker, or empty.
+    """
+
+    task: TaskId
+    run: int
+    worker_id: str
+    node: str
+    epoch: int
+    began: float
+    ended: float | None = None
+    how: str = ""
+
+
+@attrs.define(slots=True)
+class _Run:
+    record: RunRecord
+    step: Step
+    ends_at: float
+    stopping_at: float | None = None
+    restored_s: float = 0.0
+
+
+@attrs.define(eq=False)
+class EmulatedWorker:
+    """One life of a worker.
+
+    :param entry: how it is registered.
+    :param find_step: gives the step of a task and its run time in seconds.
+    :param rng: draws failures.
+    :param drift: share by which its clock is slow.
+    """
+
+    entry: WorkerEntry
+    find_step: t.Callable[[TaskId], tuple[Step, float, bool]]
+    rng: random.Random
+    records: list[RunRecord]
+    drift: float = 0.0
+    mood: Mood = Mood.SOUND
+    dark: bool = False
+    alive: bool = True
+    slowness: float = 1.0
+    fence: int = 0
+    lease_ms: float = 0.0
+    born_at: float = attrs.field(factory=anyio.current_time)
+    runs: dict[TaskId, _Run] = attrs.field(factory=dict)
+    ended: list[EndedTask] = attrs.field(factory=list)
+    highest: dict[TaskId, int] = attrs.field(factory=dict)
+    over_capacity: int = 0
+    _sequence: int = 0
+    _changed: anyio.Event = attrs.field(factory=anyio.Event)
+
+    def read_clock(self) -> float:
+        """Read its clock in milliseconds."""
+        return (anyio.current_time() - self.born_at) * 1000 * (1 - self.drift) + 5e4
+
+    def advance(self) -> None:
+        """End what has ended by now."""
+        now = anyio.current_time()
+        if self.lease_ms and self.read_clock() > self.lease_ms:
+            for task in list(self.runs):
+                self._end(task, EndKind.LAPSED)
+        for task, run in list(self.runs.items()):
+            if run.stopping_at is not None and now >= run.stopping_at:
+                self._end(task, EndKind.STOPPED)
+            elif now >= run.ends_at and self.mood is not Mood.HANGING:
+                fails = self.mood is Mood.FAILING or self.find_step(task)[2]
+                self._end(task, EndKind.FAILED if fails else EndKind.DONE)
+
+    def _end(self, task: TaskId, kind: EndKind) -> None:
+        run = self.runs.pop(task)
+        run.record.ended = anyio.current_time()
+        run.record.how = kind.value
+        self._sequence += 1
+        self.ended.append(
+            EndedTask(self._sequence, task, run.record.run, kind, self._save(run))
+        )
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    def _save(self, run: _Run) -> str:
+        if not run.step.checkpointing:
+            return ""
+        worked = anyio.current_time() - run.record.began + run.restored_s
+        return f"{worked // CHECKPOINT_S * CHECKPOINT_S:.1f}"
+
+    def crash(self) -> None:
+        """End the life of the worker and all that it runs."""
+        self.advance()
+        self.alive = False
+        for run in self.runs.values():
+            run.record.ended = anyio.current_time()
+            run.record.how = "gone"
+        self.runs.clear()
+
+    def _check_fence(self, epoch: int) -> bool:
+        if epoch < self.fence:
+            return False
+        self.fence = epoch
+        return True
+
+    def start(self, order: StartOrder, node: str) -> Reply:
+        """Carry out an order to start."""
+        self.advance()
+        clock = self.read_clock()
+        if not self._check_fence(order.epoch):
+            return Reply(ReplyKind.STALE_OWNER, clock)
+        present = self.runs.get(order.task)
+        if present is not None and present.record.run == order.run:
+            return Reply(ReplyKind.DONE, clock)
+        if order.run <= self.highest.get(order.task, 0):
+            return Reply(ReplyKind.STALE_RUN, clock)
+        if clock > order.deadline_ms:
+            return Reply(ReplyKind.TOO_LATE, clock)
+        step, work_s, _ = self.find_step(order.task)
+        if not self._has_room(step):
+            self.over_capacity += 1
+            return Reply(ReplyKind.NO_ROOM, clock)
+        self._begin(order, node, step, work_s)
+        return Reply(ReplyKind.DONE, clock)
+
+    def _has_room(self, step: Step) -> bool:
+        cpu = sum(run.step.cpu for run in self.runs.values() if not run.step.fills)
+        memory_mb = sum(run.step.memory_mb for run in self.runs.values())
+        own = 0 if step.fills else step.cpu
+        return (
+            cpu + own <= self.entry.cpu
+            and memory_mb + step.memory_mb <= self.entry.memory_mb
+        )
+
+    def _begin(self, order: StartOrder, node: str, step: Step, work_s: float) -> None:
+        now = anyio.current_time()
+        restored_s = float(order.checkpoint or 0)
+        left_s = max(0.05, work_s - restored_s) * self.slowness
+        if step.long_running:
+            left_s = 1e9
+        if self.mood is Mood.FAILING:
+            left_s = 0.05
+        record = RunRecord(
+            order.task, order.run, self.entry.worker_id, node, order.epoch, now
+        )
+        self.records.append(record)
+        self.highest[order.task] = order.run
+        self.lease_ms = max(self.lease_ms, order.deadline_ms)
+        run = _Run(record, step, now + left_s, restored_s=restored_s)
+        self.runs[order.task] = run
+
+    def stop(self, order: StopOrder) -> Reply:
+        """Carry out an order to stop."""
+        self.advance()
+        if not self._check_fence(order.epoch):
+            return Reply(ReplyKind.STALE_OWNER, self.read_clock())
+        highest = self.highest.get(order.task, 0)
+        self.highest[order.task] = max(highest, order.run)
+        run = self.runs.get(order.task)
+        if run is not None and run.record.run <= order.run and not run.stopping_at:
+            run.stopping_at = anyio.current_time() + STOP_S
+        return Reply(ReplyKind.DONE, self.read_clock())
+
+    async def hold(self, order: HoldOrder) -> HoldReport | Reply:
+        """Carry out an order to hold; waits for an end if it may."""
+        self.advance()
+        if not self._check_fence(order.epoch):
+            return Reply(ReplyKind.STALE_OWNER, self.read_clock())
+        if order.deadline_ms is not None:
+            limit = self.read_clock() + MAX_LEASE_MS
+            self.lease_ms = max(self.lease_ms, min(order.deadline_ms, limit))
+        self.ended = [end for end in self.ended if end.sequence > order.acknowledged]
+        give_up = anyio.current_time() + order.wait_ms / 1000
+        while not self.ended and self.alive and anyio.current_time() < give_up:
+            await self._wait_for_end(give_up)
+            self.advance()
+        return HoldReport(self.read_clock(), self._list_running(), tuple(self.ended))
+
+    async def _wait_for_end(self, give_up: float) -> None:
+        moments = [run.stopping_at or run.ends_at for run in self.runs.values()]
+        until = min([give_up, *moments])
+        with anyio.move_on_after(max(0.001, until - anyio.current_time())):
+            await self._changed.wait()
+
+    def _list_running(self) -> tuple[RunningTask, ...]:
+        now = anyio.current_time()
+        listed = []
+        for task, run in self.runs.items():
+            percent = 0
+            if run.step.long_running and now - run.record.began >= STARTUP_S:
+                percent = 100
+            listed.append(RunningTask(task, run.record.run, self._save(run), percent))
+        return tuple(listed)
+
+
+@attrs.define(eq=False)
+class EmulatedWorkers:
+    """All workers, by the id of their life.
+
+    :param rng: draws losses.
+    :param group: runs late orders.
+    """
+
+    rng: random.Random
+    group: anyio.abc.TaskGroup
+    lives: dict[str, EmulatedWorker] = attrs.field(factory=dict)
+    records: list[RunRecord] = attrs.field(factory=list)
+    link: Link = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.link = Link(0.0015, self.rng)
+
+    def find_present(self, address: str) -> EmulatedWorker | None:
+        """Find the live worker at an address."""
+        for worker in self.lives.values():
+            if worker.entry.address == address and worker.alive:
+                return worker
+        return None
+
+
+@attrs.define(eq=False)
+class EmulatedWorkersClient:
+    """Workers as one node reaches them.
+
+    :param workers: all workers.
+    :param gate: freezes and cuts of the node.
+    """
+
+    workers: EmulatedWorkers
+    gate: NodeGate
+
+    async def _reach(self, worker_id: str, address: str) -> EmulatedWorker | Reply:
+        await self.gate.pass_through()
+        await anyio.sleep(self.workers.link.delay_s)
+        worker = self.workers.find_present(address)
+        if worker is not None and worker.dark or "workers" in self.gate.cut_from:
+            await anyio.sleep(CALL_TIMEOUT_S)
+            return Reply(ReplyKind.NO_ANSWER, detail="no answer")
+        if worker is None:
+            return Reply(ReplyKind.NOT_SENT, detail="refused")
+        if worker.entry.worker_id != worker_id:
+            return Reply(ReplyKind.OTHER_LIFE, worker.read_clock())
+        return worker
+
+    async def _answer(self, reply: Reply) -> Reply:
+        if self.workers.link.draw_loss():
+            await anyio.sleep(CALL_TIMEOUT_S)
+            reply = Reply(ReplyKind.NO_ANSWER, detail="answer lost")
+        await anyio.sleep(self.workers.link.delay_s)
+        await self.gate.pass_through()
+        return reply
+
+    async def start(self, order: StartOrder) -> Reply:
+        """Order a run to start."""
+        worker = await self._reach(order.worker_id, order.address)
+        if isinstance(worker, Reply):
+            return await self._answer(worker)
+        late_s = self.workers.link.draw_late()
+        if late_s:
+            self.workers.group.start_soon(
+                run_late, late_s, _start_if_alive, worker, order, self.gate.node
+            )
+            await anyio.sleep(CALL_TIMEOUT_S)
+            return Reply(ReplyKind.NO_ANSWER, detail="carried out late")
+        return await self._answer(worker.start(order, self.gate.node))
+
+    async def stop(self, order: StopOrder) -> Reply:
+        """Order a run to stop; it never starts afterwards."""
+        worker = await self._reach(order.worker_id, order.address)
+        if isinstance(worker, Reply):
+            return await self._answer(worker)
+        return await self._answer(worker.stop(order))
+
+    async def set_pace(self, order: StopOrder, percent: int) -> Reply:
+        """Order a run to work at a share of its speed; not emulated."""
+        return Reply(ReplyKind.DONE)
+
+    async def hold(self, order: HoldOrder) -> HoldReport | Reply:
+        """Extend the lease of everything on a worker and read its lists."""
+        worker = await self._reach(order.worker_id, order.address)
+        if isinstance(worker, Reply):
+            return await self._answer(worker)
+        report = await worker.hold(order)
+        if isinstance(report, Reply):
+            return await self._answer(report)
+        if not worker.alive or worker.dark:
+            return Reply(ReplyKind.NO_ANSWER, detail="connection lost")
+        await anyio.sleep(self.workers.link.delay_s)
+        await self.gate.pass_through()
+        return report
+
+    async def forget(self, worker_id: str) -> None:
+        """Close the connections to a worker that is gone."""
+
+
+def _start_if_alive(worker: EmulatedWorker, order: StartOrder, node: str) -> None:
+    if worker.alive:
+        worker.start(order, node)
