--- a/src/onyxgap/standins/emulator/callers.py
+++ b/src/onyxgap/standins/emulator/callers.py
@@ -141,6 +141,8 @@
             while anyio.current_time() < load.stop:
                 rate = is_due() / load.every
                 await anyio.sleep(self.rng.expovariate(rate) if rate else load.every)
+                if anyio.current_time() >= load.stop:
+                    return
                 steps = tuple(
                     _draw_step(load, number, self.rng) for number in range(load.steps)
                 )
--- a/src/onyxgap/standins/emulator/checks.py
+++ b/src/onyxgap/standins/emulator/checks.py
@@ -67,7 +67,7 @@
         for earlier, later in itertools.pairwise(sorted(runs, key=lambda r: r.began)):
             if earlier.ended is None or earlier.ended > later.began:
                 yield Breach("twice", later.began, f"{task} runs twice at once")
-            elif earlier.how == "done":
+            elif earlier.how == "done" and earlier.noted:
                 yield Breach("twice", later.began, f"{task} runs again after done")
 
 
--- a/src/onyxgap/standins/emulator/day.py
+++ b/src/onyxgap/standins/emulator/day.py
@@ -129,7 +129,9 @@
         self.gate = NodeGate(self.name)
 
     async def run(self) -> None:
-        """Run one process of the node until it is killed."""
+        """Run one process of the node until it is killed; none beside another."""
+        if self.node is not None:
+            return
         self.gate = NodeGate(self.name)
         day = self.day
         clocks: Clocks = EmulatedClocks()
--- a/src/onyxgap/standins/emulator/gate.py
+++ b/src/onyxgap/standins/emulator/gate.py
@@ -18,6 +18,7 @@
 
     node: str
     cut_from: set[str] = attrs.field(factory=set)
+    _freezes: int = 0
     _open: anyio.Event = attrs.field(factory=anyio.Event)
 
     def __attrs_post_init__(self) -> None:
@@ -25,11 +26,15 @@
 
     def freeze(self) -> None:
         """Have every call wait, also those whose answer is under way."""
-        self._open = anyio.Event()
+        if not self._freezes:
+            self._open = anyio.Event()
+        self._freezes += 1
 
     def thaw(self) -> None:
-        """Let the calls go on."""
-        self._open.set()
+        """Let the calls go on, once each freeze is over."""
+        self._freezes -= 1
+        if not self._freezes:
+            self._open.set()
 
     async def pass_through(self) -> None:
         """Wait while the node stands still."""
