--- a/src/onyxgap/standins/emulator/day.py
+++ b/src/onyxgap/standins/emulator/day.py
@@ -477,6 +477,7 @@
     ("freeze", "owner"): Day.freeze_one,
     ("freeze", "holder"): Day.freeze_one,
     ("stop", "owner"): Day.stop_one,
+    ("stop", "holder"): Day.stop_one,
     ("cut", "owner"): Day.cut_one,
     ("cut", "vm"): Day.cut_vm,
     ("crash", "vm"): Day.crash_vm,
--- a/src/onyxgap/standins/emulator/script.py
+++ b/src/onyxgap/standins/emulator/script.py
@@ -152,6 +152,7 @@
         ("freeze", "owner"),
         ("freeze", "holder"),
         ("stop", "owner"),
+        ("stop", "holder"),
         ("cut", "owner"),
         ("cut", "vm"),
         ("crash", "vm"),
--- /dev/null
+++ b/tests/test_emulated_days.py
@@ -0,0 +1,83 @@
+"""The real node on days of the emulator: calm, with scripted and random faults."""
+
+import pytest
+
+from onyxgap.exceptions import DocumentError
+from onyxgap.standins.emulator.script import parse_script
+from tests.emulated import extend_day
+from tests.emulated import load_day
+from tests.emulated import play
+
+RANDOM_SEEDS = range(1, 51)
+
+# statement of the fault, and the least share of jobs that must still be in time
+SCRIPTED = {
+    "owner killed": ("at 6 kill owner ring for 3", 0.3),
+    "owner killed twice": (
+        "at 5 kill owner ring for 1\nat 8.5 kill owner ring for 2",
+        0.2,
+    ),
+    "holder killed": ("at 6 kill holder for 3", 0.5),
+    "owner frozen": ("at 6 freeze owner ring for 4", 0.2),
+    "holder frozen": ("at 6 freeze holder for 5", 0.4),
+    "owner stopped": ("at 6 stop owner ring for 2", 0.5),
+    "owner cut from store": ("at 6 cut owner ring for 5", 0.2),
+    "all killed": ("at 7 kill all for 1", 0.2),
+    "store down": ("at 6 down store for 4", 0.2),
+    "store slow": ("at 6 slow store for 5 by 40", 0.0),
+    "store loses answers": ("at 5 lose store for 5 by 0.3", 0.1),
+    "store writes late": ("at 5 late store for 5 by 0.3", 0.1),
+    "store forgets": ("at 6 forget store\nat 9 forget store", 0.5),
+    "nodes turned away": ("at 5 refuse node for 6 by 0.4", 0.2),
+    "VM crashed": ("at 6 crash vm ring for 4", 0.3),
+    "VM cut off": ("at 6 cut vm ring for 7", 0.2),
+    "VM fails all": ("at 6 fail vm ring for 4", 0.3),
+    "VM hangs": ("at 6 hang vm ring for 4", 0.2),
+    "orders late": ("at 5 late orders for 6 by 0.2", 0.2),
+    "answers lost": ("at 5 lose orders for 6 by 0.2", 0.2),
+    "configurations in a row": ("at 6 configure routes for 8 by 0.1", 0.5),
+    "crash and owner killed": (
+        "at 6 crash vm ring for 5\nat 6.2 kill owner ring for 4",
+        0.1,
+    ),
+    "outage and all killed": ("at 5 down store for 3\nat 8.5 kill all for 1", 0.1),
+}
+
+
+def test_calm_day_serves_in_time() -> None:
+    result = play(load_day("calm"), seed=1)
+    assert result.breaches == []
+    assert result.account.refused == 0
+    assert result.account.in_time >= 0.9 * result.account.accepted > 0
+
+
+def test_same_seed_gives_the_same_day() -> None:
+    first = play(load_day("short"), seed=3, faults=4)
+    second = play(load_day("short"), seed=3, faults=4)
+    assert first.account == second.account
+
+
+@pytest.mark.parametrize("name", SCRIPTED)
+def test_fault_breaks_no_rule(name: str) -> None:
+    statement, least = SCRIPTED[name]
+    result = play(extend_day("short", statement), seed=11)
+    assert result.breaches == []
+    assert result.account.in_time >= least * result.account.accepted
+
+
+@pytest.mark.parametrize("seed", RANDOM_SEEDS)
+def test_random_faults_break_no_rule(seed: int) -> None:
+    result = play(load_day("short"), seed, faults=2 + seed % 5)
+    assert result.breaches == []
+
+
+def test_faulty_lines_are_all_reported() -> None:
+    text = "nodes three\nat 5 kick owner ring\nload ring sometimes\nfly\nnodes 2"
+    with pytest.raises(DocumentError) as caught:
+        parse_script("bad", text)
+    assert [fault.path for fault in caught.value.faults] == [
+        "line 1",
+        "line 2",
+        "line 3",
+        "line 4",
+    ]
--- /dev/null
+++ b/tests/test_mutations.py
@@ -0,0 +1,131 @@
+"""Each safeguard left out in turn: the checks of the emulator must notice."""
+
+import typing as t
+
+import pytest
+
+from onyxgap.daemons.fence import FencedWriter
+from onyxgap.daemons.fleet import FleetHolder
+from onyxgap.daemons.owner import ShardOwner
+from onyxgap.jobs import shard as shard_module
+from onyxgap.jobs import tables
+from onyxgap.jobs.shard import Shard
+from onyxgap.jobs.store import Batch
+from onyxgap.jobs.workers import Reply
+from onyxgap.jobs.workers import ReplyKind
+from tests.emulated import extend_day
+from tests.emulated import play
+
+SEEDS = range(1, 9)
+
+
+def leave_out_fence(patch: pytest.MonkeyPatch) -> None:
+    async def write(
+        self: FencedWriter, puts: t.Any, removals: tuple[t.Any, ...] = ()
+    ) -> None:
+        fence = tables.get_fence_row(self.shard)
+        await self.store.write(Batch({}, {**puts, fence: b"any"}, removals))
+
+    patch.setattr(FencedWriter, "write", write)
+
+
+def send_before_write(patch: pytest.MonkeyPatch) -> None:
+    commit = ShardOwner._commit
+
+    async def send_first(self: ShardOwner, orders: t.Any) -> None:
+        for order in orders:
+            self._spawn(self._send_start, order)
+        await commit(self, orders)
+
+    patch.setattr(ShardOwner, "_commit", send_first)
+
+
+def acknowledge_before_store(patch: pytest.MonkeyPatch) -> None:
+    apply = Shard.apply_report
+
+    def apply_and_acknowledge(
+        self: Shard, worker_id: str, *args: t.Any, **words: t.Any
+    ) -> None:
+        apply(self, worker_id, *args, **words)
+        record = self.workers.get(worker_id)
+        if record is not None:
+            record.acknowledged = record.seen
+
+    patch.setattr(Shard, "apply_report", apply_and_acknowledge)
+
+
+def take_unknown_as_failed(patch: pytest.MonkeyPatch) -> None:
+    apply = Shard.apply_start_reply
+
+    def apply_as_failed(self: Shard, order: t.Any, reply: Reply, now: float) -> None:
+        if reply.kind is ReplyKind.NO_ANSWER:
+            reply = Reply(ReplyKind.UNHEALTHY)
+        apply(self, order, reply, now)
+
+    patch.setattr(Shard, "apply_start_reply", apply_as_failed)
+
+
+def leave_out_start_deadline(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(shard_module, "START_WINDOW_MS", 60_000.0)
+    # the owner then believes after the usual time that a lost order is void
+    absent = Shard._is_surely_absent
+
+    def is_surely_absent(self: Shard, task: t.Any, sent_at: float, low: float) -> bool:
+        return absent(self, task, sent_at, low + 59_000.0)
+
+    patch.setattr(Shard, "_is_surely_absent", is_surely_absent)
+
+
+def leave_out_holder_pause(patch: pytest.MonkeyPatch) -> None:
+    init = FleetHolder.__attrs_post_init__
+
+    def start_at_once(self: FleetHolder) -> None:
+        init(self)
+        self.first = True
+
+    patch.setattr(FleetHolder, "__attrs_post_init__", start_at_once)
+
+
+MUTATIONS = {
+    "fence": (
+        leave_out_fence,
+        "at 6 freeze owner ring for 4\nat 10.06 kill owner ring for 2",
+        "twice",
+    ),
+    "write-ahead": (
+        send_before_write,
+        "at 5 slow store for 4 by 30\nat 6.5 kill owner ring for 2",
+        "twice",
+    ),
+    "stored ends": (
+        acknowledge_before_store,
+        "at 5 slow store for 5 by 30\nat 6.5 kill owner ring for 2",
+        "twice",
+    ),
+    "settled outcomes": (
+        take_unknown_as_failed,
+        "at 4 lose orders for 8 by 0.3",
+        "twice",
+    ),
+    "start deadline": (
+        leave_out_start_deadline,
+        "at 4 late orders for 8 by 0.3",
+        "twice",
+    ),
+    "holder pause": (leave_out_holder_pause, "at 5.3 stop holder for 2", "one"),
+}
+
+
+@pytest.mark.parametrize("name", MUTATIONS)
+def test_missing_safeguard_is_noticed(
+    name: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    mutate, statements, rule = MUTATIONS[name]
+    script = extend_day("short", statements)
+    for seed in SEEDS:
+        assert rule not in {item.rule for item in play(script, seed).breaches}
+        with monkeypatch.context() as patch:
+            mutate(patch)
+            if rule in {item.rule for item in play(script, seed).breaches}:
+                return
+    pytest.fail(f"no seed shows that {name} is missing")
