--- a/src/onyxgap/jobs/priorities.py
+++ b/src/onyxgap/jobs/priorities.py
@@ -5,6 +5,7 @@
 serving it first would make the next one late as well.
 """
 
+import math
 import typing as t
 
 from .job import Job
@@ -43,7 +44,9 @@
     :param step: number of the step.
     :param now: monotonic seconds.
     """
-    serving = job.submission.steps[step].long_running
+    priority = job.submission.policy.priority
+    if job.submission.steps[step].long_running:
+        # each second that a serving task is away is lost for good
+        return Urgency(False, priority, -math.inf)
     latest = get_objective(job) - CHAIN_MARGIN * job.tails_ms[step] / MS
-    late = now > latest and not serving
-    return Urgency(late, job.submission.policy.priority, latest)
+    return Urgency(now > latest, priority, latest)
--- /dev/null
+++ b/tests/test_node_parts.py
@@ -0,0 +1,288 @@
+"""Ownership, fenced writes, the desk, health of the store, bounded logs."""
+
+import os
+import random
+import typing as t
+
+import anyio
+import attrs
+import orjson
+import pytest
+
+from bench.virtual import run_virtually
+from onyxgap.daemons.desk import NodeDesk
+from onyxgap.daemons.fence import FencedWriter
+from onyxgap.exceptions import OwnershipLostError
+from onyxgap.exceptions import PlatformUnavailableError
+from onyxgap.jobs import tables
+from onyxgap.jobs.desk import SubmitOutcome
+from onyxgap.jobs.desk import Unavailable
+from onyxgap.jobs.health import OUTAGE_S
+from onyxgap.jobs.health import StoreHealth
+from onyxgap.jobs.health import WatchedStore
+from onyxgap.jobs.messages import JobState
+from onyxgap.jobs.messages import QueuePolicy
+from onyxgap.jobs.messages import Step
+from onyxgap.jobs.messages import Submission
+from onyxgap.jobs.ownership import OWNED_DELAY_S
+from onyxgap.jobs.ownership import SILENCE_S
+from onyxgap.jobs.ownership import SPREAD_S
+from onyxgap.jobs.ownership import Claimant
+from onyxgap.jobs.ownership import OwnerView
+from onyxgap.jobs.ownership import list_claimable
+from onyxgap.jobs.routing import Configuration
+from onyxgap.jobs.routing import Route
+from onyxgap.jobs.routing import RouteTable
+from onyxgap.jobs.routing import Service
+from onyxgap.jobs.store import Batch
+from onyxgap.jobs.store import NotApplied
+from onyxgap.jobs.store import OutcomeUnknown
+from onyxgap.jobs.store import Page
+from onyxgap.jobs.store import WriteOutcome
+from onyxgap.jobs.tables import OwnerRow
+from onyxgap.logs import BURST_LINES
+from onyxgap.logs import BoundedLines
+from onyxgap.standins.emulator.day import EmulatedClocks
+from onyxgap.standins.emulator.gate import NodeGate
+from onyxgap.standins.emulator.store import EmulatedStore
+from onyxgap.standins.emulator.store import EmulatedStoreClient
+
+ROW = OwnerRow("node-1", "boot-1", 4)
+ME = Claimant("node-2", "boot-2", 0)
+POLICY = QueuePolicy("q", "s")
+ROUTE = Route("h", "/p/", POLICY)
+SUBMISSION = Submission("a" * 16, POLICY, "spec", (Step(1, cpu=10),))
+
+
+def claimable(view: OwnerView, now: float, me: Claimant = ME, heard: float = 0) -> bool:
+    return bool(list_claimable({"s": view}, me, heard, now))
+
+
+def test_silent_owner_is_claimed_after_its_silence_and_not_before() -> None:
+    view = OwnerView(ROW, 7, changed_at=10.0)
+    assert not claimable(view, 10.0 + SILENCE_S - 0.01)
+    assert claimable(view, 10.0 + SILENCE_S + SPREAD_S)
+
+
+def test_silence_while_the_store_was_away_shows_nothing() -> None:
+    view = OwnerView(ROW, 7, changed_at=10.0)
+    assert not claimable(view, 20.0, heard=19.0)
+    assert claimable(view, 19.0 + SILENCE_S + SPREAD_S, heard=19.0)
+
+
+def test_released_shard_is_claimed_soon_by_a_node_that_owns_little() -> None:
+    view = OwnerView(attrs.evolve(ROW, released=True), 7, changed_at=10.0)
+    assert claimable(view, 10.0 + SPREAD_S)
+    loaded = attrs.evolve(ME, owned=2)
+    assert not claimable(view, 10.0 + 2 * OWNED_DELAY_S - 0.01, loaded)
+
+
+def test_restarted_node_takes_its_own_shard_back_at_once() -> None:
+    view = OwnerView(ROW, 7, changed_at=10.0)
+    assert claimable(view, 10.0, Claimant("node-1", "boot-9", 0))
+
+
+@attrs.define
+class ScriptedStore:
+    """A store that does or loses each write as it is told."""
+
+    inner: EmulatedStoreClient
+    script: list[str]
+    writes: int = 0
+
+    async def write(self, batch: Batch) -> WriteOutcome:
+        self.writes += 1
+        step = self.script.pop(0) if self.script else "do"
+        if step == "refuse":
+            return NotApplied("busy")
+        if step == "drop":
+            return OutcomeUnknown("no answer")
+        outcome = await self.inner.write(batch)
+        return OutcomeUnknown("answer lost") if step == "lose" else outcome
+
+    async def read(self, table: str, part: str, key: str = "") -> Page:
+        if self.script and self.script[0] == "unreadable":
+            raise PlatformUnavailableError("down")
+        return await self.inner.read(table, part, key)
+
+    async def list_parts(self, table: str) -> tuple[str, ...]:
+        return await self.inner.list_parts(table)
+
+    async def follow(self, table: str, after: int, wait_s: float) -> Page:
+        return await self.inner.follow(table, after, wait_s)
+
+
+def run_with_store(
+    test: t.Callable[[ScriptedStore, EmulatedStore], t.Awaitable[None]], *script: str
+) -> None:
+    async def run() -> None:
+        async with anyio.create_task_group() as group:
+            store = EmulatedStore(random.Random(1), group)
+            client = EmulatedStoreClient(store, NodeGate("n"))
+            await test(ScriptedStore(client, list(script)), store)
+
+    run_virtually(run)
+
+
+def build_writer(scripted: ScriptedStore, store: EmulatedStore) -> FencedWriter:
+    store.put(tables.get_fence_row("s"), b"boot-1/4/0")
+    writer = FencedWriter(
+        "s", ROW, store.version, "boot-1/4/0", scripted, random.Random(1)
+    )
+    return writer
+
+
+@pytest.mark.parametrize("step", ["refuse", "drop", "lose"])
+def test_fenced_write_ends_applied_once(step: str) -> None:
+    async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
+        writer = build_writer(scripted, store)
+        row = tables.get_progress_row("s", "j")
+        await writer.write({row: b"1"})
+        await writer.write({row: b"2"})
+        assert store.rows[row].value == b"2"
+
+    run_with_store(test, step, "do", step)
+
+
+def test_write_of_a_former_owner_is_refused() -> None:
+    async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
+        writer = build_writer(scripted, store)
+        store.put(tables.get_fence_row("s"), b"boot-9/5/0")
+        row = tables.get_progress_row("s", "j")
+        with pytest.raises(OwnershipLostError):
+            await writer.write({row: b"1"})
+        assert row not in store.rows
+
+    run_with_store(test)
+
+
+def build_desk(scripted: ScriptedStore) -> NodeDesk:
+    clocks = EmulatedClocks()
+    health = StoreHealth()
+    routes = RouteTable()
+    routes.adopt(Configuration(1, (ROUTE,), {"s": Service("s")}))
+    store = WatchedStore(scripted, health, clocks)
+    return NodeDesk(store, health, clocks, routes, {}, {})
+
+
+@pytest.mark.parametrize(
+    ("script", "outcome"),
+    [
+        (["do"], SubmitOutcome.ACCEPTED),
+        (["lose", "do"], SubmitOutcome.ACCEPTED),
+        (["drop", "do"], SubmitOutcome.ACCEPTED),
+        (["refuse"], SubmitOutcome.REFUSED),
+        (["drop", "refuse", "do"], SubmitOutcome.ACCEPTED),
+        (["lose", *["refuse"] * 99], SubmitOutcome.UNKNOWN),
+    ],
+)
+def test_submission_ends_as_its_caller_is_told(
+    script: list[str], outcome: SubmitOutcome
+) -> None:
+    async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
+        result = await build_desk(scripted).submit(SUBMISSION)
+        assert result.outcome is outcome
+        stored = tables.get_job_row("s", SUBMISSION.job_id) in store.rows
+        assert stored or outcome is not SubmitOutcome.ACCEPTED
+        assert not stored or outcome is not SubmitOutcome.REFUSED
+
+    run_with_store(test, *script)
+
+
+def test_same_id_is_one_job_and_another_body_is_refused() -> None:
+    async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
+        desk = build_desk(scripted)
+        for _ in range(2):
+            result = await desk.submit(SUBMISSION)
+            assert result.outcome is SubmitOutcome.ACCEPTED
+        other = attrs.evolve(SUBMISSION, spec="other")
+        result = await desk.submit(other)
+        assert result.outcome is SubmitOutcome.OTHER_REQUEST
+
+    run_with_store(test)
+
+
+def test_state_and_cancel_of_unknown_and_known_jobs() -> None:
+    async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
+        desk = build_desk(scripted)
+        job_id = SUBMISSION.job_id
+        assert await desk.get_state(ROUTE, job_id) is None
+        assert await desk.cancel(ROUTE, job_id) is False
+        await desk.submit(SUBMISSION)
+        assert await desk.get_state(ROUTE, job_id) is JobState.QUEUED
+        assert await desk.cancel(ROUTE, job_id) is True
+        assert await desk.cancel(ROUTE, job_id) is True
+
+    run_with_store(test)
+
+
+def test_job_stays_known_after_its_queue_moved_to_another_service() -> None:
+    async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
+        desk = build_desk(scripted)
+        await desk.submit(SUBMISSION)
+        moved = attrs.evolve(ROUTE, policy=attrs.evolve(POLICY, service="s2"))
+        services = {"s": Service("s"), "s2": Service("s2")}
+        assert desk.routes.adopt(Configuration(2, (moved,), services))
+        assert await desk.get_state(moved, SUBMISSION.job_id) is JobState.QUEUED
+        again = attrs.evolve(SUBMISSION, policy=moved.policy)
+        result = await desk.submit(again)
+        assert (result.outcome, result.reason) == (SubmitOutcome.ACCEPTED, "known")
+        assert tables.get_job_row("s2", SUBMISSION.job_id) not in store.rows
+
+    run_with_store(test)
+
+
+def test_outage_is_refused_at_once_and_never_guessed() -> None:
+    async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
+        desk = build_desk(scripted)
+        scripted.script = ["unreadable"] * 9
+        assert await desk.get_state(ROUTE, "b" * 16) is Unavailable.STORE
+        await anyio.sleep(OUTAGE_S)
+        started = anyio.current_time()
+        result = await desk.submit(SUBMISSION)
+        assert result.outcome is SubmitOutcome.REFUSED
+        assert anyio.current_time() == started
+        assert not desk.is_ready()
+
+    run_with_store(test)
+
+
+def test_configuration_never_goes_back() -> None:
+    routes = RouteTable()
+    assert routes.adopt(Configuration(5, (ROUTE,), {}))
+    assert not routes.adopt(Configuration(4, (), {}))
+    assert not routes.adopt(Configuration(5, (), {}))
+    assert routes.find("h", "/p/x") == ROUTE
+
+
+def test_longest_prefix_wins() -> None:
+    longer = attrs.evolve(ROUTE, prefix="/p/q/")
+    routes = RouteTable()
+    routes.adopt(Configuration(1, (ROUTE, longer), {}))
+    assert routes.find("h", "/p/q/1") == longer
+    assert routes.find("h", "/p/1") == ROUTE
+    assert routes.find("other", "/p/1") is None
+
+
+def test_log_lines_are_bounded_counted_and_never_block() -> None:
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    os.set_blocking(reader, False)
+    now = [0.0]
+    lines = BoundedLines(writer, read_clock=lambda: now[0])
+    for _ in range(int(BURST_LINES) + 50):
+        lines.msg(b"{}")
+    assert lines.dropped_total == 50
+    os.read(reader, 1 << 20)
+    now[0] = 1.0
+    lines.msg(b"{}")
+    notes = [orjson.loads(line) for line in os.read(reader, 1 << 20).splitlines()]
+    assert notes[0]["count"] == 50
+    now[0] = 1000.0
+    for _ in range(200):
+        lines.msg(b"x" * 4000)
+    assert lines.dropped_total > 50
+    os.close(reader)
+    now[0] = 2000.0
+    lines.msg(b"{}")
+    os.close(writer)
--- /dev/null
+++ b/tests/test_pools.py
@@ -0,0 +1,276 @@
+"""Turns, sizes of pools, waves and moves."""
+
+import typing as t
+
+import attrs
+import pytest
+
+from onyxgap.exceptions import DocumentError
+from onyxgap.pools.messages import FleetRow
+from onyxgap.pools.messages import PoolReport
+from onyxgap.pools.messages import Vm
+from onyxgap.pools.messages import VmActionKind
+from onyxgap.pools.messages import VmOrder
+from onyxgap.pools.messages import VmReply
+from onyxgap.pools.messages import VmState
+from onyxgap.pools.messages import Wave
+from onyxgap.pools.messages import WorkerLoad
+from onyxgap.pools.messages import decode_fleet_row
+from onyxgap.pools.messages import decode_report
+from onyxgap.pools.messages import encode_fleet_row
+from onyxgap.pools.messages import encode_report
+from onyxgap.pools.planner import FleetPlanner
+from onyxgap.pools.sizing import HOLD_S
+from onyxgap.pools.sizing import PoolSizer
+from onyxgap.pools.turns import TurnForecast
+
+TICK_S = 0.25
+
+
+def run_turns(
+    forecast: TurnForecast, turns: t.Sequence[tuple[str, float]], per_tick: int = 2
+) -> float:
+    now = 0.0
+    shards = sorted({shard for shard, _ in turns})
+    for busy, length in turns:
+        for _ in range(int(length / TICK_S)):
+            now += TICK_S
+            for shard in shards:
+                forecast.observe(shard, now, per_tick if shard == busy else 0)
+    return now
+
+
+def test_turn_begins_and_ends_with_its_arrivals() -> None:
+    forecast = TurnForecast()
+    run_turns(forecast, [("a", 6.0)])
+    assert forecast.list_busy() == {"a"}
+    run_turns(forecast, [("a", 6.0), ("b", 3.0)])
+    assert forecast.list_busy() == {"b"}
+    assert forecast.shards["a"].lengths == [pytest.approx(6.0, abs=0.3)]
+
+
+def test_lone_jobs_begin_no_turn() -> None:
+    forecast = TurnForecast()
+    for second in range(20):
+        forecast.observe("a", float(second), 1)
+    assert forecast.list_busy() == frozenset()
+
+
+def test_next_turn_is_expected_early_rather_than_late() -> None:
+    forecast = TurnForecast()
+    run_turns(forecast, [("a", 6.0), ("b", 6.0), ("c", 0.25)])
+    start = forecast.get_next_start("a")
+    assert start is not None
+    assert 12.0 < start <= 18.0
+    assert forecast.get_next_start("c") is None
+
+
+def test_period_is_measured_once_a_turn_came_again() -> None:
+    forecast = TurnForecast()
+    now = run_turns(forecast, [("a", 5.0), ("b", 5.0), ("a", 5.0), ("b", 5.0)])
+    start = forecast.get_next_start("a")
+    assert start == pytest.approx(20.0, abs=0.6)
+    assert start > now - 1
+
+
+def report(shard: str, **changes: t.Any) -> PoolReport:
+    return attrs.evolve(PoolReport(shard, epoch=1), **changes)
+
+
+def test_unknown_pool_keeps_its_vms_and_grows_with_its_need() -> None:
+    sizer = PoolSizer()
+    assert sizer.choose_sizes({"a": report("a")}, {"a": 8}, 1.0) == {"a": 8}
+    busy = {"a": report("a", batch=7.0, queued=4.0)}
+    assert sizer.choose_sizes(busy, {"a": 8}, 2.0) == {"a": 11}
+    busy = {"a": report("a", batch=7.0, queued=40.0)}
+    assert sizer.choose_sizes(busy, {"a": 8}, 3.0) == {"a": 12}
+
+
+def test_pool_rests_between_its_turns_and_is_back_before_the_next() -> None:
+    sizer = PoolSizer()
+    now = run_turns(sizer.forecast, [("a", 6.0), ("b", 3.0), ("c", 0.5)])
+    reports = {"a": report("a", serving=0.4)}
+    assert sizer.choose_sizes(reports, {"a": 8}, now) == {"a": 2}
+    start = sizer.forecast.get_next_start("a")
+    assert start is not None
+    assert sizer.choose_sizes(reports, {"a": 8}, start - 2.0) == {"a": 8}
+
+
+def test_size_is_held_for_a_while() -> None:
+    sizer = PoolSizer()
+    now = run_turns(sizer.forecast, [("a", 6.0), ("b", 3.0), ("c", 0.5)])
+    high = {"a": report("a", batch=5.0)}
+    low = {"a": report("a")}
+    assert sizer.choose_sizes(high, {"a": 8}, now) == {"a": 6}
+    assert sizer.choose_sizes(low, {"a": 8}, now + HOLD_S / 2) == {"a": 6}
+    assert sizer.choose_sizes(low, {"a": 8}, now + HOLD_S + 0.1) == {"a": 2}
+
+
+def test_rows_survive_their_encoding() -> None:
+    sent = report("a", workers={"w": WorkerLoad(2, 1, 900)}, emptied={"w": "move#1"})
+    assert decode_report(encode_report(sent)) == sent
+    row = FleetRow({"w": "upkeep#2"}, {1: frozenset({"m"})}, frozenset({"x"}), {"a": 8})
+    assert decode_fleet_row(encode_fleet_row(row)) == row
+    for value in (b"", b"[]", b'{"cordons":1}'):
+        with pytest.raises(DocumentError):
+            decode_fleet_row(value)
+        with pytest.raises(DocumentError):
+            decode_report(value)
+
+
+def build_vms(pool: str, count: int) -> list[Vm]:
+    return [
+        Vm(f"{pool}{n}", pool, VmState.UP, worker_id=f"w-{pool}{n}")
+        for n in range(count)
+    ]
+
+
+@pytest.fixture
+def planner() -> FleetPlanner:
+    planner = FleetPlanner(2.0, epoch=1, spare_pool="spare", shards=frozenset("ab"))
+    spare = [Vm(f"z{n}", "spare", VmState.UP) for n in range(2)]
+    planner.apply_list([*build_vms("a", 4), *build_vms("b", 4), *spare], 0.0)
+    for pool in "ab":
+        planner.reports[pool] = build_report(planner, pool)
+    planner.sizes = {"a": 4, "b": 4}
+    return planner
+
+
+def build_report(planner: FleetPlanner, pool: str, **changes: t.Any) -> PoolReport:
+    workers = {
+        vm.worker_id: WorkerLoad(0, 0, 0)
+        for vm in planner.vms.values()
+        if vm.pool == pool
+    }
+    return report(pool, workers=workers, **changes)
+
+
+def empty_cordoned(planner: FleetPlanner) -> None:
+    for pool in "ab":
+        planner.reports[pool] = build_report(
+            planner, pool, emptied=dict(planner.cordons)
+        )
+
+
+def test_vm_is_maintained_only_once_its_shard_says_it_is_empty(
+    planner: FleetPlanner,
+) -> None:
+    planner.add_wave(Wave(1, ("a0", "z0"), 20.0, 2), 1.0)
+    assert [order.vm for order in planner.plan(1.0)] == ["z0"]
+    assert set(planner.cordons) == {"w-a0"}
+    assert planner.plan(1.1) == []
+    empty_cordoned(planner)
+    assert [order.vm for order in planner.plan(1.2)] == ["a0"]
+
+
+def test_report_of_an_earlier_cordon_does_not_count(planner: FleetPlanner) -> None:
+    planner.add_wave(Wave(1, ("a0",), 20.0, 2), 1.0)
+    planner.plan(1.0)
+    planner.reports["a"] = build_report(planner, "a", emptied={"w-a0": "upkeep#1.0"})
+    assert planner.plan(1.2) == []
+
+
+def test_wave_keeps_its_cap_until_a_later_list_shows_the_vm_up(
+    planner: FleetPlanner,
+) -> None:
+    planner.add_wave(Wave(1, ("z0", "z1"), 20.0, 1), 1.0)
+    (first,) = planner.plan(1.0)
+    assert planner.plan(1.1) == []
+    planner.apply_reply(first, VmReply.DONE, 1.2)
+    assert planner.plan(1.3) == []
+    planner.apply_list(planner.vms.values(), 3.6)
+    assert [order.vm for order in planner.plan(3.7)] == ["z1"]
+    assert planner.find_complete() == []
+
+
+def test_wave_is_complete_when_each_vm_has_begun_or_left(
+    planner: FleetPlanner,
+) -> None:
+    planner.add_wave(Wave(1, ("z0", "a3"), 20.0, 2), 1.0)
+    (order,) = planner.plan(1.0)
+    planner.apply_reply(order, VmReply.DONE, 1.2)
+    assert planner.find_complete() == []
+    planner.apply_list([vm for vm in planner.vms.values() if vm.name != "a3"], 2.0)
+    assert planner.find_complete() == [1]
+
+
+def test_busy_pool_is_left_alone_until_the_wave_would_be_late(
+    planner: FleetPlanner,
+) -> None:
+    planner.busy = frozenset("a")
+    planner.add_wave(Wave(1, ("a0", "a1"), 20.0, 1), 0.0)
+    planner.plan(0.0)
+    assert planner.cordons == {}
+    planner.plan(10.0)
+    assert len(planner.cordons) == 1
+
+
+def test_order_without_answer_is_sent_again(planner: FleetPlanner) -> None:
+    planner.add_wave(Wave(1, ("z0",), 20.0, 1), 1.0)
+    (order,) = planner.plan(1.0)
+    planner.apply_reply(order, VmReply.UNKNOWN, 1.1)
+    assert planner.plan(1.2) == []
+    assert planner.plan(1.7) == [order]
+    planner.apply_reply(order, VmReply.DONE, 1.8)
+    assert planner.waves[1].done == {"z0"}
+
+
+def test_spare_vms_join_a_pool_that_lacks_some(planner: FleetPlanner) -> None:
+    planner.sizes = {"a": 5, "b": 4}
+    (order,) = planner.plan(1.0)
+    assert order == VmOrder("z0", VmActionKind.MOVE, pool="a")
+    planner.apply_reply(order, VmReply.DONE, 1.1)
+    assert planner.plan(1.2) == []
+
+
+def test_surplus_vms_are_emptied_and_given_to_the_pool_that_lacks(
+    planner: FleetPlanner,
+) -> None:
+    planner.sizes = {"a": 7, "b": 2}
+    moves = planner.plan(1.0)
+    assert {order.vm for order in moves} == {"z0", "z1"}
+    assert len(planner.cordons) == 2
+    empty_cordoned(planner)
+    pools = sorted(order.pool for order in planner.plan(1.2))
+    assert pools == ["a", "spare"]
+
+
+def test_vm_with_serving_tasks_does_not_move(planner: FleetPlanner) -> None:
+    loads = {f"w-b{n}": WorkerLoad(1, 1, 100) for n in range(4)}
+    planner.reports["b"] = report("b", workers=loads)
+    planner.sizes = {"a": 4, "b": 1}
+    planner.plan(1.0)
+    assert planner.cordons == {}
+
+
+def test_cordon_is_lifted_when_the_pool_needs_its_vm_again(
+    planner: FleetPlanner,
+) -> None:
+    planner.sizes = {"a": 4, "b": 3}
+    planner.plan(1.0)
+    assert len(planner.cordons) == 1
+    planner.sizes = {"a": 4, "b": 4}
+    planner.plan(1.1)
+    assert planner.cordons == {}
+
+
+def test_nothing_moves_while_vms_are_still_starting() -> None:
+    planner = FleetPlanner(2.0, spare_pool="spare", shards=frozenset("a"))
+    vms = build_vms("a", 4)
+    vms[3] = attrs.evolve(vms[3], state=VmState.DOWN, worker_id="")
+    planner.apply_list([*vms, Vm("z0", "spare", VmState.UP)], 0.0)
+    planner.reports["a"] = build_report(planner, "a")
+    planner.sizes = {"a": 4}
+    assert planner.plan(1.0) == []
+    assert [order.vm for order in planner.plan(10.0)] == ["z0"]
+
+
+def test_successor_knows_what_was_maintained(planner: FleetPlanner) -> None:
+    planner.add_wave(Wave(1, ("z0", "z1"), 20.0, 2), 1.0)
+    for order in planner.plan(1.0):
+        planner.apply_reply(order, VmReply.DONE, 1.1)
+    successor = FleetPlanner(2.0, epoch=2)
+    successor.add_wave(Wave(1, ("z0", "z1"), 20.0, 2), 5.0)
+    successor.restore(decode_fleet_row(encode_fleet_row(planner.get_row())))
+    successor.apply_list(planner.vms.values(), 5.0)
+    assert successor.find_complete() == [1]
