--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -48,12 +48,11 @@
 from onyxgap.shared.snapshots import encode_snapshot
 from onyxgap.shared.state import FleetState
 from onyxgap.standins.memory_platform import MemoryPlatform
+from onyxgap.standins.virtual import run_virtually
 from onyxgap.wire.frames import decode_frame
 from onyxgap.wire.frames import encode_frame
 from onyxgap.wire.peer import ttypes
 
-from .virtual import run_virtually
-
 OUTPUT = pathlib.Path(__file__).parent.parent / "build" / "capacity.json"
 FULL_WORKERS = 19_000
 FULL_POOLS = 362
--- a/bench/measure.py
+++ b/bench/measure.py
@@ -23,13 +23,13 @@
 from onyxgap.standins.examples import load_example
 from onyxgap.standins.scenario import parse_scenario
 from onyxgap.standins.stage import Stage
+from onyxgap.standins.virtual import run_virtually
 from onyxgap.verdict import Verdict
 
 from .naive import NAIVE_BUILDERS
 from .naive import RESERVED_PER_ENTRY
 from .naive import apply_naively
 from .plots import draw_plots
-from .virtual import run_virtually
 
 ROOT = pathlib.Path(__file__).parent.parent
 OUTPUT = ROOT / "build" / "measure.json"
--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -16,9 +16,9 @@
 from onyxgap.standins.deployment import Deployment
 from onyxgap.standins.examples import load_example
 from onyxgap.standins.memory_platform import Faults
+from onyxgap.standins.virtual import run_virtually
 
 from .measure import ROOT
-from .virtual import run_virtually
 
 SETTLE_S = 8.0
 POLL_S = 0.05
--- a/src/onyxgap/cli/main.py
+++ b/src/onyxgap/cli/main.py
@@ -14,6 +14,7 @@
 from ..logs import LEVELS
 from ..platform.settings import PATH_VARIABLE
 from ..settings import parse_address
+from ..standins.emulator.policies import POLICIES
 from . import commands
 from . import processes
 
@@ -75,7 +76,31 @@
         metavar="FILE",
         help=f"the platform's settings file, by default that of ${PATH_VARIABLE}",
     )
+    node.add_argument(
+        "--metrics-port",
+        type=int,
+        default=0,
+        metavar="PORT",
+        help="serve /metrics on this port, too",
+    )
     node.add_argument("--log-level", choices=sorted(LEVELS), default="info")
+    experiment = _add_command(
+        group,
+        "experiment",
+        "play days of the emulated platform in virtual time",
+        processes.run_experiment_process,
+    )
+    experiment.add_argument("script", help="a file of the day language")
+    experiment.add_argument("--seeds", type=int, default=5, metavar="N")
+    experiment.add_argument("--first-seed", type=int, default=1, metavar="N")
+    experiment.add_argument(
+        "--faults", type=int, default=0, metavar="N", help="random faults a day"
+    )
+    experiment.add_argument(
+        "--against", choices=sorted(POLICIES), help="play this policy, too"
+    )
+    experiment.add_argument("--json", action="store_true", help="for machines")
+    experiment.add_argument("--plot", metavar="FILE", help="write a picture")
     stand_in = group.add_parser("stand-in", help="run a stand-in on loopback")
     kinds = stand_in.add_subparsers(required=True, metavar="KIND")
     platform = _add_command(
--- a/src/onyxgap/cli/processes.py
+++ b/src/onyxgap/cli/processes.py
@@ -6,6 +6,7 @@
 import typing as t
 
 import anyio
+import anyio.to_thread
 
 from ..daemons.control import run_control
 from ..daemons.entry import run_entry
@@ -58,8 +59,9 @@
 
     if not arguments.settings:
         raise DocumentError([Fault("--settings", f"or {PATH_VARIABLE} is required")])
-    configure_bounded_logs(arguments.log_level)
-    return await run_node_process(arguments.settings)
+    lines = configure_bounded_logs(arguments.log_level)
+    port = arguments.metrics_port
+    return await run_node_process(arguments.settings, lines, port)
 
 
 async def run_platform_process(arguments: argparse.Namespace) -> int:
@@ -96,3 +98,12 @@
 
     configure_logs("info" if arguments.verbose else "error", member="demo")
     return await run_demo(arguments.example)
+
+
+async def run_experiment_process(arguments: argparse.Namespace) -> int:
+    """Play days of the emulated platform in virtual time."""
+    # the virtual clock needs libraries of the development extra
+    from ..standins.emulator.experiment import run_experiment
+
+    configure_logs("error", member="experiment")
+    return await anyio.to_thread.run_sync(run_experiment, arguments)
--- a/src/onyxgap/daemons/desk.py
+++ b/src/onyxgap/daemons/desk.py
@@ -101,12 +101,13 @@
             service=submission.policy.service,
             outcome=result.outcome.value,
             reason=result.reason,
-            configuration=self._get_version(),
+            configuration=self.get_version(),
             took_s=round(took_s, 4),
         )
         return result
 
-    def _get_version(self) -> int:
+    def get_version(self) -> int:
+        """Give the version of the configuration in force, 0 before the first."""
         configuration = self.routes.configuration
         return configuration.version if configuration else 0
 
@@ -191,7 +192,7 @@
                 job=job_id,
                 queue=route.policy.queue,
                 outcome=outcome,
-                configuration=self._get_version(),
+                configuration=self.get_version(),
                 took_s=round(took_s, 4),
             )
         return state
--- a/src/onyxgap/daemons/fleet.py
+++ b/src/onyxgap/daemons/fleet.py
@@ -29,7 +29,7 @@
 from ..pools.messages import decode_report
 from ..pools.messages import encode_fleet_row
 from ..pools.planner import FleetPlanner
-from ..pools.sizing import PoolSizer
+from ..pools.sizing import Sizer
 from ..pools.sizing import get_need
 from .fence import FencedWriter
 from .follower import Follower
@@ -60,6 +60,7 @@
     :param encode_status: gives the row that tells how far a wave is.
     :param rng: spreads retries.
     :param first: whether there was no holder before.
+    :param sizer: chooses the sizes of pools.
     """
 
     writer: FencedWriter
@@ -72,10 +73,10 @@
     encode_status: t.Callable[[int, bool], tuple[RowId, bytes]]
     rng: random.Random
     first: bool
+    sizer: Sizer
     releasing: bool = False
     released: anyio.Event = attrs.field(factory=anyio.Event)
     planner: FleetPlanner = attrs.field(init=False)
-    sizer: PoolSizer = attrs.field(factory=PoolSizer)
     _earlier: FleetRow = attrs.field(factory=FleetRow)
     _stored: bytes = b""
     _reported: dict[int, bool] = attrs.field(factory=dict)
@@ -194,7 +195,7 @@
 
     def _choose_sizes(self, now: float) -> None:
         sizes = self.sizer.choose_sizes(self.planner.reports, self.planner.base, now)
-        busy = self.sizer.forecast.list_busy()
+        busy = self.sizer.list_busy()
         if sizes != self.planner.sizes:
             _LOG.info(
                 "pool sizes chosen",
@@ -204,7 +205,6 @@
                     for shard, report in self.planner.reports.items()
                 },
                 busy=sorted(busy),
-                period_s=self.sizer.forecast.get_period(),
             )
         self.planner.sizes = sizes
         self.planner.busy = busy
--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -32,6 +32,8 @@
 from ..jobs.workers import Workers
 from ..pools.messages import Cloud
 from ..pools.messages import Wave
+from ..pools.sizing import PoolSizer
+from ..pools.sizing import Sizer
 from .desk import NodeDesk
 from .fence import FencedWriter
 from .fleet import FleetHolder
@@ -90,6 +92,7 @@
     :param decoders: how foreign rows are read.
     :param clocks: the process's clocks.
     :param rng: spreads retries.
+    :param build_sizer: builds what chooses the sizes of pools.
     :param boot: unique id of the process.
     """
 
@@ -101,6 +104,7 @@
     decoders: Decoders
     clocks: Clocks
     rng: random.Random
+    build_sizer: t.Callable[[], Sizer] = PoolSizer
     boot: str = attrs.field(factory=lambda: uuid.uuid4().hex[:12])
     routes: RouteTable = attrs.field(factory=RouteTable)
     views: dict[str, OwnerView] = attrs.field(factory=dict)
@@ -355,6 +359,7 @@
                 self.decoders.encode_wave_status,
                 self.rng,
                 first=row.epoch == 1,
+                sizer=self.build_sizer(),
             )
             self.holder = holder
             self._group.start_soon(self._run_owner, shard, holder.run)
--- a/src/onyxgap/daemons/node_process.py
+++ b/src/onyxgap/daemons/node_process.py
@@ -12,6 +12,8 @@
 from ..jobs.health import StoreHealth
 from ..jobs.health import WatchedStore
 from ..jobs.settings import NodeSettings
+from ..logs import BoundedLines
+from ..metrics import Metrics
 from ..platform import registry
 from ..platform.callers import CallerApp
 from ..platform.callers import ReadyApp
@@ -20,6 +22,7 @@
 from ..platform.settings import load_settings
 from ..platform.store import PlatformStore
 from ..platform.workers import PlatformWorkers
+from ..settings import Address
 from .node import Decoders
 from .node import Node
 
@@ -64,24 +67,63 @@
     )
 
 
-async def run_node_process(path: str) -> int:
+def build_metrics(node: Node, lines: BoundedLines) -> Metrics:
+    """Build the metrics of a node.
+
+    :param node: the node; its desk counts answers from now on.
+    :param lines: writer of the log.
+    """
+    metrics = Metrics(
+        gauges={
+            "shards_owned": lambda: len(node.owners),
+            "fleet_duty_held": lambda: node.holder is not None,
+            "jobs_open": lambda: sum(
+                len(owner.state.jobs) for owner in node.owners.values()
+            ),
+            "workers_silent": lambda: sum(
+                len(owner.state.list_silent()) for owner in node.owners.values()
+            ),
+            "workers_registered": lambda: len(node.entries),
+            "configuration_version": node.desk.get_version,
+            "store_down": lambda: not node.desk.is_ready(),
+            "log_lines_dropped": lambda: lines.dropped_total,
+        }
+    )
+
+    def count(kind: str, outcome: str, took_s: float) -> None:
+        metrics.count(outcome, kind, kind, took_s)
+
+    node.desk.on_answer = count
+    return metrics
+
+
+async def run_node_process(
+    path: str, lines: BoundedLines, metrics_port: int = 0
+) -> int:
     """Run a node until it is told to stop.
 
     :param path: path of the settings file.
+    :param lines: writer of the log.
+    :param metrics_port: port for metrics beside the one for probes, 0 for none.
     :returns: the exit code.
     """
     settings = load_settings(path)
     node = build_node(settings)
+    render = build_metrics(node, lines).render
     _LOG.info("start", boot=node.boot, zone=settings.zone, store=settings.store)
     callers = CallerApp(node.desk)
     front = HttpServer(callers, settings.front, CLOSE_LIMIT_S)
-    ready = HttpServer(ReadyApp(node.desk, lambda: b""), settings.ready, CLOSE_LIMIT_S)
+    probes = ReadyApp(node.desk, render)
+    ready = HttpServer(probes, settings.ready, CLOSE_LIMIT_S)
     with anyio.open_signal_receiver(
         signal.SIGTERM, signal.SIGINT, signal.SIGHUP
     ) as signals:
         async with anyio.create_task_group() as group:
             group.start_soon(ready.run)
             group.start_soon(front.run)
+            if metrics_port:
+                address = Address(settings.ready.host, metrics_port)
+                group.start_soon(HttpServer(probes, address, CLOSE_LIMIT_S).run)
             group.start_soon(node.run)
             async for number in signals:
                 if number != signal.SIGHUP:
--- a/src/onyxgap/metrics.py
+++ b/src/onyxgap/metrics.py
@@ -72,9 +72,22 @@
             total = histogram.get_mean_value() * count / MICROSECONDS
             delays.add_metric((service,), count, total)
         yield delays
+        yield from self._collect_histograms()
         for name, read in sorted(self.gauges.items()):
             yield GaugeMetricFamily(f"onyxgap_{name}", name, value=read())
 
+    def _collect_histograms(self) -> t.Iterable[Metric]:
+        for service, histogram in sorted(self.delays.items()):
+            family = GaugeMetricFamily(
+                "onyxgap_answer_quantile_seconds",
+                "Quantiles of the time to answer",
+                labels=("service", "quantile"),
+            )
+            for percentile in PERCENTILES:
+                value = histogram.get_value_at_percentile(percentile) / MICROSECONDS
+                family.add_metric((service, f"{percentile / 100:g}"), value)
+            yield family
+
     def render(self) -> bytes:
         """Render the usual text format."""
         return generate_latest(self._registry)
--- a/src/onyxgap/pools/sizing.py
+++ b/src/onyxgap/pools/sizing.py
@@ -30,9 +30,30 @@
 demand is then about five times its mean, more than it holds."""
 
 
+class Sizer(t.Protocol):
+    """Chooses the sizes of the pools from the shards' reports."""
+
+    def observe(self, report: PoolReport, now: float) -> None:
+        """Take in a shard's report."""
+
+    def advance(self, now: float) -> None:
+        """Let time pass for shards that reported nothing new."""
+
+    def list_busy(self) -> frozenset[str]:
+        """List the pools whose turn is on."""
+
+    def choose_sizes(
+        self,
+        reports: t.Mapping[str, PoolReport],
+        base: t.Mapping[str, int],
+        now: float,
+    ) -> dict[str, int]:
+        """Choose the number of VMs for each pool; none to leave all as they are."""
+
+
 @attrs.define
 class PoolSizer:
-    """Chooses the sizes of the pools.
+    """Chooses the sizes of the pools by need and by the forecast of turns.
 
     :param forecast: turns of the shards.
     """
@@ -61,6 +82,10 @@
         for shard in self._counts:
             self.forecast.observe(shard, now, 0)
 
+    def list_busy(self) -> frozenset[str]:
+        """List the pools whose turn is on."""
+        return self.forecast.list_busy()
+
     def choose_sizes(
         self,
         reports: t.Mapping[str, PoolReport],
--- a/src/onyxgap/standins/emulator/callers.py
+++ b/src/onyxgap/standins/emulator/callers.py
@@ -99,12 +99,14 @@
     """All callers of a day.
 
     :param nodes: gives the nodes in the order in which a caller tries them.
-    :param rng: draws jobs.
+    :param rng: draws which node a caller tries, and when it returns.
+    :param seed: seed of the jobs.
     :param jobs: what they were told, by job.
     """
 
     nodes: t.Callable[[], list[CallerNode]]
     rng: random.Random
+    seed: int = 0
     jobs: dict[str, JobNotes] = attrs.field(factory=dict)
 
     def find_step(self, task: TaskId) -> tuple[Step, float, bool]:
@@ -117,9 +119,14 @@
         return step, notes.work_s[task], notes.poison
 
     def _add(
-        self, route: Route, steps: tuple[Step, ...], objective_s: float, poison: bool
+        self,
+        route: Route,
+        steps: tuple[Step, ...],
+        objective_s: float,
+        poison: bool,
+        rng: random.Random,
     ) -> JobNotes:
-        job_id = f"{self.rng.getrandbits(64):016x}"
+        job_id = f"{rng.getrandbits(64):016x}"
         submission = Submission(job_id, route.policy, f"spec of {job_id}", steps)
         notes = JobNotes(
             submission, route, anyio.current_time(), objective_s, poison=poison
@@ -136,20 +143,22 @@
         :param route: where.
         :param is_due: factor on the rate at this moment.
         """
+        # drawn apart from all else, so that each policy meets the same jobs
+        rng = random.Random(f"{load.pool}/{load.start}/{self.seed}")
         await anyio.sleep(load.start)
         async with anyio.create_task_group() as group:
             while anyio.current_time() < load.stop:
                 rate = is_due() / load.every
-                await anyio.sleep(self.rng.expovariate(rate) if rate else load.every)
+                await anyio.sleep(rng.expovariate(rate) if rate else load.every)
                 if anyio.current_time() >= load.stop:
                     return
                 steps = tuple(
-                    _draw_step(load, number, self.rng) for number in range(load.steps)
+                    _draw_step(load, number, rng) for number in range(load.steps)
                 )
                 chain_ms = sum(step.estimate_ms for step in steps)
                 objective_s = (STRETCH * chain_ms + SLO_MS) / 1000
-                poison = self.rng.random() < load.poison
-                notes = self._add(route, steps, objective_s, poison)
+                poison = rng.random() < load.poison
+                notes = self._add(route, steps, objective_s, poison, rng)
                 group.start_soon(self._live, notes, load)
 
     async def run_service(self, serve: ServeLine, route: Route) -> None:
@@ -165,7 +174,7 @@
             long_running=True,
             may_miss=serve.may_miss,
         )
-        notes = self._add(route, (step,), 1e9, False)
+        notes = self._add(route, (step,), 1e9, False, self.rng)
         await anyio.sleep(1.0)
         while not await self._submit(notes):
             await anyio.sleep(RETRY_S)
--- a/src/onyxgap/standins/emulator/day.py
+++ b/src/onyxgap/standins/emulator/day.py
@@ -27,6 +27,8 @@
 from ...pools.messages import Vm
 from ...pools.messages import VmState
 from ...pools.messages import Wave
+from ...pools.sizing import PoolSizer
+from ...pools.sizing import Sizer
 from ...settings import Address
 from .callers import Callers
 from .callers import build_policy
@@ -148,6 +150,7 @@
             DECODERS,
             clocks,
             random.Random(day.rng.random()),
+            build_sizer=day.build_sizer,
             boot=f"{day.rng.getrandbits(48):012x}",
         )
         with anyio.CancelScope() as scope:
@@ -210,10 +213,12 @@
 
     :param script: the day.
     :param seed: seed of everything that is drawn.
+    :param build_sizer: builds what chooses the sizes of pools.
     """
 
     script: Script
     seed: int
+    build_sizer: t.Callable[[], Sizer] = PoolSizer
     rng: random.Random = attrs.field(init=False)
     store: EmulatedStore = attrs.field(init=False)
     workers: EmulatedWorkers = attrs.field(init=False)
@@ -254,7 +259,7 @@
     def _build(self, group: anyio.abc.TaskGroup) -> None:
         self.store = EmulatedStore(self.rng, group)
         self.workers = EmulatedWorkers(self.rng, group)
-        self.callers = Callers(self._list_nodes, self.rng)
+        self.callers = Callers(self._list_nodes, self.rng, self.seed)
         self.cloud = EmulatedCloud(
             self.store,
             self.workers,
@@ -495,13 +500,16 @@
 }
 
 
-async def play_day(script: Script, seed: int) -> DayResult:
+async def play_day(
+    script: Script, seed: int, build_sizer: t.Callable[[], Sizer] = PoolSizer
+) -> DayResult:
     """Play a day of a script.
 
     :param script: the day.
     :param seed: seed of everything that is drawn.
+    :param build_sizer: builds what chooses the sizes of pools.
     """
-    return await Day(script, seed).play()
+    return await Day(script, seed, build_sizer).play()
 
 
 def draw_faults(script: Script, seed: int, count: int) -> Script:
--- a/bench/virtual.py
+++ b/src/onyxgap/standins/virtual.py
@@ -18,7 +18,7 @@
     :param run: the async function.
     :param args: its arguments.
     """
-    scheduler = trio._core._run  # type: ignore[attr-defined]
+    scheduler: t.Any = trio._core._run
     scheduler._ALLOW_DETERMINISTIC_SCHEDULING = True
     scheduler._r.seed(SCHEDULER_SEED)
     clock = trio.testing.MockClock(autojump_threshold=0)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,12 +8,12 @@
 
 from bench.naive import NAIVE_BUILDERS
 from bench.naive import apply_naively
-from bench.virtual import run_virtually
 from onyxgap.standins.deployment import Deployment
 from onyxgap.standins.examples import load_example
 from onyxgap.standins.promises import Breach
 from onyxgap.standins.scenario import parse_scenario
 from onyxgap.standins.stage import Stage
+from onyxgap.standins.virtual import run_virtually
 
 ROOT = pathlib.Path(__file__).parent.parent
 EXAMPLES = ROOT / "examples"
--- a/tests/emulated.py
+++ b/tests/emulated.py
@@ -1,12 +1,12 @@
 """Plays days of the emulator for tests."""
 
-from bench.virtual import run_virtually
 from onyxgap.standins.emulator.day import DayResult
 from onyxgap.standins.emulator.day import draw_faults
 from onyxgap.standins.emulator.day import play_day
 from onyxgap.standins.emulator.script import Script
 from onyxgap.standins.emulator.script import load_script
 from onyxgap.standins.emulator.script import parse_script
+from onyxgap.standins.virtual import run_virtually
 from tests.conftest import ROOT
 
 DAYS = ROOT / "tests" / "days"
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -8,13 +8,13 @@
 from testtools.assertions import assert_that
 from testtools.matchers import MatchesStructure
 
-from bench.virtual import run_virtually
 from onyxgap.request.claims import Claim
 from onyxgap.request.claims import ClaimKeeper
 from onyxgap.request.messages import Answer
 from onyxgap.request.messages import Reason
 from onyxgap.standins.memory_platform import Faults
 from onyxgap.standins.memory_platform import MemoryPlatform
+from onyxgap.standins.virtual import run_virtually
 from onyxgap.verdict import Verdict
 
 RAN = Answer(Verdict.RAN, 200, (("content-type", "text/plain"),), b"sold", vm="vm-1")
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -4,7 +4,6 @@
 
 import anyio
 
-from bench.virtual import run_virtually
 from onyxgap import defaults
 from onyxgap.daemons.retention import Sweeper
 from onyxgap.ports import Put
@@ -14,6 +13,7 @@
 from onyxgap.shared.membership import pick_owner
 from onyxgap.shared.membership import rank_by_hash
 from onyxgap.standins.memory_platform import MemoryPlatform
+from onyxgap.standins.virtual import run_virtually
 
 
 def build_row(name: str, incarnation: str = "1", sequence: int = 0) -> MemberRow:
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -9,7 +9,6 @@
 import orjson
 import pytest
 
-from bench.virtual import run_virtually
 from onyxgap.daemons.desk import NodeDesk
 from onyxgap.daemons.fence import FencedWriter
 from onyxgap.exceptions import OwnershipLostError
@@ -46,6 +45,7 @@
 from onyxgap.standins.emulator.gate import NodeGate
 from onyxgap.standins.emulator.store import EmulatedStore
 from onyxgap.standins.emulator.store import EmulatedStoreClient
+from onyxgap.standins.virtual import run_virtually
 
 ROW = OwnerRow("node-1", "boot-1", 4)
 ME = Claimant("node-2", "boot-2", 0)
