--- a/src/onyxgap/cli/main.py
+++ b/src/onyxgap/cli/main.py
@@ -1,6 +1,7 @@
 """The ``onyxgap`` command: arguments, dispatch and exit codes."""
 
 import argparse
+import importlib
 import os
 import sys
 import typing as t
@@ -14,9 +15,6 @@
 from ..logs import LEVELS
 from ..platform.settings import PATH_VARIABLE
 from ..settings import parse_address
-from ..standins.emulator.policies import POLICIES
-from . import commands
-from . import processes
 
 EXIT_NOT_IN_LINE = 1
 EXIT_BAD_INPUT = 2
@@ -52,6 +50,16 @@
     return parser
 
 
+def _load_later(module: str, name: str) -> t.Callable[..., t.Awaitable[int]]:
+    """Import a command's module only when it runs: a node must start quickly."""
+
+    async def run(arguments: argparse.Namespace) -> int:
+        loaded = importlib.import_module(f".{module}", __package__)
+        return t.cast(int, await getattr(loaded, name)(arguments))
+
+    return run
+
+
 def _add_command(
     group: t.Any, name: str, help_text: str, run: t.Callable[..., t.Any]
 ) -> argparse.ArgumentParser:
@@ -62,13 +70,16 @@
 
 def _add_processes(group: t.Any) -> None:
     for name, run in (
-        ("entry", processes.run_entry_process),
-        ("control", processes.run_control_process),
+        ("entry", _load_later("processes", "run_entry_process")),
+        ("control", _load_later("processes", "run_control_process")),
     ):
         parser = _add_command(group, name, f"run an {name} process", run)
         parser.add_argument("--settings", required=True, metavar="FILE")
     node = _add_command(
-        group, "node", "run a node on the users' platform", processes.run_platform_node
+        group,
+        "node",
+        "run a node on the users' platform",
+        _load_later("nodes", "run_platform_node"),
     )
     node.add_argument(
         "--settings",
@@ -88,7 +99,7 @@
         group,
         "experiment",
         "play days of the emulated platform in virtual time",
-        processes.run_experiment_process,
+        _load_later("nodes", "run_experiment_process"),
     )
     experiment.add_argument("script", help="a file of the day language")
     experiment.add_argument("--seeds", type=int, default=5, metavar="N")
@@ -97,37 +108,50 @@
         "--faults", type=int, default=0, metavar="N", help="random faults a day"
     )
     experiment.add_argument(
-        "--against", choices=sorted(POLICIES), help="play this policy, too"
+        "--against", choices=("fixed", "reactive"), help="play this, too"
     )
     experiment.add_argument("--json", action="store_true", help="for machines")
     experiment.add_argument("--plot", metavar="FILE", help="write a picture")
     stand_in = group.add_parser("stand-in", help="run a stand-in on loopback")
     kinds = stand_in.add_subparsers(required=True, metavar="KIND")
     platform = _add_command(
-        kinds, "platform", "the platform's service", processes.run_platform_process
+        kinds,
+        "platform",
+        "the platform's service",
+        _load_later("processes", "run_platform_process"),
     )
     platform.add_argument("--listen", type=parse_address, default="127.0.0.1:7000")
     platform.add_argument("--fleet", required=True, metavar="FILE")
     platform.add_argument("--boot-s", type=float, default=5.0)
     target = _add_command(
-        kinds, "target", "workers of a fleet file", processes.run_target_process
+        kinds,
+        "target",
+        "workers of a fleet file",
+        _load_later("processes", "run_target_process"),
     )
     target.add_argument("--fleet", required=True, metavar="FILE")
     target.add_argument("--vm", action="append", help="only these VMs")
     target.add_argument("--slots", type=int, default=8)
     target.add_argument("--work-ms", type=float, default=20.0)
     demo = _add_command(
-        group, "demo", "run a whole deployment under faults", processes.run_demo_process
+        group,
+        "demo",
+        "run a whole deployment under faults",
+        _load_later("processes", "run_demo_process"),
     )
     demo.add_argument("--example", default="pampa-lance")
     demo.add_argument("--verbose", action="store_true", help="show the logs")
 
 
 def _add_operations(group: t.Any) -> None:
-    check = _add_command(group, "check", "check a manifest offline", commands.run_check)
+    check = _add_command(
+        group, "check", "check a manifest offline", _load_later("commands", "run_check")
+    )
     check.add_argument("manifest")
     check.add_argument("--json", action="store_true")
-    apply = _add_command(group, "apply", "have a manifest accepted", commands.run_apply)
+    apply = _add_command(
+        group, "apply", "have a manifest accepted", _load_later("commands", "run_apply")
+    )
     apply.add_argument("manifest")
     apply.add_argument("--if-version", type=int, metavar="N")
     apply.add_argument("--author", default="operator")
@@ -135,13 +159,20 @@
     apply.add_argument("--timeout-s", type=float, default=30.0)
     _add_platform(apply)
     for name, help_text, run in (
-        ("status", "what is in force where", commands.run_status),
-        ("report", "what cannot be brought in line, and why", commands.run_report),
-        ("audit", "who changed what", commands.run_audit),
+        ("status", "what is in force where", _load_later("commands", "run_status")),
+        (
+            "report",
+            "what cannot be brought in line, and why",
+            _load_later("commands", "run_report"),
+        ),
+        ("audit", "who changed what", _load_later("commands", "run_audit")),
     ):
         _add_platform(_add_command(group, name, help_text, run))
     explain = _add_command(
-        group, "explain", "the life of a VM, task or pool", commands.run_explain
+        group,
+        "explain",
+        "the life of a VM, task or pool",
+        _load_later("commands", "run_explain"),
     )
     explain.add_argument("subject")
     _add_platform(explain)
--- a/src/onyxgap/cli/processes.py
+++ b/src/onyxgap/cli/processes.py
@@ -6,15 +6,10 @@
 import typing as t
 
 import anyio
-import anyio.to_thread
 
 from ..daemons.control import run_control
 from ..daemons.entry import run_entry
-from ..exceptions import DocumentError
-from ..exceptions import Fault
-from ..logs import configure_bounded_logs
 from ..logs import configure_logs
-from ..platform.settings import PATH_VARIABLE
 from ..settings import load_settings
 from ..settings import parse_address
 from ..standins.platform_server import load_fleet
@@ -52,18 +47,6 @@
     return await _run_until_signal(lambda stop: run_control(settings, stop))
 
 
-async def run_platform_node(arguments: argparse.Namespace) -> int:
-    """Run a node on the users' platform."""
-    # the node's libraries are not needed by the other commands
-    from ..daemons.node_process import run_node_process
-
-    if not arguments.settings:
-        raise DocumentError([Fault("--settings", f"or {PATH_VARIABLE} is required")])
-    lines = configure_bounded_logs(arguments.log_level)
-    port = arguments.metrics_port
-    return await run_node_process(arguments.settings, lines, port)
-
-
 async def run_platform_process(arguments: argparse.Namespace) -> int:
     """Run the stand-in platform."""
     configure_logs("info", member="platform")
@@ -98,12 +81,3 @@
 
     configure_logs("info" if arguments.verbose else "error", member="demo")
     return await run_demo(arguments.example)
-
-
-async def run_experiment_process(arguments: argparse.Namespace) -> int:
-    """Play days of the emulated platform in virtual time."""
-    # the virtual clock needs libraries of the development extra
-    from ..standins.emulator.experiment import run_experiment
-
-    configure_logs("error", member="experiment")
-    return await anyio.to_thread.run_sync(run_experiment, arguments)
--- a/src/onyxgap/daemons/fleet.py
+++ b/src/onyxgap/daemons/fleet.py
@@ -1,11 +1,13 @@
 """Holds the fleet duty: maintains and moves VMs, one holder at a time."""
 
+import math
 import random
 import typing as t
 
 import anyio
 import anyio.abc
 import attrs
+import orjson
 import structlog
 
 from ..clocks import Clocks
@@ -79,6 +81,8 @@
     planner: FleetPlanner = attrs.field(init=False)
     _earlier: FleetRow = attrs.field(factory=FleetRow)
     _stored: bytes = b""
+    _stored_turns: bytes = b""
+    _orders_from: float = math.inf
     _reported: dict[int, bool] = attrs.field(factory=dict)
     _wake: anyio.Event = attrs.field(factory=anyio.Event)
     _group: anyio.abc.TaskGroup | None = None
@@ -129,13 +133,29 @@
                 _LOG.warning("fleet row skipped", reason=str(error))
         self._take_inputs()
         self.planner.restore(self._earlier)
+        turns = await self.store.read(tables.TURNS_TABLE, tables.FLEET_SHARD)
+        for row in turns.rows:
+            self._restore_turns(row)
+        pause_s = 0.0
         if not self.first:
             # an earlier holder's last call must be over before the first of ours
             pause_s = self.limits.holder_pause_s + HOLDER_MARGIN_S
-            while self._now() < claimed_at + pause_s:
-                await self._write({})
-                await anyio.sleep(TICK_S)
-        _LOG.info("fleet duty held", epoch=self.writer.owner.epoch, first=self.first)
+        self._orders_from = claimed_at + pause_s
+        _LOG.info(
+            "fleet duty held",
+            epoch=self.writer.owner.epoch,
+            first=self.first,
+            pause_s=pause_s,
+        )
+
+    def _get_wall_offset(self) -> float:
+        return self.clocks.read_wall() - self._now()
+
+    def _restore_turns(self, row: StoredRow) -> None:
+        try:
+            self.sizer.restore(orjson.loads(row.value), self._get_wall_offset())
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            _LOG.warning("turns skipped", reason=repr(error))
 
     def _list_parts(self) -> t.Sequence[str]:
         configuration = self.routes.configuration
@@ -187,7 +207,7 @@
             now = self._now()
             self.sizer.advance(now)
             self._choose_sizes(now)
-            orders = self.planner.plan(now)
+            orders = self.planner.plan(now) if now >= self._orders_from else []
             await self._store(orders)
             await self._report_waves()
         await self.writer.release()
@@ -225,6 +245,9 @@
         now = self._now()
         if self.writer.is_beat_due(now):
             self.writer.put_beat(puts, now, {})
+            turns = orjson.dumps(self.sizer.export(self._get_wall_offset()))
+            if turns != self._stored_turns:
+                puts[tables.get_turns_row()] = self._stored_turns = turns
         if puts:
             await self.writer.write(puts)
 
--- a/src/onyxgap/daemons/follower.py
+++ b/src/onyxgap/daemons/follower.py
@@ -52,9 +52,10 @@
         delay = RETRY_MIN_S
         while True:
             try:
+                waits = self.after > 0
                 await self._advance()
                 delay = RETRY_MIN_S
-                if self.pause_s:
+                if self.pause_s and waits:
                     await anyio.sleep(self.pause_s)
             except HistoryLostError:
                 _LOG.info("history lost, reading again", table=self.table)
@@ -80,4 +81,4 @@
         self.on_rows(rows, True)
         self.after = min((page.version for page in pages), default=0)
         if not pages:
-            await anyio.sleep(RETRY_MAX_S)
+            await anyio.sleep(RETRY_MIN_S)
--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -50,6 +50,8 @@
 leaving worker 2 s after it said so."""
 HEARD_GAP_S = 2.0
 """A longer gap between two answers of the store says nothing of an owner."""
+CLAIM_LOOK_S = 0.1
+"""Pause between two looks for shards that may be claimed."""
 CLAIM_TRIES = 4
 CLAIM_PAUSE_S = 0.1
 
@@ -238,7 +240,7 @@
         assert self._group is not None
         self._group.start_soon(follower.run)
         while True:
-            await anyio.sleep(POLL_S / 4)
+            await anyio.sleep(CLAIM_LOOK_S)
             if self.routes.configuration is not None and not self._stopping:
                 self._claim_due(follower)
 
--- a/src/onyxgap/jobs/tables.py
+++ b/src/onyxgap/jobs/tables.py
@@ -20,6 +20,7 @@
 FENCE_TABLE = "onyxgap-fences"
 REPORT_TABLE = "onyxgap-reports"
 FLEET_TABLE = "onyxgap-fleet"
+TURNS_TABLE = "onyxgap-turns"
 FLEET_SHARD = "~fleet"
 """Shard of the fleet duty; no service has such a name."""
 CANCEL_SUFFIX = ".cancel"
@@ -80,6 +81,11 @@
     return RowId(FLEET_TABLE, FLEET_SHARD, "state")
 
 
+def get_turns_row() -> RowId:
+    """Give the row in which the holder keeps what it learned of demand."""
+    return RowId(TURNS_TABLE, FLEET_SHARD, "turns")
+
+
 @attrs.frozen(slots=True)
 class OwnerRow:
     """Who owns a shard, renewed as a heartbeat.
--- a/src/onyxgap/pools/planner.py
+++ b/src/onyxgap/pools/planner.py
@@ -75,6 +75,7 @@
 
     :param upkeep_s: seconds that maintenance takes.
     :param epoch: fencing token of the holder.
+    :param successor: whether the deployment ran under an earlier holder.
     :param spare_pool: service whose VMs are off, or empty.
     :param shards: services that run jobs.
     :param vms: VMs by name, as last listed.
@@ -89,6 +90,7 @@
 
     upkeep_s: float
     epoch: int = 0
+    successor: bool = False
     spare_pool: str = ""
     shards: frozenset[str] = frozenset()
     vms: dict[str, Vm] = attrs.field(factory=dict)
@@ -355,7 +357,10 @@
         its size, since its need rises and falls within a second.
         """
         report = self.reports.get(pool)
-        needed = count_needed(report) if report else 0
+        if report is None or pool not in self.sizes:
+            # nothing is known of its need yet
+            return 0
+        needed = count_needed(report)
         share = 1.0 if pool in self.busy else IDLE_SHARE
         kept = max(needed, math.ceil(self.sizes.get(pool, 0) * share))
         return self._count_open(pool) - kept
@@ -394,7 +399,7 @@
                 self._first_plan_at = now
             all_up = all(vm.state is VmState.UP for vm in self.vms.values())
             reported = self.shards <= self.reports.keys()
-            late = now - self._first_plan_at > SETTLE_S
+            late = self.successor or now - self._first_plan_at > SETTLE_S
             self._settled = reported and (all_up or late)
         return self._settled
 
--- a/src/onyxgap/pools/sizing.py
+++ b/src/onyxgap/pools/sizing.py
@@ -42,6 +42,12 @@
     def list_busy(self) -> frozenset[str]:
         """List the pools whose turn is on."""
 
+    def export(self, offset_s: float) -> dict[str, t.Any]:
+        """Give what a successor should know, with times on another clock."""
+
+    def restore(self, exported: t.Mapping[str, t.Any], offset_s: float) -> None:
+        """Take over what an earlier holder exported."""
+
     def choose_sizes(
         self,
         reports: t.Mapping[str, PoolReport],
@@ -86,6 +92,21 @@
         """List the pools whose turn is on."""
         return self.forecast.list_busy()
 
+    def export(self, offset_s: float) -> dict[str, t.Any]:
+        """Give what a successor should know, with times on another clock.
+
+        :param offset_s: seconds to add to this process's monotonic time.
+        """
+        return self.forecast.export(offset_s)
+
+    def restore(self, exported: t.Mapping[str, t.Any], offset_s: float) -> None:
+        """Take over what an earlier holder exported.
+
+        :param exported: what :meth:`export` gave.
+        :param offset_s: what that clock is ahead of this process's monotonic time.
+        """
+        self.forecast.restore(exported, offset_s)
+
     def choose_sizes(
         self,
         reports: t.Mapping[str, PoolReport],
--- a/src/onyxgap/pools/turns.py
+++ b/src/onyxgap/pools/turns.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import typing as t
 
 import attrs
 
@@ -111,6 +112,35 @@
         if arrivals is not None and arrivals.busy:
             arrivals.peak_need = max(arrivals.peak_need, need)
 
+    def export(self, offset_s: float) -> dict[str, t.Any]:
+        """Give what a successor should know, with times shifted to another clock.
+
+        :param offset_s: seconds to add to this process's monotonic time.
+        """
+        return {
+            shard: {
+                "starts": [round(start + offset_s, 1) for start in arrivals.starts],
+                "lengths": [round(length, 1) for length in arrivals.lengths],
+                "busy": arrivals.busy,
+                "peak_jobs": arrivals.peak_jobs,
+            }
+            for shard, arrivals in self.shards.items()
+        }
+
+    def restore(self, exported: t.Mapping[str, t.Any], offset_s: float) -> None:
+        """Take over what an earlier holder exported.
+
+        :param exported: what :meth:`export` gave.
+        :param offset_s: what that clock is ahead of this process's monotonic time.
+        """
+        for shard, raw in exported.items():
+            self.shards[shard] = Arrivals(
+                peak_jobs=int(raw["peak_jobs"]),
+                busy=bool(raw["busy"]) and bool(raw["starts"]),
+                starts=[float(start) - offset_s for start in raw["starts"]],
+                lengths=[float(length) for length in raw["lengths"]],
+            )
+
     def list_busy(self) -> frozenset[str]:
         """List the shards whose turn is on."""
         return frozenset(
--- a/src/onyxgap/standins/emulator/policies.py
+++ b/src/onyxgap/standins/emulator/policies.py
@@ -25,6 +25,13 @@
         """List the pools whose turn is on: none is known."""
         return frozenset()
 
+    def export(self, offset_s: float) -> dict[str, t.Any]:
+        """Give what a successor should know: nothing."""
+        return {}
+
+    def restore(self, exported: t.Mapping[str, t.Any], offset_s: float) -> None:
+        """Take over what an earlier holder exported: nothing."""
+
     def choose_sizes(
         self,
         reports: t.Mapping[str, PoolReport],
