--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -289,7 +289,17 @@
         assert self._group is not None
         for shard in list_claimable(views, claimant, heard_since, now)[:1]:
             self._claiming.add(shard)
-            self._group.start_soon(self._claim, shard)
+            view = views[shard]
+            _LOG.info(
+                "claiming shard",
+                shard=shard,
+                owner=view.row.node if view.row else "",
+                epoch=view.row.epoch if view.row else 0,
+                version=view.version,
+                unchanged_s=round(now - view.changed_at, 2),
+                heard_s=round(now - heard_since, 2),
+            )
+            self._group.start_soon(self._claim, shard, view)
 
     def _note_heard(self, now: float) -> float | None:
         answered_at = self.health.answered_at
@@ -305,15 +315,15 @@
             return self.holder is not None
         return shard in self.owners
 
-    async def _claim(self, shard: str) -> None:
+    async def _claim(self, shard: str, view: OwnerView) -> None:
         # a second claim beside this one would find its row and take it for its own
         try:
-            await self._try_claim(shard)
+            await self._try_claim(shard, view)
         finally:
             self._claiming.discard(shard)
 
-    async def _try_claim(self, shard: str) -> None:
-        view = self.views[shard]
+    async def _try_claim(self, shard: str, view: OwnerView) -> None:
+        # the view that was judged, not one that a read has replaced since
         earlier = view.row.epoch if view.row else 0
         row = OwnerRow(self.settings.node, self.boot, earlier + 1)
         owner_row = tables.get_owner_row(shard)
--- a/src/onyxgap/jobs/health.py
+++ b/src/onyxgap/jobs/health.py
@@ -5,12 +5,15 @@
 
 from ..clocks import Clocks
 from ..exceptions import PlatformUnavailableError
+from .store import WRITE_TIMEOUT_S
 from .store import Applied
 from .store import Batch
 from .store import Conflict
+from .store import OutcomeUnknown
 from .store import Page
 from .store import Store
 from .store import WriteOutcome
+from .timeouts import WriteTimeout
 
 OUTAGE_S = 0.6
 """Failing for this long counts as an outage: longer than a slow store's 300 ms."""
@@ -58,17 +61,26 @@
     :param store: the store.
     :param health: takes the notes.
     :param clocks: the process's clocks.
+    :param timeout: adapts the timeout of writes.
     """
 
     store: Store
     health: StoreHealth
     clocks: Clocks
+    timeout: WriteTimeout = attrs.field(factory=WriteTimeout)
 
-    async def write(self, batch: Batch) -> WriteOutcome:
+    async def write(
+        self, batch: Batch, timeout_s: float = WRITE_TIMEOUT_S
+    ) -> WriteOutcome:
         """Try a batch once; never raises for a failed call."""
-        outcome = await self.store.write(batch)
+        started = self.clocks.read_monotonic()
+        timeout_s = min(timeout_s, self.timeout.get())
+        outcome = await self.store.write(batch, timeout_s)
         now = self.clocks.read_monotonic()
+        if isinstance(outcome, OutcomeUnknown):
+            self.timeout.note_silence()
         if isinstance(outcome, Applied | Conflict):
+            self.timeout.note_answer(now - started)
             self.health.note_answer(now)
         else:
             self.health.note_failure(now, f"write: {outcome.reason}")
--- a/src/onyxgap/jobs/store.py
+++ b/src/onyxgap/jobs/store.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+WRITE_TIMEOUT_S = 1.0
+"""Longest wait for a write, where nothing is known of the store's speed."""
 ABSENT = 0
 """Version of a row that does not exist."""
 
@@ -119,7 +121,9 @@
 class Store(t.Protocol):
     """A transactional store of rows with a feed of changes."""
 
-    async def write(self, batch: Batch) -> WriteOutcome:
+    async def write(
+        self, batch: Batch, timeout_s: float = WRITE_TIMEOUT_S
+    ) -> WriteOutcome:
         """Try a batch once; never raises for a failed call."""
 
     async def read(self, table: str, part: str, key: str = "") -> Page:
--- a/src/onyxgap/platform/store.py
+++ b/src/onyxgap/platform/store.py
@@ -8,6 +8,7 @@
 
 from ..exceptions import HistoryLostError
 from ..exceptions import PlatformUnavailableError
+from ..jobs.store import WRITE_TIMEOUT_S
 from ..jobs.store import Applied
 from ..jobs.store import Batch
 from ..jobs.store import Conflict
@@ -21,8 +22,6 @@
 from .http import CallFailure
 from .http import HttpClient
 
-WRITE_TIMEOUT_S = 1.0
-"""A transaction takes 5 ms, and 300 ms when the store is 60 times slower."""
 READ_TIMEOUT_S = 1.0
 FOLLOW_MARGIN_S = 0.7
 """Beyond the wait that was asked for; a channel that went silent ends by it."""
@@ -103,11 +102,13 @@
     def _count(self, kind: str) -> None:
         self.calls[kind] = self.calls.get(kind, 0) + 1
 
-    async def write(self, batch: Batch) -> WriteOutcome:
+    async def write(
+        self, batch: Batch, timeout_s: float = WRITE_TIMEOUT_S
+    ) -> WriteOutcome:
         """Try a batch once; never raises for a failed call."""
         self._count("write")
         answer = await self.http.call(
-            "POST", "/rows-tx", encode_batch(batch), timeout_s=WRITE_TIMEOUT_S
+            "POST", "/rows-tx", encode_batch(batch), timeout_s=timeout_s
         )
         return decode_outcome(answer)
 
--- a/src/onyxgap/standins/emulator/store.py
+++ b/src/onyxgap/standins/emulator/store.py
@@ -8,6 +8,7 @@
 
 from ...exceptions import HistoryLostError
 from ...exceptions import PlatformUnavailableError
+from ...jobs.store import WRITE_TIMEOUT_S
 from ...jobs.store import Applied
 from ...jobs.store import Batch
 from ...jobs.store import Conflict
@@ -136,21 +137,23 @@
     def _is_unreachable(self) -> bool:
         return self.store.down or "store" in self.gate.cut_from
 
-    async def _enter(self) -> None:
+    async def _enter(self, timeout_s: float = CALL_TIMEOUT_S) -> None:
         await self.gate.pass_through()
         self.store.calls += 1
         if self._is_unreachable():
-            await anyio.sleep(CALL_TIMEOUT_S)
+            await anyio.sleep(timeout_s)
             await self.gate.pass_through()
             raise PlatformUnavailableError("no answer")
         await anyio.sleep(self.store.link.delay_s * self.store.slowness)
         if self.gate.node in self.store.refusing:
             raise PlatformUnavailableError("turned away")
 
-    async def write(self, batch: Batch) -> WriteOutcome:
+    async def write(
+        self, batch: Batch, timeout_s: float = WRITE_TIMEOUT_S
+    ) -> WriteOutcome:
         """Try a batch once; never raises for a failed call."""
         try:
-            await self._enter()
+            await self._enter(timeout_s)
         except PlatformUnavailableError as error:
             if str(error) == "turned away":
                 return NotApplied(str(error))
@@ -162,14 +165,15 @@
         if wait_s < 0:
             return NotApplied("partition is full")
         late_s = self.store.link.draw_late()
-        if late_s:
+        if late_s or wait_s > timeout_s:
+            late_s = max(late_s, wait_s)
             self.store.group.start_soon(run_late, late_s, self.store.apply, batch)
-            await anyio.sleep(CALL_TIMEOUT_S)
+            await anyio.sleep(timeout_s)
             return OutcomeUnknown("no answer")
         await anyio.sleep(wait_s)
         outcome = self.store.apply(batch)
         if self.store.link.draw_loss():
-            await anyio.sleep(CALL_TIMEOUT_S)
+            await anyio.sleep(timeout_s)
             outcome = OutcomeUnknown("no answer")
         await anyio.sleep(self.store.link.delay_s)
         await self.gate.pass_through()
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -11,6 +11,7 @@
 
 from onyxgap.daemons.desk import NodeDesk
 from onyxgap.daemons.fence import FencedWriter
+from onyxgap.daemons.node import Node
 from onyxgap.exceptions import OwnershipLostError
 from onyxgap.exceptions import PlatformUnavailableError
 from onyxgap.jobs import tables
@@ -33,14 +34,21 @@
 from onyxgap.jobs.routing import Route
 from onyxgap.jobs.routing import RouteTable
 from onyxgap.jobs.routing import Service
+from onyxgap.jobs.settings import NodeSettings
+from onyxgap.jobs.store import WRITE_TIMEOUT_S
 from onyxgap.jobs.store import Batch
 from onyxgap.jobs.store import NotApplied
 from onyxgap.jobs.store import OutcomeUnknown
 from onyxgap.jobs.store import Page
 from onyxgap.jobs.store import WriteOutcome
 from onyxgap.jobs.tables import OwnerRow
+from onyxgap.jobs.timeouts import LEAST_S
+from onyxgap.jobs.timeouts import MOST_S
+from onyxgap.jobs.timeouts import WriteTimeout
 from onyxgap.logs import BURST_LINES
 from onyxgap.logs import BoundedLines
+from onyxgap.settings import Address
+from onyxgap.standins.emulator.day import DECODERS
 from onyxgap.standins.emulator.day import EmulatedClocks
 from onyxgap.standins.emulator.gate import NodeGate
 from onyxgap.standins.emulator.store import EmulatedStore
@@ -90,7 +98,9 @@
     script: list[str]
     writes: int = 0
 
-    async def write(self, batch: Batch) -> WriteOutcome:
+    async def write(
+        self, batch: Batch, timeout_s: float = WRITE_TIMEOUT_S
+    ) -> WriteOutcome:
         self.writes += 1
         step = self.script.pop(0) if self.script else "do"
         if step == "refuse":
@@ -264,6 +274,49 @@
     assert routes.find("other", "/p/1") is None
 
 
+def test_claim_uses_the_view_that_was_judged() -> None:
+    async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
+        row_id = tables.get_owner_row("s")
+        store.put(row_id, tables.encode_owner(ROW))
+        judged = OwnerView(ROW, store.version, 0.0)
+        health = StoreHealth()
+        watched = WatchedStore(scripted, health, EmulatedClocks())
+        node = Node(
+            NodeSettings("node-2", "z", Address(), Address(), "-"),
+            watched,
+            health,
+            t.cast(t.Any, None),
+            None,
+            DECODERS,
+            EmulatedClocks(),
+            random.Random(1),
+        )
+        # another node claims, and a read shows it before the claim is sent
+        other = OwnerRow("node-3", "boot-3", 5)
+        store.put(row_id, tables.encode_owner(other))
+        node.views["s"] = OwnerView(other, store.version, 0.0)
+        await node._try_claim("s", judged)
+        assert tables.decode_owner(store.rows[row_id].value) == other
+        assert not node.owners
+
+    run_with_store(test)
+
+
+def test_write_timeout_follows_the_store() -> None:
+    timeout = WriteTimeout()
+    assert timeout.get() == LEAST_S
+    timeout.note_silence()
+    assert timeout.get() == 2 * LEAST_S
+    for _ in range(9):
+        timeout.note_silence()
+    assert timeout.get() == MOST_S
+    timeout.note_answer(0.01)
+    assert timeout.get() == LEAST_S
+    for _ in range(30):
+        timeout.note_answer(0.3)
+    assert timeout.get() == MOST_S
+
+
 def test_log_lines_are_bounded_counted_and_never_block() -> None:
     reader, writer = os.pipe()
     os.set_blocking(writer, False)
