--- a/src/onyxgap/standins/emulator/workers.py
+++ b/src/onyxgap/standins/emulator/workers.py
@@ -74,6 +74,7 @@
     ends_at: float
     stopping_at: float | None = None
     restored_s: float = 0.0
+    doomed: bool = False
 
 
 @attrs.define(eq=False)
@@ -125,7 +126,7 @@
             if at == stop_at:
                 kind = EndKind.STOPPED
             elif at == done_at:
-                fails = self.mood is Mood.FAILING or self.find_step(task)[2]
+                fails = run.doomed or self.find_step(task)[2]
                 kind = EndKind.FAILED if fails else EndKind.DONE
             self._end(task, kind, at)
 
@@ -210,7 +211,8 @@
         self.records.append(record)
         self.highest[order.task] = order.run
         self.lease_ms = max(self.lease_ms, order.deadline_ms)
-        run = _Run(record, step, now + left_s, restored_s=restored_s)
+        doomed = self.mood is Mood.FAILING
+        run = _Run(record, step, now + left_s, restored_s=restored_s, doomed=doomed)
         self.runs[order.task] = run
 
     def stop(self, order: StopOrder) -> Reply:
