--- a/src/onyxgap/cli/main.py
+++ b/src/onyxgap/cli/main.py
@@ -169,15 +169,26 @@
     ):
         _add_platform(_add_command(group, name, help_text, run))
     explain = _add_command(
-        group,
-        "explain",
-        "the life of a VM, task or pool",
-        _load_later("commands", "run_explain"),
+        group, "explain", "the life of a VM, task or pool", _run_explain
     )
     explain.add_argument("subject")
+    explain.add_argument(
+        "--logs",
+        nargs="+",
+        metavar="FILE",
+        help="read logs of nodes instead: the life of a job, task, worker or shard",
+    )
     _add_platform(explain)
 
 
+async def _run_explain(arguments: argparse.Namespace) -> int:
+    module, name = ("tracing", "run_trace") if arguments.logs else _EXPLAIN
+    return await _load_later(module, name)(arguments)
+
+
+_EXPLAIN = ("commands", "run_explain")
+
+
 def _add_platform(parser: argparse.ArgumentParser) -> None:
     parser.add_argument(
         "--platform", type=parse_address, default="127.0.0.1:7000", metavar="HOST:PORT"
--- /dev/null
+++ b/src/onyxgap/cli/tracing.py
@@ -0,0 +1,113 @@
+"""Puts the log lines of several nodes about one subject in order."""
+
+import argparse
+import json
+import pathlib
+import sys
+import typing as t
+
+import attrs
+import orjson
+
+TIME_FIELD = "timestamp"
+EVENT_FIELD = "event"
+WORKER_FIELD = "worker"
+HIDDEN_FIELDS = frozenset({TIME_FIELD, EVENT_FIELD, "level"})
+EXIT_NOTHING = 1
+
+
+@attrs.frozen
+class LogLine:
+    """One line of a node's log.
+
+    :param at: its timestamp.
+    :param source: file, and what stands before the JSON text.
+    :param fields: its fields.
+    """
+
+    at: str
+    source: str
+    fields: dict[str, t.Any]
+
+    def mentions(self, subject: str) -> bool:
+        """Tell whether any field is the subject, or a part of it such as a task."""
+        return any(
+            value == subject
+            or (isinstance(value, str) and value.startswith(f"{subject}."))
+            for value in self.fields.values()
+        )
+
+
+def parse_lines(source: str, text: str) -> t.Iterator[LogLine]:
+    """Read the JSON lines of a log; what stands before the brace is kept.
+
+    :param source: name of the file.
+    :param text: its content.
+    """
+    for line in text.splitlines():
+        prefix, brace, rest = line.partition("{")
+        try:
+            fields = orjson.loads(brace + rest)
+        except ValueError:
+            continue
+        if isinstance(fields, dict) and EVENT_FIELD in fields:
+            place = " ".join([source, *prefix.split()])
+            yield LogLine(str(fields.get(TIME_FIELD, "")), place, fields)
+
+
+def select_lines(lines: t.Sequence[LogLine], subject: str) -> list[LogLine]:
+    """Select what concerns a subject, in order of time.
+
+    Lines about the workers that ran it belong to it, from its first line to its
+    last one.
+
+    :param lines: lines of all nodes.
+    :param subject: id of a job, task, worker, VM or shard.
+    """
+    own = sorted(
+        (line for line in lines if line.mentions(subject)), key=lambda line: line.at
+    )
+    if not own:
+        return []
+    workers = {line.fields.get(WORKER_FIELD) for line in own} - {None}
+    first, last = own[0].at, own[-1].at
+    beside = [
+        line
+        for line in lines
+        if line.fields.get(WORKER_FIELD) in workers
+        and first <= line.at <= last
+        and "task" not in line.fields
+        and not line.mentions(subject)
+    ]
+    return sorted([*own, *beside], key=lambda line: line.at)
+
+
+def render_line(line: LogLine) -> str:
+    """Render a line for people.
+
+    :param line: the line.
+    """
+    shown = {
+        key: value for key, value in line.fields.items() if key not in HIDDEN_FIELDS
+    }
+    text = " ".join(f"{key}={json.dumps(value)}" for key, value in shown.items())
+    return f"{line.at}  {line.source}  {line.fields[EVENT_FIELD]}: {text}"
+
+
+async def run_trace(arguments: argparse.Namespace) -> int:
+    """Print what the logs say of a subject."""
+    lines: list[LogLine] = []
+    for name in arguments.logs:
+        path = pathlib.Path(name)
+        try:
+            lines += parse_lines(path.name, path.read_text(errors="replace"))
+        except OSError as error:
+            print(f"{name}: {error.strerror}", file=sys.stderr)
+            return EXIT_NOTHING
+    selected = select_lines(lines, arguments.subject)
+    for line in selected:
+        print(json.dumps(line.fields) if arguments.json else render_line(line))
+    if not selected:
+        print(f"no line mentions {arguments.subject}", file=sys.stderr)
+        return EXIT_NOTHING
+    return 0
--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -665,11 +665,32 @@
             record.reserved = False
         for ready in self._list_ready(now, wall_ms):
             if ready.job.submission.steps[ready.step].gang:
-                orders += self._place_gang(ready, now)
+                placed = self._place_gang(ready, now)
             else:
-                orders += self._place_tasks(ready, now)
+                placed = list(self._place_tasks(ready, now))
+            if placed:
+                self._log_placing(ready, placed, now)
+            orders += placed
         return orders
 
+    def _log_placing(
+        self, ready: Ready, placed: t.Sequence[StartOrder], now: float
+    ) -> None:
+        clocks = [self.workers[order.worker_id].clock for order in placed]
+        ages_s = [now - clock.read_at for clock in clocks if clock is not None]
+        _LOG.info(
+            "tasks placed",
+            job=ready.job.submission.job_id,
+            step=ready.step,
+            placed=len(placed),
+            wanted=len(ready.tasks),
+            workers=sorted({order.worker_id for order in placed}),
+            late=ready.urgency.late,
+            waited_s=round(now - ready.job.seen_at, 3),
+            report_age_s=round(max(ages_s, default=0.0), 3),
+            epoch=self.epoch,
+        )
+
     def _list_ready(self, now: float, wall_ms: float) -> list[Ready]:
         found = []
         for job in self.jobs.values():
--- /dev/null
+++ b/tests/test_tracing.py
@@ -0,0 +1,50 @@
+"""The life of a job from the logs of several nodes."""
+
+import argparse
+import pathlib
+
+import anyio
+import pytest
+
+from onyxgap.cli.main import build_parser
+from onyxgap.cli.tracing import parse_lines
+from onyxgap.cli.tracing import run_trace
+from onyxgap.cli.tracing import select_lines
+
+FIRST = """\
+  1.0 node-1 {"event":"submission answered","job":"aa11","timestamp":"T1"}
+no json at all
+{"event":"worker silent","worker":"w1","timestamp":"T3"}
+{"event":"worker silent","worker":"w1","timestamp":"T9"}
+{"event":"worker silent","worker":"w2","timestamp":"T3"}
+"""
+SECOND = """\
+{"event":"task ended","task":"aa11.0.0.1","worker":"w1","timestamp":"T4"}
+{"event":"task ended","task":"bb22.0.0.1","worker":"w1","timestamp":"T4"}
+{"event":"job failed","job":"aa11","timestamp":"T5"}
+"""
+
+
+def test_lines_of_a_job_and_of_its_workers_come_in_order() -> None:
+    lines = [*parse_lines("b", SECOND), *parse_lines("a", FIRST)]
+    events = [line.fields["event"] for line in select_lines(lines, "aa11")]
+    assert events == [
+        "submission answered",
+        "worker silent",
+        "task ended",
+        "job failed",
+    ]
+    assert select_lines(lines, "cc33") == []
+
+
+def test_command_reads_files_and_reports_nothing_found(
+    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = tmp_path / "node-1.log"
+    path.write_text(FIRST)
+    arguments = build_parser().parse_args(["explain", "aa11", "--logs", str(path)])
+    assert isinstance(arguments, argparse.Namespace)
+    assert anyio.run(run_trace, arguments) == 0
+    assert "submission answered" in capsys.readouterr().out
+    arguments.subject = "zz"
+    assert anyio.run(run_trace, arguments) == 1
