--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -1,53 +1,35 @@
 """A node: answers callers and owns shards of the fleet's jobs."""
 
-import random
 import typing as t
-import uuid
 
 import anyio
 import anyio.abc
 import attrs
 import structlog
 
-from ..clocks import Clocks
 from ..exceptions import DocumentError
 from ..exceptions import OwnershipLostError
 from ..exceptions import PlatformUnavailableError
 from ..jobs import tables
-from ..jobs.health import StoreHealth
-from ..jobs.messages import WorkerEntry
 from ..jobs.ownership import Claimant
 from ..jobs.ownership import OwnerView
 from ..jobs.ownership import list_claimable
-from ..jobs.routing import Configuration
-from ..jobs.routing import RouteTable
-from ..jobs.settings import NodeSettings
 from ..jobs.store import Applied
 from ..jobs.store import Batch
 from ..jobs.store import Conflict
-from ..jobs.store import RowId
-from ..jobs.store import Store
 from ..jobs.store import StoredRow
 from ..jobs.tables import OwnerRow
-from ..jobs.workers import Workers
-from ..pools.messages import Cloud
-from ..pools.messages import Wave
-from ..pools.sizing import PoolSizer
-from ..pools.sizing import Sizer
-from .desk import NodeDesk
 from .fence import FencedWriter
 from .fleet import FleetHolder
 from .follower import Follower
-from .owner import OwnerContext
+from .node_view import WORKER_PAUSE_S
+from .node_view import NodeView
 from .owner import ShardOwner
+from .owner_workers import OwnerContext
 from .vm_watch import VmWatch
 
 POLL_S = 0.7
 """Pause between two looks at the owner rows, which are renewed as often."""
-WORKER_PAUSE_S = 0.5
-"""Pause between two looks at the registrations: each worker writes every 1.5 s,
-and following each write would cost half of all calls; nothing may start on a
-leaving worker 2 s after it said so."""
 HEARD_GAP_S = 2.0
 """A longer gap between two answers of the store says nothing of an owner."""
 CLAIM_LOOK_S = 0.1
@@ -58,78 +40,9 @@
 _LOG = structlog.get_logger()
 
 
-@attrs.frozen
-class Decoders:
-    """How the rows of the operator and of the workers are found and read.
-
-    :param worker_table: table of the workers' registrations.
-    :param operator_table: table of the operator.
-    :param configuration_key: row of the configuration.
-    :param wave_prefix: start of the keys of maintenance waves.
-    :param decode_worker: reads a registration from its key and value.
-    :param decode_configuration: reads the configuration.
-    :param decode_wave: reads a maintenance wave from its key and value.
-    :param encode_wave_status: gives the row that tells how far a wave is.
-    """
-
-    worker_table: str
-    operator_table: str
-    configuration_key: str
-    wave_prefix: str
-    decode_worker: t.Callable[[str, bytes], WorkerEntry]
-    decode_configuration: t.Callable[[bytes], Configuration]
-    decode_wave: t.Callable[[str, bytes], Wave]
-    encode_wave_status: t.Callable[[int, bool], tuple[RowId, bytes]]
-
-
 @attrs.define(eq=False)
-class Node:
-    """Everything that a node does but listening.
-
-    :param settings: its settings.
-    :param store: the store, watched.
-    :param health: whether the store answers.
-    :param workers: calls to workers.
-    :param cloud: calls about VMs, ``None`` where there are none.
-    :param decoders: how foreign rows are read.
-    :param clocks: the process's clocks.
-    :param rng: spreads retries.
-    :param build_sizer: builds what chooses the sizes of pools.
-    :param boot: unique id of the process.
-    """
-
-    settings: NodeSettings
-    store: Store
-    health: StoreHealth
-    workers: Workers
-    cloud: Cloud | None
-    decoders: Decoders
-    clocks: Clocks
-    rng: random.Random
-    build_sizer: t.Callable[[], Sizer] = PoolSizer
-    boot: str = attrs.field(factory=lambda: uuid.uuid4().hex[:12])
-    routes: RouteTable = attrs.field(factory=RouteTable)
-    views: dict[str, OwnerView] = attrs.field(factory=dict)
-    owners: dict[str, ShardOwner] = attrs.field(factory=dict)
-    entries: dict[str, WorkerEntry] = attrs.field(factory=dict)
-    waves: dict[int, Wave] = attrs.field(factory=dict)
-    holder: FleetHolder | None = None
-    desk: NodeDesk = attrs.field(init=False)
-    _heard_since: float | None = None
-    _heard_at: float = 0.0
-    _claiming: set[str] = attrs.field(factory=set)
-    _group: anyio.abc.TaskGroup | None = None
-    _stopping: bool = False
-
-    def __attrs_post_init__(self) -> None:
-        self.desk = NodeDesk(
-            self.store,
-            self.health,
-            self.clocks,
-            self.routes,
-            self.views,
-            self.owners,
-        )
+class Node(NodeView):
+    """Everything that a node does but listening."""
 
     async def run(self) -> None:
         """Work until cancelled."""
@@ -148,85 +61,6 @@
                 watch = VmWatch(self.cloud, self.clocks, self._list_owners)
                 group.start_soon(watch.run)
 
-    def _build_follower(
-        self,
-        table: str,
-        on_rows: t.Callable[[t.Sequence[StoredRow], bool], None],
-        pause_s: float = 0.0,
-    ) -> Follower:
-        return Follower(
-            self.store, table, lambda: [""], on_rows, self.rng, pause_s=pause_s
-        )
-
-    # what the operator and the workers write
-
-    def _take_operator(self, rows: t.Sequence[StoredRow], whole: bool) -> None:
-        for row in rows:
-            key = row.row_id.key
-            try:
-                if row.removed:
-                    continue
-                if key == self.decoders.configuration_key:
-                    self._adopt(row)
-                elif key.startswith(self.decoders.wave_prefix):
-                    wave = self.decoders.decode_wave(key, row.value)
-                    self.waves[wave.number] = wave
-            except DocumentError as error:
-                _LOG.warning("operator's row skipped", key=key, reason=str(error))
-
-    def _adopt(self, row: StoredRow) -> None:
-        configuration = self.decoders.decode_configuration(row.value)
-        if self.routes.adopt(configuration):
-            _LOG.info(
-                "configuration in force",
-                version=configuration.version,
-                routes=len(configuration.routes),
-                row_version=row.version,
-            )
-
-    def _take_workers(self, rows: t.Sequence[StoredRow], whole: bool) -> None:
-        present = set()
-        for row in rows:
-            if row.removed:
-                self._drop_worker(row.row_id.key)
-                continue
-            try:
-                entry = self.decoders.decode_worker(row.row_id.key, row.value)
-            except DocumentError as error:
-                _LOG.warning("worker skipped", row=row.row_id.key, reason=str(error))
-                continue
-            present.add(entry.worker_id)
-            self._take_worker(entry)
-        if whole:
-            for worker_id in set(self.entries) - present:
-                self._drop_worker(worker_id)
-
-    def _take_worker(self, entry: WorkerEntry) -> None:
-        known = self.entries.get(entry.worker_id)
-        if known is None or known.state is not entry.state:
-            _LOG.info(
-                "worker registered",
-                worker=entry.worker_id,
-                service=entry.service,
-                address=entry.address,
-                state=entry.state.value,
-            )
-        self.entries[entry.worker_id] = entry
-        owner = self.owners.get(entry.service)
-        if owner is not None:
-            owner.observe_worker(entry)
-
-    def _drop_worker(self, worker_id: str) -> None:
-        entry = self.entries.pop(worker_id, None)
-        if entry is None:
-            return
-        _LOG.info("worker unregistered", worker=worker_id, service=entry.service)
-        owner = self.owners.get(entry.service)
-        if owner is not None:
-            owner.miss_worker(worker_id)
-
-    # ownership
-
     async def _watch_owners(self) -> None:
         follower = Follower(
             self.store,
--- a/src/onyxgap/daemons/node_process.py
+++ b/src/onyxgap/daemons/node_process.py
@@ -23,8 +23,8 @@
 from ..platform.store import PlatformStore
 from ..platform.workers import PlatformWorkers
 from ..settings import Address
-from .node import Decoders
 from .node import Node
+from .node_view import Decoders
 
 LINGER_S = 2.5
 """The balancer needs two failed probes, a second apart, to send no more callers."""
--- /dev/null
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -0,0 +1,223 @@
+"""An owner's calls to its workers: holds, starts and stops."""
+
+import math
+import random
+import typing as t
+
+import anyio
+import anyio.abc
+import attrs
+import structlog
+
+from ..clocks import Clocks
+from ..exceptions import OwnershipLostError
+from ..jobs.health import StoreHealth
+from ..jobs.messages import WorkerEntry
+from ..jobs.settings import TimeLimits
+from ..jobs.shard import Shard
+from ..jobs.store import Store
+from ..jobs.workers import HoldOrder
+from ..jobs.workers import HoldReport
+from ..jobs.workers import ReplyKind
+from ..jobs.workers import StartOrder
+from ..jobs.workers import StopOrder
+from ..jobs.workers import Workers
+from ..pools.messages import PoolReport
+from .fence import FencedWriter
+
+LEASE_S = 5.0
+"""Covers a change of the owner: 2.2 s of silence, the claim and the first hold."""
+LEASE_MARGIN_S = 0.3
+"""Below the longest lease that a worker grants."""
+HOLD_WAIT_S = 1.0
+"""A worker answers at the first end, or after this."""
+HOLD_WITHOUT_STORE_S = 8.0
+"""Outages of the store last up to about 9 s in all; see ``ORPHAN_WAIT_S``."""
+STORED_WAIT_S = 2.0
+RETRY_MIN_S = 0.03
+RETRY_MAX_S = 0.4
+
+_LOG = structlog.get_logger()
+
+
+@attrs.define
+class OwnerContext:
+    """What the owners of a node share.
+
+    :param store: the store.
+    :param workers: calls to workers.
+    :param clocks: the process's clocks.
+    :param health: whether the store answers.
+    :param limits: time limits of the deployment.
+    :param rng: spreads retries.
+    """
+
+    store: Store
+    workers: Workers
+    clocks: Clocks
+    health: StoreHealth
+    limits: TimeLimits
+    rng: random.Random
+
+
+@attrs.define(eq=False)
+class OwnerWorkers:
+    """The workers of an owned shard, and the orders to them.
+
+    :param writer: writes the shard's rows under its fence.
+    :param context: what the owners of the node share.
+    """
+
+    writer: FencedWriter
+    context: OwnerContext
+    state: Shard = attrs.field(init=False)
+    loaded: bool = False
+    releasing: bool = False
+    released: anyio.Event = attrs.field(factory=anyio.Event)
+    _wake: anyio.Event = attrs.field(factory=anyio.Event)
+    _stored: anyio.Event = attrs.field(factory=anyio.Event)
+    _group: anyio.abc.TaskGroup | None = None
+    _held: set[str] = attrs.field(factory=set)
+    _cordons: t.Mapping[str, str] = attrs.field(factory=dict)
+    _reported_at: float = -math.inf
+    _reported: PoolReport | None = None
+
+    def __attrs_post_init__(self) -> None:
+        self.state = Shard(self.shard, self.epoch, self._now())
+
+    @property
+    def shard(self) -> str:
+        """Name of the shard."""
+        return self.writer.shard
+
+    @property
+    def epoch(self) -> int:
+        """Fencing token of this owner."""
+        return self.writer.owner.epoch
+
+    def _now(self) -> float:
+        return self.context.clocks.read_monotonic()
+
+    def _wall_ms(self) -> float:
+        return self.context.clocks.read_wall() * 1000
+
+    def wake(self) -> None:
+        """Have the decision loop look again."""
+        self._wake.set()
+
+    def observe_worker(self, entry: WorkerEntry) -> None:
+        """Take in a registration of the service."""
+        self.state.observe_worker(entry, self._now())
+        self._start_hold(entry.worker_id)
+        self.wake()
+
+    def miss_worker(self, worker_id: str) -> None:
+        """Take in that a registration is gone."""
+        self.state.miss_worker(worker_id)
+
+    def has_silent_workers(self) -> bool:
+        """Tell whether any worker gives no answer."""
+        return self.loaded and bool(self.state.list_silent())
+
+    def apply_live_workers(self, live: t.Collection[str], sent_at: float) -> None:
+        """Take in which workers are alive by the platform's list of VMs."""
+        self.state.apply_live_workers(live, sent_at)
+        self.wake()
+
+    def _start_hold(self, worker_id: str) -> None:
+        record = self.state.workers.get(worker_id)
+        if self._group is None or record is None or not record.entry.address:
+            return
+        if worker_id not in self._held:
+            self._held.add(worker_id)
+            self._group.start_soon(self._hold_worker, worker_id)
+
+    def _build_hold(self, worker_id: str) -> HoldOrder:
+        record = self.state.workers[worker_id]
+        now = self._now()
+        deadline_ms: float | None = None
+        silent_s = now - self.context.health.answered_at
+        # what was sent to a silent worker may be carried out late: its lease stays
+        # as it is, so that it is certainly over some time
+        answering = record.failing_since is None
+        if record.clock and answering and silent_s < HOLD_WITHOUT_STORE_S:
+            lease_s = min(LEASE_S, self.context.limits.max_lease_s - LEASE_MARGIN_S)
+            deadline_ms = record.clock.estimate(now) + lease_s * 1000
+            record.lease_ms = max(record.lease_ms, deadline_ms)
+        wait_ms = int(HOLD_WAIT_S * 1000) if record.held else 0
+        entry = record.entry
+        return HoldOrder(
+            worker_id,
+            entry.address,
+            self.epoch,
+            record.acknowledged,
+            deadline_ms,
+            wait_ms,
+        )
+
+    async def _hold_worker(self, worker_id: str) -> None:
+        delay = RETRY_MIN_S
+        while worker_id in self.state.workers:
+            order = self._build_hold(worker_id)
+            sent_at = self._now()
+            report = await self.context.workers.hold(order)
+            now = self._now()
+            if isinstance(report, HoldReport):
+                delay = RETRY_MIN_S
+                await self._take_report(worker_id, report, sent_at)
+                continue
+            if report.kind is ReplyKind.STALE_OWNER:
+                raise OwnershipLostError(f"worker {worker_id} knows a later owner")
+            self.state.apply_failure(worker_id, report, now)
+            self.wake()
+            await anyio.sleep(delay * self.context.rng.uniform(0.5, 1.0))
+            delay = min(delay * 2, RETRY_MAX_S)
+        self._held.discard(worker_id)
+        await self.context.workers.forget(worker_id)
+
+    async def _take_report(
+        self, worker_id: str, report: HoldReport, sent_at: float
+    ) -> None:
+        record = self.state.workers.get(worker_id)
+        if record is None:
+            return
+        was_held = record.held and record.failing_since is None
+        self.state.apply_report(worker_id, report, sent_at, self._now())
+        if report.ended or not was_held:
+            self.wake()
+        # a hold sent before its ends are stored would be answered at once
+        with anyio.move_on_after(STORED_WAIT_S):
+            while record.acknowledged < record.seen:
+                await self._stored.wait()
+
+    def _spawn(
+        self, run: t.Callable[..., t.Coroutine[t.Any, t.Any, None]], *args: t.Any
+    ) -> None:
+        assert self._group is not None
+        self._group.start_soon(run, *args)
+
+    async def _send_start(self, order: StartOrder) -> None:
+        ready = self.state.prepare_start(order, self._now())
+        if ready is None:
+            self.wake()
+            return
+        reply = await self.context.workers.start(ready)
+        if reply.kind is ReplyKind.STALE_OWNER:
+            raise OwnershipLostError(f"worker {order.worker_id} knows a later owner")
+        self.state.apply_start_reply(ready, reply, self._now())
+        if reply.kind is not ReplyKind.DONE:
+            self.wake()
+
+    def _send_stops(self, orders: t.Iterable[StopOrder]) -> None:
+        for order in orders:
+            self._spawn(self._send_stop, order)
+
+    async def _send_stop(self, order: StopOrder) -> None:
+        reply = await self.context.workers.stop(order)
+        _LOG.info(
+            "stop ordered",
+            task=str(order.task),
+            run=order.run,
+            worker=order.worker_id,
+            reply=reply.kind.value,
+        )
--- /dev/null
+++ b/src/onyxgap/jobs/shard_jobs.py
@@ -0,0 +1,182 @@
+"""The jobs of a shard: taken in, cancelled, ended, stored and forgotten."""
+
+import typing as t
+
+import attrs
+
+from .job import Job
+from .job import Task
+from .job import TaskPhase
+from .messages import JobState
+from .messages import TaskId
+from .messages import WorkerEntry
+from .messages import WorkerState
+from .placing import WorkerRecord
+from .workers import MS
+from .workers import StopOrder
+
+Group = tuple[str, int, int]
+
+
+def is_at_work(task: Task) -> bool:
+    """Tell whether a serving task was reported at work and is to stay so."""
+    return task.phase is TaskPhase.RUNNING and task.percent >= 100 and not task.stopping
+
+
+def get_group(task: Task) -> Group:
+    """Give job, occurrence and step of a task."""
+    task_id = task.task_id
+    return (task_id.job_id, task_id.occurrence, task_id.step)
+
+
+@attrs.define
+class ShardJobs:
+    """Jobs of one shard, and what its other layers share.
+
+    :param service: pool whose workers it uses.
+    :param epoch: fencing token of the owner.
+    :param claimed_at: monotonic seconds when the owner took it over.
+    """
+
+    service: str
+    epoch: int
+    claimed_at: float
+    jobs: dict[str, Job] = attrs.field(factory=dict)
+    final: dict[str, JobState] = attrs.field(factory=dict)
+    ended_at: dict[str, float] = attrs.field(factory=dict)
+    workers: dict[str, WorkerRecord] = attrs.field(factory=dict)
+    dirty: set[str] = attrs.field(factory=set)
+    early_cancels: set[str] = attrs.field(factory=set)
+    cordons: t.Mapping[str, str] = attrs.field(factory=dict)
+    due: frozenset[str] = frozenset()
+    arrived_jobs: int = 0
+    strays: dict[tuple[str, TaskId, int], StopOrder] = attrs.field(factory=dict)
+
+    def add_job(self, job: Job, now: float, wall_ms: float) -> None:
+        """Take in a job that was stored.
+
+        :param job: the job, restored or new.
+        :param now: monotonic seconds.
+        :param wall_ms: wall-clock milliseconds since 1970.
+        """
+        job_id = job.submission.job_id
+        if job_id in self.jobs or job_id in self.final:
+            return
+        if job.state.final:
+            self._settle(job_id, job.state, now)
+            return
+        age_s = max(0.0, (wall_ms - job.submission.accepted_ms) / MS)
+        job.seen_at = now - min(age_s, now)
+        self.jobs[job_id] = job
+        if job.stored_state is None:
+            self.dirty.add(job_id)
+            self.arrived_jobs += 1
+        for task in job.list_placed():
+            record = self._find_record(task.worker_id)
+            record.reserve(job.get_step(task), get_group(task))
+        if job_id in self.early_cancels:
+            self.cancel(job_id)
+
+    def cancel(self, job_id: str) -> None:
+        """Take in that a caller cancelled a job.
+
+        :param job_id: id of the job.
+        """
+        job = self.jobs.get(job_id)
+        if job is None:
+            if job_id not in self.final:
+                self.early_cancels.add(job_id)
+            return
+        self.early_cancels.discard(job_id)
+        if not job.state.final:
+            self._finish(job, JobState.CANCELLED)
+
+    def _finish(self, job: Job, state: JobState) -> None:
+        job.state = state
+        self.dirty.add(job.submission.job_id)
+        for task in job.list_placed():
+            task.stopping = True
+
+    def _settle(self, job_id: str, state: JobState, now: float) -> None:
+        self.final[job_id] = state
+        self.ended_at[job_id] = now
+        self.jobs.pop(job_id, None)
+
+    def mark_stored(self, job_id: str, state: JobState, now: float) -> None:
+        """Record that a job's progress is in the store.
+
+        :param job_id: id of the job.
+        :param state: the state that was written.
+        :param now: monotonic seconds.
+        """
+        job = self.jobs.get(job_id)
+        if job is None:
+            return
+        job.stored_state = state
+        if state.final and not any(job.list_placed()):
+            self._settle(job_id, state, now)
+
+    def get_state(self, job_id: str) -> JobState | None:
+        """Give the stored state of a job, ``None`` when it is not known here."""
+        if job_id in self.final:
+            return self.final[job_id]
+        job = self.jobs.get(job_id)
+        if job is None:
+            return None
+        return job.stored_state or JobState.QUEUED
+
+    def count_waiting(self) -> dict[str, int]:
+        """Count jobs of which nothing has started, by queue."""
+        counts: dict[str, int] = {}
+        for job in self.jobs.values():
+            if job.state is JobState.QUEUED:
+                queue = job.submission.policy.queue
+                counts[queue] = counts.get(queue, 0) + 1
+        return counts
+
+    def list_expired(self, now: float, retention_s: float) -> list[str]:
+        """List jobs whose final state has been readable for long enough."""
+        expired = []
+        for job_id, ended in self.ended_at.items():
+            if now - ended < retention_s:
+                break
+            expired.append(job_id)
+        return expired
+
+    def forget_jobs(self, job_ids: t.Iterable[str]) -> None:
+        """Drop jobs whose rows were removed."""
+        for job_id in job_ids:
+            self.final.pop(job_id, None)
+            self.ended_at.pop(job_id, None)
+            self.early_cancels.discard(job_id)
+
+    def find_next_due(self, wall_ms: float) -> float:
+        """Give milliseconds until the next occurrence is due, or a large number."""
+        waits = [
+            job.get_due_ms() - wall_ms
+            for job in self.jobs.values()
+            if job.submission.times and job.next_occurrence < job.wanted_occurrences
+        ]
+        return min(waits, default=3_600_000.0)
+
+    def _find_record(self, worker_id: str) -> WorkerRecord:
+        record = self.workers.get(worker_id)
+        if record is None:
+            # a run may be on a worker that is no longer registered
+            entry = WorkerEntry(
+                worker_id, self.service, "", "", WorkerState.DRAINING, 0, 0, 0, (), 0
+            )
+            record = WorkerRecord(entry, registered=False)
+            self.workers[worker_id] = record
+        return record
+
+    def _release(self, job: Job, task: Task) -> None:
+        record = self.workers.get(task.worker_id)
+        if record is not None:
+            record.free(job.get_step(task), get_group(task))
+        task.release()
+        self.dirty.add(job.submission.job_id)
+
+    def _order_stop(self, record: WorkerRecord, task: TaskId, run: int) -> StopOrder:
+        entry = record.entry
+        return StopOrder(entry.worker_id, entry.address, task, run, self.epoch)
--- /dev/null
+++ b/src/onyxgap/jobs/shard_workers.py
@@ -0,0 +1,208 @@
+"""The workers of a shard: registered, cordoned, silent, dead, and their load."""
+
+import typing as t
+
+import attrs
+import structlog
+
+from ..pools.messages import PoolReport
+from ..pools.messages import WorkerLoad
+from .job import Job
+from .job import Task
+from .job import TaskPhase
+from .messages import Step
+from .messages import WorkerEntry
+from .placing import WorkerRecord
+from .shard_jobs import ShardJobs
+from .workers import WorkerClock
+
+ORPHAN_WAIT_S = 13.0
+"""An earlier owner without the store stops extending leases after 8 s, and the
+last lease that it gave lasts 5 s."""
+
+
+_LOG = structlog.get_logger()
+
+
+def _list_wanting(job: Job) -> t.Iterator[Task]:
+    """Yield tasks that run, or that could run now."""
+    if job.state.final:
+        return
+    for occurrence, number in job.list_ready():
+        for task in occurrence.steps[number]:
+            if task.phase is not TaskPhase.DONE:
+                yield task
+
+
+def measure_share(step: Step, capacity: tuple[int, int]) -> float:
+    """Measure which part of a worker a task takes.
+
+    :param step: its step.
+    :param capacity: cores in thousandths and MB of a worker.
+    """
+    cpu, memory_mb = capacity
+    if not cpu or not memory_mb:
+        return 0.0
+    share = 0.0 if step.fills else step.cpu / cpu
+    return max(share, step.memory_mb / memory_mb)
+
+
+@attrs.define
+class ShardWorkers(ShardJobs):
+    """Workers of one shard."""
+
+    def observe_worker(self, entry: WorkerEntry, now: float) -> WorkerRecord:
+        """Take in a registration.
+
+        :param entry: the registration.
+        :param now: monotonic seconds.
+        """
+        record = self.workers.get(entry.worker_id)
+        if record is None:
+            record = WorkerRecord(entry)
+            self.workers[entry.worker_id] = record
+        record.entry = entry
+        record.registered = True
+        record.cordoned = entry.worker_id in self.cordons
+        record.due = entry.worker_id in self.due
+        if record.clock is None:
+            record.clock = WorkerClock(entry.clock_ms, now)
+        return record
+
+    def set_cordons(
+        self, cordons: t.Mapping[str, str], due: frozenset[str] = frozenset()
+    ) -> None:
+        """Take in which workers are to be emptied.
+
+        :param cordons: workers to be emptied now, with the reason.
+        :param due: workers whose VMs are due for maintenance.
+        """
+        self.cordons, self.due = cordons, due
+        for worker_id, record in self.workers.items():
+            record.cordoned = worker_id in cordons
+            record.due = worker_id in due
+
+    def get_capacity(self) -> tuple[int, int]:
+        """Give cores in thousandths and MB of the largest worker seen."""
+        return max(
+            ((item.entry.cpu, item.entry.memory_mb) for item in self.workers.values()),
+            default=(0, 0),
+        )
+
+    def build_report(self, now: float) -> PoolReport:
+        """Report the load for the holder of the fleet duty.
+
+        :param now: monotonic seconds.
+        """
+        capacity = self.get_capacity()
+        sums = {"queued": 0.0, "batch": 0.0, "serving": 0.0}
+        serving: dict[str, int] = {}
+        for job in self.jobs.values():
+            for task in _list_wanting(job):
+                step = job.get_step(task)
+                kind = "serving" if step.long_running else "batch"
+                if step.long_running and task.placed:
+                    serving[task.worker_id] = serving.get(task.worker_id, 0) + 1
+                if not task.placed and not step.long_running:
+                    kind = "queued"
+                sums[kind] += measure_share(step, capacity)
+        workers = {
+            worker_id: WorkerLoad(
+                record.count_present(), serving.get(worker_id, 0), record.cpu_used
+            )
+            for worker_id, record in self.workers.items()
+            if record.registered
+        }
+        emptied = {
+            worker_id: self.cordons[worker_id]
+            for worker_id, record in self.workers.items()
+            if record.cordoned and record.held and not record.present
+        }
+        return PoolReport(
+            self.service,
+            workers,
+            emptied,
+            **{name: round(value, 3) for name, value in sums.items()},
+            arrived_jobs=self.arrived_jobs,
+            epoch=self.epoch,
+        )
+
+    def miss_worker(self, worker_id: str) -> None:
+        """Take in that a registration is gone; the worker may still run on."""
+        record = self.workers.get(worker_id)
+        if record is not None:
+            record.registered = False
+
+    def end_worker(self, worker_id: str, reason: str) -> None:
+        """Take in that a life of a worker is over and nothing runs there.
+
+        :param worker_id: the worker.
+        :param reason: what shows it, for the log.
+        """
+        record = self.workers.get(worker_id)
+        if record is None or record.gone:
+            return
+        record.gone = True
+        freed = self._free_worker(record)
+        _LOG.info(
+            "worker ended",
+            worker=worker_id,
+            service=self.service,
+            reason=reason,
+            freed=freed,
+        )
+        del self.workers[worker_id]
+
+    def list_silent(self) -> list[WorkerRecord]:
+        """List workers that give no answer, or whose registration is gone."""
+        return [
+            record
+            for record in self.workers.values()
+            if record.failing_since is not None or not record.registered
+        ]
+
+    def apply_live_workers(self, live: t.Collection[str], sent_at: float) -> None:
+        """Take in which workers are alive by the platform's list of VMs.
+
+        :param live: workers of VMs that are up.
+        :param sent_at: monotonic seconds when the list was asked for.
+        """
+        for record in self.list_silent():
+            silent_since = record.failing_since or self.claimed_at
+            if record.entry.worker_id not in live and sent_at > silent_since:
+                self.end_worker(record.entry.worker_id, "its VM is down or reborn")
+
+    def expire_workers(self, now: float) -> None:
+        """Release the runs of silent workers whose lease is certainly over."""
+        for record in list(self.workers.values()):
+            if record.failing_since is None and record.registered:
+                continue
+            if not self._is_lease_over(record, now):
+                continue
+            if not record.registered:
+                self.end_worker(record.entry.worker_id, "silent, lease over")
+            elif record.present:
+                freed = self._free_worker(record)
+                _LOG.info(
+                    "lease over",
+                    worker=record.entry.worker_id,
+                    service=self.service,
+                    freed=freed,
+                    silent_s=now - (record.failing_since or now),
+                )
+
+    def _is_lease_over(self, record: WorkerRecord, now: float) -> bool:
+        if not record.held and now < self.claimed_at + ORPHAN_WAIT_S:
+            return False
+        if record.clock is None:
+            return True
+        return record.clock.bound_low(now) > record.lease_ms
+
+    def _free_worker(self, record: WorkerRecord) -> int:
+        freed = 0
+        for job in list(self.jobs.values()):
+            for task in list(job.list_placed()):
+                if task.worker_id == record.entry.worker_id:
+                    self._release(job, task)
+                    freed += 1
+        return freed
--- a/src/onyxgap/standins/emulator/experiment.py
+++ b/src/onyxgap/standins/emulator/experiment.py
@@ -10,8 +10,8 @@
 from ..virtual import run_virtually
 from .checks import Account
 from .day import DayResult
-from .day import draw_faults
-from .day import play_day
+from .faults import draw_faults
+from .faults import play_day
 from .policies import POLICIES
 from .script import Script
 from .script import load_script
--- /dev/null
+++ b/src/onyxgap/standins/emulator/faults.py
@@ -0,0 +1,221 @@
+"""Faults of a day: scripted ones, and random ones in any mixture."""
+
+import random
+import typing as t
+
+import anyio
+import anyio.abc
+import attrs
+
+from ...jobs import tables
+from ...pools.messages import VmState
+from ...pools.sizing import PoolSizer
+from ...pools.sizing import Sizer
+from .day import Day
+from .day import DayResult
+from .script import FaultLine
+from .script import Script
+from .slots import NodeSlot
+from .workers import Mood
+
+
+@attrs.define(eq=False)
+class FaultyDay(Day):
+    """A day with the faults of its script."""
+
+    def _find_slot(self, target: str, name: str) -> NodeSlot:
+        shard = tables.FLEET_SHARD if target == "holder" else name
+        for slot in self.slots:
+            node = slot.node
+            if node is None:
+                continue
+            if shard in node.owners or (target == "holder" and node.holder):
+                return slot
+        return self.rng.choice(self.slots)
+
+    def _find_vm(self, pool: str) -> str:
+        names = [
+            name
+            for name, vm in sorted(self.cloud.vms.items())
+            if vm.state is VmState.UP and vm.worker_id and pool in ("", vm.pool)
+        ]
+        return self.rng.choice(names)
+
+    def _start_faults(self, group: anyio.abc.TaskGroup) -> None:
+        """Start the faults of the script."""
+        for fault in self.script.faults:
+            group.start_soon(self._run_fault, fault)
+
+    async def _run_fault(self, fault: FaultLine) -> None:
+        await anyio.sleep(fault.at)
+        await _FAULTS[fault.verb, fault.target](self, fault)
+
+    async def _restart(self, slots: t.Iterable[NodeSlot], after_s: float) -> None:
+        slots = list(slots)
+        for slot in slots:
+            slot.kill()
+        await anyio.sleep(after_s)
+        assert self._group is not None
+        for slot in slots:
+            self._group.start_soon(slot.run)
+
+    async def kill_one(self, fault: FaultLine) -> None:
+        """Kill the node that owns a shard; it starts again later."""
+        await self._restart([self._find_slot(fault.target, fault.name)], fault.seconds)
+
+    async def kill_all(self, fault: FaultLine) -> None:
+        """Kill every node at once; all start again later."""
+        await self._restart(self.slots, fault.seconds)
+
+    async def freeze_one(self, fault: FaultLine) -> None:
+        """Have a node stand still at its calls."""
+        slot = self._find_slot(fault.target, fault.name)
+        gate = slot.gate
+        gate.freeze()
+        await anyio.sleep(fault.seconds)
+        gate.thaw()
+
+    async def stop_one(self, fault: FaultLine) -> None:
+        """Stop a node as planned; it starts again later."""
+        slot = self._find_slot(fault.target, fault.name)
+        if slot.node is not None:
+            with anyio.move_on_after(2.0):
+                await slot.node.release()
+        await self._restart([slot], fault.seconds)
+
+    async def cut_one(self, fault: FaultLine) -> None:
+        """Cut a node off from the store."""
+        gate = self._find_slot(fault.target, fault.name).gate
+        gate.cut_from.add("store")
+        await anyio.sleep(fault.seconds)
+        gate.cut_from.discard("store")
+
+    async def crash_vm(self, fault: FaultLine) -> None:
+        """Crash a VM of a pool."""
+        self.cloud.crash(self._find_vm(fault.name), fault.seconds)
+
+    async def cut_vm(self, fault: FaultLine) -> None:
+        """Cut a VM off from everything; it runs on."""
+        self.cloud.cut(self._find_vm(fault.name), fault.seconds)
+
+    async def _set_mood(self, fault: FaultLine, mood: Mood) -> None:
+        worker = self.cloud.get_worker(self._find_vm(fault.name))
+        if worker is not None:
+            worker.mood = mood
+            await anyio.sleep(fault.seconds)
+            worker.mood = Mood.SOUND
+
+    async def fail_vm(self, fault: FaultLine) -> None:
+        """Have a worker fail everything that it starts."""
+        await self._set_mood(fault, Mood.FAILING)
+
+    async def hang_vm(self, fault: FaultLine) -> None:
+        """Have the tasks of a worker stand still."""
+        await self._set_mood(fault, Mood.HANGING)
+
+    async def slow_store(self, fault: FaultLine) -> None:
+        """Make each call to the store slower."""
+        self.store.slowness = fault.strength
+        await anyio.sleep(fault.seconds)
+        self.store.slowness = 1.0
+
+    async def stop_store(self, fault: FaultLine) -> None:
+        """Have the store give no answer."""
+        self.store.down = True
+        await anyio.sleep(fault.seconds)
+        self.store.down = False
+
+    async def lose_answers(self, fault: FaultLine) -> None:
+        """Lose answers of the store or of workers."""
+        link = self.store.link if fault.target == "store" else self.workers.link
+        link.lose_share = fault.strength
+        await anyio.sleep(fault.seconds)
+        link.lose_share = 0.0
+
+    async def delay_calls(self, fault: FaultLine) -> None:
+        """Have writes or orders be carried out seconds late."""
+        link = self.store.link if fault.target == "store" else self.workers.link
+        link.late_share = fault.strength
+        await anyio.sleep(fault.seconds)
+        link.late_share = 0.0
+
+    async def forget_history(self, fault: FaultLine) -> None:
+        """Drop the store's history."""
+        self.store.forget_history()
+
+    async def refuse_node(self, fault: FaultLine) -> None:
+        """Have the store turn a share of the nodes away."""
+        count = max(1, int(fault.strength * len(self.slots)))
+        names = {slot.name for slot in self.rng.sample(self.slots, count)}
+        self.store.refusing |= names
+        await anyio.sleep(fault.seconds)
+        self.store.refusing -= names
+
+    async def configure(self, fault: FaultLine) -> None:
+        """Write new versions of the configuration in quick succession."""
+        for _ in range(int(fault.seconds)):
+            self._configure()
+            await anyio.sleep(fault.strength)
+
+
+_FAULTS: t.Mapping[
+    tuple[str, str], t.Callable[[FaultyDay, FaultLine], t.Coroutine[t.Any, t.Any, None]]
+] = {
+    ("kill", "owner"): FaultyDay.kill_one,
+    ("kill", "holder"): FaultyDay.kill_one,
+    ("kill", "node"): FaultyDay.kill_one,
+    ("kill", "all"): FaultyDay.kill_all,
+    ("freeze", "owner"): FaultyDay.freeze_one,
+    ("freeze", "holder"): FaultyDay.freeze_one,
+    ("stop", "owner"): FaultyDay.stop_one,
+    ("stop", "holder"): FaultyDay.stop_one,
+    ("cut", "owner"): FaultyDay.cut_one,
+    ("cut", "vm"): FaultyDay.cut_vm,
+    ("crash", "vm"): FaultyDay.crash_vm,
+    ("fail", "vm"): FaultyDay.fail_vm,
+    ("hang", "vm"): FaultyDay.hang_vm,
+    ("slow", "store"): FaultyDay.slow_store,
+    ("down", "store"): FaultyDay.stop_store,
+    ("lose", "store"): FaultyDay.lose_answers,
+    ("late", "store"): FaultyDay.delay_calls,
+    ("forget", "store"): FaultyDay.forget_history,
+    ("refuse", "node"): FaultyDay.refuse_node,
+    ("late", "orders"): FaultyDay.delay_calls,
+    ("lose", "orders"): FaultyDay.lose_answers,
+    ("configure", "routes"): FaultyDay.configure,
+}
+
+
+async def play_day(
+    script: Script, seed: int, build_sizer: t.Callable[[], Sizer] = PoolSizer
+) -> DayResult:
+    """Play a day of a script.
+
+    :param script: the day.
+    :param seed: seed of everything that is drawn.
+    :param build_sizer: builds what chooses the sizes of pools.
+    """
+    return await FaultyDay(script, seed, build_sizer).play()
+
+
+def draw_faults(script: Script, seed: int, count: int) -> Script:
+    """Add random faults to a script, alone, in pairs and in a row.
+
+    :param script: the day.
+    :param seed: seed of the draw.
+    :param count: number of faults.
+    """
+    rng = random.Random(f"faults/{seed}")
+    verbs = sorted(_FAULTS)
+    pools = [line.name for line in script.pools]
+    faults = []
+    for _ in range(count):
+        verb, target = rng.choice(verbs)
+        at = rng.uniform(4.0, script.end_s - 8.0)
+        strength = {"store": 20.0}.get(target if verb == "slow" else "", 0.3)
+        faults.append(
+            FaultLine(
+                at, verb, target, rng.choice(pools), rng.uniform(1.0, 6.0), strength
+            )
+        )
+    return attrs.evolve(script, faults=[*script.faults, *faults])
--- /dev/null
+++ b/src/onyxgap/standins/emulator/rows.py
@@ -0,0 +1,57 @@
+"""Rows that the emulated operator and workers write."""
+
+import orjson
+
+from ...daemons.node_view import Decoders
+from ...jobs.messages import WorkerEntry
+from ...jobs.messages import WorkerState
+from ...jobs.routing import Configuration
+from ...jobs.routing import Route
+from ...jobs.routing import Service
+from ...jobs.store import RowId
+from ...pools.messages import Wave
+from .callers import build_policy
+from .cloud import WORKER_TABLE
+
+OPERATOR_TABLE = "operator"
+STATUS_TABLE = "waves"
+HOST = "emulator"
+SPARE_POOL = "spare"
+
+
+def _decode_worker(key: str, value: bytes) -> WorkerEntry:
+    raw = orjson.loads(value)
+    raw["state"] = WorkerState(raw["state"])
+    raw["labels"] = tuple(raw["labels"])
+    return WorkerEntry(**raw)
+
+
+def _decode_configuration(value: bytes) -> Configuration:
+    raw = orjson.loads(value)
+    routes = tuple(
+        Route(HOST, f"/{pool}/", build_policy(pool)) for pool in raw["pools"]
+    )
+    services = {pool: Service(pool) for pool in raw["pools"]}
+    services[SPARE_POOL] = Service(SPARE_POOL, spare=True)
+    return Configuration(raw["version"], routes, services)
+
+
+def _decode_wave(key: str, value: bytes) -> Wave:
+    raw = orjson.loads(value)
+    return Wave(raw["number"], tuple(raw["vms"]), raw["duration_s"], raw["cap"])
+
+
+def _encode_wave_status(number: int, complete: bool) -> tuple[RowId, bytes]:
+    return RowId(STATUS_TABLE, "", str(number)), b"done" if complete else b"running"
+
+
+DECODERS = Decoders(
+    WORKER_TABLE,
+    OPERATOR_TABLE,
+    "configuration",
+    "wave/",
+    _decode_worker,
+    _decode_configuration,
+    _decode_wave,
+    _encode_wave_status,
+)
--- /dev/null
+++ b/src/onyxgap/standins/emulator/slots.py
@@ -0,0 +1,136 @@
+"""Places where the real node runs in the emulator, is killed and starts again."""
+
+import random
+import typing as t
+
+import anyio
+import anyio.abc
+import attrs
+
+from ...clocks import Clocks
+from ...daemons.node import Node
+from ...jobs.desk import SubmitOutcome
+from ...jobs.desk import Unavailable
+from ...jobs.health import StoreHealth
+from ...jobs.health import WatchedStore
+from ...jobs.messages import Submission
+from ...jobs.routing import Route
+from ...jobs.settings import NodeSettings
+from ...pools.sizing import Sizer
+from ...settings import Address
+from .cloud import EmulatedCloud
+from .cloud import EmulatedCloudClient
+from .gate import NodeGate
+from .rows import DECODERS
+from .store import EmulatedStore
+from .store import EmulatedStoreClient
+from .workers import EmulatedWorkers
+from .workers import EmulatedWorkersClient
+
+
+class SlotDay(t.Protocol):
+    """What a slot needs of its day."""
+
+    rng: random.Random
+    store: EmulatedStore
+    workers: EmulatedWorkers
+    cloud: EmulatedCloud
+    build_sizer: t.Callable[[], Sizer]
+
+
+class EmulatedClocks:
+    """Clocks of the virtual time."""
+
+    def read_monotonic(self) -> float:
+        """Read the virtual clock."""
+        return anyio.current_time()
+
+    def read_wall(self) -> float:
+        """Read the wall clock that goes with it."""
+        return 1_800_000_000.0 + anyio.current_time()
+
+    def read_boot(self) -> float:
+        """Read the virtual clock."""
+        return anyio.current_time()
+
+
+@attrs.define(eq=False)
+class NodeSlot:
+    """A place where a node runs, and is killed and started again.
+
+    :param name: name of the node.
+    :param day: the day that it belongs to.
+    """
+
+    name: str
+    day: SlotDay
+    gate: NodeGate = attrs.field(init=False)
+    node: Node | None = None
+    scope: anyio.CancelScope | None = None
+
+    def __attrs_post_init__(self) -> None:
+        self.gate = NodeGate(self.name)
+
+    async def run(self) -> None:
+        """Run one process of the node until it is killed; none beside another."""
+        if self.node is not None:
+            return
+        self.gate = NodeGate(self.name)
+        day = self.day
+        clocks: Clocks = EmulatedClocks()
+        health = StoreHealth()
+        client = EmulatedStoreClient(day.store, self.gate)
+        address = Address()
+        settings = NodeSettings(self.name, "zone", address, address, "-")
+        self.node = Node(
+            settings,
+            WatchedStore(client, health, clocks),
+            health,
+            EmulatedWorkersClient(day.workers, self.gate),
+            EmulatedCloudClient(day.cloud, self.gate),
+            DECODERS,
+            clocks,
+            random.Random(day.rng.random()),
+            build_sizer=day.build_sizer,
+            boot=f"{day.rng.getrandbits(48):012x}",
+        )
+        with anyio.CancelScope() as scope:
+            self.scope = scope
+            await self.node.run()
+        self.node = None
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.gate.freeze()
+        if self.scope is not None:
+            self.scope.cancel()
+        self.node = None
+
+    async def submit(self, submission: Submission) -> SubmitOutcome | None:
+        """Hand a job in; ``None`` when the connection broke."""
+        node = self.node
+        if node is None:
+            return None
+        if node.routes.configuration is None:
+            return SubmitOutcome.REFUSED
+        await self.gate.pass_through()
+        result = await node.desk.submit(submission)
+        return result.outcome if self.node is node else None
+
+    async def get_state(self, route: Route, job_id: str) -> t.Any:
+        """Ask for a job's state."""
+        node = self.node
+        if node is None or node.routes.configuration is None:
+            return Unavailable.STORE
+        await self.gate.pass_through()
+        state = await node.desk.get_state(route, job_id)
+        return state if self.node is node else Unavailable.STORE
+
+    async def cancel(self, route: Route, job_id: str) -> t.Any:
+        """Cancel a job."""
+        node = self.node
+        if node is None or node.routes.configuration is None:
+            return Unavailable.STORE
+        await self.gate.pass_through()
+        known = await node.desk.cancel(route, job_id)
+        return known if self.node is node else Unavailable.STORE
--- a/tests/emulated.py
+++ b/tests/emulated.py
@@ -1,8 +1,8 @@
 """Plays days of the emulator for tests."""
 
 from onyxgap.standins.emulator.day import DayResult
-from onyxgap.standins.emulator.day import draw_faults
-from onyxgap.standins.emulator.day import play_day
+from onyxgap.standins.emulator.faults import draw_faults
+from onyxgap.standins.emulator.faults import play_day
 from onyxgap.standins.emulator.script import Script
 from onyxgap.standins.emulator.script import load_script
 from onyxgap.standins.emulator.script import parse_script
--- a/tests/test_mutations.py
+++ b/tests/test_mutations.py
@@ -89,7 +89,8 @@
 MUTATIONS = {
     "fence": (
         leave_out_fence,
-        "at 6 freeze owner ring for 4\nat 10.06 kill owner ring for 2",
+        "at 5 late store for 5 by 0.4\nat 6.5 kill owner ring for 2\n"
+        "at 10 kill owner ring for 2",
         "twice",
     ),
     "write-ahead": (
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -48,9 +48,9 @@
 from onyxgap.logs import BURST_LINES
 from onyxgap.logs import BoundedLines
 from onyxgap.settings import Address
-from onyxgap.standins.emulator.day import DECODERS
-from onyxgap.standins.emulator.day import EmulatedClocks
 from onyxgap.standins.emulator.gate import NodeGate
+from onyxgap.standins.emulator.rows import DECODERS
+from onyxgap.standins.emulator.slots import EmulatedClocks
 from onyxgap.standins.emulator.store import EmulatedStore
 from onyxgap.standins.emulator.store import EmulatedStoreClient
 from onyxgap.standins.virtual import run_virtually
