--- a/src/onyxgap/daemons/desk.py
+++ b/src/onyxgap/daemons/desk.py
@@ -36,7 +36,9 @@
 SETTLE_S = 2.0
 """How long a write without an answer is settled; callers wait for 3 s."""
 SETTLE_PAUSE_S = 0.08
+"""Pause between two tries of a write without an answer; the timeout comes on top."""
 OUTAGE_RETRY_AFTER_S = 2
+"""Outages last 4 to 9 s and callers try five times; other nodes may serve sooner."""
 MAX_REMEMBERED = 4_000
 """Final states kept in memory; about 100 bytes each."""
 
--- a/src/onyxgap/daemons/fence.py
+++ b/src/onyxgap/daemons/fence.py
@@ -19,7 +19,9 @@
 BEAT_S = 0.7
 """Three renewals fit into the silence after which others claim the shard."""
 RETRY_MIN_S = 0.03
+"""About twice the time of a transaction."""
 RETRY_MAX_S = 0.4
+"""A store that returns is used again within this time."""
 
 
 @attrs.define(eq=False)
--- a/src/onyxgap/daemons/fleet.py
+++ b/src/onyxgap/daemons/fleet.py
@@ -37,6 +37,7 @@
 from .follower import Follower
 
 TICK_S = 0.2
+"""Orders wait at most this long; reports wake the loop earlier."""
 LIST_S = 0.5
 """Pause between two lists of VMs; a move or maintenance takes 1.5 s or more."""
 HOLDER_MARGIN_S = 0.7
--- a/src/onyxgap/daemons/follower.py
+++ b/src/onyxgap/daemons/follower.py
@@ -17,7 +17,10 @@
 """Longest wait for a change: a channel that went silent is found within 1.9 s,
 below the 2 s in which a new configuration must be in force."""
 RETRY_MIN_S = 0.05
+"""First pause after a failed call, halved at random so that nodes do not return as
+one."""
 RETRY_MAX_S = 0.4
+"""A store that returns is read again within this time."""
 
 _LOG = structlog.get_logger()
 
--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -35,7 +35,9 @@
 CLAIM_LOOK_S = 0.1
 """Pause between two looks for shards that may be claimed."""
 CLAIM_TRIES = 4
+"""Tries of a claim without an answer, before the shard is looked at again."""
 CLAIM_PAUSE_S = 0.1
+"""Pause between two tries of a claim."""
 
 _LOG = structlog.get_logger()
 
--- a/src/onyxgap/daemons/node_process.py
+++ b/src/onyxgap/daemons/node_process.py
@@ -29,8 +29,11 @@
 LINGER_S = 2.5
 """The balancer needs two failed probes, a second apart, to send no more callers."""
 STORE_CONNECTIONS = 48
+"""Beyond the calls that a node has under way in a burst of 20 jobs a second."""
 RELEASE_LIMIT_S = 1.5
+"""Longest time to hand shards over; a silent store must not use up the grace of 6 s."""
 CLOSE_LIMIT_S = 1.0
+"""Time for answers under way once the listener is closed."""
 
 _LOG = structlog.get_logger()
 
@@ -85,7 +88,8 @@
             ),
             "workers_registered": lambda: len(node.entries),
             "configuration_version": node.desk.get_version,
-            "store_down": lambda: not node.desk.is_ready(),
+            "ready": node.desk.is_ready,
+            "store_down": lambda: node.health.is_down(node.clocks.read_monotonic()),
             "log_lines_dropped": lambda: lines.dropped_total,
         }
     )
--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -34,8 +34,11 @@
 HOLD_WITHOUT_STORE_S = 8.0
 """Outages of the store last up to about 9 s in all; see ``ORPHAN_WAIT_S``."""
 STORED_WAIT_S = 2.0
+"""Longest pause of a hold for ends to be stored; leases last 5 s."""
 RETRY_MIN_S = 0.03
+"""First pause after a failed hold."""
 RETRY_MAX_S = 0.4
+"""A worker that returns is held again within this time."""
 
 _LOG = structlog.get_logger()
 
--- a/src/onyxgap/daemons/vm_watch.py
+++ b/src/onyxgap/daemons/vm_watch.py
@@ -14,6 +14,7 @@
 PAUSE_S = 0.4
 """Pause between two lists while a worker is silent; all nodes share 64 a second."""
 IDLE_PAUSE_S = 0.1
+"""Pause between two looks for silent workers; it costs no call."""
 
 _LOG = structlog.get_logger()
 
--- a/src/onyxgap/jobs/priorities.py
+++ b/src/onyxgap/jobs/priorities.py
@@ -13,6 +13,7 @@
 CHAIN_MARGIN = 1.0
 """Share of the estimated chain that must still fit before the objective."""
 MS = 1000.0
+"""Milliseconds in a second."""
 
 
 class Urgency(t.NamedTuple):
--- a/src/onyxgap/jobs/routing.py
+++ b/src/onyxgap/jobs/routing.py
@@ -7,6 +7,7 @@
 from .messages import QueuePolicy
 
 DEFAULT_BODY_BYTES = 262_144
+"""Until the configuration says otherwise; the platform's usual bound."""
 
 
 @attrs.frozen(slots=True)
--- a/src/onyxgap/jobs/submissions.py
+++ b/src/onyxgap/jobs/submissions.py
@@ -16,7 +16,9 @@
 MAX_TASKS = 1_500
 """Tasks of all steps; their progress then fits a row of 64 KB."""
 MAX_STEPS = 100
+"""Far beyond the five steps seen; bounds the work of checking a body."""
 MAX_TIMES = 10_000
+"""An occurrence a minute for a week."""
 
 
 def _check_step(number: int, step: Step, count: int) -> t.Iterator[Fault]:
--- a/src/onyxgap/jobs/timeouts.py
+++ b/src/onyxgap/jobs/timeouts.py
@@ -12,8 +12,11 @@
 MOST_S = 1.0
 """A transaction takes 300 ms when the store is 60 times slower, and may queue."""
 LATENCY_FACTOR = 5.0
+"""Covers writes that queue behind a few others in their partition."""
 SMOOTHING = 0.2
+"""Weight of the newest answer: a store that turns slow is believed after some five."""
 BACKOFF = 2.0
+"""Three silent writes in a row reach the longest timeout."""
 
 
 @attrs.define
--- a/src/onyxgap/jobs/workers.py
+++ b/src/onyxgap/jobs/workers.py
@@ -12,6 +12,7 @@
 CLOCK_DRIFT = 0.02
 """A worker's clock may run this share slow; the platform's published bound."""
 MS = 1000.0
+"""Milliseconds in a second."""
 
 
 class ReplyKind(enum.Enum):
--- a/src/onyxgap/logs.py
+++ b/src/onyxgap/logs.py
@@ -41,6 +41,7 @@
 LINES_PER_S = 80.0
 """Sustained rate; a node on its heaviest measured second decided about 60 times."""
 BURST_LINES = 800.0
+"""What a node writes while it starts and registers 40 workers, five times over."""
 PENDING_BYTES = 65_536
 """Most that waits for a reader that is slow; more is dropped and counted."""
 
--- a/src/onyxgap/platform/cloud.py
+++ b/src/onyxgap/platform/cloud.py
@@ -16,7 +16,9 @@
 from .http import HttpClient
 
 LIST_TIMEOUT_S = 1.0
+"""The list is asked for again each half second."""
 ORDER_TIMEOUT_S = 1.0
+"""An order without an answer is sent again; repeating it does nothing more."""
 
 _BY_REASON: t.Mapping[str, VmReply] = {
     "fence": VmReply.STALE_HOLDER,
--- a/src/onyxgap/platform/store.py
+++ b/src/onyxgap/platform/store.py
@@ -23,9 +23,11 @@
 from .http import HttpClient
 
 READ_TIMEOUT_S = 1.0
+"""A read takes 4 ms, and 240 ms when the store is 60 times slower."""
 FOLLOW_MARGIN_S = 0.7
 """Beyond the wait that was asked for; a channel that went silent ends by it."""
 PAGE_ROWS = 500
+"""Most rows that the store gives in one answer."""
 _REFUSED = (429, 503)
 
 
--- a/src/onyxgap/platform/workers.py
+++ b/src/onyxgap/platform/workers.py
@@ -21,6 +21,7 @@
 ORDER_TIMEOUT_S = 0.8
 """A worker answers within milliseconds; a lost order is settled by its deadline."""
 HOLD_MARGIN_S = 0.5
+"""Beyond the wait that was asked for; a silent worker is found within 1.5 s."""
 WORKER_CONNECTIONS = 48
 """Below the 64 connections that a worker takes."""
 
--- a/src/onyxgap/pools/fleet_state.py
+++ b/src/onyxgap/pools/fleet_state.py
@@ -17,7 +17,9 @@
 UPKEEP_REASON = "upkeep"
 MOVE_REASON = "move"
 RESEND_S = 0.5
+"""About as often as VMs are listed."""
 REFUSED_PAUSE_S = 5.0
+"""An order that was refused as invalid is mostly refused again."""
 LAND_MARGIN_S = 0.3
 """Maintenance is certainly over this long after the time that it takes."""
 
--- a/src/onyxgap/pools/turns.py
+++ b/src/onyxgap/pools/turns.py
@@ -29,6 +29,7 @@
 """Share of the period, reckoned from one turn's length, that a pool may rest. A
 turn of few jobs looks shorter than it is, so the longest one seen counts."""
 KEPT_STARTS = 6
+"""Turns remembered of each shard; older ones say little of the present."""
 
 
 @attrs.define(slots=True)
