--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -219,6 +219,7 @@
             self.health,
             self.settings.limits,
             self.rng,
+            self.adviser,
         )
         owner = ShardOwner(writer, context)
         self.owners[shard] = owner
--- a/src/onyxgap/daemons/node_process.py
+++ b/src/onyxgap/daemons/node_process.py
@@ -15,6 +15,7 @@
 from ..logs import BoundedLines
 from ..metrics import Metrics
 from ..platform import registry
+from ..platform.advice import PlatformAdvice
 from ..platform.callers import CallerApp
 from ..platform.callers import ReadyApp
 from ..platform.cloud import PlatformCloud
@@ -58,6 +59,9 @@
     clocks = SystemClocks()
     health = StoreHealth()
     store = PlatformStore(HttpClient(settings.store, STORE_CONNECTIONS))
+    adviser = None
+    if settings.advice != "-":
+        adviser = PlatformAdvice(HttpClient(settings.advice))
     return Node(
         settings,
         WatchedStore(store, health, clocks),
@@ -67,6 +71,7 @@
         DECODERS,
         clocks,
         random.Random(os.urandom(8)),
+        adviser=adviser,
     )
 
 
--- a/src/onyxgap/daemons/node_view.py
+++ b/src/onyxgap/daemons/node_view.py
@@ -11,6 +11,7 @@
 
 from ..clocks import Clocks
 from ..exceptions import DocumentError
+from ..jobs.advice import Adviser
 from ..jobs.health import StoreHealth
 from ..jobs.messages import WorkerEntry
 from ..jobs.ownership import OwnerView
@@ -74,6 +75,7 @@
     :param decoders: how foreign rows are read.
     :param clocks: the process's clocks.
     :param rng: spreads retries.
+    :param adviser: the policy service, ``None`` where there is none.
     :param build_sizer: builds what chooses the sizes of pools.
     :param boot: unique id of the process.
     """
@@ -86,6 +88,7 @@
     decoders: Decoders
     clocks: Clocks
     rng: random.Random
+    adviser: Adviser | None = None
     build_sizer: t.Callable[[], Sizer] = PoolSizer
     boot: str = attrs.field(factory=lambda: uuid.uuid4().hex[:12])
     routes: RouteTable = attrs.field(factory=RouteTable)
--- a/src/onyxgap/daemons/owner.py
+++ b/src/onyxgap/daemons/owner.py
@@ -85,6 +85,8 @@
                     self._start_hold(worker_id)
                 group.start_soon(follower.run)
                 group.start_soon(cordons.run)
+                if self.context.adviser is not None:
+                    group.start_soon(self._advise_forever, self.context.adviser)
                 await self._decide_until_released()
                 group.cancel_scope.cancel()
         except* OwnershipLostError as errors:
@@ -160,6 +162,8 @@
             self._wake = anyio.Event()
             self.state.expire_workers(self._now())
             orders = self.state.plan(self._now(), self._wall_ms())
+            if self.state.book.wanted:
+                self._questions.set()
             self._send_stops(self.state.list_stops(self._now()))
             await self._commit(orders)
         await self._release()
--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -11,6 +11,7 @@
 
 from ..clocks import Clocks
 from ..exceptions import OwnershipLostError
+from ..jobs.advice import Adviser
 from ..jobs.health import StoreHealth
 from ..jobs.messages import WorkerEntry
 from ..jobs.settings import TimeLimits
@@ -53,6 +54,7 @@
     :param health: whether the store answers.
     :param limits: time limits of the deployment.
     :param rng: spreads retries.
+    :param adviser: the policy service, ``None`` where there is none.
     """
 
     store: Store
@@ -61,6 +63,7 @@
     health: StoreHealth
     limits: TimeLimits
     rng: random.Random
+    adviser: Adviser | None = None
 
 
 @attrs.define(eq=False)
@@ -78,6 +81,7 @@
     releasing: bool = False
     released: anyio.Event = attrs.field(factory=anyio.Event)
     _wake: anyio.Event = attrs.field(factory=anyio.Event)
+    _questions: anyio.Event = attrs.field(factory=anyio.Event)
     _stored: anyio.Event = attrs.field(factory=anyio.Event)
     _group: anyio.abc.TaskGroup | None = None
     _held: set[str] = attrs.field(factory=set)
@@ -199,6 +203,29 @@
         assert self._group is not None
         self._group.start_soon(run, *args)
 
+    async def _advise_forever(self, adviser: Adviser) -> None:
+        """Ask the policy service for the steps that need tickets, one by one."""
+        while True:
+            question = self.state.book.take_question()
+            if question is None:
+                self._questions = anyio.Event()
+                await self._questions.wait()
+                continue
+            group, workers = question
+            asked_at = self._now()
+            step = f"{group[0]}.{group[1]}.{group[2]}"
+            advice = await adviser.advise(step, workers) if workers else None
+            self.state.book.note(group, advice, asked_at)
+            _LOG.info(
+                "advice taken in",
+                job=group[0],
+                step=step,
+                asked=len(workers),
+                allowed=len(advice.tickets) if advice else None,
+                took_s=round(self._now() - asked_at, 3),
+            )
+            self.wake()
+
     async def _send_start(self, order: StartOrder) -> None:
         ready = self.state.prepare_start(order, self._now())
         if ready is None:
--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -114,16 +114,40 @@
 
     def _place_tasks(self, ready: Ready, now: float) -> t.Iterator[StartOrder]:
         step = ready.job.submission.steps[ready.step]
+        allowed = self._list_allowed(ready, now)
         for task in ready.tasks:
-            record = choose_worker(
-                self.workers.values(), step, get_group(task), now, task.failed_on
-            )
+            record = choose_worker(allowed, step, get_group(task), now, task.failed_on)
             if record is None:
                 if step.long_running:
                     self._reserve(step, get_group(task))
                 return
             yield self._place(ready.job, step, task, record, task.run + 1, now)
 
+    def _list_allowed(self, ready: Ready, now: float) -> t.Collection[WorkerRecord]:
+        """List the workers that the queue's policy allows for a step.
+
+        Without valid tickets none is allowed, and the policy service is asked.
+        """
+        if not ready.job.submission.policy.advised:
+            return self.workers.values()
+        step = ready.job.submission.steps[ready.step]
+        group = get_group(ready.tasks[0])
+        tickets = self.book.get_tickets(group, now)
+        if tickets is not None:
+            return [
+                record
+                for worker_id, record in self.workers.items()
+                if worker_id in tickets
+            ]
+        fitting = [
+            record
+            for record in self.workers.values()
+            if may_ever_run(record, step, group)
+        ]
+        fitting.sort(key=lambda record: (not record.has_room(step), record.cpu_used))
+        self.book.ask(group, [record.entry.worker_id for record in fitting])
+        return []
+
     def _reserve(self, step: Step, group: Group) -> None:
         """Keep the worker that will first have room for a serving task.
 
@@ -142,9 +166,10 @@
         if len(ready.tasks) != step.count:
             return []
         chosen: list[tuple[Task, WorkerRecord]] = []
+        allowed = self._list_allowed(ready, now)
         for task in ready.tasks:
             group = get_group(task)
-            record = choose_worker(self.workers.values(), step, group, now)
+            record = choose_worker(allowed, step, group, now)
             if record is None:
                 break
             record.reserve(step, group)
@@ -188,8 +213,15 @@
             deadline_ms,
             self.epoch,
             task.checkpoint if step.checkpointing else "",
+            self._get_ticket(job, task, now),
         )
 
+    def _get_ticket(self, job: Job, task: Task, now: float) -> str:
+        if not job.submission.policy.advised:
+            return ""
+        tickets = self.book.get_tickets(get_group(task), now) or {}
+        return tickets.get(task.worker_id, "")
+
     def prepare_start(self, order: StartOrder, now: float) -> StartOrder | None:
         """Give a stored order the deadline of its sending, if it is still wanted.
 
--- a/src/onyxgap/jobs/shard_jobs.py
+++ b/src/onyxgap/jobs/shard_jobs.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from .advice import AdviceBook
 from .job import Job
 from .job import Task
 from .job import TaskPhase
@@ -50,6 +51,7 @@
     cordons: t.Mapping[str, str] = attrs.field(factory=dict)
     due: frozenset[str] = frozenset()
     arrived_jobs: int = 0
+    book: AdviceBook = attrs.field(factory=AdviceBook)
     strays: dict[tuple[str, TaskId, int], StopOrder] = attrs.field(factory=dict)
 
     def add_job(self, job: Job, now: float, wall_ms: float) -> None:
@@ -101,6 +103,7 @@
         self.final[job_id] = state
         self.ended_at[job_id] = now
         self.jobs.pop(job_id, None)
+        self.book.forget_job(job_id)
 
     def mark_stored(self, job_id: str, state: JobState, now: float) -> None:
         """Record that a job's progress is in the store.
--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -242,6 +242,8 @@
         )
         if reply.kind is ReplyKind.NO_ANSWER:
             return
+        if reply.kind is ReplyKind.NO_TICKET:
+            self.book.drop(get_group(task))
         if record is not None and reply.kind in _BLOCKING:
             record.blocked_until = max(record.blocked_until, now + REFUSAL_BLOCK_S)
         self._release(job, task)
--- /dev/null
+++ b/tests/test_advice.py
@@ -0,0 +1,93 @@
+"""Queues whose starts need a ticket of the policy service."""
+
+import attrs
+import orjson
+import pytest
+
+from onyxgap.jobs.advice import EMPTY_PAUSE_S
+from onyxgap.jobs.advice import MAX_ASKED
+from onyxgap.jobs.advice import Advice
+from onyxgap.jobs.job import Job
+from onyxgap.jobs.messages import Step
+from onyxgap.jobs.messages import Submission
+from onyxgap.jobs.shard import Shard
+from onyxgap.jobs.workers import HoldReport
+from onyxgap.jobs.workers import Reply
+from onyxgap.jobs.workers import ReplyKind
+from onyxgap.platform.advice import decode_advice
+from onyxgap.platform.http import Answer
+from tests.test_shard import ENTRY
+from tests.test_shard import POLICY
+
+GROUP = ("a" * 16, 0, 0)
+NOW = 100.0
+
+
+@pytest.fixture
+def shard() -> Shard:
+    shard = Shard("s", 1, 0.0)
+    for number in range(MAX_ASKED + 5):
+        worker_id = f"w{number}"
+        shard.observe_worker(attrs.evolve(ENTRY, worker_id=worker_id), NOW)
+        shard.apply_report(worker_id, HoldReport(1000.0, (), ()), NOW, NOW)
+    policy = attrs.evolve(POLICY, advised=True)
+    steps = (Step(2, cpu=1000),)
+    shard.add_job(Job(Submission(GROUP[0], policy, "spec", steps)), NOW, 0.0)
+    return shard
+
+
+def test_step_asks_before_anything_is_placed(shard: Shard) -> None:
+    assert shard.plan(NOW, 0.0) == []
+    question = shard.book.take_question()
+    assert question is not None
+    group, workers = question
+    assert group == GROUP
+    assert len(workers) == MAX_ASKED
+    assert shard.book.take_question() is None
+
+
+def test_tasks_go_only_where_a_ticket_allows_and_carry_it(shard: Shard) -> None:
+    shard.book.note(GROUP, Advice({"w3": "t3"}, 3.0), NOW)
+    orders = shard.plan(NOW, 0.0)
+    assert [(order.worker_id, order.ticket) for order in orders] == [("w3", "t3")] * 2
+
+
+def test_tickets_run_out(shard: Shard) -> None:
+    shard.book.note(GROUP, Advice({"w3": "t3"}, 3.0), NOW)
+    assert shard.plan(NOW + 2.8, 0.0) == []
+    assert GROUP in shard.book.wanted
+
+
+def test_refused_ticket_is_asked_for_again(shard: Shard) -> None:
+    shard.book.note(GROUP, Advice({"w3": "t3"}, 3.0), NOW)
+    for order in shard.plan(NOW, 0.0):
+        ready = shard.prepare_start(order, NOW)
+        assert ready is not None
+        shard.apply_start_reply(ready, Reply(ReplyKind.NO_TICKET), NOW)
+    assert shard.plan(NOW + 1, 0.0) == []
+    assert GROUP in shard.book.wanted
+
+
+@pytest.mark.parametrize("advice", [None, Advice({}, 9.0)])
+def test_empty_advice_is_not_asked_for_in_a_loop(
+    shard: Shard, advice: Advice | None
+) -> None:
+    shard.book.note(GROUP, advice, NOW)
+    assert shard.plan(NOW + EMPTY_PAUSE_S / 2, 0.0) == []
+    assert not shard.book.wanted
+    assert shard.plan(NOW + EMPTY_PAUSE_S * 1.1, 0.0) == []
+    assert GROUP in shard.book.wanted
+
+
+def test_advice_of_an_ended_job_is_forgotten(shard: Shard) -> None:
+    shard.plan(NOW, 0.0)
+    shard.cancel(GROUP[0])
+    shard.mark_stored(GROUP[0], shard.jobs[GROUP[0]].state, NOW)
+    assert not shard.book.wanted
+
+
+def test_answers_are_decoded() -> None:
+    body = {"good": [["i-1", "c81e"]], "valid_ms": 3000}
+    assert decode_advice(Answer(200, orjson.dumps(body))) == Advice({"i-1": "c81e"}, 3)
+    assert decode_advice(Answer(429)) is None
+    assert decode_advice(Answer(200, b'{"good":[[]]}')) is None
