--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -85,7 +85,6 @@
     _stored: anyio.Event = attrs.field(factory=anyio.Event)
     _group: anyio.abc.TaskGroup | None = None
     _held: set[str] = attrs.field(factory=set)
-    _cordons: t.Mapping[str, str] = attrs.field(factory=dict)
     _reported_at: float = -math.inf
     _reported: PoolReport | None = None
 
