--- a/tests/test_target_client.py
+++ b/tests/test_target_client.py
@@ -204,10 +204,30 @@
 
 @pytest.mark.promise("not-run")
 def test_silent_target_may_have_run() -> None:
-    exchange = anyio.run(exchange_with, answer_never, 0.1)
+    received: list[bytes] = []
+
+    async def record(stream: anyio.abc.SocketStream, request: bytes) -> None:
+        received.append(request)
+        await answer_never(stream, request)
+
+    # long enough to connect on a busy machine; the time-out must come after that
+    exchange = anyio.run(exchange_with, record, 2.0)
+    assert received
     assert exchange.verdict is Verdict.MAY_HAVE_RUN
 
 
+@pytest.mark.promise("not-run")
+def test_target_not_reached_in_time_was_not_run() -> None:
+    received: list[bytes] = []
+
+    async def record(stream: anyio.abc.SocketStream, request: bytes) -> None:
+        received.append(request)
+
+    exchange = anyio.run(exchange_with, record, 0.0)
+    assert not received
+    assert exchange.verdict is Verdict.NOT_RUN
+
+
 @pytest.mark.promise("whole-answer")
 def test_answer_cut_at_every_byte_is_never_passed_on() -> None:
     rng = random.Random(3)
