Let a new holder of the fleet duty wait for single VMs, not for all

The rule speaks of orders for one VM. Change: a holder stores the name of a VM before it sends an order about it, under its fence; a successor leaves just those VMs alone for 3.7 s. An order that is sent again follows a write, too: it went out without one, so a holder that had stood still could have sent it after its successor's first. Ruled out: a shorter pause for all, which the bound forbids.

--- a/src/onyxgap/daemons/fleet.py
+++ b/src/onyxgap/daemons/fleet.py
@@ -1,6 +1,5 @@
 """Holds the fleet duty: maintains and moves VMs, one holder at a time."""
 
-import math
 import random
 import typing as t
 
@@ -62,7 +61,6 @@
     :param waves: waves that the operator asked for.
     :param encode_status: gives the row that tells how far a wave is.
     :param rng: spreads retries.
-    :param first: whether there was no holder before.
     :param sizer: chooses the sizes of pools.
     """
 
@@ -75,7 +73,6 @@
     waves: t.Mapping[int, Wave]
     encode_status: t.Callable[[int, bool], tuple[RowId, bytes]]
     rng: random.Random
-    first: bool
     sizer: Sizer
     releasing: bool = False
     released: anyio.Event = attrs.field(factory=anyio.Event)
@@ -83,7 +80,6 @@
     _earlier: FleetRow = attrs.field(factory=FleetRow)
     _stored: bytes = b""
     _stored_turns: bytes = b""
-    _orders_from: float = math.inf
     _reported: dict[int, bool] = attrs.field(factory=dict)
     _wake: anyio.Event = attrs.field(factory=anyio.Event)
     _group: anyio.abc.TaskGroup | None = None
@@ -132,23 +128,23 @@
                 self._earlier = decode_fleet_row(row.value)
             except DocumentError as error:
                 _LOG.warning("fleet row skipped", reason=str(error))
+        # an earlier holder's last call about a VM must be over before ours
+        pause_s = self._get_pause_s()
         self._take_inputs()
-        self.planner.restore(self._earlier)
+        self.planner.restore(self._earlier, claimed_at, pause_s)
         turns = await self.store.read(tables.TURNS_TABLE, tables.FLEET_SHARD)
         for row in turns.rows:
             self._restore_turns(row)
-        pause_s = 0.0
-        if not self.first:
-            # an earlier holder's last call must be over before the first of ours
-            pause_s = self.limits.holder_pause_s + HOLDER_MARGIN_S
-        self._orders_from = claimed_at + pause_s
         _LOG.info(
             "fleet duty held",
             epoch=self.writer.owner.epoch,
-            first=self.first,
             pause_s=pause_s,
+            paused=sorted(self._earlier.ordered),
         )
 
+    def _get_pause_s(self) -> float:
+        return self.limits.holder_pause_s + HOLDER_MARGIN_S
+
     def _get_wall_offset(self) -> float:
         return self.clocks.read_wall() - self._now()
 
@@ -208,8 +204,7 @@
             now = self._now()
             self.sizer.advance(now)
             self._choose_sizes(now)
-            orders = self.planner.plan(now) if now >= self._orders_from else []
-            await self._store(orders)
+            await self._store(self.planner.plan(now))
             await self._report_waves()
         await self.writer.release()
         _LOG.info("fleet duty released", epoch=self.writer.owner.epoch)
@@ -231,9 +226,15 @@
         self.planner.busy = busy
 
     async def _store(self, orders: t.Sequence[VmOrder]) -> None:
+        if self.writer.is_beat_due(self._now()):
+            # orders that are over ride on the renewal, not on writes of their own
+            self.planner.forget_orders(self._now() - self._get_pause_s())
         value = encode_fleet_row(self.planner.get_row())
-        puts = {} if value == self._stored else {tables.get_fleet_row(): value}
-        if not puts and not orders and not self.writer.is_beat_due(self._now()):
+        # each order follows a write under the fence, also one that is sent again:
+        # a holder that stood still meanwhile must not send anything
+        changed = bool(orders) or value != self._stored
+        puts = {tables.get_fleet_row(): value} if changed else {}
+        if not puts and not self.writer.is_beat_due(self._now()):
             return
         started = self.clocks.read_boot()
         await self._write(puts)
--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -206,7 +206,6 @@
                 self.waves,
                 self.decoders.encode_wave_status,
                 self.rng,
-                first=row.epoch == 1,
                 sizer=self.build_sizer(),
             )
             self.holder = holder
--- a/src/onyxgap/pools/fleet_state.py
+++ b/src/onyxgap/pools/fleet_state.py
@@ -88,18 +88,42 @@
     sizes: dict[str, int] = attrs.field(factory=dict)
     busy: frozenset[str] = frozenset()
     base: dict[str, int] = attrs.field(factory=dict)
+    _ordered: dict[str, float] = attrs.field(factory=dict)
     _cordons_made: int = 0
     _settled: bool = False
     _first_plan_at: float | None = None
     _pauses: dict[str, float] = attrs.field(factory=dict)
     _barred: set[tuple[str, str]] = attrs.field(factory=set)
 
-    def restore(self, row: FleetRow) -> None:
-        """Take over what an earlier holder stored."""
+    def restore(self, row: FleetRow, now: float, pause_s: float) -> None:
+        """Take over what an earlier holder stored.
+
+        It stored the name of each VM before it sent an order about it. Two holders
+        must not order one VM within a while of each other, so these VMs are left
+        alone for that time; about all others no earlier order can be under way.
+
+        :param row: what it stored.
+        :param now: monotonic seconds of the claim.
+        :param pause_s: pause between the orders of two holders about one VM.
+        """
         self.cordons = dict(row.cordons)
         self.base = dict(row.base)
+        for name in row.ordered:
+            self._ordered[name] = now
+            self._pauses[name] = now + pause_s
         self.restore_done(row)
 
+    def forget_orders(self, before: float) -> None:
+        """Forget which VMs were last ordered before a moment.
+
+        :param before: monotonic seconds.
+        """
+        self._ordered = {
+            name: at
+            for name, at in self._ordered.items()
+            if at >= before or name in self.flights
+        }
+
     def restore_done(self, row: FleetRow) -> None:
         """Take over which VMs had begun their maintenance."""
         for number, names in row.done.items():
@@ -117,7 +141,13 @@
             for progress in self.waves.values()
             for name in self._list_left(progress)
         }
-        return FleetRow(dict(self.cordons), done, frozenset(due - {""}), self.base)
+        return FleetRow(
+            dict(self.cordons),
+            done,
+            frozenset(due - {""}),
+            self.base,
+            frozenset(self._ordered),
+        )
 
     def add_wave(self, wave: Wave, now: float) -> None:
         """Take in a wave."""
@@ -169,6 +199,7 @@
         flight = self.flights.get(order.vm)
         if flight is None or flight.order != order:
             return
+        self._ordered[order.vm] = now
         _LOG.info(
             "order on VM answered",
             vm=order.vm,
--- a/src/onyxgap/pools/messages.py
+++ b/src/onyxgap/pools/messages.py
@@ -166,12 +166,14 @@
     :param done: VMs that have begun their maintenance, by wave.
     :param due: workers of VMs that have not.
     :param base: VMs of each pool when the first holder began.
+    :param ordered: VMs about which an order may still be under way.
     """
 
     cordons: t.Mapping[str, str] = attrs.field(factory=dict)
     done: t.Mapping[int, frozenset[str]] = attrs.field(factory=dict)
     due: frozenset[str] = frozenset()
     base: t.Mapping[str, int] = attrs.field(factory=dict)
+    ordered: frozenset[str] = frozenset()
 
 
 def encode_fleet_row(row: FleetRow) -> bytes:
@@ -182,6 +184,7 @@
         "done": done,
         "due": sorted(row.due),
         "base": dict(row.base),
+        "ordered": sorted(row.ordered),
     }
     return orjson.dumps(value)
 
@@ -195,7 +198,11 @@
         raw = orjson.loads(value)
         done = {int(key): frozenset(names) for key, names in raw["done"].items()}
         return FleetRow(
-            dict(raw["cordons"]), done, frozenset(raw["due"]), dict(raw["base"])
+            dict(raw["cordons"]),
+            done,
+            frozenset(raw["due"]),
+            dict(raw["base"]),
+            frozenset(raw["ordered"]),
         )
     except (ValueError, TypeError, KeyError, AttributeError) as error:
         raise DocumentError([Fault("$", f"no fleet row: {error!r}")]) from None
--- a/src/onyxgap/pools/planner.py
+++ b/src/onyxgap/pools/planner.py
@@ -43,6 +43,8 @@
         for progress in self.waves.values():
             orders += self._plan_wave(progress, now)
         orders += self._plan_moves(now)
+        for order in orders:
+            self._ordered[order.vm] = now
         return orders
 
     def _plan_moves(self, now: float) -> t.Iterator[VmOrder]:
