Size pools by the work that arrives, and shrink those that await their turn

Change: owners report the work of arriving jobs in VM seconds, and a pool is sized for the rate of the last second; a pool that has had no turn while others had keeps half; headroom 1.1 in place of 1.2.

--- a/src/onyxgap/jobs/shard_jobs.py
+++ b/src/onyxgap/jobs/shard_jobs.py
@@ -51,6 +51,8 @@
     cordons: t.Mapping[str, str] = attrs.field(factory=dict)
     due: frozenset[str] = frozenset()
     arrived_jobs: int = 0
+    arrived: list[Job] = attrs.field(factory=list)
+    offered: float = 0.0
     book: AdviceBook = attrs.field(factory=AdviceBook)
     strays: dict[tuple[str, TaskId, int], StopOrder] = attrs.field(factory=dict)
 
@@ -73,6 +75,7 @@
         if job.stored_state is None:
             self.dirty.add(job_id)
             self.arrived_jobs += 1
+            self.arrived.append(job)
         for task in job.list_placed():
             record = self._find_record(task.worker_id)
             record.reserve(job.get_step(task), get_group(task))
--- a/src/onyxgap/jobs/shard_workers.py
+++ b/src/onyxgap/jobs/shard_workers.py
@@ -14,6 +14,7 @@
 from .messages import WorkerEntry
 from .placing import WorkerRecord
 from .shard_jobs import ShardJobs
+from .workers import MS
 from .workers import WorkerClock
 
 ORPHAN_WAIT_S = 13.0
@@ -47,6 +48,19 @@
     return max(share, step.memory_mb / memory_mb)
 
 
+def measure_work(job: Job, capacity: tuple[int, int]) -> float:
+    """Measure the work of a job's tasks that end by themselves, in VM seconds.
+
+    :param job: the job; of one that runs several times, the first occurrence.
+    :param capacity: cores in thousandths and MB of a worker.
+    """
+    return sum(
+        step.count * measure_share(step, capacity) * step.estimate_ms / MS
+        for step in job.submission.steps
+        if not step.long_running
+    )
+
+
 @attrs.define
 class ShardWorkers(ShardJobs):
     """Workers of one shard."""
@@ -95,6 +109,9 @@
         :param now: monotonic seconds.
         """
         capacity = self.get_capacity()
+        if capacity != (0, 0):
+            self.offered += sum(measure_work(job, capacity) for job in self.arrived)
+            self.arrived.clear()
         sums = {"queued": 0.0, "batch": 0.0, "serving": 0.0}
         serving: dict[str, int] = {}
         for job in self.jobs.values():
@@ -124,6 +141,7 @@
             emptied,
             **{name: round(value, 3) for name, value in sums.items()},
             arrived_jobs=self.arrived_jobs,
+            offered=round(self.offered, 3),
             epoch=self.epoch,
         )
 
--- a/src/onyxgap/pools/messages.py
+++ b/src/onyxgap/pools/messages.py
@@ -84,6 +84,7 @@
     :param batch: VMs that running tasks fill which end by themselves.
     :param serving: VMs that tasks fill which serve until their job is cancelled.
     :param arrived_jobs: jobs taken in since the owner began.
+    :param offered: work of their tasks that end by themselves, in VM seconds.
     :param epoch: fencing token of the owner; the counters begin anew with it.
     """
 
@@ -94,6 +95,7 @@
     batch: float = 0.0
     serving: float = 0.0
     arrived_jobs: int = 0
+    offered: float = 0.0
     epoch: int = 0
 
 
--- a/src/onyxgap/pools/sizing.py
+++ b/src/onyxgap/pools/sizing.py
@@ -10,16 +10,21 @@
 import attrs
 
 from .messages import PoolReport
+from .offered import OfferedLoad
 from .turns import TurnForecast
 
-HEADROOM = 1.2
-"""Tasks do not fill a VM to the last core, and the need is up to 0.3 s old. Chosen,
-not measured apart from the whole."""
+HEADROOM = 1.1
+"""Tasks do not fill a VM to the last core, and the need is up to 0.3 s old. Measured
+against 1.2 on three days: as much served, 0.000 to 0.035 more worth."""
 QUEUE_SHARE = 0.5
 """Share of the queue that a pool is sized for: tasks last about a second, and a VM
 that is asked for now serves 2.2 s later."""
 MIN_VMS = 2
 """A pool keeps two VMs, so that losing one does not stop its urgent jobs."""
+FIRST_SHARE = 0.5
+"""Share of its size that a pool keeps while others have had a turn and it has not:
+nothing tells when its turn comes. Three eighths served fewer jobs in time on a calm
+day (0.983 against 0.999 of the worth), all of them cost 130 VM seconds more."""
 LEAD_S = 2.6
 """A move takes 1.5 s; then the worker registers and is held for the first time."""
 HOLD_S = 2.0
@@ -65,6 +70,7 @@
     """
 
     forecast: TurnForecast = attrs.field(factory=TurnForecast)
+    load: OfferedLoad = attrs.field(factory=OfferedLoad)
     _counts: dict[str, tuple[int, int]] = attrs.field(factory=dict)
     _recent: dict[str, list[tuple[float, int]]] = attrs.field(factory=dict)
 
@@ -81,6 +87,7 @@
             jobs = 0
         self._counts[report.shard] = (report.epoch, report.arrived_jobs)
         self.forecast.observe(report.shard, now, max(0, report.arrived_jobs - jobs))
+        self.load.observe(report.shard, report.epoch, report.offered, now)
         self.forecast.note_need(report.shard, get_need(report))
 
     def advance(self, now: float) -> None:
@@ -125,11 +132,18 @@
         }
 
     def _choose_size(self, report: PoolReport, base: int, now: float) -> int:
-        need = self._hold_need(report.shard, count_needed(report), now)
-        most = math.ceil(base * GROWTH)
-        if self._is_quiet(report.shard, now):
-            return min(max(need, MIN_VMS), most)
-        return min(max(need, base), most)
+        rate = self.load.get_rate(report.shard, now)
+        need = self._hold_need(report.shard, count_needed(report, rate), now)
+        floor = self._get_floor(report.shard, base, now)
+        return min(max(need, floor), math.ceil(base * GROWTH))
+
+    def _get_floor(self, shard: str, base: int, now: float) -> int:
+        """Give the VMs that a pool keeps, however little it needs now."""
+        if self._is_quiet(shard, now):
+            return MIN_VMS
+        if self.forecast.awaits_first_turn(shard):
+            return max(MIN_VMS, math.ceil(base * FIRST_SHARE))
+        return base
 
     def _hold_need(self, shard: str, need: int, now: float) -> int:
         recent = [
@@ -149,17 +163,19 @@
         return start is not None and now < start - LEAD_S
 
 
-def get_need(report: PoolReport) -> float:
-    """Give the VMs that a shard could fill at once.
+def get_need(report: PoolReport, rate: float = 0.0) -> float:
+    """Give the VMs that a shard could fill at once, or will by what arrives.
 
     :param report: its report.
+    :param rate: VMs that the arriving work keeps busy; see :class:`OfferedLoad`.
     """
-    return QUEUE_SHARE * report.queued + report.batch + report.serving
+    return QUEUE_SHARE * report.queued + max(report.batch, rate) + report.serving
 
 
-def count_needed(report: PoolReport) -> int:
+def count_needed(report: PoolReport, rate: float = 0.0) -> int:
     """Count the VMs that a shard needs now, with headroom.
 
     :param report: its report.
+    :param rate: VMs that the arriving work keeps busy.
     """
-    return math.ceil(get_need(report) * HEADROOM)
+    return math.ceil(get_need(report, rate) * HEADROOM)
--- a/src/onyxgap/pools/turns.py
+++ b/src/onyxgap/pools/turns.py
@@ -148,6 +148,13 @@
             shard for shard, arrivals in self.shards.items() if arrivals.busy
         )
 
+    def awaits_first_turn(self, shard: str) -> bool:
+        """Tell whether other shards have had a turn and this one has not."""
+        own = self.shards.get(shard)
+        if own is not None and own.starts:
+            return False
+        return any(arrivals.starts for arrivals in self.shards.values())
+
     def get_period(self) -> float | None:
         """Give the least seconds from a turn of a shard to its next, if known."""
         spans = [
--- a/tests/test_shard.py
+++ b/tests/test_shard.py
@@ -374,3 +374,15 @@
     assert clock.sample_ms == 1000.0
     clock.observe(10_900.0, 20.0)
     assert clock.sample_ms == 10_900.0
+
+
+def test_report_sums_the_work_that_arrived(bench: Bench) -> None:
+    bench.add_job(Step(4, cpu=32_000, estimate_ms=500), Step(2, long_running=True))
+    assert bench.shard.build_report(bench.now).offered == 0.0
+    bench.add_worker("w1")
+    assert bench.shard.build_report(bench.now).offered == 1.0
+    bench.add_job(
+        Step(1, cpu=1000, memory_mb=256_000, estimate_ms=250), job_id="b" * 16
+    )
+    assert bench.shard.build_report(bench.now).offered == 1.25
+    assert bench.shard.build_report(bench.now).offered == 1.25
