Wait 0.3 s for ends of busy workers, look at a silent one at once

A lost hold hid a worker for its wait of 1 s and a margin of 0.5 s, the look after it waited another second, and a lost start was settled only by a hold that was sent 1 s after it; meanwhile nothing was placed there. Change: a worker with runs that end by themselves waits 0.3 s, a silent one not at all; the margin is 0.3 s, orders to start stay valid for 0.5 s. The choice is jobs/holds.py. Ruled out: holds that overlap, which would acknowledge and count ends twice. Test: test_hold_waits_less_where_ends_are_expected.

--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -13,6 +13,7 @@
 from ..exceptions import OwnershipLostError
 from ..jobs.advice import Adviser
 from ..jobs.health import StoreHealth
+from ..jobs.holds import choose_hold_wait
 from ..jobs.messages import WorkerEntry
 from ..jobs.settings import TimeLimits
 from ..jobs.shard import Shard
@@ -30,8 +31,6 @@
 """Covers a change of the owner: 2.2 s of silence, the claim and the first hold."""
 LEASE_MARGIN_S = 0.3
 """Below the longest lease that a worker grants."""
-HOLD_WAIT_S = 1.0
-"""A worker answers at the first end, or after this."""
 HOLD_WITHOUT_STORE_S = 8.0
 """Outages of the store last up to about 9 s in all; see ``ORPHAN_WAIT_S``."""
 STORED_WAIT_S = 2.0
@@ -150,7 +149,6 @@
             lease_s = min(LEASE_S, self.context.limits.max_lease_s - LEASE_MARGIN_S)
             deadline_ms = record.clock.estimate(now) + lease_s * 1000
             record.lease_ms = max(record.lease_ms, deadline_ms)
-        wait_ms = int(HOLD_WAIT_S * 1000) if record.held else 0
         entry = record.entry
         return HoldOrder(
             worker_id,
@@ -158,7 +156,7 @@
             self.epoch,
             record.acknowledged,
             deadline_ms,
-            wait_ms,
+            int(choose_hold_wait(record) * 1000),
         )
 
     async def _hold_worker(self, worker_id: str) -> None:
--- /dev/null
+++ b/src/onyxgap/jobs/holds.py
@@ -0,0 +1,24 @@
+"""How long a worker may wait before it answers; answers orders that get lost.
+
+A worker answers a hold at the first end, or after the wait. A lost hold hides its
+ends for the wait and a margin, while nothing new is placed there: at 1 s and 0.5 s,
+with one of twenty orders lost, a busy worker was out of sight for a third of the time.
+"""
+
+from .placing import WorkerRecord
+
+IDLE_WAIT_S = 1.0
+"""For a worker without runs that end by themselves: each look is paid for."""
+BUSY_WAIT_S = 0.3
+"""For a worker with such runs: ends answer most of its holds before."""
+
+
+def choose_hold_wait(record: WorkerRecord) -> float:
+    """Choose how long a worker may wait for an end before it answers.
+
+    :param record: the worker.
+    :returns: seconds; 0 for one whose lists are not known at the moment.
+    """
+    if not record.held or record.failing_since is not None:
+        return 0.0
+    return BUSY_WAIT_S if record.ending else IDLE_WAIT_S
--- a/src/onyxgap/jobs/placing.py
+++ b/src/onyxgap/jobs/placing.py
@@ -29,6 +29,7 @@
     :param cpu_used: thousandths of a core of the runs that may be there.
     :param memory_used: MB of them.
     :param accelerators_used: accelerators of them.
+    :param ending: how many of these runs end by themselves.
     :param present: number of runs that may be there, by step of a job.
     :param seen: sequence of the newest end that was taken in.
     :param acknowledged: sequence of the newest end that is stored.
@@ -49,6 +50,7 @@
     cpu_used: int = 0
     memory_used: int = 0
     accelerators_used: int = 0
+    ending: int = 0
     present: dict[tuple[str, int, int], int] = attrs.field(factory=dict)
     seen: int = 0
     acknowledged: int = 0
@@ -91,6 +93,7 @@
         self.cpu_used += 0 if step.fills else step.cpu
         self.memory_used += step.memory_mb
         self.accelerators_used += step.accelerators
+        self.ending += not step.long_running
         self.present[group] = self.present.get(group, 0) + 1
 
     def free(self, step: Step, group: tuple[str, int, int]) -> None:
@@ -98,6 +101,7 @@
         self.cpu_used -= 0 if step.fills else step.cpu
         self.memory_used -= step.memory_mb
         self.accelerators_used -= step.accelerators
+        self.ending -= not step.long_running
         self.present[group] -= 1
         if not self.present[group]:
             del self.present[group]
--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -26,8 +26,9 @@
 from .workers import StartOrder
 from .workers import StopOrder
 
-START_WINDOW_MS = 1_000.0
-"""How long an order to start stays valid; a lost one is settled after that."""
+START_WINDOW_MS = 500.0
+"""How long an order to start stays valid; a lost one is settled by the first report
+asked for after that. Orders that workers carry out late come 2 s late or more."""
 STOP_RESEND_S = 0.5
 """A run stops within 0.2 to 0.4 s; an order without effect by then was lost."""
 
--- a/src/onyxgap/platform/workers.py
+++ b/src/onyxgap/platform/workers.py
@@ -18,10 +18,11 @@
 from .http import CallFailure
 from .http import HttpClient
 
-ORDER_TIMEOUT_S = 0.8
-"""A worker answers within milliseconds; a lost order is settled by its deadline."""
-HOLD_MARGIN_S = 0.5
-"""Beyond the wait that was asked for; a silent worker is found within 1.5 s."""
+ORDER_TIMEOUT_S = 0.6
+"""A worker answers within milliseconds; longer than an order to start stays valid."""
+HOLD_MARGIN_S = 0.3
+"""Beyond the wait that was asked for: a busy worker that is silent is found within
+0.6 s, and a look that was given up too early is repeated at once."""
 WORKER_CONNECTIONS = 48
 """Below the 64 connections that a worker takes."""
 
--- a/tests/test_shard.py
+++ b/tests/test_shard.py
@@ -7,6 +7,9 @@
 import structlog
 import structlog.testing
 
+from onyxgap.jobs.holds import BUSY_WAIT_S
+from onyxgap.jobs.holds import IDLE_WAIT_S
+from onyxgap.jobs.holds import choose_hold_wait
 from onyxgap.jobs.job import Job
 from onyxgap.jobs.job import TaskPhase
 from onyxgap.jobs.job import encode_progress
@@ -386,3 +389,22 @@
     )
     assert bench.shard.build_report(bench.now).offered == 1.25
     assert bench.shard.build_report(bench.now).offered == 1.25
+
+
+def test_hold_waits_less_where_ends_are_expected(bench: Bench) -> None:
+    bench.shard.observe_worker(ENTRY, bench.now)
+    record = bench.shard.workers["w1"]
+    assert choose_hold_wait(record) == 0.0
+    bench.report("w1")
+    assert choose_hold_wait(record) == IDLE_WAIT_S
+    bench.add_job(Step(1, cpu=1000, long_running=True), job_id="b" * 16)
+    bench.start_all()
+    assert choose_hold_wait(record) == IDLE_WAIT_S
+    bench.add_job(Step(1, cpu=1000))
+    (order,) = bench.start_all()
+    assert choose_hold_wait(record) == BUSY_WAIT_S
+    lost = Reply(ReplyKind.NO_ANSWER)
+    bench.shard.apply_failure("w1", lost, bench.now)
+    assert choose_hold_wait(record) == 0.0
+    bench.report("w1", (order, EndKind.DONE))
+    assert choose_hold_wait(record) == IDLE_WAIT_S
