Count no work of the past for a new holder; rest a little less than a period

Change: the first report that a holder sees is its starting point; pools rest for 0.95 of a measured period.

--- a/src/onyxgap/pools/offered.py
+++ b/src/onyxgap/pools/offered.py
@@ -35,9 +35,12 @@
         :param now: monotonic seconds.
         """
         known = self._shards.get(shard)
-        if known is None or known.epoch != epoch:
-            recent = known.recent if known else collections.deque()
-            known = _Arrivals(epoch, 0.0, recent)
+        if known is None:
+            # a sum that an earlier holder has seen already, in part or whole
+            self._shards[shard] = _Arrivals(epoch, offered, collections.deque())
+            return
+        if known.epoch != epoch:
+            known = _Arrivals(epoch, 0.0, known.recent)
             self._shards[shard] = known
         if offered > known.total:
             known.recent.append((now, offered - known.total))
--- a/src/onyxgap/pools/turns.py
+++ b/src/onyxgap/pools/turns.py
@@ -28,6 +28,9 @@
 EARLY_SHARE = 0.85
 """Share of the period, reckoned from one turn's length, that a pool may rest. A
 turn of few jobs looks shorter than it is, so the longest one seen counts."""
+MEASURED_SHARE = 0.95
+"""Share of a measured period that a pool may rest: a turn is seen to begin with its
+third job, so that measured periods are off by a second or so either way."""
 KEPT_STARTS = 6
 """Turns remembered of each shard; older ones say little of the present."""
 
@@ -165,7 +168,7 @@
             )
         ]
         if spans:
-            return min(spans)
+            return MEASURED_SHARE * min(spans)
         lengths = [
             length for arrivals in self.shards.values() for length in arrivals.lengths
         ]
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -325,6 +325,7 @@
 
 def test_offered_load_survives_a_change_of_the_owner() -> None:
     load = OfferedLoad()
+    load.observe("a", 1, 0.0, 0.9)
     load.observe("a", 1, 5.0, 1.0)
     load.observe("a", 2, 0.0, 1.2)
     load.observe("a", 2, 1.5, 1.4)
@@ -342,3 +343,11 @@
     assert sizer.choose_sizes(reports, base, now + HOLD_S) == {"a": 8, "b": 4}
     reports["b"] = report("b", queued=8.0, batch=4.0)
     assert sizer.choose_sizes(reports, base, now + HOLD_S)["b"] == 9
+
+
+def test_new_holder_takes_no_work_of_the_past_for_arriving_work() -> None:
+    sizer = PoolSizer()
+    past = report("a", epoch=3, offered=80.0)
+    sizer.observe(past, 1.0)
+    assert sizer.choose_sizes({"a": past}, {"a": 8}, 1.1) == {"a": 8}
+    assert sizer.load.get_rate("a", 1.1) == 0.0
