Tell other nodes of stored jobs, and of a store that the owner cannot reach

Change: nodes send each other notices as datagrams (thrift frames). A stored job or cancelling is noticed to its owner, which reads the row if the feed has not brought it within 0.1 s. An owner without the store tells so each 0.3 s; nodes that heard the store all the while may claim the shard at once. Nothing relies on a notice: rows are read, and claims fence the former owner off as before. Nodes find each other by rows of the store. Ruled out: shorter silence before a claim, which moves shards whenever the store is slow; reading all submissions now and then, eight reads a shard each time.

--- a/src/onyxgap/daemons/desk.py
+++ b/src/onyxgap/daemons/desk.py
@@ -55,6 +55,7 @@
     :param routes: the configuration in force.
     :param views: what is known of the shards' owners.
     :param owners: shards that this node owns.
+    :param on_stored: tells a shard's owner that a row of its submissions was stored.
     :param on_answer: counts an answer: what was asked, outcome, seconds.
     """
 
@@ -64,6 +65,7 @@
     routes: RouteTable
     views: dict[str, OwnerView]
     owners: dict[str, ShardOwner]
+    on_stored: t.Callable[[str, str], None] = lambda *_: None
     on_answer: t.Callable[[str, str, float], None] = lambda *_: None
     stopping: bool = False
     _final: dict[str, JobState] = attrs.field(factory=dict)
@@ -132,6 +134,7 @@
         batch = Batch({row: ABSENT}, {row: encode_submission(submission)})
         outcome = await self._settle(batch)
         if isinstance(outcome, Applied):
+            self.on_stored(submission.policy.service, row.key)
             return SubmitResult(SubmitOutcome.ACCEPTED)
         if isinstance(outcome, NotApplied):
             return SubmitResult(SubmitOutcome.REFUSED, outcome.reason)
@@ -268,6 +271,7 @@
         row = tables.get_cancel_row(shard, job_id)
         outcome = await self._settle(Batch({row: ABSENT}, {row: b"1"}))
         if isinstance(outcome, Applied | Conflict):
+            self.on_stored(shard, row.key)
             return True
         return Unavailable.STORE
 
--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -22,8 +22,8 @@
 from .fence import FencedWriter
 from .fleet import FleetHolder
 from .follower import Follower
+from .node_peers import NodePeers
 from .node_view import WORKER_PAUSE_S
-from .node_view import NodeView
 from .owner import ShardOwner
 from .owner_workers import OwnerContext
 from .vm_watch import VmWatch
@@ -43,7 +43,7 @@
 
 
 @attrs.define(eq=False)
-class Node(NodeView):
+class Node(NodePeers):
     """Everything that a node does but listening."""
 
     async def run(self) -> None:
@@ -59,6 +59,7 @@
             group.start_soon(operator.run)
             group.start_soon(workers.run)
             group.start_soon(self._watch_owners)
+            group.start_soon(self._run_peers)
             if self.cloud is not None:
                 watch = VmWatch(self.cloud, self.clocks, self._list_owners)
                 group.start_soon(watch.run)
--- /dev/null
+++ b/src/onyxgap/daemons/node_peers.py
@@ -0,0 +1,116 @@
+"""What a node tells other nodes, and what it does with their notices."""
+
+import typing as t
+
+import anyio
+import attrs
+import structlog
+
+from ..jobs import tables
+from ..jobs.notices import HandOver
+from ..jobs.notices import JobNotice
+from ..jobs.notices import Notice
+from ..jobs.store import Applied
+from ..jobs.store import Batch
+from ..jobs.store import StoredRow
+from .follower import Follower
+from .node_view import NodeView
+
+MEMBERS_WAIT_S = 10.0
+"""Members change when nodes start; one that is learned of late gets no notice."""
+MEMBER_RETRY_S = 0.5
+"""Pause between two tries to register this node."""
+HAND_OVER_S = 0.3
+"""Pause between two notices that the store cannot be reached."""
+
+_LOG = structlog.get_logger()
+
+
+@attrs.define(eq=False)
+class NodePeers(NodeView):
+    """A node's notices; see :mod:`onyxgap.jobs.notices`."""
+
+    def __attrs_post_init__(self) -> None:
+        super().__attrs_post_init__()
+        self.desk.on_stored = self._tell_stored
+
+    async def _run_peers(self) -> None:
+        if not self.peers.get_address():
+            return
+        members = Follower(
+            self.store,
+            tables.MEMBER_TABLE,
+            lambda: [tables.MEMBER_PART],
+            self._take_members,
+            self.rng,
+            wait_s=MEMBERS_WAIT_S,
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.peers.run, self._take_notice)
+            group.start_soon(self._register)
+            group.start_soon(members.run)
+            group.start_soon(self._hand_over_forever)
+
+    async def _register(self) -> None:
+        row = tables.get_member_row(self.settings.node)
+        value = self.peers.get_address().encode()
+        outcome = await self.store.write(Batch({}, {row: value}))
+        while not isinstance(outcome, Applied):
+            await anyio.sleep(MEMBER_RETRY_S)
+            outcome = await self.store.write(Batch({}, {row: value}))
+
+    def _take_members(self, rows: t.Sequence[StoredRow], whole: bool) -> None:
+        for row in rows:
+            if not row.removed:
+                self.members[row.row_id.key] = row.value.decode("ascii", "replace")
+
+    def _tell_stored(self, shard: str, key: str) -> None:
+        owner = self.owners.get(shard)
+        if owner is not None:
+            owner.note_stored(key)
+            return
+        view = self.views.get(shard)
+        if view is None or view.row is None:
+            return
+        address = self.members.get(view.row.node)
+        if address:
+            self.peers.send(address, JobNotice(shard, key))
+
+    async def _hand_over_forever(self) -> None:
+        """Tell others which shards they may claim, while the store is out of reach."""
+        while True:
+            await anyio.sleep(HAND_OVER_S)
+            if not self.health.is_down(self.clocks.read_monotonic()):
+                continue
+            writers = [owner.writer for owner in self.owners.values()]
+            if self.holder is not None:
+                writers.append(self.holder.writer)
+            for writer in writers:
+                notice = HandOver(writer.shard, writer.owner.boot, writer.owner.epoch)
+                for node, address in self.members.items():
+                    if node != self.settings.node:
+                        self.peers.send(address, notice)
+
+    def _take_notice(self, notice: Notice) -> None:
+        if isinstance(notice, JobNotice):
+            owner = self.owners.get(notice.shard)
+            if owner is not None:
+                owner.note_stored(notice.key)
+            return
+        self._take_hand_over(notice)
+
+    def _take_hand_over(self, notice: HandOver) -> None:
+        view = self.views.get(notice.shard)
+        row = view.row if view is not None else None
+        if view is None or row is None:
+            return
+        if (row.boot, row.epoch) != (notice.boot, notice.epoch):
+            return
+        if view.handed_over_at is None:
+            _LOG.info(
+                "owner cannot reach the store",
+                shard=notice.shard,
+                owner=row.node,
+                epoch=row.epoch,
+            )
+        self.views[notice.shard] = view.note_hand_over(self.clocks.read_monotonic())
--- a/src/onyxgap/daemons/node_process.py
+++ b/src/onyxgap/daemons/node_process.py
@@ -8,10 +8,13 @@
 import structlog
 
 from ..adapters.http_server import HttpServer
+from ..adapters.notice_link import DatagramPeers
 from ..clocks import SystemClocks
 from ..exceptions import DocumentError
 from ..jobs.health import StoreHealth
 from ..jobs.health import WatchedStore
+from ..jobs.notices import NoPeers
+from ..jobs.notices import Peers
 from ..jobs.settings import NodeSettings
 from ..logs import BoundedLines
 from ..metrics import Metrics
@@ -52,6 +55,13 @@
 )
 
 
+def _build_peers(settings: NodeSettings) -> Peers:
+    port = settings.peer_ports[0]
+    if not port:
+        return NoPeers()
+    return DatagramPeers(Address(settings.front.host, port))
+
+
 def build_node(settings: NodeSettings) -> Node:
     """Build a node that talks to the users' platform.
 
@@ -73,6 +83,7 @@
         clocks,
         random.Random(os.urandom(8)),
         adviser=adviser,
+        peers=_build_peers(settings),
     )
 
 
--- a/src/onyxgap/daemons/node_view.py
+++ b/src/onyxgap/daemons/node_view.py
@@ -14,6 +14,8 @@
 from ..jobs.advice import Adviser
 from ..jobs.health import StoreHealth
 from ..jobs.messages import WorkerEntry
+from ..jobs.notices import NoPeers
+from ..jobs.notices import Peers
 from ..jobs.ownership import OwnerView
 from ..jobs.routing import Configuration
 from ..jobs.routing import RouteTable
@@ -76,6 +78,7 @@
     :param clocks: the process's clocks.
     :param rng: spreads retries.
     :param adviser: the policy service, ``None`` where there is none.
+    :param peers: other nodes.
     :param build_sizer: builds what chooses the sizes of pools.
     :param boot: unique id of the process.
     """
@@ -89,6 +92,7 @@
     clocks: Clocks
     rng: random.Random
     adviser: Adviser | None = None
+    peers: Peers = attrs.field(factory=NoPeers)
     build_sizer: t.Callable[[], Sizer] = PoolSizer
     boot: str = attrs.field(factory=lambda: uuid.uuid4().hex[:12])
     routes: RouteTable = attrs.field(factory=RouteTable)
@@ -96,6 +100,7 @@
     owners: dict[str, ShardOwner] = attrs.field(factory=dict)
     entries: dict[str, WorkerEntry] = attrs.field(factory=dict)
     waves: dict[int, Wave] = attrs.field(factory=dict)
+    members: dict[str, str] = attrs.field(factory=dict)
     holder: FleetHolder | None = None
     desk: NodeDesk = attrs.field(init=False)
     _heard_since: float | None = None
--- a/src/onyxgap/daemons/owner.py
+++ b/src/onyxgap/daemons/owner.py
@@ -9,6 +9,7 @@
 
 from ..exceptions import DocumentError
 from ..exceptions import OwnershipLostError
+from ..exceptions import PlatformUnavailableError
 from ..jobs import tables
 from ..jobs.job import encode_progress
 from ..jobs.job import restore_job
@@ -33,6 +34,8 @@
 """Least pause, also when a worker that is to be emptied has become empty."""
 MAX_BATCH_JOBS = 90
 """A transaction takes 100 entries; some are the owner's own rows."""
+NOTICE_PATIENCE_S = 0.1
+"""Time in which the feed mostly brings what a notice tells of, without a read."""
 RETENTION_FACTOR = 1.5
 """States stay readable this much longer than the deployment asks for."""
 
@@ -145,6 +148,28 @@
         if rows:
             self.wake()
 
+    def note_stored(self, key: str) -> None:
+        """Take in that a row of the shard's submissions was stored.
+
+        :param key: key of the row.
+        """
+        if self.loaded and self._group is not None:
+            self._group.start_soon(self._fetch_unless_known, key)
+
+    async def _fetch_unless_known(self, key: str) -> None:
+        await anyio.sleep(NOTICE_PATIENCE_S)
+        job_id = key.removesuffix(tables.CANCEL_SUFFIX)
+        if self.state.knows(job_id, cancelled=job_id != key):
+            return
+        row = tables.get_job_row(self.shard, job_id)
+        try:
+            page = await self.context.store.read(row.table, row.part, key)
+        except PlatformUnavailableError as error:
+            _LOG.info("noticed row not read", row=key, reason=str(error))
+            return
+        _LOG.info("noticed row read", row=key, shard=self.shard, version=page.version)
+        self._take_rows(page.rows, False)
+
     def _take_fleet_rows(self, rows: t.Sequence[StoredRow], whole: bool) -> None:
         for row in rows:
             try:
--- a/src/onyxgap/jobs/ownership.py
+++ b/src/onyxgap/jobs/ownership.py
@@ -4,6 +4,7 @@
 only keep shards from moving without need.
 """
 
+import math
 import typing as t
 import zlib
 
@@ -15,6 +16,8 @@
 """An owner renews each 0.7 s; three renewals in a row must be missing."""
 SPREAD_S = 0.5
 """Range of the delay that differs from node to node, so that one is first."""
+HAND_OVER_VALID_S = 1.0
+"""An owner without the store repeats its notice each 0.3 s; two may be lost."""
 OWNED_DELAY_S = 0.3
 """Further delay for each shard that a node owns, so that they spread."""
 
@@ -26,11 +29,38 @@
     :param row: newest owner row, ``None`` where none stands.
     :param version: its version, 0 where none stands.
     :param changed_at: monotonic seconds when it was last seen to change.
+    :param handed_over_at: monotonic seconds when the owner first told that it cannot
+        reach the store, ``None`` while it does not.
+    :param told_at: monotonic seconds when it told so last.
     """
 
     row: OwnerRow | None
     version: int
     changed_at: float
+    handed_over_at: float | None = None
+    told_at: float = 0.0
+
+    def note_hand_over(self, now: float) -> "OwnerView":
+        """Give the view after the owner told that it cannot reach the store.
+
+        :param now: monotonic seconds.
+        """
+        first = self.handed_over_at
+        if first is None or now - self.told_at > HAND_OVER_VALID_S:
+            first = now
+        return attrs.evolve(self, handed_over_at=first, told_at=now)
+
+    def is_handed_over(self, heard_since: float, now: float) -> bool:
+        """Tell whether the owner lacks a store that this node hears all the while.
+
+        :param heard_since: since when this node hears the store without a gap.
+        :param now: monotonic seconds.
+        """
+        return (
+            self.handed_over_at is not None
+            and now - self.told_at <= HAND_OVER_VALID_S
+            and heard_since <= self.handed_over_at
+        )
 
 
 def get_spread(boot: str, shard: str) -> float:
@@ -57,7 +87,11 @@
 
 
 def get_claim_time(
-    view: OwnerView, shard: str, claimant: Claimant, heard_since: float
+    view: OwnerView,
+    shard: str,
+    claimant: Claimant,
+    heard_since: float,
+    now: float = math.inf,
 ) -> float:
     """Give the monotonic second from which a node may claim a shard.
 
@@ -66,11 +100,15 @@
     :param claimant: the node.
     :param heard_since: since when it hears the store without a gap; silence
         before that shows nothing.
+    :param now: monotonic seconds.
     """
     delay = get_spread(claimant.boot, shard) + OWNED_DELAY_S * claimant.owned
     row = view.row
     if row is None or row.released:
         return view.changed_at + delay
+    if view.is_handed_over(heard_since, now):
+        assert view.handed_over_at is not None
+        return view.handed_over_at + delay
     if row.node == claimant.node and row.boot != claimant.boot:
         # the row is from an earlier process of this node, which is gone
         return view.changed_at
@@ -93,5 +131,5 @@
     return [
         shard
         for shard, view in views.items()
-        if now >= get_claim_time(view, shard, claimant, heard_since)
+        if now >= get_claim_time(view, shard, claimant, heard_since, now)
     ]
--- a/src/onyxgap/jobs/shard_jobs.py
+++ b/src/onyxgap/jobs/shard_jobs.py
@@ -131,6 +131,19 @@
             return None
         return job.stored_state or JobState.QUEUED
 
+    def knows(self, job_id: str, cancelled: bool = False) -> bool:
+        """Tell whether a job, or that it was cancelled, is known here.
+
+        :param job_id: id of the job.
+        :param cancelled: whether its cancelling is asked for.
+        """
+        if job_id in self.final:
+            return True
+        job = self.jobs.get(job_id)
+        if job is None:
+            return False
+        return not cancelled or job.state.final
+
     def count_waiting(self) -> dict[str, int]:
         """Count jobs of which nothing has started, by queue."""
         counts: dict[str, int] = {}
--- a/src/onyxgap/jobs/tables.py
+++ b/src/onyxgap/jobs/tables.py
@@ -19,6 +19,8 @@
 OWNER_TABLE = "onyxgap-owners"
 FENCE_TABLE = "onyxgap-fences"
 REPORT_TABLE = "onyxgap-reports"
+MEMBER_TABLE = "onyxgap-members"
+MEMBER_PART = "~members"
 FLEET_TABLE = "onyxgap-fleet"
 TURNS_TABLE = "onyxgap-turns"
 FLEET_SHARD = "~fleet"
@@ -86,6 +88,11 @@
     return RowId(TURNS_TABLE, FLEET_SHARD, "turns")
 
 
+def get_member_row(node: str) -> RowId:
+    """Give the row that tells under which address a node takes notices."""
+    return RowId(MEMBER_TABLE, MEMBER_PART, node)
+
+
 @attrs.frozen(slots=True)
 class OwnerRow:
     """Who owns a shard, renewed as a heartbeat.
--- a/src/onyxgap/standins/emulator/day.py
+++ b/src/onyxgap/standins/emulator/day.py
@@ -23,6 +23,7 @@
 from .checks import list_breaches
 from .checks import settle_account
 from .cloud import EmulatedCloud
+from .peers import EmulatedNetwork
 from .rows import HOST
 from .rows import OPERATOR_TABLE
 from .rows import SPARE_POOL
@@ -65,6 +66,7 @@
     store: EmulatedStore = attrs.field(init=False)
     workers: EmulatedWorkers = attrs.field(init=False)
     cloud: EmulatedCloud = attrs.field(init=False)
+    network: EmulatedNetwork = attrs.field(init=False)
     callers: Callers = attrs.field(init=False)
     slots: list[NodeSlot] = attrs.field(factory=list)
     waves: list[Wave] = attrs.field(factory=list)
@@ -103,6 +105,7 @@
     def _build(self, group: anyio.abc.TaskGroup) -> None:
         self.store = EmulatedStore(self.rng, group)
         self.workers = EmulatedWorkers(self.rng, group)
+        self.network = EmulatedNetwork(group, random.Random(self.seed))
         self.callers = Callers(self._list_nodes, self.rng, self.seed)
         self.cloud = EmulatedCloud(
             self.store,
--- a/src/onyxgap/standins/emulator/faults.py
+++ b/src/onyxgap/standins/emulator/faults.py
@@ -143,6 +143,10 @@
         """Drop the store's history."""
         self.store.forget_history()
 
+    async def deafen_feeds(self, fault: FaultLine) -> None:
+        """Have the store's feeds hear nothing, then drop its history."""
+        await self.store.deafen(fault.seconds)
+
     async def refuse_node(self, fault: FaultLine) -> None:
         """Have the store turn a share of the nodes away."""
         count = max(1, int(fault.strength * len(self.slots)))
@@ -179,6 +183,7 @@
     ("lose", "store"): FaultyDay.lose_answers,
     ("late", "store"): FaultyDay.delay_calls,
     ("forget", "store"): FaultyDay.forget_history,
+    ("deaf", "store"): FaultyDay.deafen_feeds,
     ("refuse", "node"): FaultyDay.refuse_node,
     ("late", "orders"): FaultyDay.delay_calls,
     ("lose", "orders"): FaultyDay.lose_answers,
--- a/src/onyxgap/standins/emulator/script.py
+++ b/src/onyxgap/standins/emulator/script.py
@@ -163,6 +163,7 @@
         ("lose", "store"),
         ("late", "store"),
         ("forget", "store"),
+        ("deaf", "store"),
         ("refuse", "node"),
         ("late", "orders"),
         ("lose", "orders"),
--- a/src/onyxgap/standins/emulator/slots.py
+++ b/src/onyxgap/standins/emulator/slots.py
@@ -21,6 +21,8 @@
 from .cloud import EmulatedCloud
 from .cloud import EmulatedCloudClient
 from .gate import NodeGate
+from .peers import EmulatedNetwork
+from .peers import EmulatedPeers
 from .rows import DECODERS
 from .store import EmulatedStore
 from .store import EmulatedStoreClient
@@ -35,6 +37,7 @@
     store: EmulatedStore
     workers: EmulatedWorkers
     cloud: EmulatedCloud
+    network: EmulatedNetwork
     build_sizer: t.Callable[[], Sizer]
 
 
@@ -91,6 +94,7 @@
             DECODERS,
             clocks,
             random.Random(day.rng.random()),
+            peers=EmulatedPeers(self.name, day.network, self.gate),
             build_sizer=day.build_sizer,
             boot=f"{day.rng.getrandbits(48):012x}",
         )
--- a/src/onyxgap/standins/emulator/store.py
+++ b/src/onyxgap/standins/emulator/store.py
@@ -36,6 +36,7 @@
     :param down: whether it gives no answer to anybody.
     :param refusing: nodes that it turns away.
     :param slowness: factor on the time of each call.
+    :param deaf: whether feeds hear nothing of what changes.
     """
 
     rng: random.Random
@@ -43,6 +44,7 @@
     down: bool = False
     refusing: set[str] = attrs.field(factory=set)
     slowness: float = 1.0
+    deaf: bool = False
     link: Link = attrs.field(init=False)
     version: int = 0
     calls: int = 0
@@ -90,6 +92,18 @@
             self.rows[row.row_id] = row
         self._history.append(row)
 
+    async def deafen(self, seconds: float) -> None:
+        """Have feeds hear nothing for a while, then drop what changed meanwhile.
+
+        :param seconds: for how long.
+        """
+        self.deaf = True
+        await anyio.sleep(seconds)
+        self.deaf = False
+        self.forget_history()
+        self._changed.set()
+        self._changed = anyio.Event()
+
     def forget_history(self) -> None:
         """Drop all changes made so far, so that feeds must begin anew."""
         self._history.clear()
@@ -102,6 +116,8 @@
         """
         if after < self._forgotten:
             raise HistoryLostError
+        if self.deaf:
+            return []
         return [
             row
             for row in self._history
@@ -211,7 +227,8 @@
         while not rows and anyio.current_time() < give_up:
             await self.store.wait_for_change(give_up - anyio.current_time())
             rows = self.store.list_changes(table, after)
-        page = Page(tuple(rows), self.store.version, anyio.current_time() * 1000)
+        version = after if self.store.deaf else self.store.version
+        page = Page(tuple(rows), version, anyio.current_time() * 1000)
         if self._is_unreachable():
             await anyio.sleep(CALL_TIMEOUT_S)
             raise PlatformUnavailableError("no answer")
--- a/src/onyxgap/wire/peer.thrift
+++ b/src/onyxgap/wire/peer.thrift
@@ -1,5 +1,6 @@
 // Messages between onyxgap's own processes; one Frame is one length-prefixed
-// compact-protocol struct on a TCP connection.
+// compact-protocol struct on a TCP connection. Nodes on the users' platform send each
+// other notices, one Frame a datagram.
 
 struct Heartbeat {
   1: required i64 sequence;             // last journal entry folded by the sender
@@ -50,6 +51,17 @@
   2: optional binary snapshot;
 }
 
+struct JobNotice {
+  1: required string shard;
+  2: required string key;               // of the row that was stored
+}
+
+struct HandOver {
+  1: required string shard;
+  2: required string boot;              // process of the owner
+  3: required i64 epoch;
+}
+
 struct Frame {
   1: required string sender;
   2: optional Heartbeat heartbeat;
@@ -61,4 +73,6 @@
   8: optional JournalPull pull;
   9: optional JournalPage page;
   10: optional bool probe;
+  11: optional list<JobNotice> jobs;
+  12: optional list<HandOver> hand_overs;
 }
--- a/src/onyxgap/wire/peer/ttypes.py
+++ b/src/onyxgap/wire/peer/ttypes.py
@@ -831,6 +831,188 @@
         return not (self == other)
 
 
+class JobNotice(object):
+    """
+    Attributes:
+     - shard
+     - key
+
+    """
+
+    __slots__ = (
+        'shard',
+        'key',
+    )
+
+
+    def __init__(self, shard=None, key=None,):
+        self.shard = shard
+        self.key = key
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.shard = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('JobNotice')
+        if self.shard is not None:
+            oprot.writeFieldBegin('shard', TType.STRING, 1)
+            oprot.writeString(self.shard.encode('utf-8') if sys.version_info[0] == 2 else self.shard)
+            oprot.writeFieldEnd()
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 2)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.shard is None:
+            raise TProtocolException(message='Required field shard is unset!')
+        if self.key is None:
+            raise TProtocolException(message='Required field key is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class HandOver(object):
+    """
+    Attributes:
+     - shard
+     - boot
+     - epoch
+
+    """
+
+    __slots__ = (
+        'shard',
+        'boot',
+        'epoch',
+    )
+
+
+    def __init__(self, shard=None, boot=None, epoch=None,):
+        self.shard = shard
+        self.boot = boot
+        self.epoch = epoch
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.shard = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.boot = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HandOver')
+        if self.shard is not None:
+            oprot.writeFieldBegin('shard', TType.STRING, 1)
+            oprot.writeString(self.shard.encode('utf-8') if sys.version_info[0] == 2 else self.shard)
+            oprot.writeFieldEnd()
+        if self.boot is not None:
+            oprot.writeFieldBegin('boot', TType.STRING, 2)
+            oprot.writeString(self.boot.encode('utf-8') if sys.version_info[0] == 2 else self.boot)
+            oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 3)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.shard is None:
+            raise TProtocolException(message='Required field shard is unset!')
+        if self.boot is None:
+            raise TProtocolException(message='Required field boot is unset!')
+        if self.epoch is None:
+            raise TProtocolException(message='Required field epoch is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Frame(object):
     """
     Attributes:
@@ -844,6 +1026,8 @@
      - pull
      - page
      - probe
+     - jobs
+     - hand_overs
 
     """
 
@@ -858,10 +1042,12 @@
         'pull',
         'page',
         'probe',
+        'jobs',
+        'hand_overs',
     )
 
 
-    def __init__(self, sender=None, heartbeat=None, asks=None, grants=None, refusals=None, releases=None, held=None, pull=None, page=None, probe=None,):
+    def __init__(self, sender=None, heartbeat=None, asks=None, grants=None, refusals=None, releases=None, held=None, pull=None, page=None, probe=None, jobs=None, hand_overs=None,):
         self.sender = sender
         self.heartbeat = heartbeat
         self.asks = asks
@@ -872,6 +1058,8 @@
         self.pull = pull
         self.page = page
         self.probe = probe
+        self.jobs = jobs
+        self.hand_overs = hand_overs
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -965,6 +1153,28 @@
                     self.probe = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.LIST:
+                    self.jobs = []
+                    (_etype56, _size53) = iprot.readListBegin()
+                    for _i57 in range(_size53):
+                        _elem58 = JobNotice()
+                        _elem58.read(iprot)
+                        self.jobs.append(_elem58)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.LIST:
+                    self.hand_overs = []
+                    (_etype62, _size59) = iprot.readListBegin()
+                    for _i63 in range(_size59):
+                        _elem64 = HandOver()
+                        _elem64.read(iprot)
+                        self.hand_overs.append(_elem64)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -986,36 +1196,36 @@
         if self.asks is not None:
             oprot.writeFieldBegin('asks', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.asks))
-            for iter53 in self.asks:
-                iter53.write(oprot)
+            for iter65 in self.asks:
+                iter65.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.grants is not None:
             oprot.writeFieldBegin('grants', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.grants))
-            for iter54 in self.grants:
-                iter54.write(oprot)
+            for iter66 in self.grants:
+                iter66.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusals is not None:
             oprot.writeFieldBegin('refusals', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.refusals))
-            for iter55 in self.refusals:
-                iter55.write(oprot)
+            for iter67 in self.refusals:
+                iter67.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.releases is not None:
             oprot.writeFieldBegin('releases', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.releases))
-            for iter56 in self.releases:
-                iter56.write(oprot)
+            for iter68 in self.releases:
+                iter68.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter57 in self.held:
-                iter57.write(oprot)
+            for iter69 in self.held:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pull is not None:
@@ -1030,6 +1240,20 @@
             oprot.writeFieldBegin('probe', TType.BOOL, 10)
             oprot.writeBool(self.probe)
             oprot.writeFieldEnd()
+        if self.jobs is not None:
+            oprot.writeFieldBegin('jobs', TType.LIST, 11)
+            oprot.writeListBegin(TType.STRUCT, len(self.jobs))
+            for iter70 in self.jobs:
+                iter70.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.hand_overs is not None:
+            oprot.writeFieldBegin('hand_overs', TType.LIST, 12)
+            oprot.writeListBegin(TType.STRUCT, len(self.hand_overs))
+            for iter71 in self.hand_overs:
+                iter71.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1112,6 +1336,19 @@
     (1, TType.LIST, 'entries', (TType.STRING, 'BINARY', False), None, ),  # 1
     (2, TType.STRING, 'snapshot', 'BINARY', None, ),  # 2
 )
+all_structs.append(JobNotice)
+JobNotice.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'shard', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'key', 'UTF8', None, ),  # 2
+)
+all_structs.append(HandOver)
+HandOver.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'shard', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'boot', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'epoch', None, None, ),  # 3
+)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -1125,6 +1362,8 @@
     (8, TType.STRUCT, 'pull', [JournalPull, None], None, ),  # 8
     (9, TType.STRUCT, 'page', [JournalPage, None], None, ),  # 9
     (10, TType.BOOL, 'probe', None, None, ),  # 10
+    (11, TType.LIST, 'jobs', (TType.STRUCT, [JobNotice, None], False), None, ),  # 11
+    (12, TType.LIST, 'hand_overs', (TType.STRUCT, [HandOver, None], False), None, ),  # 12
 )
 fix_spec(all_structs)
 del all_structs
--- a/tests/test_emulated_days.py
+++ b/tests/test_emulated_days.py
@@ -1,10 +1,15 @@
 """The real node on days of the emulator: calm, with scripted and random faults."""
 
+import typing as t
+
 import pytest
+import structlog.testing
 
 from onyxgap.exceptions import DocumentError
+from onyxgap.jobs.ownership import SILENCE_S
 from onyxgap.standins.emulator.faults import play_day
 from onyxgap.standins.emulator.policies import FixedSizer
+from onyxgap.standins.emulator.script import Script
 from onyxgap.standins.emulator.script import parse_script
 from onyxgap.standins.virtual import run_virtually
 from tests.emulated import extend_day
@@ -32,6 +37,7 @@
     "store loses answers": ("at 5 lose store for 5 by 0.3", 0.1),
     "store writes late": ("at 5 late store for 5 by 0.3", 0.1),
     "store forgets": ("at 6 forget store\nat 9 forget store", 0.5),
+    "feeds deaf": ("at 5 deaf store for 2", 0.5),
     "nodes turned away": ("at 5 refuse node for 6 by 0.4", 0.2),
     "VM crashed": ("at 6 crash vm ring for 4", 0.3),
     "VM cut off": ("at 6 cut vm ring for 7", 0.2),
@@ -96,3 +102,31 @@
         "line 3",
         "line 4",
     ]
+
+
+def list_events(script: Script, seed: int, event: str) -> list[t.Any]:
+    with structlog.testing.capture_logs() as lines:
+        result = play(script, seed)
+    assert result.breaches == []
+    return [line for line in lines if line["event"] == event]
+
+
+def test_job_starts_while_feeds_hear_nothing() -> None:
+    script = extend_day("short", "at 5 deaf store for 3")
+    read = list_events(script, 3, "noticed row read")
+    assert len(read) >= 3
+
+
+def test_calm_day_reads_nothing_on_notices() -> None:
+    assert list_events(load_day("short"), 3, "noticed row read") == []
+
+
+def test_shard_of_a_cut_off_owner_is_claimed_before_its_silence_counts() -> None:
+    script = extend_day("short", "at 6 cut owner ring for 5")
+    claims = [
+        line["unchanged_s"]
+        for line in list_events(script, 3, "claiming shard")
+        if line["epoch"] == 1
+    ]
+    assert claims
+    assert max(claims) < SILENCE_S
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -3,6 +3,7 @@
 import os
 import pathlib
 import random
+import socket
 import typing as t
 
 import anyio
@@ -11,10 +12,14 @@
 import pytest
 import structlog.testing
 
+from onyxgap.adapters.notice_link import DatagramPeers
+from onyxgap.adapters.notice_link import decode_notices
+from onyxgap.adapters.notice_link import encode_notice
 from onyxgap.daemons.desk import NodeDesk
 from onyxgap.daemons.fence import FencedWriter
 from onyxgap.daemons.node import Node
 from onyxgap.daemons.node_process import reload_settings
+from onyxgap.exceptions import FrameError
 from onyxgap.exceptions import OwnershipLostError
 from onyxgap.exceptions import PlatformUnavailableError
 from onyxgap.jobs import tables
@@ -27,6 +32,9 @@
 from onyxgap.jobs.messages import QueuePolicy
 from onyxgap.jobs.messages import Step
 from onyxgap.jobs.messages import Submission
+from onyxgap.jobs.notices import HandOver
+from onyxgap.jobs.notices import JobNotice
+from onyxgap.jobs.ownership import HAND_OVER_VALID_S
 from onyxgap.jobs.ownership import OWNED_DELAY_S
 from onyxgap.jobs.ownership import SILENCE_S
 from onyxgap.jobs.ownership import SPREAD_S
@@ -125,6 +133,48 @@
         return await self.inner.follow(table, after, wait_s)
 
 
+def test_shard_is_claimed_early_when_its_owner_lacks_the_store() -> None:
+    view = OwnerView(ROW, 7, changed_at=10.0).note_hand_over(10.5)
+    assert not claimable(view, 10.5)
+    assert claimable(view.note_hand_over(10.9), 10.5 + SPREAD_S)
+    # the notice was not repeated, or this node did not hear the store either
+    assert not claimable(view, 10.5 + HAND_OVER_VALID_S + 0.1)
+    assert not claimable(view.note_hand_over(10.9), 10.5 + SPREAD_S, heard=10.6)
+
+
+def test_notice_survives_its_datagram() -> None:
+    for notice in (JobNotice("s", "k"), HandOver("s", "boot-1", 4)):
+        assert decode_notices(encode_notice("1.2.3.4:5", notice)) == [notice]
+    for datagram in (b"", b"\x00\x00\x00\x05hello", os.urandom(200)):
+        with pytest.raises(FrameError):
+            decode_notices(datagram)
+
+
+def find_free_port() -> int:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+def test_notices_reach_another_process_address() -> None:
+    async def exchange() -> list[t.Any]:
+        taken: list[t.Any] = []
+        first = DatagramPeers(Address("127.0.0.1", find_free_port()))
+        second = DatagramPeers(Address("127.0.0.1", find_free_port()))
+        async with anyio.create_task_group() as group:
+            group.start_soon(first.run, taken.append)
+            group.start_soon(second.run, lambda _: None)
+            with anyio.fail_after(10):
+                while not taken:
+                    second.send("nowhere", JobNotice("s", "k"))
+                    second.send(first.get_address(), JobNotice("s", "k"))
+                    await anyio.sleep(0.02)
+            group.cancel_scope.cancel()
+        return taken
+
+    assert anyio.run(exchange)[0] == JobNotice("s", "k")
+
+
 def run_with_store(
     test: t.Callable[[ScriptedStore, EmulatedStore], t.Awaitable[None]], *script: str
 ) -> None:
