Move tasks away from workers that stand still or crawl

Cause: a worker whose tasks stood still for some 6 s kept them and got more, since it answered holds; each job with one task there was late. Nothing looked at the progress that workers report. Change: jobs/progress.py measures the speed of a run, jobs/stragglers.py judges a worker by the median of its tasks; a slow one gets nothing new for 2 s, doubling to 8 s, and its tasks move where there is room, each at most twice. The emulator reports progress, and tasks that stood still there go on where they were.

--- a/src/onyxgap/jobs/job.py
+++ b/src/onyxgap/jobs/job.py
@@ -12,6 +12,7 @@
 from .messages import Step
 from .messages import Submission
 from .messages import TaskId
+from .progress import Progress
 
 
 class TaskPhase(enum.IntEnum):
@@ -43,6 +44,8 @@
     :param failed_on: workers on which it failed, newest last.
     :param not_before: monotonic seconds before which it is not tried again.
     :param pace: percent of its speed that it was last told to keep.
+    :param progress: progress of the current run as reported.
+    :param moves: times that it was taken off a worker that stood still.
     """
 
     task_id: TaskId
@@ -61,6 +64,8 @@
     failed_on: tuple[str, ...] = ()
     not_before: float = 0.0
     pace: int = 100
+    progress: Progress | None = None
+    moves: int = 0
 
     @property
     def placed(self) -> bool:
@@ -86,6 +91,7 @@
         self.stopping = False
         self.stop_sent_at = -1e9
         self.pace = 100
+        self.progress = None
 
     def confirm(self, now: float) -> None:
         """Record that the run is on its worker."""
--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -64,6 +64,7 @@
         """
         orders: list[StartOrder] = []
         self.evict_serving(now)
+        self.move_stragglers(now)
         for record in self.workers.values():
             record.reserved = False
         for ready in self._list_ready(now, wall_ms):
@@ -260,6 +261,32 @@
         self.strays.clear()
         return orders
 
+    def move_stragglers(self, now: float) -> None:
+        """Mark tasks on workers that stand still to be stopped, if others have room.
+
+        :param now: monotonic seconds.
+        """
+        for record in self.workers.values():
+            leaving, record.leaving = record.leaving, []
+            for task in leaving:
+                job = self.jobs.get(task.task_id.job_id)
+                if job is None or not task.placed or task.stopping:
+                    continue
+                if task.worker_id != record.entry.worker_id:
+                    continue
+                step, group = job.get_step(task), get_group(task)
+                if choose_worker(self.workers.values(), step, group, now) is None:
+                    break
+                task.stopping = True
+                task.moves += 1
+                _LOG.info(
+                    "straggler stopped",
+                    task=str(task.task_id),
+                    run=task.run,
+                    worker=task.worker_id,
+                    percent=task.percent,
+                )
+
     def evict_serving(self, now: float) -> None:
         """Mark serving tasks on cordoned workers to be stopped, within budget.
 
--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -11,8 +11,15 @@
 from .messages import RunningTask
 from .messages import TaskId
 from .placing import WorkerRecord
+from .progress import RESTORE_S
+from .progress import Progress
 from .shard_jobs import get_group
 from .shard_workers import ShardWorkers
+from .stragglers import MOST_MOVES
+from .stragglers import Pace
+from .stragglers import choose_block
+from .stragglers import judge_pace
+from .stragglers import measure_speed
 from .workers import HoldReport
 from .workers import Reply
 from .workers import ReplyKind
@@ -71,6 +78,7 @@
         ended = {(item.task, item.run) for item in report.ended}
         for item in report.running:
             self._apply_running(record, item, now)
+        self._judge_pace(record, report, now)
         self._find_missing(record, listed | ended, sent_at)
 
     def _apply_running(
@@ -80,7 +88,8 @@
         task = job.find_task(item.task) if job else None
         worker_id = record.entry.worker_id
         if (
-            task is None
+            job is None
+            or task is None
             or not task.placed
             or (task.run, task.worker_id) != (item.run, worker_id)
         ):
@@ -96,11 +105,65 @@
             self.strays[key] = self._order_stop(record, item.task, item.run)
             return
         task.confirm(now)
+        self._note_progress(job, task, item, now)
         task.percent = item.percent
         task.figure = item.figure
         if item.checkpoint:
             task.checkpoint = item.checkpoint
 
+    @staticmethod
+    def _note_progress(job: Job, task: Task, item: RunningTask, now: float) -> None:
+        step = job.get_step(task)
+        if step.long_running or step.gang:
+            return
+        if task.progress is None:
+            restore_s = RESTORE_S if task.checkpoint else 0.0
+            task.progress = Progress(now + restore_s, item.percent)
+        else:
+            task.progress.observe(item.percent, step.estimate_ms, now)
+
+    def _judge_pace(self, record: WorkerRecord, report: HoldReport, now: float) -> None:
+        """Find out whether a worker stands still; its tasks are then moved."""
+        tasks = []
+        for item in report.running:
+            job = self.jobs.get(item.task.job_id)
+            task = job.find_task(item.task) if job else None
+            if task is not None and task.run == item.run and not task.stopping:
+                tasks.append(task)
+        record.speed, jobs = measure_speed(tasks)
+        others = [
+            other.speed
+            for other in self.workers.values()
+            if other is not record and other.speed is not None
+        ]
+        pace = judge_pace(record.speed, jobs, others)
+        if pace is Pace.SOUND:
+            record.findings = 0
+        if pace not in (Pace.SLOW, Pace.STANDING):
+            return
+        if now >= record.blocked_until:
+            record.blocked_until = now + choose_block(record.findings)
+            record.findings += 1
+        record.leaving = [task for task in tasks if self._is_movable(task)]
+        _LOG.info(
+            "worker slow",
+            worker=record.entry.worker_id,
+            service=self.service,
+            pace=pace.value,
+            speed=record.speed,
+            others=len(others),
+            moving=len(record.leaving),
+        )
+
+    @staticmethod
+    def _is_movable(task: Task) -> bool:
+        progress = task.progress
+        return (
+            progress is not None
+            and progress.speed is not None
+            and (task.moves < MOST_MOVES)
+        )
+
     def _apply_end(self, record: WorkerRecord, end: EndedTask, now: float) -> bool:
         """Take in an end; returns whether it was that of a current run."""
         worker_id = record.entry.worker_id
--- a/src/onyxgap/standins/emulator/faults.py
+++ b/src/onyxgap/standins/emulator/faults.py
@@ -101,9 +101,9 @@
     async def _set_mood(self, fault: FaultLine, mood: Mood) -> None:
         worker = self.cloud.get_worker(self._find_vm(fault.name))
         if worker is not None:
-            worker.mood = mood
+            worker.set_mood(mood)
             await anyio.sleep(fault.seconds)
-            worker.mood = Mood.SOUND
+            worker.set_mood(Mood.SOUND)
 
     async def fail_vm(self, fault: FaultLine) -> None:
         """Have a worker fail everything that it starts."""
--- a/src/onyxgap/standins/emulator/workers.py
+++ b/src/onyxgap/standins/emulator/workers.py
@@ -72,6 +72,7 @@
     record: RunRecord
     step: Step
     ends_at: float
+    total_s: float
     stopping_at: float | None = None
     restored_s: float = 0.0
     doomed: bool = False
@@ -93,6 +94,7 @@
     records: list[RunRecord]
     drift: float = 0.0
     mood: Mood = Mood.SOUND
+    hung_at: float = 0.0
     dark: bool = False
     alive: bool = True
     slowness: float = 1.0
@@ -108,6 +110,18 @@
     _unnoted: dict[int, RunRecord] = attrs.field(factory=dict)
     _changed: anyio.Event = attrs.field(factory=anyio.Event)
 
+    def set_mood(self, mood: Mood) -> None:
+        """Change how it treats its tasks; what stood still goes on where it was."""
+        now = anyio.current_time()
+        self.advance()
+        if self.mood is Mood.HANGING:
+            for run in self.runs.values():
+                run.ends_at += now - max(self.hung_at, run.record.began)
+        self.mood = mood
+        self.hung_at = now
+        self._changed.set()
+        self._changed = anyio.Event()
+
     def read_clock(self) -> float:
         """Read its clock in milliseconds."""
         return (anyio.current_time() - self.born_at) * 1000 * (1 - self.drift) + 5e4
@@ -212,7 +226,9 @@
         self.highest[order.task] = order.run
         self.lease_ms = max(self.lease_ms, order.deadline_ms)
         doomed = self.mood is Mood.FAILING
-        run = _Run(record, step, now + left_s, restored_s=restored_s, doomed=doomed)
+        run = _Run(
+            record, step, now + left_s, left_s, restored_s=restored_s, doomed=doomed
+        )
         self.runs[order.task] = run
 
     def stop(self, order: StopOrder) -> Reply:
@@ -258,13 +274,20 @@
         with anyio.move_on_after(max(0.001, until - anyio.current_time())):
             await self._changed.wait()
 
+    def _measure_percent(self, run: _Run, now: float) -> int:
+        if self.mood is Mood.HANGING:
+            now = max(self.hung_at, run.record.began)
+        left = max(0.0, run.ends_at - now) / run.total_s
+        return int(100 * (1 - min(1.0, left)))
+
     def _list_running(self) -> tuple[RunningTask, ...]:
         now = anyio.current_time()
         listed = []
         for task, run in self.runs.items():
-            percent = 0
-            if run.step.long_running and now - run.record.began >= STARTUP_S:
-                percent = 100
+            if run.step.long_running:
+                percent = 100 if now - run.record.began >= STARTUP_S else 0
+            else:
+                percent = self._measure_percent(run, now)
             listed.append(RunningTask(task, run.record.run, self._save(run), percent))
         return tuple(listed)
 
