Share what owners of shards and the holder of the fleet duty have in common

Cause: the run loop, the wake-up, release and loss stood twice, in fleet.py and owner.py; an owner that could not load its shard did not say that it was released. Change: daemons/owned.py. No decision changes.

--- a/src/onyxgap/daemons/fleet.py
+++ b/src/onyxgap/daemons/fleet.py
@@ -32,8 +32,8 @@
 from ..pools.planner import FleetPlanner
 from ..pools.sizing import Sizer
 from ..pools.sizing import get_need
-from .fence import FencedWriter
 from .follower import Follower
+from .owned import OwnedShard
 
 TICK_S = 0.2
 """Orders wait at most this long; reports wake the loop earlier."""
@@ -49,10 +49,9 @@
 
 
 @attrs.define(eq=False)
-class FleetHolder:
+class FleetHolder(OwnedShard):
     """Holder of the fleet duty, from its claim to its loss or release.
 
-    :param writer: writes the duty's rows under its fence.
     :param cloud: calls about VMs.
     :param store: the store.
     :param clocks: the process's clocks.
@@ -64,7 +63,6 @@
     :param sizer: chooses the sizes of pools.
     """
 
-    writer: FencedWriter
     cloud: Cloud
     store: Store
     clocks: Clocks
@@ -74,31 +72,26 @@
     encode_status: t.Callable[[int, bool], tuple[RowId, bytes]]
     rng: random.Random
     sizer: Sizer
-    releasing: bool = False
-    released: anyio.Event = attrs.field(factory=anyio.Event)
     planner: FleetPlanner = attrs.field(init=False)
     _earlier: FleetRow = attrs.field(factory=FleetRow)
     _stored: bytes = b""
     _stored_turns: bytes = b""
     _reported: dict[int, bool] = attrs.field(factory=dict)
-    _wake: anyio.Event = attrs.field(factory=anyio.Event)
-    _group: anyio.abc.TaskGroup | None = None
 
     def __attrs_post_init__(self) -> None:
-        self.planner = FleetPlanner(self.limits.upkeep_s, self.writer.owner.epoch)
+        self.planner = FleetPlanner(self.limits.upkeep_s, self.epoch)
 
     def _now(self) -> float:
         return self.clocks.read_monotonic()
 
-    def wake(self) -> None:
-        """Have the planning loop look again."""
-        self._wake.set()
-
     async def run(self) -> None:
         """Hold the duty until it is released.
 
         :raises OwnershipLostError: when another node has claimed it.
         """
+        await self._own(self._load, self._work)
+
+    async def _work(self, group: anyio.abc.TaskGroup) -> None:
         reports = Follower(
             self.store,
             tables.REPORT_TABLE,
@@ -106,19 +99,9 @@
             self._take_reports,
             self.rng,
         )
-        try:
-            await self._load()
-            async with anyio.create_task_group() as group:
-                self._group = group
-                group.start_soon(reports.run)
-                group.start_soon(self._list_forever)
-                await self._plan_until_released()
-                group.cancel_scope.cancel()
-        except* OwnershipLostError as errors:
-            raise OwnershipLostError(str(errors.exceptions[0])) from None
-        finally:
-            self._group = None
-            self.released.set()
+        group.start_soon(reports.run)
+        group.start_soon(self._list_forever)
+        await self._plan_until_released()
 
     async def _load(self) -> None:
         claimed_at = self._now()
@@ -137,7 +120,7 @@
             self._restore_turns(row)
         _LOG.info(
             "fleet duty held",
-            epoch=self.writer.owner.epoch,
+            epoch=self.epoch,
             pause_s=pause_s,
             paused=sorted(self._earlier.ordered),
         )
@@ -197,9 +180,7 @@
 
     async def _plan_until_released(self) -> None:
         while not self.releasing:
-            with anyio.move_on_after(TICK_S):
-                await self._wake.wait()
-            self._wake = anyio.Event()
+            await self._wait_for_wake(TICK_S)
             self._take_inputs()
             now = self._now()
             self.sizer.advance(now)
@@ -207,7 +188,7 @@
             await self._store(self.planner.plan(now))
             await self._report_waves()
         await self.writer.release()
-        _LOG.info("fleet duty released", epoch=self.writer.owner.epoch)
+        _LOG.info("fleet duty released", epoch=self.epoch)
 
     def _choose_sizes(self, now: float) -> None:
         sizes = self.sizer.choose_sizes(self.planner.reports, self.planner.base, now)
--- /dev/null
+++ b/src/onyxgap/daemons/owned.py
@@ -0,0 +1,66 @@
+"""What the owner of a shard and the holder of the fleet duty have in common."""
+
+import typing as t
+
+import anyio
+import anyio.abc
+import attrs
+
+from ..exceptions import OwnershipLostError
+from .fence import FencedWriter
+
+
+@attrs.define(eq=False)
+class OwnedShard:
+    """A shard of this node, from its claim to its loss or release.
+
+    :param writer: writes its rows under its fence.
+    """
+
+    writer: FencedWriter
+    releasing: bool = attrs.field(default=False, init=False)
+    released: anyio.Event = attrs.field(factory=anyio.Event, init=False)
+    _wake: anyio.Event = attrs.field(factory=anyio.Event, init=False)
+    _group: anyio.abc.TaskGroup | None = attrs.field(default=None, init=False)
+
+    @property
+    def shard(self) -> str:
+        """Name of the shard."""
+        return self.writer.shard
+
+    @property
+    def epoch(self) -> int:
+        """Fencing token of this owner."""
+        return self.writer.owner.epoch
+
+    def wake(self) -> None:
+        """Have the decision loop look again."""
+        self._wake.set()
+
+    async def _wait_for_wake(self, longest_s: float) -> None:
+        with anyio.move_on_after(longest_s):
+            await self._wake.wait()
+        self._wake = anyio.Event()
+
+    async def _own(
+        self,
+        load: t.Callable[[], t.Awaitable[None]],
+        work: t.Callable[[anyio.abc.TaskGroup], t.Awaitable[None]],
+    ) -> None:
+        """Load the shard, then work on it until that returns.
+
+        :param load: reads the rows of the shard.
+        :param work: starts what runs beside it, and returns once it is released.
+        :raises OwnershipLostError: when another node has claimed it.
+        """
+        try:
+            await load()
+            async with anyio.create_task_group() as group:
+                self._group = group
+                await work(group)
+                group.cancel_scope.cancel()
+        except* OwnershipLostError as errors:
+            raise OwnershipLostError(str(errors.exceptions[0])) from None
+        finally:
+            self._group = None
+            self.released.set()
--- a/src/onyxgap/daemons/owner.py
+++ b/src/onyxgap/daemons/owner.py
@@ -8,7 +8,6 @@
 import structlog
 
 from ..exceptions import DocumentError
-from ..exceptions import OwnershipLostError
 from ..exceptions import PlatformUnavailableError
 from ..jobs import tables
 from ..jobs.job import encode_progress
@@ -57,6 +56,8 @@
 class ShardOwner(OwnerWorkers):
     """Owner of one shard, from its claim to its loss or release."""
 
+    _loaded_version: int = 0
+
     async def run(self, entries: t.Iterable[WorkerEntry]) -> None:
         """Own the shard until it is released.
 
@@ -65,40 +66,37 @@
         """
         for entry in entries:
             self.state.observe_worker(entry, self._now())
-        after = await self._load()
-        follower = Follower(
+        await self._own(self._load, self._work)
+
+    async def _work(self, group: anyio.abc.TaskGroup) -> None:
+        for worker_id in list(self.state.workers):
+            self._start_hold(worker_id)
+        group.start_soon(self._follow_jobs().run)
+        group.start_soon(self._follow_fleet().run)
+        if self.context.adviser is not None:
+            group.start_soon(self._advise_forever, self.context.adviser)
+        await self._decide_until_released()
+
+    def _follow_jobs(self) -> Follower:
+        return Follower(
             self.context.store,
             tables.get_job_table(self.shard),
             self._list_job_parts,
             self._take_rows,
             self.context.rng,
-            after=after,
+            after=self._loaded_version,
         )
-        cordons = Follower(
+
+    def _follow_fleet(self) -> Follower:
+        return Follower(
             self.context.store,
             tables.FLEET_TABLE,
             lambda: [tables.FLEET_SHARD],
             self._take_fleet_rows,
             self.context.rng,
         )
-        try:
-            async with anyio.create_task_group() as group:
-                self._group = group
-                for worker_id in list(self.state.workers):
-                    self._start_hold(worker_id)
-                group.start_soon(follower.run)
-                group.start_soon(cordons.run)
-                if self.context.adviser is not None:
-                    group.start_soon(self._advise_forever, self.context.adviser)
-                await self._decide_until_released()
-                group.cancel_scope.cancel()
-        except* OwnershipLostError as errors:
-            raise OwnershipLostError(str(errors.exceptions[0])) from None
-        finally:
-            self._group = None
-            self.released.set()
-
-    async def _load(self) -> int:
+
+    async def _load(self) -> None:
         store = self.context.store
         table = tables.get_job_table(self.shard)
         jobs = [await store.read(table, part) for part in self._list_job_parts()]
@@ -109,6 +107,7 @@
         rows = [row for page in jobs for row in page.rows]
         version = min(page.version for page in jobs)
         self._take_rows(rows, True, values)
+        self._loaded_version = version
         self.loaded = True
         _LOG.info(
             "shard loaded",
@@ -118,7 +117,6 @@
             ended=len(self.state.final),
             version=version,
         )
-        return version
 
     def _list_job_parts(self) -> t.Sequence[str]:
         return tables.list_job_parts(self.shard)
@@ -182,9 +180,7 @@
 
     async def _decide_until_released(self) -> None:
         while not self.releasing:
-            with anyio.move_on_after(self._get_pause()):
-                await self._wake.wait()
-            self._wake = anyio.Event()
+            await self._wait_for_wake(self._get_pause())
             self.state.expire_workers(self._now())
             orders = self.state.plan(self._now(), self._wall_ms())
             if self.state.book.wanted:
--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -5,7 +5,6 @@
 import typing as t
 
 import anyio
-import anyio.abc
 import attrs
 import structlog
 
@@ -25,7 +24,7 @@
 from ..jobs.workers import StopOrder
 from ..jobs.workers import Workers
 from ..pools.messages import PoolReport
-from .fence import FencedWriter
+from .owned import OwnedShard
 
 LEASE_S = 5.0
 """Covers a change of the owner: 2.2 s of silence, the claim and the first hold."""
@@ -66,23 +65,17 @@
 
 
 @attrs.define(eq=False)
-class OwnerWorkers:
+class OwnerWorkers(OwnedShard):
     """The workers of an owned shard, and the orders to them.
 
-    :param writer: writes the shard's rows under its fence.
     :param context: what the owners of the node share.
     """
 
-    writer: FencedWriter
     context: OwnerContext
     state: Shard = attrs.field(init=False)
     loaded: bool = False
-    releasing: bool = False
-    released: anyio.Event = attrs.field(factory=anyio.Event)
-    _wake: anyio.Event = attrs.field(factory=anyio.Event)
     _questions: anyio.Event = attrs.field(factory=anyio.Event)
     _stored: anyio.Event = attrs.field(factory=anyio.Event)
-    _group: anyio.abc.TaskGroup | None = None
     _held: set[str] = attrs.field(factory=set)
     _reported_at: float = -math.inf
     _reported: PoolReport | None = None
@@ -90,26 +83,12 @@
     def __attrs_post_init__(self) -> None:
         self.state = Shard(self.shard, self.epoch, self._now())
 
-    @property
-    def shard(self) -> str:
-        """Name of the shard."""
-        return self.writer.shard
-
-    @property
-    def epoch(self) -> int:
-        """Fencing token of this owner."""
-        return self.writer.owner.epoch
-
     def _now(self) -> float:
         return self.context.clocks.read_monotonic()
 
     def _wall_ms(self) -> float:
         return self.context.clocks.read_wall() * 1000
 
-    def wake(self) -> None:
-        """Have the decision loop look again."""
-        self._wake.set()
-
     def observe_worker(self, entry: WorkerEntry) -> None:
         """Take in a registration of the service."""
         self.state.observe_worker(entry, self._now())
