Judge no order that is still being stored; claim later and less in a slow store

Beside that, 69 orders were taken for lost while their intent was still being stored, since a report came before them: orders are valid for 0.5 s now, the write took longer. Change: an order that was not sent yet is not judged by reports; the silence after which a shard may be claimed grows with the time that calls take; a claim is tried twice and not again for 0.4 to 0.8 s. Tests: test_order_that_is_still_being_stored_is_not_taken_for_lost, test_silence_counts_later_while_the_store_is_slow.

--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -11,6 +11,7 @@
 from ..exceptions import OwnershipLostError
 from ..exceptions import PlatformUnavailableError
 from ..jobs import tables
+from ..jobs.ownership import CLAIM_BACKOFF_S
 from ..jobs.ownership import Claimant
 from ..jobs.ownership import OwnerView
 from ..jobs.ownership import list_claimable
@@ -34,7 +35,7 @@
 """A longer gap between two answers of the store says nothing of an owner."""
 CLAIM_LOOK_S = 0.1
 """Pause between two looks for shards that may be claimed."""
-CLAIM_TRIES = 4
+CLAIM_TRIES = 2
 """Tries of a claim without an answer, before the shard is looked at again."""
 CLAIM_PAUSE_S = 0.1
 """Pause between two tries of a claim."""
@@ -120,9 +121,12 @@
             for shard, view in self.views.items()
             if not self._owns(shard)
             and shard not in self._claiming
+            and now >= self._claim_after.get(shard, 0.0)
             and shard in self._list_shards()
         }
-        claimant = Claimant(self.settings.node, self.boot, self._count_owned())
+        claimant = Claimant(
+            self.settings.node, self.boot, self._count_owned(), self.health.latency_s
+        )
         assert self._group is not None
         for shard in list_claimable(views, claimant, heard_since, now)[:1]:
             self._claiming.add(shard)
@@ -158,6 +162,8 @@
             await self._try_claim(shard, view)
         finally:
             self._claiming.discard(shard)
+            pause_s = CLAIM_BACKOFF_S * self.rng.uniform(0.5, 1.0)
+            self._claim_after[shard] = self.clocks.read_monotonic() + pause_s
 
     async def _try_claim(self, shard: str, view: OwnerView) -> None:
         # the view that was judged, not one that a read has replaced since
--- a/src/onyxgap/daemons/node_view.py
+++ b/src/onyxgap/daemons/node_view.py
@@ -106,6 +106,7 @@
     _heard_since: float | None = None
     _heard_at: float = 0.0
     _claiming: set[str] = attrs.field(factory=set)
+    _claim_after: dict[str, float] = attrs.field(factory=dict)
     _group: anyio.abc.TaskGroup | None = None
     _stopping: bool = False
 
--- a/src/onyxgap/jobs/health.py
+++ b/src/onyxgap/jobs/health.py
@@ -17,6 +17,8 @@
 
 OUTAGE_S = 0.6
 """Failing for this long counts as an outage: longer than a slow store's 300 ms."""
+LATENCY_WEIGHT = 0.5
+"""Weight of the newest call: a store that turns slow is known after two looks."""
 
 _LOG = structlog.get_logger()
 
@@ -27,10 +29,16 @@
 
     :param answered_at: monotonic seconds of the last answer.
     :param failing_since: monotonic seconds of the first failure after it.
+    :param latency_s: smoothed time of calls that need not wait for anything.
     """
 
     answered_at: float = 0.0
     failing_since: float | None = None
+    latency_s: float = 0.0
+
+    def note_latency(self, took_s: float) -> None:
+        """Take in how long a call took that need not wait for anything."""
+        self.latency_s += LATENCY_WEIGHT * (took_s - self.latency_s)
 
     def note_answer(self, now: float) -> None:
         """Take in an answer."""
@@ -112,10 +120,14 @@
         :raises HistoryLostError: when the store no longer has the changes.
         :raises PlatformUnavailableError: when no answer came.
         """
+        started = self.clocks.read_monotonic()
         try:
             page = await self.store.follow(table, after, wait_s)
         except PlatformUnavailableError as error:
             self.health.note_failure(self.clocks.read_monotonic(), f"follow: {error}")
             raise
-        self.health.note_answer(self.clocks.read_monotonic())
+        now = self.clocks.read_monotonic()
+        if not wait_s:
+            self.health.note_latency(now - started)
+        self.health.note_answer(now)
         return page
--- a/src/onyxgap/jobs/job.py
+++ b/src/onyxgap/jobs/job.py
@@ -37,6 +37,7 @@
     :param percent: share of the work done as last reported.
     :param figure: figure of the last report; see :class:`RunningTask`.
     :param started_at: monotonic seconds of the order to start.
+    :param sent: whether the order to start was sent; it is stored before.
     :param start_deadline_ms: deadline of the order, on the worker's clock.
     :param confirmed_at: monotonic seconds when the run was known to be there.
     :param stopping: whether an order to stop stands.
@@ -57,6 +58,7 @@
     percent: int = 0
     figure: float = 0.0
     started_at: float = 0.0
+    sent: bool = False
     start_deadline_ms: float = 0.0
     confirmed_at: float | None = None
     stopping: bool = False
@@ -84,6 +86,7 @@
         self.run = run
         self.worker_id = worker_id
         self.started_at = now
+        self.sent = False
         self.start_deadline_ms = deadline_ms
         self.confirmed_at = None
         self.percent = 0
--- a/src/onyxgap/jobs/ownership.py
+++ b/src/onyxgap/jobs/ownership.py
@@ -14,6 +14,12 @@
 
 SILENCE_S = 2.2
 """An owner renews each 0.7 s; three renewals in a row must be missing."""
+LATENCY_FACTOR = 8.0
+"""Calls of a renewal in a slow store: some tries of the owner, one after the other in
+the shard's partition, and the look of the others. Claims would queue there, too."""
+CLAIM_BACKOFF_S = 0.8
+"""Pause before a node tries a claim again that failed; a store that is slow takes 0.3 s
+for each transaction of a partition, and refuses what waits longer than a second."""
 SPREAD_S = 0.5
 """Range of the delay that differs from node to node, so that one is first."""
 HAND_OVER_VALID_S = 1.0
@@ -79,11 +85,13 @@
     :param node: its name.
     :param boot: unique id of its process.
     :param owned: number of shards that it owns.
+    :param latency_s: time that a call to the store takes it at present.
     """
 
     node: str
     boot: str
     owned: int
+    latency_s: float = 0.0
 
 
 def get_claim_time(
@@ -112,7 +120,8 @@
     if row.node == claimant.node and row.boot != claimant.boot:
         # the row is from an earlier process of this node, which is gone
         return view.changed_at
-    return max(view.changed_at, heard_since) + SILENCE_S + delay
+    silence_s = SILENCE_S + LATENCY_FACTOR * claimant.latency_s
+    return max(view.changed_at, heard_since) + silence_s + delay
 
 
 def list_claimable(
--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -242,6 +242,7 @@
             return None
         deadline_ms = record.clock.estimate(now) + START_WINDOW_MS
         task.started_at = now
+        task.sent = True
         task.start_deadline_ms = deadline_ms
         record.lease_ms = max(record.lease_ms, deadline_ms)
         return attrs.evolve(order, deadline_ms=deadline_ms)
--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -266,6 +266,9 @@
         if task.started_at == 0.0:
             # an earlier owner's order: the hold under our epoch fenced it off
             return True
+        if not task.sent:
+            # its intent is still being stored; a slow store takes longer than a report
+            return False
         return clock_low > task.start_deadline_ms
 
     def apply_failure(self, worker_id: str, reply: Reply, now: float) -> None:
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -83,6 +83,17 @@
     assert claimable(view, 10.0 + SILENCE_S + SPREAD_S)
 
 
+def test_silence_counts_later_while_the_store_is_slow() -> None:
+    view = OwnerView(ROW, 7, changed_at=10.0)
+    slow = attrs.evolve(ME, latency_s=0.24)
+    assert not claimable(view, 10.0 + SILENCE_S + SPREAD_S, slow)
+    assert claimable(view, 10.0 + SILENCE_S + SPREAD_S + 8 * 0.24, slow)
+    health = StoreHealth()
+    for _ in range(2):
+        health.note_latency(0.24)
+    assert health.latency_s == pytest.approx(0.18)
+
+
 def test_silence_while_the_store_was_away_shows_nothing() -> None:
     view = OwnerView(ROW, 7, changed_at=10.0)
     assert not claimable(view, 20.0, heard=19.0)
--- a/tests/test_shard.py
+++ b/tests/test_shard.py
@@ -420,3 +420,15 @@
     assert bench.shard.build_report(bench.now).queued == 0.0
     assert bench.shard.build_report(bench.now + 1.5).queued == 1.0
     assert bench.shard.build_report(bench.now + 4.0).queued == 0.0
+
+
+def test_order_that_is_still_being_stored_is_not_taken_for_lost(bench: Bench) -> None:
+    bench.add_worker("w1")
+    bench.add_job(Step(1, cpu=1000))
+    (order,) = bench.plan()
+    bench.now += START_WINDOW_MS / 1000 * 3
+    bench.report("w1")
+    assert bench.plan() == []
+    ready = bench.shard.prepare_start(order, bench.now)
+    assert ready is not None
+    assert ready.run == order.run
