--- a/src/onyxgap/jobs/timeouts.py
+++ b/src/onyxgap/jobs/timeouts.py
@@ -7,8 +7,9 @@
 
 import attrs
 
-LEAST_S = 0.15
-"""A write takes about 10 ms; 0.15 s is beyond what a busy partition adds."""
+LEAST_S = 0.35
+"""A write takes about 10 ms, and 300 ms when the store has just turned 60 times slower.
+At 0.15 s each was then sent three times, and partitions refused what had to wait."""
 MOST_S = 1.0
 """A transaction takes 300 ms when the store is 60 times slower, and may queue."""
 LATENCY_FACTOR = 5.0
@@ -16,7 +17,7 @@
 SMOOTHING = 0.2
 """Weight of the newest answer: a store that turns slow is believed after some five."""
 BACKOFF = 2.0
-"""Three silent writes in a row reach the longest timeout."""
+"""Two silent writes in a row reach the longest timeout."""
 
 
 @attrs.define
