Compare the speed of a task only with its own step on other workers

Change: a worker is slow only by tasks of which the same step runs elsewhere, and standing if no task of it proceeds at all; declared run times play no part.

--- a/src/onyxgap/jobs/job.py
+++ b/src/onyxgap/jobs/job.py
@@ -193,6 +193,10 @@
         """Give the step of a task."""
         return self.submission.steps[task.task_id.step]
 
+    def list_siblings(self, task: Task) -> list[Task]:
+        """List the tasks of a task's step, itself among them."""
+        return self.occurrences[task.task_id.occurrence].steps[task.task_id.step]
+
     def list_placed(self) -> t.Iterator[Task]:
         """Yield the tasks that may be on a worker."""
         for occurrence in self.occurrences.values():
--- a/src/onyxgap/jobs/placing.py
+++ b/src/onyxgap/jobs/placing.py
@@ -34,7 +34,6 @@
     :param present: number of runs that may be there, by step of a job.
     :param seen: sequence of the newest end that was taken in.
     :param acknowledged: sequence of the newest end that is stored.
-    :param speed: median speed of its tasks as last reported, ``None`` if unknown.
     :param findings: times in a row that it was found slow.
     :param leaving: tasks to be moved, since the worker is slow or stands still.
     :param strikes: first failures of tasks there since the last success.
@@ -58,7 +57,6 @@
     present: dict[tuple[str, int, int], int] = attrs.field(factory=dict)
     seen: int = 0
     acknowledged: int = 0
-    speed: float | None = None
     findings: int = 0
     leaving: list[Task] = attrs.field(factory=list)
     strikes: int = 0
--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -19,7 +19,7 @@
 from .stragglers import Pace
 from .stragglers import choose_block
 from .stragglers import judge_pace
-from .stragglers import measure_speed
+from .stragglers import measure_ratio
 from .workers import HoldReport
 from .workers import Reply
 from .workers import ReplyKind
@@ -125,18 +125,20 @@
     def _judge_pace(self, record: WorkerRecord, report: HoldReport, now: float) -> None:
         """Find out whether a worker stands still; its tasks are then moved."""
         tasks = []
+        speeds = []
+        ratios = []
         for item in report.running:
             job = self.jobs.get(item.task.job_id)
             task = job.find_task(item.task) if job else None
-            if task is not None and task.run == item.run and not task.stopping:
-                tasks.append(task)
-        record.speed, jobs = measure_speed(tasks)
-        others = [
-            other.speed
-            for other in self.workers.values()
-            if other is not record and other.speed is not None
-        ]
-        pace = judge_pace(record.speed, jobs, others)
+            if job is None or task is None or task.run != item.run or task.stopping:
+                continue
+            tasks.append(task)
+            if task.progress is not None and task.progress.speed is not None:
+                speeds.append(task.progress.speed)
+            ratio = measure_ratio(task, job.list_siblings(task))
+            if ratio is not None:
+                ratios.append(ratio)
+        pace = judge_pace(speeds, ratios)
         if pace is Pace.SOUND:
             record.findings = 0
         if pace not in (Pace.SLOW, Pace.STANDING):
@@ -150,8 +152,8 @@
             worker=record.entry.worker_id,
             service=self.service,
             pace=pace.value,
-            speed=record.speed,
-            others=len(others),
+            speeds=[round(speed, 2) for speed in speeds],
+            ratios=[round(ratio, 2) for ratio in ratios],
             moving=len(record.leaving),
         )
 
@@ -209,11 +211,7 @@
 
     @staticmethod
     def _list_members(job: Job, task: Task) -> list[Task]:
-        step = job.get_step(task)
-        if not step.gang:
-            return [task]
-        occurrence = job.occurrences[task.task_id.occurrence]
-        return occurrence.steps[task.task_id.step]
+        return job.list_siblings(task) if job.get_step(task).gang else [task]
 
     def _judge_worker(
         self, record: WorkerRecord, task: Task, kind: EndKind, now: float
--- a/src/onyxgap/jobs/stragglers.py
+++ b/src/onyxgap/jobs/stragglers.py
@@ -12,10 +12,11 @@
 from .job import Task
 
 SLOW_SHARE = 0.3
-"""Share of the usual speed below which a worker counts as slow. Declared run times are
-off by half or double, slow workers are four times slower or more."""
-LEAST_JOBS = 2
-"""Jobs that must be slow on one worker: a single one may be slow everywhere."""
+"""Share of the speed of other tasks of the same step below which a task is slow: they
+differ by a third, slow workers are four times slower or more. Declared run times say
+nothing here, they are off by more than that from job to job."""
+LEAST_RATIOS = 2
+"""Tasks of a worker that must be compared with others before it counts as slow."""
 BLOCK_S = 2.0
 """Time without new tasks for a worker that was found slow; it is then tried again,
 which costs what it gets meanwhile about a second."""
@@ -34,36 +35,38 @@
     STANDING = "standing"
 
 
-def measure_speed(tasks: t.Iterable[Task]) -> tuple[float | None, int]:
-    """Measure the median speed of a worker's tasks.
+def measure_ratio(task: Task, siblings: t.Iterable[Task]) -> float | None:
+    """Compare the speed of a task with that of its step on other workers.
 
-    :param tasks: its tasks that end by themselves.
-    :returns: the speed, ``None`` where none is known, and the number of jobs.
+    :param task: the task.
+    :param siblings: all tasks of its step.
+    :returns: its share of their median speed, ``None`` where none is known.
     """
-    speeds = []
-    jobs = set()
-    for task in tasks:
-        if task.progress is not None and task.progress.speed is not None:
-            speeds.append(task.progress.speed)
-            jobs.add(task.task_id.job_id)
-    return (statistics.median(speeds) if speeds else None), len(jobs)
-
-
-def judge_pace(speed: float | None, jobs: int, others: t.Sequence[float]) -> Pace:
-    """Judge a worker by the speed of its tasks.
-
-    :param speed: their median speed.
-    :param jobs: number of their jobs.
-    :param others: speeds of other workers.
+    if task.progress is None or task.progress.speed is None:
+        return None
+    others = [
+        other.progress.speed
+        for other in siblings
+        if other.worker_id != task.worker_id
+        and other.progress is not None
+        and other.progress.speed
+    ]
+    return task.progress.speed / statistics.median(others) if others else None
+
+
+def judge_pace(speeds: t.Sequence[float], ratios: t.Sequence[float]) -> Pace:
+    """Judge a worker by its tasks.
+
+    :param speeds: speeds of its tasks, as far as they are known.
+    :param ratios: shares of the speed of their steps elsewhere, as far as known.
     """
-    if speed is None:
+    if not speeds:
         return Pace.UNKNOWN
-    if not speed:
+    if not any(speeds):
         return Pace.STANDING
-    if not others or jobs < LEAST_JOBS:
-        return Pace.UNKNOWN
-    slow = speed < SLOW_SHARE * statistics.median(others)
-    return Pace.SLOW if slow else Pace.SOUND
+    if len(ratios) >= LEAST_RATIOS and statistics.median(ratios) < SLOW_SHARE:
+        return Pace.SLOW
+    return Pace.SOUND
 
 
 def choose_block(findings: int) -> float:
