Log a fault behind a caller's request as a JSON line

Change: the adapter logs the fault with method and path, and lets the server answer. Result: test_fault_behind_a_request_is_logged_with_its_path.

--- a/src/onyxgap/platform/callers.py
+++ b/src/onyxgap/platform/callers.py
@@ -5,6 +5,7 @@
 
 import attrs
 import orjson
+import structlog
 
 from ..adapters.asgi import BodyTooLargeError
 from ..adapters.asgi import CallerGoneError
@@ -29,6 +30,7 @@
 _JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
 _JSON = ("Content-Type", "application/json")
 _PROBLEM = ("Content-Type", "application/problem+json")
+_LOG = structlog.get_logger()
 
 # field of the platform, field of a step, and the type that it must have
 _STEP_FIELDS: t.Mapping[str, tuple[str, type]] = {
@@ -149,9 +151,16 @@
     closing: bool = False
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
-        """Answer one request."""
+        """Answer one request; a fault is logged, and the server answers 500."""
         if scope["type"] != "http":
             return
+        try:
+            await self._answer(scope, receive, send)
+        except Exception:
+            _LOG.exception("request failed", method=scope["method"], path=scope["path"])
+            raise
+
+    async def _answer(self, scope: Scope, receive: Receive, send: Send) -> None:
         if self.closing:
             send = _close_after(send)
         host = ""
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -3,8 +3,10 @@
 import base64
 import typing as t
 
+import anyio
 import orjson
 import pytest
+import structlog.testing
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -26,6 +28,7 @@
 from onyxgap.jobs.workers import ReplyKind
 from onyxgap.platform import registry
 from onyxgap.platform import settings as platform_settings
+from onyxgap.platform.callers import CallerApp
 from onyxgap.platform.callers import decode_submission
 from onyxgap.platform.cloud import decode_vm
 from onyxgap.platform.cloud import decode_vm_reply
@@ -315,3 +318,29 @@
 def test_any_bytes_of_a_worker_are_survived(body: bytes) -> None:
     reply = decode_report(Answer(200, body))
     assert isinstance(reply, HoldReport) or reply.kind is ReplyKind.NO_ANSWER
+
+
+class FaultyDesk:
+    """A desk whose every answer fails."""
+
+    def get_max_body_bytes(self) -> int:
+        return 100
+
+    def find_route(self, host: str, path: str) -> t.NoReturn:
+        raise RuntimeError("a fault of the desk")
+
+
+def test_fault_behind_a_request_is_logged_with_its_path() -> None:
+    async def receive() -> dict[str, t.Any]:
+        return {"type": "http.request", "body": b""}
+
+    async def send(message: dict[str, t.Any]) -> None:
+        raise AssertionError(message)
+
+    app = CallerApp(t.cast(t.Any, FaultyDesk()))
+    scope = {"type": "http", "method": "GET", "path": "/q/1", "headers": []}
+    with structlog.testing.capture_logs() as lines, pytest.raises(RuntimeError):
+        anyio.run(app, scope, receive, send)
+    assert [(line["event"], line["path"]) for line in lines] == [
+        ("request failed", "/q/1")
+    ]
