Go on without notices when their socket fails; split what reads long

Cause, found on reading the change again: a socket for notices that could not be opened would have ended the node, though nothing relies on notices; a node that hands over wrote no line; judging a worker's pace was one long function. Change: the socket is opened again each second, one line when handing over, _list_judged. Result: test_socket_that_cannot_be_opened_does_not_end_the_process failed first by raising OSError; no decision changes.

--- a/src/onyxgap/adapters/notice_link.py
+++ b/src/onyxgap/adapters/notice_link.py
@@ -19,6 +19,8 @@
 
 MAX_QUEUED = 500
 """Notices that wait to be sent; some 200 jobs a second arrive at a busy node."""
+REOPEN_S = 1.0
+"""Pause before a socket that failed is opened again."""
 
 _LOG = structlog.get_logger()
 
@@ -85,7 +87,18 @@
         self._filled.set()
 
     async def run(self, on_notice: OnNotice) -> None:
-        """Take in notices and send those that wait, until cancelled."""
+        """Take in notices and send those that wait, until cancelled.
+
+        A socket that fails is opened anew: the process goes on without notices.
+        """
+        while True:
+            try:
+                await self._exchange(on_notice)
+            except* (OSError, anyio.BrokenResourceError) as errors:
+                _LOG.warning("notices lost", reason=repr(errors.exceptions[0]))
+            await anyio.sleep(REOPEN_S)
+
+    async def _exchange(self, on_notice: OnNotice) -> None:
         async with (
             await anyio.create_udp_socket(
                 local_host=self.listen.host, local_port=self.listen.port
--- a/src/onyxgap/daemons/node_peers.py
+++ b/src/onyxgap/daemons/node_peers.py
@@ -15,6 +15,7 @@
 from ..jobs.store import StoredRow
 from .follower import Follower
 from .node_view import NodeView
+from .owned import OwnedShard
 
 MEMBERS_WAIT_S = 10.0
 """Members change when nodes start; one that is learned of late gets no notice."""
@@ -78,18 +79,25 @@
 
     async def _hand_over_forever(self) -> None:
         """Tell others which shards they may claim, while the store is out of reach."""
+        told = False
         while True:
             await anyio.sleep(HAND_OVER_S)
             if not self.health.is_down(self.clocks.read_monotonic()):
+                told = False
                 continue
-            writers = [owner.writer for owner in self.owners.values()]
+            owned: list[OwnedShard] = [*self.owners.values()]
             if self.holder is not None:
-                writers.append(self.holder.writer)
-            for writer in writers:
-                notice = HandOver(writer.shard, writer.owner.boot, writer.owner.epoch)
-                for node, address in self.members.items():
-                    if node != self.settings.node:
-                        self.peers.send(address, notice)
+                owned.append(self.holder)
+            if owned and not told:
+                _LOG.info("handing over", shards=[item.shard for item in owned])
+                told = True
+            for item in owned:
+                self._tell_others(HandOver(item.shard, self.boot, item.epoch))
+
+    def _tell_others(self, notice: Notice) -> None:
+        for node, address in self.members.items():
+            if node != self.settings.node:
+                self.peers.send(address, notice)
 
     def _take_notice(self, notice: Notice) -> None:
         if isinstance(notice, JobNotice):
--- a/src/onyxgap/jobs/ownership.py
+++ b/src/onyxgap/jobs/ownership.py
@@ -4,7 +4,6 @@
 only keep shards from moving without need.
 """
 
-import math
 import typing as t
 import zlib
 
@@ -99,7 +98,7 @@
     shard: str,
     claimant: Claimant,
     heard_since: float,
-    now: float = math.inf,
+    now: float,
 ) -> float:
     """Give the monotonic second from which a node may claim a shard.
 
--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -1,5 +1,7 @@
 """What workers report and reply, taken into a shard."""
 
+import typing as t
+
 import attrs
 import structlog
 
@@ -124,20 +126,12 @@
 
     def _judge_pace(self, record: WorkerRecord, report: HoldReport, now: float) -> None:
         """Find out whether a worker stands still; its tasks are then moved."""
-        tasks = []
-        speeds = []
-        ratios = []
-        for item in report.running:
-            job = self.jobs.get(item.task.job_id)
-            task = job.find_task(item.task) if job else None
-            if job is None or task is None or task.run != item.run or task.stopping:
-                continue
-            tasks.append(task)
-            if task.progress is not None and task.progress.speed is not None:
-                speeds.append(task.progress.speed)
-            ratio = measure_ratio(task, job.list_siblings(task))
-            if ratio is not None:
-                ratios.append(ratio)
+        judged = list(self._list_judged(report))
+        speeds = [progress.speed or 0.0 for _, _, progress in judged]
+        compared = [
+            measure_ratio(task, job.list_siblings(task)) for job, task, _ in judged
+        ]
+        ratios = [ratio for ratio in compared if ratio is not None]
         pace = judge_pace(speeds, ratios)
         if pace is Pace.SOUND:
             record.findings = 0
@@ -146,7 +140,7 @@
         if now >= record.blocked_until:
             record.blocked_until = now + choose_block(record.findings)
             record.findings += 1
-        record.leaving = [task for task in tasks if self._is_movable(task)]
+        record.leaving = [task for _, task, _ in judged if task.moves < MOST_MOVES]
         _LOG.info(
             "worker slow",
             worker=record.entry.worker_id,
@@ -157,14 +151,17 @@
             moving=len(record.leaving),
         )
 
-    @staticmethod
-    def _is_movable(task: Task) -> bool:
-        progress = task.progress
-        return (
-            progress is not None
-            and progress.speed is not None
-            and (task.moves < MOST_MOVES)
-        )
+    def _list_judged(
+        self, report: HoldReport
+    ) -> t.Iterator[tuple[Job, Task, Progress]]:
+        """Yield the runs of a report whose speed is known."""
+        for item in report.running:
+            job = self.jobs.get(item.task.job_id)
+            task = job.find_task(item.task) if job else None
+            if job is None or task is None or task.run != item.run or task.stopping:
+                continue
+            if task.progress is not None and task.progress.speed is not None:
+                yield job, task, task.progress
 
     def _apply_end(self, record: WorkerRecord, end: EndedTask, now: float) -> bool:
         """Take in an end; returns whether it was that of a current run."""
--- a/src/onyxgap/pools/offered.py
+++ b/src/onyxgap/pools/offered.py
@@ -13,7 +13,6 @@
 WINDOW_S = 1.0
 """Span over which arriving work is averaged: a VM asked for now serves about 2.2 s
 later, and jobs of a busy queue arrive ten a second."""
-
 LONE_JOBS = 1.0
 """Jobs that count half of their work when they come alone: one large job is five VM
 seconds, and pools of large jobs grew for each of them without need."""
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -186,6 +186,18 @@
     assert anyio.run(exchange)[0] == JobNotice("s", "k")
 
 
+def test_socket_that_cannot_be_opened_does_not_end_the_process() -> None:
+    async def run() -> bool:
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as taken:
+            taken.bind(("127.0.0.1", 0))
+            peers = DatagramPeers(Address("127.0.0.1", taken.getsockname()[1]))
+            with anyio.move_on_after(0.3) as scope:
+                await peers.run(lambda _: None)
+            return scope.cancelled_caught
+
+    assert anyio.run(run)
+
+
 def run_with_store(
     test: t.Callable[[ScriptedStore, EmulatedStore], t.Awaitable[None]], *script: str
 ) -> None:
