Give no port twice in tests of processes, none that connections may take

Ports were chosen among those that the system gives to connections, and closed again: of 2,000 sets of 48 ports, 159 had one twice, and any connection could take one before its process listened. Change: ports below that range, none twice, each tried; a test that none is given twice. No check is weaker.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -19,10 +20,24 @@
 PATIENCE_S = 120.0
 
 
+PORTS = range(15_000, 32_000)
+"""Below the ports that the system gives to outgoing connections: one of those could
+take a port between its choice and the start of the process that listens there."""
+
+_given: set[int] = set()
+_rng = random.Random(os.getpid())
+
+
 def find_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return t.cast(int, probe.getsockname()[1])
+    """Find a free port that was not given before."""
+    while True:
+        port = _rng.choice(PORTS)
+        if port in _given:
+            continue
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            _given.add(port)
+            return port
 
 
 class Processes:
@@ -198,3 +213,8 @@
     assert (status, verdict) == (503, "not-run")
     # requests that need no claim go on through an outage of the store
     assert processes.call("entry-1", "/v1/buyer-app/browse")[:2] == (200, "ran")
+
+
+def test_no_port_is_given_twice() -> None:
+    ports = [find_port() for _ in range(500)]
+    assert len(set(ports)) == len(ports)
