Read all partitions of a claimed shard at once

The new owner held the shard at 12.28 s, but read its ten partitions one after the other until 14.11 s, and nothing of 62 jobs started meanwhile. Ruled out: the claim itself (0.43 s), sizes of pools.

Reading progress beside submissions is safe: after the claim nobody else can write progress, each such write expects the fence that the claim replaced.

Test: nine partitions of 0.2 s each took 1.8 s, now 0.2 s.

--- a/src/onyxgap/daemons/fleet.py
+++ b/src/onyxgap/daemons/fleet.py
@@ -34,6 +34,7 @@
 from ..pools.sizing import get_need
 from .follower import Follower
 from .owned import OwnedShard
+from .reading import read_at_once
 
 TICK_S = 0.2
 """Orders wait at most this long; reports wake the loop earlier."""
@@ -105,7 +106,11 @@
 
     async def _load(self) -> None:
         claimed_at = self._now()
-        page = await self.store.read(tables.FLEET_TABLE, tables.FLEET_SHARD)
+        wanted = [
+            (tables.FLEET_TABLE, tables.FLEET_SHARD),
+            (tables.TURNS_TABLE, tables.FLEET_SHARD),
+        ]
+        page, turns = await read_at_once(self.store, wanted)
         for row in page.rows:
             try:
                 self._earlier = decode_fleet_row(row.value)
@@ -115,7 +120,6 @@
         pause_s = self._get_pause_s()
         self._take_inputs()
         self.planner.restore(self._earlier, claimed_at, pause_s)
-        turns = await self.store.read(tables.TURNS_TABLE, tables.FLEET_SHARD)
         for row in turns.rows:
             self._restore_turns(row)
         _LOG.info(
--- a/src/onyxgap/daemons/owner.py
+++ b/src/onyxgap/daemons/owner.py
@@ -24,6 +24,7 @@
 from ..pools.messages import encode_report
 from .follower import Follower
 from .owner_workers import OwnerWorkers
+from .reading import read_at_once
 
 TICK_S = 0.2
 """Longest pause of the decision loop; occurrences may start 250 ms early."""
@@ -97,12 +98,12 @@
         )
 
     async def _load(self) -> None:
-        store = self.context.store
         table = tables.get_job_table(self.shard)
-        jobs = [await store.read(table, part) for part in self._list_job_parts()]
-        progress = await store.read(tables.PROGRESS_TABLE, self.shard)
+        wanted = [(table, part) for part in self._list_job_parts()]
+        wanted.append((tables.PROGRESS_TABLE, self.shard))
+        wanted.append((tables.FLEET_TABLE, tables.FLEET_SHARD))
+        *jobs, progress, fleet = await read_at_once(self.context.store, wanted)
         values = {row.row_id.key: row.value for row in progress.rows}
-        fleet = await store.read(tables.FLEET_TABLE, tables.FLEET_SHARD)
         self._take_fleet_rows(fleet.rows, True)
         rows = [row for page in jobs for row in page.rows]
         version = min(page.version for page in jobs)
