--- a/src/onyxgap/cli/main.py
+++ b/src/onyxgap/cli/main.py
@@ -179,6 +179,14 @@
         help="read logs of nodes instead: the life of a job, task, worker or shard",
     )
     _add_platform(explain)
+    bill = _add_command(
+        group,
+        "bill",
+        "which jobs were late and why, and where VM seconds went",
+        _load_later("bill", "run_bill"),
+    )
+    bill.add_argument("logs", nargs="+", metavar="LOG", help="logs of nodes")
+    bill.add_argument("--json", action="store_true", help="print JSON")
 
 
 async def _run_explain(arguments: argparse.Namespace) -> int:
--- a/src/onyxgap/jobs/job.py
+++ b/src/onyxgap/jobs/job.py
@@ -157,6 +157,8 @@
     :param finished: occurrences that are done, below :attr:`next_occurrence`.
     :param next_occurrence: number of the next one to open.
     :param seen_at: monotonic seconds when the owner learned of the job.
+    :param placed_at: monotonic seconds when its first task was placed by this owner,
+        ``None`` before.
     :param chain_ms: longest chain of estimated run times.
     """
 
@@ -167,6 +169,7 @@
     finished: int = 0
     next_occurrence: int = 0
     seen_at: float = 0.0
+    placed_at: float | None = None
     chain_ms: float = 0.0
     tails_ms: tuple[float, ...] = ()
 
--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -199,6 +199,8 @@
         now: float,
     ) -> StartOrder:
         assert record.clock is not None
+        if job.placed_at is None:
+            job.placed_at = now
         deadline_ms = record.clock.estimate(now) + START_WINDOW_MS
         task.place(record.entry.worker_id, now, deadline_ms, run)
         record.reserve(step, get_group(task))
--- a/src/onyxgap/jobs/shard_jobs.py
+++ b/src/onyxgap/jobs/shard_jobs.py
@@ -3,6 +3,7 @@
 import typing as t
 
 import attrs
+import structlog
 
 from .advice import AdviceBook
 from .job import Job
@@ -13,9 +14,12 @@
 from .messages import WorkerEntry
 from .messages import WorkerState
 from .placing import WorkerRecord
+from .priorities import get_objective
 from .workers import MS
 from .workers import StopOrder
 
+_LOG = structlog.get_logger()
+
 Group = tuple[str, int, int]
 
 
@@ -118,10 +122,29 @@
         job = self.jobs.get(job_id)
         if job is None:
             return
+        if state.final and job.stored_state is not state:
+            self._log_end(job, state, now)
         job.stored_state = state
         if state.final and not any(job.list_placed()):
             self._settle(job_id, state, now)
 
+    @staticmethod
+    def _log_end(job: Job, state: JobState, now: float) -> None:
+        submission = job.submission
+        waited_s = None if job.placed_at is None else job.placed_at - job.seen_at
+        timed = submission.times or any(step.long_running for step in submission.steps)
+        objective_s = None if timed else get_objective(job) - job.seen_at
+        _LOG.info(
+            "job ended",
+            job=submission.job_id,
+            queue=submission.policy.queue,
+            service=submission.policy.service,
+            state=state.value,
+            took_s=round(now - job.seen_at, 3),
+            waited_s=None if waited_s is None else round(waited_s, 3),
+            objective_s=None if objective_s is None else round(objective_s, 3),
+        )
+
     def get_state(self, job_id: str) -> JobState | None:
         """Give the stored state of a job, ``None`` when it is not known here."""
         if job_id in self.final:
--- /dev/null
+++ b/tests/test_bill.py
@@ -0,0 +1,159 @@
+"""The bill of a day from the logs of nodes."""
+
+import argparse
+import json
+import pathlib
+import typing as t
+
+import anyio
+import orjson
+import pytest
+
+from onyxgap.cli.bill import Evidence
+from onyxgap.cli.bill import LateJob
+from onyxgap.cli.bill import Span
+from onyxgap.cli.bill import find_cause
+from onyxgap.cli.bill import make_bill
+from onyxgap.cli.bill import run_bill
+from onyxgap.cli.tracing import LogLine
+from onyxgap.cli.tracing import parse_lines
+
+LATE = LateJob("j1", "quick", "ring", 110.0, 5.0, 1.0, 3.0)
+
+
+def log(second: float, event: str, **fields: t.Any) -> str:
+    at = f"2026-02-11T07:00:{second:09.6f}Z"
+    return orjson.dumps({"event": event, "timestamp": at, **fields}).decode()
+
+
+def end(second: float, job: str, took_s: float, **changes: t.Any) -> str:
+    fields = {
+        "job": job,
+        "queue": "quick",
+        "service": "ring",
+        "state": "succeeded",
+        "took_s": took_s,
+        "waited_s": 0.1,
+        "objective_s": 3.0,
+    }
+    return log(second, "job ended", **{**fields, **changes})
+
+
+DAY = [
+    log(0, "pool sizes chosen", sizes={"ring": 8, "herd": 4}, needs={}, busy=["ring"]),
+    end(1, "in-time", 2.0),
+    end(2, "waited", 9.0, waited_s=7.0),
+    end(3, "slow", 4.0),
+    end(4, "lasting", 30.0, objective_s=None),
+    end(5, "cancelled", 30.0, state="cancelled"),
+    log(
+        10,
+        "pool sizes chosen",
+        sizes={"ring": 2, "herd": 4},
+        needs={"ring": 1.5, "herd": 9.0},
+        busy=[],
+    ),
+    log(11, "submission answered", outcome="refused", reason="store away"),
+    log(12, "submission answered", outcome="accepted", reason=""),
+    log(13, "VM moves", vm="v1"),
+    log(20, "pool sizes chosen", sizes={"ring": 2}, needs={}, busy=[]),
+]
+
+
+def read(lines: t.Sequence[str]) -> list[LogLine]:
+    return list(parse_lines("node", "\n".join(lines)))
+
+
+def test_bill_sums_up_jobs_refusals_and_vm_seconds() -> None:
+    bill = make_bill(read(DAY))
+    assert bill.jobs == {"succeeded": 4, "cancelled": 1}
+    assert bill.late == {
+        ("pool too small", "quick"): 1,
+        ("run time or order", "quick"): 1,
+    }
+    assert bill.refused == {"store away": 1}
+    assert bill.moves == 1
+    assert bill.vm_s == pytest.approx(
+        {
+            "needed": 15 + 40,
+            "idle in a turn": 80,
+            "idle between turns": 5,
+            "idle before the first turn": 40,
+        }
+    )
+
+
+@pytest.mark.parametrize(
+    ("evidence", "cause"),
+    [
+        (Evidence(outages=[Span(104.0, 106.0)]), "store"),
+        (Evidence(outages=[Span(100.0, 104.9)]), "run time or order"),
+        (Evidence(recoveries={"ring": [Span(109.0, 112.0)]}), "recovery"),
+        (Evidence(failures={"j1"}), "worker"),
+    ],
+)
+def test_first_cause_that_applies_is_named(evidence: Evidence, cause: str) -> None:
+    recoveries: t.Any = {"ring": [], **evidence.recoveries}
+    evidence.recoveries = recoveries
+    assert find_cause(LATE, evidence) == cause
+
+
+def test_claims_failures_and_outages_are_found_in_the_logs() -> None:
+    day = [
+        log(10, "shard claimed", shard="ring", epoch=2),
+        log(11, "store regained", away_s=4.0),
+        log(12, "task ended", task="j2.0.0.1", kind="failed"),
+        log(12, "task ended", task="j3.0.0.1", kind="stopped"),
+        end(12, "j1", 4.0),
+        end(40, "j2", 4.0),
+        end(41, "j3", 4.0),
+    ]
+    assert make_bill(read(day)).late == {
+        ("store", "quick"): 1,
+        ("worker", "quick"): 1,
+        ("run time or order", "quick"): 1,
+    }
+
+
+def run(*names: pathlib.Path, as_json: bool = False) -> int:
+    arguments = argparse.Namespace(logs=list(map(str, names)), json=as_json)
+    return anyio.run(run_bill, arguments)
+
+
+def test_command_prints_text_or_json(
+    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = tmp_path / "node.log"
+    path.write_text("\n".join(f"12.5 node-1 {line}" for line in DAY))
+    assert run(path) == 0
+    assert "pool too small" in capsys.readouterr().out
+    assert run(path, as_json=True) == 0
+    assert json.loads(capsys.readouterr().out)["moves"] == 1
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "no log at all\n{{{",
+        log(1, "job ended", state="succeeded", objective_s=1.0),
+        log(1, "pool sizes chosen", sizes=3, needs={}, busy=[])
+        + "\n"
+        + log(2, "pool sizes chosen", sizes=3, needs={}, busy=[]),
+        '{"event": "job ended", "timestamp": "yesterday", "state": "succeeded"}',
+    ],
+)
+def test_unusable_log_gives_one_line_and_exit_2(
+    text: str, tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = tmp_path / "node.log"
+    path.write_text(text)
+    assert run(path) == 2
+    assert len(capsys.readouterr().err.splitlines()) == 1
+
+
+def test_missing_log_gives_one_line_and_exit_2(
+    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert run(tmp_path / "none.log") == 2
+    assert len(capsys.readouterr().err.splitlines()) == 1
