--- a/src/onyxgap/standins/emulator/day.py
+++ b/src/onyxgap/standins/emulator/day.py
@@ -23,6 +23,8 @@
 from .checks import list_breaches
 from .checks import settle_account
 from .cloud import EmulatedCloud
+from .hindsight import Plan
+from .hindsight import plan_in_hindsight
 from .peers import EmulatedNetwork
 from .rows import HOST
 from .rows import OPERATOR_TABLE
@@ -44,10 +46,12 @@
 
     :param breaches: broken rules.
     :param account: what callers got.
+    :param hindsight: what they could have got.
     """
 
     breaches: list[Breach]
     account: Account
+    hindsight: Plan
 
 
 @attrs.define(eq=False)
@@ -185,4 +189,14 @@
         )
         breaches = list_breaches(evidence, anyio.current_time())
         account = settle_account(evidence, self.cloud.paid_s, self.store.calls)
-        return DayResult(breaches, account)
+        return DayResult(breaches, account, self._plan_in_hindsight(evidence))
+
+    def _plan_in_hindsight(self, evidence: Evidence) -> Plan:
+        pools = self.script.pools
+        return plan_in_hindsight(
+            evidence,
+            {line.name: int(line.cores * 1000) for line in pools},
+            {line.name: line.vms for line in pools},
+            sum(line.vms for line in pools) + self.script.spare,
+            self.script.end_s + FINISH_S,
+        )
--- a/src/onyxgap/standins/emulator/experiment.py
+++ b/src/onyxgap/standins/emulator/experiment.py
@@ -12,13 +12,17 @@
 from .day import DayResult
 from .faults import draw_faults
 from .faults import play_day
+from .hindsight import Plan
 from .policies import POLICIES
 from .script import Script
 from .script import load_script
 
 OWN_POLICY = "forecast"
+HINDSIGHT = "hindsight"
+"""Column of the plan that knew all jobs before; see :mod:`.hindsight`."""
 EXIT_BROKEN = 1
 COLUMNS = tuple(field.name for field in attrs.fields(Account))
+PLAN_COLUMNS = tuple(field.name for field in attrs.fields(Plan))
 
 
 def play_seeds(
@@ -38,24 +42,25 @@
     return results
 
 
-def sum_up(results: t.Mapping[int, DayResult]) -> dict[str, float]:
+def sum_up(
+    items: t.Sequence[Account | Plan], columns: t.Sequence[str]
+) -> dict[str, float]:
     """Give the mean of each figure over all days.
 
-    :param results: results by seed.
+    :param items: what came out, by day.
+    :param columns: names of the figures.
     """
-    count = max(1, len(results))
+    count = max(1, len(items))
     return {
-        name: round(
-            sum(getattr(item.account, name) for item in results.values()) / count, 1
-        )
-        for name in COLUMNS
+        name: round(sum(getattr(item, name) for item in items) / count, 1)
+        for name in columns
     }
 
 
 def _describe(policy: str, results: t.Mapping[int, DayResult]) -> dict[str, t.Any]:
     return {
         "policy": policy,
-        "means": sum_up(results),
+        "means": sum_up([item.account for item in results.values()], COLUMNS),
         "breaches": {
             seed: [attrs.asdict(breach) for breach in item.breaches]
             for seed, item in results.items()
@@ -64,15 +69,23 @@
     }
 
 
+def _describe_hindsight(results: t.Mapping[int, DayResult]) -> dict[str, t.Any]:
+    plans = [item.hindsight for item in results.values()]
+    means = sum_up(plans, PLAN_COLUMNS)
+    return {"policy": HINDSIGHT, "means": means, "breaches": {}}
+
+
 def render_table(described: t.Sequence[t.Mapping[str, t.Any]]) -> str:
     """Render the means of several policies as a table.
 
     :param described: what was played, by policy.
     """
     lines = ["mean a day".ljust(14) + "".join(f"{d['policy']:>14}" for d in described)]
-    for name in COLUMNS:
-        values = "".join(f"{d['means'][name]:>14g}" for d in described)
-        lines.append(name.ljust(14) + values)
+    names = dict.fromkeys(name for item in described for name in item["means"])
+    for name in names:
+        values = (item["means"].get(name) for item in described)
+        cells = ("-" if value is None else f"{value:g}" for value in values)
+        lines.append(name.ljust(14) + "".join(cell.rjust(14) for cell in cells))
     broken = "".join(f"{len(d['breaches']):>14}" for d in described)
     lines.append("broken days".ljust(14) + broken)
     for item in described:
@@ -120,10 +133,12 @@
     policies = [OWN_POLICY]
     if arguments.against and arguments.against != OWN_POLICY:
         policies.append(arguments.against)
-    described = [
-        _describe(policy, play_seeds(script, seeds, arguments.faults, policy))
+    played = {
+        policy: play_seeds(script, seeds, arguments.faults, policy)
         for policy in policies
-    ]
+    }
+    described = [_describe(policy, results) for policy, results in played.items()]
+    described.append(_describe_hindsight(played[OWN_POLICY]))
     if arguments.json:
         print(orjson.dumps(described, option=orjson.OPT_NON_STR_KEYS).decode())
     else:
