--- a/src/onyxgap/cli/bill.py
+++ b/src/onyxgap/cli/bill.py
@@ -15,7 +15,8 @@
 
 EXIT_USAGE = 2
 RECOVERY_S = 2.5
-"""A shard that was claimed works off its backlog for about this long."""
+"""Chosen: a job that was open this long before or after a claim is billed to it; VMs
+that a new owner's backlog asks for serve some 2 s later."""
 DAY_END = "~"
 """Sorts behind each timestamp."""
 _FAILURES = frozenset({"task ended", "straggler stopped"})
--- a/src/onyxgap/jobs/holds.py
+++ b/src/onyxgap/jobs/holds.py
@@ -14,8 +14,10 @@
 
 
 LEAST_LAG_S = 0.02
-"""Lateness of a process that keeps up: timers fire a few milliseconds late."""
+"""Lateness below which a process keeps up; chosen: some turns of the event loop."""
 LAG_FACTOR = 2.0
+"""Pause for each second of lateness; chosen, not measured apart from the bound on
+orders: both together cut the late orders of a recorded day from 8,180 to 645."""
 MOST_PAUSE_S = 0.3
 """As long as a busy worker may wait for an end; leases last 5 s."""
 
--- a/src/onyxgap/jobs/ownership.py
+++ b/src/onyxgap/jobs/ownership.py
@@ -26,9 +26,10 @@
 OWNED_DELAY_S = 0.3
 """Further delay for each shard that a node owns, so that they spread."""
 WEAK_DELAY_S = 0.6
-"""Further delay of a node on a small VM, as for two shards owned: an owner of 60 busy
-workers took 4 s and more to read their reports on a VM with half a core and 10 Mbit/s,
-while VMs with two cores and 200 Mbit/s owned nothing."""
+"""Further delay of a node on a small VM, as for two shards owned: an owner of 83
+workers planned on reports that were 4.7 s old on a VM with half a core and 10 Mbit/s,
+while VMs with two cores and 200 Mbit/s owned nothing. Worth of that recorded day: 0.14
+without this delay, 0.50 with it, one run each."""
 
 
 @attrs.define(slots=True)
