Log which runs a worker had when it ended, and for how long

Cause: the log of a worker's end gave a number of freed runs only, so that a task that crashes its workers, a count lost at a change of the owner, and a bystander could not be told apart. Change: one line for each ended worker names its runs: number, whether the start was confirmed, and how much later on the worker's clock a report last listed them.

--- a/src/onyxgap/jobs/job.py
+++ b/src/onyxgap/jobs/job.py
@@ -40,6 +40,8 @@
     :param sent: whether the order to start was sent; it is stored before.
     :param start_deadline_ms: deadline of the order, on the worker's clock.
     :param confirmed_at: monotonic seconds when the run was known to be there.
+    :param confirmed_ms: the worker's clock then, ``None`` where it was not told.
+    :param listed_ms: how much later on that clock a report last listed the run.
     :param stopping: whether an order to stop stands.
     :param stop_sent_at: monotonic seconds when it was last sent.
     :param failed_on: workers on which it failed, newest last.
@@ -61,6 +63,8 @@
     sent: bool = False
     start_deadline_ms: float = 0.0
     confirmed_at: float | None = None
+    confirmed_ms: float | None = None
+    listed_ms: float = 0.0
     stopping: bool = False
     stop_sent_at: float = -1e9
     failed_on: tuple[str, ...] = ()
@@ -89,6 +93,8 @@
         self.sent = False
         self.start_deadline_ms = deadline_ms
         self.confirmed_at = None
+        self.confirmed_ms = None
+        self.listed_ms = 0.0
         self.percent = 0
         self.figure = 0.0
         self.stopping = False
@@ -96,12 +102,28 @@
         self.pace = 100
         self.progress = None
 
-    def confirm(self, now: float) -> None:
-        """Record that the run is on its worker."""
+    def confirm(self, now: float, clock_ms: float | None) -> None:
+        """Record that the run is on its worker.
+
+        :param now: monotonic seconds.
+        :param clock_ms: the worker's clock, if it told.
+        """
         if self.phase is TaskPhase.STARTING:
             self.phase = TaskPhase.RUNNING
         if self.confirmed_at is None:
             self.confirmed_at = now
+        if self.confirmed_ms is None:
+            self.confirmed_ms = clock_ms
+
+    def list_again(self, now: float, clock_ms: float) -> None:
+        """Record that a report lists the run.
+
+        :param now: monotonic seconds.
+        :param clock_ms: the worker's clock when it wrote the report.
+        """
+        self.confirm(now, clock_ms)
+        assert self.confirmed_ms is not None
+        self.listed_ms = max(self.listed_ms, clock_ms - self.confirmed_ms)
 
     def release(self) -> None:
         """Record that no run is on a worker any more."""
--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -79,12 +79,12 @@
         listed = {(item.task, item.run) for item in report.running}
         ended = {(item.task, item.run) for item in report.ended}
         for item in report.running:
-            self._apply_running(record, item, now)
+            self._apply_running(record, item, report.clock_ms, now)
         self._judge_pace(record, report, now)
         self._find_missing(record, listed | ended, sent_at)
 
     def _apply_running(
-        self, record: WorkerRecord, item: RunningTask, now: float
+        self, record: WorkerRecord, item: RunningTask, clock_ms: float, now: float
     ) -> None:
         job = self.jobs.get(item.task.job_id)
         task = job.find_task(item.task) if job else None
@@ -106,7 +106,7 @@
                 )
             self.strays[key] = self._order_stop(record, item.task, item.run)
             return
-        task.confirm(now)
+        task.list_again(now, clock_ms)
         self._note_progress(job, task, item, now)
         task.percent = item.percent
         task.figure = item.figure
@@ -305,7 +305,7 @@
         if (task.run, task.worker_id) != (order.run, order.worker_id):
             return
         if reply.kind is ReplyKind.DONE:
-            task.confirm(now)
+            task.confirm(now, reply.clock_ms)
             return
         _LOG.info(
             "start not done",
--- a/src/onyxgap/jobs/shard_workers.py
+++ b/src/onyxgap/jobs/shard_workers.py
@@ -64,6 +64,15 @@
     return "batch" if task.placed else waits
 
 
+def _describe_run(task: Task) -> tuple[str, int, bool, float]:
+    """Give task, run, whether its start was confirmed, and for how long it was listed.
+
+    What crashes its worker at its start is never listed for long.
+    """
+    confirmed = task.confirmed_at is not None
+    return str(task.task_id), task.run, confirmed, round(task.listed_ms)
+
+
 @attrs.define
 class ShardWorkers(ShardJobs):
     """Workers of one shard."""
@@ -241,10 +250,20 @@
         return record.clock.bound_low(now) > record.lease_ms
 
     def _free_worker(self, record: WorkerRecord) -> int:
-        freed = 0
-        for job in list(self.jobs.values()):
-            for task in list(job.list_placed()):
-                if task.worker_id == record.entry.worker_id:
-                    self._release(job, task)
-                    freed += 1
-        return freed
+        lost = [
+            (job, task)
+            for job in self.jobs.values()
+            for task in job.list_placed()
+            if task.worker_id == record.entry.worker_id
+        ]
+        if lost:
+            _LOG.info(
+                "runs lost",
+                worker=record.entry.worker_id,
+                service=self.service,
+                epoch=self.epoch,
+                runs=[_describe_run(task) for _, task in lost],
+            )
+        for job, task in lost:
+            self._release(job, task)
+        return len(lost)
