--- a/src/onyxgap/standins/emulator/checks.py
+++ b/src/onyxgap/standins/emulator/checks.py
@@ -20,6 +20,10 @@
 CANCEL_S = 3.0
 """A task may start this long after its job's cancel was confirmed."""
 HOLDER_PAUSE_S = 3.0
+CRASHES = 3
+"""Workers that may crash under a task before its starts are counted."""
+STARTS_AFTER_CRASHES = 3
+"""Start after these crashes that breaks the rule."""
 
 
 @attrs.frozen
@@ -104,6 +108,23 @@
                 yield Breach("budget", record.began, f"{task} after {failures} fails")
 
 
+def check_crashes(evidence: Evidence) -> t.Iterator[Breach]:
+    """Check that a task that crashes its workers is soon not started any more."""
+    for task, runs in _group_runs(evidence).items():
+        if not evidence.callers.find_nature(task).crashes:
+            continue
+        ends = [
+            run.ended for run in runs if run.how == "gone" and run.ended is not None
+        ]
+        if len(ends) < CRASHES:
+            continue
+        third_at = sorted(ends)[CRASHES - 1]
+        later = sorted(run.began for run in runs if run.began > third_at)
+        if len(later) >= STARTS_AFTER_CRASHES:
+            at = later[STARTS_AFTER_CRASHES - 1]
+            yield Breach("budget", at, f"{task} crashed {len(ends)} workers")
+
+
 def check_unasked(evidence: Evidence) -> t.Iterator[Breach]:
     """Check that nothing starts after a cancel, or of a job that was refused."""
     for record in evidence.records:
@@ -140,7 +161,7 @@
                 yield Breach("mixed", at, f"{job_id} succeeded with {done} of {tasks}")
             if state is None:
                 yield Breach("lost", at, f"{job_id} is not known")
-            if state is JobState.FAILED and not notes.poison:
+            if state is JobState.FAILED and not (notes.poison or notes.crashing):
                 yield Breach("lost", at, f"{job_id} failed without cause")
         serving = notes.submission.steps[0].long_running
         open_ended = notes.accepted_at is None or serving
@@ -206,6 +227,7 @@
         check_twice,
         check_order,
         check_budget,
+        check_crashes,
         check_unasked,
         check_states,
         check_waves,
@@ -263,7 +285,7 @@
             counts["in_time" if in_time else "late"] += 1
     wasted_s = sum(
         (record.ended - record.began)
-        * evidence.callers.find_step(record.task)[0].cpu
+        * evidence.callers.find_nature(record.task).step.cpu
         / 1000
         for record in evidence.records
         if record.ended is not None and record.how not in ("done", "failed")
--- a/src/onyxgap/standins/emulator/day.py
+++ b/src/onyxgap/standins/emulator/day.py
@@ -115,7 +115,7 @@
             self.store,
             self.workers,
             group,
-            self.callers.find_step,
+            self.callers.find_nature,
             self.rng,
             SPARE_POOL,
         )
--- a/src/onyxgap/standins/emulator/script.py
+++ b/src/onyxgap/standins/emulator/script.py
@@ -71,6 +71,7 @@
     :param steps: steps of a job.
     :param cancel: share that is cancelled a second later.
     :param poison: share that always fails.
+    :param crashing: share of which the first task crashes each worker that starts it.
     :param resend: share that is handed in a second time, elsewhere.
     """
 
@@ -85,6 +86,7 @@
     steps: int = 1
     cancel: float = 0.0
     poison: float = 0.0
+    crashing: float = 0.0
     resend: float = 0.0
 
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -15,6 +15,8 @@
 from onyxgap.standins.stage import Stage
 from onyxgap.standins.virtual import run_virtually
 
+pytest_plugins = ["tests.known_red"]
+
 ROOT = pathlib.Path(__file__).parent.parent
 EXAMPLES = ROOT / "examples"
 SCENARIOS = ROOT / "tests" / "scenarios"
