Keep a worker for suspects of a busy pool; let settled tasks stay beside them

Cause: each worker of a busy pool starts something between two reports, so that a suspect that must start apart found none; and a serving task on each worker of a small pool would have kept a task that lost three workers from ever starting alone. Change: a suspect that finds no worker has one kept for it, half of them at most; suspects that are not late go first; alone means beside nothing that has not settled for 5 s.

--- a/src/onyxgap/jobs/crashes.py
+++ b/src/onyxgap/jobs/crashes.py
@@ -6,8 +6,8 @@
 are started again apart, so that a second crash has one suspect, and a task that stands
 alone in two crashes is given up.
 
-Unbounded, one such task of an emulated day crashed 75 workers in 30 s, and the runs
-beside it were lost with them: 26 of 40 jobs were served in time.
+Unbounded, one such task of an emulated day crashed 75 workers within half a minute, and
+the runs beside it were lost with them; bounded, none crashes more than three there.
 """
 
 import enum
@@ -44,7 +44,7 @@
     APART = "apart"
     """Nothing of another job that has not proved itself there."""
     ALONE = "alone"
-    """Nothing of another job."""
+    """Nothing of another job that has not settled there."""
 
 
 @attrs.frozen(slots=True)
--- a/src/onyxgap/jobs/placing.py
+++ b/src/onyxgap/jobs/placing.py
@@ -40,6 +40,7 @@
     :param ending: how many of these runs end by themselves.
     :param present: number of runs that may be there, by step of a job.
     :param unproved: tasks that may yet turn out to crash it at their start.
+    :param unsettled: tasks that may yet turn out to crash it at all.
     :param guarded: tasks beside which nothing of another job is started.
     :param seen: sequence of the newest end that was taken in.
     :param acknowledged: sequence of the newest end that is stored.
@@ -65,6 +66,7 @@
     ending: int = 0
     present: dict[Group, int] = attrs.field(factory=dict)
     unproved: set[TaskId] = attrs.field(factory=set)
+    unsettled: set[TaskId] = attrs.field(factory=set)
     guarded: set[TaskId] = attrs.field(factory=set)
     seen: int = 0
     acknowledged: int = 0
@@ -129,6 +131,7 @@
         :param care: what it may share the worker with.
         """
         self.unproved.add(task)
+        self.unsettled.add(task)
         if care is not Care.NONE:
             self.guarded.add(task)
 
@@ -138,9 +141,10 @@
         if care is not Care.ALONE:
             self.guarded.discard(task)
 
-    def forget(self, task: TaskId) -> None:
-        """Drop what was noted of a run that is gone or has settled."""
+    def settle(self, task: TaskId) -> None:
+        """Note that a run is gone, or no cause of a crash any more."""
         self.unproved.discard(task)
+        self.unsettled.discard(task)
         self.guarded.discard(task)
 
     def admits(self, job_id: str, care: Care) -> bool:
@@ -154,7 +158,7 @@
         if care is Care.APART:
             return all(task.job_id == job_id for task in self.unproved)
         if care is Care.ALONE:
-            return all(group[0] == job_id for group in self.present)
+            return all(task.job_id == job_id for task in self.unsettled)
         return True
 
     def count_present(self) -> int:
--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -10,6 +10,7 @@
 import structlog
 
 from .candidates import PlanRoom
+from .crashes import NO_SUSPICION
 from .crashes import Care
 from .job import Job
 from .job import Task
@@ -52,6 +53,16 @@
     step: int
     tasks: list[Task]
 
+    def get_rank(self) -> tuple[bool, Urgency]:
+        """Give the sort key: suspects first, unless they are late.
+
+        They are few, and each needs a worker on which nothing else starts. On 40
+        emulated days of tasks that crash their workers, 1,091 of 1,570 jobs were in
+        time; 1,085 by urgency alone, and 1,017 with late suspects first, too.
+        """
+        suspect = any(task.suspicion is not NO_SUSPICION for task in self.tasks)
+        return not suspect or self.urgency.late, self.urgency
+
 
 @attrs.define
 class Shard(ShardReports):
@@ -115,7 +126,7 @@
                 if tasks:
                     urgency = rate_urgency(job, number, now)
                     found.append(Ready(urgency, job, number, tasks))
-        found.sort(key=lambda ready: ready.urgency)
+        found.sort(key=Ready.get_rank)
         return found
 
     def _place_tasks(
@@ -128,13 +139,15 @@
         group = get_group(ready.tasks[0])
         allowed = self._list_allowed(ready, now) if advised else None
         candidates = room.rank(step, group, allowed)
+        waiting = False
         for task in ready.tasks:
             care = task.suspicion.care
             record = candidates.choose(task.failed_on, care)
             if record is None and care is not Care.NONE:
                 # others of its step may go where it must not
-                if care is Care.ALONE:
-                    self._reserve(step, group)
+                if not waiting:
+                    self._reserve_for_suspect(room, step, group)
+                waiting = True
                 continue
             if record is None:
                 if step.long_running:
@@ -164,7 +177,7 @@
         return ()
 
     def _reserve(self, step: Step, group: Group) -> None:
-        """Keep the worker that will first have room for a serving task.
+        """Keep the worker that will first have room for a serving task or a suspect.
 
         Otherwise smaller tasks take each bit of room as it comes free.
         """
@@ -176,6 +189,15 @@
         if fitting:
             min(fitting, key=lambda record: record.cpu_used).reserved = True
 
+    def _reserve_for_suspect(self, room: PlanRoom, step: Step, group: Group) -> None:
+        """Keep a worker on which nothing was started lately, unless half are kept.
+
+        A busy pool has none: each worker starts something between two reports.
+        """
+        kept = sum(record.reserved for record in room.records)
+        if 2 * kept < len(room.records):
+            self._reserve(step, group)
+
     def _place_gang(self, ready: Ready, now: float) -> list[StartOrder]:
         step = ready.job.submission.steps[ready.step]
         if len(ready.tasks) != step.count:
--- a/src/onyxgap/jobs/shard_jobs.py
+++ b/src/onyxgap/jobs/shard_jobs.py
@@ -222,7 +222,7 @@
         record = self.workers.get(task.worker_id)
         if record is not None:
             record.free(job.get_step(task), get_group(task))
-            record.forget(task.task_id)
+            record.settle(task.task_id)
         task.release()
         self.dirty.add(job.submission.job_id)
 
--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -121,9 +121,9 @@
     def _note_proof(record: WorkerRecord, task: Task) -> None:
         if task.task_id in record.unproved and task.listed_ms >= PROOF_MS:
             record.prove(task.task_id, task.suspicion.care)
-        if task.suspicion is not NO_SUSPICION and task.listed_ms >= SETTLED_MS:
+        if task.task_id in record.unsettled and task.listed_ms >= SETTLED_MS:
             task.suspicion = NO_SUSPICION
-            record.forget(task.task_id)
+            record.settle(task.task_id)
 
     @staticmethod
     def _note_progress(job: Job, task: Task, item: RunningTask, now: float) -> None:
@@ -204,7 +204,7 @@
                 continue
             if end.kind is EndKind.DONE or member is task:
                 holder.free(step, get_group(member))
-                holder.forget(member.task_id)
+                holder.settle(member.task_id)
         if job.state.final:
             task.release()
         else:
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -13,6 +13,7 @@
 from onyxgap.jobs.crashes import weigh_blame
 from onyxgap.jobs.job import encode_progress
 from onyxgap.jobs.job import restore_job
+from onyxgap.jobs.messages import EndKind
 from onyxgap.jobs.messages import JobState
 from onyxgap.jobs.messages import Step
 from onyxgap.jobs.messages import WorkerState
@@ -163,6 +164,45 @@
     assert restored.occurrences[0].steps[0][0].suspicion is NO_SUSPICION
 
 
+def test_suspect_gets_a_worker_of_a_busy_pool(bench: Bench) -> None:
+    bench.add_job(Step(1, cpu=1000))
+    crash(bench, start_one(bench, "a" * 16).worker_id)
+    # the two workers that are left start something before each plan
+    bench.shard.jobs["a" * 16].seen_at += 60.0
+    running: list[StartOrder] = []
+    for number in range(10):
+        bench.add_job(Step(4, cpu=16_000, anti_affinity=2), job_id=f"{number:016x}")
+        started = bench.start_all()
+        if any(order.task.job_id == "a" * 16 for order in started):
+            break
+        bench.now += 0.05
+        for worker_id in list(bench.shard.workers):
+            ends = [order for order in running if order.worker_id == worker_id]
+            bench.report(worker_id, *((order, EndKind.DONE) for order in ends))
+        running = started
+    assert number < 5
+
+
+def test_task_that_lost_three_workers_starts_beside_settled_tasks_only(
+    bench: Bench,
+) -> None:
+    for name in ("w2", "w3"):
+        bench.shard.end_worker(name, "its VM is down")
+    bench.add_job(Step(1, cpu=1000, long_running=True), job_id="b" * 16)
+    bench.start_all()
+    job = bench.add_job(Step(1, cpu=1000))
+    next(job.list_ready(), None)
+    job.open_due(0.0)
+    (task,) = job.occurrences[0].steps[0]
+    task.suspicion = NO_SUSPICION.add_loss(0).add_loss(0).add_loss(0)
+    bench.now += 1.0
+    bench.report("w1")
+    assert bench.plan() == []
+    bench.now += SETTLED_MS / 1000
+    bench.report("w1")
+    assert start_one(bench, "a" * 16).worker_id == "w1"
+
+
 def test_serving_task_clears_itself_with_time(bench: Bench) -> None:
     job = bench.add_job(Step(1, cpu=1000, long_running=True))
     for _ in range(4):
