--- a/src/onyxgap/standins/emulator/checks.py
+++ b/src/onyxgap/standins/emulator/checks.py
@@ -125,6 +125,14 @@
             yield Breach("budget", at, f"{task} crashed {len(ends)} workers")
 
 
+def check_room(evidence: Evidence) -> t.Iterator[Breach]:
+    """Check that no start brings a worker over its capacity."""
+    for record in evidence.records:
+        if record.overfull:
+            detail = f"{record.task} does not fit on {record.worker_id}"
+            yield Breach("limit", record.began, detail)
+
+
 def check_unasked(evidence: Evidence) -> t.Iterator[Breach]:
     """Check that nothing starts after a cancel, or of a job that was refused."""
     for record in evidence.records:
@@ -228,6 +236,7 @@
         check_order,
         check_budget,
         check_crashes,
+        check_room,
         check_unasked,
         check_states,
         check_waves,
--- a/src/onyxgap/standins/emulator/cloud.py
+++ b/src/onyxgap/standins/emulator/cloud.py
@@ -25,6 +25,8 @@
 
 MOVE_S = 1.5
 UPKEEP_S = 2.0
+BEAT_S = 1.5
+"""Time between two writes of a worker's registration."""
 LAPSE_S = 4.5
 """Time after which the registration of a silent worker is gone."""
 CRASH_DELAY_S = 0.01
@@ -63,6 +65,7 @@
     :param find_nature: tells what a task does.
     :param rng: draws clocks.
     :param spare_pool: pool whose VMs are off.
+    :param unguarded: pools whose workers start whatever they are told to.
     """
 
     store: EmulatedStore
@@ -71,6 +74,7 @@
     find_nature: FindNature
     rng: random.Random
     spare_pool: str
+    unguarded: frozenset[str] = frozenset()
     vms: dict[str, Vm] = attrs.field(factory=dict)
     orders: list[OrderRecord] = attrs.field(factory=list)
     maintained: dict[str, set[int]] = attrs.field(factory=dict)
@@ -118,9 +122,12 @@
                 self.rng,
                 self.workers.records,
                 drift=self.rng.uniform(0, 0.02),
+                guarded=vm.pool not in self.unguarded,
                 on_crashing_run=functools.partial(self._crash_after_start, name),
             )
             self._register(entry)
+            if vm.pool in self.unguarded:
+                self.group.start_soon(self._beat, self.workers.lives[worker_id])
         self.vms[name] = attrs.evolve(vm, state=VmState.UP, worker_id=worker_id)
 
     def _register(self, entry: WorkerEntry) -> None:
@@ -141,6 +148,26 @@
         if self.vms[name].worker_id == worker_id:
             self.crash(name, CRASH_RETURN_S)
 
+    async def shrink(self, name: str, share: float, for_s: float) -> None:
+        """Have the worker of a VM offer a share of its capacity for some seconds."""
+        worker = self.get_worker(name)
+        if worker is None:
+            return
+        for factor in (share, 1 / share):
+            worker.resize(factor)
+            await anyio.sleep(for_s)
+
+    async def _beat(self, worker: EmulatedWorker) -> None:
+        """Register a worker again and again, as far as the store answers.
+
+        Those of other pools register once: what they tell of their room only saves
+        orders that they would refuse.
+        """
+        while worker.alive:
+            if not self.store.down and not worker.dark:
+                self._register(worker.entry)
+            await anyio.sleep(self.rng.uniform(0.9, 1.0) * BEAT_S)
+
     def cut(self, name: str, for_s: float) -> None:
         """Cut a VM off from everything; its worker runs on."""
         worker = self.get_worker(name)
--- a/src/onyxgap/standins/emulator/day.py
+++ b/src/onyxgap/standins/emulator/day.py
@@ -118,6 +118,7 @@
             self.callers.find_nature,
             self.rng,
             SPARE_POOL,
+            frozenset(line.name for line in self.script.pools if not line.guarded),
         )
         for line in self.script.pools:
             for number in range(line.vms):
@@ -143,7 +144,7 @@
 
     def _configure(self) -> None:
         self._version += 1
-        pools = [line.name for line in self.script.pools]
+        pools = {line.name: bool(line.guarded) for line in self.script.pools}
         value = orjson.dumps({"version": self._version, "pools": pools})
         self.store.put(RowId(OPERATOR_TABLE, "", "configuration"), value)
 
--- a/src/onyxgap/standins/emulator/faults.py
+++ b/src/onyxgap/standins/emulator/faults.py
@@ -118,6 +118,12 @@
         """Have the tasks of a worker stand still."""
         await self._set_mood(fault, Mood.HANGING)
 
+    async def shrink_vm(self, fault: FaultLine) -> None:
+        """Have a worker offer a share of its capacity."""
+        name = self._find_vm(fault.name)
+        if name is not None:
+            await self.cloud.shrink(name, fault.strength, fault.seconds)
+
     async def slow_store(self, fault: FaultLine) -> None:
         """Make each call to the store slower."""
         self.store.slowness = fault.strength
@@ -183,6 +189,7 @@
     ("crash", "vm"): FaultyDay.crash_vm,
     ("fail", "vm"): FaultyDay.fail_vm,
     ("hang", "vm"): FaultyDay.hang_vm,
+    ("shrink", "vm"): FaultyDay.shrink_vm,
     ("slow", "store"): FaultyDay.slow_store,
     ("down", "store"): FaultyDay.stop_store,
     ("lose", "store"): FaultyDay.lose_answers,
@@ -195,6 +202,9 @@
     ("configure", "routes"): FaultyDay.configure,
 }
 
+_ONLY_SCRIPTED = {("shrink", "vm")}
+"""Never drawn at random, so that a seed goes on standing for the same faults."""
+
 
 async def play_day(
     script: Script, seed: int, build_sizer: t.Callable[[], Sizer] = PoolSizer
@@ -216,7 +226,7 @@
     :param count: number of faults.
     """
     rng = random.Random(f"faults/{seed}")
-    verbs = sorted(_FAULTS)
+    verbs = sorted(_FAULTS.keys() - _ONLY_SCRIPTED)
     pools = [line.name for line in script.pools]
     faults = []
     for _ in range(count):
--- a/src/onyxgap/standins/emulator/rows.py
+++ b/src/onyxgap/standins/emulator/rows.py
@@ -31,7 +31,7 @@
     routes = tuple(
         Route(HOST, f"/{pool}/", build_policy(pool)) for pool in raw["pools"]
     )
-    services = {pool: Service(pool) for pool in raw["pools"]}
+    services = {pool: Service(pool, guarded) for pool, guarded in raw["pools"].items()}
     services[SPARE_POOL] = Service(SPARE_POOL, spare=True)
     return Configuration(raw["version"], routes, services)
 
--- a/src/onyxgap/standins/emulator/script.py
+++ b/src/onyxgap/standins/emulator/script.py
@@ -30,12 +30,14 @@
     :param vms: number of VMs.
     :param cores: cores of each.
     :param memory: GB of each.
+    :param guarded: whether its workers refuse what does not fit.
     """
 
     name: str
     vms: int
     cores: float = 64.0
     memory: float = 256.0
+    guarded: int = 1
 
 
 @attrs.frozen
@@ -163,6 +165,7 @@
         ("crash", "vm"),
         ("fail", "vm"),
         ("hang", "vm"),
+        ("shrink", "vm"),
         ("slow", "store"),
         ("down", "store"),
         ("lose", "store"),
--- a/src/onyxgap/standins/emulator/workers.py
+++ b/src/onyxgap/standins/emulator/workers.py
@@ -32,6 +32,9 @@
 """Time after which a serving task is at work."""
 CHECKPOINT_S = 0.5
 CALL_TIMEOUT_S = 0.8
+SHRINK_GRACE_S = 4.5
+"""Time in which an owner must know of a smaller capacity: the time after which a node
+counts as reaching the store again, and a heartbeat of the worker."""
 MAX_LEASE_MS = 10_000.0
 
 
@@ -56,6 +59,7 @@
     :param ended: monotonic seconds, or ``None``.
     :param how: how it ended, ``gone`` with its worker, or empty.
     :param noted: whether the end was acknowledged.
+    :param overfull: whether its start brought the worker over its capacity.
     """
 
     task: TaskId
@@ -67,6 +71,7 @@
     ended: float | None = None
     how: str = ""
     noted: bool = False
+    overfull: bool = False
 
 
 @attrs.define(slots=True)
@@ -88,6 +93,7 @@
     :param find_nature: tells what a task does.
     :param rng: draws failures.
     :param drift: share by which its clock is slow.
+    :param guarded: whether it refuses what does not fit.
     :param on_crashing_run: called with its id when it starts a task that crashes it.
     """
 
@@ -96,6 +102,7 @@
     rng: random.Random
     records: list[RunRecord]
     drift: float = 0.0
+    guarded: bool = True
     on_crashing_run: t.Callable[[str], None] = lambda worker_id: None
     mood: Mood = Mood.SOUND
     hung_at: float = 0.0
@@ -109,6 +116,7 @@
     ended: list[EndedTask] = attrs.field(factory=list)
     highest: dict[TaskId, int] = attrs.field(factory=dict)
     over_capacity: int = 0
+    former: list[tuple[float, WorkerEntry]] = attrs.field(factory=list)
     lapsed_at: float = -math.inf
     _sequence: int = 0
     _unnoted: dict[int, RunRecord] = attrs.field(factory=dict)
@@ -126,6 +134,15 @@
         self._changed.set()
         self._changed = anyio.Event()
 
+    def resize(self, share: float) -> None:
+        """Change its capacity to a share of what it has; 1 over it takes that back."""
+        self.former.append((anyio.current_time(), self.entry))
+        self.entry = attrs.evolve(
+            self.entry,
+            cpu=round(self.entry.cpu * share),
+            memory_mb=round(self.entry.memory_mb * share),
+        )
+
     def read_clock(self) -> float:
         """Read its clock in milliseconds."""
         return (anyio.current_time() - self.born_at) * 1000 * (1 - self.drift) + 5e4
@@ -201,20 +218,25 @@
         if clock > order.deadline_ms:
             return Reply(ReplyKind.TOO_LATE, clock)
         nature = self.find_nature(order.task)
-        if not self._has_room(nature.step):
+        fits = self._has_room(nature.step, self.entry)
+        if not fits:
             self.over_capacity += 1
+        if not fits and self.guarded:
             return Reply(ReplyKind.NO_ROOM, clock)
         self._begin(order, node, nature)
         return Reply(ReplyKind.DONE, clock)
 
-    def _has_room(self, step: Step) -> bool:
+    def _get_judged_entry(self) -> WorkerEntry:
+        """Give the capacity that starts are judged by, the largest of late."""
+        since = anyio.current_time() - SHRINK_GRACE_S
+        lately = [entry for until, entry in self.former if until > since]
+        return max([self.entry, *lately], key=lambda entry: entry.cpu)
+
+    def _has_room(self, step: Step, entry: WorkerEntry) -> bool:
         cpu = sum(run.step.cpu for run in self.runs.values() if not run.step.fills)
         memory_mb = sum(run.step.memory_mb for run in self.runs.values())
         own = 0 if step.fills else step.cpu
-        return (
-            cpu + own <= self.entry.cpu
-            and memory_mb + step.memory_mb <= self.entry.memory_mb
-        )
+        return cpu + own <= entry.cpu and memory_mb + step.memory_mb <= entry.memory_mb
 
     def _begin(self, order: StartOrder, node: str, nature: TaskNature) -> None:
         now = anyio.current_time()
@@ -228,6 +250,7 @@
         record = RunRecord(
             order.task, order.run, self.entry.worker_id, node, order.epoch, now
         )
+        record.overfull = not self._has_room(step, self._get_judged_entry())
         self.records.append(record)
         self.highest[order.task] = order.run
         self.lease_ms = max(self.lease_ms, order.deadline_ms)
