Count only runs lost at their start against a task; settle after 300 ms

Cause: four lost runs and one blame made a task given up, also where three of the runs had proved themselves. Change: only runs lost within 100 ms of their start count for that shortcut; a run settles after 300 ms.

--- a/src/onyxgap/jobs/crashes.py
+++ b/src/onyxgap/jobs/crashes.py
@@ -18,9 +18,10 @@
 PROOF_MS = 100.0
 """Time on a worker after which a start is known not to crash it, ten times what was
 recorded."""
-SETTLED_MS = 5000.0
-"""Time on a worker after which a run clears its task of earlier crashes: serving tasks
-outlive many workers in the course of a day."""
+SETTLED_MS = 300.0
+"""Time on a worker after which a run clears its task of earlier crashes, thirty times
+what was recorded. A task that is alone keeps its worker that long: of 1,570 jobs on 40
+emulated days of such tasks, 1,158 were in time, with 1 s 1,126 and with 5 s 1,091."""
 YOUNG_BLAME = 2
 """For the only job that had started something when the worker crashed."""
 LATE_BLAME = 1
@@ -29,12 +30,14 @@
 MOST_BLAME = 4
 """Two crashes with nobody else to blame. One is not enough: on a day of random faults
 workers crash by themselves just after a start, but not twice under one task."""
-MOST_LOSSES = 4
-"""Lost runs after which :data:`YOUNG_BLAME` is enough: where confirmations get lost,
-too, a task would else crash three more workers."""
+MOST_YOUNG_LOSSES = 4
+"""Runs lost just after their start after which :data:`YOUNG_BLAME` is enough: where
+confirmations get lost, too, a task would else crash more workers. Runs that had proved
+themselves don't count: a serving task of an emulated day lost three workers to others
+and then one that crashed by itself."""
 ALONE_LOSSES = 3
 """Lost runs after which a task gets a worker for itself: what crashes its worker late
-is then found by the fifth start."""
+is then found by the seventh start."""
 
 
 class Care(enum.Enum):
@@ -60,24 +63,37 @@
     confirmed: bool
     listed_ms: float
 
+    @property
+    def young(self) -> bool:
+        """Whether its start may have crashed the worker."""
+        return self.listed_ms < PROOF_MS
+
 
 @attrs.frozen(slots=True)
 class Suspicion:
     """What is known of a task from workers that crashed under it.
 
     :param losses: runs that were lost with their workers.
+    :param young_losses: those of them that were lost just after their start.
     :param blame: sum of the blame for them; see :func:`weigh_blame`.
     """
 
     losses: int = 0
+    young_losses: int = 0
     blame: int = 0
 
-    def add_loss(self, blame: int) -> t.Self:
+    def add_loss(self, young: bool, blame: int = 0) -> t.Self:
         """Add a lost run.
 
+        :param young: whether its start may have crashed the worker.
         :param blame: the blame for it.
         """
-        return attrs.evolve(self, losses=self.losses + 1, blame=self.blame + blame)
+        return attrs.evolve(
+            self,
+            losses=self.losses + 1,
+            young_losses=self.young_losses + young,
+            blame=self.blame + blame,
+        )
 
     @property
     def care(self) -> Care:
@@ -91,7 +107,7 @@
         """Whether the task is to be given up as one that crashes its workers."""
         if self.blame >= MOST_BLAME:
             return True
-        return self.losses >= MOST_LOSSES and self.blame >= YOUNG_BLAME
+        return self.young_losses >= MOST_YOUNG_LOSSES and self.blame >= YOUNG_BLAME
 
 
 NO_SUSPICION = Suspicion()
@@ -109,7 +125,7 @@
     :param runs: the runs whose orders were sent.
     :returns: the blame, in the order of the runs.
     """
-    young = [run for run in runs if run.listed_ms < PROOF_MS]
+    young = [run for run in runs if run.young]
     suspects = young or [run for run in runs if run.listed_ms < SETTLED_MS]
     if len({run.job_id for run in suspects}) != 1:
         return [0] * len(runs)
--- a/src/onyxgap/jobs/job.py
+++ b/src/onyxgap/jobs/job.py
@@ -339,7 +339,7 @@
 def _encode_suspicion(suspicion: Suspicion) -> tuple[int, ...]:
     if suspicion is NO_SUSPICION:
         return ()
-    return suspicion.losses, suspicion.blame
+    return attrs.astuple(suspicion)
 
 
 def encode_progress(job: Job) -> bytes:
--- a/src/onyxgap/jobs/shard_workers.py
+++ b/src/onyxgap/jobs/shard_workers.py
@@ -322,8 +322,8 @@
             for task in tasks
         ]
         blames = weigh_blame(runs) if crashed else [0] * len(runs)
-        for task, blame in zip(tasks, blames, strict=True):
-            task.suspicion = task.suspicion.add_loss(blame)
+        for task, run, blame in zip(tasks, runs, blames, strict=True):
+            task.suspicion = task.suspicion.add_loss(run.young, blame)
 
     def _give_up(self, job: Job, task: Task) -> None:
         _LOG.info(
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -28,3 +28,11 @@
 def test_tasks_that_crash_their_workers_break_no_rule(seed: int) -> None:
     result = play(load_day("crashing"), seed)
     assert result.breaches == []
+
+
+# With seed 49 three workers crashed under a serving task by the doing of others, and
+# one by itself 40 ms after its start; a first repair took all four for its own doing.
+@pytest.mark.parametrize("seed", [*range(11, 17), 49])
+def test_crashing_tasks_beside_random_faults_break_no_rule(seed: int) -> None:
+    result = play(load_day("crashing"), seed, faults=2 + seed % 5)
+    assert result.breaches == []
