--- a/bench/shard.py
+++ b/bench/shard.py
@@ -6,8 +6,8 @@
 
 import structlog
 
+from onyxgap.jobs.encoding import encode_progress
 from onyxgap.jobs.job import Job
-from onyxgap.jobs.job import encode_progress
 from onyxgap.jobs.messages import QueuePolicy
 from onyxgap.jobs.messages import RunningTask
 from onyxgap.jobs.messages import Step
--- a/src/onyxgap/daemons/desk.py
+++ b/src/onyxgap/daemons/desk.py
@@ -13,8 +13,8 @@
 from ..jobs.desk import SubmitOutcome
 from ..jobs.desk import SubmitResult
 from ..jobs.desk import Unavailable
+from ..jobs.encoding import decode_state
 from ..jobs.health import StoreHealth
-from ..jobs.job import decode_state
 from ..jobs.messages import JobState
 from ..jobs.messages import Submission
 from ..jobs.ownership import OwnerView
--- a/src/onyxgap/daemons/owner.py
+++ b/src/onyxgap/daemons/owner.py
@@ -10,8 +10,8 @@
 from ..exceptions import DocumentError
 from ..exceptions import PlatformUnavailableError
 from ..jobs import tables
-from ..jobs.job import encode_progress
-from ..jobs.job import restore_job
+from ..jobs.encoding import encode_progress
+from ..jobs.encoding import restore_job
 from ..jobs.messages import JobState
 from ..jobs.store import Batch
 from ..jobs.store import RowId
--- a/src/onyxgap/jobs/shard_workers.py
+++ b/src/onyxgap/jobs/shard_workers.py
@@ -230,7 +230,7 @@
             return
         self.room_valid_s = valid_s
         for record in self.workers.values():
-            # told when, if not now, is not known
+            # when they told their capacity is not known: they must tell it again
             record.room_until = math.inf if math.isinf(valid_s) else 0.0
 
     def list_registered(self) -> list[WorkerRecord]:
@@ -289,17 +289,11 @@
             for task in job.list_placed()
             if task.worker_id == record.entry.worker_id
         ]
-        if lost:
-            _LOG.info(
-                "runs lost",
-                worker=record.entry.worker_id,
-                service=self.service,
-                epoch=self.epoch,
-                runs=[_describe_run(task) for _, task in lost],
-            )
-        drained = record.entry.state is WorkerState.DRAINING
-        if not drained:
-            self._suspect([task for _, task in lost if _was_sent(task)], crashed)
+        tasks = [task for _, task in lost]
+        if tasks:
+            self._log_lost(record, tasks)
+        if record.entry.state is not WorkerState.DRAINING:
+            self._suspect([task for task in tasks if _was_sent(task)], crashed)
         for job, task in lost:
             self._release(job, task)
         for job, task in lost:
@@ -307,6 +301,15 @@
                 self._give_up(job, task)
         return len(lost)
 
+    def _log_lost(self, record: WorkerRecord, tasks: t.Sequence[Task]) -> None:
+        _LOG.info(
+            "runs lost",
+            worker=record.entry.worker_id,
+            service=self.service,
+            epoch=self.epoch,
+            runs=[_describe_run(task) for task in tasks],
+        )
+
     @staticmethod
     def _suspect(tasks: t.Sequence[Task], crashed: bool) -> None:
         """Count the runs that were lost with a worker as tried.
--- a/src/onyxgap/standins/emulator/checks.py
+++ b/src/onyxgap/standins/emulator/checks.py
@@ -15,7 +15,7 @@
 from .callers import JobNotes
 from .cloud import UPKEEP_S
 from .cloud import OrderRecord
-from .workers import RunRecord
+from .runs import RunRecord
 
 CANCEL_S = 3.0
 """A task may start this long after its job's cancel was confirmed."""
--- a/src/onyxgap/standins/emulator/workers.py
+++ b/src/onyxgap/standins/emulator/workers.py
@@ -26,6 +26,8 @@
 from .gate import run_late
 from .nature import FindNature
 from .nature import TaskNature
+from .runs import Run
+from .runs import RunRecord
 
 STOP_S = 0.1
 STARTUP_S = 0.7
@@ -46,45 +48,6 @@
     HANGING = "hanging"
 
 
-@attrs.define(slots=True)
-class RunRecord:
-    """A run as the emulator saw it, for the checks.
-
-    :param task: the task.
-    :param run: its number.
-    :param worker_id: where it ran.
-    :param node: node that gave the order.
-    :param epoch: fencing token of the order.
-    :param began: monotonic seconds.
-    :param ended: monotonic seconds, or ``None``.
-    :param how: how it ended, ``gone`` with its worker, or empty.
-    :param noted: whether the end was acknowledged.
-    :param overfull: whether its start brought the worker over its capacity.
-    """
-
-    task: TaskId
-    run: int
-    worker_id: str
-    node: str
-    epoch: int
-    began: float
-    ended: float | None = None
-    how: str = ""
-    noted: bool = False
-    overfull: bool = False
-
-
-@attrs.define(slots=True)
-class _Run:
-    record: RunRecord
-    step: Step
-    ends_at: float
-    total_s: float
-    stopping_at: float | None = None
-    restored_s: float = 0.0
-    doomed: bool = False
-
-
 @attrs.define(eq=False)
 class EmulatedWorker:
     """One life of a worker.
@@ -112,7 +75,7 @@
     fence: int = 0
     lease_ms: float = 0.0
     born_at: float = attrs.field(factory=anyio.current_time)
-    runs: dict[TaskId, _Run] = attrs.field(factory=dict)
+    runs: dict[TaskId, Run] = attrs.field(factory=dict)
     ended: list[EndedTask] = attrs.field(factory=list)
     highest: dict[TaskId, int] = attrs.field(factory=dict)
     over_capacity: int = 0
@@ -182,7 +145,7 @@
         self._changed.set()
         self._changed = anyio.Event()
 
-    def _save(self, run: _Run) -> str:
+    def _save(self, run: Run) -> str:
         if not run.step.checkpointing:
             return ""
         worked = anyio.current_time() - run.record.began + run.restored_s
@@ -255,7 +218,7 @@
         self.highest[order.task] = order.run
         self.lease_ms = max(self.lease_ms, order.deadline_ms)
         doomed = self.mood is Mood.FAILING
-        run = _Run(
+        run = Run(
             record, step, now + left_s, left_s, restored_s=restored_s, doomed=doomed
         )
         self.runs[order.task] = run
@@ -305,7 +268,7 @@
         with anyio.move_on_after(max(0.001, until - anyio.current_time())):
             await self._changed.wait()
 
-    def _measure_percent(self, run: _Run, now: float) -> int:
+    def _measure_percent(self, run: Run, now: float) -> int:
         if self.mood is Mood.HANGING:
             now = max(self.hung_at, run.record.began)
         left = max(0.0, run.ends_at - now) / run.total_s
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -11,8 +11,8 @@
 from onyxgap.jobs.crashes import Care
 from onyxgap.jobs.crashes import LostRun
 from onyxgap.jobs.crashes import weigh_blame
-from onyxgap.jobs.job import encode_progress
-from onyxgap.jobs.job import restore_job
+from onyxgap.jobs.encoding import encode_progress
+from onyxgap.jobs.encoding import restore_job
 from onyxgap.jobs.messages import EndKind
 from onyxgap.jobs.messages import JobState
 from onyxgap.jobs.messages import Step
--- a/tests/test_new_workers.py
+++ b/tests/test_new_workers.py
@@ -9,8 +9,8 @@
 
 from onyxgap.standins.emulator.faults import FaultyDay
 from onyxgap.standins.emulator.policies import FixedSizer
+from onyxgap.standins.emulator.runs import RunRecord
 from onyxgap.standins.emulator.script import parse_script
-from onyxgap.standins.emulator.workers import RunRecord
 from onyxgap.standins.virtual import run_virtually
 
 JOINED_S = 8.0
--- a/tests/test_shard.py
+++ b/tests/test_shard.py
@@ -7,13 +7,13 @@
 import structlog
 import structlog.testing
 
+from onyxgap.jobs.encoding import encode_progress
+from onyxgap.jobs.encoding import restore_job
 from onyxgap.jobs.holds import BUSY_WAIT_S
 from onyxgap.jobs.holds import IDLE_WAIT_S
 from onyxgap.jobs.holds import choose_hold_wait
 from onyxgap.jobs.job import Job
 from onyxgap.jobs.job import TaskPhase
-from onyxgap.jobs.job import encode_progress
-from onyxgap.jobs.job import restore_job
 from onyxgap.jobs.messages import EndedTask
 from onyxgap.jobs.messages import EndKind
 from onyxgap.jobs.messages import JobState
