--- a/src/onyxgap/adapters/notice_link.py
+++ b/src/onyxgap/adapters/notice_link.py
@@ -1,11 +1,15 @@
 """Notices between nodes as datagrams, one frame each."""
 
+import typing as t
+
 import anyio
 import anyio.abc
 import attrs
 import structlog
 
 from ..exceptions import FrameError
+from ..jobs.notices import ConfigurationPart
+from ..jobs.notices import ConfigurationQuestion
 from ..jobs.notices import HandOver
 from ..jobs.notices import JobNotice
 from ..jobs.notices import Notice
@@ -22,6 +26,14 @@
 REOPEN_S = 1.0
 """Pause before a socket that failed is opened again."""
 
+# field of the frame, and what it lists; fields of both sides have the same names
+_FIELDS: t.Mapping[type[Notice], tuple[str, t.Callable[..., t.Any]]] = {
+    JobNotice: ("jobs", ttypes.JobNotice),
+    HandOver: ("hand_overs", ttypes.HandOver),
+    ConfigurationQuestion: ("questions", ttypes.ConfigurationQuestion),
+    ConfigurationPart: ("parts", ttypes.ConfigurationPart),
+}
+
 _LOG = structlog.get_logger()
 
 
@@ -32,12 +44,10 @@
     :param notice: the notice.
     """
     frame = ttypes.Frame(sender=sender)
-    if isinstance(notice, JobNotice):
-        frame.jobs = [ttypes.JobNotice(shard=notice.shard, key=notice.key)]
-    else:
-        frame.hand_overs = [
-            ttypes.HandOver(shard=notice.shard, boot=notice.boot, epoch=notice.epoch)
-        ]
+    field, build = _FIELDS[type(notice)]
+    values = attrs.asdict(notice)
+    values.pop("sender", None)
+    setattr(frame, field, [build(**values)])
     return encode_frame(frame)
 
 
@@ -54,6 +64,16 @@
     notices += [
         HandOver(item.shard, item.boot, item.epoch) for item in frame.hand_overs or ()
     ]
+    notices += [
+        ConfigurationQuestion(frame.sender, item.asked, item.version)
+        for item in frame.questions or ()
+    ]
+    notices += [
+        ConfigurationPart(
+            item.asked, item.version, item.age_ms, item.part, item.parts, item.content
+        )
+        for item in frame.parts or ()
+    ]
     return notices
 
 
--- a/src/onyxgap/daemons/desk.py
+++ b/src/onyxgap/daemons/desk.py
@@ -10,12 +10,14 @@
 from ..exceptions import DocumentError
 from ..exceptions import PlatformUnavailableError
 from ..jobs import tables
+from ..jobs.desk import Denied
 from ..jobs.desk import SubmitOutcome
 from ..jobs.desk import SubmitResult
 from ..jobs.desk import Unavailable
-from ..jobs.encoding import decode_state
+from ..jobs.encoding import decode_status
 from ..jobs.health import StoreHealth
 from ..jobs.messages import JobState
+from ..jobs.messages import JobStatus
 from ..jobs.messages import Submission
 from ..jobs.ownership import OwnerView
 from ..jobs.routing import DEFAULT_BODY_BYTES
@@ -31,6 +33,10 @@
 from ..jobs.submissions import decode_submission
 from ..jobs.submissions import encode_submission
 from ..jobs.submissions import is_same_request
+from ..jobs.tenants import ANYONE
+from ..jobs.tenants import Caller
+from ..jobs.tenants import KeyFault
+from .authentication import Authentication
 from .owner import ShardOwner
 
 SETTLE_S = 2.0
@@ -55,6 +61,7 @@
     :param routes: the configuration in force.
     :param views: what is known of the shards' owners.
     :param owners: shards that this node owns.
+    :param authentication: tells who calls.
     :param on_stored: tells a shard's owner that a row of its submissions was stored.
     :param on_answer: counts an answer: what was asked, outcome, seconds.
     """
@@ -65,17 +72,29 @@
     routes: RouteTable
     views: dict[str, OwnerView]
     owners: dict[str, ShardOwner]
+    authentication: Authentication
     on_stored: t.Callable[[str, str], None] = lambda *_: None
     on_answer: t.Callable[[str, str, float], None] = lambda *_: None
     stopping: bool = False
-    _final: dict[str, JobState] = attrs.field(factory=dict)
+    _final: dict[str, JobStatus] = attrs.field(factory=dict)
 
-    def find_route(self, host: str, path: str) -> Route | None | Unavailable:
+    async def find_route(self, host: str, path: str) -> Route | None | Unavailable:
         """Find the queue that a request is for."""
         if self.routes.configuration is None:
             return Unavailable.CONFIGURATION
+        route = self.routes.find(host, path)
+        if route is not None:
+            return route
+        if not await self.authentication.exchange.make_sure():
+            return Unavailable.CONFIGURATION_AGE
         return self.routes.find(host, path)
 
+    async def identify(
+        self, route: Route, keys: t.Sequence[bytes], job_id: str
+    ) -> Caller | KeyFault | Unavailable:
+        """Find out who calls."""
+        return await self.authentication.identify(route, keys, job_id)
+
     def get_max_body_bytes(self) -> int:
         """Give the longest body that is read."""
         configuration = self.routes.configuration
@@ -183,11 +202,11 @@
         return list(dict.fromkeys([policy.service, *former, *others]))
 
     async def get_state(
-        self, route: Route, job_id: str
-    ) -> JobState | None | Unavailable:
+        self, route: Route, job_id: str, caller: Caller = ANYONE
+    ) -> JobState | None | Unavailable | Denied:
         """Give the state of a job, ``None`` where there is no such job."""
         started = self.clocks.read_monotonic()
-        state = await self._get_state(route, job_id)
+        state = self._show(await self._get_status(route, job_id), route, job_id, caller)
         took_s = self.clocks.read_monotonic() - started
         outcome = state.name.lower() if state is not None else "unknown-job"
         self.on_answer("state", outcome, took_s)
@@ -202,50 +221,71 @@
             )
         return state
 
-    async def _get_state(
+    def _show(
+        self,
+        status: JobStatus | None | Unavailable,
+        route: Route,
+        job_id: str,
+        caller: Caller,
+    ) -> JobState | None | Unavailable | Denied:
+        if not isinstance(status, JobStatus):
+            return status
+        if not caller.may_use(status.tenant):
+            return self._deny(route, job_id)
+        return status.state
+
+    def _deny(self, route: Route, job_id: str) -> Denied:
+        denied = Denied.OTHER_TENANT
+        self.authentication.note_refusal(denied.value, route, job_id)
+        return denied
+
+    async def _get_status(
         self, route: Route, job_id: str
-    ) -> JobState | None | Unavailable:
+    ) -> JobStatus | None | Unavailable:
         if job_id in self._final:
             return self._final[job_id]
         owner = self.owners.get(route.policy.service)
         if owner is not None and owner.loaded:
-            state = owner.state.get_state(job_id)
-            if state is not None:
-                return state
+            status = owner.state.get_status(job_id)
+            if status is not None:
+                return status
         if self._is_store_down():
             return Unavailable.STORE
         try:
             for shard in self._list_shards(route):
-                state = await self._read_state(shard, job_id)
-                if state is not None:
-                    return state
+                status = await self._read_status(shard, job_id)
+                if status is not None:
+                    return status
         except PlatformUnavailableError:
             return Unavailable.STORE
         return None
 
-    async def _read_state(self, shard: str, job_id: str) -> JobState | None:
+    async def _read_status(self, shard: str, job_id: str) -> JobStatus | None:
         row = tables.get_progress_row(shard, job_id)
         page = await self.store.read(row.table, row.part, row.key)
         if page.rows:
-            state = decode_state(page.rows[0].value)
-            if state.final:
-                self._remember(job_id, state)
-            return state
-        if await self._read_submission(shard, job_id) is not None:
-            return JobState.QUEUED
+            status = decode_status(page.rows[0].value)
+            if status.state.final:
+                self._remember(job_id, status)
+            return status
+        submission = await self._read_submission(shard, job_id)
+        if submission is not None:
+            return JobStatus(JobState.QUEUED, submission.tenant)
         return None
 
-    def _remember(self, job_id: str, state: JobState) -> None:
-        self._final[job_id] = state
+    def _remember(self, job_id: str, status: JobStatus) -> None:
+        self._final[job_id] = status
         if len(self._final) > MAX_REMEMBERED:
             del self._final[next(iter(self._final))]
 
-    async def cancel(self, route: Route, job_id: str) -> bool | Unavailable:
+    async def cancel(
+        self, route: Route, job_id: str, caller: Caller = ANYONE
+    ) -> bool | Unavailable | Denied:
         """Cancel a job; false where there is no such job."""
         started = self.clocks.read_monotonic()
-        known = await self._cancel(route, job_id)
+        known = await self._cancel(route, job_id, caller)
         took_s = self.clocks.read_monotonic() - started
-        outcome = known.value if isinstance(known, Unavailable) else str(known)
+        outcome = str(known) if isinstance(known, bool) else known.value
         self.on_answer("cancel", outcome, took_s)
         _LOG.info(
             "cancel answered",
@@ -256,13 +296,19 @@
         )
         return known
 
-    async def _cancel(self, route: Route, job_id: str) -> bool | Unavailable:
+    async def _cancel(
+        self, route: Route, job_id: str, caller: Caller
+    ) -> bool | Unavailable | Denied:
         if self._is_store_down():
             return Unavailable.STORE
         try:
             for shard in self._list_shards(route):
-                if await self._read_submission(shard, job_id) is not None:
-                    return await self._store_cancel(shard, job_id)
+                submission = await self._read_submission(shard, job_id)
+                if submission is None:
+                    continue
+                if not caller.may_use(submission.tenant):
+                    return self._deny(route, job_id)
+                return await self._store_cancel(shard, job_id)
         except PlatformUnavailableError:
             return Unavailable.STORE
         return False
@@ -288,6 +334,8 @@
 
 
 def _compare(known: Submission, submission: Submission) -> SubmitResult:
+    if not Caller(submission.tenant).may_use(known.tenant):
+        return SubmitResult(SubmitOutcome.OTHER_TENANT, Denied.OTHER_TENANT.value)
     if is_same_request(known, submission):
         return SubmitResult(SubmitOutcome.ACCEPTED, "known")
     return SubmitResult(
--- a/src/onyxgap/daemons/follower.py
+++ b/src/onyxgap/daemons/follower.py
@@ -39,6 +39,9 @@
     :param wait_s: longest wait of one call.
     :param pause_s: pause between calls, for changes that may be late.
     :param after: version to start from without reading, 0 to read.
+    :param on_current: takes the moment, on the boot clock, up to which every change
+        was handed on; ``None`` where nobody asks.
+    :param read_boot: reads that clock, which counts while the VM is suspended.
     """
 
     store: Store
@@ -49,6 +52,8 @@
     wait_s: float = WAIT_S
     pause_s: float = 0.0
     after: int = 0
+    on_current: t.Callable[[float], None] | None = None
+    read_boot: t.Callable[[], float] = anyio.current_time
 
     async def run(self) -> t.NoReturn:
         """Follow the table for ever, through outages of the store."""
@@ -68,13 +73,24 @@
                 delay = min(delay * 2, RETRY_MAX_S)
 
     async def _advance(self) -> None:
+        sent_at = self.read_boot()
         if not self.after:
             await self._read_whole()
+            self._note_current(sent_at)
             return
+        asked_at = anyio.current_time()
         page = await self.store.follow(self.table, self.after, self.wait_s)
         self.after = max(self.after, page.version)
         if page.rows:
             self.on_rows(page.rows, False)
+            self._note_current(sent_at)
+        elif anyio.current_time() - asked_at >= self.wait_s:
+            # the store waited all the while, and nothing changed
+            self._note_current(sent_at + self.wait_s)
+
+    def _note_current(self, at: float) -> None:
+        if self.on_current is not None:
+            self.on_current(at)
 
     async def _read_whole(self) -> None:
         pages: list[Page] = []
--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -51,10 +51,8 @@
         """Work until cancelled."""
         async with anyio.create_task_group() as group:
             self._group = group
-            operator = self._build_follower(
-                self.decoders.operator_table, self._take_operator
-            )
-            group.start_soon(operator.run)
+            group.start_soon(self._follow_operator().run)
+            group.start_soon(self.exchange.run)
             group.start_soon(self._watch_owners)
             group.start_soon(self.lag.watch)
             group.start_soon(self._run_peers)
--- a/src/onyxgap/daemons/node_peers.py
+++ b/src/onyxgap/daemons/node_peers.py
@@ -10,6 +10,8 @@
 from ..jobs.members import Member
 from ..jobs.members import decode_member
 from ..jobs.members import encode_member
+from ..jobs.notices import ConfigurationPart
+from ..jobs.notices import ConfigurationQuestion
 from ..jobs.notices import HandOver
 from ..jobs.notices import JobNotice
 from ..jobs.notices import Notice
@@ -107,8 +109,12 @@
             owner = self.owners.get(notice.shard)
             if owner is not None:
                 owner.note_stored(notice.key)
-            return
-        self._take_hand_over(notice)
+        elif isinstance(notice, HandOver):
+            self._take_hand_over(notice)
+        elif isinstance(notice, ConfigurationQuestion):
+            self.exchange.answer(notice)
+        elif isinstance(notice, ConfigurationPart):
+            self.exchange.take(notice)
 
     def _take_hand_over(self, notice: HandOver) -> None:
         view = self.views.get(notice.shard)
--- a/src/onyxgap/daemons/node_process.py
+++ b/src/onyxgap/daemons/node_process.py
@@ -122,7 +122,11 @@
     def count(kind: str, outcome: str, took_s: float) -> None:
         metrics.count(outcome, kind, kind, took_s)
 
+    def count_refusal(reason: str) -> None:
+        metrics.count(reason, "key", "key", 0.0)
+
     node.desk.on_answer = count
+    node.desk.authentication.on_refused = count_refusal
     return metrics
 
 
--- a/src/onyxgap/daemons/node_view.py
+++ b/src/onyxgap/daemons/node_view.py
@@ -28,6 +28,8 @@
 from ..pools.messages import Wave
 from ..pools.sizing import PoolSizer
 from ..pools.sizing import Sizer
+from .authentication import Authentication
+from .configuration_exchange import ConfigurationExchange
 from .desk import NodeDesk
 from .fleet import FleetHolder
 from .follower import Follower
@@ -100,6 +102,7 @@
     waves: dict[int, Wave] = attrs.field(factory=dict)
     members: dict[str, Member] = attrs.field(factory=dict)
     holder: FleetHolder | None = None
+    exchange: ConfigurationExchange = attrs.field(init=False)
     desk: NodeDesk = attrs.field(init=False)
     lag: LoopLag = attrs.field(init=False)
     _heard_since: float | None = None
@@ -111,6 +114,16 @@
 
     def __attrs_post_init__(self) -> None:
         self.lag = LoopLag(self.clocks)
+        self.routes.keyed = self.settings.keyed
+        self.exchange = ConfigurationExchange(
+            self.routes,
+            self.clocks,
+            self.rng,
+            self.settings.limits.configuration_s,
+            self.peers,
+            self.members,
+            self._read_configuration,
+        )
         self.desk = NodeDesk(
             self.store,
             self.health,
@@ -118,18 +131,25 @@
             self.routes,
             self.views,
             self.owners,
+            Authentication(self.routes, self.exchange),
         )
 
-    def _build_follower(
-        self,
-        table: str,
-        on_rows: t.Callable[[t.Sequence[StoredRow], bool], None],
-        pause_s: float = 0.0,
-    ) -> Follower:
+    def _follow_operator(self) -> Follower:
         return Follower(
-            self.store, table, lambda: [""], on_rows, self.rng, pause_s=pause_s
+            self.store,
+            self.decoders.operator_table,
+            lambda: [""],
+            self._take_operator,
+            self.rng,
+            on_current=lambda at: self.routes.confirm(0, at),
+            read_boot=self.clocks.read_boot,
         )
 
+    async def _read_configuration(self) -> None:
+        table, key = self.decoders.operator_table, self.decoders.configuration_key
+        page = await self.store.read(table, "", key)
+        self._take_operator(page.rows, False)
+
     def _take_operator(self, rows: t.Sequence[StoredRow], whole: bool) -> None:
         for row in rows:
             key = row.row_id.key
--- a/src/onyxgap/jobs/desk.py
+++ b/src/onyxgap/jobs/desk.py
@@ -8,6 +8,9 @@
 from .messages import JobState
 from .messages import Submission
 from .routing import Route
+from .tenants import ANYONE
+from .tenants import Caller
+from .tenants import KeyFault
 
 
 class SubmitOutcome(enum.Enum):
@@ -15,6 +18,7 @@
 
     ACCEPTED = "accepted"
     OTHER_REQUEST = "other-request"
+    OTHER_TENANT = "other-tenant"
     REFUSED = "refused"
     UNKNOWN = "unknown"
 
@@ -38,14 +42,26 @@
 
     STORE = "the store gives no answer"
     CONFIGURATION = "no configuration yet"
+    CONFIGURATION_AGE = "whether the configuration is the newest is not known here"
+
+
+class Denied(enum.Enum):
+    """Sentinels for an answer that is for others only."""
+
+    OTHER_TENANT = "the job belongs to another tenant"
 
 
 class Desk(t.Protocol):
     """Answers callers; the HTTP front only translates."""
 
-    def find_route(self, host: str, path: str) -> Route | None | Unavailable:
+    async def find_route(self, host: str, path: str) -> Route | None | Unavailable:
         """Find the queue that a request is for."""
 
+    async def identify(
+        self, route: Route, keys: t.Sequence[bytes], job_id: str
+    ) -> Caller | KeyFault | Unavailable:
+        """Find out who calls."""
+
     def get_max_body_bytes(self) -> int:
         """Give the longest body that is read."""
 
@@ -53,11 +69,13 @@
         """Accept a job, or say why not."""
 
     async def get_state(
-        self, route: Route, job_id: str
-    ) -> JobState | None | Unavailable:
+        self, route: Route, job_id: str, caller: Caller = ANYONE
+    ) -> JobState | None | Unavailable | Denied:
         """Give the state of a job, ``None`` where there is no such job."""
 
-    async def cancel(self, route: Route, job_id: str) -> bool | Unavailable:
+    async def cancel(
+        self, route: Route, job_id: str, caller: Caller = ANYONE
+    ) -> bool | Unavailable | Denied:
         """Cancel a job; false where there is no such job."""
 
     def count_waiting(self, route: Route) -> int | Unavailable:
--- a/src/onyxgap/jobs/encoding.py
+++ b/src/onyxgap/jobs/encoding.py
@@ -12,6 +12,7 @@
 from .job import TaskPhase
 from .job import build_occurrence
 from .messages import JobState
+from .messages import JobStatus
 from .messages import Submission
 
 
@@ -53,16 +54,18 @@
             "finished": job.finished,
             "next": job.next_occurrence,
             "open": occurrences,
+            "tenant": job.submission.tenant,
         }
     )
 
 
-def decode_state(value: bytes) -> JobState:
-    """Read only the state of a stored job.
+def decode_status(value: bytes) -> JobStatus:
+    """Read only what is shown of a stored job.
 
     :param value: what :func:`encode_progress` gave.
     """
-    return JobState(orjson.loads(value)["state"])
+    raw = orjson.loads(value)
+    return JobStatus(JobState(raw["state"]), raw.get("tenant", ""))
 
 
 def _restore_task(task: Task, raw: t.Any) -> None:
--- a/src/onyxgap/jobs/messages.py
+++ b/src/onyxgap/jobs/messages.py
@@ -87,6 +87,18 @@
     advised: bool = False
 
 
+@attrs.frozen(slots=True)
+class JobStatus:
+    """What is shown of a job, and to whom.
+
+    :param state: its state.
+    :param tenant: its tenant, or empty.
+    """
+
+    state: JobState
+    tenant: str = ""
+
+
 @attrs.frozen(slots=True)
 class Submission:
     """An accepted job; never changes.
@@ -99,6 +111,7 @@
     :param start_at_ms: due time of the first occurrence, in ms since 1970.
     :param interval_ms: time between two occurrences, in milliseconds.
     :param accepted_ms: wall-clock time of the acceptance, in ms since 1970.
+    :param tenant: tenant that it belongs to; empty where its queue is open to anyone.
     """
 
     job_id: str
@@ -109,6 +122,7 @@
     start_at_ms: int = 0
     interval_ms: int = 0
     accepted_ms: int = 0
+    tenant: str = ""
 
 
 class TaskId(t.NamedTuple):
--- a/src/onyxgap/jobs/notices.py
+++ b/src/onyxgap/jobs/notices.py
@@ -36,7 +36,41 @@
     epoch: int
 
 
-Notice = JobNotice | HandOver
+@attrs.frozen(slots=True)
+class ConfigurationQuestion:
+    """A node that does not hear the store asks for the newest configuration.
+
+    :param sender: address of the asking node.
+    :param asked: number of the question, for the asking node.
+    :param version: version that it has in force.
+    """
+
+    sender: str
+    asked: int
+    version: int
+
+
+@attrs.frozen(slots=True)
+class ConfigurationPart:
+    """A part of the answer to such a question.
+
+    :param asked: number of the question.
+    :param version: version that the answering node has in force.
+    :param age_ms: time since it was known to be the newest.
+    :param part: number of the part, from 0.
+    :param parts: how many there are; 0 where the asking node needs none.
+    :param content: the part.
+    """
+
+    asked: int
+    version: int
+    age_ms: int
+    part: int = 0
+    parts: int = 0
+    content: bytes = b""
+
+
+Notice = JobNotice | HandOver | ConfigurationQuestion | ConfigurationPart
 OnNotice = t.Callable[[Notice], None]
 
 
--- a/src/onyxgap/jobs/routing.py
+++ b/src/onyxgap/jobs/routing.py
@@ -1,10 +1,15 @@
-"""The configuration in force: queues by host and path, and services."""
+"""The configuration in force: queues by host and path, services and tenants."""
 
+import math
 import typing as t
 
 import attrs
 
+from .amounts import UNLIMITED
+from .amounts import Amount
 from .messages import QueuePolicy
+from .tenants import Tenant
+from .tenants import index_keys
 
 DEFAULT_BODY_BYTES = 262_144
 """Until the configuration says otherwise; the platform's usual bound."""
@@ -18,12 +23,14 @@
     :param prefix: start of the path.
     :param policy: policy of the queue.
     :param timeout_ms: longest time for one request.
+    :param public: whether it is open to callers without a key.
     """
 
     host: str
     prefix: str
     policy: QueuePolicy
     timeout_ms: int = 3_000
+    public: bool = False
 
 
 @attrs.frozen(slots=True)
@@ -48,12 +55,21 @@
     :param routes: all routes.
     :param services: all services by name.
     :param max_body_bytes: longest body of a request.
+    :param tenants: all tenants; their order has no meaning.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: t.Mapping[str, Service]
     max_body_bytes: int = DEFAULT_BODY_BYTES
+    tenants: tuple[Tenant, ...] = ()
+
+    def find_tenant(self, name: str) -> Tenant | None:
+        """Find a tenant by its name."""
+        for tenant in self.tenants:
+            if tenant.name == name:
+                return tenant
+        return None
 
     def find_spare(self) -> str:
         """Give the service whose VMs are off, or an empty string."""
@@ -81,11 +97,21 @@
     """Finds routes; adopts newer versions only.
 
     :param configuration: the version in force, ``None`` before the first.
+    :param keyed: whether calls need a tenant's key, but on open queues.
     :param former: services that a queue had under earlier versions.
+    :param confirmed_at: seconds of the boot clock at which the version in force was
+        known to be the newest.
+    :param keys: names of tenants by digest of key.
+    :param caps: caps of tenants; one that was dropped keeps its last one, since its
+        jobs run on.
     """
 
     configuration: Configuration | None = None
+    keyed: bool = False
     former: dict[str, set[str]] = attrs.field(factory=dict)
+    confirmed_at: float = -math.inf
+    keys: t.Mapping[str, str] = attrs.field(factory=dict)
+    caps: dict[str, Amount] = attrs.field(factory=dict)
     _index: dict[str, list[Route]] = attrs.field(factory=dict)
 
     def adopt(self, configuration: Configuration) -> bool:
@@ -101,8 +127,32 @@
             self._remember(present)
         self.configuration = configuration
         self._index = _index_routes(configuration)
+        self.keys = index_keys(configuration.tenants)
+        self.caps.update((tenant.name, tenant.cap) for tenant in configuration.tenants)
         return True
 
+    def confirm(self, version: int, at: float) -> None:
+        """Take in that a version was the newest at a moment.
+
+        It says nothing of another version than the one in force here: one node that
+        is behind must not speak for another.
+
+        :param version: the version, 0 for the one in force.
+        :param at: seconds of the boot clock.
+        """
+        if self.configuration is None:
+            return
+        if version in (0, self.configuration.version):
+            self.confirmed_at = max(self.confirmed_at, at)
+
+    def find_cap(self, tenant: str) -> Amount:
+        """Find the most that a tenant may have running."""
+        return self.caps.get(tenant, UNLIMITED)
+
+    def needs_key(self, route: Route) -> bool:
+        """Tell whether calls to a queue need a tenant's key."""
+        return self.keyed and not route.public
+
     def _remember(self, earlier: Configuration) -> None:
         for route in earlier.routes:
             policy = route.policy
--- a/src/onyxgap/jobs/settings.py
+++ b/src/onyxgap/jobs/settings.py
@@ -20,6 +20,7 @@
     :param notice_s: time after which an absent serving task counts as away.
     :param far_factor: slowdown of a task away from its data.
     :param beat_s: time between two writes of a worker's registration.
+    :param configuration_s: time within which a new configuration must be in force.
     """
 
     max_lease_s: float = 6.0
@@ -33,6 +34,7 @@
     notice_s: float = 4.5
     far_factor: float = 1.5
     beat_s: float = 1.5
+    configuration_s: float = 2.0
 
 
 @attrs.frozen
@@ -47,6 +49,7 @@
     :param cloud: ``host:port`` of the interface to VMs, ``-`` where there is none.
     :param advice: ``host:port`` of the policy service, ``-`` where there is none.
     :param peer_ports: first and last port for other nodes.
+    :param keyed: whether calls need a tenant's key, but on open queues.
     :param limits: time limits of the deployment.
     """
 
@@ -58,4 +61,5 @@
     cloud: str = "-"
     advice: str = "-"
     peer_ports: tuple[int, int] = (0, 0)
+    keyed: bool = False
     limits: TimeLimits = attrs.field(factory=TimeLimits)
--- a/src/onyxgap/jobs/shard_jobs.py
+++ b/src/onyxgap/jobs/shard_jobs.py
@@ -11,6 +11,7 @@
 from .job import Task
 from .job import TaskPhase
 from .messages import JobState
+from .messages import JobStatus
 from .messages import TaskId
 from .messages import WorkerEntry
 from .messages import WorkerState
@@ -50,7 +51,7 @@
     claimed_at: float
     room_valid_s: float = math.inf
     jobs: dict[str, Job] = attrs.field(factory=dict)
-    final: dict[str, JobState] = attrs.field(factory=dict)
+    final: dict[str, JobStatus] = attrs.field(factory=dict)
     ended_at: dict[str, float] = attrs.field(factory=dict)
     workers: dict[str, WorkerRecord] = attrs.field(factory=dict)
     dirty: set[str] = attrs.field(factory=set)
@@ -75,7 +76,7 @@
         if job_id in self.jobs or job_id in self.final:
             return
         if job.state.final:
-            self._settle(job_id, job.state, now)
+            self._settle(job, job.state, now)
             return
         age_s = max(0.0, (wall_ms - job.submission.accepted_ms) / MS)
         job.seen_at = now - min(age_s, now)
@@ -115,8 +116,9 @@
         task.stopping = True
         self.stopping[task.task_id] = task
 
-    def _settle(self, job_id: str, state: JobState, now: float) -> None:
-        self.final[job_id] = state
+    def _settle(self, job: Job, state: JobState, now: float) -> None:
+        job_id = job.submission.job_id
+        self.final[job_id] = JobStatus(state, job.submission.tenant)
         self.ended_at[job_id] = now
         self.jobs.pop(job_id, None)
         self.book.forget_job(job_id)
@@ -135,7 +137,7 @@
             self._log_end(job, state, now)
         job.stored_state = state
         if state.final and not any(job.list_placed()):
-            self._settle(job_id, state, now)
+            self._settle(job, state, now)
 
     @staticmethod
     def _log_end(job: Job, state: JobState, now: float) -> None:
@@ -154,14 +156,14 @@
             objective_s=None if objective_s is None else round(objective_s, 3),
         )
 
-    def get_state(self, job_id: str) -> JobState | None:
+    def get_status(self, job_id: str) -> JobStatus | None:
         """Give the stored state of a job, ``None`` when it is not known here."""
         if job_id in self.final:
             return self.final[job_id]
         job = self.jobs.get(job_id)
         if job is None:
             return None
-        return job.stored_state or JobState.QUEUED
+        return JobStatus(job.stored_state or JobState.QUEUED, job.submission.tenant)
 
     def knows(self, job_id: str, cancelled: bool = False) -> bool:
         """Tell whether a job, or that it was cancelled, is known here.
--- a/src/onyxgap/platform/callers.py
+++ b/src/onyxgap/platform/callers.py
@@ -17,6 +17,7 @@
 from ..adapters.asgi import send_answer
 from ..exceptions import DocumentError
 from ..exceptions import Fault
+from ..jobs.desk import Denied
 from ..jobs.desk import Desk
 from ..jobs.desk import SubmitOutcome
 from ..jobs.desk import SubmitResult
@@ -25,9 +26,14 @@
 from ..jobs.messages import Submission
 from ..jobs.routing import Route
 from ..jobs.submissions import check_submission
+from ..jobs.tenants import ANYONE
+from ..jobs.tenants import Caller
+from ..jobs.tenants import KeyFault
 
 READY_PATH = "/readyz"
 _JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
+_KEY_HEADER = b"key"
+_CHALLENGE = ("WWW-Authenticate", "Key")
 _JSON = ("Content-Type", "application/json")
 _PROBLEM = ("Content-Type", "application/problem+json")
 _LOG = structlog.get_logger()
@@ -56,6 +62,7 @@
 _SUBMIT_STATUS: t.Mapping[SubmitOutcome, int] = {
     SubmitOutcome.ACCEPTED: 200,
     SubmitOutcome.OTHER_REQUEST: 409,
+    SubmitOutcome.OTHER_TENANT: 403,
     SubmitOutcome.REFUSED: 503,
     SubmitOutcome.UNKNOWN: 504,
 }
@@ -91,12 +98,15 @@
     return Step(**fields)
 
 
-def decode_submission(body: bytes, job_id: str, route: Route) -> Submission:
+def decode_submission(
+    body: bytes, job_id: str, route: Route, caller: Caller = ANYONE
+) -> Submission:
     """Read the body of a submission.
 
     :param body: the body.
     :param job_id: id from the path.
     :param route: route of the queue.
+    :param caller: who sent it.
     :raises DocumentError: with what is wrong.
     """
     try:
@@ -116,6 +126,7 @@
         times=_check_type("$.times", raw.get("times", 0), int),
         start_at_ms=_check_type("$.start_at_ms", raw.get("start_at_ms", 0), int),
         interval_ms=_check_type("$.interval_ms", raw.get("interval_ms", 0), int),
+        tenant=caller.tenant,
     )
     return check_submission(submission)
 
@@ -126,6 +137,7 @@
     route: Route
     rest: str
     body: bytes
+    caller: Caller
 
 
 async def _send_problem(
@@ -164,9 +176,12 @@
         if self.closing:
             send = _close_after(send)
         host = ""
+        keys = []
         for name, value in scope["headers"]:
             if name == b"host":
                 host = value.decode("latin-1")
+            elif name == _KEY_HEADER:
+                keys.append(value)
         path = scope["path"]
         try:
             body = await read_body(receive, self.desk.get_max_body_bytes())
@@ -175,7 +190,7 @@
             return
         except CallerGoneError:
             return
-        found = self.desk.find_route(host, path)
+        found = await self.desk.find_route(host, path)
         if isinstance(found, Unavailable):
             await _send_unavailable(send, found)
             return
@@ -183,7 +198,14 @@
             await _send_problem(send, 404, "no such queue")
             return
         rest = path[len(found.prefix) :]
-        await self._dispatch(_Request(scope["method"], found, rest, body), send)
+        caller = await self.desk.identify(found, keys, rest)
+        if isinstance(caller, KeyFault):
+            await _send_problem(send, 401, caller.value, [_CHALLENGE])
+            return
+        if isinstance(caller, Unavailable):
+            await _send_unavailable(send, caller)
+            return
+        await self._dispatch(_Request(scope["method"], found, rest, body, caller), send)
 
     async def _dispatch(self, request: _Request, send: Send) -> None:
         if not request.rest and request.method == "GET":
@@ -204,7 +226,9 @@
 
     async def _submit(self, request: _Request, send: Send) -> None:
         try:
-            submission = decode_submission(request.body, request.rest, request.route)
+            submission = decode_submission(
+                request.body, request.rest, request.route, request.caller
+            )
         except DocumentError as error:
             await _send_problem(send, 400, str(error))
             return
@@ -223,9 +247,11 @@
         await _send_problem(send, status, result.reason, headers)
 
     async def _get_state(self, request: _Request, send: Send) -> None:
-        state = await self.desk.get_state(request.route, request.rest)
+        state = await self.desk.get_state(request.route, request.rest, request.caller)
         if isinstance(state, Unavailable):
             await _send_unavailable(send, state)
+        elif isinstance(state, Denied):
+            await _send_problem(send, 403, state.value)
         elif state is None:
             await _send_problem(send, 410, "no such job")
         else:
@@ -233,9 +259,11 @@
             await send_answer(send, 200, body, [_JSON])
 
     async def _cancel(self, request: _Request, send: Send) -> None:
-        known = await self.desk.cancel(request.route, request.rest)
+        known = await self.desk.cancel(request.route, request.rest, request.caller)
         if isinstance(known, Unavailable):
             await _send_unavailable(send, known)
+        elif isinstance(known, Denied):
+            await _send_problem(send, 403, known.value)
         elif known:
             await send_answer(send, 200, b"{}", [_JSON])
         else:
--- a/src/onyxgap/platform/registry.py
+++ b/src/onyxgap/platform/registry.py
@@ -6,6 +6,8 @@
 
 from ..exceptions import DocumentError
 from ..exceptions import Fault
+from ..jobs.amounts import NO_LIMIT
+from ..jobs.amounts import Amount
 from ..jobs.messages import QueuePolicy
 from ..jobs.messages import WorkerEntry
 from ..jobs.messages import WorkerState
@@ -14,6 +16,8 @@
 from ..jobs.routing import Route
 from ..jobs.routing import Service
 from ..jobs.store import RowId
+from ..jobs.tenants import Tenant
+from ..jobs.tenants import digest_key
 from ..pools.messages import Wave
 
 WORKER_TABLE = "servers"
@@ -22,6 +26,7 @@
 CONFIGURATION_KEY = "config"
 WAVE_PREFIX = "wave/"
 
+_CAP_FIELDS = ("cpu", "mem_mb", "gpu")
 _STATES = {"ready": WorkerState.READY, "draining": WorkerState.DRAINING}
 
 
@@ -76,6 +81,7 @@
         prefix=str(raw["path_prefix"]),
         policy=policy,
         timeout_ms=int(raw.get("timeout_ms", 3_000)),
+        public=bool(raw.get("public", False)),
     )
 
 
@@ -87,6 +93,22 @@
     )
 
 
+def _decode_cap(raw: t.Mapping[str, t.Any]) -> Amount:
+    # 0 stands for no limit, as does a field that is left out
+    return Amount(*(int(raw.get(name) or NO_LIMIT) for name in _CAP_FIELDS))
+
+
+def _decode_tenant(raw: t.Mapping[str, t.Any]) -> Tenant:
+    return Tenant(
+        name=str(raw["name"]),
+        key_digests=tuple(
+            digest_key(str(key).encode()) for key in raw.get("api_keys") or ()
+        ),
+        weight=float(raw.get("weight") or 1.0),
+        cap=_decode_cap(raw.get("cap") or {}),
+    )
+
+
 def decode_configuration(value: bytes) -> Configuration:
     """Read the operator's configuration.
 
@@ -102,6 +124,7 @@
             routes=tuple(map(_decode_route, raw.get("routes", ()))),
             services={service.name: service for service in services},
             max_body_bytes=int(limits.get("max_body_bytes", DEFAULT_BODY_BYTES)),
+            tenants=tuple(map(_decode_tenant, raw.get("tenants") or ())),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise DocumentError([Fault("$", f"no configuration: {error!r}")]) from None
--- a/src/onyxgap/platform/settings.py
+++ b/src/onyxgap/platform/settings.py
@@ -13,6 +13,8 @@
 PATH_VARIABLE = "ONYXGAP_CONFIG"
 """Environment variable that holds the path of the file."""
 SUPPORTED_CONTROL = "invoke"
+TENANTS_CONTRACT = "tenants"
+"""Part of the rules under which calls need a tenant's key."""
 
 
 def _parse_lines(text: str) -> dict[str, str]:
@@ -59,6 +61,10 @@
     return int(first), int(last)
 
 
+def _split(text: str) -> tuple[str, ...]:
+    return tuple(text.split(","))
+
+
 def _read_limits(reader: _Reader) -> TimeLimits:
     return TimeLimits(
         max_lease_s=reader.read_ms("bounds.max_hold_ms", 6.0),
@@ -72,6 +78,7 @@
         notice_s=reader.read_ms("bounds.notice_ms", 4.5),
         far_factor=reader.read_s("bounds.far_x", 1.5),
         beat_s=reader.read_ms("heartbeat_ms", 1.5),
+        configuration_s=reader.read_ms("bounds.config_apply_ms", 2.0),
     )
 
 
@@ -95,6 +102,7 @@
         cloud=reader.read("cloud.address", str, "-"),
         advice=reader.read("advice", str, "-"),
         peer_ports=ports,
+        keyed=TENANTS_CONTRACT in reader.read("contracts", _split, ()),
         limits=_read_limits(reader),
     )
     for key in ("listen.front", "listen.ready"):
--- a/src/onyxgap/standins/emulator/callers.py
+++ b/src/onyxgap/standins/emulator/callers.py
@@ -15,9 +15,11 @@
 from ...jobs.messages import Submission
 from ...jobs.messages import TaskId
 from ...jobs.routing import Route
+from ...jobs.tenants import KeyFault
 from .nature import TaskNature
 from .script import LoadLine
 from .script import ServeLine
+from .tenancy import Tenancy
 
 POLL_S = 0.5
 RETRIES = 4
@@ -32,7 +34,9 @@
 class CallerNode(t.Protocol):
     """A node as callers reach it, if it is up."""
 
-    async def submit(self, submission: Submission) -> SubmitOutcome | None:
+    async def submit(
+        self, route: Route, submission: Submission, key: str
+    ) -> SubmitOutcome | KeyFault | None:
         """Hand a job in; ``None`` when the connection broke."""
 
     async def get_state(self, route: Route, job_id: str) -> t.Any:
@@ -65,7 +69,7 @@
     objective_s: float
     poison: bool = False
     crashing: bool = False
-    outcomes: list[SubmitOutcome | None] = attrs.field(factory=list)
+    outcomes: list[SubmitOutcome | KeyFault | None] = attrs.field(factory=list)
     accepted_at: float | None = None
     cancelled_at: float | None = None
     shown: list[tuple[float, JobState | None]] = attrs.field(factory=list)
@@ -103,12 +107,14 @@
 
     :param nodes: gives the nodes in the order in which a caller tries them.
     :param rng: draws which node a caller tries, and when it returns.
+    :param tenancy: tenants whose jobs they hand in, with their keys.
     :param seed: seed of the jobs.
     :param jobs: what they were told, by job.
     """
 
     nodes: t.Callable[[], list[CallerNode]]
     rng: random.Random
+    tenancy: Tenancy
     seed: int = 0
     jobs: dict[str, JobNotes] = attrs.field(factory=dict)
 
@@ -131,7 +137,13 @@
         rng: random.Random,
     ) -> JobNotes:
         job_id = f"{rng.getrandbits(64):016x}"
-        submission = Submission(job_id, route.policy, f"spec of {job_id}", steps)
+        submission = Submission(
+            job_id,
+            route.policy,
+            f"spec of {job_id}",
+            steps,
+            tenant=self.tenancy.draw_tenant(rng),
+        )
         notes = JobNotes(
             submission, route, anyio.current_time(), objective_s, poison=poison
         )
@@ -200,23 +212,34 @@
             node = self.rng.choice(self.nodes() or [None])
             outcome = None
             if node is not None:
-                with anyio.move_on_after(PATIENCE_S):
-                    outcome = await node.submit(notes.submission)
+                outcome = await self._send(node, notes)
             notes.outcomes.append(outcome)
+            if isinstance(outcome, KeyFault):
+                return False
             if outcome is SubmitOutcome.ACCEPTED:
                 notes.accepted_at = notes.accepted_at or anyio.current_time()
                 return True
             await anyio.sleep(RETRY_S)
         return False
 
+    async def _send(
+        self, node: CallerNode, notes: JobNotes
+    ) -> SubmitOutcome | KeyFault | None:
+        submission = notes.submission
+        key = self.tenancy.draw_key(submission.tenant) if submission.tenant else ""
+        access = self.tenancy.open_access(key) if key else None
+        outcome = None
+        with anyio.move_on_after(PATIENCE_S):
+            outcome = await node.submit(notes.route, submission, key)
+            if access is not None:
+                access.note(outcome)
+        return outcome
+
     async def _resend(self, notes: JobNotes) -> None:
         await anyio.sleep(self.rng.uniform(0.1, 3.0))
         nodes = self.nodes()
         if nodes:
-            with anyio.move_on_after(PATIENCE_S):
-                notes.outcomes.append(
-                    await self.rng.choice(nodes).submit(notes.submission)
-                )
+            notes.outcomes.append(await self._send(self.rng.choice(nodes), notes))
 
     async def _cancel(self, notes: JobNotes) -> None:
         await anyio.sleep(self.rng.uniform(0.2, 1.5))
--- a/src/onyxgap/standins/emulator/checks.py
+++ b/src/onyxgap/standins/emulator/checks.py
@@ -6,16 +6,23 @@
 
 import attrs
 
+from ...jobs.amounts import Amount
+from ...jobs.amounts import measure_task
 from ...jobs.desk import SubmitOutcome
 from ...jobs.messages import JobState
 from ...jobs.messages import TaskId
+from ...jobs.tenants import KeyFault
 from ...pools.messages import VmActionKind
 from ...pools.messages import Wave
+from .breach import Breach
 from .callers import Callers
 from .callers import JobNotes
 from .cloud import UPKEEP_S
 from .cloud import OrderRecord
 from .runs import RunRecord
+from .tenancy import Tenancy
+from .tenant_checks import check_caps
+from .tenant_checks import check_keys
 
 CANCEL_S = 3.0
 """A task may start this long after its job's cancel was confirmed."""
@@ -26,20 +33,6 @@
 """Start after these crashes that breaks the rule."""
 
 
-@attrs.frozen
-class Breach:
-    """A broken rule.
-
-    :param rule: its name.
-    :param at: monotonic seconds.
-    :param detail: what happened.
-    """
-
-    rule: str
-    at: float
-    detail: str
-
-
 @attrs.frozen
 class Evidence:
     """Everything that the checks look at.
@@ -49,6 +42,7 @@
     :param orders: orders about VMs.
     :param waves: waves that the operator asked for.
     :param maintained: waves that each VM has begun.
+    :param tenancy: tenants with their keys and caps.
     """
 
     callers: Callers
@@ -56,6 +50,12 @@
     orders: list[OrderRecord]
     waves: tuple[Wave, ...]
     maintained: t.Mapping[str, set[int]]
+    tenancy: Tenancy
+
+    def measure_run(self, record: RunRecord) -> tuple[str, Amount]:
+        """Give the tenant of a run, and what it has in use."""
+        submission = self.callers.jobs[record.task.job_id].submission
+        return submission.tenant, measure_task(submission.steps[record.task.step])
 
 
 def _group_runs(evidence: Evidence) -> dict[TaskId, list[RunRecord]]:
@@ -140,7 +140,10 @@
         cancelled = notes.cancelled_at
         if cancelled is not None and record.began > cancelled + CANCEL_S:
             yield Breach("unasked", record.began, f"{record.task} after its cancel")
-        refusals = [item is SubmitOutcome.REFUSED for item in notes.outcomes]
+        refusals = [
+            item is SubmitOutcome.REFUSED or isinstance(item, KeyFault)
+            for item in notes.outcomes
+        ]
         if refusals and all(refusals):
             yield Breach("refused", record.began, f"{record.task} of a refused job")
 
@@ -244,6 +247,8 @@
     )
     breaches = [breach for check in checks for breach in check(evidence)]
     breaches += check_serving(evidence, end_s)
+    breaches += check_keys(evidence.tenancy)
+    breaches += check_caps(evidence.tenancy, evidence.records, evidence.measure_run)
     return sorted(breaches, key=lambda breach: breach.at)
 
 
--- a/src/onyxgap/standins/emulator/day.py
+++ b/src/onyxgap/standins/emulator/day.py
@@ -15,10 +15,10 @@
 from ...pools.messages import Wave
 from ...pools.sizing import PoolSizer
 from ...pools.sizing import Sizer
+from .breach import Breach
 from .callers import Callers
 from .callers import build_policy
 from .checks import Account
-from .checks import Breach
 from .checks import Evidence
 from .checks import list_breaches
 from .checks import settle_account
@@ -32,6 +32,7 @@
 from .script import Script
 from .slots import NodeSlot
 from .store import EmulatedStore
+from .tenancy import Tenancy
 from .workers import EmulatedWorkers
 
 BUSY_FACTOR = 4.0
@@ -72,6 +73,7 @@
     cloud: EmulatedCloud = attrs.field(init=False)
     network: EmulatedNetwork = attrs.field(init=False)
     callers: Callers = attrs.field(init=False)
+    tenancy: Tenancy = attrs.field(init=False)
     slots: list[NodeSlot] = attrs.field(factory=list)
     waves: list[Wave] = attrs.field(factory=list)
     _version: int = 0
@@ -110,7 +112,9 @@
         self.store = EmulatedStore(self.rng, group)
         self.workers = EmulatedWorkers(self.rng, group)
         self.network = EmulatedNetwork(group, random.Random(self.seed))
-        self.callers = Callers(self._list_nodes, self.rng, self.seed)
+        tenants_rng = random.Random(f"tenants/{self.seed}")
+        self.tenancy = Tenancy(self.script.tenants, tenants_rng)
+        self.callers = Callers(self._list_nodes, self.rng, self.tenancy, self.seed)
         self.cloud = EmulatedCloud(
             self.store,
             self.workers,
@@ -145,7 +149,13 @@
     def _configure(self) -> None:
         self._version += 1
         pools = {line.name: bool(line.guarded) for line in self.script.pools}
-        value = orjson.dumps({"version": self._version, "pools": pools})
+        value = orjson.dumps(
+            {
+                "version": self._version,
+                "pools": pools,
+                "tenants": self.tenancy.encode(),
+            }
+        )
         self.store.put(RowId(OPERATOR_TABLE, "", "configuration"), value)
 
     def _get_route(self, pool: str) -> Route:
@@ -187,6 +197,7 @@
             self.cloud.orders,
             tuple(self.waves),
             self.cloud.maintained,
+            self.tenancy,
         )
         breaches = list_breaches(evidence, anyio.current_time())
         account = settle_account(evidence, self.cloud.paid_s, self.store.calls)
--- a/src/onyxgap/standins/emulator/faults.py
+++ b/src/onyxgap/standins/emulator/faults.py
@@ -18,6 +18,10 @@
 from .slots import NodeSlot
 from .workers import Mood
 
+WHOLE = 1.0
+"""Strength from which all keys of a tenant are taken back at once."""
+KEY_GAP_S = 0.1
+
 
 @attrs.define(eq=False)
 class FaultyDay(Day):
@@ -156,6 +160,8 @@
 
     async def deafen_feeds(self, fault: FaultLine) -> None:
         """Have the store's feeds hear nothing, then drop its history."""
+        now = anyio.current_time()
+        self.tenancy.deaf.append((now, now + fault.seconds))
         await self.store.deafen(fault.seconds)
 
     async def refuse_node(self, fault: FaultLine) -> None:
@@ -172,6 +178,29 @@
             self._configure()
             await anyio.sleep(fault.strength)
 
+    async def revoke_keys(self, fault: FaultLine) -> None:
+        """Take keys back in quick succession; all of a tenant's where it is strong."""
+        for _ in range(int(fault.seconds)):
+            name = fault.name or self.rng.choice(self.script.tenants).name
+            self.tenancy.replace_keys(name, fault.strength >= WHOLE)
+            self._configure()
+            await anyio.sleep(KEY_GAP_S)
+
+    async def change_cap(self, fault: FaultLine) -> None:
+        """Change a tenant's cap to a share of what it is, and later back."""
+        name = fault.name or self.rng.choice(self.script.tenants).name
+        former = self.tenancy.get_cap(name)
+        lower = attrs.evolve(
+            former,
+            cpu=int(former.cpu * fault.strength),
+            memory_mb=int(former.memory_mb * fault.strength),
+        )
+        self.tenancy.set_cap(name, lower)
+        self._configure()
+        await anyio.sleep(fault.seconds)
+        self.tenancy.set_cap(name, former)
+        self._configure()
+
 
 _FAULTS: t.Mapping[
     tuple[str, str], t.Callable[[FaultyDay, FaultLine], t.Coroutine[t.Any, t.Any, None]]
@@ -200,9 +229,11 @@
     ("late", "orders"): FaultyDay.delay_calls,
     ("lose", "orders"): FaultyDay.lose_answers,
     ("configure", "routes"): FaultyDay.configure,
+    ("revoke", "keys"): FaultyDay.revoke_keys,
+    ("cap", "tenant"): FaultyDay.change_cap,
 }
 
-_ONLY_SCRIPTED = {("shrink", "vm")}
+_ONLY_SCRIPTED = {("shrink", "vm"), ("revoke", "keys"), ("cap", "tenant")}
 """Never drawn at random, so that a seed goes on standing for the same faults."""
 
 
--- a/src/onyxgap/standins/emulator/rows.py
+++ b/src/onyxgap/standins/emulator/rows.py
@@ -3,12 +3,15 @@
 import orjson
 
 from ...daemons.node_view import Decoders
+from ...jobs.amounts import Amount
 from ...jobs.messages import WorkerEntry
 from ...jobs.messages import WorkerState
 from ...jobs.routing import Configuration
 from ...jobs.routing import Route
 from ...jobs.routing import Service
 from ...jobs.store import RowId
+from ...jobs.tenants import Tenant
+from ...jobs.tenants import digest_key
 from ...pools.messages import Wave
 from .callers import build_policy
 from .cloud import WORKER_TABLE
@@ -33,7 +36,16 @@
     )
     services = {pool: Service(pool, guarded) for pool, guarded in raw["pools"].items()}
     services[SPARE_POOL] = Service(SPARE_POOL, spare=True)
-    return Configuration(raw["version"], routes, services)
+    tenants = tuple(
+        Tenant(
+            item["name"],
+            tuple(digest_key(key.encode()) for key in item["keys"]),
+            item["weight"],
+            Amount(**item["cap"]),
+        )
+        for item in raw["tenants"]
+    )
+    return Configuration(raw["version"], routes, services, tenants=tenants)
 
 
 def _decode_wave(key: str, value: bytes) -> Wave:
--- a/src/onyxgap/standins/emulator/script.py
+++ b/src/onyxgap/standins/emulator/script.py
@@ -8,6 +8,7 @@
     serve ring tasks 4 cpu 5 memory 20 may-miss 1
     load ring every 0.2 from 2 to 20 width 6 work 0.6 cpu 3.5 memory 12
     turns 5
+    tenant north cpu 90 memory 400 weight 3
     wave at 3 of 5 cap 2 within 15
     at 5 kill owner ring for 2
     end 40
@@ -92,6 +93,22 @@
     resend: float = 0.0
 
 
+@attrs.frozen
+class TenantLine:
+    """A tenant; jobs belong to tenants by weight where there are any.
+
+    :param name: its name.
+    :param cpu: cores that it may have running.
+    :param memory: GB that it may have running.
+    :param weight: its share when there is no room for all.
+    """
+
+    name: str
+    cpu: float = 1e6
+    memory: float = 1e6
+    weight: float = 1.0
+
+
 @attrs.frozen
 class WaveLine:
     """A wave of maintenance.
@@ -147,6 +164,7 @@
     serves: list[ServeLine] = attrs.field(factory=list)
     loads: list[LoadLine] = attrs.field(factory=list)
     waves: list[WaveLine] = attrs.field(factory=list)
+    tenants: list[TenantLine] = attrs.field(factory=list)
     faults: list[FaultLine] = attrs.field(factory=list)
 
 
@@ -176,6 +194,8 @@
         ("late", "orders"),
         ("lose", "orders"),
         ("configure", "routes"),
+        ("revoke", "keys"),
+        ("cap", "tenant"),
     }
 )
 
@@ -215,6 +235,11 @@
     script.loads.append(LoadLine(words[0], **pairs))
 
 
+def _read_tenant(script: Script, words: list[str]) -> None:
+    pairs = _read_pairs(words[1:], _kinds_of(TenantLine))
+    script.tenants.append(TenantLine(words[0], **pairs))
+
+
 def _read_wave(script: Script, words: list[str]) -> None:
     script.waves.append(WaveLine(**_read_pairs(words, _kinds_of(WaveLine))))
 
@@ -244,6 +269,7 @@
     "pool": _read_pool,
     "serve": _read_serve,
     "load": _read_load,
+    "tenant": _read_tenant,
     "wave": _read_wave,
     "at": _read_fault,
 }
--- a/src/onyxgap/standins/emulator/slots.py
+++ b/src/onyxgap/standins/emulator/slots.py
@@ -16,6 +16,7 @@
 from ...jobs.messages import Submission
 from ...jobs.routing import Route
 from ...jobs.settings import NodeSettings
+from ...jobs.tenants import KeyFault
 from ...pools.sizing import Sizer
 from ...settings import Address
 from .cloud import EmulatedCloud
@@ -89,7 +90,9 @@
         health = StoreHealth()
         client = EmulatedStoreClient(day.store, self.gate)
         address = Address()
-        settings = NodeSettings(self.name, "zone", address, address, "-")
+        settings = NodeSettings(
+            self.name, "zone", address, address, "-", keyed=bool(day.script.tenants)
+        )
         self.node = Node(
             settings,
             WatchedStore(client, health, clocks),
@@ -115,7 +118,9 @@
             self.scope.cancel()
         self.node = None
 
-    async def submit(self, submission: Submission) -> SubmitOutcome | None:
+    async def submit(
+        self, route: Route, submission: Submission, key: str
+    ) -> SubmitOutcome | KeyFault | None:
         """Hand a job in; ``None`` when the connection broke."""
         node = self.node
         if node is None:
@@ -123,7 +128,14 @@
         if node.routes.configuration is None:
             return SubmitOutcome.REFUSED
         await self.gate.pass_through()
-        result = await node.desk.submit(submission)
+        keys = [key.encode()] if key else []
+        caller = await node.desk.identify(route, keys, submission.job_id)
+        if isinstance(caller, Unavailable):
+            return SubmitOutcome.REFUSED
+        if isinstance(caller, KeyFault):
+            return caller
+        owned = attrs.evolve(submission, tenant=caller.tenant)
+        result = await node.desk.submit(owned)
         return result.outcome if self.node is node else None
 
     async def get_state(self, route: Route, job_id: str) -> t.Any:
--- a/src/onyxgap/wire/peer.thrift
+++ b/src/onyxgap/wire/peer.thrift
@@ -62,6 +62,20 @@
   3: required i64 epoch;
 }
 
+struct ConfigurationQuestion {
+  1: required i64 asked;                // number of the question
+  2: required i64 version;              // that the sender has in force
+}
+
+struct ConfigurationPart {
+  1: required i64 asked;                // number of the question that it answers
+  2: required i64 version;
+  3: required i32 age_ms;               // since it was known to be the newest
+  4: required i32 part;
+  5: required i32 parts;                // 0 where the asker has this version
+  6: required binary content;           // keys of tenants are digests in it
+}
+
 struct Frame {
   1: required string sender;
   2: optional Heartbeat heartbeat;
@@ -75,4 +89,6 @@
   10: optional bool probe;
   11: optional list<JobNotice> jobs;
   12: optional list<HandOver> hand_overs;
+  13: optional list<ConfigurationQuestion> questions;
+  14: optional list<ConfigurationPart> parts;
 }
--- a/src/onyxgap/wire/peer/ttypes.py
+++ b/src/onyxgap/wire/peer/ttypes.py
@@ -1013,6 +1013,230 @@
         return not (self == other)
 
 
+class ConfigurationQuestion(object):
+    """
+    Attributes:
+     - asked
+     - version
+
+    """
+
+    __slots__ = (
+        'asked',
+        'version',
+    )
+
+
+    def __init__(self, asked=None, version=None,):
+        self.asked = asked
+        self.version = version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.asked = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ConfigurationQuestion')
+        if self.asked is not None:
+            oprot.writeFieldBegin('asked', TType.I64, 1)
+            oprot.writeI64(self.asked)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 2)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.asked is None:
+            raise TProtocolException(message='Required field asked is unset!')
+        if self.version is None:
+            raise TProtocolException(message='Required field version is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ConfigurationPart(object):
+    """
+    Attributes:
+     - asked
+     - version
+     - age_ms
+     - part
+     - parts
+     - content
+
+    """
+
+    __slots__ = (
+        'asked',
+        'version',
+        'age_ms',
+        'part',
+        'parts',
+        'content',
+    )
+
+
+    def __init__(self, asked=None, version=None, age_ms=None, part=None, parts=None, content=None,):
+        self.asked = asked
+        self.version = version
+        self.age_ms = age_ms
+        self.part = part
+        self.parts = parts
+        self.content = content
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.asked = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.part = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.parts = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.content = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ConfigurationPart')
+        if self.asked is not None:
+            oprot.writeFieldBegin('asked', TType.I64, 1)
+            oprot.writeI64(self.asked)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 2)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.I32, 4)
+            oprot.writeI32(self.part)
+            oprot.writeFieldEnd()
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.I32, 5)
+            oprot.writeI32(self.parts)
+            oprot.writeFieldEnd()
+        if self.content is not None:
+            oprot.writeFieldBegin('content', TType.STRING, 6)
+            oprot.writeBinary(self.content)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.asked is None:
+            raise TProtocolException(message='Required field asked is unset!')
+        if self.version is None:
+            raise TProtocolException(message='Required field version is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        if self.part is None:
+            raise TProtocolException(message='Required field part is unset!')
+        if self.parts is None:
+            raise TProtocolException(message='Required field parts is unset!')
+        if self.content is None:
+            raise TProtocolException(message='Required field content is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Frame(object):
     """
     Attributes:
@@ -1028,6 +1252,8 @@
      - probe
      - jobs
      - hand_overs
+     - questions
+     - parts
 
     """
 
@@ -1044,10 +1270,12 @@
         'probe',
         'jobs',
         'hand_overs',
+        'questions',
+        'parts',
     )
 
 
-    def __init__(self, sender=None, heartbeat=None, asks=None, grants=None, refusals=None, releases=None, held=None, pull=None, page=None, probe=None, jobs=None, hand_overs=None,):
+    def __init__(self, sender=None, heartbeat=None, asks=None, grants=None, refusals=None, releases=None, held=None, pull=None, page=None, probe=None, jobs=None, hand_overs=None, questions=None, parts=None,):
         self.sender = sender
         self.heartbeat = heartbeat
         self.asks = asks
@@ -1060,6 +1288,8 @@
         self.probe = probe
         self.jobs = jobs
         self.hand_overs = hand_overs
+        self.questions = questions
+        self.parts = parts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1175,6 +1405,28 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.LIST:
+                    self.questions = []
+                    (_etype68, _size65) = iprot.readListBegin()
+                    for _i69 in range(_size65):
+                        _elem70 = ConfigurationQuestion()
+                        _elem70.read(iprot)
+                        self.questions.append(_elem70)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.LIST:
+                    self.parts = []
+                    (_etype74, _size71) = iprot.readListBegin()
+                    for _i75 in range(_size71):
+                        _elem76 = ConfigurationPart()
+                        _elem76.read(iprot)
+                        self.parts.append(_elem76)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1196,36 +1448,36 @@
         if self.asks is not None:
             oprot.writeFieldBegin('asks', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.asks))
-            for iter65 in self.asks:
-                iter65.write(oprot)
+            for iter77 in self.asks:
+                iter77.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.grants is not None:
             oprot.writeFieldBegin('grants', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.grants))
-            for iter66 in self.grants:
-                iter66.write(oprot)
+            for iter78 in self.grants:
+                iter78.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusals is not None:
             oprot.writeFieldBegin('refusals', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.refusals))
-            for iter67 in self.refusals:
-                iter67.write(oprot)
+            for iter79 in self.refusals:
+                iter79.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.releases is not None:
             oprot.writeFieldBegin('releases', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.releases))
-            for iter68 in self.releases:
-                iter68.write(oprot)
+            for iter80 in self.releases:
+                iter80.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter69 in self.held:
-                iter69.write(oprot)
+            for iter81 in self.held:
+                iter81.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pull is not None:
@@ -1243,15 +1495,29 @@
         if self.jobs is not None:
             oprot.writeFieldBegin('jobs', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.jobs))
-            for iter70 in self.jobs:
-                iter70.write(oprot)
+            for iter82 in self.jobs:
+                iter82.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.hand_overs is not None:
             oprot.writeFieldBegin('hand_overs', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.hand_overs))
-            for iter71 in self.hand_overs:
-                iter71.write(oprot)
+            for iter83 in self.hand_overs:
+                iter83.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.questions is not None:
+            oprot.writeFieldBegin('questions', TType.LIST, 13)
+            oprot.writeListBegin(TType.STRUCT, len(self.questions))
+            for iter84 in self.questions:
+                iter84.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.LIST, 14)
+            oprot.writeListBegin(TType.STRUCT, len(self.parts))
+            for iter85 in self.parts:
+                iter85.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1349,6 +1615,22 @@
     (2, TType.STRING, 'boot', 'UTF8', None, ),  # 2
     (3, TType.I64, 'epoch', None, None, ),  # 3
 )
+all_structs.append(ConfigurationQuestion)
+ConfigurationQuestion.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'asked', None, None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
+)
+all_structs.append(ConfigurationPart)
+ConfigurationPart.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'asked', None, None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+    (4, TType.I32, 'part', None, None, ),  # 4
+    (5, TType.I32, 'parts', None, None, ),  # 5
+    (6, TType.STRING, 'content', 'BINARY', None, ),  # 6
+)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -1364,6 +1646,8 @@
     (10, TType.BOOL, 'probe', None, None, ),  # 10
     (11, TType.LIST, 'jobs', (TType.STRUCT, [JobNotice, None], False), None, ),  # 11
     (12, TType.LIST, 'hand_overs', (TType.STRUCT, [HandOver, None], False), None, ),  # 12
+    (13, TType.LIST, 'questions', (TType.STRUCT, [ConfigurationQuestion, None], False), None, ),  # 13
+    (14, TType.LIST, 'parts', (TType.STRUCT, [ConfigurationPart, None], False), None, ),  # 14
 )
 fix_spec(all_structs)
 del all_structs
--- /dev/null
+++ b/tests/exchanges.py
@@ -0,0 +1,55 @@
+"""Builds parts of a node that tell how current its configuration is."""
+
+import random
+import typing as t
+
+import attrs
+
+from onyxgap.daemons.configuration_exchange import ConfigurationExchange
+from onyxgap.jobs.members import Member
+from onyxgap.jobs.notices import NoPeers
+from onyxgap.jobs.notices import Peers
+from onyxgap.jobs.routing import RouteTable
+
+BOUND_S = 2.0
+
+
+@attrs.define
+class SetClocks:
+    """Clocks that stand where a test sets them."""
+
+    now: float = 1_000.0
+
+    def read_monotonic(self) -> float:
+        return self.now
+
+    def read_wall(self) -> float:
+        return self.now
+
+    def read_boot(self) -> float:
+        return self.now
+
+
+async def _read_nothing() -> None:
+    """Find that the version in force is the newest."""
+
+
+def build_exchange(
+    routes: RouteTable,
+    *,
+    age_s: float = 0.0,
+    peers: Peers | None = None,
+    members: dict[str, Member] | None = None,
+    read_newest: t.Callable[[], t.Awaitable[None]] | None = None,
+) -> ConfigurationExchange:
+    clocks = SetClocks()
+    routes.confirm(0, clocks.now - age_s)
+    return ConfigurationExchange(
+        routes,
+        clocks,
+        random.Random(1),
+        BOUND_S,
+        peers or NoPeers(),
+        members or {},
+        read_newest or _read_nothing,
+    )
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -15,6 +15,7 @@
 from onyxgap.adapters.notice_link import DatagramPeers
 from onyxgap.adapters.notice_link import decode_notices
 from onyxgap.adapters.notice_link import encode_notice
+from onyxgap.daemons.authentication import Authentication
 from onyxgap.daemons.desk import NodeDesk
 from onyxgap.daemons.fence import FencedWriter
 from onyxgap.daemons.node import Node
@@ -65,6 +66,7 @@
 from onyxgap.standins.emulator.store import EmulatedStore
 from onyxgap.standins.emulator.store import EmulatedStoreClient
 from onyxgap.standins.virtual import run_virtually
+from tests.exchanges import build_exchange
 from tests.ports import find_port
 
 ROW = OwnerRow("node-1", "boot-1", 4)
@@ -243,7 +245,8 @@
     routes = RouteTable()
     routes.adopt(Configuration(1, (ROUTE,), {"s": Service("s")}))
     store = WatchedStore(scripted, health, clocks)
-    return NodeDesk(store, health, clocks, routes, {}, {})
+    authentication = Authentication(routes, build_exchange(routes))
+    return NodeDesk(store, health, clocks, routes, {}, {}, authentication)
 
 
 @pytest.mark.parametrize(
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -326,7 +326,7 @@
     def get_max_body_bytes(self) -> int:
         return 100
 
-    def find_route(self, host: str, path: str) -> t.NoReturn:
+    async def find_route(self, host: str, path: str) -> t.NoReturn:
         raise RuntimeError("a fault of the desk")
 
 
--- a/tests/test_slow_store.py
+++ b/tests/test_slow_store.py
@@ -5,6 +5,7 @@
 import anyio
 import attrs
 
+from onyxgap.daemons.authentication import Authentication
 from onyxgap.daemons.desk import NodeDesk
 from onyxgap.jobs.desk import SubmitOutcome
 from onyxgap.jobs.health import StoreHealth
@@ -18,6 +19,7 @@
 from onyxgap.standins.emulator.store import EmulatedStore
 from onyxgap.standins.emulator.store import EmulatedStoreClient
 from onyxgap.standins.virtual import run_virtually
+from tests.exchanges import build_exchange
 
 SLOWNESS = 62.0
 JOBS_PER_S = 20.0
@@ -38,9 +40,10 @@
     clocks = EmulatedClocks()
     client = EmulatedStoreClient(store, NodeGate(name))
     health = StoreHealth()
-    return NodeDesk(
-        WatchedStore(client, health, clocks), health, clocks, RouteTable(), {}, {}
-    )
+    routes = RouteTable()
+    authentication = Authentication(routes, build_exchange(routes))
+    store_client = WatchedStore(client, health, clocks)
+    return NodeDesk(store_client, health, clocks, routes, {}, {}, authentication)
 
 
 async def submit(desk: NodeDesk, job_id: str, answers: Answers) -> None:
