Keep what tenants have running within their caps by shares that lie with shards

Cause: nothing bounded what a tenant has running over all services. Change: a row a tenant in the store holds a share for each shard; their sum stays within the cap. An owner starts a task only while all that may be running in its shard stays within its share, and gives a part up in memory before the store is told; a successor uses nothing before it wrote its own entry. Shares follow what is used and wanted; what is not needed is given back after a second, sooner while shards ask for more than the cap, and then each gets an even part of it. A share that was granted under a higher cap is void.

--- a/src/onyxgap/daemons/owner.py
+++ b/src/onyxgap/daemons/owner.py
@@ -72,6 +72,8 @@
         group.start_soon(self._follow_workers(self._workers_version).run)
         group.start_soon(self._follow_jobs().run)
         group.start_soon(self._follow_fleet().run)
+        if self.keeper is not None:
+            group.start_soon(self.keeper.follow().run)
         if self.context.adviser is not None:
             group.start_soon(self._advise_forever, self.context.adviser)
         await self._decide_until_released()
@@ -188,6 +190,8 @@
             orders = self.state.plan(self._now(), self._wall_ms())
             if self.state.book.wanted:
                 self._questions.set()
+            if self.keeper is not None and self._group is not None:
+                self.keeper.write_due(self._group)
             self._send_stops(self.state.list_stops(self._now()))
             await self._commit(orders)
         await self._release()
--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -12,6 +12,7 @@
 from ..exceptions import DocumentError
 from ..exceptions import OwnershipLostError
 from ..jobs.advice import Adviser
+from ..jobs.amounts import Amount
 from ..jobs.crashes import PROOF_MS
 from ..jobs.health import StoreHealth
 from ..jobs.holds import choose_hold_pause
@@ -19,6 +20,7 @@
 from ..jobs.messages import WorkerEntry
 from ..jobs.settings import TimeLimits
 from ..jobs.shard import Shard
+from ..jobs.shares import ShareBook
 from ..jobs.store import Store
 from ..jobs.store import StoredRow
 from ..jobs.workers import MS
@@ -33,6 +35,7 @@
 from .lag import LoopLag
 from .lanes import OrderLanes
 from .owned import OwnedShard
+from .share_keeper import ShareKeeper
 
 LEASE_S = 5.0
 """Covers a change of the owner: 2.2 s of silence, the claim and the first hold."""
@@ -76,6 +79,7 @@
     :param worker_table: table of the workers' registrations.
     :param decode_worker: reads a registration.
     :param is_guarded: tells whether the workers of a service refuse what does not fit.
+    :param find_cap: gives a tenant's cap; ``None`` where there are no tenants.
     :param adviser: the policy service, ``None`` where there is none.
     """
 
@@ -89,6 +93,7 @@
     worker_table: str
     decode_worker: DecodeWorker
     is_guarded: t.Callable[[str], bool]
+    find_cap: t.Callable[[str], Amount] | None = None
     adviser: Adviser | None = None
 
 
@@ -101,6 +106,7 @@
 
     context: OwnerContext
     state: Shard = attrs.field(init=False)
+    keeper: ShareKeeper | None = attrs.field(default=None, init=False)
     loaded: bool = False
     _questions: anyio.Event = attrs.field(factory=anyio.Event)
     _stored: anyio.Event = attrs.field(factory=anyio.Event)
@@ -111,6 +117,11 @@
 
     def __attrs_post_init__(self) -> None:
         self.state = Shard(self.shard, self.epoch, self._now())
+        context = self.context
+        if context.find_cap is not None:
+            book = ShareBook(self.shard, self.epoch, context.find_cap)
+            self.state.shares = book
+            self.keeper = ShareKeeper(book, context.store, context.rng, self.wake)
 
     def _now(self) -> float:
         return self.context.clocks.read_monotonic()
--- a/src/onyxgap/jobs/candidates.py
+++ b/src/onyxgap/jobs/candidates.py
@@ -10,6 +10,8 @@
 
 import attrs
 
+from .amounts import NOTHING
+from .amounts import Amount
 from .crashes import Care
 from .messages import Step
 from .placing import Group
@@ -106,6 +108,16 @@
             records = [item for item in records if item.entry.worker_id in allowed]
         return Candidates(records, step, group, self.now)
 
+    def measure_free(self) -> Amount:
+        """Measure what is free on all workers together."""
+        free = NOTHING
+        for record in self.records:
+            entry = record.entry
+            offered = Amount(entry.cpu, entry.memory_mb, entry.accelerators)
+            used = Amount(record.cpu_used, record.memory_used, record.accelerators_used)
+            free += (offered - used).get_largest(NOTHING)
+        return free
+
     def note_refused(self, step: Step) -> None:
         """Remember that no worker has room for a step that any worker may run."""
         if not step.requires and not step.anti_affinity:
--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -4,11 +4,15 @@
 what changed, and only then sends the orders.
 """
 
+import collections
 import typing as t
 
 import attrs
 import structlog
 
+from .amounts import NOTHING
+from .amounts import Amount
+from .amounts import measure_task
 from .candidates import PlanRoom
 from .crashes import NO_SUSPICION
 from .crashes import Care
@@ -26,6 +30,7 @@
 from .shard_jobs import get_group
 from .shard_jobs import is_at_work
 from .shard_reports import ShardReports
+from .shares import ShareBook
 from .workers import StartOrder
 from .workers import StopOrder
 
@@ -66,7 +71,12 @@
 
 @attrs.define
 class Shard(ShardReports):
-    """State of one shard under its owner, and what to start and stop next."""
+    """State of one shard under its owner, and what to start and stop next.
+
+    :param shares: its shares of tenants' caps; ``None`` where there are no tenants.
+    """
+
+    shares: ShareBook | None = None
 
     def plan(self, now: float, wall_ms: float) -> list[StartOrder]:
         """Choose what to start; records each choice as an intent.
@@ -82,6 +92,8 @@
             record.reserved = False
         opened = [item for item in self.workers.values() if item.is_open(now)]
         room = PlanRoom(opened, now)
+        if self.shares is not None:
+            self.shares.open_plan(self.measure_usage())
         for ready in self._list_ready(now, wall_ms):
             if ready.job.submission.steps[ready.step].gang:
                 placed = self._place_gang(ready, now)
@@ -90,8 +102,42 @@
             if placed:
                 self._log_placing(ready, placed, now)
             orders += placed
+        if self.shares is not None:
+            self.shares.close_plan(room.measure_free(), now)
         return orders
 
+    def measure_usage(self) -> dict[str, Amount]:
+        """Measure all that may be running on the workers, by tenant."""
+        counts: collections.Counter[Group] = collections.Counter()
+        for record in self.workers.values():
+            counts.update(record.present)
+        usage: dict[str, Amount] = {}
+        for (job_id, _, step), count in counts.items():
+            submission = self.jobs[job_id].submission
+            if submission.tenant:
+                amount = measure_task(submission.steps[step]) * count
+                usage[submission.tenant] = amount + usage.get(
+                    submission.tenant, NOTHING
+                )
+        return usage
+
+    def _admits(self, job: Job, step: Step, tasks: int, wanted: int) -> bool:
+        """Tell whether tasks stay within their tenant's share; notes what does not.
+
+        :param job: their job.
+        :param step: their step.
+        :param tasks: how many start together.
+        :param wanted: how many are to start in all.
+        """
+        tenant = job.submission.tenant
+        if self.shares is None or not tenant:
+            return True
+        amount = measure_task(step)
+        if self.shares.admits(tenant, amount * tasks):
+            return True
+        self.shares.miss(tenant, amount * wanted)
+        return False
+
     def _log_placing(
         self, ready: Ready, placed: t.Sequence[StartOrder], now: float
     ) -> None:
@@ -140,7 +186,9 @@
         allowed = self._list_allowed(ready, now) if advised else None
         candidates = room.rank(step, group, allowed)
         waiting = False
-        for task in ready.tasks:
+        for number, task in enumerate(ready.tasks):
+            if not self._admits(ready.job, step, 1, len(ready.tasks) - number):
+                return
             care = task.suspicion.care
             record = candidates.choose(task.failed_on, care)
             if record is None and care is not Care.NONE:
@@ -202,6 +250,8 @@
         step = ready.job.submission.steps[ready.step]
         if len(ready.tasks) != step.count:
             return []
+        if not self._admits(ready.job, step, step.count, step.count):
+            return []
         chosen: list[tuple[Task, WorkerRecord]] = []
         allowed: t.Iterable[WorkerRecord] = self.workers.values()
         if ready.job.submission.policy.advised:
@@ -244,6 +294,8 @@
         deadline_ms = record.clock.estimate(now) + START_WINDOW_MS
         task.place(record.entry.worker_id, now, deadline_ms, run)
         record.reserve(step, get_group(task))
+        if self.shares is not None:
+            self.shares.take(job.submission.tenant, measure_task(step))
         record.note_start(task.task_id, task.suspicion.care)
         record.lease_ms = max(record.lease_ms, deadline_ms)
         if job.state is JobState.QUEUED:
--- /dev/null
+++ b/src/onyxgap/jobs/shares.py
@@ -0,0 +1,373 @@
+"""Shares of a tenant's cap that lie with shards; answers tenants at their caps.
+
+A cap bounds what a tenant has running over all services, each of which has an owner of
+its own. A row a tenant holds a share for each shard, and their sum stays within the
+cap. An owner starts a task only while all that may be running in its shard stays within
+its share, and gives a part up in memory before the store is told. So the cap holds
+without a clock: an owner that is dead, frozen or cut off starts nothing beyond a share
+that its successor takes over with all that may still run.
+
+This module decides; :mod:`onyxgap.daemons.share_keeper` reads and writes the rows.
+"""
+
+import typing as t
+
+import attrs
+import orjson
+
+from ..exceptions import DocumentError
+from ..exceptions import Fault
+from .amounts import NOTHING
+from .amounts import UNLIMITED
+from .amounts import Amount
+
+HOLD_S = 1.0
+"""How long a share is kept that is not needed any more; tasks of one job follow each
+other, and no other shard waits for longer than this."""
+CONTENDED_HOLD_S = 0.1
+"""The same while shards ask for more than the cap in all."""
+HEADROOM_PARTS = 16
+"""A share in use exceeds the need by this part of the cap, so that it is not written
+for each task."""
+
+
+@attrs.frozen(slots=True)
+class Entry:
+    """What a shard has of a cap.
+
+    :param share: most that it may have running.
+    :param want: what it would have running if it could.
+    :param epoch: fencing token of the owner that wrote it.
+    """
+
+    share: Amount = NOTHING
+    want: Amount = NOTHING
+    epoch: int = 0
+
+
+@attrs.frozen(slots=True)
+class Change:
+    """A write of a tenant's row.
+
+    :param tenant: the tenant.
+    :param version: version that the row must have.
+    :param entries: entries of all shards.
+    :param cap: cap under which it was decided.
+    """
+
+    tenant: str
+    version: int
+    entries: t.Mapping[str, Entry]
+    cap: Amount
+
+
+def encode_entries(entries: t.Mapping[str, Entry]) -> bytes:
+    """Encode the entries of a tenant's row."""
+    return orjson.dumps(
+        {
+            shard: [attrs.astuple(entry.share), attrs.astuple(entry.want), entry.epoch]
+            for shard, entry in entries.items()
+        }
+    )
+
+
+def decode_entries(value: bytes) -> dict[str, Entry]:
+    """Read what :func:`encode_entries` gave.
+
+    :raises DocumentError: when the row is foreign or damaged.
+    """
+    try:
+        return {
+            shard: Entry(Amount(*share), Amount(*want), epoch)
+            for shard, (share, want, epoch) in orjson.loads(value).items()
+        }
+    except (ValueError, TypeError, AttributeError) as error:
+        raise DocumentError([Fault("$", f"no shares: {error!r}")]) from None
+
+
+def measure_fraction(amount: Amount, cap: Amount) -> float:
+    """Measure which part of a cap an amount takes, by what it takes most of."""
+    pairs = zip(attrs.astuple(amount), attrs.astuple(cap), strict=True)
+    return max(part / whole if whole else float(part > 0) for part, whole in pairs)
+
+
+def find_level(fractions: t.Iterable[float]) -> float:
+    """Find the share of a cap up to which each shard gets what it wants.
+
+    Shards that want less leave the rest to the others; 1 where all have enough.
+
+    :param fractions: part of the cap that each shard wants.
+    """
+    left, waiting = 1.0, sorted(fractions)
+    if sum(waiting) <= left:
+        return 1.0
+    for number, fraction in enumerate(waiting):
+        level = left / (len(waiting) - number)
+        if fraction >= level:
+            return level
+        left -= fraction
+    return 1.0
+
+
+def _scale(cap: Amount, factor: float) -> Amount:
+    return Amount(*(int(part * factor) for part in attrs.astuple(cap)))
+
+
+@attrs.define(slots=True)
+class TenantShare:
+    """One tenant's share in one shard.
+
+    :param shard: the shard.
+    :param epoch: fencing token of its owner.
+    :param cap: the tenant's cap by the configuration in force.
+    :param version: version of the row as it was last seen.
+    :param entries: entries of all shards in it.
+    :param granted_under: cap under which this owner last wrote its entry.
+    :param ceiling: share that a write under way gives, if it gives some up.
+    :param used: what may be running, and what was placed since.
+    :param unmet: what could not be placed for want of a share.
+    """
+
+    shard: str
+    epoch: int
+    cap: Amount = UNLIMITED
+    version: int = 0
+    entries: t.Mapping[str, Entry] = attrs.field(factory=dict)
+    granted_under: Amount | None = None
+    ceiling: Amount | None = None
+    used: Amount = NOTHING
+    unmet: Amount = NOTHING
+    _limit: Amount = NOTHING
+    _high: Amount = NOTHING
+    _high_at: float = 0.0
+
+    def get_own(self) -> Entry:
+        """Give the entry of this shard."""
+        return self.entries.get(self.shard, Entry())
+
+    def open_plan(self, cap: Amount, used: Amount) -> None:
+        """Begin a plan.
+
+        :param cap: the tenant's cap.
+        :param used: all that may be running in the shard.
+        """
+        self.cap, self.used, self.unmet = cap, used, NOTHING
+        self._limit = self._find_limit()
+
+    def _find_limit(self) -> Amount:
+        """Find the most that may be running here for a start to be allowed."""
+        if self.cap == UNLIMITED:
+            return UNLIMITED
+        own = self.get_own()
+        if own.epoch != self.epoch or self.granted_under is None:
+            # what an earlier owner wrote may yet be lowered by it
+            return NOTHING
+        if not self.granted_under.fits(self.cap) or self._is_over():
+            return NOTHING
+        return (
+            own.share if self.ceiling is None else own.share.get_smallest(self.ceiling)
+        )
+
+    def _sum_others(self) -> Amount:
+        total = NOTHING
+        for shard, entry in self.entries.items():
+            if shard != self.shard:
+                total += entry.share
+        return total
+
+    def _is_over(self) -> bool:
+        """Tell whether shards hold more than the cap, since it was lowered."""
+        return not (self._sum_others() + self.get_own().share).fits(self.cap)
+
+    def admits(self, amount: Amount) -> bool:
+        """Tell whether a start stays within the share."""
+        return (self.used + amount).fits(self._limit)
+
+    def is_idle(self) -> bool:
+        """Tell whether the shard neither has nor wants anything of the cap."""
+        own = self.get_own()
+        wanted = (self.used, self.unmet, self._high, own.share, own.want)
+        return all(amount == NOTHING for amount in wanted)
+
+    def observe(self, version: int, entries: t.Mapping[str, Entry]) -> None:
+        """Take in the row as it was read or written."""
+        if version > self.version:
+            self.version, self.entries = version, entries
+
+    def close_plan(self, room: Amount, now: float) -> None:
+        """Take in what a plan used and missed.
+
+        :param room: what could still be placed in the shard, whoever asks for it.
+        :param now: monotonic seconds.
+        """
+        self.unmet = self.unmet.get_smallest(room)
+        wanted = self.used + self.unmet
+        hold_s = CONTENDED_HOLD_S if self._is_contended() else HOLD_S
+        if now - self._high_at > hold_s or self._high.fits(wanted):
+            self._high, self._high_at = wanted, now
+        else:
+            self._high = self._high.get_largest(wanted)
+
+    def _is_contended(self) -> bool:
+        return self._find_level() < 1.0
+
+    def _find_level(self) -> float:
+        wants = [
+            entry.want for shard, entry in self.entries.items() if shard != self.shard
+        ]
+        return find_level(
+            measure_fraction(want, self.cap) for want in [*wants, self._high]
+        )
+
+    def _choose_share(self) -> Amount:
+        """Choose what this shard should hold, whatever it holds now."""
+        if self._high == NOTHING:
+            return NOTHING
+        target = self._high + self.cap.divide(HEADROOM_PARTS)
+        level = self._find_level()
+        target = target.get_smallest(_scale(self.cap, level))
+        free = (self.cap - self._sum_others()).get_largest(NOTHING)
+        # what may be running stays counted, also above a cap that was lowered
+        return target.get_smallest(free).get_largest(self.used)
+
+    def choose_entry(self) -> Entry | None:
+        """Choose the entry to write, ``None`` while the present one will do."""
+        own = self.get_own()
+        if own.epoch > self.epoch or (self.cap == UNLIMITED and own.share == NOTHING):
+            # a later owner's entry is not written over
+            return None
+        chosen = Entry(self._choose_share(), self._high, self.epoch)
+        if self._is_due(own, chosen):
+            return chosen
+        return None
+
+    def _is_due(self, own: Entry, chosen: Entry) -> bool:
+        lapsed = self.granted_under is None or not self.granted_under.fits(self.cap)
+        if own.epoch != self.epoch or lapsed:
+            return own != Entry() or chosen.share != NOTHING
+        if self._is_over():
+            return chosen.share != own.share
+        headroom = self.cap.divide(HEADROOM_PARTS)
+        if not (self.used + self.unmet).fits(own.share) and chosen.share != own.share:
+            return True
+        kept = own.share - chosen.share
+        if not kept.fits(headroom) or (
+            chosen.share == NOTHING and own != Entry(epoch=own.epoch)
+        ):
+            return True
+        # others go by what this shard wants, while there is not enough for all
+        return not (own.want - chosen.want).fits(headroom) or (
+            self.unmet != NOTHING and not (chosen.want - own.want).fits(headroom)
+        )
+
+
+@attrs.define(eq=False)
+class ShareBook:
+    """The shares of all tenants in one shard.
+
+    :param shard: the shard.
+    :param epoch: fencing token of its owner.
+    :param find_cap: gives a tenant's cap.
+    :param tenants: shares of tenants that have or want something here.
+    :param rows: rows of all tenants as they were last seen, with their versions.
+    """
+
+    shard: str
+    epoch: int
+    find_cap: t.Callable[[str], Amount] = lambda tenant: UNLIMITED
+    tenants: dict[str, TenantShare] = attrs.field(factory=dict)
+    rows: dict[str, tuple[int, t.Mapping[str, Entry]]] = attrs.field(factory=dict)
+    _writing: set[str] = attrs.field(factory=set)
+
+    def _get(self, tenant: str) -> TenantShare:
+        share = self.tenants.get(tenant)
+        if share is None:
+            share = TenantShare(self.shard, self.epoch)
+            share.observe(*self.rows.get(tenant, (0, {})))
+            share.open_plan(self.find_cap(tenant), NOTHING)
+            self.tenants[tenant] = share
+        return share
+
+    def observe(
+        self, tenant: str, entries: t.Mapping[str, Entry], version: int
+    ) -> None:
+        """Take in a tenant's row."""
+        if version <= self.rows.get(tenant, (0, {}))[0]:
+            return
+        self.rows[tenant] = (version, entries)
+        if tenant in self.tenants or self.shard in entries:
+            self._get(tenant).observe(version, entries)
+
+    def open_plan(self, usage: t.Mapping[str, Amount]) -> None:
+        """Begin a plan.
+
+        :param usage: all that may be running in the shard, by tenant.
+        """
+        for tenant in usage:
+            self._get(tenant)
+        for tenant, share in self.tenants.items():
+            share.open_plan(self.find_cap(tenant), usage.get(tenant, NOTHING))
+
+    def admits(self, tenant: str, amount: Amount) -> bool:
+        """Tell whether a tenant's start stays within its share.
+
+        :param tenant: the tenant; one without a name has no cap.
+        :param amount: what would be started.
+        """
+        return not tenant or self._get(tenant).admits(amount)
+
+    def take(self, tenant: str, amount: Amount) -> None:
+        """Count a start of this plan."""
+        if tenant:
+            share = self._get(tenant)
+            share.used += amount
+
+    def miss(self, tenant: str, amount: Amount) -> None:
+        """Count what is not started for want of a share."""
+        share = self._get(tenant)
+        share.unmet += amount
+
+    def close_plan(self, room: Amount, now: float) -> None:
+        """End a plan; see :meth:`TenantShare.close_plan`."""
+        for tenant, share in list(self.tenants.items()):
+            share.close_plan(room, now)
+            if share.is_idle() and tenant not in self._writing:
+                del self.tenants[tenant]
+
+    def list_due(self) -> list[str]:
+        """List tenants whose row is to be written, and is not being written."""
+        return [
+            tenant
+            for tenant, share in self.tenants.items()
+            if tenant not in self._writing and share.choose_entry() is not None
+        ]
+
+    def list_waiting(self) -> list[str]:
+        """List tenants that wait for a larger share."""
+        return [
+            tenant for tenant, share in self.tenants.items() if share.unmet != NOTHING
+        ]
+
+    def open_change(self, tenant: str) -> Change | None:
+        """Decide on a write of a tenant's row; what it gives up is used no more."""
+        share = self.tenants[tenant]
+        entry = share.choose_entry()
+        if entry is None:
+            return None
+        self._writing.add(tenant)
+        share.ceiling = entry.share
+        entries = {**share.entries, self.shard: entry}
+        return Change(tenant, share.version, entries, share.cap)
+
+    def close_change(self, change: Change, version: int | None) -> None:
+        """Take in that a write was applied, or that it never will be.
+
+        :param change: the write.
+        :param version: version of the row that it wrote, ``None`` where it is void.
+        """
+        self._writing.discard(change.tenant)
+        share = self.tenants[change.tenant]
+        share.ceiling = None
+        if version is not None:
+            self.observe(change.tenant, change.entries, version)
+            share.granted_under = change.cap
--- a/src/onyxgap/jobs/tables.py
+++ b/src/onyxgap/jobs/tables.py
@@ -25,6 +25,9 @@
 MEMBER_PART = "~members"
 FLEET_TABLE = "onyxgap-fleet"
 TURNS_TABLE = "onyxgap-turns"
+SHARE_TABLE = "onyxgap-shares"
+SHARE_PARTS = 16
+"""Partitions of the rows of tenants; a store writes a few hundred a second in each."""
 FLEET_SHARD = "~fleet"
 """Shard of the fleet duty; no service has such a name."""
 CANCEL_SUFFIX = ".cancel"
@@ -65,6 +68,17 @@
     return RowId(PROGRESS_TABLE, shard, job_id)
 
 
+def list_share_parts() -> tuple[str, ...]:
+    """List the partitions that hold the shares of tenants' caps."""
+    return tuple(f"~shares/{number}" for number in range(SHARE_PARTS))
+
+
+def get_share_row(tenant: str) -> RowId:
+    """Give the row that tells how shards share a tenant's cap."""
+    part = f"~shares/{zlib.crc32(tenant.encode()) % SHARE_PARTS}"
+    return RowId(SHARE_TABLE, part, tenant)
+
+
 def get_owner_row(shard: str) -> RowId:
     """Give the row that tells who owns a shard."""
     return RowId(OWNER_TABLE, shard, "owner")
