--- a/src/onyxgap/jobs/shares.py
+++ b/src/onyxgap/jobs/shares.py
@@ -164,9 +164,8 @@
             return NOTHING
         if not self.granted_under.fits(self.cap) or self._is_over():
             return NOTHING
-        return (
-            own.share if self.ceiling is None else own.share.get_smallest(self.ceiling)
-        )
+        limit = own.share.get_smallest(self._find_even_part())
+        return limit if self.ceiling is None else limit.get_smallest(self.ceiling)
 
     def _sum_others(self) -> Amount:
         total = NOTHING
@@ -208,27 +207,37 @@
         else:
             self._high = self._high.get_largest(wanted)
 
-    def _is_contended(self) -> bool:
-        return self._find_level() < 1.0
-
-    def _find_level(self) -> float:
+    def _list_fractions(self) -> list[float]:
+        """List the parts of the cap that shards want, this one last."""
         wants = [
             entry.want for shard, entry in self.entries.items() if shard != self.shard
         ]
-        return find_level(
-            measure_fraction(want, self.cap) for want in [*wants, self._high]
-        )
+        return [measure_fraction(want, self.cap) for want in [*wants, self._high]]
+
+    def _is_contended(self) -> bool:
+        return sum(self._list_fractions()) > 1.0
+
+    def _find_even_part(self) -> Amount:
+        """Find up to which part of the cap each shard may go."""
+        return _scale(self.cap, find_level(self._list_fractions()))
+
+    def _choose_headroom(self) -> Amount:
+        """Choose what is held beyond the need, nothing where others would lack it."""
+        fractions = self._list_fractions()
+        kept = sum(fraction > 0 for fraction in fractions) / HEADROOM_PARTS
+        if sum(fractions) + kept > 1.0:
+            return NOTHING
+        return self.cap.divide(HEADROOM_PARTS)
 
     def _choose_share(self) -> Amount:
         """Choose what this shard should hold, whatever it holds now."""
         if self._high == NOTHING:
             return NOTHING
-        target = self._high + self.cap.divide(HEADROOM_PARTS)
-        level = self._find_level()
-        target = target.get_smallest(_scale(self.cap, level))
+        target = self._high + self._choose_headroom()
         free = (self.cap - self._sum_others()).get_largest(NOTHING)
+        target = target.get_smallest(self._find_even_part()).get_smallest(free)
         # what may be running stays counted, also above a cap that was lowered
-        return target.get_smallest(free).get_largest(self.used)
+        return target.get_largest(self.used)
 
     def choose_entry(self) -> Entry | None:
         """Choose the entry to write, ``None`` while the present one will do."""
@@ -244,10 +253,10 @@
     def _is_due(self, own: Entry, chosen: Entry) -> bool:
         lapsed = self.granted_under is None or not self.granted_under.fits(self.cap)
         if own.epoch != self.epoch or lapsed:
-            return own != Entry() or chosen.share != NOTHING
+            return own != Entry() or (self.used, self.unmet) != (NOTHING, NOTHING)
         if self._is_over():
             return chosen.share != own.share
-        headroom = self.cap.divide(HEADROOM_PARTS)
+        headroom = self._choose_headroom()
         if not (self.used + self.unmet).fits(own.share) and chosen.share != own.share:
             return True
         kept = own.share - chosen.share
@@ -277,6 +286,7 @@
     find_cap: t.Callable[[str], Amount] = lambda tenant: UNLIMITED
     tenants: dict[str, TenantShare] = attrs.field(factory=dict)
     rows: dict[str, tuple[int, t.Mapping[str, Entry]]] = attrs.field(factory=dict)
+    _planned: bool = False
     _writing: set[str] = attrs.field(factory=set)
 
     def _get(self, tenant: str) -> TenantShare:
@@ -303,6 +313,7 @@
 
         :param usage: all that may be running in the shard, by tenant.
         """
+        self._planned = True
         for tenant in usage:
             self._get(tenant)
         for tenant, share in self.tenants.items():
@@ -335,7 +346,12 @@
                 del self.tenants[tenant]
 
     def list_due(self) -> list[str]:
-        """List tenants whose row is to be written, and is not being written."""
+        """List tenants whose row is to be written, and is not being written.
+
+        None before the first plan, which finds out what an earlier owner left running.
+        """
+        if not self._planned:
+            return []
         return [
             tenant
             for tenant, share in self.tenants.items()
--- a/src/onyxgap/standins/emulator/slots.py
+++ b/src/onyxgap/standins/emulator/slots.py
@@ -16,6 +16,7 @@
 from ...jobs.messages import Submission
 from ...jobs.routing import Route
 from ...jobs.settings import NodeSettings
+from ...jobs.tenants import Caller
 from ...jobs.tenants import KeyFault
 from ...pools.sizing import Sizer
 from ...settings import Address
@@ -128,8 +129,7 @@
         if node.routes.configuration is None:
             return SubmitOutcome.REFUSED
         await self.gate.pass_through()
-        keys = [key.encode()] if key else []
-        caller = await node.desk.identify(route, keys, submission.job_id)
+        caller = await self._identify(node, route, submission.job_id, key)
         if isinstance(caller, Unavailable):
             return SubmitOutcome.REFUSED
         if isinstance(caller, KeyFault):
@@ -138,20 +138,33 @@
         result = await node.desk.submit(owned)
         return result.outcome if self.node is node else None
 
-    async def get_state(self, route: Route, job_id: str) -> t.Any:
+    @staticmethod
+    async def _identify(
+        node: Node, route: Route, job_id: str, key: str
+    ) -> Caller | KeyFault | Unavailable:
+        keys = [key.encode()] if key else []
+        return await node.desk.identify(route, keys, job_id)
+
+    async def get_state(self, route: Route, job_id: str, key: str) -> t.Any:
         """Ask for a job's state."""
         node = self.node
         if node is None or node.routes.configuration is None:
             return Unavailable.STORE
         await self.gate.pass_through()
-        state = await node.desk.get_state(route, job_id)
+        caller = await self._identify(node, route, job_id, key)
+        if not isinstance(caller, Caller):
+            return caller
+        state = await node.desk.get_state(route, job_id, caller)
         return state if self.node is node else Unavailable.STORE
 
-    async def cancel(self, route: Route, job_id: str) -> t.Any:
+    async def cancel(self, route: Route, job_id: str, key: str) -> t.Any:
         """Cancel a job."""
         node = self.node
         if node is None or node.routes.configuration is None:
             return Unavailable.STORE
         await self.gate.pass_through()
-        known = await node.desk.cancel(route, job_id)
+        caller = await self._identify(node, route, job_id, key)
+        if not isinstance(caller, Caller):
+            return caller
+        known = await node.desk.cancel(route, job_id, caller)
         return known if self.node is node else Unavailable.STORE
--- a/src/onyxgap/standins/emulator/tenancy.py
+++ b/src/onyxgap/standins/emulator/tenancy.py
@@ -9,14 +9,15 @@
 
 from ...jobs.amounts import Amount
 from ...jobs.desk import SubmitOutcome
+from ...jobs.messages import JobState
 from ...jobs.tenants import KeyFault
 from .script import TenantLine
 
 FIRST_KEYS = 2
 STALE_SHARE = 0.1
-"""Share of the jobs handed in with a key that was taken back, if there is one."""
+"""Share of the calls with a key that was taken back, if there is one."""
 STRAY_SHARE = 0.03
-"""Share of the jobs handed in with a key that no tenant ever had."""
+"""Share of the calls with a key that no tenant ever had."""
 
 
 @attrs.define
@@ -62,11 +63,12 @@
     served: bool = False
     fault: KeyFault | None = None
 
-    def note(self, outcome: SubmitOutcome | KeyFault | None) -> None:
-        """Note the answer."""
+    def note(self, answer: t.Any) -> None:
+        """Note the answer to a submission, a question for the state or a cancel."""
         self.answered_at = anyio.current_time()
-        self.served = outcome is SubmitOutcome.ACCEPTED
-        self.fault = outcome if isinstance(outcome, KeyFault) else None
+        self.served = answer is SubmitOutcome.ACCEPTED or answer is True
+        self.served = self.served or isinstance(answer, JobState)
+        self.fault = answer if isinstance(answer, KeyFault) else None
 
 
 @attrs.define(eq=False)
@@ -141,16 +143,20 @@
         weights = [line.weight for line in self.lines]
         return rng.choices([line.name for line in self.lines], weights)[0]
 
-    def draw_key(self, tenant: str) -> str:
-        """Draw the key that a job of a tenant is handed in with."""
-        drawn = self.rng.random()
-        if drawn < STRAY_SHARE:
-            return f"stray-{self.rng.getrandbits(64):016x}"
-        former = [
+    def list_former_keys(self, tenant: str) -> list[str]:
+        """List the keys of a tenant that were taken back."""
+        return [
             key
             for key, life in self.lives.items()
             if life.tenant == tenant and life.removed_at < math.inf
         ]
+
+    def draw_key(self, tenant: str) -> str:
+        """Draw the key that a call of a tenant is sent with."""
+        drawn = self.rng.random()
+        if drawn < STRAY_SHARE:
+            return f"stray-{self.rng.getrandbits(64):016x}"
+        former = self.list_former_keys(tenant)
         if former and drawn < STRAY_SHARE + STALE_SHARE:
             return self.rng.choice(former)
         return self.rng.choice(self.list_keys(tenant))
--- a/src/onyxgap/standins/emulator/tenant_checks.py
+++ b/src/onyxgap/standins/emulator/tenant_checks.py
@@ -42,7 +42,9 @@
 
 def _is_surely_valid(access: Access, life: KeyLife) -> bool:
     known_at = life.added_at + CONFIGURATION_S if life.added_at else 0.0
-    return known_at <= access.sent_at < life.removed_at
+    answered_at = access.answered_at or access.sent_at
+    # a node that stood still may look at a call only after its key was taken back
+    return known_at <= access.sent_at and answered_at < life.removed_at
 
 
 def check_caps(
