Begin anew with a worker that starts again under its id

Cause: all that was known of a worker was kept by its id alone: runs, numbers of ends, clock, capacity and what was acknowledged would have passed to a later life under the same id. Change: what a worker tells of its start, in its registration or in a list of runs, names its life. A later start ends the former life: its runs are lost and count for crashes as before, its capacity is unknown until told, and it is held under the owner's fence before any start. What was ordered from the former life stays placed until the new one has answered an order to stop it and a report asked for after that does not list it. Ends are acknowledged by record, not by id. An older start changes nothing; a start that is no whole number names nothing to use. Connections are kept by address, too.

--- a/src/onyxgap/daemons/owner.py
+++ b/src/onyxgap/daemons/owner.py
@@ -13,6 +13,7 @@
 from ..jobs.encoding import encode_progress
 from ..jobs.encoding import restore_job
 from ..jobs.messages import JobState
+from ..jobs.placing import WorkerRecord
 from ..jobs.store import Batch
 from ..jobs.store import RowId
 from ..jobs.store import StoredRow
@@ -48,7 +49,7 @@
     puts: dict[RowId, bytes]
     states: dict[str, JobState]
     orders: tuple[StartOrder, ...]
-    seen: dict[str, int]
+    seen: t.Sequence[tuple[WorkerRecord, int]]
     expired: tuple[str, ...]
 
 
@@ -215,8 +216,8 @@
             if not orders:
                 return
 
-    def _read_seen(self) -> dict[str, int]:
-        return {key: record.seen for key, record in self.state.workers.items()}
+    def _read_seen(self) -> list[tuple[WorkerRecord, int]]:
+        return [(record, record.seen) for record in self.state.workers.values()]
 
     def _build_commit(self, orders: t.Sequence[StartOrder]) -> _Commit | None:
         now = self._now()
@@ -248,7 +249,7 @@
             puts,
             states,
             tuple(order for order in orders if order.task.job_id in chosen),
-            self._read_seen() if complete else {},
+            self._read_seen() if complete else (),
             expired,
         )
 
@@ -287,11 +288,10 @@
         for order in commit.orders:
             self._spawn(self._send_start, order)
 
-    def _publish_seen(self, seen: t.Mapping[str, int]) -> None:
-        for worker_id, sequence in seen.items():
-            record = self.state.workers.get(worker_id)
-            if record is not None:
-                record.acknowledged = max(record.acknowledged, sequence)
+    def _publish_seen(self, seen: t.Sequence[tuple[WorkerRecord, int]]) -> None:
+        # by record, not by id: ends of one life say nothing of the next
+        for record, sequence in seen:
+            record.acknowledged = max(record.acknowledged, sequence)
         self._stored.set()
         self._stored = anyio.Event()
 
--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -276,7 +276,7 @@
             self.wake()
         # a hold sent before its ends are stored would be answered at once
         with anyio.move_on_after(STORED_WAIT_S):
-            while record.acknowledged < record.seen:
+            while record.acknowledged < record.seen and not record.gone:
                 await self._stored.wait()
 
     def _spawn(
@@ -329,6 +329,7 @@
 
     async def _send_stop(self, order: StopOrder) -> None:
         reply = await self.context.workers.stop(order)
+        self.state.apply_stop_reply(order, reply, self._now())
         _LOG.info(
             "stop ordered",
             task=str(order.task),
--- a/src/onyxgap/jobs/job.py
+++ b/src/onyxgap/jobs/job.py
@@ -49,6 +49,9 @@
     :param not_before: monotonic seconds before which it is not tried again.
     :param pace: percent of its speed that it was last told to keep.
     :param progress: progress of the current run as reported.
+    :param barred_at: monotonic seconds when the present life of its worker said that it
+        will not start the run, which was ordered from a former one; infinite before,
+        ``None`` for any other run.
     :param moves: times that it was taken off a worker that stood still.
     :param suspicion: what crashes of its workers tell of it.
     """
@@ -74,6 +77,7 @@
     pace: int = 100
     progress: Progress | None = None
     moves: int = 0
+    barred_at: float | None = None
     suspicion: Suspicion = NO_SUSPICION
 
     @property
@@ -133,6 +137,7 @@
         self.phase = TaskPhase.WAITING
         self.worker_id = ""
         self.stopping = False
+        self.barred_at = None
         self.percent = 0
 
 
--- a/src/onyxgap/jobs/messages.py
+++ b/src/onyxgap/jobs/messages.py
@@ -205,7 +205,7 @@
 class WorkerEntry:
     """A worker as it is registered.
 
-    :param worker_id: unique id of this life of the worker.
+    :param worker_id: id of the worker; with :attr:`born` that of one life.
     :param service: pool that it belongs to.
     :param address: ``host:port`` of its interface.
     :param zone: availability zone.
@@ -215,6 +215,7 @@
     :param accelerators: number of accelerators.
     :param labels: kind and rack.
     :param clock_ms: its clock when it wrote the entry.
+    :param born: Unix milliseconds of its start, 0 where it does not tell.
     """
 
     worker_id: str
@@ -227,3 +228,4 @@
     accelerators: int
     labels: tuple[str, ...]
     clock_ms: float
+    born: int = 0
--- a/src/onyxgap/jobs/placing.py
+++ b/src/onyxgap/jobs/placing.py
@@ -54,6 +54,7 @@
     :param due: whether its VM is due for maintenance.
     :param reserved: whether its room is kept for a serving task in this plan.
     :param gone: whether this life of the worker is known to be over.
+    :param born: Unix milliseconds of its start, 0 until it was told.
     """
 
     entry: WorkerEntry
@@ -81,6 +82,7 @@
     due: bool = False
     reserved: bool = False
     gone: bool = False
+    born: int = 0
 
     def is_open(self, now: float) -> bool:
         """Tell whether new tasks may be placed there at all."""
--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -10,6 +10,7 @@
 from .crashes import SETTLED_MS
 from .job import Job
 from .job import Task
+from .lives import LifeSign
 from .messages import EndedTask
 from .messages import EndKind
 from .messages import JobState
@@ -29,6 +30,7 @@
 from .workers import Reply
 from .workers import ReplyKind
 from .workers import StartOrder
+from .workers import WorkerClock
 
 STRIKES = 2
 """First failures without a success between them that block a worker; one alone is
@@ -60,8 +62,13 @@
         :param now: monotonic seconds.
         """
         record = self.workers.get(worker_id)
-        if record is None or record.clock is None:
+        if record is None:
+            return
+        if self._take_life(record, report.born, now) is not LifeSign.SAME:
+            # a later life is asked again, as one of which nothing is known
             return
+        if record.clock is None:
+            record.clock = WorkerClock(report.clock_ms, now)
         record.clock.observe(report.clock_ms, now)
         record.held = True
         record.failing_since = None
@@ -269,6 +276,8 @@
                     self._release(job, task)
 
     def _is_surely_absent(self, task: Task, sent_at: float, clock_low: float) -> bool:
+        if task.barred_at is not None:
+            return sent_at > task.barred_at
         if task.confirmed_at is not None:
             return sent_at > task.confirmed_at
         if task.started_at == 0.0:
--- a/src/onyxgap/jobs/shard_workers.py
+++ b/src/onyxgap/jobs/shard_workers.py
@@ -13,6 +13,8 @@
 from .job import Job
 from .job import Task
 from .job import TaskPhase
+from .lives import LifeSign
+from .lives import compare_life
 from .messages import JobState
 from .messages import Step
 from .messages import WorkerEntry
@@ -20,8 +22,12 @@
 from .placing import WorkerRecord
 from .priorities import rate_urgency
 from .shard_jobs import ShardJobs
+from .shard_jobs import get_group
 from .workers import MS
+from .workers import Reply
+from .workers import ReplyKind
 from .workers import StartOrder
+from .workers import StopOrder
 from .workers import WorkerClock
 
 ORPHAN_WAIT_S = 13.0
@@ -99,8 +105,14 @@
         """
         record = self.workers.get(entry.worker_id)
         if record is None:
-            record = WorkerRecord(entry)
+            record = WorkerRecord(entry, born=entry.born)
             self.workers[entry.worker_id] = record
+        sign = self._take_life(record, entry.born, now)
+        if sign is LifeSign.FORMER:
+            return record
+        if sign is LifeSign.LATER:
+            record = self.workers[entry.worker_id]
+            record.clock = WorkerClock(entry.clock_ms, now)
         record.entry = entry
         record.registered = True
         record.room_until = now + self.room_valid_s
@@ -110,6 +122,70 @@
             record.clock = WorkerClock(entry.clock_ms, now)
         return record
 
+    def _take_life(self, record: WorkerRecord, born: int, now: float) -> LifeSign:
+        """Take in the start that a worker tells; ends its earlier life if it is later.
+
+        :param record: what is known of the worker.
+        :param born: Unix milliseconds of its start, 0 where it does not tell.
+        :param now: monotonic seconds.
+        """
+        sign = compare_life(record.born, born)
+        if sign is LifeSign.LATER:
+            self._begin_life(record, born, now)
+        elif sign is LifeSign.SAME:
+            record.born = record.born or born
+        return sign
+
+    def _begin_life(self, former: WorkerRecord, born: int, now: float) -> None:
+        """Begin with nothing known of a worker but its id and its start.
+
+        An order for the former life may have reached the new one before anybody knew
+        of it: that knows neither the fence nor, on its new clock, the deadline. So what
+        was ordered stays placed until the new life has been told to stop it, and a
+        report asked for after that does not list it.
+        """
+        worker_id = former.entry.worker_id
+        ordered = [
+            (job, task, task.run, task.start_deadline_ms)
+            for job in self.jobs.values()
+            for task in job.list_placed()
+            if task.worker_id == worker_id and _was_sent(task)
+        ]
+        self.end_worker(worker_id, "started again under its id")
+        entry = attrs.evolve(
+            former.entry, cpu=0, memory_mb=0, accelerators=0, clock_ms=0.0, born=born
+        )
+        record = WorkerRecord(entry, former.registered, WorkerClock(0.0, now))
+        record.born = born
+        self.workers[worker_id] = record
+        for job, task, run, deadline_ms in ordered:
+            if not job.state.final:
+                self._bar(record, job, task, run, deadline_ms)
+
+    def _bar(
+        self, record: WorkerRecord, job: Job, task: Task, run: int, deadline_ms: float
+    ) -> None:
+        task.place(record.entry.worker_id, 0.0, deadline_ms, run)
+        task.barred_at = math.inf
+        record.reserve(job.get_step(task), get_group(task))
+        record.lease_ms = max(record.lease_ms, deadline_ms)
+        self._mark_stopping(task)
+        self.dirty.add(job.submission.job_id)
+
+    def apply_stop_reply(self, order: StopOrder, reply: Reply, now: float) -> None:
+        """Take in that a worker will not start a run that a former life was ordered to.
+
+        :param order: the order to stop it.
+        :param reply: the worker's reply.
+        :param now: monotonic seconds.
+        """
+        job = self.jobs.get(order.task.job_id)
+        task = job.find_task(order.task) if job else None
+        if task is None or task.barred_at is None or task.run != order.run:
+            return
+        if reply.kind is ReplyKind.DONE:
+            task.barred_at = min(task.barred_at, now)
+
     def set_cordons(
         self, cordons: t.Mapping[str, str], due: frozenset[str] = frozenset()
     ) -> None:
--- a/src/onyxgap/jobs/workers.py
+++ b/src/onyxgap/jobs/workers.py
@@ -116,11 +116,13 @@
     :param clock_ms: its clock.
     :param running: runs that are present.
     :param ended: ends that are not acknowledged yet, in order.
+    :param born: Unix milliseconds of its start, 0 where it does not tell.
     """
 
     clock_ms: float
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
+    born: int = 0
 
 
 class Workers(t.Protocol):
--- a/src/onyxgap/platform/registry.py
+++ b/src/onyxgap/platform/registry.py
@@ -40,6 +40,17 @@
     return raw
 
 
+def decode_start(value: t.Any) -> int:
+    """Read the moment of a worker's start, in Unix milliseconds.
+
+    :param value: what the worker says; 0 where it says nothing.
+    :raises TypeError: when it is no whole number.
+    """
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise TypeError(f"no start of a worker: {value!r}")
+    return value
+
+
 def decode_worker(key: str, value: bytes) -> WorkerEntry:
     """Read a worker's registration.
 
@@ -61,6 +72,7 @@
             accelerators=int(room.get("gpu", 0)),
             labels=tuple(map(str, raw.get("labels") or ())),
             clock_ms=float(raw.get("clock_ms", 0)),
+            born=decode_start(raw.get("born", 0)),
         )
     except (KeyError, TypeError, ValueError) as error:
         raise DocumentError([Fault("$", f"no worker: {error!r}")]) from None
--- a/src/onyxgap/platform/workers.py
+++ b/src/onyxgap/platform/workers.py
@@ -17,6 +17,7 @@
 from .connections import WorkerConnections
 from .http import Answer
 from .http import CallFailure
+from .registry import decode_start
 
 ORDER_TIMEOUT_S = 0.6
 """A worker answers within milliseconds; longer than an order to start stays valid."""
@@ -92,6 +93,7 @@
             float(body["clock_ms"]),
             tuple(map(_decode_running, body.get("running") or ())),
             tuple(map(_decode_ended, body.get("ended") or ())),
+            decode_start(body.get("born", 0)),
         )
     except (KeyError, IndexError, TypeError, ValueError) as error:
         return Reply(ReplyKind.NO_ANSWER, detail=f"malformed report: {error!r}")
@@ -99,15 +101,17 @@
 
 @attrs.define
 class PlatformWorkers:
-    """Calls to workers over HTTP; own connections for each life of a worker."""
+    """Calls to workers over HTTP, by connections of their own for each address."""
 
-    _opened: dict[str, WorkerConnections] = attrs.field(factory=dict)
+    _opened: dict[str, dict[str, WorkerConnections]] = attrs.field(factory=dict)
 
     def _find(self, worker_id: str, address: str) -> WorkerConnections:
-        found = self._opened.get(worker_id)
+        opened = self._opened.setdefault(worker_id, {})
+        found = opened.get(address)
         if found is None:
+            # a worker that starts again may do so elsewhere
             found = WorkerConnections(address, WORKER_CONNECTIONS)
-            self._opened[worker_id] = found
+            opened[address] = found
         return found
 
     async def _order(
@@ -188,6 +192,5 @@
 
     async def forget(self, worker_id: str) -> None:
         """Close the connections to a worker that is gone."""
-        opened = self._opened.pop(worker_id, None)
-        if opened is not None:
-            await opened.close()
+        for connections in self._opened.pop(worker_id, {}).values():
+            await connections.close()
--- a/src/onyxgap/standins/emulator/faults.py
+++ b/src/onyxgap/standins/emulator/faults.py
@@ -100,6 +100,12 @@
         if name is not None:
             self.cloud.crash(name, fault.seconds)
 
+    async def rebear_vm(self, fault: FaultLine) -> None:
+        """Have a worker crash and start again under its id."""
+        name = self._find_vm(fault.name)
+        if name is not None:
+            self.cloud.rebear(name, fault.seconds)
+
     async def cut_vm(self, fault: FaultLine) -> None:
         """Cut a VM off from everything; it runs on."""
         name = self._find_vm(fault.name)
@@ -229,11 +235,17 @@
     ("late", "orders"): FaultyDay.delay_calls,
     ("lose", "orders"): FaultyDay.lose_answers,
     ("configure", "routes"): FaultyDay.configure,
+    ("rebear", "vm"): FaultyDay.rebear_vm,
     ("revoke", "keys"): FaultyDay.revoke_keys,
     ("cap", "tenant"): FaultyDay.change_cap,
 }
 
-_ONLY_SCRIPTED = {("shrink", "vm"), ("revoke", "keys"), ("cap", "tenant")}
+_ONLY_SCRIPTED = {
+    ("shrink", "vm"),
+    ("rebear", "vm"),
+    ("revoke", "keys"),
+    ("cap", "tenant"),
+}
 """Never drawn at random, so that a seed goes on standing for the same faults."""
 
 
--- a/src/onyxgap/standins/emulator/script.py
+++ b/src/onyxgap/standins/emulator/script.py
@@ -194,6 +194,7 @@
         ("late", "orders"),
         ("lose", "orders"),
         ("configure", "routes"),
+        ("rebear", "vm"),
         ("revoke", "keys"),
         ("cap", "tenant"),
     }
--- a/src/onyxgap/standins/emulator/workers.py
+++ b/src/onyxgap/standins/emulator/workers.py
@@ -253,7 +253,12 @@
         while not self.ended and self.alive and anyio.current_time() < give_up:
             await self._wait_for_end(give_up)
             self.advance()
-        return HoldReport(self.read_clock(), self._list_running(), tuple(self.ended))
+        return HoldReport(
+            self.read_clock(),
+            self._list_running(),
+            tuple(self.ended),
+            self.entry.born,
+        )
 
     def _note_ends(self, acknowledged: int) -> None:
         for sequence in [key for key in self._unnoted if key <= acknowledged]:
@@ -388,5 +393,6 @@
 
 
 def _start_if_alive(worker: EmulatedWorker, order: StartOrder, node: str) -> None:
+    # what a worker has left undone is gone with its life
     if worker.alive:
         worker.start(order, node)
