Refuse at once what can never run within its tenant's cap

Cause: a task larger than its tenant's cap, or a gang that is so as a whole, would wait for ever once accepted. Change: such a job is refused with 400 and the step, nothing is stored. One that was accepted under a higher cap is still known by its id, and waits. Measured: test_what_can_never_run_within_its_cap_is_refused_at_once.

--- a/src/onyxgap/daemons/desk.py
+++ b/src/onyxgap/daemons/desk.py
@@ -36,6 +36,7 @@
 from ..jobs.tenants import ANYONE
 from ..jobs.tenants import Caller
 from ..jobs.tenants import KeyFault
+from ..jobs.tenants import find_step_above
 from .authentication import Authentication
 from .owner import ShardOwner
 
@@ -145,9 +146,29 @@
                 return SubmitResult(SubmitOutcome.REFUSED, str(error))
             if known is not None:
                 return _compare(known, submission)
+        if submission.tenant:
+            cap = self.routes.find_cap(submission.tenant)
+            step = find_step_above(submission.steps, cap)
+            if step is not None:
+                return await self._refuse_above_cap(submission, step)
         accepted_ms = int(self.clocks.read_wall() * 1000)
         return await self._store(attrs.evolve(submission, accepted_ms=accepted_ms))
 
+    async def _refuse_above_cap(
+        self, submission: Submission, step: int
+    ) -> SubmitResult:
+        """Refuse what can never run, unless it was accepted under a higher cap."""
+        try:
+            known = await self._read_submission(
+                submission.policy.service, submission.job_id
+            )
+        except PlatformUnavailableError as error:
+            return SubmitResult(SubmitOutcome.UNKNOWN, str(error))
+        if known is not None:
+            return _compare(known, submission)
+        reason = f"$.steps[{step}]: asks for more than its tenant may have running"
+        return SubmitResult(SubmitOutcome.ABOVE_CAP, reason)
+
     async def _store(self, submission: Submission) -> SubmitResult:
         row = tables.get_job_row(submission.policy.service, submission.job_id)
         batch = Batch({row: ABSENT}, {row: encode_submission(submission)})
--- a/src/onyxgap/jobs/desk.py
+++ b/src/onyxgap/jobs/desk.py
@@ -19,6 +19,7 @@
     ACCEPTED = "accepted"
     OTHER_REQUEST = "other-request"
     OTHER_TENANT = "other-tenant"
+    ABOVE_CAP = "above-cap"
     REFUSED = "refused"
     UNKNOWN = "unknown"
 
--- a/src/onyxgap/jobs/tenants.py
+++ b/src/onyxgap/jobs/tenants.py
@@ -12,6 +12,8 @@
 
 from .amounts import UNLIMITED
 from .amounts import Amount
+from .amounts import measure_task
+from .messages import Step
 
 DIGEST_CHARACTERS = 32
 """Hexadecimal digits of a digest, 128 bits."""
@@ -75,6 +77,19 @@
     return hashlib.sha256(key).hexdigest()[:DIGEST_CHARACTERS]
 
 
+def find_step_above(steps: t.Sequence[Step], cap: Amount) -> int | None:
+    """Find a step that can never run within a cap: a task, or a gang as a whole.
+
+    :param steps: steps of a job.
+    :param cap: most that its tenant may have running.
+    """
+    for number, step in enumerate(steps):
+        together = step.count if step.gang else 1
+        if not (measure_task(step) * together).fits(cap):
+            return number
+    return None
+
+
 def index_keys(tenants: t.Iterable[Tenant]) -> dict[str, str]:
     """Map digests of keys to the names of their tenants."""
     return {digest: tenant.name for tenant in tenants for digest in tenant.key_digests}
--- a/src/onyxgap/platform/callers.py
+++ b/src/onyxgap/platform/callers.py
@@ -63,6 +63,7 @@
     SubmitOutcome.ACCEPTED: 200,
     SubmitOutcome.OTHER_REQUEST: 409,
     SubmitOutcome.OTHER_TENANT: 403,
+    SubmitOutcome.ABOVE_CAP: 400,
     SubmitOutcome.REFUSED: 503,
     SubmitOutcome.UNKNOWN: 504,
 }
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -24,6 +24,8 @@
 from onyxgap.exceptions import OwnershipLostError
 from onyxgap.exceptions import PlatformUnavailableError
 from onyxgap.jobs import tables
+from onyxgap.jobs.amounts import NO_LIMIT
+from onyxgap.jobs.amounts import Amount
 from onyxgap.jobs.desk import SubmitOutcome
 from onyxgap.jobs.desk import Unavailable
 from onyxgap.jobs.health import OUTAGE_S
@@ -316,6 +318,24 @@
     run_with_store(test)
 
 
+@pytest.mark.parametrize("gang", [False, True])
+def test_what_can_never_run_within_its_cap_is_refused_at_once(gang: bool) -> None:
+    async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
+        desk = build_desk(scripted)
+        step = Step(4 if gang else 1, cpu=100 if gang else 400, gang=gang)
+        job = attrs.evolve(SUBMISSION, tenant="north", steps=(step,))
+        desk.routes.caps["north"] = Amount(400, NO_LIMIT, NO_LIMIT)
+        assert (await desk.submit(job)).outcome is SubmitOutcome.ACCEPTED
+        desk.routes.caps["north"] = Amount(399, NO_LIMIT, NO_LIMIT)
+        # it was accepted before, and still is
+        assert (await desk.submit(job)).outcome is SubmitOutcome.ACCEPTED
+        other = attrs.evolve(job, job_id="b" * 16)
+        assert (await desk.submit(other)).outcome is SubmitOutcome.ABOVE_CAP
+        assert tables.get_job_row("s", other.job_id) not in store.rows
+
+    run_with_store(test)
+
+
 def test_outage_is_refused_at_once_and_never_guessed() -> None:
     async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
         desk = build_desk(scripted)
