Let one shard go on where an even part of a cap is less than a task

Cause: where shards want more than a cap and the even part of each is smaller than a task, each kept a part that was of no use to it, and nothing of the tenant ran. Change: the shard that holds most, or is first by name, goes beyond its even part, and the others hold nothing idle.

--- a/src/onyxgap/jobs/rates.py
+++ b/src/onyxgap/jobs/rates.py
@@ -10,7 +10,7 @@
 import attrs
 
 BURST_S = 5.0
-"""Seconds of its rate that a tenant may hand in at once, before it counts as a flood."""
+"""Seconds of its rate that a tenant may hand in at once; more is a flood."""
 
 
 @attrs.define(slots=True)
--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -129,16 +129,16 @@
         :param job: their job.
         :param step: their step.
         :param tasks: how many start together.
-        :param wanted: how many are to start in all.
+        :param wanted: how many such starts are wanted.
         :param now: monotonic seconds.
         """
         tenant = job.submission.tenant
         if self.shares is None or not tenant:
             return True
-        amount = measure_task(step)
-        if self.shares.admits(tenant, amount * tasks):
+        amount = measure_task(step) * tasks
+        if self.shares.admits(tenant, amount):
             return True
-        self.shares.miss(tenant, amount * wanted)
+        self.shares.miss(tenant, amount, wanted)
         if job.capped_at is None:
             job.capped_at = now
         return False
@@ -260,7 +260,7 @@
         step = ready.job.submission.steps[ready.step]
         if len(ready.tasks) != step.count:
             return []
-        if not self._admits(ready.job, step, step.count, step.count, now):
+        if not self._admits(ready.job, step, step.count, 1, now):
             return []
         chosen: list[tuple[Task, WorkerRecord]] = []
         allowed: t.Iterable[WorkerRecord] = self.workers.values()
--- a/src/onyxgap/jobs/shares.py
+++ b/src/onyxgap/jobs/shares.py
@@ -126,6 +126,7 @@
     :param ceiling: share that a write under way gives, if it gives some up.
     :param used: what may be running, and what was placed since.
     :param unmet: what could not be placed for want of a share.
+    :param least: the smallest task among it, ``None`` where nothing was missed.
     """
 
     shard: str
@@ -137,6 +138,7 @@
     ceiling: Amount | None = None
     used: Amount = NOTHING
     unmet: Amount = NOTHING
+    least: Amount | None = None
     _limit: Amount = NOTHING
     _high: Amount = NOTHING
     _high_at: float = 0.0
@@ -151,8 +153,25 @@
         :param cap: the tenant's cap.
         :param used: all that may be running in the shard.
         """
+        # the limit goes by what the last plan missed
         self.cap, self.used, self.unmet = cap, used, NOTHING
         self._limit = self._find_limit()
+        self.least = None
+
+    def miss(self, task: Amount, count: int) -> None:
+        """Count what is not started for want of a share.
+
+        :param task: what each of it needs, a gang as a whole.
+        :param count: how many.
+        """
+        self.unmet += task * count
+        if self.least is None:
+            self.least = task
+        else:
+            self.least = min(self.least, task, key=self._measure)
+
+    def _measure(self, amount: Amount) -> float:
+        return measure_fraction(amount, self.cap)
 
     def _find_limit(self) -> Amount:
         """Find the most that may be running here for a start to be allowed."""
@@ -212,14 +231,31 @@
         wants = [
             entry.want for shard, entry in self.entries.items() if shard != self.shard
         ]
-        return [measure_fraction(want, self.cap) for want in [*wants, self._high]]
+        return [self._measure(want) for want in [*wants, self._high]]
 
     def _is_contended(self) -> bool:
         return sum(self._list_fractions()) > 1.0
 
     def _find_even_part(self) -> Amount:
-        """Find up to which part of the cap each shard may go."""
-        return _scale(self.cap, find_level(self._list_fractions()))
+        """Find up to which part of the cap this shard may go.
+
+        Where that is less than a task needs, one shard goes on beyond it and the others
+        hold nothing idle: otherwise each would keep what is of no use to it.
+        """
+        part = _scale(self.cap, find_level(self._list_fractions()))
+        if self.least is None or self.least.fits(part):
+            return part
+        return self.cap if self._is_first() else self.used
+
+    def _is_first(self) -> bool:
+        """Tell whether this shard holds the most, or is first by name."""
+        others = [
+            (-self._measure(entry.share), shard)
+            for shard, entry in self.entries.items()
+            if shard != self.shard and (entry.share, entry.want) != (NOTHING, NOTHING)
+        ]
+        own = (-self._measure(self.get_own().share), self.shard)
+        return own <= min(others, default=own)
 
     def _choose_headroom(self) -> Amount:
         """Choose what is held beyond the need, nothing where others would lack it."""
@@ -333,10 +369,9 @@
             share = self._get(tenant)
             share.used += amount
 
-    def miss(self, tenant: str, amount: Amount) -> None:
-        """Count what is not started for want of a share."""
-        share = self._get(tenant)
-        share.unmet += amount
+    def miss(self, tenant: str, task: Amount, count: int) -> None:
+        """Count what is not started; see :meth:`TenantShare.miss`."""
+        self._get(tenant).miss(task, count)
 
     def close_plan(self, room: Amount, now: float) -> None:
         """End a plan; see :meth:`TenantShare.close_plan`."""
