--- a/src/onyxgap/daemons/lanes.py
+++ b/src/onyxgap/daemons/lanes.py
@@ -7,10 +7,9 @@
 import attrs
 
 SENT_AT_ONCE = 64
-"""Orders on their way in all: owners of 46 to 83 workers with half a core sent up to
-156 within 10 ms; most arrived after the 0.5 s that they are valid, and sending them
-again left no time for reports. Late orders of one recorded day: 8,180 in its first
-43 s without this bound, 645 in all with it."""
+"""Orders on their way in all: of more that an owner with half a core sends at once,
+most arrive after the time that they are valid, and sending them again leaves no time
+for reports."""
 SENT_TO_ONE = 8
 """Orders on their way to one worker, so that some that are silent do not hold up the
 others: four silent ones take half of the places."""
--- a/src/onyxgap/daemons/node_process.py
+++ b/src/onyxgap/daemons/node_process.py
@@ -34,7 +34,7 @@
 LINGER_S = 2.5
 """The balancer needs two failed probes, a second apart, to send no more callers."""
 STORE_CONNECTIONS = 48
-"""Chosen: far below the 3,900 descriptors left for sockets; not seen to bind."""
+"""Far below the descriptors that a VM has left for sockets."""
 RELEASE_LIMIT_S = 1.5
 """Longest time to hand shards over; a silent store must not use up the grace of 6 s."""
 CLOSE_LIMIT_S = 1.0
--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -132,8 +132,7 @@
         return self.context.clocks.read_wall() * 1000
 
     def _follow_workers(self, after: int) -> Follower:
-        # only owners read registrations: with 97 nodes and 272 workers, a calm day's
-        # reads are 0.05 GB in all, and were 0.26 GB when each node did, one run each
+        # by owners alone: read by each node they would be most of what is read
         return Follower(
             self.context.store,
             self.context.worker_table,
--- a/src/onyxgap/daemons/reading.py
+++ b/src/onyxgap/daemons/reading.py
@@ -14,8 +14,8 @@
 ) -> tuple[Page, ...]:
     """Read partitions, all at the same time.
 
-    A new owner starts nothing before it has read its rows. One after the other, ten
-    partitions of a store that takes 0.2 s an answer cost 1.8 s of a recorded day.
+    A new owner starts nothing before it has read its rows, and one after the other they
+    take it seconds while the store is slow.
 
     :param store: the store.
     :param wanted: table and partition of each.
--- a/src/onyxgap/jobs/crashes.py
+++ b/src/onyxgap/jobs/crashes.py
@@ -1,13 +1,11 @@
 """Finds tasks that crash their workers; answers runs that are lost with a worker.
 
 A worker crashes with a dozen runs of several jobs on it, and nothing reports which of
-them is the cause. A run that a report still listed a while after its start is not: on a
-recorded day, workers crashed 8 to 10 ms after they had started such a task. The others
-are started again apart, so that a second crash has one suspect, and a task that stands
-alone in two crashes is given up.
-
-Unbounded, one such task of an emulated day crashed 75 workers within half a minute, and
-the runs beside it were lost with them; bounded, none crashes more than three there.
+them is the cause. A run that a report still listed a while after its start is not: such
+tasks crash their workers within milliseconds. The others are started again apart, so
+that a second crash has one suspect, and a task that stands alone in two crashes is
+given up. Unbounded, one such task crashes a worker with each start, and the runs beside
+it are lost with them.
 """
 
 import enum
@@ -16,25 +14,23 @@
 import attrs
 
 PROOF_MS = 100.0
-"""Time on a worker after which a start is known not to crash it, ten times what was
-recorded."""
+"""Time on a worker after which a start is known not to crash it."""
 SETTLED_MS = 300.0
-"""Time on a worker after which a run clears its task of earlier crashes, thirty times
-what was recorded. A task that is alone keeps its worker that long: of 1,570 jobs on 40
-emulated days of such tasks, 1,158 were in time, with 1 s 1,126 and with 5 s 1,091."""
+"""Time on a worker after which a run clears its task of earlier crashes. A task that is
+alone keeps its worker that long."""
 YOUNG_BLAME = 2
 """For the only job that had started something when the worker crashed."""
 LATE_BLAME = 1
 """For the only job that was there at all: tasks may crash a worker later than at their
 start, but workers with the tasks of one job also crash by themselves."""
 MOST_BLAME = 4
-"""Two crashes with nobody else to blame. One is not enough: on a day of random faults
-workers crash by themselves just after a start, but not twice under one task."""
+"""Two crashes with nobody else to blame. One is not enough: workers crash by themselves
+just after a start, too, but seldom twice under one task."""
 MOST_YOUNG_LOSSES = 4
 """Runs lost just after their start after which :data:`YOUNG_BLAME` is enough: where
 confirmations get lost, too, a task would else crash more workers. Runs that had proved
-themselves don't count: a serving task of an emulated day lost three workers to others
-and then one that crashed by itself."""
+themselves don't count: a serving task may lose several workers to others and then one
+that crashed by itself."""
 ALONE_LOSSES = 3
 """Lost runs after which a task gets a worker for itself: what crashes its worker late
 is then found by the seventh start."""
--- a/src/onyxgap/jobs/holds.py
+++ b/src/onyxgap/jobs/holds.py
@@ -1,8 +1,7 @@
 """How long a worker may wait before it answers; answers orders that get lost.
 
 A worker answers a hold at the first end, or after the wait. A lost hold hides its
-ends for the wait and a margin, while nothing new is placed there. With 1 s and 0.5 s,
-a busy pool lost 12 holds in 8 s of a day on which orders got lost. An owner that cannot
+ends for the wait and a margin, while nothing new is placed there. An owner that cannot
 keep up with the reports pauses between them.
 """
 
@@ -13,10 +12,9 @@
 BUSY_WAIT_S = 0.3
 """For a worker with such runs: ends answer most of its holds before."""
 LEAST_LAG_S = 0.02
-"""Lateness below which a process keeps up; chosen: some turns of the event loop."""
+"""Lateness below which a process keeps up: some turns of the event loop."""
 LAG_FACTOR = 2.0
-"""Pause for each second of lateness; chosen, not measured apart from the bound on
-orders: both together cut the late orders of a recorded day from 8,180 to 645."""
+"""Pause for each second of lateness."""
 MOST_PAUSE_S = 0.3
 """As long as a busy worker may wait for an end; leases last 5 s."""
 
--- a/src/onyxgap/jobs/ownership.py
+++ b/src/onyxgap/jobs/ownership.py
@@ -26,11 +26,8 @@
 OWNED_DELAY_S = 0.3
 """Further delay for each shard that a node owns, so that they spread."""
 WEAK_DELAY_S = 0.6
-"""Further delay of a node on a small VM, as for two shards owned: an owner of 83
-workers planned on reports that were 4.7 s old on a VM with half a core and 10 Mbit/s,
-while VMs with two cores and 200 Mbit/s owned nothing. Of what that
-day's jobs were worth to their callers, 0.49 was served without this delay, 0.83 with
-it, one run each."""
+"""Further delay of a node on a small VM, as for two shards owned: one that owns a
+large shard plans on reports that are seconds old, while large VMs own nothing."""
 
 
 @attrs.define(slots=True)
--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -61,9 +61,8 @@
     def get_rank(self) -> tuple[bool, bool, Urgency]:
         """Give the sort key: jobs beyond their tenants' rates last, suspects first.
 
-        They are few, and each needs a worker on which nothing else starts. On 40
-        emulated days of tasks that crash their workers, 1,091 of 1,570 jobs were in
-        time; 1,085 by urgency alone, and 1,017 with late suspects first, too.
+        Suspects are few, and each needs a worker on which nothing else starts. Late
+        ones would take room from jobs that can still be in time.
         """
         suspect = any(task.suspicion is not NO_SUSPICION for task in self.tasks)
         return self.job.beyond, not suspect or self.urgency.late, self.urgency
--- a/src/onyxgap/jobs/tables.py
+++ b/src/onyxgap/jobs/tables.py
@@ -13,10 +13,9 @@
 JOB_TABLES = 32
 """Tables that the shards share; a shard's owner follows only its own."""
 JOB_PARTS = 32
-"""Partitions of a shard's submissions. A store that is sixty times slower does three
-transactions a second in each, and a busy service takes in 20 jobs a second: with eight,
-30% of them were not accepted on the emulator, with sixteen 8%, with 32 0.1%. A claim
-reads them all, at the same time."""
+"""Partitions of a shard's submissions, so that a busy service goes on accepting while
+the store is slow and does a few transactions a second in each. A claim reads them all,
+at the same time."""
 PROGRESS_TABLE = "onyxgap-progress"
 OWNER_TABLE = "onyxgap-owners"
 FENCE_TABLE = "onyxgap-fences"
--- a/src/onyxgap/platform/connections.py
+++ b/src/onyxgap/platform/connections.py
@@ -1,10 +1,9 @@
 """Connections to one worker, for owners that make thousands of calls a second.
 
-Processor time bounds what an owner can start: at its turn a queue of 60 VMs brings
-some 1,400 tasks a second, each an order and a part of a report. A call takes 155 us,
-with the server's share, and 621 us over the general client (`python -m bench.calls`,
-busy machine). Of what the jobs of a day of high load were worth, 0.81 was served with
-that client, 0.92 with these connections, one run each.
+Processor time bounds what an owner can start: at its turn a large queue brings more
+than a thousand tasks a second, each an order and a part of a report. Over the general
+client a call takes several times the processor time; `python -m bench.calls` compares
+them.
 """
 
 import select
--- a/src/onyxgap/pools/sizing.py
+++ b/src/onyxgap/pools/sizing.py
@@ -25,13 +25,11 @@
 """A pool keeps two VMs, so that losing one does not stop its urgent jobs."""
 FIRST_SHARE = 0.625
 """Share of its size that a pool keeps while others have had a turn and it has not:
-nothing tells when its turn comes. On a calm day half saves 0.02 of the worth; on a day
-of high load it lost 0.12 and more, since the pool was full before VMs came."""
+nothing tells when its turn comes, and a smaller pool is full before VMs come."""
 USUAL_GROWTH = 1.5
 """Multiple of its first size up to which a pool grows by whatever work arrives; beyond
-it by what surely arrives, queues or runs. Three large jobs by chance look like a turn.
-A calm day of small pools paid 170 moves and 1,035 VM seconds without this bound, 139
-and 979 with it, for the same jobs in time, one run each."""
+it by what surely arrives, queues or runs. Three large jobs by chance look like a
+turn."""
 LEAD_S = 2.6
 """A move takes 1.5 s; then the worker registers and is held for the first time."""
 HOLD_S = 2.0
--- a/src/onyxgap/pools/turns.py
+++ b/src/onyxgap/pools/turns.py
@@ -30,8 +30,7 @@
 turn of few jobs looks shorter than it is, so the longest one seen counts."""
 MEASURED_SHARE = 0.95
 """Share of a measured period that a pool may rest: a turn is seen to begin with its
-third job, so that measured periods are off; on an emulated day by 2 s. Of 0.95, 0.9
-and 0.85, 0.95 served as many jobs in time for the fewest VM seconds."""
+third job, so that measured periods are off."""
 KEPT_STARTS = 6
 """Turns remembered of each shard; older ones say little of the present."""
 
