Check in one place that a safeguard left out is noticed

Cause: the loop over seeds, with and without a safeguard, stood in three test modules. Change: assert_noticed in tests/emulated.py; the same seeds, statements and rules as before.

--- a/tests/emulated.py
+++ b/tests/emulated.py
@@ -1,5 +1,9 @@
 """Plays days of the emulator for tests."""
 
+import typing as t
+
+import pytest
+
 from onyxgap.standins.emulator.day import DayResult
 from onyxgap.standins.emulator.faults import draw_faults
 from onyxgap.standins.emulator.faults import play_day
@@ -27,3 +31,20 @@
     result = run_virtually(play_day, script, seed)
     assert isinstance(result, DayResult)
     return result
+
+
+def assert_noticed(
+    script: Script,
+    rule: str,
+    seeds: t.Iterable[int],
+    mutate: t.Callable[[pytest.MonkeyPatch], None],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Check that a day keeps a rule, and that some seed breaks it once mutated."""
+    for seed in seeds:
+        assert rule not in {item.rule for item in play(script, seed).breaches}
+        with monkeypatch.context() as patch:
+            mutate(patch)
+            if rule in {item.rule for item in play(script, seed).breaches}:
+                return
+    pytest.fail(f"no seed breaks {rule} without the safeguard")
--- a/tests/test_lives.py
+++ b/tests/test_lives.py
@@ -18,6 +18,7 @@
 from onyxgap.platform.http import Answer
 from onyxgap.platform.workers import decode_report
 from onyxgap.standins.emulator.script import Script
+from tests.emulated import assert_noticed
 from tests.emulated import extend_day
 from tests.emulated import play
 from tests.test_shard import ENTRY
@@ -234,6 +235,7 @@
 def test_run_that_is_not_barred_in_the_new_life_is_noticed(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    assert "twice" not in {item.rule for item in play(build_restless_day(), 1).breaches}
-    monkeypatch.setattr(Shard, "_bar", lambda *_: None)
-    assert "twice" in {item.rule for item in play(build_restless_day(), 1).breaches}
+    def leave_out_bar(patch: pytest.MonkeyPatch) -> None:
+        patch.setattr(Shard, "_bar", lambda *_: None)
+
+    assert_noticed(build_restless_day(), "twice", (1,), leave_out_bar, monkeypatch)
--- a/tests/test_mutations.py
+++ b/tests/test_mutations.py
@@ -14,8 +14,8 @@
 from onyxgap.jobs.workers import ReplyKind
 from onyxgap.pools.messages import FleetRow
 from onyxgap.pools.planner import FleetPlanner
+from tests.emulated import assert_noticed
 from tests.emulated import extend_day
-from tests.emulated import play
 
 SEEDS = range(1, 9)
 
@@ -125,10 +125,4 @@
 ) -> None:
     mutate, statements, rule = MUTATIONS[name]
     script = extend_day("short", statements)
-    for seed in SEEDS:
-        assert rule not in {item.rule for item in play(script, seed).breaches}
-        with monkeypatch.context() as patch:
-            mutate(patch)
-            if rule in {item.rule for item in play(script, seed).breaches}:
-                return
-    pytest.fail(f"no seed shows that {name} is missing")
+    assert_noticed(script, rule, SEEDS, mutate, monkeypatch)
--- a/tests/test_tenant_days.py
+++ b/tests/test_tenant_days.py
@@ -14,6 +14,7 @@
 from onyxgap.jobs.tenants import Caller
 from onyxgap.jobs.tenants import KeyFault
 from onyxgap.jobs.tenants import identify
+from tests.emulated import assert_noticed
 from tests.emulated import extend_day
 from tests.emulated import load_day
 from tests.emulated import play
@@ -127,10 +128,4 @@
 ) -> None:
     mutate, statements, rule = MUTATIONS[name]
     script = extend_day("tenants", statements)
-    for seed in CALM_SEEDS:
-        assert rule not in {item.rule for item in play(script, seed).breaches}
-        with monkeypatch.context() as patch:
-            mutate(patch)
-            if rule in {item.rule for item in play(script, seed).breaches}:
-                return
-    pytest.fail(f"no seed shows it where not: {name}")
+    assert_noticed(script, rule, CALM_SEEDS, mutate, monkeypatch)
