Give the book of shares, ready tasks, usage and load modules of their own

Change: code moved as it was: ShareBook and Change to share_book.py, Ready to ready.py, the measure of what tenants use to usage.py, that of load to load.py.

--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -20,7 +20,7 @@
 from ..jobs.rates import TenantRates
 from ..jobs.settings import TimeLimits
 from ..jobs.shard import Shard
-from ..jobs.shares import ShareBook
+from ..jobs.share_book import ShareBook
 from ..jobs.store import Store
 from ..jobs.store import StoredRow
 from ..jobs.tenants import TenantBounds
--- a/src/onyxgap/daemons/share_keeper.py
+++ b/src/onyxgap/daemons/share_keeper.py
@@ -10,8 +10,8 @@
 
 from ..exceptions import DocumentError
 from ..jobs import tables
-from ..jobs.shares import Change
-from ..jobs.shares import ShareBook
+from ..jobs.share_book import Change
+from ..jobs.share_book import ShareBook
 from ..jobs.shares import decode_entries
 from ..jobs.shares import encode_entries
 from ..jobs.store import ABSENT
--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -4,17 +4,13 @@
 what changed, and only then sends the orders.
 """
 
-import collections
 import typing as t
 
 import attrs
 import structlog
 
-from .amounts import NOTHING
-from .amounts import Amount
 from .amounts import measure_task
 from .candidates import PlanRoom
-from .crashes import NO_SUSPICION
 from .crashes import Care
 from .job import Job
 from .job import Task
@@ -25,12 +21,13 @@
 from .placing import WorkerRecord
 from .placing import choose_worker
 from .placing import may_ever_run
-from .priorities import Urgency
 from .priorities import rate_urgency
+from .ready import Ready
 from .shard_jobs import get_group
 from .shard_jobs import is_at_work
 from .shard_reports import ShardReports
-from .shares import ShareBook
+from .share_book import ShareBook
+from .usage import measure_usage
 from .workers import StartOrder
 from .workers import StopOrder
 
@@ -43,31 +40,6 @@
 _LOG = structlog.get_logger()
 
 
-@attrs.define(slots=True)
-class Ready:
-    """Tasks of one step that may start.
-
-    :param urgency: sort key.
-    :param job: their job.
-    :param step: number of the step.
-    :param tasks: the waiting tasks.
-    """
-
-    urgency: Urgency
-    job: Job
-    step: int
-    tasks: list[Task]
-
-    def get_rank(self) -> tuple[bool, bool, Urgency]:
-        """Give the sort key: jobs beyond their tenants' rates last, suspects first.
-
-        Suspects are few, and each needs a worker on which nothing else starts. Late
-        ones would take room from jobs that can still be in time.
-        """
-        suspect = any(task.suspicion is not NO_SUSPICION for task in self.tasks)
-        return self.job.beyond, not suspect or self.urgency.late, self.urgency
-
-
 @attrs.define
 class Shard(ShardReports):
     """State of one shard under its owner, and what to start and stop next.
@@ -92,7 +64,8 @@
         opened = [item for item in self.workers.values() if item.is_open(now)]
         room = PlanRoom(opened, now)
         if self.shares is not None:
-            self.shares.open_plan(self.measure_usage())
+            usage = measure_usage(self.workers.values(), self.jobs)
+            self.shares.open_plan(usage)
         for ready in self._list_ready(now, wall_ms):
             if ready.job.submission.steps[ready.step].gang:
                 placed = self._place_gang(ready, now)
@@ -105,21 +78,6 @@
             self.shares.close_plan(room.measure_free(), now)
         return orders
 
-    def measure_usage(self) -> dict[str, Amount]:
-        """Measure all that may be running on the workers, by tenant."""
-        counts: collections.Counter[Group] = collections.Counter()
-        for record in self.workers.values():
-            counts.update(record.present)
-        usage: dict[str, Amount] = {}
-        for (job_id, _, step), count in counts.items():
-            submission = self.jobs[job_id].submission
-            if submission.tenant:
-                amount = measure_task(submission.steps[step]) * count
-                usage[submission.tenant] = amount + usage.get(
-                    submission.tenant, NOTHING
-                )
-        return usage
-
     def _admits(
         self, job: Job, step: Step, tasks: int, wanted: int, now: float
     ) -> bool:
--- a/src/onyxgap/jobs/shard_workers.py
+++ b/src/onyxgap/jobs/shard_workers.py
@@ -12,18 +12,18 @@
 from .crashes import weigh_blame
 from .job import Job
 from .job import Task
-from .job import TaskPhase
 from .lives import LifeSign
 from .lives import compare_life
+from .load import get_demand
+from .load import measure_share
+from .load import measure_work
 from .messages import JobState
-from .messages import Step
 from .messages import WorkerEntry
 from .messages import WorkerState
 from .placing import WorkerRecord
 from .priorities import rate_urgency
 from .shard_jobs import ShardJobs
 from .shard_jobs import get_group
-from .workers import MS
 from .workers import Reply
 from .workers import ReplyKind
 from .workers import StartOrder
@@ -41,41 +41,6 @@
 _LOG = structlog.get_logger()
 
 
-def measure_share(step: Step, capacity: tuple[int, int]) -> float:
-    """Measure which part of a worker a task takes.
-
-    :param step: its step.
-    :param capacity: cores in thousandths and MB of a worker.
-    """
-    cpu, memory_mb = capacity
-    if not cpu or not memory_mb:
-        return 0.0
-    share = 0.0 if step.fills else step.cpu / cpu
-    return max(share, step.memory_mb / memory_mb)
-
-
-def measure_work(job: Job, capacity: tuple[int, int]) -> float:
-    """Measure the work of a job's tasks that end by themselves, in VM seconds.
-
-    :param job: the job; of one that runs several times, the first occurrence.
-    :param capacity: cores in thousandths and MB of a worker.
-    """
-    return sum(
-        step.count * measure_share(step, capacity) * step.estimate_ms / MS
-        for step in job.submission.steps
-        if not step.long_running
-    )
-
-
-def _get_demand(step: Step, task: Task, waits: str) -> str:
-    """Name the sum of a report that a task counts in, or an empty text."""
-    if task.phase is TaskPhase.DONE:
-        return ""
-    if step.long_running:
-        return "serving"
-    return "batch" if task.placed else waits
-
-
 def _was_sent(task: Task) -> bool:
     """Tell whether a run may have reached its worker.
 
@@ -227,7 +192,7 @@
                 for task in occurrence.steps[number]:
                     if step.long_running and task.placed:
                         serving[task.worker_id] = serving.get(task.worker_id, 0) + 1
-                    kind = _get_demand(step, task, waits)
+                    kind = get_demand(step, task, waits)
                     if kind:
                         sums[kind] += share
         workers = {
--- /dev/null
+++ b/src/onyxgap/jobs/usage.py
@@ -0,0 +1,31 @@
+"""What tenants have in use in one shard."""
+
+import collections
+import typing as t
+
+from .amounts import NOTHING
+from .amounts import Amount
+from .amounts import measure_task
+from .job import Job
+from .placing import Group
+from .placing import WorkerRecord
+
+
+def measure_usage(
+    workers: t.Iterable[WorkerRecord], jobs: t.Mapping[str, Job]
+) -> dict[str, Amount]:
+    """Measure all that may be running on workers, by tenant.
+
+    :param workers: the workers of a shard.
+    :param jobs: its jobs by id.
+    """
+    counts: collections.Counter[Group] = collections.Counter()
+    for record in workers:
+        counts.update(record.present)
+    usage: dict[str, Amount] = {}
+    for (job_id, _, step), count in counts.items():
+        submission = jobs[job_id].submission
+        if submission.tenant:
+            amount = measure_task(submission.steps[step]) * count
+            usage[submission.tenant] = amount + usage.get(submission.tenant, NOTHING)
+    return usage
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -9,11 +9,11 @@
 from onyxgap.jobs.amounts import NOTHING
 from onyxgap.jobs.amounts import UNLIMITED
 from onyxgap.jobs.amounts import Amount
+from onyxgap.jobs.share_book import Change
+from onyxgap.jobs.share_book import ShareBook
 from onyxgap.jobs.shares import CONTENDED_HOLD_S
 from onyxgap.jobs.shares import HOLD_S
-from onyxgap.jobs.shares import Change
 from onyxgap.jobs.shares import Entry
-from onyxgap.jobs.shares import ShareBook
 from onyxgap.jobs.shares import decode_entries
 from onyxgap.jobs.shares import encode_entries
 from onyxgap.jobs.shares import find_level
