Name the reasons for which a shard writes its share

Cause: one condition of twelve lines decided it, and the test whether an entry is this owner's under the present cap stood twice. Change: the same conditions under names; no decision differs.

--- a/src/onyxgap/jobs/shares.py
+++ b/src/onyxgap/jobs/shares.py
@@ -162,14 +162,20 @@
         if self.cap == UNLIMITED:
             return UNLIMITED
         own = self.get_own()
-        if own.epoch != self.epoch or self.granted_under is None:
-            # what an earlier owner wrote may yet be lowered by it
-            return NOTHING
-        if not self.granted_under.fits(self.cap) or self._is_over():
+        if not self._is_granted(own) or self._is_over():
             return NOTHING
         limit = own.share.get_smallest(self._find_even_part())
         return limit if self.ceiling is None else limit.get_smallest(self.ceiling)
 
+    def _is_granted(self, own: Entry) -> bool:
+        """Tell whether this owner wrote its entry under a cap that still allows it.
+
+        What an earlier owner wrote may yet be lowered by that one.
+        """
+        if own.epoch != self.epoch or self.granted_under is None:
+            return False
+        return self.granted_under.fits(self.cap)
+
     def _sum_others(self) -> Amount:
         total = NOTHING
         for shard, entry in self.entries.items():
@@ -271,20 +277,28 @@
         return None
 
     def _is_due(self, own: Entry, chosen: Entry) -> bool:
-        lapsed = self.granted_under is None or not self.granted_under.fits(self.cap)
-        if own.epoch != self.epoch or lapsed:
+        if not self._is_granted(own):
             return own != Entry() or (self.used, self.unmet) != (NOTHING, NOTHING)
         if self._is_over():
             return chosen.share != own.share
+        return (
+            self._lacks_share(own, chosen)
+            or self._keeps_too_much(own, chosen)
+            or self._wants_otherwise(own, chosen)
+        )
+
+    def _lacks_share(self, own: Entry, chosen: Entry) -> bool:
+        wanted = self.used + self.unmet
+        return not wanted.fits(own.share) and chosen.share != own.share
+
+    def _keeps_too_much(self, own: Entry, chosen: Entry) -> bool:
+        if chosen.share == NOTHING:
+            return own != Entry(epoch=own.epoch)
+        return not (own.share - chosen.share).fits(self._choose_headroom())
+
+    def _wants_otherwise(self, own: Entry, chosen: Entry) -> bool:
+        """Tell whether others go by a want that is not this shard's any more."""
         headroom = self._choose_headroom()
-        if not (self.used + self.unmet).fits(own.share) and chosen.share != own.share:
-            return True
-        kept = own.share - chosen.share
-        if not kept.fits(headroom) or (
-            chosen.share == NOTHING and own != Entry(epoch=own.epoch)
-        ):
+        if not (own.want - chosen.want).fits(headroom):
             return True
-        # others go by what this shard wants, while there is not enough for all
-        return not (own.want - chosen.want).fits(headroom) or (
-            self.unmet != NOTHING and not (chosen.want - own.want).fits(headroom)
-        )
+        return self.unmet != NOTHING and not (chosen.want - own.want).fits(headroom)
