Clear a task of the crashes of workers that crash by themselves

Cause: a task that had lost a worker was looked at 110 ms after its next start and not again for up to a second. And nothing told a pool in which workers crash one after the other from one with a crashing task.

Change: what stands alone is looked at again once it must have settled; any answer of a worker, listed runs or not, shows for how long its runs did not crash it; crashes of workers without the task ask for up to two crashes more with it.

--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -13,6 +13,7 @@
 from ..exceptions import OwnershipLostError
 from ..jobs.advice import Adviser
 from ..jobs.crashes import PROOF_MS
+from ..jobs.crashes import SETTLED_MS
 from ..jobs.health import StoreHealth
 from ..jobs.holds import choose_hold_pause
 from ..jobs.holds import choose_hold_wait
@@ -49,8 +50,13 @@
 WORKER_PAUSE_S = 0.2
 """Pause between two looks at the registrations: each worker writes every 1.5 s, so that
 each look brings several changes; a VM that joins the pool waits this long at most."""
-PROOF_WAIT_S = PROOF_MS / MS * 1.1
-"""A little longer than a run must be there; worker clocks may be 2% slow."""
+LOOK_MARGIN = 1.1
+"""A run is looked at a little later than it must be there; worker clocks may be 2%
+slow."""
+PROOF_WAIT_S = PROOF_MS / MS * LOOK_MARGIN
+"""Time until a run that stands alone is looked at for the first time."""
+SETTLED_WAIT_S = (SETTLED_MS - PROOF_MS) / MS * LOOK_MARGIN
+"""Time from the first look to the second, which clears its task."""
 ROOM_MARGIN_S = 1.0
 """Beyond a heartbeat; a worker that does not refuse is then passed over until it has
 written again. A capacity may be smaller for 3 s and a heartbeat before a start must not
@@ -241,15 +247,17 @@
         self._lanes.forget(worker_id)
         await self.context.workers.forget(worker_id)
 
-    async def _look_again(self, worker_id: str) -> None:
+    async def _look_again(self, order: StartOrder) -> None:
         """Ask a worker whether it stands what was started beside nothing else.
 
-        The hold that waits there would tell up to a second later, and nothing of other
-        jobs is started there before.
+        The hold that waits there would tell up to a second later. Until then nothing of
+        other jobs is started there, and a crash for another cause falls on the task.
         """
-        await anyio.sleep(PROOF_WAIT_S)
-        if worker_id in self.state.workers:
-            await self._ask_for_report(self._build_hold(worker_id, 0.0))
+        for wait_s in (PROOF_WAIT_S, SETTLED_WAIT_S):
+            await anyio.sleep(wait_s)
+            if order.worker_id not in self.state.workers:
+                return
+            await self._ask_for_report(self._build_hold(order.worker_id, 0.0))
             self.wake()
 
     async def _ask_for_report(self, order: HoldOrder) -> bool:
@@ -322,7 +330,7 @@
         if reply.kind is not ReplyKind.DONE:
             self.wake()
         elif self.state.is_isolated(order):
-            self._spawn(self._look_again, order.worker_id)
+            self._spawn(self._look_again, order)
 
     def _send_stops(self, orders: t.Iterable[StopOrder]) -> None:
         for order in orders:
--- a/src/onyxgap/jobs/crashes.py
+++ b/src/onyxgap/jobs/crashes.py
@@ -8,6 +8,7 @@
 it are lost with them.
 """
 
+import collections
 import enum
 import typing as t
 
@@ -36,6 +37,15 @@
 is then found by the seventh start."""
 
 
+DOUBT_S = 12.0
+"""Time for which crashes of workers without a task speak for it: a task that crashes
+its workers is given up well within it."""
+CRASHES_PER_DOUBT = 2
+"""Crashes without a task for each further one that is asked for."""
+MOST_DOUBT = 2
+"""Bounds how many workers a task crashes while others crash by themselves."""
+
+
 class Care(enum.Enum):
     """What a task may share its worker with."""
 
@@ -98,18 +108,54 @@
             return Care.ALONE
         return Care.APART if self.losses else Care.NONE
 
-    @property
-    def proved(self) -> bool:
-        """Whether the task is to be given up as one that crashes its workers."""
-        if self.blame >= MOST_BLAME:
+    def is_proved(self, doubt: int = 0) -> bool:
+        """Tell whether the task is to be given up as one that crashes its workers.
+
+        :param doubt: crashes more that are asked for; see :meth:`CrashLog.get_doubt`.
+        """
+        if self.blame >= MOST_BLAME + doubt * YOUNG_BLAME:
             return True
-        return self.young_losses >= MOST_YOUNG_LOSSES and self.blame >= YOUNG_BLAME
+        return (
+            self.young_losses >= MOST_YOUNG_LOSSES + doubt
+            and self.blame >= YOUNG_BLAME * (1 + doubt)
+        )
 
 
 NO_SUSPICION = Suspicion()
 """Of a task under which no worker has crashed."""
 
 
+@attrs.define
+class CrashLog:
+    """Recent crashes of a shard's workers, with the jobs whose runs were there.
+
+    Workers that crash by themselves one after the other hit the same task twice by
+    chance; it then takes more crashes to tell that the task is the cause.
+    """
+
+    _crashes: collections.deque[tuple[float, frozenset[str]]] = attrs.field(
+        factory=collections.deque
+    )
+
+    def note(self, job_ids: t.Iterable[str], now: float) -> None:
+        """Note a crash.
+
+        :param job_ids: jobs that had runs on the worker.
+        :param now: monotonic seconds.
+        """
+        while self._crashes and now - self._crashes[0][0] > DOUBT_S:
+            self._crashes.popleft()
+        self._crashes.append((now, frozenset(job_ids)))
+
+    def get_doubt(self, job_id: str) -> int:
+        """Give how many crashes more are asked for before a job is given up.
+
+        :param job_id: the job.
+        """
+        others = sum(job_id not in job_ids for _, job_ids in self._crashes)
+        return min(others // CRASHES_PER_DOUBT, MOST_DOUBT)
+
+
 def weigh_blame(runs: t.Sequence[LostRun]) -> list[int]:
     """Weigh for each run of a crashed worker how surely its task is the cause.
 
--- a/src/onyxgap/jobs/job.py
+++ b/src/onyxgap/jobs/job.py
@@ -132,6 +132,15 @@
         assert self.confirmed_ms is not None
         self.listed_ms = max(self.listed_ms, clock_ms - self.confirmed_ms)
 
+    def measure_stand_ms(self, heard_ms: float) -> float:
+        """Measure for how long the run surely did not crash its worker.
+
+        :param heard_ms: latest reading of the worker's clock.
+        """
+        if self.confirmed_ms is None:
+            return self.listed_ms
+        return max(self.listed_ms, heard_ms - self.confirmed_ms)
+
     def release(self) -> None:
         """Record that no run is on a worker any more."""
         self.phase = TaskPhase.WAITING
--- a/src/onyxgap/jobs/placing.py
+++ b/src/onyxgap/jobs/placing.py
@@ -53,6 +53,7 @@
     :param cordoned: whether it is to be emptied.
     :param due: whether its VM is due for maintenance.
     :param reserved: whether its room is kept for a serving task in this plan.
+    :param heard_ms: latest reading of its clock that it told in any answer.
     :param gone: whether this life of the worker is known to be over.
     :param born: Unix milliseconds of its start, 0 until it was told.
     """
@@ -81,6 +82,7 @@
     cordoned: bool = False
     due: bool = False
     reserved: bool = False
+    heard_ms: float = 0.0
     gone: bool = False
     born: int = 0
 
--- a/src/onyxgap/jobs/shard_jobs.py
+++ b/src/onyxgap/jobs/shard_jobs.py
@@ -7,6 +7,7 @@
 import structlog
 
 from .advice import AdviceBook
+from .crashes import CrashLog
 from .job import Job
 from .job import Task
 from .job import TaskPhase
@@ -67,6 +68,7 @@
     offered: float = 0.0
     book: AdviceBook = attrs.field(factory=AdviceBook)
     rates: TenantRates | None = None
+    crashes: CrashLog = attrs.field(factory=CrashLog)
     strays: dict[tuple[str, TaskId, int], StopOrder] = attrs.field(factory=dict)
 
     def add_job(self, job: Job, now: float, wall_ms: float) -> None:
--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -70,6 +70,7 @@
         if record.clock is None:
             record.clock = WorkerClock(report.clock_ms, now)
         record.clock.observe(report.clock_ms, now)
+        record.heard_ms = max(record.heard_ms, report.clock_ms)
         record.held = True
         record.failing_since = None
         done = []
@@ -299,7 +300,7 @@
         if record is None:
             return
         if reply.kind is ReplyKind.OTHER_LIFE:
-            self.end_worker(worker_id, "another life at its address")
+            self.end_worker(worker_id, "another life at its address", now)
             return
         if record.failing_since is None:
             record.failing_since = now
@@ -322,6 +323,7 @@
         record = self.workers.get(order.worker_id)
         if record is not None and record.clock and reply.clock_ms is not None:
             record.clock.observe(reply.clock_ms, now)
+            record.heard_ms = max(record.heard_ms, reply.clock_ms)
         if job is None or task is None or not task.placed:
             return
         if (task.run, task.worker_id) != (order.run, order.worker_id):
--- a/src/onyxgap/jobs/shard_workers.py
+++ b/src/onyxgap/jobs/shard_workers.py
@@ -116,7 +116,7 @@
             for task in job.list_placed()
             if task.worker_id == worker_id and _was_sent(task)
         ]
-        self.end_worker(worker_id, "started again under its id")
+        self.end_worker(worker_id, "started again under its id", now)
         entry = attrs.evolve(
             former.entry, cpu=0, memory_mb=0, accelerators=0, clock_ms=0.0, born=born
         )
@@ -236,18 +236,21 @@
         if record is not None:
             record.registered = False
 
-    def end_worker(self, worker_id: str, reason: str, crashed: bool = True) -> None:
+    def end_worker(
+        self, worker_id: str, reason: str, now: float, crashed: bool = True
+    ) -> None:
         """Take in that a life of a worker is over and nothing runs there.
 
         :param worker_id: the worker.
         :param reason: what shows it, for the log.
+        :param now: monotonic seconds.
         :param crashed: whether its VM is known to be gone, not only unheard.
         """
         record = self.workers.get(worker_id)
         if record is None or record.gone:
             return
         record.gone = True
-        freed = self._free_worker(record, crashed)
+        freed = self._free_worker(record, crashed, now)
         _LOG.info(
             "worker ended",
             worker=worker_id,
@@ -295,7 +298,9 @@
         for record in self.list_silent():
             silent_since = record.failing_since or self.claimed_at
             if record.entry.worker_id not in live and sent_at > silent_since:
-                self.end_worker(record.entry.worker_id, "its VM is down or reborn")
+                self.end_worker(
+                    record.entry.worker_id, "its VM is down or reborn", sent_at
+                )
 
     def expire_workers(self, now: float) -> None:
         """Release the runs of silent workers whose lease is certainly over."""
@@ -305,9 +310,11 @@
             if not self._is_lease_over(record, now):
                 continue
             if not record.registered:
-                self.end_worker(record.entry.worker_id, "silent, lease over", False)
+                self.end_worker(
+                    record.entry.worker_id, "silent, lease over", now, False
+                )
             elif record.present:
-                freed = self._free_worker(record, False)
+                freed = self._free_worker(record, False, now)
                 _LOG.info(
                     "lease over",
                     worker=record.entry.worker_id,
@@ -323,7 +330,7 @@
             return True
         return record.clock.bound_low(now) > record.lease_ms
 
-    def _free_worker(self, record: WorkerRecord, crashed: bool) -> int:
+    def _free_worker(self, record: WorkerRecord, crashed: bool, now: float) -> int:
         lost = [
             (job, task)
             for job in self.jobs.values()
@@ -334,11 +341,16 @@
         if tasks:
             self._log_lost(record, tasks)
         if record.entry.state is not WorkerState.DRAINING:
-            self._suspect([task for task in tasks if _was_sent(task)], crashed)
+            sent = [task for task in tasks if _was_sent(task)]
+            self._suspect(sent, crashed, record.heard_ms)
+        if crashed:
+            self.crashes.note([task.task_id.job_id for task in tasks], now)
         for job, task in lost:
             self._release(job, task)
         for job, task in lost:
-            if task.suspicion.proved and not job.state.final:
+            if job.state.final:
+                continue
+            if task.suspicion.is_proved(self.crashes.get_doubt(job.submission.job_id)):
                 self._give_up(job, task)
         return len(lost)
 
@@ -352,7 +364,7 @@
         )
 
     @staticmethod
-    def _suspect(tasks: t.Sequence[Task], crashed: bool) -> None:
+    def _suspect(tasks: t.Sequence[Task], crashed: bool, heard_ms: float) -> None:
         """Count the runs that were lost with a worker as tried.
 
         Released as if they had never been started, they would be started without end.
@@ -360,9 +372,15 @@
         :param tasks: the tasks.
         :param crashed: whether the worker crashed; one that is only cut off ends its
             runs, too, but none of them is to blame.
+        :param heard_ms: latest reading of the worker's clock: what it had started
+            before had not crashed it by then, listed or not.
         """
         runs = [
-            LostRun(task.task_id.job_id, task.confirmed_at is not None, task.listed_ms)
+            LostRun(
+                task.task_id.job_id,
+                task.confirmed_at is not None,
+                task.measure_stand_ms(heard_ms),
+            )
             for task in tasks
         ]
         blames = weigh_blame(runs) if crashed else [0] * len(runs)
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -3,12 +3,15 @@
 import attrs
 import pytest
 
+from onyxgap.jobs.crashes import DOUBT_S
 from onyxgap.jobs.crashes import LATE_BLAME
+from onyxgap.jobs.crashes import MOST_DOUBT
 from onyxgap.jobs.crashes import NO_SUSPICION
 from onyxgap.jobs.crashes import PROOF_MS
 from onyxgap.jobs.crashes import SETTLED_MS
 from onyxgap.jobs.crashes import YOUNG_BLAME
 from onyxgap.jobs.crashes import Care
+from onyxgap.jobs.crashes import CrashLog
 from onyxgap.jobs.crashes import LostRun
 from onyxgap.jobs.crashes import weigh_blame
 from onyxgap.jobs.encoding import encode_progress
@@ -53,15 +56,15 @@
 
 def test_task_is_given_up_after_two_crashes_with_nobody_else_to_blame() -> None:
     once = NO_SUSPICION.add_loss(True).add_loss(True, YOUNG_BLAME)
-    assert not once.proved
-    assert once.add_loss(True, YOUNG_BLAME).proved
+    assert not once.is_proved()
+    assert once.add_loss(True, YOUNG_BLAME).is_proved()
 
 
 def test_task_is_given_up_by_its_fifth_start_if_confirmations_get_lost() -> None:
     # others to blame, then two crashes of which one start had no answer
     suspicion = NO_SUSPICION.add_loss(True).add_loss(True).add_loss(True, YOUNG_BLAME)
-    assert not suspicion.proved
-    assert suspicion.add_loss(True).proved
+    assert not suspicion.is_proved()
+    assert suspicion.add_loss(True).is_proved()
 
 
 def test_task_that_crashes_its_workers_late_is_given_up_by_its_seventh_start() -> None:
@@ -69,9 +72,9 @@
     suspicion = NO_SUSPICION.add_loss(False).add_loss(False).add_loss(False)
     assert suspicion.care is Care.ALONE
     for _ in range(4):
-        assert not suspicion.proved
+        assert not suspicion.is_proved()
         suspicion = suspicion.add_loss(False, LATE_BLAME)
-    assert suspicion.proved
+    assert suspicion.is_proved()
 
 
 def test_bystander_is_never_given_up() -> None:
@@ -79,7 +82,7 @@
     for _ in range(20):
         suspicion = suspicion.add_loss(False)
     # not even if a worker crashes by itself just after its start
-    assert not suspicion.add_loss(True, YOUNG_BLAME).proved
+    assert not suspicion.add_loss(True, YOUNG_BLAME).is_proved()
 
 
 @pytest.fixture
@@ -197,7 +200,7 @@
     bench: Bench,
 ) -> None:
     for name in ("w2", "w3"):
-        bench.shard.end_worker(name, "its VM is down")
+        bench.shard.end_worker(name, "its VM is down", bench.now)
     bench.add_job(Step(1, cpu=1000, long_running=True), job_id="b" * 16)
     bench.start_all()
     job = bench.add_job(Step(1, cpu=1000))
@@ -223,3 +226,33 @@
         crash(bench, order.worker_id)
         bench.add_worker(f"{order.worker_id}x")
     assert job.state is JobState.RUNNING
+
+
+def test_crashes_without_a_task_ask_for_more_crashes_with_it() -> None:
+    log = CrashLog()
+    for moment in range(4):
+        log.note(["other"], float(moment))
+    log.note(["blamed"], 4.0)
+    doubt = log.get_doubt("blamed")
+    assert doubt == MOST_DOUBT
+    suspicion = NO_SUSPICION.add_loss(True, YOUNG_BLAME).add_loss(True, YOUNG_BLAME)
+    assert suspicion.is_proved()
+    for _ in range(MOST_DOUBT):
+        assert not suspicion.is_proved(doubt)
+        suspicion = suspicion.add_loss(True, YOUNG_BLAME)
+    assert suspicion.is_proved(doubt)
+
+
+def test_crashes_of_long_ago_speak_for_nobody() -> None:
+    log = CrashLog()
+    for moment in range(4):
+        log.note(["other"], float(moment))
+    log.note(["blamed"], 4.0 + DOUBT_S)
+    assert log.get_doubt("blamed") == 0
+
+
+def test_crashes_with_the_task_speak_against_it() -> None:
+    log = CrashLog()
+    for moment in range(6):
+        log.note(["blamed", "other"], float(moment))
+    assert log.get_doubt("blamed") == 0
--- a/tests/test_lost_runs.py
+++ b/tests/test_lost_runs.py
@@ -26,7 +26,7 @@
     bench.add_job(Step(1, cpu=1000), job_id="c" * 16)
     (unsent,) = bench.plan()
     with structlog.testing.capture_logs() as lines:
-        bench.shard.end_worker("w1", "its VM is down")
+        bench.shard.end_worker("w1", "its VM is down", bench.now)
     (line,) = [line for line in lines if line["event"] == "runs lost"]
     assert (line["worker"], line["epoch"]) == ("w1", 3)
     assert line["runs"] == [
