Order a full pool by learned run times, use to callers and shares of tenants

Cause: jobs stood in one line by the latest start that their declared run times allow. In a full pool each was started at the last moment and ended a little late; late ones, the oldest first, went before others whose result was still of use; and a tenant's flood stood in the same line. Rates by shard marked none of it: each shard grants the whole weight and five seconds of it at once.

Change, where settings list the part pressure: run times are learned by queue, a job stands as in time, of use or of no use, and tenants share the pool and what they hold elsewhere by weight (dominant resource fairness decides who is within, urgency orders those). Rates are not used there.

--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -230,6 +230,7 @@
             self.routes.is_guarded,
             self.routes if self.routes.keyed else None,
             self.adviser,
+            self.settings.contended,
         )
         owner = ShardOwner(writer, context)
         self.owners[shard] = owner
--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -18,7 +18,9 @@
 from ..jobs.holds import choose_hold_pause
 from ..jobs.holds import choose_hold_wait
 from ..jobs.messages import WorkerEntry
+from ..jobs.priorities import LearnedForecast
 from ..jobs.rates import TenantRates
+from ..jobs.run_times import RunTimes
 from ..jobs.settings import TimeLimits
 from ..jobs.shard import Shard
 from ..jobs.share_book import ShareBook
@@ -88,6 +90,7 @@
     :param is_guarded: tells whether the workers of a service refuse what does not fit.
     :param tenants: bounds of tenants; ``None`` where there are none.
     :param adviser: the policy service, ``None`` where there is none.
+    :param contended: whether callers may ask for more than there is room for.
     """
 
     store: Store
@@ -102,6 +105,7 @@
     is_guarded: t.Callable[[str], bool]
     tenants: TenantBounds | None = None
     adviser: Adviser | None = None
+    contended: bool = False
 
 
 @attrs.define(eq=False)
@@ -125,10 +129,16 @@
     def __attrs_post_init__(self) -> None:
         self.state = Shard(self.shard, self.epoch, self._now())
         context = self.context
+        if context.contended:
+            self.state.run_times = RunTimes()
+            self.state.forecast = LearnedForecast(self.state.run_times)
         if context.tenants is not None:
             book = ShareBook(self.shard, self.epoch, context.tenants.find_cap)
             self.state.shares = book
-            self.state.rates = TenantRates(context.tenants.find_weight)
+            if context.contended:
+                self.state.find_weight = context.tenants.find_weight
+            else:
+                self.state.rates = TenantRates(context.tenants.find_weight)
             self.keeper = ShareKeeper(book, context.store, context.rng, self.wake)
 
     def _now(self) -> float:
--- a/src/onyxgap/jobs/ready.py
+++ b/src/onyxgap/jobs/ready.py
@@ -9,6 +9,7 @@
 from .crashes import NO_SUSPICION
 from .job import Job
 from .job import Task
+from .priorities import Standing
 from .priorities import Urgency
 
 
@@ -20,18 +21,27 @@
     :param job: their job.
     :param step: number of the step.
     :param tasks: the waiting tasks.
+    :param beyond: whether they lie beyond their tenant's share of the pool.
     """
 
     urgency: Urgency
     job: Job
     step: int
     tasks: list[Task]
+    beyond: bool = False
 
-    def get_rank(self) -> tuple[bool, bool, Urgency]:
+    def get_rank(self) -> tuple[bool, Standing, bool, bool, Urgency]:
         """Give the sort key: jobs beyond their tenants' rates last, suspects first.
 
         Suspects are few, and each needs a worker on which nothing else starts. Late
-        ones would take room from jobs that can still be in time.
+        ones would take room from jobs that can still be in time. A job that can be in
+        time goes before a late one, whose tenant has lost most of it already.
         """
         suspect = any(task.suspicion is not NO_SUSPICION for task in self.tasks)
-        return self.job.beyond, not suspect or self.urgency.late, self.urgency
+        return (
+            self.job.beyond,
+            self.urgency.standing,
+            self.beyond,
+            not suspect or self.urgency.late,
+            self.urgency,
+        )
--- a/src/onyxgap/jobs/settings.py
+++ b/src/onyxgap/jobs/settings.py
@@ -50,6 +50,8 @@
     :param advice: ``host:port`` of the policy service, ``-`` where there is none.
     :param peer_ports: first and last port for other nodes.
     :param keyed: whether calls need a tenant's key, but on open queues.
+    :param contended: whether callers may ask for more than there is room for, and the
+        node is to weigh them against each other.
     :param limits: time limits of the deployment.
     """
 
@@ -62,4 +64,5 @@
     advice: str = "-"
     peer_ports: tuple[int, int] = (0, 0)
     keyed: bool = False
+    contended: bool = False
     limits: TimeLimits = attrs.field(factory=TimeLimits)
--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -9,9 +9,13 @@
 import attrs
 import structlog
 
+from .amounts import NOTHING
+from .amounts import Amount
 from .amounts import measure_task
 from .candidates import PlanRoom
 from .crashes import Care
+from .fair_shares import PoolDemand
+from .fair_shares import mark_beyond
 from .job import Job
 from .job import Task
 from .job import TaskPhase
@@ -45,9 +49,14 @@
     """State of one shard under its owner, and what to start and stop next.
 
     :param shares: its shares of tenants' caps; ``None`` where there are no tenants.
+    :param find_weight: gives a tenant's weight where tenants share the room by weight;
+        ``None`` where all stand in one line.
+    :param beyond: steps that stood beyond their tenants' shares in the last plan.
     """
 
     shares: ShareBook | None = None
+    find_weight: t.Callable[[str], float] | None = None
+    beyond: int = 0
 
     def plan(self, now: float, wall_ms: float) -> list[StartOrder]:
         """Choose what to start; records each choice as an intent.
@@ -63,10 +72,11 @@
             record.reserved = False
         opened = [item for item in self.workers.values() if item.is_open(now)]
         room = PlanRoom(opened, now)
+        usage: t.Mapping[str, Amount] = {}
         if self.shares is not None:
             usage = measure_usage(self.workers.values(), self.jobs)
             self.shares.open_plan(usage)
-        for ready in self._list_ready(now, wall_ms):
+        for ready in self._order_ready(now, wall_ms, usage):
             if ready.job.submission.steps[ready.step].gang:
                 placed = self._place_gang(ready, now)
             else:
@@ -115,7 +125,8 @@
             workers=sorted({order.worker_id for order in placed}),
             late=ready.urgency.late,
             tenant=job.submission.tenant,
-            beyond=job.beyond,
+            standing=ready.urgency.standing.name.lower(),
+            beyond=job.beyond or ready.beyond,
             capped_s=None if job.capped_at is None else round(now - job.capped_at, 3),
             waited_s=round(now - job.seen_at, 3),
             report_age_s=round(max(ages_s, default=0.0), 3),
@@ -123,6 +134,30 @@
         )
         job.capped_at = None
 
+    def _order_ready(
+        self, now: float, wall_ms: float, usage: t.Mapping[str, Amount]
+    ) -> list[Ready]:
+        """List what may start, in the order in which it gets room."""
+        found = self._list_ready(now, wall_ms)
+        found.sort(key=Ready.get_rank)
+        self.beyond = 0
+        if self.find_weight is not None and self.shares is not None:
+            elsewhere = self.shares.measure_elsewhere()
+            demand = PoolDemand(self._measure_offer(), usage, elsewhere)
+            self.beyond = mark_beyond(found, demand, self.find_weight)
+            if self.beyond:
+                found.sort(key=Ready.get_rank)
+        return found
+
+    def _measure_offer(self) -> Amount:
+        """Measure what the workers offer that may run tasks, used or not."""
+        offer = NOTHING
+        for record in self.workers.values():
+            if record.held and record.registered and not record.cordoned:
+                entry = record.entry
+                offer += Amount(entry.cpu, entry.memory_mb, entry.accelerators)
+        return offer
+
     def _list_ready(self, now: float, wall_ms: float) -> list[Ready]:
         found = []
         for job in self.jobs.values():
@@ -137,9 +172,8 @@
                     if task.phase is TaskPhase.WAITING and now >= task.not_before
                 ]
                 if tasks:
-                    urgency = rate_urgency(job, number, now)
+                    urgency = rate_urgency(job, number, now, self.forecast)
                     found.append(Ready(urgency, job, number, tasks))
-        found.sort(key=Ready.get_rank)
         return found
 
     def _place_tasks(
--- a/src/onyxgap/jobs/shard_jobs.py
+++ b/src/onyxgap/jobs/shard_jobs.py
@@ -18,8 +18,11 @@
 from .messages import WorkerState
 from .placing import Group
 from .placing import WorkerRecord
+from .priorities import DECLARED
+from .priorities import Forecast
 from .priorities import get_objective
 from .rates import TenantRates
+from .run_times import RunTimes
 from .workers import MS
 from .workers import StopOrder
 
@@ -48,6 +51,8 @@
         without end where workers refuse what does not fit.
     :param rates: tells which jobs are within their tenants' rates; ``None`` where there
         are no tenants.
+    :param run_times: learns how long tasks run; ``None`` where declared times serve.
+    :param forecast: foresees what jobs can still be to their callers.
     """
 
     service: str
@@ -68,6 +73,8 @@
     offered: float = 0.0
     book: AdviceBook = attrs.field(factory=AdviceBook)
     rates: TenantRates | None = None
+    run_times: RunTimes | None = None
+    forecast: Forecast = DECLARED
     crashes: CrashLog = attrs.field(factory=CrashLog)
     strays: dict[tuple[str, TaskId, int], StopOrder] = attrs.field(factory=dict)
 
--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -26,6 +26,7 @@
 from .stragglers import choose_block
 from .stragglers import judge_pace
 from .stragglers import measure_ratio
+from .workers import MS
 from .workers import HoldReport
 from .workers import Reply
 from .workers import ReplyKind
@@ -194,6 +195,7 @@
         if (task.run, task.worker_id) != (end.run, worker_id):
             return False
         self._judge_worker(record, task, end.kind, now)
+        self._note_run_time(job, task, end.kind, now)
         if end.kind is not EndKind.DONE:
             _LOG.info(
                 "task ended",
@@ -227,6 +229,17 @@
             self.dirty.add(end.task.job_id)
         return True
 
+    def _note_run_time(self, job: Job, task: Task, kind: EndKind, now: float) -> None:
+        step = job.get_step(task)
+        whole = kind is EndKind.DONE and not step.long_running and not step.gang
+        # what resumed, or was started by an earlier owner, did not run in full here
+        if self.run_times is None or not whole or task.checkpoint:
+            return
+        if task.started_at:
+            took_ms = (now - task.started_at) * MS
+            queue = job.submission.policy.queue
+            self.run_times.note_end(queue, step.estimate_ms, took_ms)
+
     @staticmethod
     def _list_members(job: Job, task: Task) -> list[Task]:
         return job.list_siblings(task) if job.get_step(task).gang else [task]
--- a/src/onyxgap/jobs/shard_workers.py
+++ b/src/onyxgap/jobs/shard_workers.py
@@ -220,14 +220,13 @@
             if record.cordoned and record.held and not record.present
         }
 
-    @staticmethod
-    def _is_pressed(job: Job, step: int, now: float) -> bool:
+    def _is_pressed(self, job: Job, step: int, now: float) -> bool:
         """Tell whether a waiting step needs VMs that are not there yet.
 
         One that is late anyway is served by what is left, and one with time to spare
         by VMs that come free.
         """
-        urgency = rate_urgency(job, step, now)
+        urgency = rate_urgency(job, step, now, self.forecast)
         return not urgency.late and urgency.latest_start - now < PRESSED_S
 
     def miss_worker(self, worker_id: str) -> None:
--- a/src/onyxgap/jobs/share_book.py
+++ b/src/onyxgap/jobs/share_book.py
@@ -118,6 +118,17 @@
             if tenant not in self._writing and share.choose_entry() is not None
         ]
 
+    def measure_elsewhere(self) -> dict[str, Amount]:
+        """Measure what tenants hold of their caps in other shards, by their rows."""
+        held = {}
+        for tenant, (_, entries) in self.rows.items():
+            total = NOTHING
+            for shard, entry in entries.items():
+                if shard != self.shard:
+                    total += entry.share.get_smallest(entry.want)
+            held[tenant] = total
+        return held
+
     def list_waiting(self) -> list[str]:
         """List tenants that wait for a larger share."""
         return [
--- a/src/onyxgap/platform/settings.py
+++ b/src/onyxgap/platform/settings.py
@@ -15,6 +15,8 @@
 SUPPORTED_CONTROL = "invoke"
 TENANTS_CONTRACT = "tenants"
 """Part of the rules under which calls need a tenant's key."""
+CONTENTION_CONTRACT = "pressure"
+"""Part of the rules under which callers compete for room."""
 
 
 def _parse_lines(text: str) -> dict[str, str]:
@@ -92,6 +94,7 @@
     control = reader.read("control_mode", str, SUPPORTED_CONTROL)
     if control != SUPPORTED_CONTROL:
         reader.faults.append(Fault("control_mode", f"{control!r} is not supported"))
+    contracts = reader.read("contracts", _split, ())
     ports = reader.read("port_range", _parse_ports, (0, 0))
     settings = NodeSettings(
         node=reader.read("node", str),
@@ -102,7 +105,8 @@
         cloud=reader.read("cloud.address", str, "-"),
         advice=reader.read("advice", str, "-"),
         peer_ports=ports,
-        keyed=TENANTS_CONTRACT in reader.read("contracts", _split, ()),
+        keyed=TENANTS_CONTRACT in contracts,
+        contended=CONTENTION_CONTRACT in contracts,
         limits=_read_limits(reader),
     )
     for key in ("listen.front", "listen.ready"):
--- a/src/onyxgap/standins/emulator/script.py
+++ b/src/onyxgap/standins/emulator/script.py
@@ -152,11 +152,13 @@
     :param name: its name.
     :param nodes: number of nodes.
     :param call_cost_s: processor time that a call to a worker takes a node.
+    :param contended: whether nodes weigh callers against each other.
     """
 
     name: str
     nodes: int = 3
     call_cost_s: float = 0.0
+    contended: bool = False
     spare: int = 0
     turn_s: float = 0.0
     end_s: float = 40.0
@@ -261,9 +263,16 @@
     return read
 
 
+def _contend(script: Script, words: list[str]) -> None:
+    if words:
+        raise ValueError(f"unknown word {words[0]!r}")
+    script.contended = True
+
+
 _STATEMENTS: t.Mapping[str, t.Callable[[Script, list[str]], None]] = {
     "nodes": _read_number("nodes", int),
     "call-cost": _read_number("call_cost_s", float),
+    "contended": _contend,
     "spare": _read_number("spare", int),
     "turns": _read_number("turn_s", float),
     "end": _read_number("end_s", float),
--- a/src/onyxgap/standins/emulator/slots.py
+++ b/src/onyxgap/standins/emulator/slots.py
@@ -92,7 +92,13 @@
         client = EmulatedStoreClient(day.store, self.gate)
         address = Address()
         settings = NodeSettings(
-            self.name, "zone", address, address, "-", keyed=bool(day.script.tenants)
+            self.name,
+            "zone",
+            address,
+            address,
+            "-",
+            keyed=bool(day.script.tenants),
+            contended=day.script.contended,
         )
         self.node = Node(
             settings,
