Pass calls on to nodes that hear the store

Where settings list the part pressure, submissions, questions for states and cancels go to another node over a connection of its own, one frame each way; that node answers from the store and passes nothing on. A link that breaks midway has the job handed in again by a third node, and what an earlier try may have stored is never said not to run. While four nodes in a row cannot help, calls are refused at once.

--- a/src/onyxgap/daemons/desk.py
+++ b/src/onyxgap/daemons/desk.py
@@ -64,6 +64,7 @@
     :param owners: shards that this node owns.
     :param authentication: tells who calls.
     :param on_stored: tells a shard's owner that a row of its submissions was stored.
+    :param may_pass: tells whether another node is likelier to answer than the store is.
     :param on_answer: counts an answer: what was asked, outcome, seconds.
     """
 
@@ -75,6 +76,7 @@
     owners: dict[str, ShardOwner]
     authentication: Authentication
     on_stored: t.Callable[[str, str], None] = lambda *_: None
+    may_pass: t.Callable[[], bool] = lambda: False
     on_answer: t.Callable[[str, str, float], None] = lambda *_: None
     stopping: bool = False
     _final: dict[str, JobStatus] = attrs.field(factory=dict)
@@ -205,7 +207,7 @@
                     return outcome
             else:
                 uncertain = outcome
-            if self.clocks.read_monotonic() >= give_up:
+            if self.clocks.read_monotonic() >= give_up or self.may_pass():
                 return uncertain
             await anyio.sleep(SETTLE_PAUSE_S)
 
--- a/src/onyxgap/daemons/node_peers.py
+++ b/src/onyxgap/daemons/node_peers.py
@@ -56,10 +56,14 @@
             group.start_soon(self._register)
             group.start_soon(members.run)
             group.start_soon(self._hand_over_forever)
+            if self.passing is not None:
+                group.start_soon(self.calls.run, self.passing.answer)
 
     async def _register(self) -> None:
         row = tables.get_member_row(self.settings.node)
-        value = encode_member(Member(self.peers.get_address(), self.memory_mb))
+        call_address = self.calls.get_address() if self.passing is not None else ""
+        member = Member(self.peers.get_address(), self.memory_mb, call_address)
+        value = encode_member(member)
         outcome = await self.store.write(Batch({}, {row: value}))
         while not isinstance(outcome, Applied):
             await anyio.sleep(MEMBER_RETRY_S)
--- a/src/onyxgap/daemons/node_process.py
+++ b/src/onyxgap/daemons/node_process.py
@@ -7,6 +7,7 @@
 import anyio
 import structlog
 
+from ..adapters.call_link import StreamCallLink
 from ..adapters.http_server import HttpServer
 from ..adapters.notice_link import DatagramPeers
 from ..clocks import SystemClocks
@@ -15,6 +16,8 @@
 from ..jobs.health import WatchedStore
 from ..jobs.notices import NoPeers
 from ..jobs.notices import Peers
+from ..jobs.passing import CallLink
+from ..jobs.passing import NoCallLink
 from ..jobs.settings import NodeSettings
 from ..logs import BoundedLines
 from ..metrics import Metrics
@@ -62,6 +65,13 @@
     return DatagramPeers(Address(settings.front.host, port))
 
 
+def _build_call_link(settings: NodeSettings) -> CallLink:
+    first, last = settings.peer_ports
+    if not settings.contended or last <= first:
+        return NoCallLink()
+    return StreamCallLink(Address(settings.front.host, first + 1))
+
+
 def _measure_memory_mb() -> int:
     pages, size = os.sysconf("SC_PHYS_PAGES"), os.sysconf("SC_PAGE_SIZE")
     return pages * size // 2**20
@@ -89,6 +99,7 @@
         random.Random(os.urandom(8)),
         adviser=adviser,
         peers=_build_peers(settings),
+        calls=_build_call_link(settings),
         memory_mb=_measure_memory_mb(),
     )
 
@@ -144,9 +155,9 @@
     node = build_node(settings)
     render = build_metrics(node, lines).render
     _LOG.info("start", boot=node.boot, zone=settings.zone, store=settings.store)
-    callers = CallerApp(node.desk)
+    callers = CallerApp(node.front)
     front = HttpServer(callers, settings.front, CLOSE_LIMIT_S)
-    probes = ReadyApp(node.desk, render)
+    probes = ReadyApp(node.front, render)
     ready = HttpServer(probes, settings.ready, CLOSE_LIMIT_S)
     with anyio.open_signal_receiver(
         signal.SIGTERM, signal.SIGINT, signal.SIGHUP
--- a/src/onyxgap/daemons/node_view.py
+++ b/src/onyxgap/daemons/node_view.py
@@ -12,11 +12,15 @@
 from ..clocks import Clocks
 from ..exceptions import DocumentError
 from ..jobs.advice import Adviser
+from ..jobs.desk import Desk
 from ..jobs.health import StoreHealth
 from ..jobs.members import Member
 from ..jobs.notices import NoPeers
 from ..jobs.notices import Peers
 from ..jobs.ownership import OwnerView
+from ..jobs.passing import CallLink
+from ..jobs.passing import Helpers
+from ..jobs.passing import NoCallLink
 from ..jobs.routing import Configuration
 from ..jobs.routing import RouteTable
 from ..jobs.settings import NodeSettings
@@ -36,6 +40,7 @@
 from .lag import LoopLag
 from .owner import ShardOwner
 from .owner_workers import DecodeWorker
+from .passing_desk import PassingDesk
 
 _LOG = structlog.get_logger()
 
@@ -78,6 +83,7 @@
     :param rng: spreads retries.
     :param adviser: the policy service, ``None`` where there is none.
     :param peers: other nodes.
+    :param calls: carries calls that nodes pass on to each other.
     :param build_sizer: builds what chooses the sizes of pools.
     :param memory_mb: memory of the VM in MB, 0 where it is not known.
     :param boot: unique id of the process.
@@ -93,6 +99,7 @@
     rng: random.Random
     adviser: Adviser | None = None
     peers: Peers = attrs.field(factory=NoPeers)
+    calls: CallLink = attrs.field(factory=NoCallLink)
     build_sizer: t.Callable[[], Sizer] = PoolSizer
     memory_mb: int = 0
     boot: str = attrs.field(factory=lambda: uuid.uuid4().hex[:12])
@@ -102,8 +109,10 @@
     waves: dict[int, Wave] = attrs.field(factory=dict)
     members: dict[str, Member] = attrs.field(factory=dict)
     holder: FleetHolder | None = None
+    passing: PassingDesk | None = None
     exchange: ConfigurationExchange = attrs.field(init=False)
     desk: NodeDesk = attrs.field(init=False)
+    front: Desk = attrs.field(init=False)
     lag: LoopLag = attrs.field(init=False)
     _heard_since: float | None = None
     _heard_at: float = 0.0
@@ -133,6 +142,13 @@
             self.owners,
             Authentication(self.routes, self.exchange),
         )
+        self.front = self.desk
+        if self.settings.contended:
+            helpers = Helpers(self.settings.node, self.members, self.rng)
+            self.passing = PassingDesk(
+                self.desk, self.health, self.clocks, helpers, self.calls
+            )
+            self.front = self.passing
 
     def _follow_operator(self) -> Follower:
         return Follower(
--- a/src/onyxgap/jobs/health.py
+++ b/src/onyxgap/jobs/health.py
@@ -17,6 +17,8 @@
 
 OUTAGE_S = 0.6
 """Failing for this long counts as an outage: longer than a slow store's 300 ms."""
+SUSPECT_S = 0.1
+"""Failing for this long, other ways are tried; in calm a call takes some 5 ms."""
 LATENCY_WEIGHT = 0.5
 """Weight of the newest call: a store that turns slow is known after two looks."""
 
@@ -57,6 +59,10 @@
             self.failing_since = now
             _LOG.info("store call failed", reason=reason)
 
+    def is_suspect(self, now: float) -> bool:
+        """Tell whether calls fail, and another node may hear the store better."""
+        return self.failing_since is not None and now - self.failing_since >= SUSPECT_S
+
     def is_down(self, now: float) -> bool:
         """Tell whether calls fail without an answer between them."""
         return self.failing_since is not None and now - self.failing_since >= OUTAGE_S
--- a/src/onyxgap/jobs/members.py
+++ b/src/onyxgap/jobs/members.py
@@ -16,10 +16,12 @@
 
     :param address: ``host:port`` for notices, or empty.
     :param memory_mb: memory of its VM in MB, 0 where it is not known.
+    :param call_address: ``host:port`` for calls that others pass on, or empty.
     """
 
     address: str
     memory_mb: int = 0
+    call_address: str = ""
 
 
 def encode_member(member: Member) -> bytes:
@@ -31,7 +33,11 @@
     """Read a member's row; one that holds only the address is taken as well."""
     try:
         raw = orjson.loads(value)
-        return Member(str(raw["address"]), int(raw["memory_mb"]))
+        return Member(
+            str(raw["address"]),
+            int(raw["memory_mb"]),
+            str(raw.get("call_address", "")),
+        )
     except (ValueError, KeyError, TypeError):
         return Member(value.decode("ascii", "replace"))
 
--- a/src/onyxgap/standins/emulator/checks.py
+++ b/src/onyxgap/standins/emulator/checks.py
@@ -258,6 +258,8 @@
 
     :param accepted: jobs accepted.
     :param refused: jobs of which every try was refused or broken.
+    :param tries: tries to hand a job in.
+    :param failed_tries: those of them that were refused, uncertain or broken.
     :param cancelled: accepted jobs that their callers cancelled.
     :param in_time: jobs that ended within their objective.
     :param late: jobs that ended later.
@@ -270,6 +272,8 @@
 
     accepted: int
     refused: int
+    tries: int
+    failed_tries: int
     cancelled: int
     in_time: int
     late: int
@@ -292,6 +296,9 @@
         if notes.submission.steps[0].long_running:
             continue
         counts["accepted" if notes.accepted_at is not None else "refused"] += 1
+        counts["tries"] += len(notes.outcomes)
+        accepted = notes.outcomes.count(SubmitOutcome.ACCEPTED)
+        counts["failed_tries"] += len(notes.outcomes) - accepted
         counts["cancelled"] += notes.cancelled_at is not None
         final_at = notes.find_final_at()
         if final_at is not None and notes.cancelled_at is None:
@@ -308,6 +315,8 @@
     return Account(
         accepted=counts["accepted"],
         refused=counts["refused"],
+        tries=counts["tries"],
+        failed_tries=counts["failed_tries"],
         cancelled=counts["cancelled"],
         in_time=counts["in_time"],
         late=counts["late"],
--- a/src/onyxgap/standins/emulator/peers.py
+++ b/src/onyxgap/standins/emulator/peers.py
@@ -1,6 +1,7 @@
 """Notices between emulated nodes: delayed, and lost where the script says so."""
 
 import random
+import typing as t
 
 import anyio
 import anyio.abc
@@ -8,9 +9,13 @@
 
 from ...jobs.notices import Notice
 from ...jobs.notices import OnNotice
+from ...jobs.passing import PassedAnswer
+from ...jobs.passing import PassedCall
+from ...jobs.passing import PassFailure
 from .gate import NodeGate
 
 DELAY_S = 0.002
+Answer = t.Callable[[PassedCall], t.Awaitable[PassedAnswer]]
 
 
 @attrs.define(eq=False)
@@ -19,13 +24,14 @@
 
     :param group: runs deliveries.
     :param rng: draws losses.
-    :param lose_share: share of the notices that get lost.
+    :param lose_share: share of the notices, and of answers to calls, that get lost.
     """
 
     group: anyio.abc.TaskGroup
     rng: random.Random
     lose_share: float = 0.0
     receivers: dict[str, tuple[NodeGate, OnNotice]] = attrs.field(factory=dict)
+    answering: dict[str, tuple[NodeGate, Answer]] = attrs.field(factory=dict)
 
     async def deliver(self, address: str, notice: Notice) -> None:
         """Deliver a notice after a delay, if its receiver runs."""
@@ -66,3 +72,52 @@
         """Take in notices until cancelled."""
         self.network.receivers[self.node] = (self.gate, on_notice)
         await anyio.sleep_forever()
+
+
+@attrs.define(eq=False)
+class EmulatedCallLink:
+    """Calls that one node passes on, and those that it answers.
+
+    :param node: name of the node, which is its address, too.
+    :param network: carries the calls.
+    :param gate: freezes and cuts of the node.
+    """
+
+    node: str
+    network: EmulatedNetwork
+    gate: NodeGate
+
+    def get_address(self) -> str:
+        """Give the address under which others pass calls on."""
+        return self.node
+
+    async def ask(
+        self, address: str, call: PassedCall, timeout_s: float
+    ) -> PassedAnswer | PassFailure:
+        """Pass a call on to one node."""
+        found = self.network.answering.get(address)
+        if found is None or "peers" in self.gate.cut_from:
+            await anyio.sleep(DELAY_S)
+            return PassFailure.NOT_SENT
+        gate, answer = found
+        lose_share = self.network.lose_share
+        with anyio.move_on_after(timeout_s):
+            await anyio.sleep(2 * DELAY_S)
+            await gate.pass_through()
+            answered = await answer(call)
+            await gate.pass_through()
+            await anyio.sleep(DELAY_S)
+            lost = bool(lose_share) and self.network.rng.random() < lose_share
+            if self.network.answering.get(address) == found and not lost:
+                return answered
+        return PassFailure.NO_ANSWER
+
+    async def run(self, answer: Answer) -> None:
+        """Answer the calls of others until cancelled."""
+        entry = (self.gate, answer)
+        self.network.answering[self.node] = entry
+        try:
+            await anyio.sleep_forever()
+        finally:
+            if self.network.answering.get(self.node) is entry:
+                del self.network.answering[self.node]
--- a/src/onyxgap/standins/emulator/slots.py
+++ b/src/onyxgap/standins/emulator/slots.py
@@ -23,6 +23,7 @@
 from .cloud import EmulatedCloud
 from .cloud import EmulatedCloudClient
 from .gate import NodeGate
+from .peers import EmulatedCallLink
 from .peers import EmulatedNetwork
 from .peers import EmulatedPeers
 from .rows import DECODERS
@@ -110,6 +111,7 @@
             clocks,
             random.Random(day.rng.random()),
             peers=EmulatedPeers(self.name, day.network, self.gate),
+            calls=EmulatedCallLink(self.name, day.network, self.gate),
             build_sizer=day.build_sizer,
             boot=f"{day.rng.getrandbits(48):012x}",
         )
@@ -141,7 +143,7 @@
         if isinstance(caller, KeyFault):
             return caller
         owned = attrs.evolve(submission, tenant=caller.tenant)
-        result = await node.desk.submit(owned)
+        result = await node.front.submit(owned)
         return result.outcome if self.node is node else None
 
     @staticmethod
@@ -160,7 +162,7 @@
         caller = await self._identify(node, route, job_id, key)
         if not isinstance(caller, Caller):
             return caller
-        state = await node.desk.get_state(route, job_id, caller)
+        state = await node.front.get_state(route, job_id, caller)
         return state if self.node is node else Unavailable.STORE
 
     async def cancel(self, route: Route, job_id: str, key: str) -> t.Any:
@@ -172,5 +174,5 @@
         caller = await self._identify(node, route, job_id, key)
         if not isinstance(caller, Caller):
             return caller
-        known = await node.desk.cancel(route, job_id, caller)
+        known = await node.front.cancel(route, job_id, caller)
         return known if self.node is node else Unavailable.STORE
--- a/src/onyxgap/wire/peer.thrift
+++ b/src/onyxgap/wire/peer.thrift
@@ -76,6 +76,21 @@
   6: required binary content;           // keys of tenants are digests in it
 }
 
+struct PassedCall {
+  1: required string kind;              // submit, state or cancel
+  2: required string job_id;
+  3: required string tenant;            // of the caller, or empty
+  4: required string queue;
+  5: required string service_name;
+  6: required binary submission;        // as it would be stored, or empty
+}
+
+struct PassedAnswer {
+  1: required string outcome;           // of the kind of call, or unable
+  2: required string reason;
+  3: required i32 retry_after_s;
+}
+
 struct Frame {
   1: required string sender;
   2: optional Heartbeat heartbeat;
@@ -91,4 +106,6 @@
   12: optional list<HandOver> hand_overs;
   13: optional list<ConfigurationQuestion> questions;
   14: optional list<ConfigurationPart> parts;
+  15: optional PassedCall call;
+  16: optional PassedAnswer answer;
 }
--- a/src/onyxgap/wire/peer/ttypes.py
+++ b/src/onyxgap/wire/peer/ttypes.py
@@ -1237,6 +1237,244 @@
         return not (self == other)
 
 
+class PassedCall(object):
+    """
+    Attributes:
+     - kind
+     - job_id
+     - tenant
+     - queue
+     - service_name
+     - submission
+
+    """
+
+    __slots__ = (
+        'kind',
+        'job_id',
+        'tenant',
+        'queue',
+        'service_name',
+        'submission',
+    )
+
+
+    def __init__(self, kind=None, job_id=None, tenant=None, queue=None, service_name=None, submission=None,):
+        self.kind = kind
+        self.job_id = job_id
+        self.tenant = tenant
+        self.queue = queue
+        self.service_name = service_name
+        self.submission = submission
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.kind = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.job_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.tenant = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.queue = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.submission = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PassedCall')
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.STRING, 1)
+            oprot.writeString(self.kind.encode('utf-8') if sys.version_info[0] == 2 else self.kind)
+            oprot.writeFieldEnd()
+        if self.job_id is not None:
+            oprot.writeFieldBegin('job_id', TType.STRING, 2)
+            oprot.writeString(self.job_id.encode('utf-8') if sys.version_info[0] == 2 else self.job_id)
+            oprot.writeFieldEnd()
+        if self.tenant is not None:
+            oprot.writeFieldBegin('tenant', TType.STRING, 3)
+            oprot.writeString(self.tenant.encode('utf-8') if sys.version_info[0] == 2 else self.tenant)
+            oprot.writeFieldEnd()
+        if self.queue is not None:
+            oprot.writeFieldBegin('queue', TType.STRING, 4)
+            oprot.writeString(self.queue.encode('utf-8') if sys.version_info[0] == 2 else self.queue)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 5)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.submission is not None:
+            oprot.writeFieldBegin('submission', TType.STRING, 6)
+            oprot.writeBinary(self.submission)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.kind is None:
+            raise TProtocolException(message='Required field kind is unset!')
+        if self.job_id is None:
+            raise TProtocolException(message='Required field job_id is unset!')
+        if self.tenant is None:
+            raise TProtocolException(message='Required field tenant is unset!')
+        if self.queue is None:
+            raise TProtocolException(message='Required field queue is unset!')
+        if self.service_name is None:
+            raise TProtocolException(message='Required field service_name is unset!')
+        if self.submission is None:
+            raise TProtocolException(message='Required field submission is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PassedAnswer(object):
+    """
+    Attributes:
+     - outcome
+     - reason
+     - retry_after_s
+
+    """
+
+    __slots__ = (
+        'outcome',
+        'reason',
+        'retry_after_s',
+    )
+
+
+    def __init__(self, outcome=None, reason=None, retry_after_s=None,):
+        self.outcome = outcome
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.outcome = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.retry_after_s = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PassedAnswer')
+        if self.outcome is not None:
+            oprot.writeFieldBegin('outcome', TType.STRING, 1)
+            oprot.writeString(self.outcome.encode('utf-8') if sys.version_info[0] == 2 else self.outcome)
+            oprot.writeFieldEnd()
+        if self.reason is not None:
+            oprot.writeFieldBegin('reason', TType.STRING, 2)
+            oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
+            oprot.writeFieldEnd()
+        if self.retry_after_s is not None:
+            oprot.writeFieldBegin('retry_after_s', TType.I32, 3)
+            oprot.writeI32(self.retry_after_s)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.outcome is None:
+            raise TProtocolException(message='Required field outcome is unset!')
+        if self.reason is None:
+            raise TProtocolException(message='Required field reason is unset!')
+        if self.retry_after_s is None:
+            raise TProtocolException(message='Required field retry_after_s is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Frame(object):
     """
     Attributes:
@@ -1254,6 +1492,8 @@
      - hand_overs
      - questions
      - parts
+     - call
+     - answer
 
     """
 
@@ -1272,10 +1512,12 @@
         'hand_overs',
         'questions',
         'parts',
+        'call',
+        'answer',
     )
 
 
-    def __init__(self, sender=None, heartbeat=None, asks=None, grants=None, refusals=None, releases=None, held=None, pull=None, page=None, probe=None, jobs=None, hand_overs=None, questions=None, parts=None,):
+    def __init__(self, sender=None, heartbeat=None, asks=None, grants=None, refusals=None, releases=None, held=None, pull=None, page=None, probe=None, jobs=None, hand_overs=None, questions=None, parts=None, call=None, answer=None,):
         self.sender = sender
         self.heartbeat = heartbeat
         self.asks = asks
@@ -1290,6 +1532,8 @@
         self.hand_overs = hand_overs
         self.questions = questions
         self.parts = parts
+        self.call = call
+        self.answer = answer
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1427,6 +1671,18 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.STRUCT:
+                    self.call = PassedCall()
+                    self.call.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.STRUCT:
+                    self.answer = PassedAnswer()
+                    self.answer.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1520,6 +1776,14 @@
                 iter85.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.call is not None:
+            oprot.writeFieldBegin('call', TType.STRUCT, 15)
+            self.call.write(oprot)
+            oprot.writeFieldEnd()
+        if self.answer is not None:
+            oprot.writeFieldBegin('answer', TType.STRUCT, 16)
+            self.answer.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1631,6 +1895,23 @@
     (5, TType.I32, 'parts', None, None, ),  # 5
     (6, TType.STRING, 'content', 'BINARY', None, ),  # 6
 )
+all_structs.append(PassedCall)
+PassedCall.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'kind', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'job_id', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'tenant', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'queue', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'service_name', 'UTF8', None, ),  # 5
+    (6, TType.STRING, 'submission', 'BINARY', None, ),  # 6
+)
+all_structs.append(PassedAnswer)
+PassedAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'outcome', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'reason', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'retry_after_s', None, None, ),  # 3
+)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -1648,6 +1929,8 @@
     (12, TType.LIST, 'hand_overs', (TType.STRUCT, [HandOver, None], False), None, ),  # 12
     (13, TType.LIST, 'questions', (TType.STRUCT, [ConfigurationQuestion, None], False), None, ),  # 13
     (14, TType.LIST, 'parts', (TType.STRUCT, [ConfigurationPart, None], False), None, ),  # 14
+    (15, TType.STRUCT, 'call', [PassedCall, None], None, ),  # 15
+    (16, TType.STRUCT, 'answer', [PassedAnswer, None], None, ),  # 16
 )
 fix_spec(all_structs)
 del all_structs
--- /dev/null
+++ b/tests/test_passing.py
@@ -0,0 +1,189 @@
+"""Calls that are passed on while the store turns some nodes away."""
+
+import random
+import typing as t
+
+import anyio
+import attrs
+import pytest
+
+from onyxgap.adapters.call_link import StreamCallLink
+from onyxgap.adapters.call_link import decode_answer
+from onyxgap.adapters.call_link import decode_call
+from onyxgap.adapters.call_link import encode_answer
+from onyxgap.adapters.call_link import encode_call
+from onyxgap.exceptions import FrameError
+from onyxgap.jobs.desk import SubmitOutcome
+from onyxgap.jobs.members import Member
+from onyxgap.jobs.passing import HOPELESS
+from onyxgap.jobs.passing import MOST_TRIES
+from onyxgap.jobs.passing import UNABLE
+from onyxgap.jobs.passing import UNABLE_S
+from onyxgap.jobs.passing import CallKind
+from onyxgap.jobs.passing import Helpers
+from onyxgap.jobs.passing import PassedAnswer
+from onyxgap.jobs.passing import PassedCall
+from onyxgap.jobs.passing import PassFailure
+from onyxgap.jobs.passing import join_outcomes
+from onyxgap.settings import Address
+from onyxgap.wire.frames import LENGTH_BYTES
+from onyxgap.wire.frames import decode_frame
+from onyxgap.wire.peer import ttypes
+from tests.emulated import extend_day
+from tests.emulated import play
+from tests.ports import find_port
+
+CALL = PassedCall(CallKind.SUBMIT, "a" * 16, "north", "q", "s", b"body")
+
+
+def build_helpers(count: int) -> Helpers:
+    members = {f"n{number}": Member("", 0, f"n{number}:1") for number in range(count)}
+    members["old"] = Member("old:1")
+    return Helpers("n0", members, random.Random(1))
+
+
+def test_calls_are_spread_over_all_others() -> None:
+    helpers = build_helpers(12)
+    asked = {address for _ in range(200) for address in helpers.choose(10.0)}
+    assert asked == {f"n{number}:1" for number in range(1, 12)}
+    assert len(helpers.choose(10.0)) == MOST_TRIES
+
+
+def test_node_that_could_not_help_is_left_out_for_a_while() -> None:
+    helpers = build_helpers(3)
+    helpers.note_unable("n1:1", 10.0)
+    assert helpers.choose(10.0) == ["n2:1"]
+    assert sorted(helpers.choose(10.0 + UNABLE_S)) == ["n1:1", "n2:1"]
+
+
+def test_nobody_is_asked_while_the_store_is_away_from_all() -> None:
+    helpers = build_helpers(40)
+    for number in range(1, HOPELESS + 1):
+        assert helpers.choose(10.0)
+        helpers.note_unable(f"n{number}:1", 10.0)
+    assert helpers.choose(10.0) == []
+    # one that is still unable suffices then
+    assert helpers.choose(10.0 + UNABLE_S)
+    helpers.note_unable("n9:1", 10.0 + UNABLE_S)
+    assert helpers.choose(10.0 + UNABLE_S) == []
+    assert helpers.choose(10.0 + 2 * UNABLE_S)
+    helpers.note_able("n10:1")
+    helpers.note_unable("n9:1", 20.0)
+    assert helpers.choose(20.0)
+
+
+@pytest.mark.parametrize(
+    ("earlier", "later", "joined"),
+    [
+        (SubmitOutcome.REFUSED, SubmitOutcome.REFUSED, SubmitOutcome.REFUSED),
+        (SubmitOutcome.REFUSED, SubmitOutcome.ACCEPTED, SubmitOutcome.ACCEPTED),
+        # what an earlier try may have stored is never said not to run
+        (SubmitOutcome.UNKNOWN, SubmitOutcome.REFUSED, SubmitOutcome.UNKNOWN),
+        (SubmitOutcome.UNKNOWN, SubmitOutcome.ABOVE_CAP, SubmitOutcome.UNKNOWN),
+        (SubmitOutcome.UNKNOWN, SubmitOutcome.ACCEPTED, SubmitOutcome.ACCEPTED),
+        (SubmitOutcome.REFUSED, SubmitOutcome.UNKNOWN, SubmitOutcome.UNKNOWN),
+    ],
+)
+def test_refusal_holds_only_where_nothing_can_be_stored(
+    earlier: SubmitOutcome, later: SubmitOutcome, joined: SubmitOutcome
+) -> None:
+    assert join_outcomes(earlier, later) is joined
+
+
+def test_call_and_answer_survive_their_encoding() -> None:
+    frame = decode_frame(encode_call("n0:1", CALL)[LENGTH_BYTES:])
+    assert decode_call(frame) == CALL
+    answer = PassedAnswer("accepted", "known", 3)
+    frame = decode_frame(encode_answer("n0:1", answer)[LENGTH_BYTES:])
+    assert decode_answer(frame) == answer
+
+
+def test_frames_of_another_kind_are_refused() -> None:
+    with pytest.raises(FrameError):
+        decode_call(ttypes.Frame(sender="n0:1"))
+    with pytest.raises(FrameError):
+        decode_answer(ttypes.Frame(sender="n0:1"))
+    odd = ttypes.PassedCall("burn", "a", "", "q", "s", b"")
+    with pytest.raises(FrameError):
+        decode_call(ttypes.Frame(sender="n0:1", call=odd))
+
+
+async def ask_over_loopback(
+    port: int, answer: t.Callable[[PassedCall], t.Awaitable[PassedAnswer]]
+) -> PassedAnswer | PassFailure:
+    server = StreamCallLink(Address("127.0.0.1", port))
+    client = StreamCallLink(Address("127.0.0.1", 0))
+    async with anyio.create_task_group() as group:
+        group.start_soon(server.run, answer)
+        await anyio.sleep(0.05)
+        found = await client.ask(f"127.0.0.1:{port}", CALL, 1.0)
+        group.cancel_scope.cancel()
+    return found
+
+
+@attrs.define
+class Answering:
+    """Answers as told, and notes what it was asked."""
+
+    answer: PassedAnswer | None
+    asked: list[PassedCall] = attrs.field(factory=list)
+
+    async def __call__(self, call: PassedCall) -> PassedAnswer:
+        self.asked.append(call)
+        if self.answer is None:
+            await anyio.sleep(2.0)
+        return self.answer or PassedAnswer(UNABLE)
+
+
+def test_call_goes_over_a_connection() -> None:
+    answering = Answering(PassedAnswer("accepted"))
+    found = anyio.run(ask_over_loopback, find_port(), answering)
+    assert found == PassedAnswer("accepted")
+    assert answering.asked == [CALL]
+
+
+def test_answer_that_does_not_come_leaves_the_call_uncertain() -> None:
+    found = anyio.run(ask_over_loopback, find_port(), Answering(None))
+    assert found is PassFailure.NO_ANSWER
+
+
+def test_node_that_does_not_listen_was_sent_nothing() -> None:
+    async def ask() -> PassedAnswer | PassFailure:
+        link = StreamCallLink(Address("127.0.0.1", 0))
+        return await link.ask(f"127.0.0.1:{find_port()}", CALL, 1.0)
+
+    assert anyio.run(ask) is PassFailure.NOT_SENT
+
+
+DAYS = {
+    "a third turned away": "at 4 refuse node for 9 by 0.34",
+    "half turned away": "at 4 refuse node for 6 by 0.5",
+    "an owner cut off": "at 5 cut owner ring for 6",
+    "all without the store": "at 5 down store for 3",
+    "turned away as answers get lost": (
+        "at 4 refuse node for 9 by 0.34\nat 5 lose store for 5 by 0.3"
+    ),
+    "turned away as the helpers are killed": (
+        "at 4 refuse node for 9 by 0.34\nat 6 kill node for 1\nat 8 kill node for 1"
+    ),
+}
+
+
+@pytest.mark.parametrize("name", DAYS)
+def test_rules_hold_where_calls_are_passed_on(name: str) -> None:
+    for seed in (1, 2):
+        day = extend_day("tenants", "contended", DAYS[name])
+        assert play(day, seed).breaches == []
+
+
+def measure_failed_tries(*statements: str) -> float:
+    """Measure the share of tries to hand a job in that fail, over three seeds."""
+    days = [play(extend_day("short", *statements), seed) for seed in (1, 2, 3)]
+    failed = sum(day.account.failed_tries for day in days)
+    return failed / sum(day.account.tries for day in days)
+
+
+def test_few_calls_are_refused_where_a_third_of_the_nodes_is_turned_away() -> None:
+    fault = "at 4 refuse node for 9 by 0.34"
+    assert measure_failed_tries(fault) > 0.02
+    assert measure_failed_tries("contended", fault) <= 0.02
