--- a/src/onyxgap/daemons/node_view.py
+++ b/src/onyxgap/daemons/node_view.py
@@ -144,7 +144,7 @@
         )
         self.front = self.desk
         if self.settings.contended:
-            helpers = Helpers(self.settings.node, self.members, self.rng)
+            helpers = Helpers(self.settings.node, self.members, self.rng.sample)
             self.passing = PassingDesk(
                 self.desk, self.health, self.clocks, helpers, self.calls
             )
--- a/src/onyxgap/jobs/passing.py
+++ b/src/onyxgap/jobs/passing.py
@@ -7,7 +7,6 @@
 
 import enum
 import math
-import random
 import typing as t
 
 import attrs
@@ -121,12 +120,12 @@
 
     :param node: name of this node.
     :param members: all nodes.
-    :param rng: spreads the calls over them.
+    :param draw: draws some of several addresses, to spread the calls over them.
     """
 
     node: str
     members: t.Mapping[str, Member]
-    rng: random.Random
+    draw: t.Callable[[t.Sequence[str], int], list[str]]
     _unable_until: dict[str, float] = attrs.field(factory=dict)
     _in_a_row: int = 0
     _hopeless_until: float = -math.inf
@@ -146,7 +145,7 @@
             and member.call_address
             and self._unable_until.get(member.call_address, 0.0) <= now
         ]
-        return self.rng.sample(addresses, min(MOST_TRIES, len(addresses)))
+        return self.draw(addresses, min(MOST_TRIES, len(addresses)))
 
     def note_able(self, address: str) -> None:
         """Take in that a node answered."""
--- a/src/onyxgap/jobs/priorities.py
+++ b/src/onyxgap/jobs/priorities.py
@@ -16,6 +16,10 @@
 
 USE_FACTOR = 3.0
 """A result is of use to its caller up to this multiple of its objective."""
+PRESSED_S = 2.5
+"""A VM that is asked for serves 2.2 s later; tasks that can wait longer need none."""
+TOLD_S = 0.05
+"""Time until the end of a step is known and stored; a report and a transaction."""
 MS = 1000.0
 """Milliseconds in a second."""
 
@@ -48,7 +52,14 @@
 
 
 class Forecast(t.Protocol):
-    """Foresees what a job can still be."""
+    """Foresees what a job can still be, and which of them are worth further VMs."""
+
+    def is_worth_vms(self, urgency: Urgency, now: float) -> bool:
+        """Tell whether a waiting step should have VMs that are not there yet.
+
+        :param urgency: its rating.
+        :param now: monotonic seconds.
+        """
 
     def rate(self, job: Job, step: int, now: float) -> Urgency:
         """Rate a step that ends by itself and is ready to start.
@@ -59,26 +70,37 @@
         """
 
 
-def get_objective(job: Job) -> float:
+def get_objective(job: Job, factor: float = 1.0) -> float:
     """Give the monotonic second by which a job should have ended.
 
     :param job: the job.
+    :param factor: multiple of its declared run times that it takes.
     """
     policy = job.submission.policy
-    return job.seen_at + (policy.stretch * job.chain_ms + policy.slo_ms) / MS
+    return job.seen_at + (policy.stretch * factor * job.chain_ms + policy.slo_ms) / MS
 
 
-def get_use_end(job: Job) -> float:
+def get_use_end(job: Job, factor: float = 1.0) -> float:
     """Give the monotonic second after which a job's result is of no use.
 
     :param job: the job.
+    :param factor: multiple of its declared run times that it takes.
     """
-    return job.seen_at + USE_FACTOR * (get_objective(job) - job.seen_at)
+    return job.seen_at + USE_FACTOR * (get_objective(job, factor) - job.seen_at)
+
+
+def _is_pressed(urgency: Urgency, now: float) -> bool:
+    """Tell whether a step can be in time, but can't wait for VMs that come free."""
+    return not urgency.late and urgency.latest_start - now < PRESSED_S
 
 
 class DeclaredForecast:
     """Goes by declared run times; a job that is late stays of use."""
 
+    def is_worth_vms(self, urgency: Urgency, now: float) -> bool:
+        """Count what can be in time; what is late is served by what is left."""
+        return _is_pressed(urgency, now)
+
     def rate(self, job: Job, step: int, now: float) -> Urgency:
         """Rate a step; see :meth:`Forecast.rate`."""
         latest = get_objective(job) - job.tails_ms[step] / MS
@@ -90,28 +112,40 @@
 class LearnedForecast:
     """Goes by what tasks took; answers a queue that brings more than can be in time.
 
-    There each job is started as late as it may be, and ends late if its tasks take a
-    little longer than declared. Those that are late go on while they are of use, the
-    others take what is left.
+    There each job is started as late as it may be, and ends late where its orders wait
+    for the store or its ends are told late. Those that are late go on while they are of
+    use, the others take what is left. A job whose work takes longer than declared has a
+    later objective, too, which is a multiple of its work.
 
     :param run_times: what the shard's tasks took.
     """
 
     run_times: RunTimes
 
+    def is_worth_vms(self, urgency: Urgency, now: float) -> bool:
+        """Count what can be in time or of use.
+
+        Where callers compete, a backlog that asks for no VMs is never worked off while
+        another pool keeps those of its last turn.
+        """
+        return urgency.standing is Standing.OF_USE or _is_pressed(urgency, now)
+
     def rate(self, job: Job, step: int, now: float) -> Urgency:
         """Rate a step; see :meth:`Forecast.rate`."""
         policy = job.submission.policy
         width = job.submission.steps[step].count
         factor = self.run_times.get_factor(policy.queue, width)
+        steps_left = len(job.submission.steps) - step
         left_s = factor * job.tails_ms[step] / MS
+        left_s += steps_left * (self.run_times.lag_s + TOLD_S)
+        use_end = get_use_end(job, factor)
         for standing, end in (
-            (Standing.IN_TIME, get_objective(job)),
-            (Standing.OF_USE, get_use_end(job)),
+            (Standing.IN_TIME, get_objective(job, factor)),
+            (Standing.OF_USE, use_end),
         ):
             if now <= end - left_s:
                 return Urgency(standing, policy.priority, end - left_s)
-        return Urgency(Standing.NO_USE, policy.priority, get_use_end(job) - left_s)
+        return Urgency(Standing.NO_USE, policy.priority, use_end - left_s)
 
 
 DECLARED = DeclaredForecast()
--- a/src/onyxgap/jobs/run_times.py
+++ b/src/onyxgap/jobs/run_times.py
@@ -15,6 +15,8 @@
 its work shows soon, and enough for the quantiles of wide steps."""
 LEAST_ENDS = 40
 """Ends before which estimates are taken as they are."""
+LAG_WEIGHT = 0.05
+"""Weight of the newest start: a store that turns slow shows within some twenty."""
 LEAST_FACTOR = 0.25
 MOST_FACTOR = 4.0
 """Estimates are rough, but not of another kind; a few odd ends move nothing beyond."""
@@ -38,8 +40,12 @@
 
 @attrs.define
 class RunTimes:
-    """Run times of the tasks of each queue, as multiples of their estimates."""
+    """Run times of the tasks of each queue, as multiples of their estimates.
 
+    :param lag_s: smoothed time from the choice of a worker until the order is sent.
+    """
+
+    lag_s: float = 0.0
     _windows: dict[str, _Window] = attrs.field(factory=dict)
 
     def note_end(self, queue: str, estimate_ms: float, took_ms: float) -> None:
@@ -53,6 +59,13 @@
             window = self._windows.setdefault(queue, _Window())
             window.add(took_ms / estimate_ms)
 
+    def note_start(self, lag_s: float) -> None:
+        """Take in how long an order waited to be stored and sent.
+
+        :param lag_s: seconds since its worker was chosen.
+        """
+        self.lag_s += LAG_WEIGHT * (lag_s - self.lag_s)
+
     def get_factor(self, queue: str, width: int) -> float:
         """Give the multiple of its estimate that a step takes as often as not.
 
--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -337,6 +337,8 @@
             self._release(job, task)
             return None
         deadline_ms = record.clock.estimate(now) + START_WINDOW_MS
+        if self.run_times is not None:
+            self.run_times.note_start(now - task.started_at)
         task.started_at = now
         task.sent = True
         task.start_deadline_ms = deadline_ms
--- a/src/onyxgap/jobs/shard_workers.py
+++ b/src/onyxgap/jobs/shard_workers.py
@@ -35,9 +35,6 @@
 last lease that it gave lasts 5 s."""
 
 
-PRESSED_S = 2.5
-"""A VM that is asked for serves 2.2 s later; tasks that can wait longer need none."""
-
 _LOG = structlog.get_logger()
 
 
@@ -221,13 +218,9 @@
         }
 
     def _is_pressed(self, job: Job, step: int, now: float) -> bool:
-        """Tell whether a waiting step needs VMs that are not there yet.
-
-        One that is late anyway is served by what is left, and one with time to spare
-        by VMs that come free.
-        """
+        """Tell whether a waiting step should have VMs that are not there yet."""
         urgency = rate_urgency(job, step, now, self.forecast)
-        return not urgency.late and urgency.latest_start - now < PRESSED_S
+        return self.forecast.is_worth_vms(urgency, now)
 
     def miss_worker(self, worker_id: str) -> None:
         """Take in that a registration is gone; the worker may still run on."""
