Refuse at once what can be neither in time nor of use

Cause: where the line is longer than three objectives, jobs were accepted and ended when nobody could use them. The owner tells in its row, each 0.7 s as before, how many seconds of the pool stand before a job that comes now, for tenants within and beyond their shares; each node judges what it is asked to accept by that, unless the row is older than 2 s or the job is known. Who is refused is told to come back as fast as the line moves, in the order of the refusals.

--- a/src/onyxgap/daemons/desk.py
+++ b/src/onyxgap/daemons/desk.py
@@ -10,6 +10,10 @@
 from ..exceptions import DocumentError
 from ..exceptions import PlatformUnavailableError
 from ..jobs import tables
+from ..jobs.admission import VALID_S
+from ..jobs.admission import Gate
+from ..jobs.admission import Overload
+from ..jobs.admission import decode_outlook
 from ..jobs.desk import Denied
 from ..jobs.desk import SubmitOutcome
 from ..jobs.desk import SubmitResult
@@ -64,6 +68,8 @@
     :param owners: shards that this node owns.
     :param authentication: tells who calls.
     :param on_stored: tells a shard's owner that a row of its submissions was stored.
+    :param gate: judges whether a job can be of use; ``None`` where all are accepted.
+    :param count_nodes: counts the nodes that take calls.
     :param may_pass: tells whether another node is likelier to answer than the store is.
     :param on_answer: counts an answer: what was asked, outcome, seconds.
     """
@@ -76,7 +82,9 @@
     owners: dict[str, ShardOwner]
     authentication: Authentication
     on_stored: t.Callable[[str, str], None] = lambda *_: None
+    gate: Gate | None = None
     may_pass: t.Callable[[], bool] = lambda: False
+    count_nodes: t.Callable[[], int] = lambda: 1
     on_answer: t.Callable[[str, str, float], None] = lambda *_: None
     stopping: bool = False
     _final: dict[str, JobStatus] = attrs.field(factory=dict)
@@ -153,9 +161,42 @@
             step = find_step_above(submission.steps, cap)
             if step is not None:
                 return await self._refuse_above_cap(submission, step)
+        overload = self._judge(submission)
+        if overload is not None:
+            return await self._refuse_overload(submission, overload)
         accepted_ms = int(self.clocks.read_wall() * 1000)
         return await self._store(attrs.evolve(submission, accepted_ms=accepted_ms))
 
+    def _judge(self, submission: Submission) -> Overload | None:
+        """Judge a job by the line of its shard, as far as that is known."""
+        view = self.views.get(submission.policy.service)
+        now = self.clocks.read_monotonic()
+        if self.gate is None or view is None or view.row is None:
+            return None
+        if now - view.changed_at > VALID_S:
+            return None
+        try:
+            outlook = decode_outlook(view.row.outlook)
+        except (TypeError, KeyError) as error:
+            _LOG.warning("outlook skipped", reason=repr(error))
+            return None
+        return self.gate.judge(submission, outlook, self.count_nodes(), now)
+
+    async def _refuse_overload(
+        self, submission: Submission, overload: Overload
+    ) -> SubmitResult:
+        """Refuse what can no longer be of use, unless it was accepted before."""
+        shard = submission.policy.service
+        try:
+            known = await self._read_submission(shard, submission.job_id)
+        except PlatformUnavailableError as error:
+            return SubmitResult(SubmitOutcome.UNKNOWN, str(error))
+        if known is not None:
+            return _compare(known, submission)
+        line_s = overload.line.of_use_s
+        reason = f"{line_s:.1f} s of work are waiting, {overload.use_s:.1f} s are left"
+        return SubmitResult(SubmitOutcome.OVERLOADED, reason, overload.retry_after_s)
+
     async def _refuse_above_cap(
         self, submission: Submission, step: int
     ) -> SubmitResult:
--- a/src/onyxgap/daemons/fence.py
+++ b/src/onyxgap/daemons/fence.py
@@ -50,15 +50,25 @@
         return now - self._beat_at >= BEAT_S
 
     def put_beat(
-        self, puts: dict[RowId, bytes], now: float, waiting: t.Mapping[str, int]
+        self,
+        puts: dict[RowId, bytes],
+        now: float,
+        waiting: t.Mapping[str, int],
+        outlook: t.Mapping[str, t.Any] | None = None,
     ) -> None:
         """Add the renewed owner row to a write.
 
         :param puts: rows of the write.
         :param now: monotonic seconds.
         :param waiting: jobs of which nothing has started, by queue.
+        :param outlook: how long the shard's line is.
         """
-        self.owner = attrs.evolve(self.owner, beat=self.owner.beat + 1, waiting=waiting)
+        self.owner = attrs.evolve(
+            self.owner,
+            beat=self.owner.beat + 1,
+            waiting=waiting,
+            outlook=outlook or {},
+        )
         puts[tables.get_owner_row(self.shard)] = tables.encode_owner(self.owner)
         self._beat_at = now
 
--- a/src/onyxgap/daemons/node_view.py
+++ b/src/onyxgap/daemons/node_view.py
@@ -11,6 +11,7 @@
 
 from ..clocks import Clocks
 from ..exceptions import DocumentError
+from ..jobs.admission import Gate
 from ..jobs.advice import Adviser
 from ..jobs.desk import Desk
 from ..jobs.health import StoreHealth
@@ -149,6 +150,8 @@
                 self.desk, self.health, self.clocks, helpers, self.calls
             )
             self.front = self.passing
+            self.desk.gate = Gate()
+            self.desk.count_nodes = lambda: len(self.members)
 
     def _follow_operator(self) -> Follower:
         return Follower(
--- a/src/onyxgap/daemons/owner.py
+++ b/src/onyxgap/daemons/owner.py
@@ -10,6 +10,7 @@
 from ..exceptions import DocumentError
 from ..exceptions import PlatformUnavailableError
 from ..jobs import tables
+from ..jobs.admission import encode_outlook
 from ..jobs.encoding import encode_progress
 from ..jobs.encoding import restore_job
 from ..jobs.messages import JobState
@@ -241,7 +242,8 @@
         expired: tuple[str, ...] = ()
         if beat:
             expired = self._list_expired(now)
-            self.writer.put_beat(puts, now, self.state.count_waiting())
+            outlook = encode_outlook(self.state.build_outlook(now))
+            self.writer.put_beat(puts, now, self.state.count_waiting(), outlook)
         if report is not None:
             puts[tables.get_report_row(self.shard)] = encode_report(report)
             self._reported, self._reported_at = report, now
--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -9,6 +9,8 @@
 import attrs
 import structlog
 
+from .admission import Outlook
+from .admission import measure_outlook
 from .amounts import NOTHING
 from .amounts import Amount
 from .amounts import measure_task
@@ -51,12 +53,15 @@
     :param shares: its shares of tenants' caps; ``None`` where there are no tenants.
     :param find_weight: gives a tenant's weight where tenants share the room by weight;
         ``None`` where all stand in one line.
+    :param line: what might start at the last plan, in its order; kept where run times
+        are learned.
     :param beyond: steps that stood beyond their tenants' shares in the last plan.
     """
 
     shares: ShareBook | None = None
     find_weight: t.Callable[[str], float] | None = None
     beyond: int = 0
+    line: t.Sequence[Ready] = ()
 
     def plan(self, now: float, wall_ms: float) -> list[StartOrder]:
         """Choose what to start; records each choice as an intent.
@@ -147,8 +152,20 @@
             self.beyond = mark_beyond(found, demand, self.find_weight)
             if self.beyond:
                 found.sort(key=Ready.get_rank)
+        if self.run_times is not None:
+            self.line = found
         return found
 
+    def build_outlook(self, now: float) -> Outlook:
+        """Tell how long a job waits that comes now, as of the last plan.
+
+        :param now: monotonic seconds.
+        """
+        if self.run_times is None:
+            return Outlook()
+        vms = sum(record.is_open(now) for record in self.workers.values())
+        return measure_outlook(self.line, self.get_capacity(), vms, self.run_times)
+
     def _measure_offer(self) -> Amount:
         """Measure what the workers offer that may run tasks, used or not."""
         offer = NOTHING
--- a/src/onyxgap/jobs/tables.py
+++ b/src/onyxgap/jobs/tables.py
@@ -118,6 +118,7 @@
     :param beat: rises with each renewal.
     :param released: whether the owner gave the shard up.
     :param waiting: jobs of which nothing has started, by queue.
+    :param outlook: how long its line is; see :mod:`.admission`.
     """
 
     node: str
@@ -126,6 +127,7 @@
     beat: int = 0
     released: bool = False
     waiting: t.Mapping[str, int] = attrs.field(factory=dict)
+    outlook: t.Mapping[str, t.Any] = attrs.field(factory=dict)
 
 
 def encode_owner(row: OwnerRow) -> bytes:
--- a/src/onyxgap/platform/callers.py
+++ b/src/onyxgap/platform/callers.py
@@ -64,6 +64,7 @@
     SubmitOutcome.OTHER_REQUEST: 409,
     SubmitOutcome.OTHER_TENANT: 403,
     SubmitOutcome.ABOVE_CAP: 400,
+    SubmitOutcome.OVERLOADED: 429,
     SubmitOutcome.REFUSED: 503,
     SubmitOutcome.UNKNOWN: 504,
 }
@@ -243,7 +244,7 @@
             await send_answer(send, status, b"{}", [_JSON])
             return
         headers = []
-        if result.outcome is SubmitOutcome.REFUSED:
+        if result.outcome in (SubmitOutcome.REFUSED, SubmitOutcome.OVERLOADED):
             headers.append(("Retry-After", str(result.retry_after_s)))
         await _send_problem(send, status, result.reason, headers)
 
