--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -71,6 +71,7 @@
         :returns: orders to send once the intents are stored.
         """
         orders: list[StartOrder] = []
+        self.log_done()
         self.evict_serving(now)
         self.move_stragglers(now)
         for record in self.workers.values():
--- a/src/onyxgap/jobs/shard_jobs.py
+++ b/src/onyxgap/jobs/shard_jobs.py
@@ -76,6 +76,7 @@
     run_times: RunTimes | None = None
     forecast: Forecast = DECLARED
     crashes: CrashLog = attrs.field(factory=CrashLog)
+    done: dict[str, list[str]] = attrs.field(factory=dict)
     strays: dict[tuple[str, TaskId, int], StopOrder] = attrs.field(factory=dict)
 
     def add_job(self, job: Job, now: float, wall_ms: float) -> None:
--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -74,20 +74,11 @@
         record.heard_ms = max(record.heard_ms, report.clock_ms)
         record.held = True
         record.failing_since = None
-        done = []
         for end in report.ended:
             if end.sequence > record.seen:
                 record.seen = end.sequence
                 if self._apply_end(record, end, now) and end.kind is EndKind.DONE:
-                    done.append(str(end.task))
-        if done:
-            _LOG.info(
-                "tasks done",
-                worker=worker_id,
-                service=self.service,
-                tasks=done,
-                waited_s=round(now - sent_at, 3),
-            )
+                    self.done.setdefault(worker_id, []).append(str(end.task))
         listed = {(item.task, item.run) for item in report.running}
         ended = {(item.task, item.run) for item in report.ended}
         for item in report.running:
@@ -302,6 +293,21 @@
             return False
         return clock_low > task.start_deadline_ms
 
+    def log_done(self) -> None:
+        """Log what has ended as done since the last time, in one line.
+
+        A line for each report would be most of the log of a busy owner.
+        """
+        if not self.done:
+            return
+        _LOG.info(
+            "tasks done",
+            service=self.service,
+            workers=list(self.done),
+            tasks=[task for tasks in self.done.values() for task in tasks],
+        )
+        self.done.clear()
+
     def apply_failure(self, worker_id: str, reply: Reply, now: float) -> None:
         """Take in that a hold got no report.
 
--- a/src/onyxgap/logs.py
+++ b/src/onyxgap/logs.py
@@ -46,6 +46,20 @@
 trouble-1 and trouble-2 of the larger site."""
 BURST_LINES = 800.0
 """Further lines in a burst; between two busy seconds a node writes far fewer."""
+ROUTINE_SHARE = 0.75
+"""Part of the rate and of the burst that lines of routine may use: claims, losses and
+refusals are few, and tell what a flood of the others can't."""
+ROUTINE_EVENTS = frozenset(
+    {
+        "call passed on",
+        "job ended",
+        "share of a cap",
+        "submission answered",
+        "tasks done",
+        "tasks placed",
+    }
+)
+"""Events that a busy node logs by the hundred a second."""
 PENDING_BYTES = 65_536
 """Most that waits for a reader that is slow; more is dropped and counted."""
 
@@ -64,6 +78,8 @@
     dropped_total: int = 0
     _tokens: float = BURST_LINES
     _refilled_at: float = 0.0
+    _routine: float = BURST_LINES * ROUTINE_SHARE
+    _routine_at: float = 0.0
     _pending: bytes = b""
 
     def msg(self, line: bytes) -> None:
@@ -84,6 +100,30 @@
 
     debug = info = warning = error = critical = exception = msg
 
+    def bound_routine(
+        self, logger: t.Any, method: str, event: structlog.typing.EventDict
+    ) -> structlog.typing.EventDict:
+        """Drop a line of routine that is beyond the share of such lines.
+
+        Stands first among the processors, so that a dropped line costs nothing more.
+
+        :param logger: not used.
+        :param method: not used.
+        :param event: the line's fields.
+        :raises structlog.DropEvent: when the line is dropped; it is counted.
+        """
+        if event.get("event") in ROUTINE_EVENTS:
+            now = self.read_clock()
+            self._routine += (now - self._routine_at) * LINES_PER_S * ROUTINE_SHARE
+            self._routine = min(self._routine, BURST_LINES * ROUTINE_SHARE)
+            self._routine_at = now
+            if self._routine < 1:
+                self.dropped += 1
+                self.dropped_total += 1
+                raise structlog.DropEvent
+            self._routine -= 1
+        return event
+
     def _note_dropped(self) -> bytes:
         # made by hand: the line that calls for it has passed the processors already
         note = {
@@ -117,6 +157,7 @@
     lines = BoundedLines(sys.stdout.fileno())
     structlog.configure(
         processors=[
+            lines.bound_routine,
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -1,5 +1,6 @@
 """Ownership, fenced writes, the desk, health of the store, bounded logs."""
 
+import contextlib
 import os
 import pathlib
 import random
@@ -10,6 +11,7 @@
 import attrs
 import orjson
 import pytest
+import structlog
 import structlog.testing
 
 from onyxgap.adapters.notice_link import DatagramPeers
@@ -60,6 +62,7 @@
 from onyxgap.jobs.timeouts import MOST_S
 from onyxgap.jobs.timeouts import WriteTimeout
 from onyxgap.logs import BURST_LINES
+from onyxgap.logs import ROUTINE_SHARE
 from onyxgap.logs import BoundedLines
 from onyxgap.settings import Address
 from onyxgap.standins.emulator.gate import NodeGate
@@ -425,6 +428,26 @@
     assert timeout.get() == MOST_S
 
 
+def test_routine_leaves_room_in_the_log_for_what_is_rare() -> None:
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    lines = BoundedLines(writer, read_clock=lambda: 0.0)
+    written = 0
+    for _ in range(int(BURST_LINES)):
+        with contextlib.suppress(structlog.DropEvent):
+            lines.bound_routine(None, "info", {"event": "tasks placed"})
+            lines.msg(b"{}")
+            written += 1
+    assert written == BURST_LINES * ROUTINE_SHARE
+    assert lines.dropped_total == BURST_LINES - written
+    for _ in range(int(BURST_LINES) - written - 1):
+        lines.bound_routine(None, "info", {"event": "shard lost"})
+        lines.msg(b"{}")
+    assert lines.dropped_total == BURST_LINES - written
+    os.close(reader)
+    os.close(writer)
+
+
 def test_log_lines_are_bounded_counted_and_never_block() -> None:
     reader, writer = os.pipe()
     os.set_blocking(writer, False)
