--- /dev/null
+++ b/bench/soak/__main__.py
@@ -0,0 +1,58 @@
+"""Plays soaks with one seed after the other and prints what they broke."""
+
+import argparse
+import json
+import logging
+import pathlib
+import sys
+import tempfile
+
+import structlog
+
+from onyxgap.standins.emulator.faults import draw_faults
+from onyxgap.standins.emulator.script import load_script
+
+from .day import play_soak
+
+DAY = pathlib.Path(__file__).parent / "soak.day"
+
+
+def main() -> int:
+    """Play the soaks; the exit code tells whether any rule was broken."""
+    parser = argparse.ArgumentParser(prog="python -m bench.soak", description=__doc__)
+    parser.add_argument("--seeds", type=int, default=5, help="how many")
+    parser.add_argument("--seed", type=int, default=1, help="the first")
+    parser.add_argument("--faults", type=int, default=3, help="random faults of a day")
+    parser.add_argument("--day", type=pathlib.Path, default=DAY, help="day file")
+    parser.add_argument("--keep", type=pathlib.Path, help="folder for logs")
+    parser.add_argument("--json", action="store_true", help="one JSON object a seed")
+    arguments = parser.parse_args()
+    logging.disable(logging.CRITICAL)
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR)
+    )
+    red = 0
+    for seed in range(arguments.seed, arguments.seed + arguments.seeds):
+        script = draw_faults(load_script(arguments.day), seed, arguments.faults)
+        with tempfile.TemporaryDirectory(prefix="soak-") as scratch:
+            folder = pathlib.Path(scratch)
+            if arguments.keep:
+                folder = arguments.keep / str(seed)
+                folder.mkdir(parents=True, exist_ok=True)
+            result = play_soak(script, seed, folder)
+        red += bool(result.breaches)
+        faults = [f"{item.at:.1f} {item.verb} {item.target}" for item in script.faults]
+        found = {
+            "seed": seed,
+            "accepted": result.account.accepted,
+            "in_time": result.account.in_time,
+            "faults": faults,
+            "breaches": [f"{item.rule}: {item.detail}" for item in result.breaches],
+        }
+        print(json.dumps(found) if arguments.json else found, flush=True)
+    print(f"{arguments.seeds} seeds, {red} with broken rules", file=sys.stderr)
+    return 1 if red else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bench/soak/day.py
@@ -0,0 +1,80 @@
+"""A day of the emulator whose nodes are processes, in real time."""
+
+import asyncio
+import functools
+import pathlib
+
+import anyio
+import anyio.abc
+import attrs
+
+from onyxgap.standins.emulator.breach import Breach
+from onyxgap.standins.emulator.day import DayResult
+from onyxgap.standins.emulator.faults import FaultyDay
+from onyxgap.standins.emulator.script import Script
+
+from .processes import ProcessSlot
+
+FINISH_S = 12.0
+"""Time after the end of a day in which accepted jobs must end: days are short."""
+
+
+class LoopFromZero(asyncio.SelectorEventLoop):
+    """An event loop whose clock begins at nought, as that of an emulated day."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._began = super().time()
+
+    def time(self) -> float:
+        """Read the clock."""
+        return super().time() - getattr(self, "_began", 0.0)
+
+
+@attrs.define(eq=False)
+class SoakDay(FaultyDay):
+    """One day with processes for nodes.
+
+    :param folder: where they write.
+    """
+
+    folder: pathlib.Path = pathlib.Path()
+    finish_s: float = FINISH_S
+
+    def _build(self, group: anyio.abc.TaskGroup) -> None:
+        super()._build(group)
+        self.slots = [
+            ProcessSlot(slot.name, self, folder=self.folder) for slot in self.slots
+        ]
+
+    async def _start_nodes(self, group: anyio.abc.TaskGroup) -> None:
+        for slot in self.slots:
+            assert isinstance(slot, ProcessSlot)
+            await slot.listen(group)
+        await super()._start_nodes(group)
+
+    def _judge(self) -> DayResult:
+        result = super()._judge()
+        breaches = list(result.breaches)
+        for slot in self.slots:
+            assert isinstance(slot, ProcessSlot)
+            breaches += [
+                Breach("ends", 0.0, f"{slot.name} ended by itself with {code}")
+                for code in slot.ended
+            ]
+            if slot.outlived:
+                detail = f"{slot.name} outlived its grace {slot.outlived} times"
+                breaches.append(Breach("ends", 0.0, detail))
+        return attrs.evolve(result, breaches=breaches)
+
+
+def play_soak(script: Script, seed: int, folder: pathlib.Path) -> DayResult:
+    """Play a day in real time.
+
+    :param script: the day.
+    :param seed: seed of everything that is drawn.
+    :param folder: where the processes write.
+    """
+    day = SoakDay(script, seed, folder=folder)
+    run = functools.partial(anyio.run, day.play, backend="asyncio")
+    return run(backend_options={"loop_factory": LoopFromZero})
--- /dev/null
+++ b/bench/soak/platform.py
@@ -0,0 +1,161 @@
+"""The emulated store, workers and VMs behind one HTTP interface for each node."""
+
+import typing as t
+import urllib.parse
+
+import anyio
+import attrs
+import orjson
+
+from onyxgap.adapters.asgi import Receive
+from onyxgap.adapters.asgi import Scope
+from onyxgap.adapters.asgi import Send
+from onyxgap.adapters.asgi import read_body
+from onyxgap.adapters.asgi import send_json
+from onyxgap.exceptions import HistoryLostError
+from onyxgap.exceptions import PlatformUnavailableError
+from onyxgap.jobs.store import Applied
+from onyxgap.jobs.store import Conflict
+from onyxgap.jobs.store import NotApplied
+from onyxgap.jobs.workers import HoldReport
+from onyxgap.pools.messages import VmReply
+from onyxgap.standins.emulator.cloud import EmulatedCloudClient
+from onyxgap.standins.emulator.store import EmulatedStoreClient
+from onyxgap.standins.emulator.workers import EmulatedWorker
+from onyxgap.standins.emulator.workers import EmulatedWorkers
+from onyxgap.standins.emulator.workers import EmulatedWorkersClient
+
+from . import wire
+
+MAX_BODY_BYTES = 1_048_576
+SILENCE_S = 3.0
+"""Time for which a call without an answer is held open; all nodes give up before."""
+
+VM_REPLIES: t.Mapping[VmReply, tuple[int, str]] = {
+    VmReply.DONE: (200, ""),
+    VmReply.STALE_HOLDER: (409, "fence"),
+    VmReply.BUSY: (409, "busy"),
+    VmReply.NOT_DUE: (409, "wave"),
+    VmReply.INVALID: (400, ""),
+}
+Answer = tuple[int, wire.Json] | None
+
+
+@attrs.define
+class PlatformApp:
+    """What one node reaches: store, VMs and all workers.
+
+    :param store: the store as the node reaches it.
+    :param cloud: the VMs as it reaches them.
+    :param orders: the workers as it reaches them.
+    :param workers: lives of workers.
+    :param address: where this listens.
+    """
+
+    store: EmulatedStoreClient
+    cloud: EmulatedCloudClient
+    orders: EmulatedWorkersClient
+    workers: EmulatedWorkers
+    address: str
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one call, or hold it open without an answer."""
+        if scope["type"] != "http":
+            return
+        body = await read_body(receive, MAX_BODY_BYTES)
+        headers = {name.decode(): value.decode() for name, value in scope["headers"]}
+        query = dict(urllib.parse.parse_qsl(scope["query_string"].decode()))
+        raw = orjson.loads(body) if body else {}
+        answer = await self._answer(scope["path"], raw, query, headers)
+        if answer is None:
+            await anyio.sleep(SILENCE_S)
+            answer = (500, {})
+        await send_json(send, *answer)
+
+    async def _answer(
+        self, path: str, raw: wire.Json, query: wire.Json, headers: wire.Json
+    ) -> Answer:
+        if path.startswith("/rows-"):
+            return await self._answer_store(path, raw, query)
+        if path == "/machines":
+            vms = await self.cloud.list_vms()
+            return 200, {"machines": [wire.write_vm(vm) for vm in vms]}
+        if path.startswith("/machine-"):
+            holder, token = headers["lease-holder"], int(headers["fencing-token"])
+            order = wire.read_vm_order(path, raw)
+            reply = await self.cloud.send(order, holder, token)
+            if reply not in VM_REPLIES:
+                return None
+            status, reason = VM_REPLIES[reply]
+            return status, {"reason": reason}
+        return await self._answer_worker(path, raw, headers["expected-instance"])
+
+    async def _answer_store(
+        self, path: str, raw: wire.Json, query: wire.Json
+    ) -> Answer:
+        try:
+            if path == "/rows-tx":
+                return await self._write(raw)
+            if path == "/rows-get":
+                return await self._read(query)
+            if path == "/rows-feed":
+                return await self._follow(query)
+            parts = await self.store.list_parts(query["table"])
+            return 200, {"parts": list(parts)}
+        except HistoryLostError:
+            return 410, {}
+        except PlatformUnavailableError as error:
+            return (503, {}) if str(error) == "turned away" else None
+
+    async def _write(self, raw: wire.Json) -> Answer:
+        outcome = await self.store.write(wire.read_batch(raw))
+        if isinstance(outcome, Applied):
+            return 200, {"ver": outcome.version}
+        if isinstance(outcome, Conflict):
+            rows = [wire.write_row(row, row.row_id.table, "") for row in outcome.rows]
+            return 412, {"rows": rows}
+        return (503, {}) if isinstance(outcome, NotApplied) else None
+
+    def _write_page(self, page: t.Any, table: str) -> Answer:
+        rows = [wire.write_row(row, table, self.address) for row in page.rows]
+        return 200, {"rows": rows, "ver": page.version, "now_ms": page.now_ms}
+
+    async def _read(self, query: wire.Json) -> Answer:
+        table = query["table"]
+        key = query.get("from", "") if query.get("limit") == "1" else ""
+        if key == wire.registry.CONFIGURATION_KEY:
+            key = "configuration"
+        known = wire.TABLES.get(table, table)
+        page = await self.store.read(known, query.get("part", ""), key)
+        if not key and "from" in query:
+            # further pages are never needed, the first holds all rows
+            page = attrs.evolve(page, rows=())
+        return self._write_page(page, table)
+
+    async def _follow(self, query: wire.Json) -> Answer:
+        table, wait_s = query["table"], int(query["wait_ms"]) / 1000
+        known = wire.TABLES.get(table, table)
+        page = await self.store.follow(known, int(query["after"]), wait_s)
+        return self._write_page(page, table)
+
+    def _find_worker(self, worker_id: str) -> EmulatedWorker | None:
+        worker = self.workers.lives.get(worker_id)
+        return worker if worker is not None and worker.alive else None
+
+    async def _answer_worker(self, path: str, raw: wire.Json, worker_id: str) -> Answer:
+        worker = self._find_worker(worker_id)
+        if worker is None:
+            return None
+        # all workers listen here: the emulator knows them by addresses of their own
+        address = worker.entry.address
+        if path == "/run-start":
+            start = attrs.evolve(wire.read_start(worker_id, raw), address=address)
+            return wire.write_reply(await self.orders.start(start))
+        if path == "/run-stop":
+            stop = attrs.evolve(wire.read_stop(worker_id, raw), address=address)
+            return wire.write_reply(await self.orders.stop(stop))
+        hold = attrs.evolve(wire.read_hold(worker_id, raw), address=address)
+        found = await self.orders.hold(hold)
+        if isinstance(found, HoldReport):
+            return 200, wire.write_report(found)
+        return wire.write_reply(found)
--- /dev/null
+++ b/bench/soak/processes.py
@@ -0,0 +1,265 @@
+"""Places where a node runs as a process, is paused, killed and started again."""
+
+import os
+import pathlib
+import signal
+import socket
+import sys
+import typing as t
+
+import anyio
+import anyio.abc
+import attrs
+import httpcore
+import orjson
+
+from onyxgap.adapters.http_server import HttpServer
+from onyxgap.exceptions import DocumentError
+from onyxgap.jobs import tables
+from onyxgap.jobs.desk import SubmitOutcome
+from onyxgap.jobs.desk import Unavailable
+from onyxgap.jobs.messages import JobState
+from onyxgap.jobs.messages import Submission
+from onyxgap.jobs.routing import Route
+from onyxgap.jobs.tenants import KeyFault
+from onyxgap.settings import Address
+from onyxgap.standins.emulator.cloud import EmulatedCloudClient
+from onyxgap.standins.emulator.gate import NodeGate
+from onyxgap.standins.emulator.slots import NodeSlot
+from onyxgap.standins.emulator.store import EmulatedStoreClient
+from onyxgap.standins.emulator.workers import EmulatedWorkersClient
+
+from . import wire
+from .platform import PlatformApp
+
+CALL_TIMEOUT_S = 3.0
+"""Callers of the emulated day wait as long."""
+GRACE_S = 6.0
+"""Time between the request to stop a process and its end."""
+_OUTCOMES = {
+    200: SubmitOutcome.ACCEPTED,
+    429: SubmitOutcome.OVERLOADED,
+    503: SubmitOutcome.REFUSED,
+    400: SubmitOutcome.ABOVE_CAP,
+    403: SubmitOutcome.OTHER_TENANT,
+    409: SubmitOutcome.OTHER_REQUEST,
+    504: SubmitOutcome.UNKNOWN,
+}
+_given: set[int] = set()
+_BROKEN = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError)
+
+
+def find_ports(count: int) -> int:
+    """Find free ports in a row, for connections and datagrams; gives the first."""
+    for first in range(15_000 + os.getpid() % 8_000, 32_000, count):
+        if first in _given:
+            continue
+        try:
+            for port in range(first, first + count):
+                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                    with socket.socket(socket.AF_INET, kind) as probe:
+                        probe.bind(("127.0.0.1", port))
+        except OSError:
+            continue
+        _given.add(first)
+        return first
+    raise OSError("no free ports")
+
+
+@attrs.define(eq=False)
+class PausedGate(NodeGate):
+    """A gate whose freezes pause the process."""
+
+    process: anyio.abc.Process | None = None
+
+    def freeze(self) -> None:
+        """Pause the process."""
+        self._signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let it go on."""
+        self._signal(signal.SIGCONT)
+
+    def _signal(self, number: signal.Signals) -> None:
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+
+@attrs.define(eq=False)
+class RunningNode:
+    """What the faults of a day look at."""
+
+    slot: "ProcessSlot"
+
+    @property
+    def owners(self) -> set[str]:
+        """Shards whose rows name this node as their owner."""
+        found = set()
+        for row_id, row in self.slot.day.store.rows.items():
+            if row_id.table == tables.OWNER_TABLE:
+                try:
+                    owner = tables.decode_owner(row.value)
+                except DocumentError:
+                    continue
+                if owner.node == self.slot.name and not owner.released:
+                    found.add(row_id.part)
+        return found
+
+    @property
+    def holder(self) -> bool:
+        """Whether it holds the fleet duty."""
+        return tables.FLEET_SHARD in self.owners
+
+    async def release(self) -> None:
+        """Ask the process to stop, and wait for its end."""
+        await self.slot.stop()
+
+
+@attrs.define(eq=False)
+class ProcessSlot(NodeSlot):
+    """A place where a node runs as a process.
+
+    :param folder: where its settings and log are written.
+    :param outlived: processes that were still there at the end of their grace.
+    :param ended: exit codes of processes that nobody ended.
+    """
+
+    folder: pathlib.Path = pathlib.Path()
+    outlived: int = 0
+    ended: list[int] = attrs.field(factory=list)
+    _ports: int = attrs.field(init=False)
+    _pool: httpcore.AsyncConnectionPool | None = None
+    _wanted: bool = True
+
+    def __attrs_post_init__(self) -> None:
+        super().__attrs_post_init__()
+        self._ports = find_ports(6)
+
+    def _build_gate(self) -> PausedGate:
+        return PausedGate(self.name)
+
+    async def listen(self, group: anyio.abc.TaskGroup) -> None:
+        """Serve the platform for this node."""
+        day, gate = self.day, self.gate
+        address = Address("127.0.0.1", self._ports)
+        app = PlatformApp(
+            EmulatedStoreClient(day.store, gate),
+            EmulatedCloudClient(day.cloud, gate),
+            EmulatedWorkersClient(day.workers, gate),
+            day.workers,
+            str(address),
+        )
+        await group.start(HttpServer(app, address).run)
+
+    def _write_settings(self) -> pathlib.Path:
+        first = self._ports
+        contracts = "base,tenants" if self.day.script.tenants else "base"
+        if self.day.script.contended:
+            contracts += ",pressure"
+        lines = {
+            "node": self.name,
+            "zone": "zone",
+            "listen.front": f"127.0.0.1:{first + 1}",
+            "listen.ready": f"127.0.0.1:{first + 2}",
+            "platform.address": f"127.0.0.1:{first}",
+            "cloud.address": f"127.0.0.1:{first}",
+            "port_range": f"{first + 3},{first + 5}",
+            "contracts": contracts,
+        }
+        path = self.folder / f"{self.name}.conf"
+        path.write_text("".join(f"{key}={value}\n" for key, value in lines.items()))
+        return path
+
+    async def run(self) -> None:
+        """Run one process of the node until it ends; none beside another."""
+        if self.node is not None:
+            return
+        settings = self._write_settings()
+        command = [sys.executable, "-m", "onyxgap", "node", "--settings", str(settings)]
+        with (self.folder / f"{self.name}.log").open("ab") as log:
+            process = await anyio.open_process(
+                command, stdin=None, stdout=log, stderr=log
+            )
+        t.cast(PausedGate, self.gate).process = process
+        self.node = t.cast(t.Any, RunningNode(self))
+        self._pool = httpcore.AsyncConnectionPool(max_connections=64)
+        self._wanted = True
+        try:
+            code = await process.wait()
+            if self._wanted:
+                self.ended.append(code)
+        finally:
+            if process.returncode is None:
+                process.kill()
+            self.node = None
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self._wanted = False
+        process = t.cast(PausedGate, self.gate).process
+        if process is not None and process.returncode is None:
+            process.kill()
+        self.node = None
+
+    async def stop(self) -> None:
+        """Ask the process to stop; one that outlives its grace is killed."""
+        self._wanted = False
+        process = t.cast(PausedGate, self.gate).process
+        if process is None or process.returncode is not None:
+            return
+        process.terminate()
+        with anyio.move_on_after(GRACE_S, shield=True):
+            await process.wait()
+        if process.returncode is None:
+            self.outlived += 1
+
+    async def _call(
+        self, method: str, route: Route, rest: str, key: str, body: t.Any = None
+    ) -> httpcore.Response | None:
+        if self.node is None or self._pool is None:
+            return None
+        headers = [("Host", route.host), ("Key", key)][: 1 + bool(key)]
+        content = None if body is None else orjson.dumps(body)
+        timeout = dict.fromkeys(("connect", "read", "write", "pool"), CALL_TIMEOUT_S)
+        url = f"http://127.0.0.1:{self._ports + 1}{route.prefix}{rest}"
+        try:
+            return await self._pool.request(
+                method,
+                url,
+                headers=headers,
+                content=content,
+                extensions={"timeout": timeout},
+            )
+        except _BROKEN:
+            return None
+
+    async def submit(
+        self, route: Route, submission: Submission, key: str
+    ) -> SubmitOutcome | KeyFault | None:
+        """Hand a job in; ``None`` when the connection broke."""
+        body = wire.write_job(submission)
+        response = await self._call("POST", route, submission.job_id, key, body)
+        if response is None:
+            return None
+        if response.status == 401:
+            return KeyFault.UNKNOWN
+        return _OUTCOMES.get(response.status)
+
+    async def get_state(self, route: Route, job_id: str, key: str) -> t.Any:
+        """Ask for a job's state."""
+        response = await self._call("GET", route, job_id, key)
+        if response is not None and response.status == 200:
+            return JobState(orjson.loads(response.content)["state"])
+        if response is not None and response.status == 401:
+            return KeyFault.UNKNOWN
+        gone = response is not None and response.status == 410
+        return None if gone else Unavailable.STORE
+
+    async def cancel(self, route: Route, job_id: str, key: str) -> t.Any:
+        """Cancel a job."""
+        response = await self._call("DELETE", route, job_id, key)
+        if response is not None and response.status in (200, 410):
+            return response.status == 200
+        if response is not None and response.status == 401:
+            return KeyFault.UNKNOWN
+        return Unavailable.STORE
--- a/src/onyxgap/standins/emulator/checks.py
+++ b/src/onyxgap/standins/emulator/checks.py
@@ -141,7 +141,8 @@
         if cancelled is not None and record.began > cancelled + CANCEL_S:
             yield Breach("unasked", record.began, f"{record.task} after its cancel")
         refusals = [
-            item is SubmitOutcome.REFUSED or isinstance(item, KeyFault)
+            item in (SubmitOutcome.REFUSED, SubmitOutcome.OVERLOADED)
+            or isinstance(item, KeyFault)
             for item in notes.outcomes
         ]
         if refusals and all(refusals):
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,30 @@
+"""A short soak: nodes as processes, killed, paused, stopped and turned away."""
+
+import logging
+import pathlib
+
+import pytest
+
+from bench.soak.__main__ import DAY
+from bench.soak.day import play_soak
+from onyxgap.standins.emulator.script import parse_script
+
+FAULTS = """
+at 6 kill owner ring for 1
+at 8 freeze owner herd for 1.5
+at 10 refuse node for 3 by 0.5
+at 12 stop owner herd for 1
+"""
+
+
+@pytest.fixture(autouse=True)
+def quiet_servers() -> None:
+    """Keep what servers say of calls that the end of the day cuts off out of sight."""
+    logging.disable(logging.CRITICAL)
+
+
+def test_rules_hold_for_processes_under_faults(tmp_path: pathlib.Path) -> None:
+    script = parse_script("soak", DAY.read_text() + FAULTS)
+    result = play_soak(script, 1, tmp_path)
+    assert result.breaches == []
+    assert result.account.in_time
