Let nobody stand behind where all can be in time; start before the slowest task needs it

Shares now decide only where the work that can be in time does not fit before its latest starts. The time left goes by the slowest task, the objective by the usual one.

--- a/src/onyxgap/jobs/fair_shares.py
+++ b/src/onyxgap/jobs/fair_shares.py
@@ -3,7 +3,8 @@
 The room is shared by weight, and a tenant counts by what it takes most of (dominant
 resource fairness). What one leaves goes to the others by weight. Within their shares
 tenants' jobs get room by urgency, as if there were one line; what is beyond a share
-stands behind them and uses what they leave.
+stands behind them and uses what they leave. Where all can be in time in one line,
+nobody stands behind.
 """
 
 import typing as t
@@ -13,6 +14,7 @@
 from .amounts import NOTHING
 from .amounts import Amount
 from .amounts import measure_task
+from .priorities import MS
 from .priorities import Standing
 from .ready import Ready
 from .shares import measure_fraction
@@ -96,6 +98,32 @@
         return share_by_weight(claims)
 
 
+def can_all_be_in_time(
+    ready: t.Sequence[Ready], demand: PoolDemand, now: float
+) -> bool:
+    """Tell whether all that can be in time will be, the most urgent first.
+
+    A full pool frees itself once in the run time of its tasks. While that suffices,
+    each job that waits for those that are more urgent is in time nevertheless.
+
+    :param ready: what may start, the most urgent first.
+    :param demand: what tenants have and want.
+    :param now: monotonic seconds.
+    """
+    used = sum(demand.used.values(), NOTHING)
+    free = max(0.0, 1.0 - measure_fraction(used, demand.capacity))
+    work_s = 0.0
+    for item in ready:
+        step = item.job.submission.steps[item.step]
+        if item.urgency.late or step.long_running:
+            continue
+        run_s = step.estimate_ms / MS
+        work_s += measure_fraction(_measure(item), demand.capacity) * run_s
+        if work_s > max(0.0, item.urgency.latest_start - now) + free * run_s:
+            return False
+    return True
+
+
 def mark_beyond(
     ready: t.Sequence[Ready],
     demand: PoolDemand,
--- a/src/onyxgap/jobs/priorities.py
+++ b/src/onyxgap/jobs/priorities.py
@@ -115,7 +115,8 @@
     There each job is started as late as it may be, and ends late where its orders wait
     for the store or its ends are told late. Those that are late go on while they are of
     use, the others take what is left. A job whose work takes longer than declared has a
-    later objective, too, which is a multiple of its work.
+    later objective, too, which is a multiple of its work; that the slowest of its tasks
+    takes longer than the usual one is no reason to start it later.
 
     :param run_times: what the shard's tasks took.
     """
@@ -138,9 +139,10 @@
         steps_left = len(job.submission.steps) - step
         left_s = factor * job.tails_ms[step] / MS
         left_s += steps_left * (self.run_times.lag_s + TOLD_S)
-        use_end = get_use_end(job, factor)
+        usual = self.run_times.get_factor(policy.queue, 1)
+        use_end = get_use_end(job, usual)
         for standing, end in (
-            (Standing.IN_TIME, get_objective(job, factor)),
+            (Standing.IN_TIME, get_objective(job, usual)),
             (Standing.OF_USE, use_end),
         ):
             if now <= end - left_s:
--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -17,6 +17,7 @@
 from .candidates import PlanRoom
 from .crashes import Care
 from .fair_shares import PoolDemand
+from .fair_shares import can_all_be_in_time
 from .fair_shares import mark_beyond
 from .job import Job
 from .job import Task
@@ -150,7 +151,8 @@
         if self.find_weight is not None and self.shares is not None:
             elsewhere = self.shares.measure_elsewhere()
             demand = PoolDemand(self._measure_offer(), usage, elsewhere)
-            self.beyond = mark_beyond(found, demand, self.find_weight)
+            if not can_all_be_in_time(found, demand, now):
+                self.beyond = mark_beyond(found, demand, self.find_weight)
             if self.beyond:
                 found.sort(key=Ready.get_rank)
         if self.run_times is not None:
