Have shards leave small and slow VMs; count room that may come before a refusal

Change, where settings list the part pressure: a node on a small VM, or one that stays late, offers its shards to nodes on larger VMs by the notice that an owner without the store sends; it leaves what its former process owned to them for 0.6 s. The line of a shard counts the VMs of all pools as room from 2.2 s on. While eight nodes in a row cannot help, submissions are refused in place of being written to a store that is away. A process that stops waits for the answers under way: answers of 500 came from there.

--- a/src/onyxgap/adapters/http_server.py
+++ b/src/onyxgap/adapters/http_server.py
@@ -30,11 +30,13 @@
     :param app: the application.
     :param listen: address to listen on; port 0 lets the system choose.
     :param grace_s: seconds that requests may take after :meth:`stop`.
+    :param ended: set once all answers are sent after :meth:`stop`.
     """
 
     app: t.Any
     listen: Address
     grace_s: float = 30.0
+    ended: anyio.Event = attrs.field(factory=anyio.Event)
     _server: _Server | None = None
 
     async def run(
@@ -71,6 +73,7 @@
     async def _serve(self, listener: socket.socket) -> None:
         assert self._server is not None
         await self._server.serve(sockets=[listener])
+        self.ended.set()
 
     def stop(self) -> None:
         """Stop accepting; :meth:`run` returns once all answers are sent."""
--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -125,6 +125,7 @@
             self._count_owned(),
             self.health.latency_s,
             is_weak(self.memory_mb, self.members.values()),
+            self.settings.contended and is_weak(self.memory_mb, self.members.values()),
         )
         assert self._group is not None
         for shard in list_claimable(views, claimant, heard_since, now)[:1]:
--- a/src/onyxgap/daemons/node_peers.py
+++ b/src/onyxgap/daemons/node_peers.py
@@ -10,11 +10,14 @@
 from ..jobs.members import Member
 from ..jobs.members import decode_member
 from ..jobs.members import encode_member
+from ..jobs.members import is_weak
 from ..jobs.notices import ConfigurationPart
 from ..jobs.notices import ConfigurationQuestion
 from ..jobs.notices import HandOver
 from ..jobs.notices import JobNotice
 from ..jobs.notices import Notice
+from ..jobs.relief import Relief
+from ..jobs.relief import list_stronger
 from ..jobs.store import Applied
 from ..jobs.store import Batch
 from ..jobs.store import StoredRow
@@ -56,6 +59,8 @@
             group.start_soon(self._register)
             group.start_soon(members.run)
             group.start_soon(self._hand_over_forever)
+            if self.settings.contended:
+                group.start_soon(self._offer_forever)
             if self.passing is not None:
                 group.start_soon(self.calls.run, self.passing.answer)
 
@@ -103,6 +108,44 @@
             for item in owned:
                 self._tell_others(HandOver(item.shard, self.boot, item.epoch))
 
+    async def _offer_forever(self) -> None:
+        """Offer shards to better nodes while this one is weak or late."""
+        relief = Relief()
+        while True:
+            await anyio.sleep(HAND_OVER_S)
+            now = self.clocks.read_monotonic()
+            relief.weak = is_weak(self.memory_mb, self.members.values())
+            relief.observe_lag(self.lag.seconds, now)
+            takers = list_stronger(self.settings.node, self.members)
+            if takers and relief.weak:
+                self._offer_former(takers)
+            for owner in list(self.owners.values()):
+                if owner.loaded_at is None or self._stopping:
+                    continue
+                owned_s = now - owner.loaded_at
+                if takers and relief.offers(owner.shard, owner.epoch, owned_s, now):
+                    _LOG.info(
+                        "shard offered",
+                        shard=owner.shard,
+                        epoch=owner.epoch,
+                        weak=relief.weak,
+                        lag_s=round(self.lag.seconds, 3),
+                    )
+                    self._offer(takers, HandOver(owner.shard, self.boot, owner.epoch))
+
+    def _offer_former(self, takers: t.Sequence[str]) -> None:
+        """Offer what an earlier process of this node owned, which is gone."""
+        for shard, view in self.views.items():
+            row = view.row
+            if shard == tables.FLEET_SHARD or row is None or row.released:
+                continue
+            if row.node == self.settings.node and row.boot != self.boot:
+                self._offer(takers, HandOver(shard, row.boot, row.epoch))
+
+    def _offer(self, takers: t.Sequence[str], notice: HandOver) -> None:
+        for node in takers:
+            self.peers.send(self.members[node].address, notice)
+
     def _tell_others(self, notice: Notice) -> None:
         for node, member in self.members.items():
             if node != self.settings.node:
@@ -129,7 +172,7 @@
             return
         if view.handed_over_at is None:
             _LOG.info(
-                "owner cannot reach the store",
+                "owner hands over",
                 shard=notice.shard,
                 owner=row.node,
                 epoch=row.epoch,
--- a/src/onyxgap/daemons/node_process.py
+++ b/src/onyxgap/daemons/node_process.py
@@ -204,5 +204,7 @@
         await node.release()
     await anyio.sleep(LINGER_S)
     front.stop()
-    await anyio.sleep(CLOSE_LIMIT_S / 4)
+    # whoever is answered waits for the store: cut off, it would get a 500
+    with anyio.move_on_after(CLOSE_LIMIT_S * 1.25):
+        await front.ended.wait()
     ready.stop()
--- a/src/onyxgap/daemons/owner.py
+++ b/src/onyxgap/daemons/owner.py
@@ -115,6 +115,7 @@
         self._take_rows(rows, True, values)
         self._loaded_version = version
         self.loaded = True
+        self.loaded_at = self._now()
         _LOG.info(
             "shard loaded",
             shard=self.shard,
@@ -182,6 +183,7 @@
                 _LOG.warning("fleet row skipped", reason=str(error))
                 continue
             self.state.set_cordons(fleet.cordons, fleet.due)
+            self.state.fleet_vms = sum(fleet.base.values())
             self.wake()
 
     async def _decide_until_released(self) -> None:
--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -113,12 +113,15 @@
     """The workers of an owned shard, and the orders to them.
 
     :param context: what the owners of the node share.
+    :param loaded: whether its rows were read.
+    :param loaded_at: monotonic seconds when that was so.
     """
 
     context: OwnerContext
     state: Shard = attrs.field(init=False)
     keeper: ShareKeeper | None = attrs.field(default=None, init=False)
     loaded: bool = False
+    loaded_at: float | None = None
     _questions: anyio.Event = attrs.field(factory=anyio.Event)
     _stored: anyio.Event = attrs.field(factory=anyio.Event)
     _held: set[str] = attrs.field(factory=set)
--- a/src/onyxgap/daemons/passing_desk.py
+++ b/src/onyxgap/daemons/passing_desk.py
@@ -71,6 +71,10 @@
         now = self._now()
         return self.health.is_suspect(now) and bool(self.helpers.choose(now))
 
+    def _is_store_away(self) -> bool:
+        now = self._now()
+        return self.health.is_suspect(now) and self.helpers.is_hopeless(now)
+
     async def find_route(self, host: str, path: str) -> Route | None | Unavailable:
         """Find the queue that a request is for."""
         return await self.desk.find_route(host, path)
@@ -97,6 +101,9 @@
         """Accept a job, or say why not."""
         give_up = self._now() + PATIENCE_S
         result = SubmitResult(SubmitOutcome.REFUSED, Unavailable.STORE.value)
+        if self._is_store_away():
+            # a write now would most likely end as uncertain, which helps nobody
+            return result
         if not self.may_pass():
             result = await self.desk.submit(submission)
             if result.outcome not in (SubmitOutcome.REFUSED, SubmitOutcome.UNKNOWN):
--- a/src/onyxgap/jobs/admission.py
+++ b/src/onyxgap/jobs/admission.py
@@ -20,6 +20,8 @@
 from .ready import Ready
 from .run_times import RunTimes
 
+GROW_S = 2.2
+"""Time from the need of a VM until it serves: a move, and its worker's first hold."""
 VALID_S = 2.0
 """Age of an outlook after which it says nothing: an owner renews its row each 0.7 s."""
 MOST_OVER = 20
@@ -61,6 +63,30 @@
         return self.beyond if tenant in self.over else self.within
 
 
+@attrs.frozen(slots=True)
+class PoolRoom:
+    """The VMs of a pool, and the most that it can get.
+
+    :param vms: workers that take tasks now.
+    :param fleet: VMs of all pools, 0 where they are not known.
+    """
+
+    vms: int
+    fleet: int = 0
+
+    def measure_wait(self, work_s: float) -> float:
+        """Measure for how long some work surely occupies the pool.
+
+        Only what is certain counts against a job: all VMs may come to this pool.
+
+        :param work_s: VM seconds.
+        """
+        if work_s <= self.vms * GROW_S:
+            return round(work_s / self.vms, 3)
+        left_s = work_s - self.vms * GROW_S
+        return round(GROW_S + left_s / max(self.vms, self.fleet), 3)
+
+
 def encode_outlook(outlook: Outlook) -> dict[str, t.Any]:
     """Give an outlook as JSON, empty where nothing waits."""
     return attrs.asdict(outlook) if outlook != Outlook() else {}
@@ -81,14 +107,14 @@
 def measure_outlook(
     line: t.Iterable[Ready],
     capacity: tuple[int, int],
-    vms: int,
+    room: PoolRoom,
     run_times: RunTimes,
 ) -> Outlook:
     """Measure the line of a shard.
 
     :param line: what waits, as the last plan ordered it.
     :param capacity: cores in thousandths and MB of a worker.
-    :param vms: workers that take tasks.
+    :param room: the pool's VMs.
     :param run_times: what the shard's tasks took.
     """
     work: dict[tuple[Standing, bool], float] = {}
@@ -106,17 +132,17 @@
         work[key] = work.get(key, 0.0) + waiting * share_s
         if item.beyond:
             over[item.job.submission.tenant] = None
-    if not vms or not steps:
+    if not room.vms or not steps:
         return Outlook()
     in_within = work.get((Standing.IN_TIME, False), 0.0)
     in_all = in_within + work.get((Standing.IN_TIME, True), 0.0)
     use_within = in_all + work.get((Standing.OF_USE, False), 0.0)
     use_all = use_within + work.get((Standing.OF_USE, True), 0.0)
     return Outlook(
-        Line(round(in_within / vms, 3), round(use_within / vms, 3)),
-        Line(round(in_all / vms, 3), round(use_all / vms, 3)),
+        Line(room.measure_wait(in_within), room.measure_wait(use_within)),
+        Line(room.measure_wait(in_all), room.measure_wait(use_all)),
         tuple(over)[:MOST_OVER],
-        round(use_all / vms / steps, 5),
+        round(use_all / max(room.vms, room.fleet) / steps, 5),
     )
 
 
--- a/src/onyxgap/jobs/notices.py
+++ b/src/onyxgap/jobs/notices.py
@@ -24,7 +24,7 @@
 
 @attrs.frozen(slots=True)
 class HandOver:
-    """An owner cannot reach the store; tells others that may claim the shard.
+    """An owner cannot reach the store, or its VM is small; others may claim the shard.
 
     :param shard: the shard.
     :param boot: unique id of the owner's process.
--- a/src/onyxgap/jobs/ownership.py
+++ b/src/onyxgap/jobs/ownership.py
@@ -29,6 +29,10 @@
 """Further delay of a node on a small VM, as for two shards owned: one that owns a
 large shard plans on reports that are seconds old, while large VMs own nothing."""
 
+YIELD_S = 0.6
+"""Time that a node on a small VM leaves to larger ones to claim what its former process
+owned; they need a notice and a claim."""
+
 
 @attrs.define(slots=True)
 class OwnerView:
@@ -89,6 +93,7 @@
     :param owned: number of shards that it owns.
     :param latency_s: time that a call to the store takes it at present.
     :param weak: whether its VM is much smaller than that of other nodes.
+    :param yields: whether it leaves shards of its own former process to others first.
     """
 
     node: str
@@ -96,6 +101,7 @@
     owned: int
     latency_s: float = 0.0
     weak: bool = False
+    yields: bool = False
 
 
 def get_claim_time(
@@ -124,7 +130,7 @@
         return view.handed_over_at + delay
     if row.node == claimant.node and row.boot != claimant.boot:
         # the row is from an earlier process of this node, which is gone
-        return view.changed_at
+        return view.changed_at + YIELD_S * claimant.yields
     silence_s = SILENCE_S + LATENCY_FACTOR * claimant.latency_s
     return max(view.changed_at, heard_since) + silence_s + delay
 
--- a/src/onyxgap/jobs/passing.py
+++ b/src/onyxgap/jobs/passing.py
@@ -19,7 +19,7 @@
 calls find one that is not."""
 UNABLE_S = 1.0
 """Time for which a node that could not help is not asked again."""
-HOPELESS = 4
+HOPELESS = 8
 """Nodes found unable one after the other, after which the store counts as away from
 all: calls are then refused at once until one of these may be asked again."""
 
@@ -136,7 +136,7 @@
         :param now: monotonic seconds.
         :returns: addresses.
         """
-        if now < self._hopeless_until:
+        if self.is_hopeless(now):
             return []
         addresses = [
             member.call_address
@@ -147,6 +147,13 @@
         ]
         return self.draw(addresses, min(MOST_TRIES, len(addresses)))
 
+    def is_hopeless(self, now: float) -> bool:
+        """Tell whether the store is away from all, as far as others told.
+
+        :param now: monotonic seconds.
+        """
+        return now < self._hopeless_until
+
     def note_able(self, address: str) -> None:
         """Take in that a node answered."""
         self._unable_until.pop(address, None)
--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -10,6 +10,7 @@
 import structlog
 
 from .admission import Outlook
+from .admission import PoolRoom
 from .admission import measure_outlook
 from .amounts import NOTHING
 from .amounts import Amount
@@ -56,6 +57,7 @@
         ``None`` where all stand in one line.
     :param line: what might start at the last plan, in its order; kept where run times
         are learned.
+    :param fleet_vms: VMs of all pools in the beginning, 0 where they are not known.
     :param beyond: steps that stood beyond their tenants' shares in the last plan.
     """
 
@@ -63,6 +65,7 @@
     find_weight: t.Callable[[str], float] | None = None
     beyond: int = 0
     line: t.Sequence[Ready] = ()
+    fleet_vms: int = 0
 
     def plan(self, now: float, wall_ms: float) -> list[StartOrder]:
         """Choose what to start; records each choice as an intent.
@@ -167,7 +170,8 @@
         if self.run_times is None:
             return Outlook()
         vms = sum(record.is_open(now) for record in self.workers.values())
-        return measure_outlook(self.line, self.get_capacity(), vms, self.run_times)
+        room = PoolRoom(vms, self.fleet_vms)
+        return measure_outlook(self.line, self.get_capacity(), room, self.run_times)
 
     def _measure_offer(self) -> Amount:
         """Measure what the workers offer that may run tasks, used or not."""
--- a/src/onyxgap/standins/emulator/script.py
+++ b/src/onyxgap/standins/emulator/script.py
@@ -153,12 +153,14 @@
     :param nodes: number of nodes.
     :param call_cost_s: processor time that a call to a worker takes a node.
     :param contended: whether nodes weigh callers against each other.
+    :param small: number of nodes on small VMs, the first ones.
     """
 
     name: str
     nodes: int = 3
     call_cost_s: float = 0.0
     contended: bool = False
+    small: int = 0
     spare: int = 0
     turn_s: float = 0.0
     end_s: float = 40.0
@@ -273,6 +275,7 @@
     "nodes": _read_number("nodes", int),
     "call-cost": _read_number("call_cost_s", float),
     "contended": _contend,
+    "small": _read_number("small", int),
     "spare": _read_number("spare", int),
     "turns": _read_number("turn_s", float),
     "end": _read_number("end_s", float),
--- a/src/onyxgap/standins/emulator/slots.py
+++ b/src/onyxgap/standins/emulator/slots.py
@@ -33,6 +33,9 @@
 from .workers import EmulatedWorkers
 from .workers import EmulatedWorkersClient
 
+SMALL_MB = 200
+LARGE_MB = 552
+
 
 class SlotDay(t.Protocol):
     """What a slot needs of its day."""
@@ -113,6 +116,7 @@
             peers=EmulatedPeers(self.name, day.network, self.gate),
             calls=EmulatedCallLink(self.name, day.network, self.gate),
             build_sizer=day.build_sizer,
+            memory_mb=self._get_memory_mb(),
             boot=f"{day.rng.getrandbits(48):012x}",
         )
         with anyio.CancelScope() as scope:
@@ -120,6 +124,14 @@
             await self.node.run()
         self.node = None
 
+    def _get_memory_mb(self) -> int:
+        """Give the memory of the VM, 0 on days whose VMs are all alike."""
+        script = self.day.script
+        if not script.small:
+            return 0
+        number = int(self.name.rpartition("-")[2])
+        return SMALL_MB if number < script.small else LARGE_MB
+
     def kill(self) -> None:
         """End the process at once."""
         self.gate.freeze()
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -4,10 +4,12 @@
 import pytest
 
 from onyxgap.jobs import tables
+from onyxgap.jobs.admission import GROW_S
 from onyxgap.jobs.admission import MOST_RETRY_S
 from onyxgap.jobs.admission import Gate
 from onyxgap.jobs.admission import Line
 from onyxgap.jobs.admission import Outlook
+from onyxgap.jobs.admission import PoolRoom
 from onyxgap.jobs.admission import decode_outlook
 from onyxgap.jobs.admission import encode_outlook
 from onyxgap.jobs.job import Job
@@ -111,3 +113,20 @@
     result = play(extend_day("tenants", "contended", flood), seed)
     assert result.breaches == []
     assert result.account.refused
+
+
+@pytest.mark.parametrize(
+    ("room", "work_s", "wait_s"),
+    [
+        (PoolRoom(10), 20.0, 2.0),
+        (PoolRoom(10), 60.0, 6.0),
+        # all VMs of the fleet may come, once they have moved
+        (PoolRoom(10, 100), 20.0, 2.0),
+        (PoolRoom(10, 100), 22.0 + 100.0, GROW_S + 1.0),
+        (PoolRoom(100, 10), 600.0, 6.0),
+    ],
+)
+def test_room_that_may_come_shortens_the_line(
+    room: PoolRoom, work_s: float, wait_s: float
+) -> None:
+    assert room.measure_wait(work_s) == pytest.approx(wait_s)
--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -62,6 +62,7 @@
         assert helpers.choose(10.0)
         helpers.note_unable(f"n{number}:1", 10.0)
     assert helpers.choose(10.0) == []
+    assert helpers.is_hopeless(10.0)
     # one that is still unable suffices then
     assert helpers.choose(10.0 + UNABLE_S)
     helpers.note_unable("n9:1", 10.0 + UNABLE_S)
