Show operators what competing callers met; shorten long lists in explain

Lines on ends hold the tasks of many jobs now: explain shows of a long list what is about its subject, and how many others there are.

--- a/src/onyxgap/cli/tracing.py
+++ b/src/onyxgap/cli/tracing.py
@@ -14,6 +14,8 @@
 WORKER_FIELD = "worker"
 HIDDEN_FIELDS = frozenset({TIME_FIELD, EVENT_FIELD, "level"})
 EXIT_NOTHING = 1
+SHOWN_ITEMS = 4
+"""Items of a list that are shown in full."""
 
 
 @attrs.frozen
@@ -86,13 +88,24 @@
     return sorted([*own, *beside], key=lambda line: line.at)
 
 
-def render_line(line: LogLine) -> str:
+def _shorten(value: t.Any, subject: str) -> t.Any:
+    """Leave of a long list what is about the subject, and the number of the others."""
+    if not isinstance(value, list) or len(value) <= SHOWN_ITEMS:
+        return value
+    own = [item for item in value if _is_about(item, subject)]
+    return [*own, f"and {len(value) - len(own)} others"]
+
+
+def render_line(line: LogLine, subject: str = "") -> str:
     """Render a line for people.
 
     :param line: the line.
+    :param subject: whom it is shown for, so that long lists can be shortened.
     """
     shown = {
-        key: value for key, value in line.fields.items() if key not in HIDDEN_FIELDS
+        key: _shorten(value, subject) if subject else value
+        for key, value in line.fields.items()
+        if key not in HIDDEN_FIELDS
     }
     text = " ".join(f"{key}={json.dumps(value)}" for key, value in shown.items())
     return f"{line.at}  {line.source}  {line.fields[EVENT_FIELD]}: {text}"
@@ -110,7 +123,8 @@
             return EXIT_NOTHING
     selected = select_lines(lines, arguments.subject)
     for line in selected:
-        print(json.dumps(line.fields) if arguments.json else render_line(line))
+        text = render_line(line, arguments.subject)
+        print(json.dumps(line.fields) if arguments.json else text)
     if not selected:
         print(f"no line mentions {arguments.subject}", file=sys.stderr)
         return EXIT_NOTHING
--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -119,13 +119,14 @@
             and now >= self._claim_after.get(shard, 0.0)
             and shard in self._list_shards()
         }
+        weak = is_weak(self.memory_mb, self.members.values())
         claimant = Claimant(
             self.settings.node,
             self.boot,
             self._count_owned(),
             self.health.latency_s,
-            is_weak(self.memory_mb, self.members.values()),
-            self.settings.contended and is_weak(self.memory_mb, self.members.values()),
+            weak,
+            yields=weak and self.settings.contended,
         )
         assert self._group is not None
         for shard in list_claimable(views, claimant, heard_since, now)[:1]:
--- a/src/onyxgap/daemons/node_process.py
+++ b/src/onyxgap/daemons/node_process.py
@@ -123,6 +123,13 @@
             "workers_registered": lambda: sum(
                 len(owner.state.list_registered()) for owner in node.owners.values()
             ),
+            "steps_beyond_shares": lambda: sum(
+                owner.state.beyond for owner in node.owners.values()
+            ),
+            "start_lag_seconds": lambda: max(
+                (owner.state.get_start_lag() for owner in node.owners.values()),
+                default=0.0,
+            ),
             "configuration_version": node.desk.get_version,
             "ready": node.desk.is_ready,
             "store_down": lambda: node.health.is_down(node.clocks.read_monotonic()),
--- a/src/onyxgap/daemons/passing_desk.py
+++ b/src/onyxgap/daemons/passing_desk.py
@@ -173,13 +173,12 @@
         if state is not Unavailable.STORE:
             return state
         call = _build_call(CallKind.STATE, route, job_id, caller)
-        async for answer in self._pass(call, give_up):
-            if answer is None:
-                continue
-            if answer.outcome == DENIED:
-                return Denied.OTHER_TENANT
-            return None if answer.outcome == GONE else JobState(answer.outcome)
-        return state
+        answer = await self._ask_others(call, give_up)
+        if answer is None:
+            return state
+        if answer.outcome == DENIED:
+            return Denied.OTHER_TENANT
+        return None if answer.outcome == GONE else JobState(answer.outcome)
 
     async def cancel(
         self, route: Route, job_id: str, caller: Caller = ANYONE
@@ -190,13 +189,21 @@
         if known is not Unavailable.STORE:
             return known
         call = _build_call(CallKind.CANCEL, route, job_id, caller)
+        answer = await self._ask_others(call, give_up)
+        if answer is None:
+            return known
+        if answer.outcome == DENIED:
+            return Denied.OTHER_TENANT
+        return answer.outcome != GONE
+
+    async def _ask_others(
+        self, call: PassedCall, give_up: float
+    ) -> PassedAnswer | None:
+        """Pass on a call that may be done twice; ``None`` where nobody answers."""
         async for answer in self._pass(call, give_up):
-            if answer is None:
-                continue
-            if answer.outcome == DENIED:
-                return Denied.OTHER_TENANT
-            return answer.outcome != GONE
-        return known
+            if answer is not None:
+                return answer
+        return None
 
     async def answer(self, call: PassedCall) -> PassedAnswer:
         """Answer a call that another node passed on, from the store alone.
--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -162,6 +162,10 @@
             self.line = found
         return found
 
+    def get_start_lag(self) -> float:
+        """Give the smoothed seconds for which orders wait to be stored and sent."""
+        return self.run_times.lag_s if self.run_times is not None else 0.0
+
     def build_outlook(self, now: float) -> Outlook:
         """Tell how long a job waits that comes now, as of the last plan.
 
--- a/tests/test_tracing.py
+++ b/tests/test_tracing.py
@@ -8,6 +8,7 @@
 
 from onyxgap.cli.main import build_parser
 from onyxgap.cli.tracing import parse_lines
+from onyxgap.cli.tracing import render_line
 from onyxgap.cli.tracing import run_trace
 from onyxgap.cli.tracing import select_lines
 
@@ -51,3 +52,12 @@
     assert "submission answered" in capsys.readouterr().out
     arguments.subject = "zz"
     assert anyio.run(run_trace, arguments) == 1
+
+
+def test_long_lists_are_shortened_to_the_subject() -> None:
+    others = ", ".join(f'"bb22.0.0.{number}"' for number in range(9))
+    text = f'{{"event":"tasks done","tasks":["aa11.0.0.2", {others}]}}'
+    (line,) = parse_lines("a", text)
+    shown = render_line(line, "aa11")
+    assert '"aa11.0.0.2", "and 9 others"' in shown
+    assert "bb22.0.0.8" in render_line(line)
