Pass submissions on only by a configuration that is surely in force

A node without the store that hears no other node either may have a queue in its configuration that was dropped; the node that it passes a job on to would store it.

--- a/src/onyxgap/daemons/desk.py
+++ b/src/onyxgap/daemons/desk.py
@@ -111,6 +111,10 @@
         configuration = self.routes.configuration
         return configuration.max_body_bytes if configuration else DEFAULT_BODY_BYTES
 
+    def is_configuration_current(self) -> bool:
+        """Tell whether the version in force may be relied on."""
+        return self.authentication.exchange.is_current()
+
     def is_ready(self) -> bool:
         """Tell whether new connections should come here."""
         return (
--- a/src/onyxgap/daemons/passing_desk.py
+++ b/src/onyxgap/daemons/passing_desk.py
@@ -108,6 +108,9 @@
             result = await self.desk.submit(submission)
             if result.outcome not in (SubmitOutcome.REFUSED, SubmitOutcome.UNKNOWN):
                 return result
+        if not self.desk.is_configuration_current():
+            # the queue may be gone by now, and the other node would not know
+            return result
         call = PassedCall(
             CallKind.SUBMIT,
             submission.job_id,
