Have two faults that restart a place in the soak start one process

A stop and a cut of all nodes restarted its place within 0.4 s, and both found it empty while the first process was still being opened.

--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -174,24 +174,29 @@
         """Run one process of the node until it ends; none beside another."""
         if self.node is not None:
             return
+        # taken before the process is there: two faults may restart it at once
+        node = t.cast(t.Any, RunningNode(self))
+        self.node, self._wanted = node, True
         settings = self._write_settings()
         command = [sys.executable, "-m", "onyxgap", "node", "--settings", str(settings)]
         with (self.folder / f"{self.name}.log").open("ab") as log:
             process = await anyio.open_process(
                 command, stdin=None, stdout=log, stderr=log
             )
-        t.cast(PausedGate, self.gate).process = process
-        self.node = t.cast(t.Any, RunningNode(self))
-        self._pool = httpcore.AsyncConnectionPool(max_connections=64)
-        self._wanted = True
+        if self.node is node:
+            t.cast(PausedGate, self.gate).process = process
+            self._pool = httpcore.AsyncConnectionPool(max_connections=64)
+        else:
+            process.kill()
         try:
             code = await process.wait()
-            if self._wanted:
+            if self._wanted and self.node is node:
                 self.ended.append(code)
         finally:
             if process.returncode is None:
                 process.kill()
-            self.node = None
+            if self.node is node:
+                self.node = None
 
     def kill(self) -> None:
         """End the process at once."""
