Count no worker that was emptied as one that crashed by itself

Cause: a VM that moves or is in maintenance ends its worker as a crash does. A worker without runs speaks for nobody.

Measured: tests/test_crashes.py, test_crashing_tasks.py and test_lives.py pass, 80 tests.

--- a/src/onyxgap/jobs/shard_workers.py
+++ b/src/onyxgap/jobs/shard_workers.py
@@ -335,7 +335,8 @@
         if record.entry.state is not WorkerState.DRAINING:
             sent = [task for task in tasks if _was_sent(task)]
             self._suspect(sent, crashed, record.heard_ms)
-        if crashed:
+        if crashed and tasks:
+            # one that was emptied has moved or is in maintenance
             self.crashes.note([task.task_id.job_id for task in tasks], now)
         for job, task in lost:
             self._release(job, task)
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -256,3 +256,10 @@
     for moment in range(6):
         log.note(["blamed", "other"], float(moment))
     assert log.get_doubt("blamed") == 0
+
+
+def test_workers_that_were_emptied_speak_for_nobody(bench: Bench) -> None:
+    for number in range(8):
+        bench.add_worker(f"moved-{number}")
+        bench.shard.end_worker(f"moved-{number}", "its VM is down", bench.now)
+    assert bench.shard.crashes.get_doubt("blamed") == 0
