--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -4,6 +4,7 @@
 import json
 import logging
 import pathlib
+import signal
 import sys
 import tempfile
 
@@ -28,6 +29,8 @@
     parser.add_argument("--json", action="store_true", help="one JSON object a seed")
     arguments = parser.parse_args()
     logging.disable(logging.CRITICAL)
+    # ended early, a soak ends its processes all the same
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     structlog.configure(
         wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR)
     )
