--- a/src/onyxgap/cli/bill.py
+++ b/src/onyxgap/cli/bill.py
@@ -16,7 +16,7 @@
 
 EXIT_USAGE = 2
 RECOVERY_S = 2.5
-"""Chosen: a job that was open this long before or after a claim is billed to it; VMs
+"""A job that was open this long before or after a claim is billed to it; VMs
 that a new owner's backlog asks for serve some 2 s later."""
 _FAILURES = frozenset({"task ended", "straggler stopped"})
 
--- a/src/onyxgap/daemons/desk.py
+++ b/src/onyxgap/daemons/desk.py
@@ -12,7 +12,6 @@
 from ..jobs import tables
 from ..jobs.admission import VALID_S
 from ..jobs.admission import Gate
-from ..jobs.admission import Overload
 from ..jobs.admission import decode_outlook
 from ..jobs.desk import Denied
 from ..jobs.desk import SubmitOutcome
@@ -160,19 +159,25 @@
                 return SubmitResult(SubmitOutcome.REFUSED, str(error))
             if known is not None:
                 return _compare(known, submission)
-        if submission.tenant:
-            cap = self.routes.find_cap(submission.tenant)
-            step = find_step_above(submission.steps, cap)
-            if step is not None:
-                return await self._refuse_above_cap(submission, step)
-        overload = self._judge(submission)
-        if overload is not None:
-            return await self._refuse_overload(submission, overload)
+        refusal = self._check_cap(submission) or self._judge(submission)
+        if refusal is not None:
+            return await self._refuse_unless_known(submission, refusal)
         accepted_ms = int(self.clocks.read_wall() * 1000)
         return await self._store(attrs.evolve(submission, accepted_ms=accepted_ms))
 
-    def _judge(self, submission: Submission) -> Overload | None:
-        """Judge a job by the line of its shard, as far as that is known."""
+    def _check_cap(self, submission: Submission) -> SubmitResult | None:
+        """Give the refusal of what can never run within its tenant's cap."""
+        if not submission.tenant:
+            return None
+        cap = self.routes.find_cap(submission.tenant)
+        step = find_step_above(submission.steps, cap)
+        if step is None:
+            return None
+        reason = f"$.steps[{step}]: asks for more than its tenant may have running"
+        return SubmitResult(SubmitOutcome.ABOVE_CAP, reason)
+
+    def _judge(self, submission: Submission) -> SubmitResult | None:
+        """Give the refusal of what can no longer be of use, by its shard's line."""
         view = self.views.get(submission.policy.service)
         now = self.clocks.read_monotonic()
         if self.gate is None or view is None or view.row is None:
@@ -184,37 +189,24 @@
         except (TypeError, KeyError) as error:
             _LOG.warning("outlook skipped", reason=repr(error))
             return None
-        return self.gate.judge(submission, outlook, self.count_nodes(), now)
-
-    async def _refuse_overload(
-        self, submission: Submission, overload: Overload
-    ) -> SubmitResult:
-        """Refuse what can no longer be of use, unless it was accepted before."""
-        shard = submission.policy.service
-        try:
-            known = await self._read_submission(shard, submission.job_id)
-        except PlatformUnavailableError as error:
-            return SubmitResult(SubmitOutcome.UNKNOWN, str(error))
-        if known is not None:
-            return _compare(known, submission)
+        overload = self.gate.judge(submission, outlook, self.count_nodes(), now)
+        if overload is None:
+            return None
         line_s = overload.line.of_use_s
         reason = f"{line_s:.1f} s of work are waiting, {overload.use_s:.1f} s are left"
         return SubmitResult(SubmitOutcome.OVERLOADED, reason, overload.retry_after_s)
 
-    async def _refuse_above_cap(
-        self, submission: Submission, step: int
+    async def _refuse_unless_known(
+        self, submission: Submission, refusal: SubmitResult
     ) -> SubmitResult:
-        """Refuse what can never run, unless it was accepted under a higher cap."""
+        """Refuse a job, unless it was accepted before."""
         try:
             known = await self._read_submission(
                 submission.policy.service, submission.job_id
             )
         except PlatformUnavailableError as error:
             return SubmitResult(SubmitOutcome.UNKNOWN, str(error))
-        if known is not None:
-            return _compare(known, submission)
-        reason = f"$.steps[{step}]: asks for more than its tenant may have running"
-        return SubmitResult(SubmitOutcome.ABOVE_CAP, reason)
+        return refusal if known is None else _compare(known, submission)
 
     async def _store(self, submission: Submission) -> SubmitResult:
         row = tables.get_job_row(submission.policy.service, submission.job_id)
--- a/src/onyxgap/daemons/lag.py
+++ b/src/onyxgap/daemons/lag.py
@@ -6,9 +6,9 @@
 from ..clocks import Clocks
 
 LOOK_S = 0.1
-"""Pause between two looks; chosen: a fifth of the time that an order stays valid."""
+"""Pause between two looks: a fifth of the time that an order stays valid."""
 DECAY = 0.7
-"""Share of an earlier lateness that still counts at the next look; chosen: half of it
+"""Share of an earlier lateness that still counts at the next look: half of it
 is forgotten after 0.2 s."""
 
 
--- a/src/onyxgap/jobs/members.py
+++ b/src/onyxgap/jobs/members.py
@@ -6,8 +6,8 @@
 import orjson
 
 WEAK_SHARE = 0.6
-"""A node with less of the largest VM's memory is weak. Chosen: where two sizes of
-VMs were seen, they have 200 and 552 MB, the larger ones four times the processor."""
+"""A node with less of the largest VM's memory is weak: VMs of one size differ by less,
+and one of half the memory mostly has half the processor, too."""
 
 
 @attrs.frozen(slots=True)
--- a/src/onyxgap/logs.py
+++ b/src/onyxgap/logs.py
@@ -42,8 +42,7 @@
 DROPPED_EVENT = "log lines dropped"
 """Event of the line that tells how many lines before it were dropped."""
 LINES_PER_S = 300.0
-"""Sustained rate. Without a limit a node's heaviest second had 296 lines, on quiet-1,
-trouble-1 and trouble-2 of the larger site."""
+"""Sustained rate: a busy owner's lines of a second, but for those of a flood."""
 BURST_LINES = 800.0
 """Further lines in a burst; between two busy seconds a node writes far fewer."""
 ROUTINE_SHARE = 0.75
--- a/src/onyxgap/pools/sizing.py
+++ b/src/onyxgap/pools/sizing.py
@@ -16,8 +16,7 @@
 from .turns import TurnForecast
 
 HEADROOM = 1.1
-"""Tasks do not fill a VM to the last core, and the need is up to 0.3 s old. Measured
-against 1.2 on three days: as much served, 0.000 to 0.035 more worth."""
+"""Tasks do not fill a VM to the last core, and the need is up to 0.3 s old."""
 QUEUE_SHARE = 0.5
 """Share of the queue that a pool is sized for: tasks last about a second, and a VM
 that is asked for now serves 2.2 s later."""
