Log the source of waiting counts and the epoch of failed shards

Cause: nothing recorded which figure a caller received as the count of waiting jobs: whether it came from the owner's memory, from the owner's row or from no source, or how old it was. A failed shard had no epoch in the log and no metric. The log line for a silent worker did not distinguish a planned move from a lost worker.

Change: add the log line `waiting jobs counted` with queue, service, count, source, age and epoch, counted in `onyxgap_answers` under the reason `count`. `shard failed` includes the epoch, and the gauge `onyxgap_shards_failed` counts these failures. `worker silent` includes whether the worker is registered and cordoned, and how many runs were placed there.

--- a/src/onyxgap/daemons/desk.py
+++ b/src/onyxgap/daemons/desk.py
@@ -21,6 +21,7 @@
 from ..jobs.health import StoreHealth
 from ..jobs.messages import JobState
 from ..jobs.messages import JobStatus
+from ..jobs.messages import QueuePolicy
 from ..jobs.messages import Submission
 from ..jobs.ownership import OwnerView
 from ..jobs.routing import DEFAULT_BODY_BYTES
@@ -40,6 +41,8 @@
 from ..jobs.tenants import Caller
 from ..jobs.tenants import KeyFault
 from ..jobs.tenants import find_step_above
+from ..jobs.waiting import CountSource
+from ..jobs.waiting import WaitingCount
 from .authentication import Authentication
 from .owner import ShardOwner
 
@@ -383,14 +386,31 @@
 
     def count_waiting(self, route: Route) -> int | Unavailable:
         """Count the jobs of a queue of which nothing has started."""
-        policy = route.policy
+        waiting = self._find_waiting_count(route.policy)
+        self.on_answer("count", waiting.source.value, 0.0)
+        _LOG.info(
+            "waiting jobs counted",
+            queue=route.policy.queue,
+            service=route.policy.service,
+            count=waiting.count,
+            source=waiting.source.value,
+            age_s=round(waiting.age_s, 2),
+            epoch=waiting.epoch,
+            configuration=self.get_version(),
+        )
+        return waiting.count
+
+    def _find_waiting_count(self, policy: QueuePolicy) -> WaitingCount:
         owner = self.owners.get(policy.service)
         if owner is not None and owner.loaded:
-            return owner.state.count_waiting().get(policy.queue, 0)
+            count = owner.state.count_waiting().get(policy.queue, 0)
+            return WaitingCount(count, CountSource.OWNER, epoch=owner.epoch)
         view = self.views.get(policy.service)
         if view is None or view.row is None:
-            return 0
-        return view.row.waiting.get(policy.queue, 0)
+            return WaitingCount(0, CountSource.NONE)
+        age_s = self.clocks.read_monotonic() - view.changed_at
+        count = view.row.waiting.get(policy.queue, 0)
+        return WaitingCount(count, CountSource.OWNER_ROW, age_s, view.row.epoch)
 
 
 def _compare(known: Submission, submission: Submission) -> SubmitResult:
--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -217,7 +217,7 @@
                 sizer=self.build_sizer(),
             )
             self.holder = holder
-            self._group.start_soon(self._run_owner, shard, holder.run)
+            self._group.start_soon(self._run_owner, shard, row.epoch, holder.run)
             return
         context = OwnerContext(
             self.store,
@@ -236,10 +236,10 @@
         )
         owner = ShardOwner(writer, context)
         self.owners[shard] = owner
-        self._group.start_soon(self._run_owner, shard, owner.run)
+        self._group.start_soon(self._run_owner, shard, row.epoch, owner.run)
 
     async def _run_owner(
-        self, shard: str, run: t.Callable[[], t.Awaitable[None]]
+        self, shard: str, epoch: int, run: t.Callable[[], t.Awaitable[None]]
     ) -> None:
         try:
             await run()
@@ -249,7 +249,8 @@
             _LOG.info("shard not loaded", shard=shard, reason=str(error))
         except Exception:
             # a fault in one shard must not end the others; the shard is claimed anew
-            _LOG.exception("shard failed", shard=shard)
+            self.shards_failed += 1
+            _LOG.exception("shard failed", shard=shard, epoch=epoch)
         finally:
             if shard == tables.FLEET_SHARD:
                 self.holder = None
--- a/src/onyxgap/daemons/node_process.py
+++ b/src/onyxgap/daemons/node_process.py
@@ -113,6 +113,7 @@
     metrics = Metrics(
         gauges={
             "shards_owned": lambda: len(node.owners),
+            "shards_failed": lambda: node.shards_failed,
             "fleet_duty_held": lambda: node.holder is not None,
             "jobs_open": lambda: sum(
                 len(owner.state.jobs) for owner in node.owners.values()
--- a/src/onyxgap/daemons/node_view.py
+++ b/src/onyxgap/daemons/node_view.py
@@ -110,6 +110,7 @@
     waves: dict[int, Wave] = attrs.field(factory=dict)
     members: dict[str, Member] = attrs.field(factory=dict)
     holder: FleetHolder | None = None
+    shards_failed: int = 0
     passing: PassingDesk | None = None
     exchange: ConfigurationExchange = attrs.field(init=False)
     desk: NodeDesk = attrs.field(init=False)
--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -328,6 +328,9 @@
                 worker=worker_id,
                 service=self.service,
                 reason=f"{reply.kind.value}: {reply.detail}",
+                registered=record.registered,
+                cordoned=record.cordoned,
+                placed=record.count_present(),
             )
 
     def apply_start_reply(self, order: StartOrder, reply: Reply, now: float) -> None:
--- a/src/onyxgap/logs.py
+++ b/src/onyxgap/logs.py
@@ -56,6 +56,7 @@
         "submission answered",
         "tasks done",
         "tasks placed",
+        "waiting jobs counted",
     }
 )
 """Events that a busy node logs by the hundred a second."""
