Skip malformed rows instead of ending the follower

While a malformed registration was in the store, callers saw counts of waiting jobs that were too low, and jobs that did not start.

Only DocumentError was caught around the decoders. A registration whose `capacity` is not an object raised AttributeError, which ended the follower of the registrations and with it the task group of the owner. The row stayed in the store, so each successor ended as well, about every 2.5 s. Other malformed registrations were accepted with values of the wrong type: a list as address, a port above 65,535 (whose OverflowError would end the owner at its first call), an unknown state.

Every follower now decodes its rows through `daemons/rows.py`. Any error of a decoder is logged, counted in the gauge `onyxgap_rows_skipped`, and skips only that row. Registrations, waves and owner rows are decoded into attrs classes with strict types. A worker whose row becomes malformed is no longer registered. An owner takes the cancels of a read before its submissions.

The decoders of worker reports, advice, the list of VMs, store conflicts, shares, members and submissions also missed some errors; all of them now catch `MALFORMED_ERRORS`. The converter no longer accepts a string in place of an object whose fields all have defaults.

--- a/bench/soak/platform.py
+++ b/bench/soak/platform.py
@@ -34,7 +34,7 @@
 """Time for which a call without an answer is held open; all nodes give up before."""
 
 NO_LINGER = struct.pack("ii", 1, 0)
-"""Socket option with which closing a connection resets it."""
+"""Value of SO_LINGER that makes close send RST instead of FIN."""
 
 VM_REPLIES: t.Mapping[VmReply, tuple[int, str]] = {
     VmReply.DONE: (200, ""),
@@ -47,9 +47,9 @@
 
 
 def reset_connection(send: Send) -> None:
-    """Reset the connection of a call, as that of a worker whose process has ended.
+    """Reset the connection of a call, as when the process of a worker has ended.
 
-    :param send: of the call; a method of the server's record of the request.
+    :param send: ``send`` of the call, a bound method of the server's request cycle.
     """
     transport = t.cast(t.Any, send).__self__.transport
     raw_socket = transport.get_extra_info("socket")
--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -270,7 +270,7 @@
         return Unavailable.STORE
 
     async def count_waiting(self, route: Route, key: str) -> int | None:
-        """Ask how many jobs of a queue wait."""
+        """Request the number of waiting jobs of a queue."""
         response = await self._call("GET", route, "", key)
         if response is None or response.status != 200:
             return None
--- a/bench/soak/wire.py
+++ b/bench/soak/wire.py
@@ -66,8 +66,10 @@
     )
 
 
-def is_emulated(value: bytes) -> bool:
-    """Tell whether an emulated worker wrote a registration, not another writer.
+def is_written_by_emulator(value: bytes) -> bool:
+    """Tell whether a registration is in the format of the emulator.
+
+    Others are passed on unchanged.
 
     :param value: the registration.
     """
@@ -86,7 +88,7 @@
         key, value = registry.CONFIGURATION_KEY, _write_configuration(value)
     elif table == registry.OPERATOR_TABLE and value:
         value = _write_wave(value)
-    elif table == registry.WORKER_TABLE and is_emulated(value):
+    elif table == registry.WORKER_TABLE and is_written_by_emulator(value):
         value = _write_worker(value, worker_address)
     return {
         "table": table,
--- a/src/onyxgap/daemons/fleet.py
+++ b/src/onyxgap/daemons/fleet.py
@@ -10,7 +10,7 @@
 import structlog
 
 from ..clocks import Clocks
-from ..exceptions import DocumentError
+from ..exceptions import MALFORMED_ERRORS
 from ..exceptions import OwnershipLostError
 from ..exceptions import PlatformUnavailableError
 from ..jobs import tables
@@ -35,6 +35,8 @@
 from .follower import Follower
 from .owned import OwnedShard
 from .reading import read_at_once
+from .rows import SkippedRows
+from .rows import decode_rows
 
 TICK_S = 0.2
 """Orders wait at most this long; reports wake the loop earlier."""
@@ -62,6 +64,7 @@
     :param encode_status: gives the row that tells how far a wave is.
     :param rng: spreads retries.
     :param sizer: chooses the sizes of pools.
+    :param skipped: number of rows that could not be decoded, by table.
     """
 
     cloud: Cloud
@@ -73,6 +76,7 @@
     encode_status: t.Callable[[int, bool], tuple[RowId, bytes]]
     rng: random.Random
     sizer: Sizer
+    skipped: SkippedRows = attrs.field(factory=SkippedRows)
     planner: FleetPlanner = attrs.field(init=False)
     _earlier: FleetRow = attrs.field(factory=FleetRow)
     _stored: bytes = b""
@@ -111,11 +115,13 @@
             (tables.TURNS_TABLE, tables.FLEET_SHARD),
         ]
         page, turns = await read_at_once(self.store, wanted)
-        for row in page.rows:
-            try:
-                self._earlier = decode_fleet_row(row.value)
-            except DocumentError as error:
-                _LOG.warning("fleet row skipped", reason=str(error))
+        for _, fleet in decode_rows(
+            page.rows,
+            lambda row: decode_fleet_row(row.value),
+            self.skipped,
+            "fleet row skipped",
+        ):
+            self._earlier = fleet or self._earlier
         # an earlier holder's last call about a VM must be over before ours
         pause_s = self._get_pause_s()
         self._take_inputs()
@@ -138,7 +144,7 @@
     def _restore_turns(self, row: StoredRow) -> None:
         try:
             self.sizer.restore(orjson.loads(row.value), self._get_wall_offset())
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
+        except MALFORMED_ERRORS as error:
             _LOG.warning("turns skipped", reason=repr(error))
 
     def _list_parts(self) -> t.Sequence[str]:
@@ -146,14 +152,12 @@
         return configuration.list_shards() if configuration else ()
 
     def _take_reports(self, rows: t.Sequence[StoredRow], whole: bool) -> None:
-        for row in rows:
-            try:
-                report = decode_report(row.value)
-            except DocumentError as error:
-                _LOG.warning("report skipped", reason=str(error))
-                continue
-            self.planner.reports[report.shard] = report
-            self.sizer.observe(report, self._now())
+        for _, report in decode_rows(
+            rows, lambda row: decode_report(row.value), self.skipped, "report skipped"
+        ):
+            if report is not None:
+                self.planner.reports[report.shard] = report
+                self.sizer.observe(report, self._now())
         if rows:
             self.wake()
 
--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -7,7 +7,6 @@
 import attrs
 import structlog
 
-from ..exceptions import DocumentError
 from ..exceptions import OwnershipLostError
 from ..exceptions import PlatformUnavailableError
 from ..jobs import tables
@@ -27,6 +26,7 @@
 from .node_peers import NodePeers
 from .owner import ShardOwner
 from .owner_workers import OwnerContext
+from .rows import decode_rows
 from .vm_watch import VmWatch
 
 POLL_S = 0.7
@@ -92,17 +92,18 @@
 
     def _take_owners(self, rows: t.Sequence[StoredRow], whole: bool) -> None:
         now = self.clocks.read_monotonic()
-        for row in rows:
-            shard = row.row_id.part
-            known = self.views.get(shard)
-            if known is not None and row.version <= known.version:
-                continue
-            try:
-                owner = tables.decode_owner(row.value)
-            except DocumentError as error:
-                _LOG.warning("owner row skipped", shard=shard, reason=str(error))
-                continue
-            self.views[shard] = OwnerView(owner, row.version, now)
+        for row, owner in decode_rows(
+            rows,
+            lambda row: tables.decode_owner(row.value),
+            self.skipped,
+            "owner row skipped",
+        ):
+            if owner is not None and row.version > self._get_known_version(row):
+                self.views[row.row_id.part] = OwnerView(owner, row.version, now)
+
+    def _get_known_version(self, row: StoredRow) -> int:
+        known = self.views.get(row.row_id.part)
+        return known.version if known is not None else -1
 
     def _claim_due(self, follower: Follower) -> None:
         now = self.clocks.read_monotonic()
@@ -215,6 +216,7 @@
                 self.decoders.encode_wave_status,
                 self.rng,
                 sizer=self.build_sizer(),
+                skipped=self.skipped,
             )
             self.holder = holder
             self._group.start_soon(self._run_owner, shard, row.epoch, holder.run)
@@ -233,6 +235,7 @@
             self.routes if self.routes.keyed else None,
             self.adviser,
             self.settings.contended,
+            self.skipped,
         )
         owner = ShardOwner(writer, context)
         self.owners[shard] = owner
--- a/src/onyxgap/daemons/node_peers.py
+++ b/src/onyxgap/daemons/node_peers.py
@@ -24,6 +24,7 @@
 from .follower import Follower
 from .node_view import NodeView
 from .owned import OwnedShard
+from .rows import decode_rows
 
 MEMBERS_WAIT_S = 10.0
 """Members change when nodes start; one that is learned of late gets no notice."""
@@ -75,9 +76,11 @@
             outcome = await self.store.write(Batch({}, {row: value}))
 
     def _take_members(self, rows: t.Sequence[StoredRow], whole: bool) -> None:
-        for row in rows:
-            if not row.removed:
-                self.members[row.row_id.key] = decode_member(row.value)
+        for row, member in decode_rows(
+            rows, lambda row: decode_member(row.value), self.skipped, "member skipped"
+        ):
+            if member is not None:
+                self.members[row.row_id.key] = member
 
     def _tell_stored(self, shard: str, key: str) -> None:
         owner = self.owners.get(shard)
--- a/src/onyxgap/daemons/node_process.py
+++ b/src/onyxgap/daemons/node_process.py
@@ -114,6 +114,7 @@
         gauges={
             "shards_owned": lambda: len(node.owners),
             "shards_failed": lambda: node.shards_failed,
+            "rows_skipped": node.skipped.total,
             "fleet_duty_held": lambda: node.holder is not None,
             "jobs_open": lambda: sum(
                 len(owner.state.jobs) for owner in node.owners.values()
--- a/src/onyxgap/daemons/node_view.py
+++ b/src/onyxgap/daemons/node_view.py
@@ -10,7 +10,6 @@
 import structlog
 
 from ..clocks import Clocks
-from ..exceptions import DocumentError
 from ..jobs.admission import Gate
 from ..jobs.advice import Adviser
 from ..jobs.desk import Desk
@@ -42,6 +41,8 @@
 from .owner import ShardOwner
 from .owner_workers import DecodeWorker
 from .passing_desk import PassingDesk
+from .rows import SkippedRows
+from .rows import decode_rows
 
 _LOG = structlog.get_logger()
 
@@ -111,6 +112,7 @@
     members: dict[str, Member] = attrs.field(factory=dict)
     holder: FleetHolder | None = None
     shards_failed: int = 0
+    skipped: SkippedRows = attrs.field(factory=SkippedRows)
     passing: PassingDesk | None = None
     exchange: ConfigurationExchange = attrs.field(init=False)
     desk: NodeDesk = attrs.field(init=False)
@@ -171,21 +173,23 @@
         self._take_operator(page.rows, False)
 
     def _take_operator(self, rows: t.Sequence[StoredRow], whole: bool) -> None:
-        for row in rows:
-            key = row.row_id.key
-            try:
-                if row.removed:
-                    continue
-                if key == self.decoders.configuration_key:
-                    self._adopt(row)
-                elif key.startswith(self.decoders.wave_prefix):
-                    wave = self.decoders.decode_wave(key, row.value)
-                    self.waves[wave.number] = wave
-            except DocumentError as error:
-                _LOG.warning("operator's row skipped", key=key, reason=str(error))
-
-    def _adopt(self, row: StoredRow) -> None:
-        configuration = self.decoders.decode_configuration(row.value)
+        for row, value in decode_rows(
+            rows, self._decode_operator_row, self.skipped, "operator's row skipped"
+        ):
+            if isinstance(value, Configuration):
+                self._adopt(row, value)
+            elif value is not None:
+                self.waves[value.number] = value
+
+    def _decode_operator_row(self, row: StoredRow) -> Configuration | Wave | None:
+        key = row.row_id.key
+        if key == self.decoders.configuration_key:
+            return self.decoders.decode_configuration(row.value)
+        if key.startswith(self.decoders.wave_prefix):
+            return self.decoders.decode_wave(key, row.value)
+        return None
+
+    def _adopt(self, row: StoredRow, configuration: Configuration) -> None:
         if self.routes.adopt(configuration):
             _LOG.info(
                 "configuration in force",
--- a/src/onyxgap/daemons/owner.py
+++ b/src/onyxgap/daemons/owner.py
@@ -7,12 +7,12 @@
 import attrs
 import structlog
 
-from ..exceptions import DocumentError
 from ..exceptions import PlatformUnavailableError
 from ..jobs import tables
 from ..jobs.admission import encode_outlook
 from ..jobs.encoding import encode_progress
 from ..jobs.encoding import restore_job
+from ..jobs.job import Job
 from ..jobs.messages import JobState
 from ..jobs.placing import WorkerRecord
 from ..jobs.store import Batch
@@ -26,6 +26,7 @@
 from .follower import Follower
 from .owner_workers import OwnerWorkers
 from .reading import read_at_once
+from .rows import decode_rows
 
 TICK_S = 0.2
 """Longest pause of the decision loop; occurrences may start 250 ms early."""
@@ -136,20 +137,23 @@
     ) -> None:
         now, wall_ms = self._now(), self._wall_ms()
         parts = frozenset(self._list_job_parts())
+        cancels: list[StoredRow] = []
+        submissions: list[StoredRow] = []
         for row in rows:
-            if row.row_id.part not in parts or row.removed:
-                continue
-            key = row.row_id.key
-            if key.endswith(tables.CANCEL_SUFFIX):
-                self.state.cancel(key.removesuffix(tables.CANCEL_SUFFIX))
-                continue
-            try:
-                submission = decode_submission(row.value)
-                job = restore_job(submission, (progress or {}).get(key))
-            except (DocumentError, ValueError, KeyError) as error:
-                _LOG.warning("row skipped", row=key, reason=str(error))
-                continue
-            self.state.add_job(job, now, wall_ms)
+            if row.row_id.part in parts and not row.removed:
+                is_cancel = row.row_id.key.endswith(tables.CANCEL_SUFFIX)
+                (cancels if is_cancel else submissions).append(row)
+        for row in cancels:
+            self.state.cancel(row.row_id.key.removesuffix(tables.CANCEL_SUFFIX))
+
+        def restore(row: StoredRow) -> Job:
+            value = (progress or {}).get(row.row_id.key)
+            return restore_job(decode_submission(row.value), value)
+
+        skipped = self.context.skipped
+        for _, job in decode_rows(submissions, restore, skipped, "row skipped"):
+            if job is not None:
+                self.state.add_job(job, now, wall_ms)
         if rows:
             self.wake()
 
@@ -176,11 +180,13 @@
         self._take_rows(page.rows, False)
 
     def _take_fleet_rows(self, rows: t.Sequence[StoredRow], whole: bool) -> None:
-        for row in rows:
-            try:
-                fleet = decode_fleet_row(row.value)
-            except DocumentError as error:
-                _LOG.warning("fleet row skipped", reason=str(error))
+        for _, fleet in decode_rows(
+            rows,
+            lambda row: decode_fleet_row(row.value),
+            self.context.skipped,
+            "fleet row skipped",
+        ):
+            if fleet is None:
                 continue
             self.state.set_cordons(fleet.cordons, fleet.due)
             self.state.fleet_vms = sum(fleet.base.values())
--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -9,7 +9,6 @@
 import structlog
 
 from ..clocks import Clocks
-from ..exceptions import DocumentError
 from ..exceptions import OwnershipLostError
 from ..jobs.advice import Adviser
 from ..jobs.crashes import PROOF_MS
@@ -39,6 +38,8 @@
 from .lag import LoopLag
 from .lanes import OrderLanes
 from .owned import OwnedShard
+from .rows import SkippedRows
+from .rows import decode_rows
 from .share_keeper import ShareKeeper
 
 LEASE_S = 5.0
@@ -91,6 +92,7 @@
     :param tenants: bounds of tenants; ``None`` where there are none.
     :param adviser: the policy service, ``None`` where there is none.
     :param contended: whether callers may ask for more than there is room for.
+    :param skipped: number of rows that could not be decoded, by table.
     """
 
     store: Store
@@ -106,6 +108,7 @@
     tenants: TenantBounds | None = None
     adviser: Adviser | None = None
     contended: bool = False
+    skipped: SkippedRows = attrs.field(factory=SkippedRows)
 
 
 @attrs.define(eq=False)
@@ -142,7 +145,9 @@
                 self.state.find_weight = context.tenants.find_weight
             else:
                 self.state.rates = TenantRates(context.tenants.find_weight)
-            self.keeper = ShareKeeper(book, context.store, context.rng, self.wake)
+            self.keeper = ShareKeeper(
+                book, context.store, context.rng, self.wake, context.skipped
+            )
 
     def _now(self) -> float:
         return self.context.clocks.read_monotonic()
@@ -164,16 +169,17 @@
 
     def _take_workers(self, rows: t.Sequence[StoredRow], whole: bool) -> None:
         present = set()
-        for row in rows:
-            if row.removed:
+        decode = self.context.decode_worker
+        for row, entry in decode_rows(
+            rows,
+            lambda row: decode(row.row_id.key, row.value),
+            self.context.skipped,
+            "worker skipped",
+        ):
+            if entry is None:
+                # a worker whose row is removed or malformed is no longer registered
                 self._miss_worker(row.row_id.key)
-                continue
-            try:
-                entry = self.context.decode_worker(row.row_id.key, row.value)
-            except DocumentError as error:
-                _LOG.warning("worker skipped", row=row.row_id.key, reason=str(error))
-                continue
-            if entry.service == self.shard:
+            elif entry.service == self.shard:
                 present.add(entry.worker_id)
                 self._observe_worker(entry)
         if whole:
--- a/src/onyxgap/daemons/share_keeper.py
+++ b/src/onyxgap/daemons/share_keeper.py
@@ -8,7 +8,6 @@
 import attrs
 import structlog
 
-from ..exceptions import DocumentError
 from ..jobs import tables
 from ..jobs.share_book import Change
 from ..jobs.share_book import ShareBook
@@ -22,6 +21,8 @@
 from ..jobs.store import Store
 from ..jobs.store import StoredRow
 from .follower import Follower
+from .rows import SkippedRows
+from .rows import decode_rows
 
 FOLLOW_PAUSE_S = 0.1
 """Pause between two looks at the changes of others, several of which come at once."""
@@ -41,12 +42,14 @@
     :param store: the store.
     :param rng: spreads retries.
     :param on_change: called when a start may have become possible.
+    :param skipped: number of rows that could not be decoded, by table.
     """
 
     book: ShareBook
     store: Store
     rng: random.Random
     on_change: t.Callable[[], None]
+    skipped: SkippedRows = attrs.field(factory=SkippedRows)
 
     def follow(self) -> Follower:
         """Build what follows the rows."""
@@ -61,15 +64,11 @@
 
     def take_rows(self, rows: t.Sequence[StoredRow], whole: bool) -> None:
         """Take in rows as they were read."""
-        for row in rows:
-            if row.removed:
-                continue
-            try:
-                entries = decode_entries(row.value)
-            except DocumentError as error:
-                _LOG.warning("shares skipped", row=row.row_id.key, reason=str(error))
-                continue
-            self.book.observe(row.row_id.key, entries, row.version)
+        for row, entries in decode_rows(
+            rows, lambda row: decode_entries(row.value), self.skipped, "shares skipped"
+        ):
+            if entries is not None:
+                self.book.observe(row.row_id.key, entries, row.version)
         if self.book.list_waiting():
             self.on_change()
 
--- a/src/onyxgap/documents.py
+++ b/src/onyxgap/documents.py
@@ -6,6 +6,7 @@
 
 import attrs
 import cattrs
+import orjson
 from cattrs.gen import make_dict_structure_fn
 
 from .exceptions import DocumentError
@@ -38,9 +39,14 @@
         raise ValueError(f"expected one of {allowed}") from None
 
 
-def build_converter() -> cattrs.Converter:
-    """Build a converter that is strict on types and refuses unknown keys."""
-    converter = cattrs.Converter(forbid_extra_keys=True, omit_if_default=True)
+def build_converter(forbid_extra_keys: bool = True) -> cattrs.Converter:
+    """Build a converter that is strict on types.
+
+    :param forbid_extra_keys: whether unknown keys are refused.
+    """
+    converter = cattrs.Converter(
+        forbid_extra_keys=forbid_extra_keys, omit_if_default=True
+    )
     for kind in (int, str, bool):
         converter.register_structure_hook(kind, _require_exact(kind))
     converter.register_structure_hook(float, _structure_float)
@@ -48,16 +54,27 @@
         lambda kind: isinstance(kind, type) and issubclass(kind, enum.Enum),
         _structure_enum,
     )
-    converter.register_structure_hook_factory(
-        attrs.has,
-        lambda kind: make_dict_structure_fn(
-            kind, converter, _cattrs_forbid_extra_keys=True
-        ),
-    )
+
+    def build_structure(kind: type) -> t.Callable[[object, type], object]:
+        structure: t.Any = make_dict_structure_fn(
+            kind, converter, _cattrs_forbid_extra_keys=forbid_extra_keys
+        )
+
+        def structure_object(value: object, _: type) -> object:
+            # cattrs would accept a string for a class whose fields all have defaults
+            if not isinstance(value, dict):
+                raise ValueError(f"expected an object, not {json.dumps(value)[:40]}")
+            return structure(value, kind)
+
+        return structure_object
+
+    converter.register_structure_hook_factory(attrs.has, build_structure)
     return converter
 
 
 CONVERTER = build_converter()
+LENIENT_CONVERTER = build_converter(forbid_extra_keys=False)
+"""For documents of other programs, which may add fields; ignores unknown keys."""
 
 
 def _describe_error(error: BaseException, _: object) -> str:
@@ -74,21 +91,38 @@
     return faults
 
 
-def structure_document(value: object, kind: type[T]) -> T:
+def structure_document(
+    value: object, kind: type[T], converter: cattrs.Converter = CONVERTER
+) -> T:
     """Turn decoded JSON into an attrs instance.
 
     :param value: decoded JSON.
     :param kind: the attrs class.
+    :param converter: the converter that structures the value.
     :raises DocumentError: with every fault and its JSON path.
     """
     if not isinstance(value, dict):
         raise DocumentError([Fault("$", "expected an object")])
     try:
-        return CONVERTER.structure(value, kind)
+        return converter.structure(value, kind)
     except Exception as error:
         raise DocumentError(_list_faults(error)) from None
 
 
+def decode_document(value: bytes, kind: type[T]) -> T:
+    """Decode a JSON document into an attrs instance, ignoring unknown keys.
+
+    :param value: the JSON text.
+    :param kind: the attrs class.
+    :raises DocumentError: when it is not JSON or does not match the class.
+    """
+    try:
+        raw = orjson.loads(value)
+    except ValueError as error:
+        raise DocumentError([Fault("$", f"not JSON: {error}")]) from None
+    return structure_document(raw, kind, LENIENT_CONVERTER)
+
+
 def parse_json(text: str | bytes) -> object:
     """Decode JSON text.
 
--- a/src/onyxgap/exceptions.py
+++ b/src/onyxgap/exceptions.py
@@ -4,6 +4,9 @@
 
 import attrs
 
+MALFORMED_ERRORS = (LookupError, TypeError, ValueError, AttributeError, ArithmeticError)
+"""Errors that converting a decoded document of an unexpected shape may raise."""
+
 
 class OnyxgapError(Exception):
     """Base class of all errors raised on purpose."""
--- a/src/onyxgap/jobs/configurations.py
+++ b/src/onyxgap/jobs/configurations.py
@@ -6,6 +6,7 @@
 import attrs
 import orjson
 
+from ..exceptions import MALFORMED_ERRORS
 from ..exceptions import DocumentError
 from ..exceptions import Fault
 from .amounts import Amount
@@ -55,7 +56,7 @@
             raw["max_body_bytes"],
             tuple(map(_build_tenant, raw["tenants"])),
         )
-    except (zlib.error, ValueError, KeyError, TypeError, AttributeError) as error:
+    except (zlib.error, *MALFORMED_ERRORS) as error:
         raise DocumentError([Fault("$", f"no configuration: {error!r}")]) from None
 
 
--- a/src/onyxgap/jobs/members.py
+++ b/src/onyxgap/jobs/members.py
@@ -5,6 +5,8 @@
 import attrs
 import orjson
 
+from ..exceptions import MALFORMED_ERRORS
+
 WEAK_SHARE = 0.6
 """A node with less of the largest VM's memory is weak: VMs of one size differ by less,
 and one of half the memory mostly has half the processor, too."""
@@ -38,7 +40,7 @@
             int(raw["memory_mb"]),
             str(raw.get("call_address", "")),
         )
-    except (ValueError, KeyError, TypeError):
+    except MALFORMED_ERRORS:
         return Member(value.decode("ascii", "replace"))
 
 
--- a/src/onyxgap/jobs/shares.py
+++ b/src/onyxgap/jobs/shares.py
@@ -15,6 +15,7 @@
 import attrs
 import orjson
 
+from ..exceptions import MALFORMED_ERRORS
 from ..exceptions import DocumentError
 from ..exceptions import Fault
 from .amounts import NOTHING
@@ -65,7 +66,7 @@
             shard: Entry(Amount(*share), Amount(*want), epoch)
             for shard, (share, want, epoch) in orjson.loads(value).items()
         }
-    except (ValueError, TypeError, AttributeError) as error:
+    except MALFORMED_ERRORS as error:
         raise DocumentError([Fault("$", f"no shares: {error!r}")]) from None
 
 
--- a/src/onyxgap/jobs/submissions.py
+++ b/src/onyxgap/jobs/submissions.py
@@ -5,6 +5,7 @@
 import attrs
 import orjson
 
+from ..exceptions import MALFORMED_ERRORS
 from ..exceptions import DocumentError
 from ..exceptions import Fault
 from .messages import QueuePolicy
@@ -82,7 +83,7 @@
         raw["policy"] = QueuePolicy(**raw["policy"])
         raw["steps"] = tuple(map(_build_step, raw["steps"]))
         return Submission(**raw)
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except MALFORMED_ERRORS as error:
         raise DocumentError([Fault("$", f"no stored job: {error!r}")]) from None
 
 
--- a/src/onyxgap/jobs/tables.py
+++ b/src/onyxgap/jobs/tables.py
@@ -6,8 +6,7 @@
 import attrs
 import orjson
 
-from ..exceptions import DocumentError
-from ..exceptions import Fault
+from ..documents import decode_document
 from .store import RowId
 
 JOB_TABLES = 32
@@ -140,7 +139,4 @@
 
     :raises DocumentError: when the row is foreign or damaged.
     """
-    try:
-        return OwnerRow(**orjson.loads(value))
-    except (ValueError, TypeError) as error:
-        raise DocumentError([Fault("$", f"no owner row: {error!r}")]) from None
+    return decode_document(value, OwnerRow)
--- a/src/onyxgap/platform/advice.py
+++ b/src/onyxgap/platform/advice.py
@@ -5,6 +5,7 @@
 import anyio
 import attrs
 
+from ..exceptions import MALFORMED_ERRORS
 from ..jobs.advice import Advice
 from .http import Answer
 from .http import HttpClient
@@ -24,7 +25,7 @@
     try:
         tickets = {str(row[0]): str(row[1]) for row in body.get("good") or ()}
         return Advice(tickets, float(body.get("valid_ms", 0)) / 1000)
-    except (IndexError, KeyError, TypeError, ValueError):
+    except MALFORMED_ERRORS:
         return None
 
 
--- a/src/onyxgap/platform/cloud.py
+++ b/src/onyxgap/platform/cloud.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from ..exceptions import MALFORMED_ERRORS
 from ..exceptions import PlatformUnavailableError
 from ..pools.messages import Vm
 from ..pools.messages import VmActionKind
@@ -93,7 +94,7 @@
             body = answer.read_object()
             try:
                 vms += map(decode_vm, body.get("machines") or ())
-            except (KeyError, ValueError, TypeError) as error:
+            except MALFORMED_ERRORS as error:
                 raise PlatformUnavailableError(f"malformed list: {error!r}") from None
             token = str(body.get("next_token") or "")
             if not token:
--- a/src/onyxgap/platform/registry.py
+++ b/src/onyxgap/platform/registry.py
@@ -2,8 +2,11 @@
 
 import typing as t
 
+import attrs
 import orjson
 
+from ..documents import decode_document
+from ..exceptions import MALFORMED_ERRORS
 from ..exceptions import DocumentError
 from ..exceptions import Fault
 from ..jobs.amounts import NO_LIMIT
@@ -27,7 +30,45 @@
 WAVE_PREFIX = "wave/"
 
 _CAP_FIELDS = ("cpu", "mem_mb", "gpu")
-_STATES = {"ready": WorkerState.READY, "draining": WorkerState.DRAINING}
+
+
+def _check_address(_: object, attribute: t.Any, value: str) -> None:
+    host, _separator, port = value.rpartition(":")
+    if not (host and port.isascii() and port.isdigit() and 0 < int(port) < 65_536):
+        raise ValueError(f"{attribute.name} must be host:port, not {value[:40]!r}")
+
+
+@attrs.frozen(slots=True)
+class _Capacity:
+    """Capacity of a worker, with the field names of the platform."""
+
+    cpu: int = attrs.field(default=0, validator=attrs.validators.ge(0))
+    mem_mb: int = attrs.field(default=0, validator=attrs.validators.ge(0))
+    gpu: int = attrs.field(default=0, validator=attrs.validators.ge(0))
+
+
+@attrs.frozen(slots=True)
+class _Registration:
+    """Row of a worker, with the field names of the platform."""
+
+    service: str
+    address: str = attrs.field(validator=_check_address)
+    zone: str = ""
+    state: WorkerState = WorkerState.READY
+    capacity: _Capacity = _Capacity()
+    labels: tuple[str, ...] = ()
+    clock_ms: float = 0.0
+    born: int = 0
+
+
+@attrs.frozen(slots=True)
+class _WaveRequest:
+    """Row of a maintenance wave, with the field names of the platform."""
+
+    wave: int | None = None
+    machines: tuple[str, ...] = ()
+    duration_s: float = 0.0
+    cap: int = 1
 
 
 def _parse(value: bytes) -> dict[str, t.Any]:
@@ -58,24 +99,20 @@
     :param value: the row.
     :raises DocumentError: when it has another form.
     """
-    raw = _parse(value)
-    try:
-        room = raw.get("capacity") or {}
-        return WorkerEntry(
-            worker_id=key,
-            service=str(raw["service"]),
-            address=str(raw["address"]),
-            zone=str(raw.get("zone", "")),
-            state=_STATES.get(raw.get("state", "ready"), WorkerState.DRAINING),
-            cpu=int(room.get("cpu", 0)),
-            memory_mb=int(room.get("mem_mb", 0)),
-            accelerators=int(room.get("gpu", 0)),
-            labels=tuple(map(str, raw.get("labels") or ())),
-            clock_ms=float(raw.get("clock_ms", 0)),
-            born=decode_start(raw.get("born", 0)),
-        )
-    except (KeyError, TypeError, ValueError) as error:
-        raise DocumentError([Fault("$", f"no worker: {error!r}")]) from None
+    registration = decode_document(value, _Registration)
+    return WorkerEntry(
+        worker_id=key,
+        service=registration.service,
+        address=registration.address,
+        zone=registration.zone,
+        state=registration.state,
+        cpu=registration.capacity.cpu,
+        memory_mb=registration.capacity.mem_mb,
+        accelerators=registration.capacity.gpu,
+        labels=registration.labels,
+        clock_ms=registration.clock_ms,
+        born=registration.born,
+    )
 
 
 def _decode_route(raw: t.Mapping[str, t.Any]) -> Route:
@@ -138,7 +175,7 @@
             max_body_bytes=int(limits.get("max_body_bytes", DEFAULT_BODY_BYTES)),
             tenants=tuple(map(_decode_tenant, raw.get("tenants") or ())),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except MALFORMED_ERRORS as error:
         raise DocumentError([Fault("$", f"no configuration: {error!r}")]) from None
 
 
@@ -149,16 +186,14 @@
     :param value: the row.
     :raises DocumentError: when it has another form.
     """
-    raw = _parse(value)
+    request = decode_document(value, _WaveRequest)
     try:
-        return Wave(
-            number=int(raw.get("wave", key.removeprefix(WAVE_PREFIX))),
-            vms=tuple(map(str, raw.get("machines") or ())),
-            duration_s=float(raw.get("duration_s", 0)),
-            cap=int(raw.get("cap", 1)),
+        number = (
+            int(key.removeprefix(WAVE_PREFIX)) if request.wave is None else request.wave
         )
-    except (ValueError, TypeError) as error:
-        raise DocumentError([Fault("$", f"no wave: {error!r}")]) from None
+    except ValueError as error:
+        raise DocumentError([Fault("$", f"no wave: {error}")]) from None
+    return Wave(number, request.machines, request.duration_s, request.cap)
 
 
 def encode_wave_status(number: int, complete: bool) -> tuple[RowId, bytes]:
--- a/src/onyxgap/platform/store.py
+++ b/src/onyxgap/platform/store.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from ..exceptions import MALFORMED_ERRORS
 from ..exceptions import HistoryLostError
 from ..exceptions import PlatformUnavailableError
 from ..jobs.store import WRITE_TIMEOUT_S
@@ -69,10 +70,13 @@
     if answer.failure is CallFailure.NOT_SENT or answer.status in _REFUSED:
         return NotApplied(answer.reason or f"status {answer.status}")
     body = answer.read_object()
-    if answer.status == 200 and "ver" in body:
-        return Applied(int(body["ver"]))
-    if answer.status == 412:
-        return Conflict(tuple(map(_decode_row, body.get("rows", ()))))
+    try:
+        if answer.status == 200:
+            return Applied(int(body["ver"]))
+        if answer.status == 412:
+            return Conflict(tuple(map(_decode_row, body.get("rows", ()))))
+    except MALFORMED_ERRORS as error:
+        return OutcomeUnknown(f"malformed answer: {error!r}")
     return OutcomeUnknown(answer.reason or f"status {answer.status}")
 
 
@@ -85,7 +89,7 @@
     try:
         rows = tuple(map(_decode_row, body.get("rows", ())))
         page = Page(rows, int(body["ver"]), float(body.get("now_ms", 0)))
-    except (KeyError, TypeError, ValueError) as error:
+    except MALFORMED_ERRORS as error:
         raise PlatformUnavailableError(f"malformed answer: {error!r}") from None
     return page, bool(body.get("has_more", False))
 
--- a/src/onyxgap/platform/workers.py
+++ b/src/onyxgap/platform/workers.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from ..exceptions import MALFORMED_ERRORS
 from ..jobs.messages import EndedTask
 from ..jobs.messages import EndKind
 from ..jobs.messages import RunningTask
@@ -95,7 +96,7 @@
             tuple(map(_decode_ended, body.get("ended") or ())),
             decode_start(body.get("born", 0)),
         )
-    except (KeyError, IndexError, TypeError, ValueError) as error:
+    except MALFORMED_ERRORS as error:
         return Reply(ReplyKind.NO_ANSWER, detail=f"malformed report: {error!r}")
 
 
--- a/src/onyxgap/pools/messages.py
+++ b/src/onyxgap/pools/messages.py
@@ -6,6 +6,7 @@
 import attrs
 import orjson
 
+from ..exceptions import MALFORMED_ERRORS
 from ..exceptions import DocumentError
 from ..exceptions import Fault
 
@@ -121,7 +122,7 @@
             key: WorkerLoad(*item) for key, item in raw["workers"].items()
         }
         return PoolReport(**raw)
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
+    except MALFORMED_ERRORS as error:
         raise DocumentError([Fault("$", f"no report: {error!r}")]) from None
 
 
@@ -206,7 +207,7 @@
             dict(raw["base"]),
             frozenset(raw["ordered"]),
         )
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
+    except MALFORMED_ERRORS as error:
         raise DocumentError([Fault("$", f"no fleet row: {error!r}")]) from None
 
 
--- a/src/onyxgap/standins/emulator/callers.py
+++ b/src/onyxgap/standins/emulator/callers.py
@@ -61,7 +61,7 @@
     :param shown: states that it was shown in, with the time of each change.
     :param poison: whether its tasks always fail.
     :param crashing: whether its first task crashes each worker that starts it.
-    :param cancel_asked: whether its caller has ever asked to cancel it.
+    :param cancel_requested: whether its caller has sent a request to cancel it.
     :param work_s: run time of its tasks.
     """
 
@@ -74,7 +74,7 @@
     outcomes: list[SubmitOutcome | KeyFault | None] = attrs.field(factory=list)
     accepted_at: float | None = None
     cancelled_at: float | None = None
-    cancel_asked: bool = False
+    cancel_requested: bool = False
     shown: list[tuple[float, JobState | None]] = attrs.field(factory=list)
     work_s: dict[TaskId, float] = attrs.field(factory=dict)
 
@@ -279,7 +279,7 @@
         while notes.cancelled_at is None and notes.find_final_at() is None:
             nodes = self.nodes()
             if nodes:
-                notes.cancel_asked = True
+                notes.cancel_requested = True
                 with anyio.move_on_after(PATIENCE_S):
                     node = self.rng.choice(nodes)
                     if await self._call(node.cancel, notes) is True:
--- a/src/onyxgap/standins/emulator/checks.py
+++ b/src/onyxgap/standins/emulator/checks.py
@@ -19,8 +19,8 @@
 from .callers import JobNotes
 from .cloud import UPKEEP_S
 from .cloud import OrderRecord
-from .contact import ContactLog
-from .count_callers import CountNote
+from .count_callers import CountAnswer
+from .disturbances import DisturbanceLog
 from .runs import RunRecord
 from .tenancy import Tenancy
 from .tenant_checks import check_caps
@@ -46,8 +46,8 @@
     :param waves: waves that the operator asked for.
     :param maintained: waves that each VM has begun.
     :param tenancy: tenants with their keys and caps.
-    :param counts: counts of waiting jobs that callers were given.
-    :param contact: which nodes were disturbed, and when.
+    :param counts: answers to requests for counts of waiting jobs.
+    :param disturbances: faults that affected nodes, with their times.
     """
 
     callers: Callers
@@ -56,8 +56,8 @@
     waves: tuple[Wave, ...]
     maintained: t.Mapping[str, set[int]]
     tenancy: Tenancy
-    counts: t.Sequence[CountNote] = ()
-    contact: ContactLog = attrs.field(factory=ContactLog)
+    counts: t.Sequence[CountAnswer] = ()
+    disturbances: DisturbanceLog = attrs.field(factory=DisturbanceLog)
 
     def measure_run(self, record: RunRecord) -> tuple[str, Amount]:
         """Give the tenant of a run, and what it has in use."""
@@ -257,7 +257,7 @@
     breaches += check_serving(evidence, end_s)
     breaches += check_keys(evidence.tenancy)
     breaches += check_counts(
-        evidence.counts, evidence.callers.jobs, evidence.records, evidence.contact
+        evidence.counts, evidence.callers.jobs, evidence.records, evidence.disturbances
     )
     breaches += check_caps(evidence.tenancy, evidence.records, evidence.measure_run)
     return sorted(breaches, key=lambda breach: breach.at)
--- a/src/onyxgap/standins/emulator/cloud.py
+++ b/src/onyxgap/standins/emulator/cloud.py
@@ -131,7 +131,7 @@
         self.vms[name] = attrs.evolve(vm, state=VmState.UP, worker_id=worker_id)
 
     def register(self, entry: WorkerEntry) -> None:
-        """Write a worker's registration."""
+        """Write the registration of a worker to the store."""
         value = attrs.asdict(entry)
         value["state"] = entry.state.value
         self.store.put(RowId(WORKER_TABLE, "", entry.worker_id), orjson.dumps(value))
--- a/src/onyxgap/standins/emulator/day.py
+++ b/src/onyxgap/standins/emulator/day.py
@@ -23,8 +23,8 @@
 from .checks import list_breaches
 from .checks import settle_account
 from .cloud import EmulatedCloud
-from .contact import ContactLog
 from .count_callers import CountCallers
+from .disturbances import DisturbanceLog
 from .hindsight import Plan
 from .hindsight import plan_in_hindsight
 from .peers import EmulatedNetwork
@@ -77,8 +77,8 @@
     cloud: EmulatedCloud = attrs.field(init=False)
     network: EmulatedNetwork = attrs.field(init=False)
     callers: Callers = attrs.field(init=False)
-    counters: CountCallers = attrs.field(init=False)
-    contact: ContactLog = attrs.field(factory=ContactLog)
+    count_callers: CountCallers = attrs.field(init=False)
+    disturbances: DisturbanceLog = attrs.field(factory=DisturbanceLog)
     tenancy: Tenancy = attrs.field(init=False)
     slots: list[NodeSlot] = attrs.field(factory=list)
     waves: list[Wave] = attrs.field(factory=list)
@@ -101,7 +101,7 @@
                 group.start_soon(self._run_load, number)
                 assert load.stop <= self.script.end_s
             for pool in self.script.pools:
-                group.start_soon(self.counters.run, self._get_route(pool.name))
+                group.start_soon(self.count_callers.run, self._get_route(pool.name))
             for wave in self.script.waves:
                 group.start_soon(self._ask_for_wave, wave)
             self._start_faults(group)
@@ -126,7 +126,7 @@
         tenants_rng = random.Random(f"tenants/{self.seed}")
         self.tenancy = Tenancy(self.script.tenants, tenants_rng)
         self.callers = Callers(self._list_nodes, self.rng, self.tenancy, self.seed)
-        self.counters = CountCallers(
+        self.count_callers = CountCallers(
             self._list_nodes, self.tenancy, random.Random(f"counts/{self.seed}")
         )
         self.cloud = EmulatedCloud(
@@ -212,8 +212,8 @@
             tuple(self.waves),
             self.cloud.maintained,
             self.tenancy,
-            self.counters.notes,
-            self.contact,
+            self.count_callers.answers,
+            self.disturbances,
         )
         breaches = list_breaches(evidence, anyio.current_time())
         account = settle_account(evidence, self.cloud.paid_s, self.store.calls)
--- /dev/null
+++ b/src/onyxgap/standins/emulator/disturbances.py
@@ -0,0 +1,41 @@
+"""Log of the faults that affected the nodes of a day."""
+
+import attrs
+
+RECOVERY_S = 3.0
+"""Time after its end for which a disturbance still affects a node."""
+ALL_NODES = ""
+"""Node name of disturbances of the store, which count for all nodes."""
+
+
+@attrs.define
+class DisturbanceLog:
+    """Times of kills, stops, freezes and cuts of nodes, and of faults of the store.
+
+    :param spans: node, begin and end of each disturbance, in monotonic seconds.
+    """
+
+    spans: list[tuple[str, float, float]] = attrs.field(factory=list)
+
+    def record(self, node: str, begin: float, end: float) -> None:
+        """Record a disturbance.
+
+        :param node: name of the node, or :data:`ALL_NODES`.
+        :param begin: monotonic seconds.
+        :param end: monotonic seconds.
+        """
+        self.spans.append((node, begin, end))
+
+    def is_disturbed(self, node: str, begin: float, end: float) -> bool:
+        """Tell whether a disturbance affected a node in a span of time.
+
+        A disturbance affects a node until :data:`RECOVERY_S` after its end.
+
+        :param node: name of the node.
+        :param begin: monotonic seconds.
+        :param end: monotonic seconds.
+        """
+        return any(
+            name in (node, ALL_NODES) and began <= end and ended + RECOVERY_S >= begin
+            for name, began, ended in self.spans
+        )
--- a/src/onyxgap/standins/emulator/faults.py
+++ b/src/onyxgap/standins/emulator/faults.py
@@ -13,10 +13,10 @@
 from ...pools.sizing import PoolSizer
 from ...pools.sizing import Sizer
 from .cloud import WORKER_TABLE
-from .contact import ALL_NODES
 from .day import Day
 from .day import DayResult
-from .malformed import list_malformed
+from .disturbances import ALL_NODES
+from .malformed import list_malformed_registrations
 from .script import FaultLine
 from .script import Script
 from .slots import NodeSlot
@@ -25,8 +25,8 @@
 WHOLE = 1.0
 """Strength from which all keys of a tenant are taken back at once."""
 KEY_GAP_S = 0.1
-START_S = 1.0
-"""A node that starts as a process is there within this time."""
+NODE_START_S = 1.0
+"""Time within which a node that runs as a process has started."""
 
 
 @attrs.define(eq=False)
@@ -59,17 +59,17 @@
     async def _run_fault(self, fault: FaultLine) -> None:
         await anyio.sleep(fault.at)
         if fault.target == "store" or fault.verb == "refuse":
-            self._note_disturbance(ALL_NODES, fault.seconds)
+            self._record_disturbance(ALL_NODES, fault.seconds)
         await _FAULTS[fault.verb, fault.target](self, fault)
 
-    def _note_disturbance(self, node: str, for_s: float) -> None:
+    def _record_disturbance(self, node: str, for_s: float) -> None:
         now = anyio.current_time()
-        self.contact.note(node, now, now + for_s)
+        self.disturbances.record(node, now, now + for_s)
 
     async def _restart(self, slots: t.Iterable[NodeSlot], after_s: float) -> None:
         slots = list(slots)
         for slot in slots:
-            self._note_disturbance(slot.name, after_s + START_S)
+            self._record_disturbance(slot.name, after_s + NODE_START_S)
             slot.kill()
         await anyio.sleep(after_s)
         assert self._group is not None
@@ -88,7 +88,7 @@
         """Have a node stand still at its calls."""
         slot = self._find_slot(fault.target, fault.name)
         gate = slot.gate
-        self._note_disturbance(slot.name, fault.seconds)
+        self._record_disturbance(slot.name, fault.seconds)
         gate.freeze()
         await anyio.sleep(fault.seconds)
         gate.thaw()
@@ -96,7 +96,7 @@
     async def stop_one(self, fault: FaultLine) -> None:
         """Stop a node as planned; it starts again later."""
         slot = self._find_slot(fault.target, fault.name)
-        self._note_disturbance(slot.name, fault.seconds)
+        self._record_disturbance(slot.name, fault.seconds)
         if slot.node is not None:
             with anyio.move_on_after(2.0):
                 await slot.node.release()
@@ -106,7 +106,7 @@
         """Cut a node off from the store."""
         slot = self._find_slot(fault.target, fault.name)
         gate = slot.gate
-        self._note_disturbance(slot.name, fault.seconds)
+        self._record_disturbance(slot.name, fault.seconds)
         gate.cut_from.add("store")
         await anyio.sleep(fault.seconds)
         gate.cut_from.discard("store")
@@ -151,12 +151,12 @@
         if name is not None:
             await self.cloud.shrink(name, fault.strength, fault.seconds)
 
-    def _list_malformed(self, service: str) -> tuple[bytes, ...]:
-        return list_malformed(service)
+    def _list_malformed_registrations(self, service: str) -> tuple[bytes, ...]:
+        return list_malformed_registrations(service)
 
     async def malform_rows(self, fault: FaultLine) -> None:
-        """Have another writer leave malformed registrations, one in a worker's row."""
-        values = self._list_malformed(fault.name)
+        """Write malformed registrations, one of them over that of a running worker."""
+        values = self._list_malformed_registrations(fault.name)
         rows = [RowId(WORKER_TABLE, "", f"other-{n}") for n in range(len(values))]
         for row, value in zip(rows, values, strict=True):
             self.store.put(row, value)
--- a/src/onyxgap/standins/emulator/slots.py
+++ b/src/onyxgap/standins/emulator/slots.py
@@ -190,7 +190,7 @@
         return known if self.node is node else Unavailable.STORE
 
     async def count_waiting(self, route: Route, key: str) -> int | None:
-        """Ask how many jobs of a queue wait."""
+        """Request the number of waiting jobs of a queue."""
         node = self.node
         if node is None or node.routes.configuration is None:
             return None
