Report no count of waiting jobs when it is not known

Callers saw a count of waiting jobs of 0, or one that was far too low, from nodes that do not own the shard.

A node reported a number where it knew none. A claim wrote an owner row without counts, which all nodes read as 0 until the first heartbeat of the new owner; a shard that failed repeatedly was in that state most of the time. A row of any age was used, and 0 was reported where there was no row.

`waiting` in an owner row is now null until the owner has counted. A node keeps the newest load report across a claim and returns a count only while that report is at most 2 s old, measured from when the node read it. Otherwise it answers 503 (`Unavailable.COUNT`).

The outlook by which submissions are judged had the same fault: after a claim it looked like that of an empty queue, and a shard that ended on this node made an old outlook look fresh. Both cases now use the age of the load report.

--- a/src/onyxgap/daemons/desk.py
+++ b/src/onyxgap/daemons/desk.py
@@ -10,7 +10,6 @@
 from ..exceptions import DocumentError
 from ..exceptions import PlatformUnavailableError
 from ..jobs import tables
-from ..jobs.admission import VALID_S
 from ..jobs.admission import Gate
 from ..jobs.admission import decode_outlook
 from ..jobs.desk import Denied
@@ -183,12 +182,11 @@
         """Give the refusal of what can no longer be of use, by its shard's line."""
         view = self.views.get(submission.policy.service)
         now = self.clocks.read_monotonic()
-        if self.gate is None or view is None or view.row is None:
-            return None
-        if now - view.changed_at > VALID_S:
+        report = view.get_load_report(now) if view is not None else None
+        if self.gate is None or report is None:
             return None
         try:
-            outlook = decode_outlook(view.row.outlook)
+            outlook = decode_outlook(report.outlook)
         except (TypeError, KeyError) as error:
             _LOG.warning("outlook skipped", reason=repr(error))
             return None
@@ -398,7 +396,7 @@
             epoch=waiting.epoch,
             configuration=self.get_version(),
         )
-        return waiting.count
+        return Unavailable.COUNT if waiting.count is None else waiting.count
 
     def _find_waiting_count(self, policy: QueuePolicy) -> WaitingCount:
         owner = self.owners.get(policy.service)
@@ -406,11 +404,13 @@
             count = owner.state.count_waiting().get(policy.queue, 0)
             return WaitingCount(count, CountSource.OWNER, epoch=owner.epoch)
         view = self.views.get(policy.service)
-        if view is None or view.row is None:
-            return WaitingCount(0, CountSource.NONE)
-        age_s = self.clocks.read_monotonic() - view.changed_at
-        count = view.row.waiting.get(policy.queue, 0)
-        return WaitingCount(count, CountSource.OWNER_ROW, age_s, view.row.epoch)
+        now = self.clocks.read_monotonic()
+        report = view.get_load_report(now) if view is not None else None
+        if view is None or report is None or report.waiting is None:
+            return WaitingCount(None, CountSource.NONE)
+        count = report.waiting.get(policy.queue, 0)
+        age_s = now - view.load_reported_at
+        return WaitingCount(count, CountSource.OWNER_ROW, age_s, report.epoch)
 
 
 def _compare(known: Submission, submission: Submission) -> SubmitResult:
--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -99,7 +99,13 @@
             "owner row skipped",
         ):
             if owner is not None and row.version > self._get_known_version(row):
-                self.views[row.row_id.part] = OwnerView(owner, row.version, now)
+                self._update_owner_view(row.row_id.part, owner, row.version, now)
+
+    def _update_owner_view(
+        self, shard: str, owner: OwnerRow, version: int, now: float
+    ) -> None:
+        view = self.views.get(shard) or OwnerView(None, 0, now)
+        self.views[shard] = view.replace_row(owner, version, now)
 
     def _get_known_version(self, row: StoredRow) -> int:
         known = self.views.get(row.row_id.part)
@@ -194,7 +200,7 @@
                     self._take_owners(outcome.rows, False)
                     return
             if version:
-                self.views[shard] = OwnerView(row, version, now)
+                self._update_owner_view(shard, row, version, now)
                 self._start_owner(shard, row, version, nonce)
                 return
             await anyio.sleep(CLAIM_PAUSE_S)
--- a/src/onyxgap/jobs/admission.py
+++ b/src/onyxgap/jobs/admission.py
@@ -22,8 +22,6 @@
 
 GROW_S = 2.2
 """Time from the need of a VM until it serves: a move, and its worker's first hold."""
-VALID_S = 2.0
-"""Age of an outlook after which it says nothing: an owner renews its row each 0.7 s."""
 MOST_OVER = 20
 """Tenants that an outlook names; a row is read by each node each 0.7 s."""
 LEAST_RETRY_S = 1
--- a/src/onyxgap/jobs/ownership.py
+++ b/src/onyxgap/jobs/ownership.py
@@ -4,6 +4,7 @@
 only keep shards from moving without need.
 """
 
+import math
 import typing as t
 import zlib
 
@@ -29,6 +30,9 @@
 """Further delay of a node on a small VM, as for two shards owned: one that owns a
 large shard plans on reports that are seconds old, while large VMs own nothing."""
 
+LOAD_REPORT_VALID_S = 2.0
+"""Maximum age of a load report; an owner renews its row each 0.7 s, and other nodes
+read it at most 0.7 s later."""
 YIELD_S = 0.6
 """Time that a node on a small VM leaves to larger ones to claim what its former process
 owned; they need a notice and a claim."""
@@ -44,6 +48,8 @@
     :param handed_over_at: monotonic seconds when the owner first told that it cannot
         reach the store, ``None`` while it does not.
     :param told_at: monotonic seconds when it told so last.
+    :param load_report: newest owner row with a load report, ``None`` if there was none.
+    :param load_reported_at: monotonic seconds when that row was read.
     """
 
     row: OwnerRow | None
@@ -51,6 +57,41 @@
     changed_at: float
     handed_over_at: float | None = None
     told_at: float = 0.0
+    load_report: OwnerRow | None = None
+    load_reported_at: float = -math.inf
+
+    def __attrs_post_init__(self) -> None:
+        has_load = self.row is not None and self.row.waiting is not None
+        if self.load_report is None and has_load:
+            self.load_report, self.load_reported_at = self.row, self.changed_at
+
+    def replace_row(self, row: OwnerRow, version: int, now: float) -> "OwnerView":
+        """Return the view with a newer owner row.
+
+        A claim contains no load report; the previous one is kept until it expires.
+
+        :param row: the new row.
+        :param version: its version.
+        :param now: monotonic seconds.
+        """
+        if row.waiting is not None:
+            return OwnerView(row, version, now)
+        return OwnerView(
+            row,
+            version,
+            now,
+            load_report=self.load_report,
+            load_reported_at=self.load_reported_at,
+        )
+
+    def get_load_report(self, now: float) -> OwnerRow | None:
+        """Return the newest load report, ``None`` if it has expired or never existed.
+
+        :param now: monotonic seconds.
+        """
+        if now - self.load_reported_at > LOAD_REPORT_VALID_S:
+            return None
+        return self.load_report
 
     def note_hand_over(self, now: float) -> "OwnerView":
         """Give the view after the owner told that it cannot reach the store.
--- a/src/onyxgap/jobs/tables.py
+++ b/src/onyxgap/jobs/tables.py
@@ -116,7 +116,8 @@
     :param epoch: fencing token.
     :param beat: rises with each renewal.
     :param released: whether the owner gave the shard up.
-    :param waiting: jobs of which nothing has started, by queue.
+    :param waiting: number of jobs that have not started, by queue; ``None`` until the
+        owner has counted them.
     :param outlook: how long its line is; see :mod:`.admission`.
     """
 
@@ -125,7 +126,7 @@
     epoch: int
     beat: int = 0
     released: bool = False
-    waiting: t.Mapping[str, int] = attrs.field(factory=dict)
+    waiting: t.Mapping[str, int] | None = None
     outlook: t.Mapping[str, t.Any] = attrs.field(factory=dict)
 
 
