Count a job as waiting until one of its tasks has run

Callers saw counts of waiting jobs that left out jobs that had not started.

A job counted as started from the plan that placed its first task, before the order was stored, sent or answered. If the order was refused, lost or carried out late, the job was left out of the count for good.

A job now counts as started once a worker confirms a start, lists a run of it or reports an end. The flag is stored with the progress of the job. For rows stored before this change it is derived from finished occurrences and done tasks.

--- a/src/onyxgap/jobs/encoding.py
+++ b/src/onyxgap/jobs/encoding.py
@@ -53,6 +53,7 @@
             "state": job.state.value,
             "finished": job.finished,
             "next": job.next_occurrence,
+            "begun": job.started,
             "open": occurrences,
             "tenant": job.submission.tenant,
         }
@@ -93,6 +94,7 @@
     job.state = job.stored_state = JobState(raw["state"])
     job.finished = raw["finished"]
     job.next_occurrence = raw["next"]
+    job.started = raw.get("begun", job.finished > 0)
     for text, steps in raw["open"].items():
         occurrence = build_occurrence(submission, int(text))
         job.occurrences[int(text)] = occurrence
@@ -101,4 +103,5 @@
                 _restore_task(task, stored)
                 if task.phase is TaskPhase.DONE:
                     occurrence.remaining[number] -= 1
+                    job.started = True
     return job
--- a/src/onyxgap/jobs/job.py
+++ b/src/onyxgap/jobs/job.py
@@ -195,6 +195,8 @@
     :param occurrences: those that are open, by number.
     :param finished: occurrences that are done, below :attr:`next_occurrence`.
     :param next_occurrence: number of the next one to open.
+    :param started: whether a worker has confirmed, listed or ended a run of any of its
+        tasks; a placed or sent order may never reach its worker.
     :param seen_at: monotonic seconds when the owner learned of the job.
     :param placed_at: monotonic seconds when its first task was placed by this owner,
         ``None`` before.
@@ -210,6 +212,7 @@
     occurrences: dict[int, Occurrence] = attrs.field(factory=dict)
     finished: int = 0
     next_occurrence: int = 0
+    started: bool = False
     seen_at: float = 0.0
     placed_at: float | None = None
     beyond: bool = False
@@ -289,6 +292,7 @@
         :param task: the task.
         :param end: the end of its current run.
         """
+        self.started = True
         step = self.get_step(task)
         if end.checkpoint and step.checkpointing:
             task.checkpoint = end.checkpoint
--- a/src/onyxgap/jobs/shard_jobs.py
+++ b/src/onyxgap/jobs/shard_jobs.py
@@ -200,7 +200,7 @@
         """Count jobs of which nothing has started, by queue."""
         counts: dict[str, int] = {}
         for job in self.jobs.values():
-            if job.state is JobState.QUEUED:
+            if not job.started and not job.state.final:
                 queue = job.submission.policy.queue
                 counts[queue] = counts.get(queue, 0) + 1
         return counts
--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -109,6 +109,7 @@
                 )
             self.strays[key] = self._order_stop(record, item.task, item.run)
             return
+        job.started = True
         task.list_again(now, clock_ms)
         self._note_proof(record, task)
         self._note_progress(job, task, item, now)
@@ -351,6 +352,7 @@
         if (task.run, task.worker_id) != (order.run, order.worker_id):
             return
         if reply.kind is ReplyKind.DONE:
+            job.started = True
             task.confirm(now, reply.clock_ms)
             return
         _LOG.info(
