Include waiting jobs in the previous services of a queue in its count

Visible effect: after a configuration routes a queue to another service, the jobs that still wait in the previous service are missing from the count.

Cause: only the shard of the current service was queried.

Change: add the counts that other shards report for the queue. These shards receive no new jobs of the queue once the configuration is in force, so their last report is used at any age; without any report they add nothing.

Evidence: test_count_includes_jobs_in_the_previous_service_of_a_queue failed before the change (0 instead of 5) and passes with it.

--- a/src/onyxgap/daemons/desk.py
+++ b/src/onyxgap/daemons/desk.py
@@ -399,19 +399,38 @@
         return Unavailable.COUNT if waiting.count is None else waiting.count
 
     def _find_waiting_count(self, policy: QueuePolicy) -> WaitingCount:
-        owner = self.owners.get(policy.service)
+        now = self.clocks.read_monotonic()
+        current = self._count_in_shard(policy.service, policy.queue, now)
+        if current.count is None:
+            return current
+        other = self._count_in_other_shards(policy)
+        return attrs.evolve(current, count=current.count + other)
+
+    def _count_in_shard(self, shard: str, queue: str, now: float) -> WaitingCount:
+        owner = self.owners.get(shard)
         if owner is not None and owner.loaded:
-            count = owner.state.count_waiting().get(policy.queue, 0)
+            count = owner.state.count_waiting().get(queue, 0)
             return WaitingCount(count, CountSource.OWNER, epoch=owner.epoch)
-        view = self.views.get(policy.service)
-        now = self.clocks.read_monotonic()
+        view = self.views.get(shard)
         report = view.get_load_report(now) if view is not None else None
-        if view is None or report is None or report.waiting is None:
+        if view is None or report is None:
             return WaitingCount(None, CountSource.NONE)
-        count = report.waiting.get(policy.queue, 0)
+        count = report.get_waiting_count(queue)
         age_s = now - view.load_reported_at
         return WaitingCount(count, CountSource.OWNER_ROW, age_s, report.epoch)
 
+    def _count_in_other_shards(self, policy: QueuePolicy) -> int:
+        """Count the waiting jobs in the shards of the queue's previous services.
+
+        New jobs go to the current service, so reports of other shards are used at any
+        age.
+        """
+        return sum(
+            view.load_report.get_waiting_count(policy.queue)
+            for shard, view in self.views.items()
+            if shard != policy.service and view.load_report is not None
+        )
+
 
 def _compare(known: Submission, submission: Submission) -> SubmitResult:
     if not Caller(submission.tenant).may_use(known.tenant):
--- a/src/onyxgap/jobs/tables.py
+++ b/src/onyxgap/jobs/tables.py
@@ -129,6 +129,10 @@
     waiting: t.Mapping[str, int] | None = None
     outlook: t.Mapping[str, t.Any] = attrs.field(factory=dict)
 
+    def get_waiting_count(self, queue: str) -> int:
+        """Return the number of waiting jobs of a queue, 0 if none is reported."""
+        return (self.waiting or {}).get(queue, 0)
+
 
 def encode_owner(row: OwnerRow) -> bytes:
     """Encode an owner row."""
--- a/tests/test_waiting_counts.py
+++ b/tests/test_waiting_counts.py
@@ -2,6 +2,7 @@
 
 import random
 
+import attrs
 import pytest
 import structlog.testing
 
@@ -88,6 +89,19 @@
     assert desk.count_waiting(ROUTE) is Unavailable.COUNT
 
 
+def test_count_includes_jobs_in_the_previous_service_of_a_queue(
+    desk: NodeDesk, clocks: SetClocks
+) -> None:
+    # guards against omitting jobs that wait in the shard of the previous service
+    desk.views["ring"] = OwnerView(attrs.evolve(OWNER_ROW, waiting={}), 1, clocks.now)
+    desk.views["herd"] = OwnerView(OWNER_ROW, 1, clocks.now)
+    assert desk.count_waiting(ROUTE) == 5
+    clocks.now += 10.0
+    assert desk.count_waiting(ROUTE) is Unavailable.COUNT
+    desk.views["ring"] = OwnerView(attrs.evolve(OWNER_ROW, waiting={}), 2, clocks.now)
+    assert desk.count_waiting(ROUTE) == 5
+
+
 @pytest.mark.parametrize(
     "kind", [ReplyKind.NO_ANSWER, ReplyKind.NOT_SENT, ReplyKind.NO_ROOM]
 )
