Draw all kinds of faults in soaks and support concurrent soaks

Two concurrent soaks took each other's ports: all nodes of one exited on their own with code 1.

The ports of each node are reserved as a block with a guard port that stays bound.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -36,7 +36,8 @@
     )
     red = 0
     for seed in range(arguments.seed, arguments.seed + arguments.seeds):
-        script = draw_faults(load_script(arguments.day), seed, arguments.faults)
+        day = load_script(arguments.day)
+        script = draw_faults(day, seed, arguments.faults, include_scripted=True)
         with tempfile.TemporaryDirectory(prefix="soak-") as scratch:
             folder = pathlib.Path(scratch)
             if arguments.keep:
--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -34,6 +34,10 @@
 
 CALL_TIMEOUT_S = 3.0
 """Callers of the emulated day wait as long."""
+PORTS_PER_NODE = 6
+"""Consecutive ports that each node needs: platform, callers, probes and peers."""
+PORT_RANGE_START = 15_000
+PORT_RANGE_END = 32_000
 GRACE_S = 6.0
 """Time between the request to stop a process and its end."""
 _OUTCOMES = {
@@ -45,27 +49,38 @@
     409: SubmitOutcome.OTHER_REQUEST,
     504: SubmitOutcome.UNKNOWN,
 }
-_given: set[int] = set()
+_guard_sockets: list[socket.socket] = []
 _BROKEN = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError)
 
 
-def find_ports(count: int) -> int:
-    """Find free ports in a row, for connections and datagrams; gives the first."""
-    for first in range(15_000 + os.getpid() % 8_000, 32_000, count):
-        if first in _given:
-            continue
+def reserve_ports() -> int:
+    """Reserve consecutive free TCP and UDP ports and return the first.
+
+    The guard port after the block stays bound, so that concurrent soaks do not select
+    the same block.
+    """
+    blocks = range(PORT_RANGE_START, PORT_RANGE_END, PORTS_PER_NODE + 1)
+    offset = os.getpid() % len(blocks)
+    for first in [*blocks[offset:], *blocks[:offset]]:
+        guard = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
-            for port in range(first, first + count):
-                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-                    with socket.socket(socket.AF_INET, kind) as probe:
-                        probe.bind(("127.0.0.1", port))
+            guard.bind(("127.0.0.1", first + PORTS_PER_NODE))
+            _check_ports_free(range(first, first + PORTS_PER_NODE))
         except OSError:
+            guard.close()
             continue
-        _given.add(first)
+        _guard_sockets.append(guard)
         return first
     raise OSError("no free ports")
 
 
+def _check_ports_free(ports: t.Iterable[int]) -> None:
+    for port in ports:
+        for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+            with socket.socket(socket.AF_INET, kind) as probe:
+                probe.bind(("127.0.0.1", port))
+
+
 @attrs.define(eq=False)
 class PausedGate(NodeGate):
     """A gate whose freezes pause the process."""
@@ -133,7 +148,7 @@
 
     def __attrs_post_init__(self) -> None:
         super().__attrs_post_init__()
-        self._ports = find_ports(6)
+        self._ports = reserve_ports()
 
     def _build_gate(self) -> PausedGate:
         return PausedGate(self.name)
--- a/src/onyxgap/standins/emulator/faults.py
+++ b/src/onyxgap/standins/emulator/faults.py
@@ -278,14 +278,14 @@
     ("cap", "tenant"): FaultyDay.change_cap,
 }
 
-_ONLY_SCRIPTED = {
+_TENANT_FAULTS = frozenset({("revoke", "keys"), ("cap", "tenant")})
+"""Faults that require a day with tenants."""
+_ONLY_SCRIPTED = _TENANT_FAULTS | {
     ("shrink", "vm"),
     ("rebear", "vm"),
     ("malform", "rows"),
-    ("revoke", "keys"),
-    ("cap", "tenant"),
 }
-"""Never drawn at random, so that a seed goes on standing for the same faults."""
+"""Excluded from random draws by default, so that a seed keeps its faults."""
 
 
 async def play_day(
@@ -300,24 +300,28 @@
     return await FaultyDay(script, seed, build_sizer).play()
 
 
-def draw_faults(script: Script, seed: int, count: int) -> Script:
+def draw_faults(
+    script: Script, seed: int, count: int, include_scripted: bool = False
+) -> Script:
     """Add random faults to a script, alone, in pairs and in a row.
 
     :param script: the day.
     :param seed: seed of the draw.
     :param count: number of faults.
+    :param include_scripted: whether to also draw kinds otherwise only scripted.
     """
     rng = random.Random(f"faults/{seed}")
-    verbs = sorted(_FAULTS.keys() - _ONLY_SCRIPTED)
+    excluded = _ONLY_SCRIPTED
+    if include_scripted:
+        excluded = frozenset() if script.tenants else _TENANT_FAULTS
+    verbs = sorted(_FAULTS.keys() - excluded)
     pools = [line.name for line in script.pools]
     faults = []
     for _ in range(count):
         verb, target = rng.choice(verbs)
         at = rng.uniform(4.0, script.end_s - 8.0)
         strength = {"store": 20.0}.get(target if verb == "slow" else "", 0.3)
-        faults.append(
-            FaultLine(
-                at, verb, target, rng.choice(pools), rng.uniform(1.0, 6.0), strength
-            )
-        )
+        pool, seconds = rng.choice(pools), rng.uniform(1.0, 6.0)
+        name = "" if (verb, target) in _TENANT_FAULTS else pool
+        faults.append(FaultLine(at, verb, target, name, seconds, strength))
     return attrs.evolve(script, faults=[*script.faults, *faults])
