--- a/tests/test_mutations.py
+++ b/tests/test_mutations.py
@@ -16,6 +16,7 @@
 from onyxgap.pools.planner import FleetPlanner
 from tests.emulated import assert_noticed
 from tests.emulated import extend_day
+from tests.emulated import load_day
 
 SEEDS = range(1, 9)
 
@@ -126,3 +127,10 @@
     mutate, statements, rule = MUTATIONS[name]
     script = extend_day("short", statements)
     assert_noticed(script, rule, SEEDS, mutate, monkeypatch)
+
+
+def test_missing_waiting_counts_are_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
+    def leave_out_counts(patch: pytest.MonkeyPatch) -> None:
+        patch.setattr(Shard, "count_waiting", lambda self: {})
+
+    assert_noticed(load_day("backlog"), "mixed", SEEDS, leave_out_counts, monkeypatch)
