Log why tasks wait although workers are free

Cause: a task that is not placed leaves no line. "tasks placed" tells what was placed; whether the others wait for capacity, for a cordon, a reservation, a placement constraint or a suspected task cannot be told from the logs.

Change: "step waits" names, at most once a second, up to five steps that have waited for a second, serving ones first, with the number of workers by what keeps each of them from the task.

--- a/src/onyxgap/jobs/placing.py
+++ b/src/onyxgap/jobs/placing.py
@@ -202,7 +202,7 @@
         worker.has_capacity(step)
         and worker.is_open(now)
         and worker.meets_isolation(step_key[0], isolation)
-        and _is_allowed(worker, step, step_key)
+        and is_allowed(worker, step, step_key)
     )
 
 
@@ -222,11 +222,17 @@
         and step.cpu <= entry.cpu
         and step.memory_mb <= entry.memory_mb
         and step.accelerators <= entry.accelerators
-        and _is_allowed(worker, step, step_key)
+        and is_allowed(worker, step, step_key)
     )
 
 
-def _is_allowed(worker: WorkerRecord, step: Step, step_key: StepKey) -> bool:
+def is_allowed(worker: WorkerRecord, step: Step, step_key: StepKey) -> bool:
+    """Return whether the placement constraints of a step allow a worker.
+
+    :param worker: the worker.
+    :param step: the step.
+    :param step_key: job, occurrence and number of the step.
+    """
     if step.requires and step.requires not in worker.entry.labels:
         return False
     return (
--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -26,6 +26,7 @@
 from .job import TaskPhase
 from .messages import JobState
 from .messages import Step
+from .obstacles import WaitReporter
 from .placing import StepKey
 from .placing import WorkerRecord
 from .placing import choose_worker
@@ -65,6 +66,7 @@
     beyond: int = 0
     backlog: t.Sequence[ReadyStep] = ()
     fleet_vms: int = 0
+    wait_reporter: WaitReporter = attrs.field(factory=WaitReporter)
 
     def plan(self, now: float, wall_ms: float) -> list[StartOrder]:
         """Run a scheduling pass: choose tasks to start, and their workers.
@@ -89,6 +91,7 @@
         if self.shares is not None:
             usage = sum_usage_by_tenant(self.workers.values(), self.jobs)
             self.shares.begin_pass(usage)
+        waiting: list[ReadyStep] = []
         for ready in self._sort_ready(now, wall_ms, usage):
             if ready.job.submission.steps[ready.step].gang:
                 placed = self._place_gang(ready, now)
@@ -96,7 +99,10 @@
                 placed = list(self._place_tasks(ready, free_capacity, now))
             if placed:
                 self._log_placing(ready, placed, now)
+            if len(placed) < len(ready.tasks):
+                waiting.append(ready)
             orders += placed
+        self.wait_reporter.report(waiting, self.workers.values(), now)
         if self.shares is not None:
             self.shares.end_pass(free_capacity.get_free_capacity(), now)
         return orders
--- a/src/onyxgap/standins/emulator/callers.py
+++ b/src/onyxgap/standins/emulator/callers.py
@@ -194,6 +194,7 @@
             memory_mb=int(serve.memory * 1000),
             long_running=True,
             may_miss=serve.may_miss,
+            anti_affinity=serve.per_vm,
         )
         notes = self._add(route, (step,), 1e9, False, self.rng)
         await anyio.sleep(1.0)
--- a/src/onyxgap/standins/emulator/script.py
+++ b/src/onyxgap/standins/emulator/script.py
@@ -50,6 +50,7 @@
     :param cpu: cores of each.
     :param memory: GB of each.
     :param may_miss: tasks that may be away by the system's own actions.
+    :param per_vm: most tasks on one worker, 0 for no limit.
     """
 
     pool: str
@@ -57,6 +58,7 @@
     cpu: float = 5.0
     memory: float = 20.0
     may_miss: int = 1
+    per_vm: int = 0
 
 
 @attrs.frozen
