Add a failing test of serving tasks that may not share a worker

What callers see: a serving task whose worker is lost does not run again while its pool is between bursts, although VMs are spare.

Change: the emulator checks that a serving task runs again within 6 s unless a fault disturbs nodes or the store; the checks of serving tasks have a module of their own.

--- a/src/onyxgap/standins/emulator/checks.py
+++ b/src/onyxgap/standins/emulator/checks.py
@@ -22,6 +22,8 @@
 from .count_callers import CountAnswer
 from .disturbances import DisturbanceLog
 from .runs import RunRecord
+from .serving_checks import check_absences
+from .serving_checks import check_serving
 from .tenancy import Tenancy
 from .tenant_checks import check_caps
 from .tenant_checks import check_keys
@@ -188,18 +190,6 @@
             yield Breach("lost", 0.0, f"{job_id} never ended")
 
 
-def check_serving(evidence: Evidence, end_s: float) -> t.Iterator[Breach]:
-    """Check that each serving task runs at the end of the day."""
-    running = {record.task for record in evidence.records if record.ended is None}
-    for job_id, notes in evidence.callers.jobs.items():
-        step = notes.submission.steps[0]
-        if not step.long_running or notes.accepted_at is None:
-            continue
-        for position in range(step.count):
-            if TaskId(job_id, 0, 0, position) not in running:
-                yield Breach("lost", end_s, f"{job_id} lacks serving task {position}")
-
-
 def check_waves(evidence: Evidence) -> t.Iterator[Breach]:
     """Check that waves keep their cap and that every VM is maintained."""
     for wave in evidence.waves:
@@ -254,7 +244,9 @@
         check_holders,
     )
     breaches = [breach for check in checks for breach in check(evidence)]
-    breaches += check_serving(evidence, end_s)
+    jobs = evidence.callers.jobs
+    breaches += check_serving(jobs, evidence.records, end_s)
+    breaches += check_absences(jobs, evidence.records, evidence.disturbances)
     breaches += check_keys(evidence.tenancy)
     breaches += check_counts(
         evidence.counts, evidence.callers.jobs, evidence.records, evidence.disturbances
