Reserve workers only for tasks that can run there

What callers see: an accepted job whose tasks could run and do not, although most of its workers' capacity is free.

Cause: a serving task that fits on no worker has one reserved in each pass, so that smaller tasks do not take all capacity that becomes free. A worker qualified if the task fits on it when it is empty. Serving tasks do not end, so beside these the capacity never becomes free: the worker with the least CPU in use stayed closed to all other steps, one for each such step, as long as the step waited. As many waiting steps as workers closed a whole pool.

Change: a worker is reserved, and offered to the policy service, only if the task fits beside the serving tasks there.

Evidence: test_serving_tasks_that_fit_on_no_worker_keep_no_others_from_it failed before (nothing placed on two workers of which 106 of 256 GB are free) and passes now; a serving task that waits for finite ones still has its worker reserved.

--- a/src/onyxgap/jobs/placing.py
+++ b/src/onyxgap/jobs/placing.py
@@ -11,6 +11,8 @@
 
 import attrs
 
+from .amounts import ZERO_AMOUNT
+from .amounts import Amount
 from .crashes import IsolationLevel
 from .job import Task
 from .messages import Step
@@ -39,7 +41,8 @@
     :param cpu_used: thousandths of a core of the runs that may be on the worker.
     :param memory_used: MB of these runs.
     :param accelerators_used: number of accelerators of these runs.
-    :param finite_runs: number of these runs that are not of long-running steps.
+    :param serving: resources of the long-running ones of these runs.
+    :param finite_runs: number of the other ones.
     :param present: number of these runs by step key.
     :param in_start_crash_window: tasks that may still crash the worker by their start.
     :param in_crash_window: tasks that may still be the cause of a crash of the worker.
@@ -72,6 +75,7 @@
     cpu_used: int = 0
     memory_used: int = 0
     accelerators_used: int = 0
+    serving: Amount = ZERO_AMOUNT
     finite_runs: int = 0
     present: dict[StepKey, int] = attrs.field(factory=dict)
     in_start_crash_window: set[TaskId] = attrs.field(factory=set)
@@ -120,18 +124,26 @@
         :param step: step of the run.
         :param step_key: job, occurrence and number of the step.
         """
-        self.cpu_used += 0 if step.fills else step.cpu
-        self.memory_used += step.memory_mb
-        self.accelerators_used += step.accelerators
-        self.finite_runs += not step.long_running
+        amount = _get_reserved_amount(step)
+        self.cpu_used += amount.cpu
+        self.memory_used += amount.memory_mb
+        self.accelerators_used += amount.accelerators
+        if step.long_running:
+            self.serving += amount
+        else:
+            self.finite_runs += 1
         self.present[step_key] = self.present.get(step_key, 0) + 1
 
     def free(self, step: Step, step_key: StepKey) -> None:
         """Free the resources of a run; the reverse of :meth:`reserve`."""
-        self.cpu_used -= 0 if step.fills else step.cpu
-        self.memory_used -= step.memory_mb
-        self.accelerators_used -= step.accelerators
-        self.finite_runs -= not step.long_running
+        amount = _get_reserved_amount(step)
+        self.cpu_used -= amount.cpu
+        self.memory_used -= amount.memory_mb
+        self.accelerators_used -= amount.accelerators
+        if step.long_running:
+            self.serving -= amount
+        else:
+            self.finite_runs -= 1
         self.present[step_key] -= 1
         if not self.present[step_key]:
             del self.present[step_key]
@@ -182,6 +194,11 @@
         return self.entry.labels[-1] if self.entry.labels else ""
 
 
+def _get_reserved_amount(step: Step) -> Amount:
+    cpu = 0 if step.fills else step.cpu
+    return Amount(cpu, step.memory_mb, step.accelerators)
+
+
 def is_eligible(
     worker: WorkerRecord,
     step: Step,
@@ -207,21 +224,22 @@
 
 
 def may_ever_run(worker: WorkerRecord, step: Step, step_key: StepKey) -> bool:
-    """Return whether a task fits on a worker once the other tasks there have ended.
+    """Return whether a task fits on a worker once the finite tasks there have ended.
+
+    Serving tasks stay until their jobs are cancelled.
 
     :param worker: the worker.
     :param step: step of the task.
     :param step_key: job, occurrence and number of the step.
     """
     entry = worker.entry
+    capacity = Amount(entry.cpu, entry.memory_mb, entry.accelerators)
     return (
         worker.held
         and worker.registered
         and not worker.cordoned
         and entry.state is WorkerState.READY
-        and step.cpu <= entry.cpu
-        and step.memory_mb <= entry.memory_mb
-        and step.accelerators <= entry.accelerators
+        and (worker.serving + _get_reserved_amount(step)).fits(capacity)
         and is_allowed(worker, step, step_key)
     )
 
--- a/tests/test_shard.py
+++ b/tests/test_shard.py
@@ -460,3 +460,31 @@
     prepared = harness.shard.prepare_start(order, harness.now)
     assert prepared is not None
     assert prepared.run == order.run
+
+
+def test_serving_tasks_that_fit_on_no_worker_keep_no_others_from_it(
+    harness: ShardHarness,
+) -> None:
+    large = Step(2, cpu=1000, memory_mb=150_000, long_running=True)
+    for worker_id in ("w1", "w2"):
+        harness.add_worker(worker_id)
+    for name in "abc":
+        harness.add_job(large, job_id=name * 16)
+    assert len(harness.start_all()) == 2
+    harness.report("w1")
+    harness.report("w2")
+    harness.add_job(Step(1, cpu=1000, memory_mb=100), job_id="d" * 16)
+    assert [order.task.job_id for order in harness.plan()] == ["d" * 16]
+
+
+def test_worker_is_reserved_for_a_serving_task_that_waits_for_finite_ones(
+    harness: ShardHarness,
+) -> None:
+    harness.add_worker("w1")
+    harness.add_job(Step(1, cpu=60_000))
+    (busy,) = harness.start_all()
+    harness.add_job(Step(1, cpu=60_000, long_running=True), job_id="b" * 16)
+    harness.add_job(Step(1, cpu=1000), job_id="c" * 16)
+    assert harness.plan() == []
+    harness.report("w1", (busy, EndKind.DONE))
+    assert {order.task.job_id for order in harness.plan()} == {"b" * 16, "c" * 16}
