Size pools for serving tasks that few workers can hold

Cause: the size of a pool is the sum of the fractions of a VM that its tasks take. Tasks that may not share a worker, or of which few fit on one, need more VMs than that. While all of them run, the VMs that hold them are not given away; once one is lost, the pool has more VMs than its size, so none is moved to it and the idle ones stay cordoned. A pool between bursts is sized for two VMs. For the same cause, a VM that waits for maintenance counted as a returning one although its tasks could go nowhere, so that both waited for each other.

Change: a shard counts the serving tasks that no worker can take once the finite tasks there have ended, and reports how many VMs the pool needs with those that lack. The size of the pool is at least that, and VMs in maintenance don't stand in for them.

--- a/src/onyxgap/jobs/placing.py
+++ b/src/onyxgap/jobs/placing.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from .amounts import NO_LIMIT
 from .amounts import ZERO_AMOUNT
 from .amounts import Amount
 from .crashes import IsolationLevel
@@ -223,6 +224,27 @@
     )
 
 
+def count_places(worker: WorkerRecord, step: Step, used: Amount, present: int) -> int:
+    """Count the tasks of a step that a worker could take in addition.
+
+    :param worker: the worker.
+    :param step: the step.
+    :param used: resources of the tasks that are to stay there.
+    :param present: number of tasks of the step among these.
+    """
+    if step.requires and step.requires not in worker.entry.labels:
+        return 0
+    entry, amount = worker.entry, _get_reserved_amount(step)
+    pairs = [
+        (entry.cpu - used.cpu, amount.cpu),
+        (entry.memory_mb - used.memory_mb, amount.memory_mb),
+        (entry.accelerators - used.accelerators, amount.accelerators),
+    ]
+    places = [free // needed for free, needed in pairs if needed]
+    places.append((step.anti_affinity or NO_LIMIT) - present)
+    return max(0, min(places))
+
+
 def may_ever_run(worker: WorkerRecord, step: Step, step_key: StepKey) -> bool:
     """Return whether a task fits on a worker once the finite tasks there have ended.
 
@@ -232,15 +254,13 @@
     :param step: step of the task.
     :param step_key: job, occurrence and number of the step.
     """
-    entry = worker.entry
-    capacity = Amount(entry.cpu, entry.memory_mb, entry.accelerators)
+    present = worker.present.get(step_key, 0)
     return (
         worker.held
         and worker.registered
         and not worker.cordoned
-        and entry.state is WorkerState.READY
-        and (worker.serving + _get_reserved_amount(step)).fits(capacity)
-        and is_allowed(worker, step, step_key)
+        and worker.entry.state is WorkerState.READY
+        and count_places(worker, step, worker.serving, present) > 0
     )
 
 
--- a/src/onyxgap/jobs/shard_workers.py
+++ b/src/onyxgap/jobs/shard_workers.py
@@ -24,6 +24,8 @@
 from .priorities import rate_urgency
 from .shard_jobs import ShardJobs
 from .shard_jobs import get_step_key
+from .shortage import ServingStep
+from .shortage import count_needed_workers
 from .workers import Reply
 from .workers import ReplyKind
 from .workers import StartOrder
@@ -230,11 +232,24 @@
             workers,
             self.list_drained_workers(),
             **{name: round(value, 3) for name, value in sums.items()},
+            serving_vms=count_needed_workers(
+                self._list_serving_steps(), self.workers.values()
+            ),
             arrived_jobs=self.arrived_jobs,
             offered=round(self.offered, 3),
             epoch=self.epoch,
         )
 
+    def _list_serving_steps(self) -> t.Iterator[ServingStep]:
+        for job in self.jobs.values():
+            if job.state.final:
+                continue
+            for occurrence, number in job.list_ready():
+                step = job.submission.steps[number]
+                tasks = occurrence.steps[number]
+                if step.long_running:
+                    yield ServingStep(step, get_step_key(tasks[0]), tasks)
+
     def list_drained_workers(self) -> dict[str, str]:
         """Return the cordon IDs of drained workers, by worker id.
 
--- /dev/null
+++ b/src/onyxgap/jobs/shortage.py
@@ -0,0 +1,103 @@
+"""Counts the VMs that a pool needs so that all its serving tasks have a worker.
+
+The sum of the fractions of a VM that tasks take is not enough for that: tasks may not
+be allowed to share a worker, or few of them may fit on one. Finite tasks are left out,
+since they end by themselves.
+"""
+
+import math
+import typing as t
+
+import attrs
+
+from .amounts import ZERO_AMOUNT
+from .job import Task
+from .messages import Step
+from .messages import WorkerState
+from .placing import StepKey
+from .placing import WorkerRecord
+from .placing import count_places
+
+
+@attrs.frozen(slots=True)
+class ServingStep:
+    """A step whose tasks serve until their job is cancelled.
+
+    :param step: the step.
+    :param step_key: job, occurrence and number of the step.
+    :param tasks: its tasks.
+    """
+
+    step: Step
+    step_key: StepKey
+    tasks: t.Sequence[Task]
+
+
+def count_needed_workers(
+    steps: t.Iterable[ServingStep], records: t.Collection[WorkerRecord]
+) -> int:
+    """Count the workers that a pool needs for serving tasks that have none to run on.
+
+    Workers that are out of reach count as present, since their VMs do, but give no
+    place. Workers that only lack the label or size for a step are not counted, so that
+    no more VMs are requested than the step could use.
+
+    :param steps: unfinished serving steps of the shard.
+    :param records: workers of the shard.
+    :returns: number of workers, 0 if all tasks have a worker to run on.
+    """
+    present = [item for item in records if item.registered and not item.cordoned]
+    cordoned = {item.entry.worker_id for item in records if item.cordoned}
+    return max(
+        (_count_for_step(item, present, cordoned) for item in steps),
+        default=0,
+    )
+
+
+def _count_for_step(
+    serving: ServingStep, present: t.Sequence[WorkerRecord], cordoned: set[str]
+) -> int:
+    displaced = _count_displaced(serving, cordoned)
+    if not displaced:
+        return 0
+    step, step_key = serving.step, serving.step_key
+    places = {id(item): _count_open_places(item, step, step_key) for item in present}
+    lacking = displaced - sum(places.values())
+    per_worker = max(
+        (_count_places_when_empty(item, step, step_key) for item in present), default=0
+    )
+    if lacking <= 0 or not per_worker:
+        return 0
+    used = sum(
+        places[id(item)] > 0 or not _is_reachable(item) or item.serving != ZERO_AMOUNT
+        for item in present
+    )
+    return used + math.ceil(lacking / per_worker)
+
+
+def _count_displaced(serving: ServingStep, cordoned: set[str]) -> int:
+    """Count the tasks that wait, or that are to leave their workers next."""
+    waiting = sum(not task.placed for task in serving.tasks)
+    to_leave = sum(task.placed and task.worker_id in cordoned for task in serving.tasks)
+    return waiting + min(to_leave, max(1, serving.step.may_miss))
+
+
+def _is_reachable(record: WorkerRecord) -> bool:
+    return (
+        record.held
+        and record.failing_since is None
+        and record.entry.state is WorkerState.READY
+    )
+
+
+def _count_open_places(record: WorkerRecord, step: Step, step_key: StepKey) -> int:
+    if not _is_reachable(record):
+        return 0
+    present = record.present.get(step_key, 0)
+    return count_places(record, step, record.serving, present)
+
+
+def _count_places_when_empty(
+    record: WorkerRecord, step: Step, step_key: StepKey
+) -> int:
+    return count_places(record, step, ZERO_AMOUNT, 0)
--- a/src/onyxgap/pools/planner.py
+++ b/src/onyxgap/pools/planner.py
@@ -102,11 +102,17 @@
                 and not self._has_pending_move(vm)
                 for vm in self.vms.values()
             )
-            shortfalls[pool] = (
-                wanted - self._count_schedulable(pool) - incoming - returning
+            usable = self._count_schedulable(pool) + incoming
+            # VMs in maintenance return only once their tasks have found other workers
+            shortfalls[pool] = max(
+                wanted - usable - returning, self._get_serving_vms(pool) - usable
             )
         return shortfalls
 
+    def _get_serving_vms(self, pool: str) -> int:
+        report = self.reports.get(pool)
+        return report.serving_vms if report is not None else 0
+
     def _has_pending_move(self, vm: Vm) -> bool:
         pending = self.pending_orders.get(vm.name)
         return pending is not None and pending.order.kind is VmActionKind.MOVE
--- a/src/onyxgap/pools/sizing.py
+++ b/src/onyxgap/pools/sizing.py
@@ -197,4 +197,5 @@
     :param report: its report.
     :param offered_load: VMs that arriving work keeps busy.
     """
-    return math.ceil(get_vm_demand(report, offered_load) * HEADROOM)
+    filled = math.ceil(get_vm_demand(report, offered_load) * HEADROOM)
+    return max(filled, report.serving_vms)
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -102,6 +102,13 @@
     assert sizer.choose_sizes(reports, {"a": 8}, TOTAL, start - 2.0) == {"a": 8}
 
 
+def test_pool_between_bursts_keeps_vms_for_serving_tasks_that_need_them() -> None:
+    sizer = PoolSizer()
+    now = observe_bursts(sizer.forecast, [("a", 6.0), ("b", 3.0), ("c", 0.5)])
+    reports = {"a": report("a", serving=0.4, serving_vms=5)}
+    assert sizer.choose_sizes(reports, {"a": 8}, TOTAL, now) == {"a": 5}
+
+
 def test_size_is_kept_for_the_scale_down_window() -> None:
     sizer = PoolSizer()
     now = observe_bursts(sizer.forecast, [("a", 6.0), ("b", 3.0), ("c", 0.5)])
@@ -397,3 +404,29 @@
     many = report("a", offered=36.0, arrived_jobs=81)
     sizer.observe(many, 1.0)
     assert sizer.choose_sizes({"a": many}, {"a": 8}, 60, 1.1) == {"a": 36}
+
+
+def test_vm_in_maintenance_does_not_stand_in_for_one_that_its_tasks_need(
+    planner: FleetPlanner,
+) -> None:
+    planner.add_wave(Wave(1, ("a0",), 20.0, 1), 1.0)
+    planner.sizes = {"a": 4, "b": 4}
+    planner.plan(1.0)
+    assert set(planner.cordons) == {"w-a0"}
+    assert planner.plan(1.1) == []
+    loads = {f"w-a{n}": WorkerLoad(1, 1, 100) for n in range(4)}
+    planner.reports["a"] = report("a", workers=loads, serving_vms=4)
+    assert [order.pool for order in planner.plan(1.2)] == ["a"]
+    assert planner.plan(1.3) == []
+
+
+def test_cordoned_surplus_is_used_again_for_serving_tasks_that_need_it(
+    planner: FleetPlanner,
+) -> None:
+    planner.sizes = {"a": 2, "b": 4}
+    planner.plan(1.0)
+    assert len(planner.cordons) == 2
+    planner.reports["a"] = build_report(planner, "a", serving_vms=3)
+    planner.sizes = {"a": 3, "b": 4}
+    planner.plan(1.1)
+    assert len(planner.cordons) == 1
--- /dev/null
+++ b/tests/test_shortage.py
@@ -0,0 +1,99 @@
+"""Number of VMs that a pool needs for serving tasks that have no worker to run on."""
+
+import typing as t
+
+import attrs
+import pytest
+
+from onyxgap.jobs.job import Task
+from onyxgap.jobs.messages import Step
+from onyxgap.jobs.messages import TaskId
+from onyxgap.jobs.placing import WorkerRecord
+from onyxgap.jobs.shard import Shard
+from onyxgap.jobs.shortage import ServingStep
+from onyxgap.jobs.shortage import count_needed_workers
+from tests.test_shard import ENTRY
+from tests.test_shard import ShardHarness
+
+JOB_ID = "a" * 16
+STEP_KEY = (JOB_ID, 0, 0)
+APART = Step(4, cpu=1000, memory_mb=1000, long_running=True, anti_affinity=1)
+LARGE = Step(4, cpu=1000, memory_mb=150_000, long_running=True)
+FINITE = Step(1, cpu=64_000, memory_mb=1000)
+
+
+@pytest.fixture
+def records() -> list[WorkerRecord]:
+    return [
+        WorkerRecord(attrs.evolve(ENTRY, worker_id=f"w{number}"), held=True)
+        for number in range(3)
+    ]
+
+
+def place_tasks(step: Step, records: t.Iterable[WorkerRecord]) -> ServingStep:
+    """Place a task on each of the workers; the other tasks wait."""
+    tasks = [Task(TaskId(JOB_ID, 0, 0, number)) for number in range(step.count)]
+    for task, record in zip(tasks, records, strict=False):
+        task.place(record.entry.worker_id, 1.0, 0.0, 1)
+        record.reserve(step, STEP_KEY)
+    return ServingStep(step, STEP_KEY, tasks)
+
+
+@pytest.mark.parametrize("step", [APART, LARGE])
+def test_task_that_fits_beside_no_other_needs_one_more_worker(
+    step: Step, records: list[WorkerRecord]
+) -> None:
+    assert count_needed_workers([place_tasks(step, records)], records) == 4
+
+
+def test_no_worker_is_needed_while_one_present_has_a_place(
+    records: list[WorkerRecord],
+) -> None:
+    serving = place_tasks(attrs.evolve(APART, count=3), records[:2])
+    assert count_needed_workers([serving], records) == 0
+    records[2].reserve(FINITE, ("b" * 16, 0, 0))
+    assert count_needed_workers([serving], records) == 0
+
+
+@pytest.mark.parametrize(
+    "changes", [{"failing_since": 1.0}, {"held": False}, {"cordoned": True}]
+)
+def test_worker_that_takes_no_tasks_gives_no_place(
+    records: list[WorkerRecord], changes: dict[str, t.Any]
+) -> None:
+    serving = place_tasks(attrs.evolve(APART, count=3), records[:2])
+    records[2] = attrs.evolve(records[2], **changes)
+    present = 2 if "cordoned" in changes else 3
+    assert count_needed_workers([serving], records) == present + 1
+
+
+def test_tasks_of_a_cordoned_worker_need_another_one(
+    records: list[WorkerRecord],
+) -> None:
+    serving = place_tasks(attrs.evolve(APART, count=3), records)
+    records[0].cordoned = True
+    assert count_needed_workers([serving], records) == 3
+
+
+def test_no_more_workers_are_needed_for_a_label_that_none_has(
+    records: list[WorkerRecord],
+) -> None:
+    serving = place_tasks(attrs.evolve(APART, requires="other"), ())
+    assert count_needed_workers([serving], records) == 0
+
+
+def test_workers_without_the_label_of_a_step_are_not_counted(
+    records: list[WorkerRecord],
+) -> None:
+    entry = attrs.evolve(ENTRY, worker_id="labelled", labels=("other", "r1"))
+    labelled = WorkerRecord(entry, held=True)
+    serving = place_tasks(attrs.evolve(APART, count=2, requires="other"), [labelled])
+    assert count_needed_workers([serving], [*records, labelled]) == 2
+
+
+def test_report_of_a_shard_names_the_workers_needed_by_its_serving_tasks() -> None:
+    harness = ShardHarness(Shard("s", epoch=3, claimed_at=50.0))
+    harness.add_worker("w1")
+    harness.add_job(APART)
+    assert len(harness.start_all()) == 1
+    assert harness.shard.build_report(harness.now).serving_vms == 4
