--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -33,8 +33,8 @@
 from .placing import may_ever_run
 from .priorities import rate_urgency
 from .ready import ReadyStep
+from .shard_demand import ShardDemand
 from .shard_jobs import get_step_key
-from .shard_stops import ShardStops
 from .share_book import ShardShares
 from .usage import sum_usage_by_tenant
 from .workers import StartOrder
@@ -48,7 +48,7 @@
 
 
 @attrs.define
-class Shard(ShardStops):
+class Shard(ShardDemand):
     """State of one shard at its owner, and the scheduler of its tasks.
 
     :param shares: its shares of tenants' caps; ``None`` where there are no tenants.
--- /dev/null
+++ b/src/onyxgap/jobs/shard_demand.py
@@ -0,0 +1,119 @@
+"""Measures the demand of a shard for VMs, which its owner reports."""
+
+import collections
+import typing as t
+
+import attrs
+
+from ..pools.messages import PoolReport
+from ..pools.messages import WorkerLoad
+from .job import Job
+from .job import Occurrence
+from .load import estimate_vm_seconds
+from .load import get_load_kind
+from .load import get_worker_fraction
+from .priorities import rate_urgency
+from .shard_jobs import get_step_key
+from .shard_stops import ShardStops
+from .shortage import ServingStep
+from .shortage import count_needed_workers
+
+
+@attrs.define
+class ShardDemand(ShardStops):
+    """The demand of one shard for VMs."""
+
+    def get_largest_worker_capacity(self) -> tuple[int, int]:
+        """Return the CPU (thousandths of a core) and memory (MB) of the largest worker.
+
+        Workers are compared by CPU, then by memory; ``(0, 0)`` if there are none.
+        """
+        return max(
+            ((item.entry.cpu, item.entry.memory_mb) for item in self.workers.values()),
+            default=(0, 0),
+        )
+
+    def build_report(self, now: float) -> PoolReport:
+        """Build the load report for the fleet controller.
+
+        :param now: monotonic seconds.
+        """
+        capacity = self.get_largest_worker_capacity()
+        self._measure_arrivals(capacity)
+        return PoolReport(
+            self.service,
+            self._measure_worker_loads(),
+            self.list_drained_workers(),
+            **self._sum_load(capacity, now),
+            serving_vms=count_needed_workers(
+                self._list_serving_steps(), self.workers.values()
+            ),
+            arrived_jobs=self.arrived_jobs,
+            offered=round(self.offered, 3),
+            epoch=self.epoch,
+        )
+
+    def _measure_arrivals(self, capacity: tuple[int, int]) -> None:
+        if capacity == (0, 0):
+            return
+        self.offered += sum(
+            estimate_vm_seconds(job, capacity) for job in self.unmeasured_jobs
+        )
+        self.unmeasured_jobs.clear()
+
+    def _sum_load(self, capacity: tuple[int, int], now: float) -> dict[str, float]:
+        """Sum the fractions of a VM that tasks take, by the kind of their load."""
+        sums = dict.fromkeys(("queued", "batch", "serving"), 0.0)
+        for job, occurrence, number in self._list_ready_steps():
+            step = job.submission.steps[number]
+            fraction = get_worker_fraction(step, capacity)
+            justified = self._justifies_more_vms(job, number, now)
+            for task in occurrence.steps[number]:
+                kind = get_load_kind(step, task, "queued" if justified else "")
+                if kind:
+                    sums[kind] += fraction
+        return {kind: round(total, 3) for kind, total in sums.items()}
+
+    def _measure_worker_loads(self) -> dict[str, WorkerLoad]:
+        serving = collections.Counter(
+            task.worker_id
+            for item in self._list_serving_steps()
+            for task in item.tasks
+            if task.placed
+        )
+        return {
+            worker_id: WorkerLoad(
+                record.count_present(), serving[worker_id], record.cpu_used
+            )
+            for worker_id, record in self.workers.items()
+            if record.registered
+        }
+
+    def _list_ready_steps(self) -> t.Iterator[tuple[Job, Occurrence, int]]:
+        for job in self.jobs.values():
+            if not job.state.final:
+                for occurrence, number in job.list_ready():
+                    yield job, occurrence, number
+
+    def _list_serving_steps(self) -> t.Iterator[ServingStep]:
+        for job, occurrence, number in self._list_ready_steps():
+            step = job.submission.steps[number]
+            if step.long_running:
+                tasks = occurrence.steps[number]
+                yield ServingStep(step, get_step_key(tasks[0]), tasks)
+
+    def list_drained_workers(self) -> dict[str, str]:
+        """Return the cordon IDs of drained workers, by worker id.
+
+        A drained worker is cordoned and has no runs left.
+        """
+        return {
+            worker_id: self.cordons[worker_id]
+            for worker_id, record in self.workers.items()
+            if record.cordoned and record.held and not record.present
+        }
+
+    def _justifies_more_vms(self, job: Job, step: int, now: float) -> bool:
+        """Return whether a waiting step justifies more VMs for the pool."""
+        urgency = rate_urgency(job, step, now, self.forecast)
+        return self.forecast.justifies_more_vms(urgency, now)
--- a/src/onyxgap/jobs/shard_workers.py
+++ b/src/onyxgap/jobs/shard_workers.py
@@ -6,26 +6,18 @@
 import attrs
 import structlog
 
-from ..pools.messages import PoolReport
-from ..pools.messages import WorkerLoad
 from .crashes import LostRun
 from .crashes import assign_blame
 from .job import Job
 from .job import Task
 from .lives import IncarnationMatch
 from .lives import compare_incarnations
-from .load import estimate_vm_seconds
-from .load import get_load_kind
-from .load import get_worker_fraction
 from .messages import JobState
 from .messages import WorkerEntry
 from .messages import WorkerState
 from .placing import WorkerRecord
-from .priorities import rate_urgency
 from .shard_jobs import ShardJobs
 from .shard_jobs import get_step_key
-from .shortage import ServingStep
-from .shortage import count_needed_workers
 from .workers import Reply
 from .workers import ReplyKind
 from .workers import StartOrder
@@ -182,90 +174,6 @@
             record.cordoned = worker_id in cordons
             record.due = worker_id in due
 
-    def get_largest_worker_capacity(self) -> tuple[int, int]:
-        """Return the CPU (thousandths of a core) and memory (MB) of the largest worker.
-
-        Workers are compared by CPU, then by memory; ``(0, 0)`` if there are none.
-        """
-        return max(
-            ((item.entry.cpu, item.entry.memory_mb) for item in self.workers.values()),
-            default=(0, 0),
-        )
-
-    def build_report(self, now: float) -> PoolReport:
-        """Build the load report for the fleet controller.
-
-        :param now: monotonic seconds.
-        """
-        capacity = self.get_largest_worker_capacity()
-        if capacity != (0, 0):
-            self.offered += sum(
-                estimate_vm_seconds(job, capacity) for job in self.unmeasured_jobs
-            )
-            self.unmeasured_jobs.clear()
-        sums = dict.fromkeys(("queued", "batch", "serving"), 0.0)
-        serving: dict[str, int] = {}
-        for job in self.jobs.values():
-            if job.state.final:
-                continue
-            for occurrence, number in job.list_ready():
-                step = job.submission.steps[number]
-                share = get_worker_fraction(step, capacity)
-                waiting_kind = (
-                    "queued" if self._justifies_more_vms(job, number, now) else ""
-                )
-                for task in occurrence.steps[number]:
-                    if step.long_running and task.placed:
-                        serving[task.worker_id] = serving.get(task.worker_id, 0) + 1
-                    kind = get_load_kind(step, task, waiting_kind)
-                    if kind:
-                        sums[kind] += share
-        workers = {
-            worker_id: WorkerLoad(
-                record.count_present(), serving.get(worker_id, 0), record.cpu_used
-            )
-            for worker_id, record in self.workers.items()
-            if record.registered
-        }
-        return PoolReport(
-            self.service,
-            workers,
-            self.list_drained_workers(),
-            **{name: round(value, 3) for name, value in sums.items()},
-            serving_vms=count_needed_workers(
-                self._list_serving_steps(), self.workers.values()
-            ),
-            arrived_jobs=self.arrived_jobs,
-            offered=round(self.offered, 3),
-            epoch=self.epoch,
-        )
-
-    def _list_serving_steps(self) -> t.Iterator[ServingStep]:
-        for job in self.jobs.values():
-            if job.state.final:
-                continue
-            for occurrence, number in job.list_ready():
-                step = job.submission.steps[number]
-                tasks = occurrence.steps[number]
-                if step.long_running:
-                    yield ServingStep(step, get_step_key(tasks[0]), tasks)
-
-    def list_drained_workers(self) -> dict[str, str]:
-        """Return the cordon IDs of drained workers, by worker id.
-
-        A drained worker is cordoned and has no runs left.
-        """
-        return {
-            worker_id: self.cordons[worker_id]
-            for worker_id, record in self.workers.items()
-            if record.cordoned and record.held and not record.present
-        }
-
-    def _justifies_more_vms(self, job: Job, step: int, now: float) -> bool:
-        """Return whether a waiting step justifies more VMs for the pool."""
-        urgency = rate_urgency(job, step, now, self.forecast)
-        return self.forecast.justifies_more_vms(urgency, now)
-
     def mark_unregistered(self, worker_id: str) -> None:
         """Mark a worker as unregistered; it may still be running."""
         record = self.workers.get(worker_id)
