Log which surplus VMs are cordoned and which cordons are lifted

Change: one line a pass and pool for surplus VMs that are cordoned, and one for cordons that are lifted.

--- a/src/onyxgap/pools/planner.py
+++ b/src/onyxgap/pools/planner.py
@@ -127,11 +127,17 @@
                 and vm.name not in self.pending_orders
             ]
             if shortfall > 0:
-                for vm in cordoned[:shortfall]:
-                    del self.cordons[vm.worker_id]
+                self._lift_cordons(pool, cordoned[:shortfall])
             elif shortfall < 0:
                 self._cordon_least_loaded(pool, -shortfall)
 
+    def _lift_cordons(self, pool: str, vms: t.Sequence[Vm]) -> None:
+        for vm in vms:
+            del self.cordons[vm.worker_id]
+        if vms:
+            workers = [vm.worker_id for vm in vms]
+            _LOG.info("cordons of surplus VMs lifted", pool=pool, workers=workers)
+
     def _cordon_least_loaded(self, pool: str, count: int) -> None:
         report = self.reports.get(pool)
         if report is None:
@@ -145,8 +151,13 @@
                 continue
             if not load.serving:
                 candidates.append((load.runs, load.cpu_used, vm.name, vm))
-        for *_, vm in sorted(candidates, key=lambda item: item[:3])[:count]:
+        candidates.sort(key=lambda item: item[:3])
+        surplus = [vm for *_, vm in candidates[:count]]
+        for vm in surplus:
             self._cordon(vm, MOVE_REASON)
+        if surplus:
+            workers = [vm.worker_id for vm in surplus]
+            _LOG.info("surplus VMs cordoned", pool=pool, workers=workers)
 
     def _list_movable(self, now: float) -> list[Vm]:
         """List VMs that can be moved now, VMs of the spare pool first."""
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -4,6 +4,7 @@
 
 import attrs
 import pytest
+import structlog.testing
 
 from onyxgap.exceptions import DocumentError
 from onyxgap.pools.bursts import BurstForecast
@@ -425,8 +426,12 @@
 ) -> None:
     planner.sizes = {"a": 2, "b": 4}
     planner.plan(1.0)
-    assert len(planner.cordons) == 2
+    cordoned = set(planner.cordons)
+    assert len(cordoned) == 2
     planner.reports["a"] = build_report(planner, "a", serving_vms=3)
     planner.sizes = {"a": 3, "b": 4}
-    planner.plan(1.1)
+    with structlog.testing.capture_logs() as lines:
+        planner.plan(1.1)
     assert len(planner.cordons) == 1
+    (lifted,) = [line["workers"] for line in lines if "lifted" in line["event"]]
+    assert set(lifted) == cordoned - set(planner.cordons)
