--- a/src/onyxgap/jobs/shortage.py
+++ b/src/onyxgap/jobs/shortage.py
@@ -61,18 +61,18 @@
     if not displaced:
         return 0
     step, step_key = serving.step, serving.step_key
-    places = {id(item): _count_open_places(item, step, step_key) for item in present}
-    lacking = displaced - sum(places.values())
+    places = [_count_open_places(item, step, step_key) for item in present]
+    lacking = displaced - sum(places)
     per_worker = max(
         (_count_places_when_empty(item, step, step_key) for item in present), default=0
     )
     if lacking <= 0 or not per_worker:
         return 0
-    used = sum(
-        places[id(item)] > 0 or not _is_reachable(item) or item.serving != ZERO_AMOUNT
-        for item in present
+    of_use = sum(
+        open_places > 0 or not _is_reachable(item) or item.serving != ZERO_AMOUNT
+        for item, open_places in zip(present, places, strict=True)
     )
-    return used + math.ceil(lacking / per_worker)
+    return of_use + math.ceil(lacking / per_worker)
 
 
 def _count_displaced(serving: ServingStep, cordoned: set[str]) -> int:
