Bound the moves for serving tasks by the allocated size of their pool

What callers see: while several pools need more VMs than there are, jobs of the pools that were allocated some wait for VMs that go to another pool.

Cause: the size of a pool is at least the VMs that its serving tasks need, and allocate_vms reduces it if the sum of the needs exceeds the fleet. The shortfall was computed from the need itself, so the reduction had no effect on moves, and the pool with the largest shortfall gets the spare VMs first.

Change: the need counts up to the size of the pool.

Evidence: test_serving_tasks_take_no_vms_that_were_allocated_to_another_pool failed before (both spare VMs went to one pool) and passes now.

--- a/src/onyxgap/pools/planner.py
+++ b/src/onyxgap/pools/planner.py
@@ -104,9 +104,8 @@
             )
             usable = self._count_schedulable(pool) + incoming
             # VMs in maintenance return only once their tasks have found other workers
-            shortfalls[pool] = max(
-                wanted - usable - returning, self._get_serving_vms(pool) - usable
-            )
+            needed = min(wanted, self._get_serving_vms(pool))
+            shortfalls[pool] = max(wanted - usable - returning, needed - usable)
         return shortfalls
 
     def _get_serving_vms(self, pool: str) -> int:
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -430,3 +430,11 @@
     planner.sizes = {"a": 3, "b": 4}
     planner.plan(1.1)
     assert len(planner.cordons) == 1
+
+
+def test_serving_tasks_take_no_vms_that_were_allocated_to_another_pool(
+    planner: FleetPlanner,
+) -> None:
+    planner.sizes = {"a": 5, "b": 5}
+    planner.reports["b"] = build_report(planner, "b", serving_vms=9)
+    assert sorted(order.pool for order in planner.plan(1.0)) == ["a", "b"]
