Request no VMs in place of workers that are about to answer

What callers see: nothing directly; each VM that is moved to a pool for serving tasks may bring a second one with it, and a pool whose shard changes its owner while serving tasks wait takes VMs from others.

Cause: a worker that had not answered the owner's first hold request counted as present but gave no place. A new VM between its registration and that answer thus raised the number of VMs that the pool needs by one. After a claim no worker has answered, so all waiting serving tasks counted as lacking.

Change: such a worker gives places until a call to it fails. The parameter of test_worker_that_takes_no_tasks_gives_no_place for a worker that is not held demanded the earlier count; it now is a worker that has not answered and to which a call failed, and two new tests bound the time before.

Evidence: both tests failed before (5 VMs needed with a fourth worker that had just registered for the fourth of four tasks) and pass now.

--- a/src/onyxgap/jobs/shortage.py
+++ b/src/onyxgap/jobs/shortage.py
@@ -39,8 +39,10 @@
     """Count the workers that a pool needs for serving tasks that have none to run on.
 
     Workers that are out of reach count as present, since their VMs do, but give no
-    place. Workers that only lack the label or size for a step are not counted, so that
-    no more VMs are requested than the step could use.
+    place. Workers that have not answered yet give places until a call to them fails:
+    they are new, or the owner of the shard is. Workers that only lack the label or size
+    for a step are not counted, so that no more VMs are requested than the step could
+    use.
 
     :param steps: unfinished serving steps of the shard.
     :param records: workers of the shard.
@@ -83,11 +85,7 @@
 
 
 def _is_reachable(record: WorkerRecord) -> bool:
-    return (
-        record.held
-        and record.failing_since is None
-        and record.entry.state is WorkerState.READY
-    )
+    return record.failing_since is None and record.entry.state is WorkerState.READY
 
 
 def _count_open_places(record: WorkerRecord, step: Step, step_key: StepKey) -> int:
