Reserve for waiting tasks only workers that they could be placed on

What callers see: jobs wait although a worker is free; or a serving task waits for long while smaller tasks take all capacity that becomes free.

Cause: the worker that is reserved in each pass for a serving or suspected task that waits was chosen among all workers of the shard, the one with the least CPU in use first. That may be one on which the task cannot be placed: one that the policy service does not allow for the step, which then is closed to all other tasks as long as the step waits; or one that is silent or blocked and therefore runs little, while the worker that could take the task is not kept free.

Change: the choice is among the open workers that the step may use.

Evidence: test_no_worker_is_reserved_that_takes_no_tasks (silent, blocked) and test_no_worker_is_reserved_that_the_policy_does_not_allow failed before and pass now.

--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -16,6 +16,7 @@
 from .amounts import ZERO_AMOUNT
 from .amounts import Amount
 from .amounts import get_task_amount
+from .candidates import Candidates
 from .candidates import PassCapacity
 from .crashes import IsolationLevel
 from .fair_shares import PoolUsage
@@ -27,7 +28,6 @@
 from .messages import JobState
 from .messages import Step
 from .obstacles import WaitReporter
-from .placing import StepKey
 from .placing import WorkerRecord
 from .placing import choose_worker
 from .placing import may_ever_run
@@ -236,12 +236,12 @@
             if record is None and isolation is not IsolationLevel.NONE:
                 # other tasks of the step may use workers that this one must not
                 if not worker_reserved:
-                    self._reserve_worker_for_suspect(free_capacity, step, step_key)
+                    _reserve_worker_for_suspect(candidates, free_capacity)
                 worker_reserved = True
                 continue
             if record is None:
                 if step.long_running:
-                    self._reserve_worker(step, step_key)
+                    _reserve_worker(candidates)
                 if allowed is None:
                     free_capacity.note_unplaceable(step)
                 return
@@ -270,32 +270,6 @@
         )
         return ()
 
-    def _reserve_worker(self, step: Step, step_key: StepKey) -> None:
-        """Reserve the worker that should be the first to fit a task of a step.
-
-        This is for serving tasks and for tasks suspected of crashing workers. Without
-        it, smaller tasks would take all capacity as soon as it is free.
-        """
-        fitting = [
-            record
-            for record in self.workers.values()
-            if not record.reserved and may_ever_run(record, step, step_key)
-        ]
-        if fitting:
-            min(fitting, key=lambda record: record.cpu_used).reserved = True
-
-    def _reserve_worker_for_suspect(
-        self, free_capacity: PassCapacity, step: Step, step_key: StepKey
-    ) -> None:
-        """Reserve a worker for a suspected task, unless half of them are reserved.
-
-        The task needs a worker on which nothing was started recently. A busy pool has
-        none, since each worker starts something between two reports.
-        """
-        reserved = sum(record.reserved for record in free_capacity.records)
-        if 2 * reserved < len(free_capacity.records):
-            self._reserve_worker(step, step_key)
-
     def _place_gang(self, ready: ReadyStep, now: float) -> list[StartOrder]:
         step = ready.job.submission.steps[ready.step]
         if len(ready.tasks) != step.count:
@@ -393,3 +367,38 @@
         task.start_deadline_ms = deadline_ms
         record.lease_ms = max(record.lease_ms, deadline_ms)
         return attrs.evolve(order, deadline_ms=deadline_ms)
+
+
+def _reserve_worker(candidates: Candidates) -> None:
+    """Reserve the worker that should be the first to fit a task of a step.
+
+    This is for serving tasks and for tasks suspected of crashing workers. Without it,
+    smaller tasks would take all capacity as soon as it is free. A worker on which the
+    task may not be placed would stay reserved for as long as the task waits.
+
+    :param candidates: open workers that the step may use.
+    """
+    fitting = [
+        record
+        for record in candidates.records
+        if not record.reserved
+        and may_ever_run(record, candidates.step, candidates.step_key)
+    ]
+    if fitting:
+        min(fitting, key=lambda record: record.cpu_used).reserved = True
+
+
+def _reserve_worker_for_suspect(
+    candidates: Candidates, free_capacity: PassCapacity
+) -> None:
+    """Reserve a worker for a suspected task, unless half of them are reserved.
+
+    The task needs a worker on which nothing was started recently. A busy pool has
+    none, since each worker starts something between two reports.
+
+    :param candidates: open workers that the step may use.
+    :param free_capacity: all open workers.
+    """
+    reserved = sum(record.reserved for record in free_capacity.records)
+    if 2 * reserved < len(free_capacity.records):
+        _reserve_worker(candidates)
--- a/tests/test_shard.py
+++ b/tests/test_shard.py
@@ -1,5 +1,6 @@
 """Placement, ends of runs, leases, cancellation and eviction in one shard."""
 
+import math
 import typing as t
 
 import attrs
@@ -7,6 +8,7 @@
 import structlog
 import structlog.testing
 
+from onyxgap.jobs.advice import Advice
 from onyxgap.jobs.encoding import encode_progress
 from onyxgap.jobs.encoding import restore_job
 from onyxgap.jobs.holds import BUSY_WAIT_S
@@ -488,3 +490,38 @@
     assert harness.plan() == []
     harness.report("w1", (busy, EndKind.DONE))
     assert {order.task.job_id for order in harness.plan()} == {"b" * 16, "c" * 16}
+
+
+@pytest.mark.parametrize(
+    "changes", [{"failing_since": 100.0}, {"blocked_until": math.inf}]
+)
+def test_no_worker_is_reserved_that_takes_no_tasks(
+    harness: ShardHarness, changes: dict[str, float]
+) -> None:
+    harness.add_worker("w1", cpu=60_000)
+    harness.add_worker("w2")
+    harness.add_job(Step(2, cpu=40_000))
+    assert len(harness.start_all()) == 2
+    for name, value in changes.items():
+        setattr(harness.shard.workers["w1"], name, value)
+    harness.add_job(Step(1, cpu=60_000, long_running=True), job_id="b" * 16)
+    harness.add_job(Step(1, cpu=10_000), job_id="c" * 16)
+    assert harness.plan() == []
+
+
+def test_no_worker_is_reserved_that_the_policy_does_not_allow(
+    harness: ShardHarness,
+) -> None:
+    harness.add_worker("w1")
+    harness.add_worker("w2")
+    harness.add_job(Step(1, cpu=60_000))
+    (busy,) = harness.start_all()
+    step = Step(1, cpu=60_000, long_running=True)
+    advised = attrs.evolve(POLICY, advised=True)
+    job = Job(Submission("b" * 16, advised, "spec", (step,)))
+    harness.shard.add_job(job, harness.now, WALL_MS)
+    advice = Advice({busy.worker_id: "ticket"}, 60.0)
+    harness.shard.ticket_cache.store_advice(("b" * 16, 0, 0), advice, harness.now)
+    harness.add_job(Step(1, cpu=1000), job_id="c" * 16)
+    (order,) = harness.plan()
+    assert order.worker_id != busy.worker_id
