Release runs that a restarted worker had listed before its restart

What callers see: after a restart of a worker under its id behind a cut, or right before one, a serving task of an accepted job stays away until the cut ends, although other workers have room.

Cause: after such a restart, a run whose start order may have been sent stays placed until the new incarnation has confirmed a stop order. If it is cut off, it confirms none, and the lease does not end either: its deadline is on the clock of the previous incarnation, which may be far ahead of the new one. The list of VMs still shows the worker, so that it is not removed.

Change: a run that a report of the previous incarnation has listed is not kept, since a worker carries out an order once and each order is sent once. Only reports with a start time count, as others may be of either incarnation. A run that was not listed yet is kept as before.

Evidence: test_run_that_the_previous_incarnation_listed_is_released_at_once failed before and passes now.

--- a/src/onyxgap/jobs/job.py
+++ b/src/onyxgap/jobs/job.py
@@ -47,6 +47,8 @@
     :param confirmed_ms: the worker's clock at that time, or ``None`` if not known.
     :param listed_ms: milliseconds on that clock from the confirmation to the newest
         report that listed the run.
+    :param listed_by: start time of the worker's incarnation that listed the run, Unix
+        milliseconds, 0 if none did or its start time is not known.
     :param stopping: whether the run is to be stopped.
     :param stop_sent_at: monotonic seconds when the stop order was last sent.
     :param failed_on: ids of the workers on which the task failed, newest last.
@@ -74,6 +76,7 @@
     confirmed_at: float | None = None
     confirmed_ms: float | None = None
     listed_ms: float = 0.0
+    listed_by: int = 0
     stopping: bool = False
     stop_sent_at: float = -1e9
     failed_on: tuple[str, ...] = ()
@@ -106,6 +109,7 @@
         self.confirmed_at = None
         self.confirmed_ms = None
         self.listed_ms = 0.0
+        self.listed_by = 0
         self.percent = 0
         self.measurement = 0.0
         self.stopping = False
@@ -126,12 +130,14 @@
         if self.confirmed_ms is None:
             self.confirmed_ms = clock_ms
 
-    def note_listed(self, now: float, clock_ms: float) -> None:
+    def note_listed(self, now: float, clock_ms: float, born: int = 0) -> None:
         """Record that a report lists the run.
 
         :param now: monotonic seconds.
         :param clock_ms: milliseconds on the worker's clock at the time of the report.
+        :param born: start time in the report, Unix milliseconds, 0 if it has none.
         """
+        self.listed_by = born
         self.confirm(now, clock_ms)
         assert self.confirmed_ms is not None
         self.listed_ms = max(self.listed_ms, clock_ms - self.confirmed_ms)
--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -88,12 +88,12 @@
         listed = {(item.task, item.run) for item in report.running}
         ended = {(item.task, item.run) for item in report.ended}
         for item in report.running:
-            self._apply_running(record, item, report.clock_ms, now)
+            self._apply_running(record, item, report, now)
         self._check_worker_speed(record, report, now)
         self._release_missing_runs(record, listed | ended, sent_at)
 
     def _apply_running(
-        self, record: WorkerRecord, item: RunningTask, clock_ms: float, now: float
+        self, record: WorkerRecord, item: RunningTask, report: HoldReport, now: float
     ) -> None:
         job = self.jobs.get(item.task.job_id)
         task = job.find_task(item.task) if job else None
@@ -118,7 +118,7 @@
             )
             return
         job.started = True
-        task.note_listed(now, clock_ms)
+        task.note_listed(now, report.clock_ms, report.born)
         self._update_crash_windows(record, task)
         self._record_progress(job, task, item, now)
         task.percent = item.percent
--- a/src/onyxgap/jobs/shard_workers.py
+++ b/src/onyxgap/jobs/shard_workers.py
@@ -50,6 +50,15 @@
     return task.sent or task.started_at == 0.0
 
 
+def _may_reach_next_incarnation(task: Task) -> bool:
+    """Return whether the start order of a run may reach the worker after its restart.
+
+    A worker carries out an order once, so not if the previous incarnation listed the
+    run.
+    """
+    return _may_have_been_sent(task) and not task.listed_by
+
+
 def _describe_run(task: Task) -> tuple[str, int, bool, float]:
     """Return a run's task, number, whether its start was confirmed, and listed time.
 
@@ -119,16 +128,16 @@
         A start order for the previous incarnation may have reached the new one before
         the owner learned of the restart. The new incarnation does not know the owner's
         fencing token, and the order's deadline means nothing on its new clock. So a run
-        whose order may have been sent stays placed until the new incarnation has
-        confirmed a stop order for it, and a report requested after that does not list
-        the run.
+        whose order may have been sent, and that the previous incarnation did not list,
+        stays placed until the new incarnation has confirmed a stop order for it, and a
+        report requested after that does not list the run.
         """
         worker_id = previous.entry.worker_id
         ordered = [
             (job, task, task.run, task.start_deadline_ms)
             for job in self.jobs.values()
             for task in job.list_placed()
-            if task.worker_id == worker_id and _may_have_been_sent(task)
+            if task.worker_id == worker_id and _may_reach_next_incarnation(task)
         ]
         self.remove_worker(worker_id, "worker restarted under the same id", now)
         entry = attrs.evolve(
--- a/tests/test_lives.py
+++ b/tests/test_lives.py
@@ -14,6 +14,7 @@
 from onyxgap.jobs.lives import IncarnationMatch
 from onyxgap.jobs.lives import compare_incarnations
 from onyxgap.jobs.messages import EndKind
+from onyxgap.jobs.messages import RunningTask
 from onyxgap.jobs.messages import Step
 from onyxgap.jobs.shard import Shard
 from onyxgap.jobs.workers import HoldReport
@@ -189,6 +190,37 @@
     assert not task.placed
 
 
+@pytest.mark.parametrize("sign", [register, report])
+def test_run_that_the_previous_incarnation_listed_is_released_at_once(
+    harness: ShardHarness, sign: object
+) -> None:
+    """A worker that is cut off after its restart confirms no stop order."""
+    job = harness.add_job(SHORT)
+    (order,) = harness.start_all()
+    running = (RunningTask(order.task, order.run, "", 100),)
+    harness.now += 0.01
+    listing = HoldReport(1010.0, running, (), FIRST_START_MS)
+    harness.shard.apply_report("w1", listing, harness.now, harness.now)
+    assert callable(sign)
+    sign(harness, SECOND_START_MS)
+    (task,) = job.occurrences[0].steps[0]
+    assert not task.placed
+    harness.add_worker("w2", born=FIRST_START_MS)
+    (again,) = harness.plan()
+    assert (again.worker_id, again.run) == ("w2", order.run + 1)
+
+
+def test_listing_without_a_start_time_does_not_release_a_run(
+    harness: ShardHarness,
+) -> None:
+    job = harness.add_job(SHORT)
+    harness.start_all()
+    harness.report("w1")
+    register(harness, SECOND_START_MS)
+    (task,) = job.occurrences[0].steps[0]
+    assert task.placed
+
+
 def test_worker_without_start_time_keeps_its_record(harness: ShardHarness) -> None:
     harness.add_worker("w2")
     harness.add_worker("w2")
