Let nodes of other versions read pool reports

What callers see: while nodes are upgraded one by one, a fleet controller of the earlier version plans no maintenance and no moves for pools whose shards are owned by upgraded nodes.

Cause: decoding rejects a report with a field that it does not know, and the report has got one more. The controller then has no report of the shard, or an outdated one.

Change: the new field is left out where it is 0, which it is unless serving tasks lack workers; unknown fields are ignored from now on. A controller of the earlier version still skips the reports of a shard while serving tasks lack workers there.

Evidence: test_reports_are_read_by_nodes_of_other_versions failed before and passes now. No upgrade with two versions was played.

--- a/src/onyxgap/pools/messages.py
+++ b/src/onyxgap/pools/messages.py
@@ -106,9 +106,18 @@
     epoch: int = 0
 
 
+_REPORT_FIELDS = frozenset(field.name for field in attrs.fields(PoolReport))
+
+
 def encode_report(report: PoolReport) -> bytes:
-    """Encode a report for the store."""
+    """Encode a report for the store.
+
+    Nodes of different versions share a deployment. A version that does not know
+    ``serving_vms`` skips reports that have it, so it is left out where it is 0.
+    """
     value = attrs.asdict(report, recurse=False)
+    if not report.serving_vms:
+        del value["serving_vms"]
     value["workers"] = {
         worker_id: [load.runs, load.serving, load.cpu_used]
         for worker_id, load in report.workers.items()
@@ -118,7 +127,7 @@
 
 
 def decode_report(value: bytes) -> PoolReport:
-    """Decode a report from the store.
+    """Decode a report from the store; fields of later versions are ignored.
 
     :raises DocumentError: when the value is not a report or is corrupt.
     """
@@ -127,7 +136,7 @@
         raw["workers"] = {
             key: WorkerLoad(*item) for key, item in raw["workers"].items()
         }
-        return PoolReport(**raw)
+        return PoolReport(**{key: raw[key] for key in raw.keys() & _REPORT_FIELDS})
     except MALFORMED_ERRORS as error:
         raise DocumentError([Fault("$", f"invalid pool report: {error!r}")]) from None
 
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -3,6 +3,7 @@
 import typing as t
 
 import attrs
+import orjson
 import pytest
 
 from onyxgap.exceptions import DocumentError
@@ -141,6 +142,16 @@
             decode_report(value)
 
 
+def test_reports_are_read_by_nodes_of_other_versions() -> None:
+    sent = report("a", workers={"w": WorkerLoad(2, 1, 900)}, serving_vms=3)
+    value = orjson.loads(encode_report(sent))
+    assert decode_report(orjson.dumps({**value, "later": 1})) == sent
+    del value["serving_vms"]
+    assert decode_report(orjson.dumps(value)).serving_vms == 0
+    without = attrs.evolve(sent, serving_vms=0)
+    assert value == orjson.loads(encode_report(without))
+
+
 def build_vms(pool: str, count: int) -> list[Vm]:
     return [
         Vm(f"{pool}{n}", pool, VmState.UP, worker_id=f"w-{pool}{n}")
