Allocate VMs for serving tasks without a worker before backlogs

What callers see: while another pool has a burst that needs more VMs than there are, a serving task whose worker is lost stays away until the burst is over.

Cause: if the pools need more VMs than the fleet has, each gets the same fraction of its need. The need of a pool in a burst is mostly its backlog; that of a quiet pool is what its serving tasks run on.

Change: VMs for serving tasks that lack a worker are allocated first, as in the order of placing: such a task can't make up for the time in which it is away.

Evidence: test_serving_tasks_without_a_worker_go_before_the_backlog_of_a_burst; before, allocate_vms knew one need per pool.

--- a/src/onyxgap/pools/allocation.py
+++ b/src/onyxgap/pools/allocation.py
@@ -1,7 +1,9 @@
 """Allocates the VMs of a fleet to pools when they request more than there are.
 
 Pools are not sized one by one: a pool may be late for lack of VMs that another pool
-only keeps in reserve. VMs for current work are therefore allocated before reserves.
+only keeps in reserve. VMs for current work are therefore allocated before reserves,
+and before all others those for serving tasks that have no worker: such a task can't
+make up for the time in which it is away.
 """
 
 import math
@@ -16,10 +18,13 @@
 
     :param needed: VMs for its current work.
     :param wanted: VMs including its reserve; at least ``needed``.
+    :param serving: VMs for its serving tasks if some of these have no worker, at most
+        ``needed``; else 0.
     """
 
     needed: int
     wanted: int
+    serving: int = 0
 
 
 def allocate_vms(claims: t.Mapping[str, PoolClaim], total: int) -> dict[str, int]:
@@ -30,12 +35,24 @@
     """
     needed = {pool: claim.needed for pool, claim in claims.items()}
     if sum(needed.values()) >= total:
-        return _allocate_proportionally(needed, total)
+        return _allocate_needed(claims, total)
     reserves = {pool: claim.wanted - claim.needed for pool, claim in claims.items()}
     allocated = _allocate_proportionally(reserves, total - sum(needed.values()))
     return {pool: needed[pool] + allocated[pool] for pool in claims}
 
 
+def _allocate_needed(claims: t.Mapping[str, PoolClaim], total: int) -> dict[str, int]:
+    """Allocate fewer VMs than the pools need for their current work."""
+    serving = _allocate_proportionally(
+        {pool: claim.serving for pool, claim in claims.items()}, total
+    )
+    others = _allocate_proportionally(
+        {pool: claim.needed - claim.serving for pool, claim in claims.items()},
+        total - sum(serving.values()),
+    )
+    return {pool: serving[pool] + others[pool] for pool in claims}
+
+
 def _allocate_proportionally(
     requested: t.Mapping[str, int], total: int
 ) -> dict[str, int]:
--- a/src/onyxgap/pools/sizing.py
+++ b/src/onyxgap/pools/sizing.py
@@ -149,9 +149,8 @@
             lower_bound, min(expected, math.ceil(base * EXPECTED_LOAD_GROWTH)), MIN_VMS
         )
         recent_max = self._update_recent_max(report.shard, needed, now)
-        return PoolClaim(
-            needed, max(recent_max, self._get_min_size(report.shard, base, now))
-        )
+        wanted = max(recent_max, self._get_min_size(report.shard, base, now))
+        return PoolClaim(needed, wanted, report.serving_vms)
 
     def _get_min_size(self, shard: str, base: int, now: float) -> int:
         """Return the minimum size of a pool, regardless of its current demand."""
--- a/tests/test_sharing_vms.py
+++ b/tests/test_sharing_vms.py
@@ -63,3 +63,13 @@
     sizes = sizer.choose_sizes(reports, BASE, FLEET_VMS, 1.0)
     assert sizes["c"] == 172
     assert sum(sizes.values()) == FLEET_VMS
+
+
+def test_serving_tasks_without_a_worker_go_before_the_backlog_of_a_burst() -> None:
+    claims = {"burst": PoolClaim(100, 100), "quiet": PoolClaim(12, 12, serving=12)}
+    assert allocate_vms(claims, 80) == {"burst": 68, "quiet": 12}
+
+
+def test_serving_tasks_share_a_fleet_that_is_too_small_for_them() -> None:
+    claims = {name: PoolClaim(12, 12, serving=12) for name in "ab"}
+    assert allocate_vms(claims, 16) == {"a": 8, "b": 8}
