Request VMs for serving tasks in place of VMs that are out of reach

What callers see: a serving task whose worker is cut off stays away until the cut ends, although VMs are spare.

Cause: the number of VMs that a pool needs for serving tasks counts registered workers. The planner compared it with the VMs that are up, among them those whose workers are cut off and no longer registered. These stood in for the VMs that the tasks lack.

Change: VMs whose workers had been reported by the shard and no longer are do not count towards that number. New VMs, which have not been reported yet, do.

Evidence: test_vm_out_of_reach_does_not_stand_in_for_one_that_serving_tasks_need failed before and passes now.

--- a/src/onyxgap/pools/fleet_state.py
+++ b/src/onyxgap/pools/fleet_state.py
@@ -95,6 +95,7 @@
     _first_plan_at: float | None = None
     _paused_until: dict[str, float] = attrs.field(factory=dict)
     _refused_moves: set[tuple[str, str]] = attrs.field(factory=set)
+    _reported_workers: set[str] = attrs.field(factory=set)
 
     def restore(self, row: FleetRow, now: float, pause_s: float) -> None:
         """Restore the state that a previous fleet controller stored.
@@ -283,10 +284,12 @@
         return sum(vm.state is not VmState.DOWN for vm in self.vms.values())
 
     def _count_schedulable(self, pool: str) -> int:
-        return sum(
+        return sum(self._is_schedulable(vm, pool) for vm in self.vms.values())
+
+    def _is_schedulable(self, vm: Vm, pool: str) -> bool:
+        return (
             vm.pool == pool
             and vm.state is VmState.UP
             and vm.worker_id not in self.cordons
             and vm.name not in self.pending_orders
-            for vm in self.vms.values()
         )
--- a/src/onyxgap/pools/planner.py
+++ b/src/onyxgap/pools/planner.py
@@ -50,6 +50,7 @@
     def _plan_moves(self, now: float) -> t.Iterator[VmOrder]:
         if not self.sizes or not self.spare_pool or not self._is_startup_complete(now):
             return
+        self._note_reported_workers()
         shortfalls = self._count_shortfalls()
         self._cordon_surplus(shortfalls)
         for vm in self._list_movable(now):
@@ -69,6 +70,11 @@
             )
             yield self._add_pending(vm, order)
 
+    def _note_reported_workers(self) -> None:
+        for report in self.reports.values():
+            self._reported_workers |= report.workers.keys()
+        self._reported_workers &= {vm.worker_id for vm in self.vms.values()}
+
     def _is_startup_complete(self, now: float) -> bool:
         """Tell whether the start-up of the deployment is over.
 
@@ -105,13 +111,29 @@
             usable = self._count_schedulable(pool) + incoming
             # VMs in maintenance return only once their tasks have found other workers
             needed = min(wanted, self._get_serving_vms(pool))
-            shortfalls[pool] = max(wanted - usable - returning, needed - usable)
+            reachable = usable - self._count_out_of_reach(pool)
+            shortfalls[pool] = max(wanted - usable - returning, needed - reachable)
         return shortfalls
 
     def _get_serving_vms(self, pool: str) -> int:
         report = self.reports.get(pool)
         return report.serving_vms if report is not None else 0
 
+    def _count_out_of_reach(self, pool: str) -> int:
+        """Count schedulable VMs whose workers are no longer registered.
+
+        The shard does not count them among the VMs that its serving tasks need. New
+        VMs, whose workers have not been reported yet, are about to register.
+        """
+        report = self.reports.get(pool)
+        if report is None:
+            return 0
+        missing = self._reported_workers - report.workers.keys()
+        return sum(
+            vm.worker_id in missing and self._is_schedulable(vm, pool)
+            for vm in self.vms.values()
+        )
+
     def _has_pending_move(self, vm: Vm) -> bool:
         pending = self.pending_orders.get(vm.name)
         return pending is not None and pending.order.kind is VmActionKind.MOVE
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -449,3 +449,18 @@
     planner.sizes = {"a": 5, "b": 5}
     planner.reports["b"] = build_report(planner, "b", serving_vms=9)
     assert sorted(order.pool for order in planner.plan(1.0)) == ["a", "b"]
+
+
+def test_vm_out_of_reach_does_not_stand_in_for_one_that_serving_tasks_need(
+    planner: FleetPlanner,
+) -> None:
+    planner.sizes = {"a": 4, "b": 4}
+    assert planner.plan(1.0) == []
+    loads = {f"w-a{n}": WorkerLoad(1, 1, 100) for n in range(3)}
+    planner.reports["a"] = report("a", workers=loads, serving_vms=4)
+    (order,) = planner.plan(1.2)
+    assert order.pool == "a"
+    planner.apply_reply(order, VmReply.DONE, 1.3)
+    moved = attrs.evolve(planner.vms[order.vm], pool="a", worker_id="w-new")
+    planner.apply_vm_list([*planner.vms.values(), moved], 3.0)
+    assert planner.plan(3.1) == []
