Wait for registrations to return before VMs count as out of reach

What callers see: nothing directly; pools could take spare VMs for the seconds in which workers register again after an outage of the store.

Cause: registrations may expire with the store down and are back within two seconds of its return. A VM counted as out of reach as soon as its worker was missing in a report.

Change: it counts once the worker has been missing for longer than that.

Evidence: test_vm_out_of_reach_does_not_stand_in_for_one_that_serving_tasks_need now also demands that no VM moves within the two seconds, and none for a VM that has not been reported yet.

--- a/src/onyxgap/pools/fleet_state.py
+++ b/src/onyxgap/pools/fleet_state.py
@@ -95,7 +95,7 @@
     _first_plan_at: float | None = None
     _paused_until: dict[str, float] = attrs.field(factory=dict)
     _refused_moves: set[tuple[str, str]] = attrs.field(factory=set)
-    _reported_workers: set[str] = attrs.field(factory=set)
+    _reported_at: dict[str, float] = attrs.field(factory=dict)
 
     def restore(self, row: FleetRow, now: float, pause_s: float) -> None:
         """Restore the state that a previous fleet controller stored.
--- a/src/onyxgap/pools/planner.py
+++ b/src/onyxgap/pools/planner.py
@@ -18,6 +18,8 @@
 from .messages import VmState
 from .waves import WavePlanner
 
+REGISTRATION_RETURN_S = 2.0
+"""Time within which registrations that expired with the store down are back."""
 STARTUP_TIMEOUT_S = 8.0
 """All VMs start within seconds of each other. One that is not up by then is down."""
 
@@ -50,8 +52,8 @@
     def _plan_moves(self, now: float) -> t.Iterator[VmOrder]:
         if not self.sizes or not self.spare_pool or not self._is_startup_complete(now):
             return
-        self._note_reported_workers()
-        shortfalls = self._count_shortfalls()
+        self._note_reported_workers(now)
+        shortfalls = self._count_shortfalls(now)
         self._cordon_surplus(shortfalls)
         for vm in self._list_movable(now):
             pool = self._choose_pool(vm, shortfalls)
@@ -70,10 +72,12 @@
             )
             yield self._add_pending(vm, order)
 
-    def _note_reported_workers(self) -> None:
+    def _note_reported_workers(self, now: float) -> None:
+        live = {vm.worker_id for vm in self.vms.values()}
+        for worker_id in self._reported_at.keys() - live:
+            del self._reported_at[worker_id]
         for report in self.reports.values():
-            self._reported_workers |= report.workers.keys()
-        self._reported_workers &= {vm.worker_id for vm in self.vms.values()}
+            self._reported_at |= dict.fromkeys(report.workers.keys() & live, now)
 
     def _is_startup_complete(self, now: float) -> bool:
         """Tell whether the start-up of the deployment is over.
@@ -91,7 +95,7 @@
             self._startup_complete = reported and (all_up or may_proceed)
         return self._startup_complete
 
-    def _count_shortfalls(self) -> dict[str, int]:
+    def _count_shortfalls(self, now: float) -> dict[str, int]:
         """Count the VMs that each pool lacks; negative if it has a surplus."""
         shortfalls = {}
         for pool, wanted in self.sizes.items():
@@ -111,7 +115,7 @@
             usable = self._count_schedulable(pool) + incoming
             # VMs in maintenance return only once their tasks have found other workers
             needed = min(wanted, self._get_serving_vms(pool))
-            reachable = usable - self._count_out_of_reach(pool)
+            reachable = usable - self._count_out_of_reach(pool, now)
             shortfalls[pool] = max(wanted - usable - returning, needed - reachable)
         return shortfalls
 
@@ -119,18 +123,15 @@
         report = self.reports.get(pool)
         return report.serving_vms if report is not None else 0
 
-    def _count_out_of_reach(self, pool: str) -> int:
+    def _count_out_of_reach(self, pool: str, now: float) -> int:
         """Count schedulable VMs whose workers are no longer registered.
 
         The shard does not count them among the VMs that its serving tasks need. New
         VMs, whose workers have not been reported yet, are about to register.
         """
-        report = self.reports.get(pool)
-        if report is None:
-            return 0
-        missing = self._reported_workers - report.workers.keys()
         return sum(
-            vm.worker_id in missing and self._is_schedulable(vm, pool)
+            now - self._reported_at.get(vm.worker_id, now) > REGISTRATION_RETURN_S
+            and self._is_schedulable(vm, pool)
             for vm in self.vms.values()
         )
 
