Move VMs to serving tasks without a worker first

What callers see: beside a burst of another pool, a serving task whose worker is lost stays away until the burst is over, although its pool is to have one more VM.

Cause: a VM that can be moved goes to the pool with the largest shortfall.

Change: pools whose serving tasks lack VMs go first, up to that number. The count of shortfalls is split into short functions.

Evidence: test_vm_goes_to_serving_tasks_before_a_pool_with_a_larger_shortfall failed before (both VMs went to the pool with the larger shortfall).

--- a/src/onyxgap/pools/planner.py
+++ b/src/onyxgap/pools/planner.py
@@ -26,6 +26,23 @@
 _LOG = structlog.get_logger()
 
 
+@attrs.define(slots=True)
+class Shortfall:
+    """VMs that a pool lacks.
+
+    :param vms: number of VMs, negative if the pool has a surplus.
+    :param serving: number of them that its serving tasks lack.
+    """
+
+    vms: int
+    serving: int = 0
+
+    def note_move(self) -> None:
+        """Record that a VM is moved to the pool."""
+        self.vms -= 1
+        self.serving = max(0, self.serving - 1)
+
+
 @attrs.define
 class FleetPlanner(WavePlanner):
     """Plans maintenance and moves of VMs."""
@@ -60,7 +77,7 @@
             if pool == vm.pool:
                 continue
             if pool in shortfalls:
-                shortfalls[pool] -= 1
+                shortfalls[pool].note_move()
             order = VmOrder(vm.name, VmActionKind.MOVE, pool=pool)
             _LOG.info(
                 "VM moves",
@@ -95,29 +112,36 @@
             self._startup_complete = reported and (all_up or may_proceed)
         return self._startup_complete
 
-    def _count_shortfalls(self, now: float) -> dict[str, int]:
-        """Count the VMs that each pool lacks; negative if it has a surplus."""
-        shortfalls = {}
-        for pool, wanted in self.sizes.items():
-            incoming = sum(
-                pending.order.kind is VmActionKind.MOVE and pending.order.pool == pool
-                for pending in self.pending_orders.values()
-            )
-            returning = sum(
-                vm.pool == pool
-                and (
-                    vm.state in (VmState.UPKEEP, VmState.MOVING)
-                    or self._is_cordoned(vm, UPKEEP_REASON)
-                )
-                and not self._has_pending_move(vm)
-                for vm in self.vms.values()
+    def _count_shortfalls(self, now: float) -> dict[str, Shortfall]:
+        return {
+            pool: self._count_shortfall(pool, wanted, now)
+            for pool, wanted in self.sizes.items()
+        }
+
+    def _count_shortfall(self, pool: str, wanted: int, now: float) -> Shortfall:
+        usable = self._count_schedulable(pool) + self._count_incoming(pool)
+        # VMs in maintenance return only once their tasks have found other workers
+        needed = min(wanted, self._get_serving_vms(pool))
+        serving = needed - usable + self._count_out_of_reach(pool, now)
+        vms = max(wanted - usable - self._count_returning(pool), serving)
+        return Shortfall(vms, max(0, serving))
+
+    def _count_incoming(self, pool: str) -> int:
+        return sum(
+            pending.order.kind is VmActionKind.MOVE and pending.order.pool == pool
+            for pending in self.pending_orders.values()
+        )
+
+    def _count_returning(self, pool: str) -> int:
+        return sum(
+            vm.pool == pool
+            and (
+                vm.state in (VmState.UPKEEP, VmState.MOVING)
+                or self._is_cordoned(vm, UPKEEP_REASON)
             )
-            usable = self._count_schedulable(pool) + incoming
-            # VMs in maintenance return only once their tasks have found other workers
-            needed = min(wanted, self._get_serving_vms(pool))
-            reachable = usable - self._count_out_of_reach(pool, now)
-            shortfalls[pool] = max(wanted - usable - returning, needed - reachable)
-        return shortfalls
+            and not self._has_pending_move(vm)
+            for vm in self.vms.values()
+        )
 
     def _get_serving_vms(self, pool: str) -> int:
         report = self.reports.get(pool)
@@ -139,7 +163,7 @@
         pending = self.pending_orders.get(vm.name)
         return pending is not None and pending.order.kind is VmActionKind.MOVE
 
-    def _cordon_surplus(self, shortfalls: t.Mapping[str, int]) -> None:
+    def _cordon_surplus(self, shortfalls: t.Mapping[str, Shortfall]) -> None:
         for pool, shortfall in shortfalls.items():
             cordoned = [
                 vm
@@ -148,10 +172,10 @@
                 and self._is_cordoned(vm, MOVE_REASON)
                 and vm.name not in self.pending_orders
             ]
-            if shortfall > 0:
-                self._lift_cordons(pool, cordoned[:shortfall])
-            elif shortfall < 0:
-                self._cordon_least_loaded(pool, -shortfall)
+            if shortfall.vms > 0:
+                self._lift_cordons(pool, cordoned[: shortfall.vms])
+            elif shortfall.vms < 0:
+                self._cordon_least_loaded(pool, -shortfall.vms)
 
     def _lift_cordons(self, pool: str, vms: t.Sequence[Vm]) -> None:
         for vm in vms:
@@ -192,13 +216,17 @@
         ]
         return sorted(movable, key=lambda vm: (vm.pool != self.spare_pool, vm.name))
 
-    def _choose_pool(self, vm: Vm, shortfalls: t.Mapping[str, int]) -> str:
-        """Choose the pool with the largest shortfall, else the spare pool."""
+    def _choose_pool(self, vm: Vm, shortfalls: t.Mapping[str, Shortfall]) -> str:
+        """Choose the pool that lacks VMs most, else the spare pool.
+
+        Pools whose serving tasks lack VMs go first; these tasks can't make up for the
+        time in which they are away.
+        """
         candidates = [
-            (-shortfall, pool)
+            (shortfall.serving == 0, -shortfall.vms, pool)
             for pool, shortfall in shortfalls.items()
-            if shortfall > 0
+            if shortfall.vms > 0
             and pool != vm.pool
             and (vm.name, pool) not in self._refused_moves
         ]
-        return min(candidates)[1] if candidates else self.spare_pool
+        return min(candidates)[-1] if candidates else self.spare_pool
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -472,3 +472,11 @@
     planner.apply_vm_list([*planner.vms.values(), moved], 6.0)
     assert planner.plan(6.1) == []
     assert planner.plan(9.0) == []
+
+
+def test_vm_goes_to_serving_tasks_before_a_pool_with_a_larger_shortfall(
+    planner: FleetPlanner,
+) -> None:
+    planner.sizes = {"a": 14, "b": 5}
+    planner.reports["b"] = build_report(planner, "b", serving_vms=5)
+    assert sorted(order.pool for order in planner.plan(1.0)) == ["a", "b"]
