Release all members of a cancelled gang that is done

What callers see: all jobs of a pool wait while its shard gets a new owner, or stop orders for one task are repeated until its job is forgotten.

Cause: the end of a gang stands for all of its members. If the job had been cancelled by then, the resources of all members were freed on their workers, but only the task that the end names was released. The others stayed placed. Where their workers list ends of their own, the resources were freed a second time: KeyError, which ends the owner. Where they don't, the members were released neither by an end nor as missing from a report.

Change: the members whose resources are freed are those that are released.

Measured: test_ended_gang_of_a_cancelled_job_leaves_no_run_behind fails with the KeyError before and passes now.

--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -215,16 +215,17 @@
                 failures=task.failures,
             )
         step = job.get_step(task)
-        members = self._list_gang_members(job, task)
-        for member in members:
+        # a gang is done as a whole; any other end is that of one member
+        done = end.kind is EndKind.DONE
+        ended = self._list_gang_members(job, task) if done else [task]
+        for member in ended:
             member_worker = self.workers.get(member.worker_id)
-            if not member.placed or member_worker is None:
-                continue
-            if end.kind is EndKind.DONE or member is task:
+            if member.placed and member_worker is not None:
                 member_worker.free(step, get_step_key(member))
                 member_worker.end_crash_window(member.task_id)
         if job.state.final:
-            task.release()
+            for member in ended:
+                member.release()
         else:
             job.apply_end(task, end)
             if job.state is JobState.FAILED:
--- a/tests/test_shard.py
+++ b/tests/test_shard.py
@@ -488,3 +488,20 @@
     assert harness.plan() == []
     harness.report("w1", (busy, EndKind.DONE))
     assert {order.task.job_id for order in harness.plan()} == {"b" * 16, "c" * 16}
+
+
+def test_ended_gang_of_a_cancelled_job_leaves_no_run_behind(
+    harness: ShardHarness,
+) -> None:
+    # freed on its worker but still placed, a member was freed again, or never ended
+    harness.add_worker("w1", cpu=2000)
+    harness.add_worker("w2", cpu=2000)
+    job = harness.add_job(Step(2, cpu=2000, gang=True))
+    first, second = harness.start_all()
+    harness.shard.cancel(job.submission.job_id)
+    harness.shard.mark_stored(job.submission.job_id, JobState.CANCELLED, harness.now)
+    harness.report(first.worker_id, (first, EndKind.DONE))
+    harness.report(second.worker_id, (second, EndKind.DONE))
+    assert harness.shard.jobs == {}
+    assert [item.cpu_used for item in harness.shard.workers.values()] == [0, 0]
+    assert harness.shard.list_stops(harness.now) == []
