Keep the clocks of a worker's incarnations apart in its lease

What callers see: a worker starts again under its id and is then cut off.

Cause: a run that the former incarnation was ordered to start stays placed on the new one until that rules the start out. The deadline of its order, on the former clock, was taken into the lease of the new record. A new clock that begins lower does not reach it for minutes; one that begins higher has passed it at once, and a run that may still begin there was started elsewhere.

Change: the deadline stays out of the lease. A silent worker keeps such a run for 20 s from when the restart is known: seconds for an order that is carried out late, and the longest lease, 10 s.

Measured: the three tests added to tests/test_lives.py fail before (two runs not released, one released at once) and pass now.

--- a/src/onyxgap/jobs/placing.py
+++ b/src/onyxgap/jobs/placing.py
@@ -37,6 +37,8 @@
     :param clock: estimate of the worker's clock, or ``None`` before the first reading.
     :param held: whether the worker has answered a hold request of the owner's epoch.
     :param lease_ms: latest lease deadline that was sent, on the worker's clock.
+    :param former_runs_until: monotonic seconds until which a run that a previous
+        incarnation was ordered to start may be on the worker.
     :param failing_since: monotonic seconds of the first failed call since the last
         answer, or ``None``.
     :param cpu_used: thousandths of a core of the runs that may be on the worker.
@@ -72,6 +74,7 @@
     clock: WorkerClock | None = None
     held: bool = False
     lease_ms: float = 0.0
+    former_runs_until: float = 0.0
     failing_since: float | None = None
     cpu_used: int = 0
     memory_used: int = 0
--- a/src/onyxgap/jobs/shard_workers.py
+++ b/src/onyxgap/jobs/shard_workers.py
@@ -36,6 +36,10 @@
 """Time after a claim for which leases of the previous owner may still be valid: an
 owner that cannot reach the store stops extending leases after 8 s, and the last lease
 that it granted lasts 5 s."""
+FORMER_RUN_S = 20.0
+"""Time after a worker's restart is known for which a run that its former incarnation
+was ordered to start may be on the new one without the owner's knowledge: the order
+arrives seconds late, and the longest lease that a worker grants lasts 10 s."""
 
 
 _LOG = structlog.get_logger()
@@ -121,11 +125,12 @@
         fencing token, and the order's deadline means nothing on its new clock. So a run
         whose order may have been sent stays placed until the new incarnation has
         confirmed a stop order for it, and a report requested after that does not list
-        the run.
+        the run. If the new incarnation is silent, the run is released after
+        :data:`FORMER_RUN_S`.
         """
         worker_id = previous.entry.worker_id
         ordered = [
-            (job, task, task.run, task.start_deadline_ms)
+            (job, task, task.run)
             for job in self.jobs.values()
             for task in job.list_placed()
             if task.worker_id == worker_id and _may_have_been_sent(task)
@@ -136,18 +141,17 @@
         )
         record = WorkerRecord(entry, previous.registered, WorkerClock(0.0, now))
         record.born = born
+        record.former_runs_until = now + FORMER_RUN_S
         self.workers[worker_id] = record
-        for job, task, run, deadline_ms in ordered:
+        for job, task, run in ordered:
             if not job.state.final:
-                self._bar(record, job, task, run, deadline_ms)
+                self._bar(record, job, task, run)
 
-    def _bar(
-        self, record: WorkerRecord, job: Job, task: Task, run: int, deadline_ms: float
-    ) -> None:
-        task.place(record.entry.worker_id, 0.0, deadline_ms, run)
+    def _bar(self, record: WorkerRecord, job: Job, task: Task, run: int) -> None:
+        # the deadline of the order is on the clock of the previous incarnation
+        task.place(record.entry.worker_id, 0.0, 0.0, run)
         task.start_ruled_out_at = math.inf
         record.reserve(job.get_step(task), get_step_key(task))
-        record.lease_ms = max(record.lease_ms, deadline_ms)
         self._mark_stopping(task)
         self.dirty.add(job.submission.job_id)
 
@@ -368,7 +372,17 @@
             return False
         if record.clock is None:
             return True
-        return record.clock.get_lower_bound(now) > record.lease_ms
+        if record.clock.get_lower_bound(now) <= record.lease_ms:
+            return False
+        return now >= record.former_runs_until or not self._has_former_runs(record)
+
+    def _has_former_runs(self, record: WorkerRecord) -> bool:
+        return any(
+            task.worker_id == record.entry.worker_id
+            and task.start_ruled_out_at is not None
+            for job in self.jobs.values()
+            for task in job.list_placed()
+        )
 
     def _release_runs(self, record: WorkerRecord, crashed: bool, now: float) -> int:
         lost = [
--- a/tests/test_lives.py
+++ b/tests/test_lives.py
@@ -15,7 +15,9 @@
 from onyxgap.jobs.lives import compare_incarnations
 from onyxgap.jobs.messages import EndKind
 from onyxgap.jobs.messages import Step
+from onyxgap.jobs.shard import START_WINDOW_MS
 from onyxgap.jobs.shard import Shard
+from onyxgap.jobs.shard_workers import FORMER_RUN_S
 from onyxgap.jobs.workers import HoldReport
 from onyxgap.jobs.workers import Reply
 from onyxgap.jobs.workers import ReplyKind
@@ -179,6 +181,47 @@
     assert again.run == order.run + 1
 
 
+def fall_silent(harness: ShardHarness, for_s: float) -> None:
+    silent = Reply(ReplyKind.NO_ANSWER)
+    harness.shard.apply_failure("w1", silent, harness.now)
+    harness.now += for_s
+    harness.shard.expire_workers(harness.now)
+
+
+def test_lease_on_a_new_incarnation_ends_by_its_own_clock(
+    harness: ShardHarness,
+) -> None:
+    # the deadline of the former clock kept later runs on a silent worker for minutes
+    report(harness, FIRST_START_MS, 900_000.0)
+    job = harness.add_job(SHORT)
+    harness.start_all()
+    register(harness, SECOND_START_MS)
+    report(harness, SECOND_START_MS)
+    confirm_stops(harness)
+    harness.start_all()
+    (task,) = job.occurrences[0].steps[0]
+    assert task.placed
+    fall_silent(harness, START_WINDOW_MS / 1000 * 1.05)
+    assert not task.placed
+
+
+@pytest.mark.parametrize("former_clock_ms", [10.0, 900_000.0])
+def test_silent_incarnation_keeps_former_runs_for_a_bounded_time(
+    harness: ShardHarness, former_clock_ms: float
+) -> None:
+    # by the former clock, they were released at once or only after minutes
+    report(harness, FIRST_START_MS, former_clock_ms)
+    job = harness.add_job(SHORT)
+    harness.start_all()
+    register(harness, SECOND_START_MS, 50_000.0)
+    report(harness, SECOND_START_MS, 50_010.0)
+    (task,) = job.occurrences[0].steps[0]
+    fall_silent(harness, FORMER_RUN_S - 1)
+    assert task.placed
+    fall_silent(harness, 1)
+    assert not task.placed
+
+
 def test_start_order_that_was_never_sent_is_released_at_once(
     harness: ShardHarness,
 ) -> None:
