Ignore the clock in late start replies of a former incarnation

What callers see: a task may run twice for some seconds, or orders to a worker stay valid for too long, after it restarted under its id.

Cause: the clock in the reply to a start order was taken for that of the worker's present incarnation, also if the reply is one of the former that arrives after the registration of the new one. The estimate of a clock never goes back, so a lease on the new incarnation counted as ended at once.

Change: the clock in a reply is used only if the run is one that the present incarnation was ordered to start.

--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -365,16 +365,18 @@
         job = self.jobs.get(order.task.job_id)
         task = job.find_task(order.task) if job else None
         record = self.workers.get(order.worker_id)
-        if record is not None and record.clock and reply.clock_ms is not None:
-            record.clock.observe(reply.clock_ms, now)
-            record.last_clock_ms = max(record.last_clock_ms, reply.clock_ms)
         if job is None or task is None or not task.placed:
             return
         if (task.run, task.worker_id) != (order.run, order.worker_id):
             return
+        # a reply to an order for a previous incarnation may be on that one's clock
+        clock_ms = reply.clock_ms if task.start_ruled_out_at is None else None
+        if record is not None and record.clock and clock_ms is not None:
+            record.clock.observe(clock_ms, now)
+            record.last_clock_ms = max(record.last_clock_ms, clock_ms)
         if reply.kind is ReplyKind.DONE:
             job.started = True
-            task.confirm(now, reply.clock_ms)
+            task.confirm(now, clock_ms)
             return
         _LOG.info(
             "start not confirmed",
--- a/tests/test_lives.py
+++ b/tests/test_lives.py
@@ -222,6 +222,23 @@
     assert not task.placed
 
 
+def test_late_start_reply_of_a_former_incarnation_sets_no_clock(
+    harness: ShardHarness,
+) -> None:
+    # the lease of the new incarnation counted as ended long before it was
+    harness.add_job(SHORT)
+    (order,) = harness.plan()
+    ready = harness.shard.prepare_start(order, harness.now)
+    assert ready is not None
+    register(harness, SECOND_START_MS)
+    reply = Reply(ReplyKind.DONE, clock_ms=900_000.0)
+    harness.shard.apply_start_reply(ready, reply, harness.now)
+    record = harness.shard.workers["w1"]
+    assert record.clock is not None
+    assert record.clock.estimate(harness.now) < 1_000
+    assert record.last_clock_ms == 0
+
+
 def test_start_order_that_was_never_sent_is_released_at_once(
     harness: ShardHarness,
 ) -> None:
