Send stop orders to workers that answer without a registration

What callers see: a task of a cancelled job runs on, and a task that waits for its run to be ruled out on a restarted worker doesn't run elsewhere, as long as a worker answers the shard's owner but cannot reach the store.

Cause: stop orders went to registered workers only, while the leases on any worker that answers are renewed.

Change: stop orders go to workers that are registered or answer hold requests.

Measured: test_cancelled_run_on_an_unregistered_worker_that_answers_is_stopped fails before (no stop order) and passes now; a silent worker without registration still gets none.

--- a/src/onyxgap/jobs/placing.py
+++ b/src/onyxgap/jobs/placing.py
@@ -112,6 +112,13 @@
             and self.blocked_until <= now < self.capacity_valid_until
         )
 
+    def is_answering(self) -> bool:
+        """Return whether the worker has answered the latest call, as far as known.
+
+        A worker that cannot reach the store loses its registration, but may answer.
+        """
+        return self.held and self.failing_since is None
+
     def has_capacity(self, step: Step) -> bool:
         """Return whether the free capacity is enough for a task of a step."""
         entry = self.entry
--- a/src/onyxgap/jobs/shard_stops.py
+++ b/src/onyxgap/jobs/shard_stops.py
@@ -39,7 +39,7 @@
             if now - task.stop_sent_at < STOP_RESEND_S:
                 continue
             record = self.workers.get(task.worker_id)
-            if record is not None and record.registered:
+            if record is not None and (record.registered or record.is_answering()):
                 task.stop_sent_at = now
                 orders.append(self._build_stop_order(record, task_id, task.run))
         orders += self.unexpected_runs.values()
--- a/tests/test_shard.py
+++ b/tests/test_shard.py
@@ -263,6 +263,32 @@
     assert stop.run == order.run + 7
 
 
+def test_cancelled_run_on_an_unregistered_worker_that_answers_is_stopped(
+    harness: ShardHarness,
+) -> None:
+    # its lease was renewed without end
+    harness.add_worker("w1")
+    job = harness.add_job(Step(1, cpu=1000, long_running=True))
+    (order,) = harness.start_all()
+    harness.shard.mark_unregistered("w1")
+    harness.report("w1")
+    harness.shard.cancel(job.submission.job_id)
+    (stop,) = harness.shard.list_stops(harness.now)
+    assert (stop.worker_id, stop.task) == ("w1", order.task)
+
+
+def test_worker_without_registration_that_is_silent_gets_no_stop_order(
+    harness: ShardHarness,
+) -> None:
+    harness.add_worker("w1")
+    job = harness.add_job(Step(1, cpu=1000, long_running=True))
+    harness.start_all()
+    harness.shard.mark_unregistered("w1")
+    harness.shard.apply_failure("w1", Reply(ReplyKind.NO_ANSWER), harness.now)
+    harness.shard.cancel(job.submission.job_id)
+    assert harness.shard.list_stops(harness.now) == []
+
+
 def test_serving_tasks_leave_a_cordoned_worker_one_at_a_time(
     harness: ShardHarness,
 ) -> None:
