Reserve only workers that accept tasks now

What callers see: a serving task waits in a busy pool for as long as some worker of it is silent or blocked.

Cause: a serving task that fits on no worker has the one with the least CPU in use reserved, so that smaller tasks do not take its capacity as soon as it is free. Nothing runs on a silent worker whose lease has expired, or on a blocked one, so that was the one reserved, and smaller tasks took all others.

Change: a worker is reserved, for serving and for suspected tasks, only if it accepts tasks in this pass.

Measured: test_worker_is_reserved_for_a_serving_task_although_another_is_silent fails before (the smaller task is placed) and passes now.

--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -241,7 +241,7 @@
                 continue
             if record is None:
                 if step.long_running:
-                    self._reserve_worker(step, step_key)
+                    self._reserve_worker(free_capacity.records, step, step_key)
                 if allowed is None:
                     free_capacity.note_unplaceable(step)
                 return
@@ -270,15 +270,23 @@
         )
         return ()
 
-    def _reserve_worker(self, step: Step, step_key: StepKey) -> None:
+    @staticmethod
+    def _reserve_worker(
+        records: t.Iterable[WorkerRecord], step: Step, step_key: StepKey
+    ) -> None:
         """Reserve the worker that should be the first to fit a task of a step.
 
         This is for serving tasks and for tasks suspected of crashing workers. Without
         it, smaller tasks would take all capacity as soon as it is free.
+
+        :param records: workers that accept new tasks; a silent or blocked one has
+            little in use, but its capacity is of no use now.
+        :param step: the step.
+        :param step_key: job, occurrence and number of the step.
         """
         fitting = [
             record
-            for record in self.workers.values()
+            for record in records
             if not record.reserved and may_ever_run(record, step, step_key)
         ]
         if fitting:
@@ -294,7 +302,7 @@
         """
         reserved = sum(record.reserved for record in free_capacity.records)
         if 2 * reserved < len(free_capacity.records):
-            self._reserve_worker(step, step_key)
+            self._reserve_worker(free_capacity.records, step, step_key)
 
     def _place_gang(self, ready: ReadyStep, now: float) -> list[StartOrder]:
         step = ready.job.submission.steps[ready.step]
--- a/tests/test_shard.py
+++ b/tests/test_shard.py
@@ -516,6 +516,24 @@
     assert {order.task.job_id for order in harness.plan()} == {"b" * 16, "c" * 16}
 
 
+def test_worker_is_reserved_for_a_serving_task_although_another_is_silent(
+    harness: ShardHarness,
+) -> None:
+    # the silent worker was reserved, and smaller tasks took the other one for ever
+    harness.add_worker("w1")
+    harness.add_job(Step(2, cpu=30_000))
+    first, second = harness.start_all()
+    harness.add_worker("w2")
+    silent = Reply(ReplyKind.NO_ANSWER)
+    harness.shard.apply_failure("w2", silent, harness.now)
+    harness.add_job(Step(1, cpu=60_000, long_running=True), job_id="b" * 16)
+    harness.add_job(Step(1, cpu=30_000), job_id="c" * 16)
+    harness.report("w1", (first, EndKind.DONE))
+    assert harness.plan() == []
+    harness.report("w1", (second, EndKind.DONE))
+    assert [order.task.job_id for order in harness.plan()] == ["b" * 16]
+
+
 def test_ended_gang_of_a_cancelled_job_leaves_no_run_behind(
     harness: ShardHarness,
 ) -> None:
