Reserve only workers for which an advised serving step has tickets

What callers see: tasks wait although workers are free, while serving tasks of a queue with a policy service wait.

Cause: a serving task that cannot be placed has a worker reserved. For a step of an advised queue, any worker was, also while the tickets were still requested or if the policy service allows the step none that is reserved; there the task cannot run, and all other steps were kept off.

Change: the reserved worker is one of those that the step may use.

Measured: test_worker_without_a_ticket_is_not_reserved_for_a_serving_step fails before and passes now.

--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -236,12 +236,14 @@
             if record is None and isolation is not IsolationLevel.NONE:
                 # other tasks of the step may use workers that this one must not
                 if not worker_reserved:
-                    self._reserve_worker_for_suspect(free_capacity, step, step_key)
+                    self._reserve_worker_for_suspect(
+                        free_capacity, candidates.records, step, step_key
+                    )
                 worker_reserved = True
                 continue
             if record is None:
                 if step.long_running:
-                    self._reserve_worker(free_capacity.records, step, step_key)
+                    self._reserve_worker(candidates.records, step, step_key)
                 if allowed is None:
                     free_capacity.note_unplaceable(step)
                 return
@@ -279,8 +281,8 @@
         This is for serving tasks and for tasks suspected of crashing workers. Without
         it, smaller tasks would take all capacity as soon as it is free.
 
-        :param records: workers that accept new tasks; a silent or blocked one has
-            little in use, but its capacity is of no use now.
+        :param records: workers that accept new tasks and that the step may use. A
+            silent or blocked one has little in use, but its capacity is of no use now.
         :param step: the step.
         :param step_key: job, occurrence and number of the step.
         """
@@ -293,7 +295,11 @@
             min(fitting, key=lambda record: record.cpu_used).reserved = True
 
     def _reserve_worker_for_suspect(
-        self, free_capacity: PassCapacity, step: Step, step_key: StepKey
+        self,
+        free_capacity: PassCapacity,
+        records: t.Iterable[WorkerRecord],
+        step: Step,
+        step_key: StepKey,
     ) -> None:
         """Reserve a worker for a suspected task, unless half of them are reserved.
 
@@ -302,7 +308,7 @@
         """
         reserved = sum(record.reserved for record in free_capacity.records)
         if 2 * reserved < len(free_capacity.records):
-            self._reserve_worker(free_capacity.records, step, step_key)
+            self._reserve_worker(records, step, step_key)
 
     def _place_gang(self, ready: ReadyStep, now: float) -> list[StartOrder]:
         step = ready.job.submission.steps[ready.step]
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -79,6 +79,17 @@
     assert GROUP in shard.ticket_cache.wanted
 
 
+def test_worker_without_a_ticket_is_not_reserved_for_a_serving_step(
+    shard: Shard,
+) -> None:
+    # while its tickets were requested, each such step closed a worker to all others
+    policy = attrs.evolve(POLICY, advised=True)
+    serving = (Step(1, cpu=1000, long_running=True),)
+    shard.add_job(Job(Submission("b" * 16, policy, "spec", serving)), NOW, 0.0)
+    shard.plan(NOW, 0.0)
+    assert not any(record.reserved for record in shard.workers.values())
+
+
 def test_requests_of_an_ended_job_are_removed(shard: Shard) -> None:
     shard.plan(NOW, 0.0)
     shard.cancel(GROUP[0])
