Request tickets for more workers if the allowed ones are not enough

What callers see: in a queue with a policy service, a task does not run although a worker that the policy would allow is free: until the tickets of its step expire, or, in a pool of more than 30 idle workers, until the job is cancelled.

Cause: tickets of a step were requested once for at most 30 workers, and again when they expired. Workers that joined since, or had been cordoned, were not asked for. Idle workers rank alike, so the same 30 were asked for each time.

Change: if none of the allowed workers can take a task, the step requests tickets for workers that can, and that were in none of its requests so far.

Measured: three of the four tests added to tests/test_advice.py fail before (no request) and pass now; the fourth, that full workers are not asked for, passes before and now.

--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -30,6 +30,7 @@
 from .placing import StepKey
 from .placing import WorkerRecord
 from .placing import choose_worker
+from .placing import is_eligible
 from .placing import may_ever_run
 from .priorities import rate_urgency
 from .ready import ReadyStep
@@ -246,6 +247,8 @@
                     self._reserve_worker(candidates.records, step, step_key)
                 if allowed is None:
                     free_capacity.note_unplaceable(step)
+                else:
+                    self._request_more_tickets(step, step_key, now)
                 return
             yield self._place(ready.job, step, task, record, task.run + 1, now)
 
@@ -272,6 +275,21 @@
         )
         return ()
 
+    def _request_more_tickets(self, step: Step, step_key: StepKey, now: float) -> None:
+        """Request tickets for workers that have capacity and were not asked for yet.
+
+        The policy service allows each worker or not; that a worker was not asked for
+        is no reason to leave it unused.
+        """
+        eligible = [
+            record.entry.worker_id
+            for record in self.workers.values()
+            if is_eligible(record, step, step_key, now)
+        ]
+        unasked = self.ticket_cache.list_unasked(step_key, eligible, now)
+        if unasked:
+            self.ticket_cache.request_tickets(step_key, unasked)
+
     @staticmethod
     def _reserve_worker(
         records: t.Iterable[WorkerRecord], step: Step, step_key: StepKey
@@ -333,6 +351,8 @@
         for task, record in chosen:
             record.free(step, get_step_key(task))
         if len(chosen) != step.count:
+            if ready.job.submission.policy.advised:
+                self._request_more_tickets(step, get_step_key(ready.tasks[0]), now)
             return []
         run = max(task.run for task in ready.tasks) + 1
         checkpoint = max((task.checkpoint for task in ready.tasks), key=bool)
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -79,6 +79,67 @@
     assert GROUP in shard.ticket_cache.wanted
 
 
+def request_and_store(shard: Shard, advice: Advice | None, now: float) -> list[str]:
+    request = shard.ticket_cache.pop_request()
+    assert request is not None
+    shard.ticket_cache.store_advice(GROUP, advice, now)
+    return list(request[1])
+
+
+def test_workers_beyond_one_request_are_asked_if_the_allowed_ones_are_not_enough(
+    shard: Shard,
+) -> None:
+    # the same idle workers were asked again and again
+    asked: list[str] = []
+    shard.plan(NOW, 0.0)
+    asked += request_and_store(shard, Advice({}, 3.0), NOW)
+    shard.plan(NOW, 0.0)
+    asked += request_and_store(shard, Advice({"w34": "t"}, 3.0), NOW)
+    assert sorted(asked) == sorted(shard.workers)
+    assert {order.worker_id for order in shard.plan(NOW, 0.0)} == {"w34"}
+    assert not shard.ticket_cache.wanted
+
+
+def test_worker_that_joins_is_asked_before_the_tickets_of_others_expire(
+    shard: Shard,
+) -> None:
+    # a serving task waited for that although the allowed worker was gone
+    shard.plan(NOW, 0.0)
+    request_and_store(shard, Advice({"w3": "t3"}, 60.0), NOW)
+    shard.remove_worker("w3", "gone", NOW)
+    shard.plan(NOW, 0.0)
+    request_and_store(shard, Advice({}, 60.0), NOW)
+    assert shard.plan(NOW, 0.0) == []
+    assert not shard.ticket_cache.wanted
+    shard.observe_worker(attrs.evolve(ENTRY, worker_id="w35"), NOW)
+    shard.apply_report("w35", HoldReport(1000.0, (), ()), NOW, NOW)
+    shard.plan(NOW, 0.0)
+    assert request_and_store(shard, Advice({"w35": "t"}, 60.0), NOW) == ["w35"]
+    assert {order.worker_id for order in shard.plan(NOW, 0.0)} == {"w35"}
+
+
+def test_request_for_more_workers_without_response_is_not_repeated_at_once(
+    shard: Shard,
+) -> None:
+    shard.plan(NOW, 0.0)
+    request_and_store(shard, Advice({}, 3.0), NOW)
+    shard.plan(NOW, 0.0)
+    request_and_store(shard, None, NOW)
+    shard.plan(NOW + EMPTY_RETRY_S / 2, 0.0)
+    assert not shard.ticket_cache.wanted
+    shard.plan(NOW + EMPTY_RETRY_S * 1.1, 0.0)
+    assert shard.ticket_cache.wanted
+
+
+def test_full_workers_are_not_asked_in_addition(shard: Shard) -> None:
+    shard.plan(NOW, 0.0)
+    request_and_store(shard, Advice({"w3": "t3"}, 3.0), NOW)
+    for record in shard.workers.values():
+        record.cpu_used = record.entry.cpu
+    assert shard.plan(NOW, 0.0) == []
+    assert not shard.ticket_cache.wanted
+
+
 def test_worker_without_a_ticket_is_not_reserved_for_a_serving_step(
     shard: Shard,
 ) -> None:
