--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -215,16 +215,17 @@
                 failures=task.failures,
             )
         step = job.get_step(task)
-        members = self._list_gang_members(job, task)
-        for member in members:
+        # a gang is done as a whole; any other end is that of one member
+        done = end.kind is EndKind.DONE
+        ended = self._list_gang_members(job, task) if done else [task]
+        for member in ended:
             member_worker = self.workers.get(member.worker_id)
-            if not member.placed or member_worker is None:
-                continue
-            if end.kind is EndKind.DONE or member is task:
+            if member.placed and member_worker is not None:
                 member_worker.free(step, get_step_key(member))
                 member_worker.end_crash_window(member.task_id)
         if job.state.final:
-            task.release()
+            for member in ended:
+                member.release()
         else:
             job.apply_end(task, end)
             if job.state is JobState.FAILED:
@@ -364,16 +365,18 @@
         job = self.jobs.get(order.task.job_id)
         task = job.find_task(order.task) if job else None
         record = self.workers.get(order.worker_id)
-        if record is not None and record.clock and reply.clock_ms is not None:
-            record.clock.observe(reply.clock_ms, now)
-            record.last_clock_ms = max(record.last_clock_ms, reply.clock_ms)
         if job is None or task is None or not task.placed:
             return
         if (task.run, task.worker_id) != (order.run, order.worker_id):
             return
+        # a reply to an order for a previous incarnation may be on that one's clock
+        clock_ms = reply.clock_ms if task.start_ruled_out_at is None else None
+        if record is not None and record.clock and clock_ms is not None:
+            record.clock.observe(clock_ms, now)
+            record.last_clock_ms = max(record.last_clock_ms, clock_ms)
         if reply.kind is ReplyKind.DONE:
             job.started = True
-            task.confirm(now, reply.clock_ms)
+            task.confirm(now, clock_ms)
             return
         _LOG.info(
             "start not confirmed",
