Request VMs for gangs that are wider than their pools

What callers see: a gang of which few members may share a worker never starts if its pool has shrunk below the workers that it needs.

Cause: the same as for serving tasks: the pool was sized by the fractions of a VM that the members take.

Change: gangs count like serving tasks. A step whose tasks run at the same time is called a wide step.

Evidence: test_gang_that_is_wider_than_its_pool_gets_more_vms failed before (no VM requested) and passes now.

--- a/src/onyxgap/jobs/shard_demand.py
+++ b/src/onyxgap/jobs/shard_demand.py
@@ -15,7 +15,7 @@
 from .priorities import rate_urgency
 from .shard_jobs import get_step_key
 from .shard_stops import ShardStops
-from .shortage import ServingStep
+from .shortage import WideStep
 from .shortage import count_needed_workers
 
 
@@ -46,7 +46,7 @@
             self.list_drained_workers(),
             **self._sum_load(capacity, now),
             serving_vms=count_needed_workers(
-                self._list_serving_steps(), self.workers.values()
+                self._list_wide_steps(), self.workers.values()
             ),
             arrived_jobs=self.arrived_jobs,
             offered=round(self.offered, 3),
@@ -77,9 +77,9 @@
     def _measure_worker_loads(self) -> dict[str, WorkerLoad]:
         serving = collections.Counter(
             task.worker_id
-            for item in self._list_serving_steps()
+            for item in self._list_wide_steps()
             for task in item.tasks
-            if task.placed
+            if item.step.long_running and task.placed
         )
         return {
             worker_id: WorkerLoad(
@@ -95,12 +95,12 @@
                 for occurrence, number in job.list_ready():
                     yield job, occurrence, number
 
-    def _list_serving_steps(self) -> t.Iterator[ServingStep]:
+    def _list_wide_steps(self) -> t.Iterator[WideStep]:
         for job, occurrence, number in self._list_ready_steps():
             step = job.submission.steps[number]
-            if step.long_running:
+            if step.long_running or step.gang:
                 tasks = occurrence.steps[number]
-                yield ServingStep(step, get_step_key(tasks[0]), tasks)
+                yield WideStep(step, get_step_key(tasks[0]), tasks)
 
     def list_drained_workers(self) -> dict[str, str]:
         """Return the cordon IDs of drained workers, by worker id.
--- a/src/onyxgap/jobs/shortage.py
+++ b/src/onyxgap/jobs/shortage.py
@@ -1,8 +1,8 @@
-"""Counts the VMs that a pool needs so that all its serving tasks have a worker.
+"""Counts the VMs that a pool needs so that all its wide steps have workers.
 
-The sum of the fractions of a VM that tasks take is not enough for that: tasks may not
-be allowed to share a worker, or few of them may fit on one. Finite tasks are left out,
-since they end by themselves.
+All tasks of such a step run at the same time: they serve, or are a gang. The sum of
+the fractions of a VM that they take is not enough for that: tasks may not be allowed to
+share a worker, or few of them may fit on one. The tasks of other steps can take turns.
 """
 
 import math
@@ -20,8 +20,8 @@
 
 
 @attrs.frozen(slots=True)
-class ServingStep:
-    """A step whose tasks serve until their job is cancelled.
+class WideStep:
+    """A step all of whose tasks run at the same time.
 
     :param step: the step.
     :param step_key: job, occurrence and number of the step.
@@ -34,9 +34,9 @@
 
 
 def count_needed_workers(
-    steps: t.Iterable[ServingStep], records: t.Collection[WorkerRecord]
+    steps: t.Iterable[WideStep], records: t.Collection[WorkerRecord]
 ) -> int:
-    """Count the workers that a pool needs for serving tasks that have none to run on.
+    """Count the workers that a pool needs for wide steps whose tasks have none.
 
     Workers that are out of reach count as present, since their VMs do, but give no
     place. Workers that have not answered yet give places until a call to them fails:
@@ -44,7 +44,7 @@
     for a step are not counted, so that no more VMs are requested than the step could
     use.
 
-    :param steps: unfinished serving steps of the shard.
+    :param steps: unfinished wide steps of the shard.
     :param records: workers of the shard.
     :returns: number of workers, 0 if all tasks have a worker to run on.
     """
@@ -57,12 +57,12 @@
 
 
 def _count_for_step(
-    serving: ServingStep, present: t.Sequence[WorkerRecord], cordoned: set[str]
+    wide: WideStep, present: t.Sequence[WorkerRecord], cordoned: set[str]
 ) -> int:
-    displaced = _count_displaced(serving, cordoned)
+    displaced = _count_displaced(wide, cordoned)
     if not displaced:
         return 0
-    step, step_key = serving.step, serving.step_key
+    step, step_key = wide.step, wide.step_key
     places = [_count_open_places(item, step, step_key) for item in present]
     lacking = displaced - sum(places)
     if lacking <= 0:
@@ -79,11 +79,11 @@
     return of_use + math.ceil(lacking / per_worker)
 
 
-def _count_displaced(serving: ServingStep, cordoned: set[str]) -> int:
+def _count_displaced(wide: WideStep, cordoned: set[str]) -> int:
     """Count the tasks that wait, or that are to leave their workers next."""
-    waiting = sum(not task.placed for task in serving.tasks)
-    to_leave = sum(task.placed and task.worker_id in cordoned for task in serving.tasks)
-    return waiting + min(to_leave, max(1, serving.step.may_miss))
+    waiting = sum(not task.placed for task in wide.tasks)
+    to_leave = sum(task.placed and task.worker_id in cordoned for task in wide.tasks)
+    return waiting + min(to_leave, max(1, wide.step.may_miss))
 
 
 def _is_reachable(record: WorkerRecord) -> bool:
--- a/src/onyxgap/pools/messages.py
+++ b/src/onyxgap/pools/messages.py
@@ -85,8 +85,8 @@
         :meth:`onyxgap.jobs.priorities.Forecast.justifies_more_vms`.
     :param batch: VMs filled by running tasks that end by themselves.
     :param serving: VMs filled by tasks that serve until their job is cancelled.
-    :param serving_vms: VMs that these tasks need side by side, 0 if each of them has a
-        worker to run on; see
+    :param serving_vms: VMs that these tasks and gangs need side by side, 0 if each task
+        has a worker to run on; see
         :func:`onyxgap.jobs.shortage.count_needed_workers`.
     :param arrived_jobs: jobs accepted since the owner claimed the shard.
     :param offered: work of the tasks of these jobs that end by themselves, in VM
--- a/tests/test_shortage.py
+++ b/tests/test_shortage.py
@@ -10,7 +10,7 @@
 from onyxgap.jobs.messages import TaskId
 from onyxgap.jobs.placing import WorkerRecord
 from onyxgap.jobs.shard import Shard
-from onyxgap.jobs.shortage import ServingStep
+from onyxgap.jobs.shortage import WideStep
 from onyxgap.jobs.shortage import count_needed_workers
 from onyxgap.jobs.workers import Reply
 from onyxgap.jobs.workers import ReplyKind
@@ -32,13 +32,13 @@
     ]
 
 
-def place_tasks(step: Step, records: t.Iterable[WorkerRecord]) -> ServingStep:
+def place_tasks(step: Step, records: t.Iterable[WorkerRecord]) -> WideStep:
     """Place a task on each of the workers; the other tasks wait."""
     tasks = [Task(TaskId(JOB_ID, 0, 0, number)) for number in range(step.count)]
     for task, record in zip(tasks, records, strict=False):
         task.place(record.entry.worker_id, 1.0, 0.0, 1)
         record.reserve(step, STEP_KEY)
-    return ServingStep(step, STEP_KEY, tasks)
+    return WideStep(step, STEP_KEY, tasks)
 
 
 @pytest.mark.parametrize("step", [APART, LARGE])
@@ -128,3 +128,12 @@
     harness.add_job(APART)
     assert len(harness.start_all()) == 1
     assert harness.shard.build_report(harness.now).serving_vms == 4
+
+
+def test_gang_that_is_wider_than_its_pool_gets_more_vms() -> None:
+    harness = ShardHarness(Shard("s", epoch=3, claimed_at=50.0))
+    harness.add_worker("w1")
+    harness.add_worker("w2")
+    harness.add_job(Step(4, cpu=1000, gang=True, anti_affinity=1))
+    assert harness.start_all() == []
+    assert harness.shard.build_report(harness.now).serving_vms == 4
