Log the blame for lost runs and the extra crashes that a task needs

Why a task that crashes its workers was started once more could only be inferred: neither the blame for each lost run nor the number of extra crashes required was in the log. 'runs lost' has the blames now, 'job failed' the extra crashes, and 'more crashes required' tells that a task is started again only because of them.

--- a/src/onyxgap/jobs/shard_workers.py
+++ b/src/onyxgap/jobs/shard_workers.py
@@ -378,11 +378,12 @@
             if task.worker_id == record.entry.worker_id
         ]
         tasks = [task for _, task in lost]
-        if tasks:
-            self._log_lost_runs(record, tasks)
+        blames = {}
         if record.entry.state is not WorkerState.DRAINING:
             sent = [task for task in tasks if _may_have_been_sent(task)]
-            self._record_losses(sent, crashed, record.last_clock_ms)
+            blames = self._record_losses(sent, crashed, record.last_clock_ms)
+        if tasks:
+            self._log_lost_runs(record, tasks, blames)
         if crashed and tasks:
             # A worker without runs is not recorded: it may have been drained, and then
             # it has moved or is in maintenance.
@@ -392,25 +393,41 @@
         for job, task in lost:
             if job.state.final:
                 continue
-            if task.loss_history.causes_crashes(
-                self.crashes.get_extra_crashes(job.submission.job_id)
-            ):
-                self._fail_crashing_job(job, task)
+            extra_crashes = self.crashes.get_extra_crashes(job.submission.job_id)
+            if task.loss_history.causes_crashes(extra_crashes):
+                self._fail_crashing_job(job, task, extra_crashes)
+            elif task.loss_history.causes_crashes():
+                self._log_extra_crashes(task, extra_crashes)
         return len(lost)
 
-    def _log_lost_runs(self, record: WorkerRecord, tasks: t.Sequence[Task]) -> None:
+    def _log_lost_runs(
+        self,
+        record: WorkerRecord,
+        tasks: t.Sequence[Task],
+        blames: t.Mapping[str, int],
+    ) -> None:
         _LOG.info(
             "runs lost",
             worker=record.entry.worker_id,
             service=self.service,
             epoch=self.epoch,
             runs=[_describe_run(task) for task in tasks],
+            blames=blames,
+        )
+
+    def _log_extra_crashes(self, task: Task, extra_crashes: int) -> None:
+        _LOG.info(
+            "more crashes required",
+            task=str(task.task_id),
+            extra_crashes=extra_crashes,
+            losses=task.loss_history.losses,
+            blame=task.loss_history.blame,
         )
 
     @staticmethod
     def _record_losses(
         tasks: t.Sequence[Task], crashed: bool, last_clock_ms: float
-    ) -> None:
+    ) -> dict[str, int]:
         """Record the runs lost with a worker in the loss histories of their tasks.
 
         Otherwise a task that crashes its workers would be started again without end.
@@ -421,6 +438,7 @@
         :param last_clock_ms: latest reading of the worker's clock. A run that was
             started before had not crashed the worker by then, even if no report listed
             it.
+        :returns: the blame of the runs that are blamed, by task.
         """
         runs = [
             LostRun(
@@ -433,8 +451,13 @@
         blames = assign_blame(runs) if crashed else [0] * len(runs)
         for task, run, blame in zip(tasks, runs, blames, strict=True):
             task.loss_history = task.loss_history.add_loss(run.young, blame)
+        return {
+            str(task.task_id): blame
+            for task, blame in zip(tasks, blames, strict=True)
+            if blame
+        }
 
-    def _fail_crashing_job(self, job: Job, task: Task) -> None:
+    def _fail_crashing_job(self, job: Job, task: Task, extra_crashes: int) -> None:
         _LOG.info(
             "job failed",
             job=job.submission.job_id,
@@ -442,5 +465,6 @@
             failures=task.failures,
             losses=task.loss_history.losses,
             blame=task.loss_history.blame,
+            extra_crashes=extra_crashes,
         )
         self._end_job(job, JobState.FAILED)
