Let crashing tasks not delay each other's detection

Cause: the crash log took every crash of a worker without a task as one of a worker that crashed by itself. Two of them required one more crash before the task failed, four required two. Where tasks of several jobs crash workers at the same time, each of them had these in its favour, and was started five or six times instead of three or four.

Change: a crash is kept with its suspects, the runs that assign_blame already takes as such. It counts as one of a worker that crashed by itself only once all suspects have run elsewhere: to their own end, or past the crash window.

Tests that call CrashLog.note give the suspects, none where workers crash by themselves; nothing else in them changed.

--- a/src/onyxgap/jobs/crashes.py
+++ b/src/onyxgap/jobs/crashes.py
@@ -15,6 +15,8 @@
 
 import attrs
 
+from .messages import TaskId
+
 START_CRASH_WINDOW_MS = 100.0
 """Time on a worker after which the start of a run is known not to have crashed it."""
 CRASH_WINDOW_MS = 300.0
@@ -37,13 +39,12 @@
 FULL_ISOLATION_LOSSES = 3
 """Lost runs after which a task is fully isolated. A task that crashes its workers late
 is then detected by its seventh start."""
-
-
 CRASH_RETENTION_S = 12.0
-"""Time for which worker crashes without a task count in its favour. A task that crashes
-its workers fails well within this time."""
+"""Time for which crashes of workers by themselves count in favour of a task. A task
+that crashes its workers fails well within this time."""
 UNRELATED_CRASHES_PER_EXTRA = 2
-"""Worker crashes without a task for each extra crash required before it fails."""
+"""Workers without a task that crashed by themselves, for each extra crash required
+before the task fails."""
 MAX_EXTRA_CRASHES = 2
 """Bounds how many workers a task crashes while other workers crash by themselves."""
 
@@ -129,53 +130,96 @@
 """History of a task that has lost no runs since it was last cleared."""
 
 
+@attrs.define(slots=True)
+class _Crash:
+    """The crash of a worker.
+
+    :param at: monotonic seconds.
+    :param job_ids: jobs that had runs on the worker.
+    :param suspects: tasks that may have caused the crash.
+    """
+
+    at: float
+    job_ids: frozenset[str]
+    suspects: set[TaskId]
+
+
 @attrs.define
 class CrashLog:
-    """Recent crashes of a shard's workers, with the jobs that had runs on them.
+    """Recent crashes of a shard's workers, with the tasks that may have caused them.
 
     When several workers crash by themselves, the same task may be on two of them by
-    chance. More crashes are then required before the task is considered the cause.
+    chance. More crashes are then required before the task is considered the cause. A
+    worker is known to have crashed by itself only once no suspect of the crash is left:
+    the tasks of several jobs may crash workers at the same time, and must not delay
+    each other's detection.
     """
 
-    _crashes: collections.deque[tuple[float, frozenset[str]]] = attrs.field(
-        factory=collections.deque
-    )
+    _crashes: collections.deque[_Crash] = attrs.field(factory=collections.deque)
 
-    def note(self, job_ids: t.Iterable[str], now: float) -> None:
+    def note(
+        self, job_ids: t.Iterable[str], suspects: t.Iterable[TaskId], now: float
+    ) -> None:
         """Record the crash of a worker.
 
         :param job_ids: jobs that had runs on the worker.
+        :param suspects: tasks that may have caused the crash.
         :param now: monotonic seconds.
         """
-        while self._crashes and now - self._crashes[0][0] > CRASH_RETENTION_S:
+        while self._crashes and now - self._crashes[0].at > CRASH_RETENTION_S:
             self._crashes.popleft()
-        self._crashes.append((now, frozenset(job_ids)))
+        self._crashes.append(_Crash(now, frozenset(job_ids), set(suspects)))
+
+    def clear_task(self, task_id: TaskId) -> None:
+        """Record that a task ran without crashing its worker.
+
+        :param task_id: the task.
+        """
+        for crash in self._crashes:
+            crash.suspects.discard(task_id)
 
     def get_extra_crashes(self, job_id: str) -> int:
         """Return how many extra crashes are required before a job fails.
 
         :param job_id: the job.
         """
-        unrelated = sum(job_id not in job_ids for _, job_ids in self._crashes)
+        unrelated = sum(
+            not crash.suspects and job_id not in crash.job_ids
+            for crash in self._crashes
+        )
         return min(unrelated // UNRELATED_CRASHES_PER_EXTRA, MAX_EXTRA_CRASHES)
 
 
-def assign_blame(runs: t.Sequence[LostRun]) -> list[int]:
-    """Assign blame for the crash of a worker to the runs on it.
+def find_suspects(runs: t.Sequence[LostRun]) -> list[bool]:
+    """Find the runs that may have caused the crash of their worker.
 
     Suspects are the runs not known to have survived :data:`START_CRASH_WINDOW_MS`.
     If there are none, suspects are those not known to have survived
-    :data:`CRASH_WINDOW_MS`. They are blamed only if all of them belong to one job, each
-    with the full amount, since a job fails as a whole. An unconfirmed run may
-    never have reached the worker: as a suspect it keeps other jobs from being blamed,
-    but it gets no blame itself.
+    :data:`CRASH_WINDOW_MS`.
+
+    :param runs: the runs on the worker whose start orders were sent.
+    :returns: whether each run is a suspect, in the order of the runs.
+    """
+    if any(run.young for run in runs):
+        return [run.young for run in runs]
+    return [run.survived_ms < CRASH_WINDOW_MS for run in runs]
+
+
+def assign_blame(runs: t.Sequence[LostRun]) -> list[int]:
+    """Assign blame for the crash of a worker to the runs on it.
+
+    The suspects are blamed only if all of them belong to one job, each with the full
+    amount, since a job fails as a whole. An unconfirmed run may never have reached the
+    worker: as a suspect it keeps other jobs from being blamed, but it gets no blame
+    itself.
 
     :param runs: the runs on the worker whose start orders were sent.
     :returns: the blame for each run, in the order of the runs.
     """
-    young = [run for run in runs if run.young]
-    suspects = young or [run for run in runs if run.survived_ms < CRASH_WINDOW_MS]
-    if len({run.job_id for run in suspects}) != 1:
+    suspected = find_suspects(runs)
+    pairs = list(zip(runs, suspected, strict=True))
+    if len({run.job_id for run, suspect in pairs if suspect}) != 1:
         return [0] * len(runs)
+    young = any(run.young for run in runs)
     weight = START_CRASH_BLAME if young else LATE_CRASH_BLAME
-    return [weight if run in suspects and run.confirmed else 0 for run in runs]
+    return [weight if suspect and run.confirmed else 0 for run, suspect in pairs]
--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -126,8 +126,7 @@
         if item.checkpoint:
             task.checkpoint = item.checkpoint
 
-    @staticmethod
-    def _update_crash_windows(record: WorkerRecord, task: Task) -> None:
+    def _update_crash_windows(self, record: WorkerRecord, task: Task) -> None:
         if (
             task.task_id in record.in_start_crash_window
             and task.listed_ms >= START_CRASH_WINDOW_MS
@@ -135,6 +134,7 @@
             record.end_start_crash_window(task.task_id, task.loss_history.isolation)
         if task.task_id in record.in_crash_window and task.listed_ms >= CRASH_WINDOW_MS:
             task.loss_history = NO_LOSSES
+            self.crashes.clear_task(task.task_id)
             record.end_crash_window(task.task_id)
 
     @staticmethod
@@ -223,6 +223,8 @@
             if end.kind is EndKind.DONE or member is task:
                 member_worker.free(step, get_step_key(member))
                 member_worker.end_crash_window(member.task_id)
+        if end.kind in (EndKind.DONE, EndKind.FAILED):
+            self.crashes.clear_task(task.task_id)
         if job.state.final:
             task.release()
         else:
--- a/src/onyxgap/jobs/shard_workers.py
+++ b/src/onyxgap/jobs/shard_workers.py
@@ -1,5 +1,6 @@
 """Tracks the workers of a shard: registrations, cordons, leases, crashes and load."""
 
+import itertools
 import math
 import typing as t
 
@@ -10,6 +11,7 @@
 from ..pools.messages import WorkerLoad
 from .crashes import LostRun
 from .crashes import assign_blame
+from .crashes import find_suspects
 from .job import Job
 from .job import Task
 from .lives import IncarnationMatch
@@ -60,6 +62,20 @@
     return str(task.task_id), task.run, confirmed, round(task.listed_ms)
 
 
+def _describe_loss(task: Task, last_clock_ms: float) -> LostRun:
+    """Describe the run of a task that was lost with its worker.
+
+    :param task: the task.
+    :param last_clock_ms: latest reading of the worker's clock. A run that was started
+        before had not crashed the worker by then, even if no report listed it.
+    """
+    return LostRun(
+        task.task_id.job_id,
+        task.confirmed_at is not None,
+        task.get_survived_ms(last_clock_ms),
+    )
+
+
 @attrs.define
 class ShardWorkers(ShardJobs):
     """The workers of one shard."""
@@ -378,16 +394,19 @@
             if task.worker_id == record.entry.worker_id
         ]
         tasks = [task for _, task in lost]
+        sent = [task for task in tasks if _may_have_been_sent(task)]
+        runs = [_describe_loss(task, record.last_clock_ms) for task in sent]
         blames = {}
         if record.entry.state is not WorkerState.DRAINING:
-            sent = [task for task in tasks if _may_have_been_sent(task)]
-            blames = self._record_losses(sent, crashed, record.last_clock_ms)
+            blames = self._record_losses(sent, runs, crashed)
         if tasks:
             self._log_lost_runs(record, tasks, blames)
         if crashed and tasks:
             # A worker without runs is not recorded: it may have been drained, and then
             # it has moved or is in maintenance.
-            self.crashes.note([task.task_id.job_id for task in tasks], now)
+            job_ids = [task.task_id.job_id for task in tasks]
+            suspects = itertools.compress(sent, find_suspects(runs))
+            self.crashes.note(job_ids, [task.task_id for task in suspects], now)
         for job, task in lost:
             self._release(job, task)
         for job, task in lost:
@@ -426,28 +445,18 @@
 
     @staticmethod
     def _record_losses(
-        tasks: t.Sequence[Task], crashed: bool, last_clock_ms: float
+        tasks: t.Sequence[Task], runs: t.Sequence[LostRun], crashed: bool
     ) -> dict[str, int]:
         """Record the runs lost with a worker in the loss histories of their tasks.
 
         Otherwise a task that crashes its workers would be started again without end.
 
         :param tasks: the tasks.
+        :param runs: their runs, in the same order.
         :param crashed: whether the worker crashed. A worker that is only out of reach
             ends its runs, too, but none of them is to blame.
-        :param last_clock_ms: latest reading of the worker's clock. A run that was
-            started before had not crashed the worker by then, even if no report listed
-            it.
         :returns: the blame of the runs that are blamed, by task.
         """
-        runs = [
-            LostRun(
-                task.task_id.job_id,
-                task.confirmed_at is not None,
-                task.get_survived_ms(last_clock_ms),
-            )
-            for task in tasks
-        ]
         blames = assign_blame(runs) if crashed else [0] * len(runs)
         for task, run, blame in zip(tasks, runs, blames, strict=True):
             task.loss_history = task.loss_history.add_loss(run.young, blame)
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -1,5 +1,7 @@
 """Blame for worker crashes, and isolation of the tasks that may be the cause."""
 
+import typing as t
+
 import attrs
 import pytest
 
@@ -10,6 +12,7 @@
 from onyxgap.jobs.crashes import NO_LOSSES
 from onyxgap.jobs.crashes import START_CRASH_BLAME
 from onyxgap.jobs.crashes import START_CRASH_WINDOW_MS
+from onyxgap.jobs.crashes import UNRELATED_CRASHES_PER_EXTRA
 from onyxgap.jobs.crashes import CrashLog
 from onyxgap.jobs.crashes import IsolationLevel
 from onyxgap.jobs.crashes import LostRun
@@ -19,6 +22,7 @@
 from onyxgap.jobs.messages import EndKind
 from onyxgap.jobs.messages import JobState
 from onyxgap.jobs.messages import Step
+from onyxgap.jobs.messages import TaskId
 from onyxgap.jobs.messages import WorkerState
 from onyxgap.jobs.shard import Shard
 from onyxgap.jobs.workers import Reply
@@ -237,8 +241,8 @@
 def test_crashes_without_a_task_require_more_crashes_with_it() -> None:
     log = CrashLog()
     for moment in range(4):
-        log.note(["other"], float(moment))
-    log.note(["blamed"], 4.0)
+        log.note(["other"], [], float(moment))
+    log.note(["blamed"], [], 4.0)
     extra_crashes = log.get_extra_crashes("blamed")
     assert extra_crashes == MAX_EXTRA_CRASHES
     history = NO_LOSSES.add_loss(True, START_CRASH_BLAME).add_loss(
@@ -254,16 +258,66 @@
 def test_old_crashes_require_no_extra_crashes() -> None:
     log = CrashLog()
     for moment in range(4):
-        log.note(["other"], float(moment))
-    log.note(["blamed"], 4.0 + CRASH_RETENTION_S)
+        log.note(["other"], [], float(moment))
+    log.note(["blamed"], [], 4.0 + CRASH_RETENTION_S)
     assert log.get_extra_crashes("blamed") == 0
 
 
 def test_crashes_with_a_task_require_no_extra_crashes() -> None:
     log = CrashLog()
     for moment in range(6):
-        log.note(["blamed", "other"], float(moment))
+        log.note(["blamed", "other"], [], float(moment))
+    assert log.get_extra_crashes("blamed") == 0
+
+
+def test_crash_requires_extra_crashes_only_once_its_suspects_are_cleared() -> None:
+    log = CrashLog()
+    suspects = [TaskId("other", 0, 0, 0), TaskId("other", 0, 0, 1)]
+    for moment in range(4):
+        log.note(["other"], suspects, float(moment))
+    assert log.get_extra_crashes("blamed") == 0
+    log.clear_task(suspects[0])
     assert log.get_extra_crashes("blamed") == 0
+    log.clear_task(suspects[1])
+    assert log.get_extra_crashes("blamed") == MAX_EXTRA_CRASHES
+
+
+def end_run(harness: ShardHarness, order: StartOrder) -> None:
+    harness.report(order.worker_id, (order, EndKind.DONE))
+
+
+def survive_crash_window(harness: ShardHarness, order: StartOrder) -> None:
+    harness.report(order.worker_id)
+    harness.now += CRASH_WINDOW_MS / 1000
+    harness.report(order.worker_id)
+
+
+@pytest.mark.parametrize("clear", [end_run, survive_crash_window])
+def test_task_that_runs_after_a_crash_is_no_suspect_of_it(
+    harness: ShardHarness, clear: t.Callable[[ShardHarness, StartOrder], None]
+) -> None:
+    for number in range(UNRELATED_CRASHES_PER_EXTRA):
+        job_id = f"{number:016x}"
+        harness.add_job(Step(1, cpu=1000), job_id=job_id)
+        crash(harness, start_one(harness, job_id).worker_id)
+        harness.add_worker(f"new-{number}")
+        order = start_one(harness, job_id)
+        assert harness.shard.crashes.get_extra_crashes("blamed") == 0
+        clear(harness, order)
+    assert harness.shard.crashes.get_extra_crashes("blamed") == 1
+
+
+# Each job was started twice more, as the crashes of the others counted in its favour.
+def test_crashes_of_other_crashing_tasks_delay_no_detection(
+    harness: ShardHarness,
+) -> None:
+    jobs = [harness.add_job(Step(1, cpu=1000), job_id=letter * 16) for letter in "abc"]
+    for number in range(3):
+        workers = {order.worker_id for order in harness.start_all()}
+        for worker_id in workers:
+            crash(harness, worker_id)
+            harness.add_worker(f"{worker_id}-{number}")
+    assert {job.state for job in jobs} == {JobState.FAILED}
 
 
 def test_workers_that_end_without_runs_require_no_extra_crashes(
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -35,3 +35,11 @@
 def test_crashing_tasks_beside_random_faults_break_no_rule(seed: int) -> None:
     result = play(load_day("crashing"), seed, faults=2 + seed % 5)
     assert result.breaches == []
+
+
+# The crashes by each of the tasks counted as crashes of workers by themselves in favour
+# of all others, so that they were started once or more too often.
+@pytest.mark.parametrize("seed", [1, 2, 6])
+def test_many_crashing_tasks_at_a_time_break_no_rule(seed: int) -> None:
+    result = play(load_day("crashing_burst"), seed, faults=2 + seed % 5)
+    assert result.breaches == []
--- a/tests/test_lost_runs.py
+++ b/tests/test_lost_runs.py
@@ -52,7 +52,7 @@
 def test_required_extra_crashes_are_logged(harness: ShardHarness) -> None:
     harness.add_job(Step(1, cpu=1000), job_id="a" * 16)
     for _ in range(UNRELATED_CRASHES_PER_EXTRA):
-        harness.shard.crashes.note(["b" * 16], harness.now)
+        harness.shard.crashes.note(["b" * 16], [], harness.now)
     with structlog.testing.capture_logs() as lines:
         for name in ("w1", "w2", "w3"):
             harness.add_worker(name)
