Answer calls about a job whose stored row is malformed

What callers see: a submission, a state request or a cancellation of a job whose row cannot be decoded ends with status 500 instead of an answer of the API.

Cause: only the conflict of an insert was guarded against a malformed row. The reads before a submission, of the state and before a cancellation raised DocumentError, and the progress row KeyError, TypeError or ValueError.

Change: such a submission has an unknown outcome (504), since the job may have been accepted; state and cancellation are unavailable (503) with a reason of their own. Each malformed row is logged.

Evidence: the 12 cases of the two new tests in tests/test_node_parts.py failed with these errors before, and pass now.

--- a/src/onyxgap/daemons/desk.py
+++ b/src/onyxgap/daemons/desk.py
@@ -32,6 +32,7 @@
 from ..jobs.store import Conflict
 from ..jobs.store import NotApplied
 from ..jobs.store import Store
+from ..jobs.store import StoredRow
 from ..jobs.store import WriteOutcome
 from ..jobs.submissions import decode_submission
 from ..jobs.submissions import encode_submission
@@ -54,6 +55,7 @@
 MAX_CACHED_STATUSES = 4_000
 """Statuses of ended jobs cached in memory; about 100 bytes each."""
 
+_UNREADABLE_JOB = SubmitResult(SubmitOutcome.UNKNOWN, Unavailable.STORED_JOB.value)
 _LOG = structlog.get_logger()
 
 
@@ -168,6 +170,9 @@
                 stored = await self._read_submission(shard, submission.job_id)
             except PlatformUnavailableError as error:
                 return SubmitResult(SubmitOutcome.REFUSED, str(error))
+            except DocumentError:
+                # the job may have been accepted, so it must not be called rejected
+                return _UNREADABLE_JOB
             if stored is not None:
                 return _compare(stored, submission)
         rejection = self._check_cap(submission) or self._check_load(submission)
@@ -218,6 +223,8 @@
             )
         except PlatformUnavailableError as error:
             return SubmitResult(SubmitOutcome.UNKNOWN, str(error))
+        except DocumentError:
+            return _UNREADABLE_JOB
         return rejection if stored is None else _compare(stored, submission)
 
     async def _store(self, submission: Submission) -> SubmitResult:
@@ -232,14 +239,9 @@
         if isinstance(outcome, Conflict):
             present = outcome.find(row)
             try:
-                stored = decode_submission(present.value) if present else None
-            except DocumentError as error:
-                _LOG.warning(
-                    "stored submission could not be decoded",
-                    row=row.key,
-                    reason=str(error),
-                )
-                stored = None
+                stored = _decode_submission_row(present) if present else None
+            except DocumentError:
+                return _UNREADABLE_JOB
             if stored is not None:
                 return _compare(stored, submission)
         return SubmitResult(SubmitOutcome.UNKNOWN, "the write was not confirmed")
@@ -268,7 +270,7 @@
     async def _read_submission(self, shard: str, job_id: str) -> Submission | None:
         row = tables.get_job_row(shard, job_id)
         page = await self.store.read(row.table, row.part, row.key)
-        return decode_submission(page.rows[0].value) if page.rows else None
+        return _decode_submission_row(page.rows[0]) if page.rows else None
 
     def _list_shards(self, route: Route) -> list[str]:
         """List the shards that may have a job, the most likely first."""
@@ -337,13 +339,15 @@
                     return status
         except PlatformUnavailableError:
             return Unavailable.STORE
+        except DocumentError:
+            return Unavailable.STORED_JOB
         return None
 
     async def _read_status(self, shard: str, job_id: str) -> JobStatus | None:
         row = tables.get_progress_row(shard, job_id)
         page = await self.store.read(row.table, row.part, row.key)
         if page.rows:
-            status = decode_status(page.rows[0].value)
+            status = _decode_status_row(page.rows[0])
             if status.state.final:
                 self._cache(job_id, status)
             return status
@@ -390,6 +394,8 @@
                 return await self._store_cancel(shard, job_id)
         except PlatformUnavailableError:
             return Unavailable.STORE
+        except DocumentError:
+            return Unavailable.STORED_JOB
         return False
 
     async def _store_cancel(self, shard: str, job_id: str) -> bool | Unavailable:
@@ -450,6 +456,38 @@
         )
 
 
+def _decode_submission_row(row: StoredRow) -> Submission:
+    """Decode a stored submission; a malformed one is logged.
+
+    :raises DocumentError: if the row is malformed.
+    """
+    try:
+        return decode_submission(row.value)
+    except DocumentError as error:
+        _LOG.warning(
+            "stored submission could not be decoded",
+            row=row.row_id.key,
+            reason=str(error),
+        )
+        raise
+
+
+def _decode_status_row(row: StoredRow) -> JobStatus:
+    """Decode the status in a row of stored progress; a malformed one is logged.
+
+    :raises DocumentError: if the row is malformed.
+    """
+    try:
+        return decode_status(row.value)
+    except DocumentError as error:
+        _LOG.warning(
+            "stored progress could not be decoded",
+            row=row.row_id.key,
+            reason=str(error),
+        )
+        raise
+
+
 def _compare(stored: Submission, submission: Submission) -> SubmitResult:
     if not Caller(submission.tenant).may_access(stored.tenant):
         return SubmitResult(SubmitOutcome.OTHER_TENANT, Denied.OTHER_TENANT.value)
--- a/src/onyxgap/jobs/desk.py
+++ b/src/onyxgap/jobs/desk.py
@@ -43,6 +43,7 @@
     """Why a request cannot be answered now; returned in place of a result."""
 
     STORE = "the store gives no answer"
+    STORED_JOB = "the stored job could not be decoded"
     CONFIGURATION = "no configuration yet"
     COUNT = "how many jobs wait is not known here"
     CONFIGURATION_AGE = "whether the configuration is the newest is not known here"
--- a/src/onyxgap/jobs/encoding.py
+++ b/src/onyxgap/jobs/encoding.py
@@ -5,6 +5,9 @@
 import attrs
 import orjson
 
+from ..exceptions import MALFORMED_ERRORS
+from ..exceptions import DocumentError
+from ..exceptions import Fault
 from .crashes import NO_LOSSES
 from .crashes import LossHistory
 from .job import Job
@@ -68,9 +71,13 @@
     """Decode only the state and the tenant of a stored job.
 
     :param value: result of :func:`encode_progress`.
+    :raises DocumentError: if the row is not the progress of a job.
     """
-    raw = orjson.loads(value)
-    return JobStatus(JobState(raw["state"]), raw.get("tenant", ""))
+    try:
+        raw = orjson.loads(value)
+        return JobStatus(JobState(raw["state"]), raw.get("tenant", ""))
+    except MALFORMED_ERRORS as error:
+        raise DocumentError([Fault("$", f"no stored job: {error!r}")]) from None
 
 
 def _restore_task(task: Task, raw: t.Any) -> None:
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -56,6 +56,7 @@
 from onyxgap.jobs.store import NotApplied
 from onyxgap.jobs.store import OutcomeUnknown
 from onyxgap.jobs.store import Page
+from onyxgap.jobs.store import RowId
 from onyxgap.jobs.store import WriteOutcome
 from onyxgap.jobs.tables import OwnerRow
 from onyxgap.jobs.timeouts import MAX_TIMEOUT_S
@@ -335,6 +336,49 @@
     run_with_store(test)
 
 
+@pytest.mark.parametrize("value", [b"", b"no json", b"[]", b"{}"])
+@pytest.mark.parametrize(
+    "row_id",
+    [
+        tables.get_job_row("s", SUBMISSION.job_id),
+        tables.get_progress_row("s", SUBMISSION.job_id),
+    ],
+)
+def test_malformed_row_of_a_job_leaves_its_callers_without_an_answer(
+    row_id: RowId, value: bytes
+) -> None:
+    async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
+        store.put(row_id, value)
+        job_api = build_job_api(scripted)
+        state = await job_api.get_state(ROUTE, SUBMISSION.job_id)
+        assert state is Unavailable.STORED_JOB
+
+    run_with_store(test)
+
+
+@pytest.mark.parametrize("value", [b"", b"no json", b"[]", b"{}"])
+def test_malformed_submission_in_the_store_is_neither_accepted_nor_rejected(
+    value: bytes,
+) -> None:
+    async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
+        store.put(tables.get_job_row("s", SUBMISSION.job_id), value)
+        job_api = build_job_api(scripted)
+        cancelled = await job_api.cancel(ROUTE, SUBMISSION.job_id)
+        assert cancelled is Unavailable.STORED_JOB
+        assert (await job_api.submit(SUBMISSION)).outcome is SubmitOutcome.UNKNOWN
+        job_api.routes.caps["north"] = Amount(1, NO_LIMIT, NO_LIMIT)
+        too_large = attrs.evolve(SUBMISSION, tenant="north")
+        assert (await job_api.submit(too_large)).outcome is SubmitOutcome.UNKNOWN
+        moved = attrs.evolve(POLICY, service="s2")
+        route = attrs.evolve(ROUTE, policy=moved)
+        services = {"s": Service("s"), "s2": Service("s2")}
+        assert job_api.routes.adopt(Configuration(2, (route,), services))
+        again = attrs.evolve(SUBMISSION, policy=moved)
+        assert (await job_api.submit(again)).outcome is SubmitOutcome.UNKNOWN
+
+    run_with_store(test)
+
+
 @pytest.mark.parametrize("gang", [False, True])
 def test_job_larger_than_its_tenants_cap_is_refused(gang: bool) -> None:
     async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
