Decode the delay estimate of a shard with its types

What callers see: every submission to a shard ends with status 500 while the delay estimate in its owner's row has a field of another type.

Cause: only missing and unknown fields were noticed when the estimate was decoded. A number that is a string or null was compared later, outside the guard.

Change: the estimate is decoded like other stored documents. A malformed one is logged and the job admitted, as before for missing fields.

--- a/src/onyxgap/daemons/desk.py
+++ b/src/onyxgap/daemons/desk.py
@@ -201,8 +201,8 @@
             return None
         try:
             estimate = decode_delay_estimate(report.outlook)
-        except (TypeError, KeyError) as error:
-            _LOG.warning("delay estimate could not be decoded", reason=repr(error))
+        except DocumentError as error:
+            _LOG.warning("delay estimate could not be decoded", reason=str(error))
             return None
         overload = self.admission.check(submission, estimate, self.count_nodes(), now)
         if overload is None:
--- a/src/onyxgap/jobs/admission.py
+++ b/src/onyxgap/jobs/admission.py
@@ -11,6 +11,8 @@
 
 import attrs
 
+from ..documents import LENIENT_CONVERTER
+from ..documents import structure_document
 from .job import TaskPhase
 from .job import estimate_remaining_paths
 from .load import get_worker_fraction
@@ -98,17 +100,9 @@
 def decode_delay_estimate(raw: t.Mapping[str, t.Any]) -> DelayEstimate:
     """Decode the output of :func:`encode_delay_estimate`.
 
-    :raises KeyError: if a field is missing.
-    :raises TypeError: if it has another form.
+    :raises DocumentError: if a field has another type.
     """
-    if not raw:
-        return DelayEstimate()
-    return DelayEstimate(
-        QueueDelay(**raw["within"]),
-        QueueDelay(**raw["beyond"]),
-        tuple(raw["over"]),
-        raw["job_s"],
-    )
+    return structure_document(raw, DelayEstimate, LENIENT_CONVERTER)
 
 
 def estimate_delays(
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -26,6 +26,7 @@
 from onyxgap.exceptions import OwnershipLostError
 from onyxgap.exceptions import PlatformUnavailableError
 from onyxgap.jobs import tables
+from onyxgap.jobs.admission import AdmissionController
 from onyxgap.jobs.amounts import NO_LIMIT
 from onyxgap.jobs.amounts import Amount
 from onyxgap.jobs.desk import SubmitOutcome
@@ -79,6 +80,7 @@
 CLAIMANT = Claimant("node-2", "boot-2", 0)
 POLICY = QueuePolicy("q", "s")
 ROUTE = Route("h", "/p/", POLICY)
+LONG_DELAY = {"in_time_s": 99.0, "of_use_s": 99.0}
 SUBMISSION = Submission("a" * 16, POLICY, "spec", (Step(1, cpu=10),))
 
 
@@ -379,6 +381,36 @@
     run_with_store(test)
 
 
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"within": 7},
+        {"within": {"in_time_s": "9", "of_use_s": "9"}},
+        {"within": LONG_DELAY, "job_s": "1"},
+        {"within": LONG_DELAY, "job_s": None},
+        {"over": None},
+    ],
+)
+def test_malformed_delay_estimate_does_not_fail_submissions(
+    changes: dict[str, t.Any],
+) -> None:
+    async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
+        job_api = build_job_api(scripted)
+        job_api.admission = AdmissionController()
+        estimate = {"within": {}, "beyond": {}, "over": [], "job_s": 0.0} | changes
+        row = attrs.evolve(OWNER_ROW, waiting={}, outlook=estimate)
+        now = job_api.clocks.read_monotonic()
+        job_api.views["s"] = OwnerView(row, 1, now)
+        with structlog.testing.capture_logs() as lines:
+            result = await job_api.submit(SUBMISSION)
+        assert result.outcome is SubmitOutcome.ACCEPTED
+        assert "delay estimate could not be decoded" in [
+            line["event"] for line in lines
+        ]
+
+    run_with_store(test)
+
+
 @pytest.mark.parametrize("gang", [False, True])
 def test_job_larger_than_its_tenants_cap_is_refused(gang: bool) -> None:
     async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
