Reject VM lists without VMs entries as malformed

What callers see: after one malformed answer of the platform with status 200, a node knows no VMs.

Cause: a body that is not JSON, not an object or has no list of machines was read as an empty list.

Change: such an answer counts like none, and the list is requested again.

Evidence: six of the eight cases of test_malformed_vm_list_is_not_taken_for_an_empty_one failed before (nothing was raised), and pass now.

--- a/src/onyxgap/platform/cloud.py
+++ b/src/onyxgap/platform/cloud.py
@@ -17,7 +17,7 @@
 from ..pools.messages import VmState
 from .http import Answer
 from .http import CallFailure
-from .http import HttpClient
+from .http import HttpCalls
 
 LIST_TIMEOUT_S = 1.0
 """The list is requested again every half second."""
@@ -79,7 +79,7 @@
     :param http: HTTP client for the API's address.
     """
 
-    http: HttpClient
+    http: HttpCalls
 
     async def list_vms(self) -> tuple[Vm, ...]:
         """List all VMs, from all pages of the list.
@@ -95,14 +95,13 @@
             )
             if answer.status != 200:
                 raise PlatformUnavailableError(answer.reason or str(answer.status))
-            body = answer.read_object()
             try:
-                vms += map(decode_vm, body.get("machines") or ())
+                vms += map(decode_vm, answer.read_list("machines"))
             except MALFORMED_ERRORS as error:
                 raise PlatformUnavailableError(
                     f"malformed VM list: {error!r}"
                 ) from None
-            token = str(body.get("next_token") or "")
+            token = str(answer.read_object().get("next_token") or "")
             if not token:
                 return tuple(vms)
 
--- a/src/onyxgap/platform/http.py
+++ b/src/onyxgap/platform/http.py
@@ -62,6 +62,17 @@
         value = self.parse()
         return value if isinstance(value, dict) else {}
 
+    def read_list(self, name: str) -> list[t.Any]:
+        """Decode the JSON body and return a list that it must have.
+
+        :param name: key of the list.
+        :raises ValueError: if the body is not an object with this list.
+        """
+        value = self.read_object().get(name)
+        if not isinstance(value, list):
+            raise ValueError(f"no list {name!r}")
+        return value
+
 
 class HttpCalls(t.Protocol):
     """HTTP client of one service or worker."""
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -4,6 +4,7 @@
 import typing as t
 
 import anyio
+import attrs
 import orjson
 import pytest
 import structlog.testing
@@ -28,10 +29,12 @@
 from onyxgap.jobs.workers import ReplyKind
 from onyxgap.platform import registry
 from onyxgap.platform import settings as platform_settings
+from onyxgap.platform.cloud import PlatformCloudClient
 from onyxgap.platform.cloud import decode_vm
 from onyxgap.platform.cloud import decode_vm_reply
 from onyxgap.platform.http import Answer
 from onyxgap.platform.http import CallFailure
+from onyxgap.platform.http import Headers
 from onyxgap.platform.job_api import JobApiApp
 from onyxgap.platform.job_api import decode_submission
 from onyxgap.platform.store import _decode_page
@@ -245,6 +248,64 @@
     assert decode_vm_reply(lost) is VmReply.UNKNOWN
 
 
+@attrs.define
+class ScriptedHttp:
+    """HTTP client that gives the answers of a list, and the last one again."""
+
+    answers: list[Answer]
+    paths: list[str] = attrs.field(factory=list)
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: t.Any = None,
+        *,
+        timeout_s: float,
+        headers: Headers = (),
+    ) -> Answer:
+        await anyio.sleep(0)
+        self.paths.append(path)
+        return self.answers.pop(0) if len(self.answers) > 1 else self.answers[0]
+
+    async def close(self) -> None:
+        pass
+
+
+VM = {"machine": "m-1", "pool": "s", "state": "up"}
+
+
+@pytest.mark.parametrize(
+    "given_answer",
+    [
+        Answer(200),
+        Answer(200, b"no json"),
+        answer(200, []),
+        answer(200, {}),
+        answer(200, {"machines": None}),
+        answer(200, {"machines": {}}),
+        answer(200, {"machines": "m-1"}),
+        answer(200, {"machines": [None]}),
+    ],
+)
+def test_malformed_vm_list_is_not_taken_for_an_empty_one(given_answer: Answer) -> None:
+    client = PlatformCloudClient(ScriptedHttp([given_answer]))
+    with pytest.raises(PlatformUnavailableError):
+        anyio.run(client.list_vms)
+
+
+def test_vm_list_has_the_vms_of_all_pages() -> None:
+    other = {**VM, "machine": "m-2"}
+    pages = [
+        answer(200, {"machines": [VM], "next_token": "a b"}),
+        answer(200, {"machines": [other], "next_token": None}),
+    ]
+    http = ScriptedHttp(pages)
+    vms = anyio.run(PlatformCloudClient(http).list_vms)
+    assert [vm.name for vm in vms] == ["m-1", "m-2"]
+    assert http.paths == ["/machines", "/machines?page_token=a+b"]
+
+
 def test_submission_is_decoded() -> None:
     body = orjson.dumps(
         {
