Stop listing VMs when a page token repeats

What callers see: once a page of the VM list names its own token as the next one, the node requests that page without pause and never has a list.

Cause: pages were followed until one had no token.

Change: a token that was given before counts as a malformed answer; the list is requested again at the usual interval.

Evidence: test_repeated_page_token_does_not_list_vms_forever ended by its time-out of 5 s before, and passes now.

--- a/src/onyxgap/platform/cloud.py
+++ b/src/onyxgap/platform/cloud.py
@@ -88,6 +88,7 @@
         """
         vms: list[Vm] = []
         token = ""
+        tokens: set[str] = set()
         while True:
             query = f"?{urllib.parse.urlencode({'page_token': token})}" if token else ""
             answer = await self.http.call(
@@ -104,6 +105,9 @@
             token = str(answer.read_object().get("next_token") or "")
             if not token:
                 return tuple(vms)
+            if token in tokens:
+                raise PlatformUnavailableError("a page token of the VM list repeats")
+            tokens.add(token)
 
     async def send(self, order: VmOrder, holder: str, token: int) -> VmReply:
         """Send an order; orders are idempotent.
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -306,6 +306,18 @@
     assert http.paths == ["/machines", "/machines?page_token=a+b"]
 
 
+def test_repeated_page_token_does_not_list_vms_forever() -> None:
+    page = answer(200, {"machines": [VM], "next_token": "t"})
+    client = PlatformCloudClient(ScriptedHttp([page]))
+
+    async def list_vms() -> None:
+        with anyio.fail_after(5):
+            await client.list_vms()
+
+    with pytest.raises(PlatformUnavailableError):
+        anyio.run(list_vms)
+
+
 def test_submission_is_decoded() -> None:
     body = orjson.dumps(
         {
