Reject advice without tickets entries as malformed

What operators see: after a malformed answer of the policy service with status 200, the log says that no worker may run the step. After one with tickets but without their time, the tickets have expired at once and the step requests others without a pause, so its tasks wait.

Cause: a missing list was read as an empty one, and a missing time as 0.

Change: such an answer counts as none; it is requested again after the pause for steps without a response.

Evidence: six of the nine cases of test_malformed_advice_is_not_taken_for_one_without_tickets failed before, and pass now.

--- a/src/onyxgap/platform/advice.py
+++ b/src/onyxgap/platform/advice.py
@@ -26,10 +26,9 @@
     """
     if answer.status != 200:
         return None
-    body = answer.read_object()
     try:
-        tickets = {str(row[0]): str(row[1]) for row in body.get("good") or ()}
-        return Advice(tickets, float(body.get("valid_ms", 0)) / 1000)
+        tickets = {str(row[0]): str(row[1]) for row in answer.read_list("good")}
+        return Advice(tickets, float(answer.read_object()["valid_ms"]) / 1000)
     except MALFORMED_ERRORS:
         return None
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -15,6 +15,7 @@
 from onyxgap.exceptions import DocumentError
 from onyxgap.exceptions import HistoryTruncatedError
 from onyxgap.exceptions import PlatformUnavailableError
+from onyxgap.jobs.advice import Advice
 from onyxgap.jobs.messages import EndKind
 from onyxgap.jobs.messages import QueuePolicy
 from onyxgap.jobs.messages import WorkerState
@@ -29,6 +30,7 @@
 from onyxgap.jobs.workers import ReplyKind
 from onyxgap.platform import registry
 from onyxgap.platform import settings as platform_settings
+from onyxgap.platform.advice import decode_advice
 from onyxgap.platform.cloud import PlatformCloudClient
 from onyxgap.platform.cloud import decode_vm
 from onyxgap.platform.cloud import decode_vm_reply
@@ -318,6 +320,31 @@
         anyio.run(list_vms)
 
 
+@pytest.mark.parametrize(
+    "given_answer",
+    [
+        answer(503),
+        Answer(200, b"no json"),
+        answer(200, []),
+        answer(200, {"valid_ms": 3000}),
+        answer(200, {"good": None, "valid_ms": 3000}),
+        answer(200, {"good": {}, "valid_ms": 3000}),
+        answer(200, {"good": [["i-1"]], "valid_ms": 3000}),
+        answer(200, {"good": [["i-1", "ticket"]]}),
+        answer(200, {"good": [["i-1", "ticket"]], "valid_ms": None}),
+    ],
+)
+def test_malformed_advice_is_not_taken_for_one_without_tickets(
+    given_answer: Answer,
+) -> None:
+    assert decode_advice(given_answer) is None
+
+
+def test_advice_without_tickets_is_decoded() -> None:
+    body = {"good": [], "valid_ms": 3000}
+    assert decode_advice(answer(200, body)) == Advice({}, 3.0)
+
+
 def test_submission_is_decoded() -> None:
     body = orjson.dumps(
         {
