Check the list of partitions of a table

What callers see: a malformed answer to a list of partitions with status 200 is read as a table without partitions, as names of single letters, or ends with a TypeError.

Cause: the answer was not checked.

Change: an answer without a list of names raises PlatformUnavailableError, like the other reads.

Evidence: the seven cases of test_malformed_list_of_partitions_raises_a_typed_error failed before (five raised nothing, one a TypeError, one did not end), and pass now.

--- a/src/onyxgap/platform/store.py
+++ b/src/onyxgap/platform/store.py
@@ -94,6 +94,16 @@
     return page, bool(body.get("has_more", False))
 
 
+def _decode_parts(answer: Answer) -> list[str]:
+    try:
+        parts = answer.read_list("parts")
+    except MALFORMED_ERRORS as error:
+        raise PlatformUnavailableError(f"malformed answer: {error!r}") from None
+    if not all(isinstance(part, str) for part in parts):
+        raise PlatformUnavailableError("malformed answer: a partition has no name")
+    return parts
+
+
 @attrs.define
 class PlatformStore:
     """Reads, writes and follows rows of the platform's store over HTTP.
@@ -153,7 +163,7 @@
     async def list_parts(self, table: str) -> tuple[str, ...]:
         """List the partitions of a table.
 
-        :raises PlatformUnavailableError: when a call does not return status 200.
+        :raises PlatformUnavailableError: without a valid answer.
         """
         parts: list[str] = []
         while True:
@@ -166,9 +176,9 @@
             )
             if answer.status != 200:
                 raise PlatformUnavailableError(answer.reason or str(answer.status))
-            body = answer.read_object()
-            parts += body.get("parts", ())
-            if not (body.get("has_more") and body.get("parts")):
+            listed = _decode_parts(answer)
+            parts += listed
+            if not (listed and answer.read_object().get("has_more")):
                 return tuple(parts)
 
     async def follow(self, table: str, after: int, wait_s: float) -> Page:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -39,6 +39,7 @@
 from onyxgap.platform.http import Headers
 from onyxgap.platform.job_api import JobApiApp
 from onyxgap.platform.job_api import decode_submission
+from onyxgap.platform.store import PlatformStore
 from onyxgap.platform.store import _decode_page
 from onyxgap.platform.store import decode_outcome
 from onyxgap.platform.store import encode_batch
@@ -69,6 +70,37 @@
     return Answer(status, orjson.dumps(body) if body is not None else b"")
 
 
+@attrs.define
+class ScriptedHttp:
+    """HTTP client that gives the answers of a list, and the last one again."""
+
+    answers: list[Answer]
+    paths: list[str] = attrs.field(factory=list)
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: t.Any = None,
+        *,
+        timeout_s: float,
+        headers: Headers = (),
+    ) -> Answer:
+        await anyio.sleep(0)
+        self.paths.append(path)
+        return self.answers.pop(0) if len(self.answers) > 1 else self.answers[0]
+
+    async def close(self) -> None:
+        pass
+
+
+async def run_with_timeout(
+    call: t.Callable[..., t.Awaitable[object]], *args: str
+) -> None:
+    with anyio.fail_after(5):
+        await call(*args)
+
+
 def test_settings_are_read_and_unknown_keys_ignored() -> None:
     read = platform_settings.read_settings(SETTINGS)
     assert (read.node, str(read.front)) == ("front-a-1", "10.1.0.9:8624")
@@ -133,6 +165,37 @@
         _decode_page(answer(200, {"rows": [{"table": 1}]}))
 
 
+@pytest.mark.parametrize(
+    "given_answer",
+    [
+        Answer(200, b"no json"),
+        answer(200, []),
+        answer(200, {}),
+        answer(200, {"parts": None}),
+        answer(200, {"parts": "p7"}),
+        answer(200, {"parts": [7]}),
+        answer(200, {"parts": [None], "has_more": True}),
+    ],
+)
+def test_malformed_list_of_partitions_raises_a_typed_error(
+    given_answer: Answer,
+) -> None:
+    store = PlatformStore(t.cast(t.Any, ScriptedHttp([given_answer])))
+    with pytest.raises(PlatformUnavailableError):
+        anyio.run(run_with_timeout, store.list_parts, "my")
+
+
+def test_list_of_partitions_has_those_of_all_pages() -> None:
+    pages = [
+        answer(200, {"parts": ["a", "b"], "has_more": True}),
+        answer(200, {"parts": ["c"], "has_more": False}),
+    ]
+    http = ScriptedHttp(pages)
+    store = PlatformStore(t.cast(t.Any, http))
+    assert anyio.run(store.list_parts, "my") == ("a", "b", "c")
+    assert http.paths == ["/rows-parts?table=my", "/rows-parts?table=my&after=b"]
+
+
 @pytest.mark.parametrize(
     ("given_answer", "kind"),
     [
@@ -250,30 +313,6 @@
     assert decode_vm_reply(lost) is VmReply.UNKNOWN
 
 
-@attrs.define
-class ScriptedHttp:
-    """HTTP client that gives the answers of a list, and the last one again."""
-
-    answers: list[Answer]
-    paths: list[str] = attrs.field(factory=list)
-
-    async def call(
-        self,
-        method: str,
-        path: str,
-        body: t.Any = None,
-        *,
-        timeout_s: float,
-        headers: Headers = (),
-    ) -> Answer:
-        await anyio.sleep(0)
-        self.paths.append(path)
-        return self.answers.pop(0) if len(self.answers) > 1 else self.answers[0]
-
-    async def close(self) -> None:
-        pass
-
-
 VM = {"machine": "m-1", "pool": "s", "state": "up"}
 
 
@@ -311,13 +350,8 @@
 def test_repeated_page_token_does_not_list_vms_forever() -> None:
     page = answer(200, {"machines": [VM], "next_token": "t"})
     client = PlatformCloudClient(ScriptedHttp([page]))
-
-    async def list_vms() -> None:
-        with anyio.fail_after(5):
-            await client.list_vms()
-
     with pytest.raises(PlatformUnavailableError):
-        anyio.run(list_vms)
+        anyio.run(run_with_timeout, client.list_vms)
 
 
 @pytest.mark.parametrize(
