Drop frames to peers whose address is malformed

What operators see: an entry or control process stops its transport of frames once one peer has registered an address without a valid port, or with a host that has no form in DNS.

Cause: the address was parsed in the task group of the transport, and its errors were not handled there.

Change: such an address is logged and its frames are dropped, like frames to a peer that does not answer.

Evidence: the five cases of test_malformed_address_of_a_peer_does_not_stop_the_transport failed before with ValueError or IDNAError, and pass now.

--- a/src/onyxgap/adapters/peer_link.py
+++ b/src/onyxgap/adapters/peer_link.py
@@ -119,7 +119,8 @@
     def send(self, address: str, frame: ttypes.Frame) -> None:
         """Queue a frame for a peer.
 
-        Drops the frame when the queue is full or :meth:`run` has not started.
+        Drops the frame when the queue is full, :meth:`run` has not started or the
+        address is malformed.
 
         :param address: ``host:port`` of the peer.
         :param frame: the frame.
@@ -128,20 +129,25 @@
         if outbox is None:
             if self._group is None:
                 return
+            try:
+                target = parse_address(address)
+            except ValueError as error:
+                _LOG.warning("frame not sent", address=address, reason=str(error))
+                return
             outbox = self._outboxes[address] = _Outbox()
-            self._group.start_soon(self._deliver, address, outbox)
+            self._group.start_soon(self._deliver, target, outbox)
         if len(outbox.frames) < MAX_QUEUED_FRAMES:
             outbox.frames.append(frame)
             outbox.wake.set()
 
-    async def _deliver(self, address: str, outbox: _Outbox) -> None:
-        target = parse_address(address)
+    async def _deliver(self, target: Address, outbox: _Outbox) -> None:
         while True:
             await outbox.wake.wait()
             try:
                 with anyio.fail_after(defaults.CONNECT_TIMEOUT_S):
                     stream = await anyio.connect_tcp(target.host, target.port)
-            except (OSError, TimeoutError):
+            except (OSError, TimeoutError, UnicodeError):
+                # UnicodeError: the host cannot be looked up
                 outbox.frames.clear()
                 outbox.wake = anyio.Event()
                 await anyio.sleep(RECONNECT_DELAY_S)
