Do not forward calls to nodes whose address is malformed

What callers see: while the store fails, a call that the node forwards to a node that registered a malformed address ends with status 500. The other nodes are not asked.

Cause: the address was parsed outside the guard of the connection.

Change: such a call counts as not sent, and the address is logged.

Evidence: the five cases of test_call_to_a_malformed_address_is_not_sent failed before with ValueError or IDNAError, and pass now.

--- a/src/onyxgap/adapters/call_link.py
+++ b/src/onyxgap/adapters/call_link.py
@@ -136,18 +136,22 @@
             return ForwardFailure.NOT_SENT
         self._sending += 1
         try:
-            return await self._ask(parse_address(address), call, timeout_s)
+            return await self._ask(address, call, timeout_s)
         finally:
             self._sending -= 1
 
     async def _ask(
-        self, target: Address, call: PassedCall, timeout_s: float
+        self, address: str, call: PassedCall, timeout_s: float
     ) -> PassedAnswer | ForwardFailure:
         try:
+            target = parse_address(address)
             with anyio.fail_after(min(CONNECT_TIMEOUT_S, timeout_s)):
                 stream = await anyio.connect_tcp(target.host, target.port)
         except (OSError, TimeoutError):
             return ForwardFailure.NOT_SENT
+        except ValueError as error:
+            _LOG.warning("call not forwarded", address=address, reason=str(error))
+            return ForwardFailure.NOT_SENT
         try:
             async with stream:
                 with anyio.fail_after(timeout_s):
--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -156,6 +156,18 @@
     assert anyio.run(ask) is ForwardFailure.NOT_SENT
 
 
+@pytest.mark.parametrize(
+    "address",
+    ["", "nowhere", "127.0.0.1:http", "127.0.0.1:70000", "ü" * 64 + ":80"],
+)
+def test_call_to_a_malformed_address_is_not_sent(address: str) -> None:
+    async def ask() -> PassedAnswer | ForwardFailure:
+        link = StreamCallLink(Address("127.0.0.1", 0))
+        return await link.ask(address, CALL, 1.0)
+
+    assert anyio.run(ask) is ForwardFailure.NOT_SENT
+
+
 DAYS = {
     "a third turned away": "at 4 refuse node for 9 by 0.34",
     "half turned away": "at 4 refuse node for 6 by 0.5",
