Count a write as applied only if the platform says so

An answer with status 409 and a body that is no list ends with a TypeError.

Cause: each expected status but 409 was read as success of a write.

Change: only status 200 is. Otherwise the outcome of a transaction is unknown, and an object raises PlatformUnavailableError.

--- a/src/onyxgap/adapters/platform_client.py
+++ b/src/onyxgap/adapters/platform_client.py
@@ -46,6 +46,11 @@
         ) from None
 
 
+def _require_success(status: int) -> None:
+    if status != SUCCESS_STATUS:
+        raise PlatformUnavailableError(f"platform answered with HTTP status {status}")
+
+
 @attrs.define
 class PlatformClient:
     """Calls the platform over HTTP.
@@ -129,15 +134,20 @@
             if status == CONFLICT_STATUS:
                 conflicts = tuple(json.loads(content))
                 return WriteResult(WriteOutcome.NOT_APPLIED, conflicts)
-        except (PlatformUnavailableError, ValueError):
+            _require_success(status)
+        except (PlatformUnavailableError, ValueError, TypeError):
             return WriteResult(WriteOutcome.UNKNOWN)
         return WriteResult(WriteOutcome.APPLIED)
 
     async def put_object(self, body: bytes) -> str:
-        """Store an object and return its hash."""
+        """Store an object and return its hash.
+
+        :raises PlatformUnavailableError: when the platform did not confirm it.
+        """
         digest = hashlib.sha256(body).hexdigest()
         self.writes += 1
-        await self._request("PUT", f"/objects/{digest}", body)
+        status, _ = await self._request("PUT", f"/objects/{digest}", body)
+        _require_success(status)
         return digest
 
     async def get_object(self, digest: str) -> bytes:
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -6,6 +6,10 @@
 import attrs
 import pytest
 
+from onyxgap.adapters.asgi import Receive
+from onyxgap.adapters.asgi import Scope
+from onyxgap.adapters.asgi import Send
+from onyxgap.adapters.asgi import send_answer
 from onyxgap.adapters.http_server import HttpServer
 from onyxgap.adapters.platform_client import PlatformClient
 from onyxgap.exceptions import PlatformUnavailableError
@@ -40,6 +44,25 @@
     anyio.run(run)
 
 
+def run_with_answer(
+    status: int, body: bytes, test: t.Callable[[PlatformClient], t.Awaitable[None]]
+) -> None:
+    """Run a test with a platform that gives the same answer to each call."""
+
+    async def answer(scope: Scope, receive: Receive, send: Send) -> None:
+        await send_answer(send, status, body)
+
+    async def run() -> None:
+        async with anyio.create_task_group() as group:
+            server = HttpServer(answer, Address())
+            client = PlatformClient(await group.start(server.run))
+            await test(client)
+            await client.aclose()
+            group.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
 def test_client_returns_rows_and_objects_of_the_platform() -> None:
     async def test(platform: MemoryPlatform, client: PlatformClient) -> None:
         puts = [Put(f"k/{number}", {"n": number}, 0) for number in range(5)]
@@ -103,3 +126,26 @@
         assert row.value == 1
 
     run_with_client(test)
+
+
+@pytest.mark.parametrize(
+    ("status", "body"),
+    [(304, b""), (404, b"null"), (409, b"null"), (409, b"no json"), (500, b"")],
+)
+def test_write_with_an_unexpected_answer_has_an_unknown_outcome(
+    status: int, body: bytes
+) -> None:
+    async def test(client: PlatformClient) -> None:
+        result = await client.transact([Put("k", 1, 0)])
+        assert result.outcome is WriteOutcome.UNKNOWN
+
+    run_with_answer(status, body, test)
+
+
+@pytest.mark.parametrize("status", [304, 404, 409, 500])
+def test_object_is_stored_only_if_the_platform_says_so(status: int) -> None:
+    async def test(client: PlatformClient) -> None:
+        with pytest.raises(PlatformUnavailableError):
+            await client.put_object(b"body")
+
+    run_with_answer(status, b"", test)
