Reject malformed answers to reads of the platform

What operators see: a control process ends with a TypeError at a scan that the platform answers with status 404 or with another form of JSON. With status 409 and a list, or 304 without an earlier list, it knows no VMs or tasks.

Cause: reads decoded the body of each expected status, and only errors of the JSON syntax were handled.

Change: reads require status 200 (404 for an absent row, 304 for a list that is known) and rows, VMs and tasks of the right form; otherwise they raise PlatformUnavailableError.

Evidence: the nine cases of test_malformed_answer_to_a_read_raises_a_typed_error failed before, and pass now, as do tests/test_processes.py and tests/test_scenarios.py.

--- a/src/onyxgap/adapters/platform_client.py
+++ b/src/onyxgap/adapters/platform_client.py
@@ -35,6 +35,7 @@
     NOT_FOUND_STATUS,
 )
 CONVERTER = Converter()
+T = t.TypeVar("T")
 
 
 def _decode_json(content: bytes) -> t.Any:
@@ -46,6 +47,20 @@
         ) from None
 
 
+def _structure(value: t.Any, kind: type[T]) -> T:
+    try:
+        return CONVERTER.structure(value, kind)
+    except Exception as error:
+        raise PlatformUnavailableError(f"malformed answer: {error!r}") from None
+
+
+def _decode_list(content: bytes, kind: type[T]) -> list[T]:
+    value = _decode_json(content)
+    if not isinstance(value, list):
+        raise PlatformUnavailableError("answer of the platform is not a list")
+    return [_structure(item, kind) for item in value]
+
+
 def _require_success(status: int) -> None:
     if status != SUCCESS_STATUS:
         raise PlatformUnavailableError(f"platform answered with HTTP status {status}")
@@ -113,17 +128,29 @@
         status, content = await self._request(method, path, body)
         return None if status == NOT_FOUND_STATUS else _decode_json(content)
 
+    async def _read_list(
+        self, method: str, path: str, kind: type[T], query: t.Any = None
+    ) -> list[T]:
+        self.reads += 1
+        body = b"" if query is None else json.dumps(query).encode()
+        status, content = await self._request(method, path, body)
+        _require_success(status)
+        return _decode_list(content, kind)
+
     async def get(self, key: str) -> Row | Missing:
         """Read one row."""
-        value = await self._request_json("POST", "/table/get", {"key": key})
-        return NOT_FOUND if value is None else Row(**value)
+        self.reads += 1
+        body = json.dumps({"key": key}).encode()
+        status, content = await self._request("POST", "/table/get", body)
+        if status == NOT_FOUND_STATUS:
+            return NOT_FOUND
+        _require_success(status)
+        return _structure(_decode_json(content), Row)
 
     async def scan(self, prefix: str, after: str, limit: int) -> list[Row]:
         """Read rows in key order."""
         query = {"prefix": prefix, "after": after, "limit": limit}
-        return [
-            Row(**row) for row in await self._request_json("POST", "/table/scan", query)
-        ]
+        return await self._read_list("POST", "/table/scan", Row, query)
 
     async def transact(self, puts: t.Sequence[Put]) -> WriteResult:
         """Apply all writes or none of them; a lost answer gives ``UNKNOWN``."""
@@ -173,11 +200,10 @@
         headers = [("If-None-Match", self._vms_etag)] if self._vms_etag else []
         response = await self._send("GET", "/vms", headers=headers)
         received = {name.lower(): value.decode() for name, value in response.headers}
-        if response.status != NOT_MODIFIED_STATUS:
-            vms = CONVERTER.structure(
-                _decode_json(response.content), tuple[ListedVm, ...]
-            )
-            self._vms_etag, self._vms = received.get(b"etag", ""), vms
+        if response.status != NOT_MODIFIED_STATUS or not self._vms_etag:
+            _require_success(response.status)
+            vms = _decode_list(response.content, ListedVm)
+            self._vms_etag, self._vms = received.get(b"etag", ""), tuple(vms)
         return VmList(float(received.get(b"age", "0")), self._vms)
 
     async def act_on_vm(self, vm: str, action: VmAction, action_id: str) -> None:
@@ -187,8 +213,7 @@
 
     async def list_tasks(self) -> tuple[ListedTask, ...]:
         """Read the attempts that the platform reports."""
-        value = await self._request_json("GET", "/tasks")
-        return CONVERTER.structure(value, tuple[ListedTask, ...])
+        return tuple(await self._read_list("GET", "/tasks", ListedTask))
 
     async def start_task(self, order: StartTask) -> None:
         """Start an attempt at a task."""
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -149,3 +149,35 @@
             await client.put_object(b"body")
 
     run_with_answer(status, b"", test)
+
+
+@pytest.mark.parametrize(
+    ("status", "body"),
+    [
+        (304, b""),
+        (404, b"null"),
+        (409, b"[]"),
+        (200, b"null"),
+        (200, b"7"),
+        (200, b"[7]"),
+        (200, b"[{}]"),
+        (200, b'[{"key":"k"}]'),
+        (200, b'{"key":"k"}'),
+    ],
+)
+def test_malformed_answer_to_a_read_raises_a_typed_error(
+    status: int, body: bytes
+) -> None:
+    async def test(client: PlatformClient) -> None:
+        reads: list[t.Callable[[], t.Awaitable[object]]] = [
+            lambda: client.scan("k/", "", 5),
+            client.list_vms,
+            client.list_tasks,
+        ]
+        if status != 404:
+            reads.append(lambda: client.get("k"))
+        for read in reads:
+            with pytest.raises(PlatformUnavailableError):
+                await read()
+
+    run_with_answer(status, body, test)
