Report a conflict where a foreign row is no object

Cause: after a conflict the stored row was searched for the entry's token without a check of its form.

Change: such a row is someone else's, so the append reports a conflict, as for objects.

Evidence: three of the four cases of test_append_where_a_foreign_row_is_stored_reports_a_conflict failed before, and pass now.

--- a/src/onyxgap/shared/journal.py
+++ b/src/onyxgap/shared/journal.py
@@ -124,7 +124,9 @@
             row = await self.store.get(format_key(entry.sequence))
         except PlatformUnavailableError as error:
             raise UnknownOutcomeError(str(error)) from None
-        return not isinstance(row, Missing) and row.value.get("token") == entry.token
+        if isinstance(row, Missing) or not isinstance(row.value, dict):
+            return False
+        return row.value.get("token") == entry.token
 
     async def _store_entry_chunks(self, entry: Entry) -> Entry:
         stored = [await self._store_event_chunks(event) for event in entry.events]
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -211,6 +211,16 @@
     assert platform.peek(format_key(2)).value == {"foreign": True}
 
 
+@pytest.mark.parametrize("value", [{"foreign": True}, ["foreign"], "foreign", 7])
+def test_append_where_a_foreign_row_is_stored_reports_a_conflict(
+    value: object,
+) -> None:
+    platform = build_platform(1)
+    platform.write([Put(format_key(2), value, 0)])
+    entry = Entry(2, "c", 0.0, "w", "t", ())
+    assert anyio.run(Journal(platform).append, entry) is False
+
+
 def test_corrupt_snapshot_falls_back_to_the_journal() -> None:
     platform = build_platform(1)
     platform.write([Put("snapshot", {"digest": "none", "sequence": 1}, 0)])
