--- a/src/onyxgap/daemons/retention.py
+++ b/src/onyxgap/daemons/retention.py
@@ -6,6 +6,7 @@
 from .. import defaults
 from ..ports import Platform
 from ..ports import Put
+from ..ports import Row
 from ..ports import WriteOutcome
 from ..request.claims import PREFIX as CLAIM_PREFIX
 from ..shared.membership import PREFIX as MEMBER_PREFIX
@@ -36,6 +37,9 @@
     async def sweep_claims(self, wall: float) -> None:
         """Remove the expired claims of the next page of claims.
 
+        A malformed claim is logged and kept: whether its request may have run is
+        unknown.
+
         :param wall: current wall-clock time, in seconds.
         :raises PlatformUnavailableError: if the store does not answer.
         """
@@ -48,7 +52,7 @@
             [
                 Put(row.key, None, row.version)
                 for row in rows
-                if row.value["at"] < expired_before
+                if _is_expired(row, expired_before)
             ]
         )
 
@@ -73,3 +77,11 @@
         if result.outcome is WriteOutcome.APPLIED:
             self.removed += len(puts)
             _LOG.info("swept", rows=len(puts))
+
+
+def _is_expired(row: Row, expired_before: float) -> bool:
+    claimed_at = row.value.get("at") if isinstance(row.value, dict) else None
+    if not isinstance(claimed_at, int | float):
+        _LOG.warning("claim could not be decoded", row=row.key)
+        return False
+    return claimed_at < expired_before
--- a/tests/test_membership_and_retention.py
+++ b/tests/test_membership_and_retention.py
@@ -35,6 +35,22 @@
     assert len(run_virtually(run)) == 150
 
 
+def test_malformed_claims_are_kept_and_do_not_end_the_sweep() -> None:
+    malformed = [{}, {"at": None}, {"at": "0"}, ["at"], "at", 7]
+
+    async def run() -> list[str]:
+        platform = MemoryPlatform(random.Random(1))
+        for number, value in enumerate(malformed):
+            platform.write([Put(f"claim/s/j/{number}", value, 0)])
+        platform.write([Put("claim/s/j/9", {"at": 0.0}, 0)])
+        sweeper = Sweeper(platform)
+        await sweeper.sweep_claims(defaults.CLAIM_RETENTION_S + 1.0)
+        assert sweeper.removed == 1
+        return platform.list_keys("claim/")
+
+    assert len(run_virtually(run)) == len(malformed)
+
+
 def test_row_of_a_dead_member_is_removed_and_of_a_live_one_kept() -> None:
     async def run() -> list[str]:
         platform = MemoryPlatform(random.Random(1))
