Preempt only on workers where the urgent task may start

What callers see: an urgent task waits without a finding in the report, while the only worker with free capacity is one on which it has failed.

Cause: preemption looked at all workers and chose the one where the fewest attempts must stop. That is a free worker, on which nothing was to stop, but a task is not started again where it failed.

Change: preemption leaves out the workers on which the task failed. Another worker is cleared for it; without one, the task is reported.

Evidence: the two new tests in tests/test_fleet.py failed before (nothing was stopped, nothing reported), and pass now, as does tests/test_scenarios.py.

--- a/src/onyxgap/fleet/placement.py
+++ b/src/onyxgap/fleet/placement.py
@@ -305,7 +305,7 @@
         return False
     worker = _choose_worker(placement, task, size)
     if worker is None:
-        if task.priority is Priority.URGENT and _preempt(placement, size):
+        if task.priority is Priority.URGENT and _preempt(placement, task, size):
             return False
         placement.pool_plan.report(
             Finding.NO_ROOM, task.name, "no worker has room for it"
@@ -371,10 +371,16 @@
     )
 
 
-def _preempt(placement: _PlacementPass, size: TaskSize) -> bool:
-    """Stop attempts below urgent priority on the worker where the fewest must go."""
+def _preempt(placement: _PlacementPass, task: Task, size: TaskSize) -> bool:
+    """Stop attempts below urgent priority on the worker where the fewest must go.
+
+    Workers on which the task failed are left out: it would not be started there.
+    """
+    history = placement.state.tasks.get(task.name, TaskHistory())
     choices = []
     for worker in placement.workers:
+        if worker.vm in history.failed_on:
+            continue
         victims = _find_victims(placement, worker, size)
         if victims is not None:
             choices.append((len(victims), worker.vm, victims))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -357,6 +357,34 @@
     assert not find_events(fleet.plan(), ev.TaskStopping)
 
 
+def build_fleet_with_failed_urgent_task(idempotent: bool) -> tuple[FleetHarness, str]:
+    """Build two VMs, one full of bulk work and one where an urgent task failed."""
+    bulk = Task("bulk", "p", Priority.BULK, cores=64, idempotent=idempotent)
+    fleet = build_fleet([bulk], zones={"a": 1, "b": 1})
+    (attempt,) = fleet.state.attempts.values()
+    running = ListedTask(attempt.attempt, attempt.vm, TaskStatus.RUNNING)
+    fleet.listed = {attempt.attempt: running}
+    urgent = Task("now", "p", Priority.URGENT, cores=20)
+    manifest = attrs.evolve(fleet.manifest, tasks=[bulk, urgent])
+    fleet.apply(ev.ManifestAccepted(2, split_manifest(manifest)))
+    (free,) = {record.name for record in fleet.state.list_pool("p")} - {attempt.vm}
+    fleet.state.tasks["now"] = TaskHistory(started=1, failed_on=[free])
+    return fleet, attempt.attempt
+
+
+def test_urgent_task_preempts_on_a_worker_where_it_has_not_failed() -> None:
+    fleet, victim = build_fleet_with_failed_urgent_task(idempotent=True)
+    stopping = find_events(fleet.plan(), ev.TaskStopping)
+    assert [event.attempt for event in stopping] == [victim]
+
+
+def test_urgent_task_without_any_worker_but_one_where_it_failed_is_reported() -> None:
+    fleet, _ = build_fleet_with_failed_urgent_task(idempotent=False)
+    pool_plan = fleet.plan()
+    assert not find_events(pool_plan, ev.TaskStopping)
+    assert [report.finding for report in pool_plan.reports] == [Finding.NO_ROOM]
+
+
 def test_many_cancelled_tasks_are_stopped_in_one_pass() -> None:
     tasks = [Task(f"t{n}", "p", Priority.BULK, count=4) for n in range(10)]
     fleet = build_fleet(tasks)
