Name the budget of overdue maintenance only if it is used up

What operators see: the report of overdue VMs says that the availability budget is used up while a VM may still be taken out of service.

Cause: the reason was that of a refusal, whether or not one had happened. The operator's weights may allow fewer VMs at a time than the budget does.

Change: if the budget has something left, the report names the number of VMs that are maintained at a time.

Evidence: test_overdue_maintenance_names_the_budget_only_if_it_is_used_up failed before, and passes now.

--- a/src/onyxgap/fleet/planning.py
+++ b/src/onyxgap/fleet/planning.py
@@ -236,14 +236,17 @@
         if not budget.try_take():
             break
         pool_plan.events.append(ev.VmDraining(record.name, ev.Purpose.MAINTENANCE))
-    _report_overdue(pool, records, days, budget, pass_input, pool_plan)
+    limit = budget.explain_refusal(pool)
+    if budget.remaining > 0 and not budget.blocked_reason:
+        limit = f"{parallel} VMs are maintained at a time"
+    _report_overdue(pool, records, days, limit, pass_input, pool_plan)
 
 
 def _report_overdue(
     pool: Pool,
     records: t.Sequence[VmRecord],
     days: int,
-    budget: Budget,
+    limit: str,
     pass_input: PassInput,
     pool_plan: PoolPlan,
 ) -> None:
@@ -251,5 +254,5 @@
         record.name for record in records if is_overdue(record, days, pass_input.wall)
     ]
     if overdue:
-        reason = f"{len(overdue)} VMs past {days} days: {budget.explain_refusal(pool)}"
+        reason = f"{len(overdue)} VMs past {days} days: {limit}"
         pool_plan.report(Finding.OVERDUE, pool.name, reason)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -187,6 +187,29 @@
     assert "60 s old" in overdue.reason
 
 
+def get_overdue_reason(pool_plan: PoolPlan) -> str:
+    (overdue,) = [r for r in pool_plan.reports if r.finding is Finding.OVERDUE]
+    return overdue.reason
+
+
+def test_overdue_maintenance_names_the_budget_only_if_it_is_used_up() -> None:
+    fleet = build_fleet(max_out=2)
+    weights = Weights(moves=5, buffer=50, roll_out=1)
+    manifest = attrs.evolve(fleet.manifest, weights=weights)
+    fleet.apply(ev.ManifestAccepted(2, split_manifest(manifest)))
+    fleet.wall += 40 * DAY_S
+    pool_plan = fleet.advance()
+    assert len(find_events(pool_plan, ev.VmDraining)) == 1
+    assert "used up" not in get_overdue_reason(pool_plan)
+    assert "1 VMs are maintained at a time" in get_overdue_reason(pool_plan)
+
+
+def test_overdue_maintenance_names_the_budget_that_is_used_up() -> None:
+    fleet = build_fleet(max_out=1)
+    fleet.wall += 40 * DAY_S
+    assert "used up" in get_overdue_reason(fleet.advance())
+
+
 def test_maintenance_wave_goes_zone_by_zone() -> None:
     fleet = build_fleet()
     fleet.wall += 40 * DAY_S
