Release a claim whose take-over is applied late

What callers see: a key whose earlier request was not run is refused with 409 until its row is removed by the retention, although nothing ran.

Cause: a claim that takes over a released one with an unknown outcome answers that the request was not run, and queues a release. That release did nothing while the row was still the earlier one's, so a write that was applied later left the key claimed by a request that had ended.

Change: the release then writes the row again for the same body, after which the take-over's condition cannot hold.

Evidence: test_released_claim_taken_over_by_a_late_write_is_released_again failed before (status 409), and passes now, as does the test that the released claim of another body is left as it is.

--- a/src/onyxgap/request/claims.py
+++ b/src/onyxgap/request/claims.py
@@ -286,6 +286,10 @@
             # an insert with an unknown outcome may still arrive; it cannot apply
             # once this row exists
             expected_version = ABSENT
+        elif _may_be_taken_over(row, claim, value):
+            # a take-over with an unknown outcome may still arrive; it cannot apply
+            # once the row has another version
+            expected_version = row.version
         elif row.value["token"] != token or row.value["status"] != CLAIMED:
             self.pending_results.pop(token, None)
             return
@@ -316,6 +320,18 @@
 }
 
 
+def _may_be_taken_over(
+    row: Row, claim: Claim, pending_value: t.Mapping[str, t.Any]
+) -> bool:
+    """Return whether a claim to be released may still take over a released row."""
+    if pending_value["status"] != RELEASED or row.value["status"] != RELEASED:
+        return False
+    if row.value["token"] == claim.token:
+        return False
+    same_request: bool = row.value["digest"] == claim.digest
+    return same_request
+
+
 def _refuse_store_unavailable() -> Answer:
     return Answer(
         Verdict.NOT_RUN,
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -4,10 +4,14 @@
 import typing as t
 
 import anyio
+import attrs
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import MatchesStructure
 
+from onyxgap.ports import Put
+from onyxgap.ports import WriteOutcome
+from onyxgap.ports import WriteResult
 from onyxgap.request.claims import Claim
 from onyxgap.request.claims import ClaimStore
 from onyxgap.request.messages import Answer
@@ -159,6 +163,62 @@
     run_with_claims(test)
 
 
+@attrs.define
+class LatePlatform(MemoryPlatform):
+    """Platform that can hold back writes to existing rows, without an answer."""
+
+    holding_back: bool = False
+    held_back: list[t.Sequence[Put]] = attrs.field(factory=list)
+
+    async def transact(self, puts: t.Sequence[Put]) -> WriteResult:
+        if self.holding_back and all(put.expect for put in puts):
+            self.held_back.append(puts)
+            return WriteResult(WriteOutcome.UNKNOWN)
+        return await super().transact(puts)
+
+
+@pytest.mark.promise("not-run")
+def test_released_claim_taken_over_by_a_late_write_is_released_again() -> None:
+    async def run() -> None:
+        platform = LatePlatform()
+        claims = ClaimStore(platform)
+        async with anyio.create_task_group() as group:
+            group.start_soon(claims.run)
+            claim = build_claim("t1")
+            assert await claims.claim(claim) is None
+            claims.record_result(claim, NOT_RUN)
+            await wait_for_results(claims)
+            platform.holding_back = True
+            answer = await claims.claim(build_claim("t2"))
+            assert_that(answer, matches_answer(verdict=Verdict.NOT_RUN))
+            platform.holding_back = False
+            await wait_for_results(claims)
+            assert platform.held_back
+            for puts in platform.held_back:
+                platform.write(puts)
+            assert await claims.claim(build_claim("t3")) is None
+            group.cancel_scope.cancel()
+
+    run_virtually(run)
+
+
+@pytest.mark.promise("not-run")
+def test_unconfirmed_claim_leaves_the_released_claim_of_another_body() -> None:
+    async def test(platform: MemoryPlatform, claims: ClaimStore) -> None:
+        claim = build_claim("t1", "one")
+        assert await claims.claim(claim) is None
+        claims.record_result(claim, NOT_RUN)
+        await wait_for_results(claims)
+        platform.faults = Faults(down=True)
+        answer = await claims.claim(build_claim("t2", "other"))
+        assert_that(answer, matches_answer(verdict=Verdict.NOT_RUN))
+        platform.faults = Faults()
+        await wait_for_results(claims)
+        assert await claims.claim(build_claim("t3", "one")) is None
+
+    run_with_claims(test)
+
+
 def test_concurrent_claims_share_a_write() -> None:
     async def test(platform: MemoryPlatform, claims: ClaimStore) -> None:
         before = platform.writes
