Count no slots of targets that are draining or ejected

What callers see: after a new owner of a service has taken over slots on a target that drains or is ejected, as many slots of other targets stay free until the slots are counted anew, and requests queue or are refused.

Cause: a slot that came into use was taken off the count of free slots, which includes only serving targets that are not ejected.

Change: such a slot has the slots counted anew.

Evidence: the two new tests in tests/test_scheduling.py failed before (one free slot too few), and pass now, as do tests/test_allocation.py and tests/test_scenarios.py.

--- a/src/onyxgap/request/targets.py
+++ b/src/onyxgap/request/targets.py
@@ -78,6 +78,7 @@
     _buckets: list[dict[str, Target]] = attrs.field(factory=list)
     _total: int = 0
     _free: int = 0
+    _counted_at: float = float("-inf")
     _recount_at: float = float("-inf")
     _median_slowness: float = 1.0
     _median_uses_left: int = 0
@@ -153,6 +154,7 @@
 
     def _recount(self, now: float) -> None:
         self._total = self._free = 0
+        self._counted_at = now
         self._recount_at = float("inf")
         for target in self.by_vm.values():
             if target.ejected_until > now:
@@ -168,12 +170,16 @@
         """
         target = self.by_vm.get(vm)
         if target is not None:
-            if target.in_use < int(target.limit):
+            if self._is_counted(target) and target.in_use < int(target.limit):
                 self._free -= 1
             else:
                 self._invalidate_counts()
             self._set_in_use(target, target.in_use + 1)
 
+    def _is_counted(self, target: Target) -> bool:
+        """Tell whether the latest count includes the slots of a target."""
+        return target.serving and target.ejected_until <= self._counted_at
+
     def _set_in_use(self, target: Target, in_use: int) -> None:
         self._buckets[target.in_use].pop(target.vm, None)
         target.in_use = in_use
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from onyxgap.defaults import EJECT_AFTER_FAILURES
+from onyxgap.defaults import EJECT_MAX_S
 from onyxgap.request.messages import Outcome
 from onyxgap.request.messages import Reason
 from onyxgap.request.queue import SlotRequest
@@ -193,3 +195,24 @@
     assert submit(scheduler, 1) == []
     (granted,) = scheduler.release("old", 7, Outcome.SERVED, 0.01, 0.0)
     assert isinstance(granted, Granted)
+
+
+def test_slot_adopted_on_a_draining_target_leaves_the_count_of_others() -> None:
+    scheduler = build_scheduler(targets=2)
+    scheduler.adopt("old", 1, "vm-0", None)
+    scheduler.targets.replace([("vm-1", "zone-1", "r", 2)])
+    assert scheduler.targets.count_slots(0.0) == (2, 2)
+    scheduler.adopt("old", 2, "vm-0", None)
+    assert scheduler.targets.count_slots(0.0) == (2, 2)
+
+
+def test_slot_adopted_on_an_ejected_target_leaves_the_count_of_others() -> None:
+    scheduler = build_scheduler(targets=4, slots=8)
+    for ask_id in range(EJECT_AFTER_FAILURES):
+        scheduler.adopt("e", ask_id, "vm-0", None)
+    for ask_id in range(EJECT_AFTER_FAILURES):
+        scheduler.release("e", ask_id, Outcome.FAILED, 0.1, 0.0)
+    assert scheduler.targets.count_slots(0.0) == (24, 24)
+    scheduler.adopt("old", 9, "vm-0", None)
+    assert scheduler.targets.count_slots(0.0) == (24, 24)
+    assert scheduler.targets.count_slots(EJECT_MAX_S) == (32, 31)
