Count slots adopted on a VM that is not known yet

What callers see: a new owner of a service that learns of a slot before its VM counts the slot as free once the VM is known. The target then gets one request more than it can run at once.

Cause: a slot in use on an unknown VM was not counted, also not later.

Change: such a VM becomes a target that is not serving. It takes its slots in use along when the VM is known, and goes when they are released.

Evidence: test_slot_adopted_on_an_unknown_vm_counts_once_the_vm_is_known failed before (three free slots, not two), and passes now, as do tests/test_allocation.py and tests/test_scenarios.py.

--- a/src/onyxgap/request/targets.py
+++ b/src/onyxgap/request/targets.py
@@ -92,7 +92,8 @@
         for vm, zone, rack, slots in sorted(wanted, key=self._draw_sort_key):
             serving.add(vm)
             target = self.by_vm.get(vm)
-            if target is None or target.slots != slots:
+            shape = (zone, rack, slots)
+            if target is None or (target.zone, target.rack, target.slots) != shape:
                 in_use = self._remove(vm)
                 target = Target(vm, zone, rack, slots, float(slots), in_use)
                 self.by_vm[vm] = target
@@ -166,15 +167,22 @@
     def acquire_slot(self, vm: str) -> None:
         """Count one more slot of a target as in use.
 
+        A VM that is not known yet becomes a target that is not serving.
+
         :param vm: VM of the target.
         """
-        target = self.by_vm.get(vm)
-        if target is not None:
-            if self._is_counted(target) and target.in_use < int(target.limit):
-                self._free -= 1
-            else:
-                self._invalidate_counts()
-            self._set_in_use(target, target.in_use + 1)
+        target = self.by_vm.get(vm) or self._add_unknown(vm)
+        if self._is_counted(target) and target.in_use < int(target.limit):
+            self._free -= 1
+        else:
+            self._invalidate_counts()
+        self._set_in_use(target, target.in_use + 1)
+
+    def _add_unknown(self, vm: str) -> Target:
+        target = Target(vm, "", "", 1, MIN_LIMIT, serving=False)
+        self.by_vm[vm] = target
+        self._get_bucket(0)[vm] = target
+        return target
 
     def _is_counted(self, target: Target) -> bool:
         """Tell whether the latest count includes the slots of a target."""
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -216,3 +216,29 @@
     scheduler.adopt("old", 9, "vm-0", None)
     assert scheduler.targets.count_slots(0.0) == (24, 24)
     assert scheduler.targets.count_slots(EJECT_MAX_S) == (32, 31)
+
+
+def test_slot_adopted_on_an_unknown_vm_counts_once_the_vm_is_known() -> None:
+    scheduler = build_scheduler(targets=1, slots=2)
+    scheduler.adopt("old", 7, "vm-9", None)
+    assert scheduler.targets.count_slots(0.0) == (2, 2)
+    known = [("vm-0", "zone-0", "r", 2), ("vm-9", "zone-1", "r", 1)]
+    scheduler.targets.replace(known)
+    assert scheduler.targets.count_slots(0.0) == (3, 2)
+    submit(scheduler, 1)
+    submit(scheduler, 2)
+    assert scheduler.targets.by_vm["vm-9"].in_use == 1
+    assert scheduler.targets.by_vm["vm-9"].zone == "zone-1"
+    scheduler.release("old", 7, Outcome.SERVED, 0.01, 0.0)
+    assert scheduler.targets.count_slots(0.0) == (3, 1)
+
+
+@pytest.mark.parametrize("outcome", Outcome)
+def test_slots_adopted_on_an_unknown_vm_are_released(outcome: Outcome) -> None:
+    scheduler = build_scheduler(targets=1, slots=2)
+    for ask_id in range(3):
+        scheduler.adopt("old", ask_id, "vm-9", None)
+    for ask_id in range(3):
+        scheduler.release("old", ask_id, outcome, 0.01, 0.0)
+    assert list(scheduler.targets.by_vm) == ["vm-0"]
+    assert scheduler.targets.count_slots(0.0) == (2, 2)
