Keep the status of a finished maintenance wave

What the operator sees: a wave that was reported as succeeded is reported as running again, and stays so.

Cause: the status is written without the fence, whose row is in another partition. A fleet controller that was suspended before its first status of the wave wrote it after its successor had reported the end. The successor does not write again.

Change: the first status of a running wave is only inserted.

Evidence: test_late_status_of_a_running_wave_does_not_replace_its_success failed before in its four cases, and passes now.

--- a/src/onyxgap/daemons/fleet_controller.py
+++ b/src/onyxgap/daemons/fleet_controller.py
@@ -16,8 +16,10 @@
 from ..jobs import tables
 from ..jobs.routing import RouteTable
 from ..jobs.settings import TimeLimits
+from ..jobs.store import ABSENT
 from ..jobs.store import Applied
 from ..jobs.store import Batch
+from ..jobs.store import Conflict
 from ..jobs.store import RowId
 from ..jobs.store import Store
 from ..jobs.store import StoredRow
@@ -265,12 +267,16 @@
             if self._written_statuses.get(number) is done:
                 continue
             row, value = self.encode_wave_status(number, done)
-            outcome = await self.store.write(Batch({}, {row: value}))
+            # the row is in another partition than the fence row: a controller that was
+            # suspended must not replace its successor's status by that of a new wave
+            new = not done and number not in self._written_statuses
+            expected = {row: ABSENT} if new else {}
+            outcome = await self.store.write(Batch(expected, {row: value}))
             _LOG.info(
                 "maintenance wave status sent to the store",
                 wave=number,
                 complete=done,
                 outcome=type(outcome).__name__,
             )
-            if isinstance(outcome, Applied):
+            if isinstance(outcome, Applied | Conflict):
                 self._written_statuses[number] = done
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -20,6 +20,7 @@
 from onyxgap.daemons.authentication import Authentication
 from onyxgap.daemons.desk import LocalJobApi
 from onyxgap.daemons.fence import FencedWriter
+from onyxgap.daemons.fleet_controller import FleetController
 from onyxgap.daemons.node import Node
 from onyxgap.daemons.node_process import check_settings_file
 from onyxgap.exceptions import FrameError
@@ -52,6 +53,7 @@
 from onyxgap.jobs.routing import RouteTable
 from onyxgap.jobs.routing import Service
 from onyxgap.jobs.settings import NodeSettings
+from onyxgap.jobs.settings import TimeLimits
 from onyxgap.jobs.store import WRITE_TIMEOUT_S
 from onyxgap.jobs.store import Batch
 from onyxgap.jobs.store import NotApplied
@@ -66,6 +68,9 @@
 from onyxgap.logs import BURST_LINES
 from onyxgap.logs import ROUTINE_SHARE
 from onyxgap.logs import BoundedLogWriter
+from onyxgap.pools.messages import Vm
+from onyxgap.pools.messages import VmState
+from onyxgap.pools.messages import Wave
 from onyxgap.settings import Address
 from onyxgap.standins.emulator.gate import NodeGate
 from onyxgap.standins.emulator.rows import DECODERS
@@ -504,6 +509,59 @@
     run_with_store(test)
 
 
+def build_fleet_controller(
+    scripted: ScriptedStore, store: EmulatedStore
+) -> FleetController:
+    controller = FleetController(
+        build_writer(scripted, store),
+        t.cast(t.Any, None),
+        scripted,
+        EmulatedClocks(),
+        TimeLimits(),
+        RouteTable(),
+        {},
+        DECODERS.encode_wave_status,
+        random.Random(1),
+        t.cast(t.Any, None),
+    )
+    controller.planner.add_wave(Wave(3, ("vm-1",), 20.0, 1), 0.0)
+    controller.planner.apply_vm_list([Vm("vm-1", "s", VmState.UP)], 0.0)
+    return controller
+
+
+@pytest.mark.parametrize("script", [[], ["refuse"], ["drop"], ["lose"]])
+def test_late_status_of_a_running_wave_does_not_replace_its_success(
+    script: list[str],
+) -> None:
+    async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
+        controller = build_fleet_controller(scripted, store)
+        running = DECODERS.encode_wave_status(3, False)
+        succeeded = DECODERS.encode_wave_status(3, True)
+        for _ in range(3):
+            await controller._write_wave_statuses()
+        assert store.rows[running[0]].value == running[1]
+        previous = build_fleet_controller(scripted, store)
+        store.put(*succeeded)
+        scripted.script = list(script)
+        for _ in range(3):
+            await previous._write_wave_statuses()
+        assert store.rows[succeeded[0]].value == succeeded[1]
+
+    run_with_store(test, *script)
+
+
+def test_status_of_a_wave_becomes_succeeded_once_its_vms_are_gone() -> None:
+    async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
+        controller = build_fleet_controller(scripted, store)
+        await controller._write_wave_statuses()
+        controller.planner.apply_vm_list([Vm("vm-2", "s", VmState.UP)], 0.0)
+        await controller._write_wave_statuses()
+        row, value = DECODERS.encode_wave_status(3, True)
+        assert store.rows[row].value == value
+
+    run_with_store(test)
+
+
 def test_write_timeout_adapts_to_the_store() -> None:
     timeout = WriteTimeout()
     assert timeout.get() == MIN_TIMEOUT_S
