Add a failing test of moves by a new fleet controller

What callers see: while one VM is down, a fleet controller that takes over moves no VMs for up to 8 s, so a pool with a burst of demand does not grow.

Cause: has_predecessor is never set, so each controller waits for the start-up of the deployment to end.

The mend is left out.

--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -22,6 +22,7 @@
 from onyxgap.pools.messages import encode_report
 from onyxgap.pools.offered import WINDOW_S
 from onyxgap.pools.offered import OfferedLoad
+from onyxgap.pools.planner import STARTUP_TIMEOUT_S
 from onyxgap.pools.planner import FleetPlanner
 from onyxgap.pools.sizing import SCALE_DOWN_WINDOW_S
 from onyxgap.pools.sizing import PoolSizer
@@ -288,6 +289,47 @@
     assert [order.vm for order in planner.plan(10.0)] == ["z0"]
 
 
+def restart_fleet_controller(planner: FleetPlanner, now: float) -> FleetPlanner:
+    """Build the planner of a successor that knows the same VMs."""
+    row = decode_fleet_row(encode_fleet_row(planner.get_row()))
+    successor = FleetPlanner(2.0, spare_pool="spare", shards=planner.shards)
+    successor.restore(row, now, 3.7)
+    successor.apply_vm_list(planner.vms.values(), now)
+    successor.reports = dict(planner.reports)
+    successor.sizes = dict(planner.sizes)
+    return successor
+
+
+@pytest.fixture
+def starting_planner() -> FleetPlanner:
+    """Planner with a VM that is not up, so that the start-up has not ended."""
+    planner = FleetPlanner(2.0, spare_pool="spare", shards=frozenset("a"))
+    vms = build_vms("a", 4)
+    vms[3] = attrs.evolve(vms[3], state=VmState.DOWN, worker_id="")
+    planner.apply_vm_list([*vms, Vm("z0", "spare", VmState.UP)], 0.0)
+    planner.reports["a"] = build_report(planner, "a")
+    planner.sizes = {"a": 3}
+    assert planner.plan(1.0) == []
+    return planner
+
+
+def test_successor_moves_vms_at_once_if_the_start_up_has_ended(
+    starting_planner: FleetPlanner,
+) -> None:
+    assert starting_planner.plan(1.1 + STARTUP_TIMEOUT_S) == []
+    successor = restart_fleet_controller(starting_planner, 20.0)
+    successor.sizes = {"a": 4}
+    assert [order.vm for order in successor.plan(20.0)] == ["z0"]
+
+
+def test_successor_moves_no_vms_if_the_start_up_has_not_ended(
+    starting_planner: FleetPlanner,
+) -> None:
+    successor = restart_fleet_controller(starting_planner, 2.0)
+    successor.sizes = {"a": 4}
+    assert successor.plan(2.0) == []
+
+
 def test_successor_knows_which_vms_were_maintained(planner: FleetPlanner) -> None:
     planner.add_wave(Wave(1, ("z0", "z1"), 20.0, 2), 1.0)
     for order in planner.plan(1.0):
