Log each series of hand-over notices

What operators see: only the first series of notices for an owner row is in the log. A shard that is claimed early after a later one is not explained.

Cause: a series was logged if the owner row had had no notice before.

Change: a series is logged if the notice begins one, as for claims.

Evidence: test_each_series_of_hand_over_notices_is_logged_once failed before (the second series was not logged), and passes now.

--- a/src/onyxgap/daemons/node_peers.py
+++ b/src/onyxgap/daemons/node_peers.py
@@ -186,11 +186,12 @@
             return
         if (row.boot, row.epoch) != (notice.boot, notice.epoch):
             return
-        if view.handed_over_at is None:
+        handed_over = view.record_hand_over(self.clocks.read_monotonic())
+        if handed_over.handed_over_at != view.handed_over_at:
             _LOG.info(
                 "hand-over notice received",
                 shard=notice.shard,
                 owner=row.node,
                 epoch=row.epoch,
             )
-        self.views[notice.shard] = view.record_hand_over(self.clocks.read_monotonic())
+        self.views[notice.shard] = handed_over
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -480,23 +480,44 @@
     assert routes.find("other", "/p/1") is None
 
 
+def build_node(scripted: ScriptedStore) -> Node:
+    health = StoreHealth()
+    return Node(
+        NodeSettings("node-2", "z", Address(), Address(), "-"),
+        MonitoredStore(scripted, health, EmulatedClocks()),
+        health,
+        t.cast(t.Any, None),
+        None,
+        DECODERS,
+        EmulatedClocks(),
+        random.Random(1),
+    )
+
+
+def test_each_series_of_hand_over_notices_is_logged_once() -> None:
+    async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
+        node = build_node(scripted)
+        node.views["s"] = OwnerView(OWNER_ROW, 1, 0.0)
+        notice = HandOver("s", OWNER_ROW.boot, OWNER_ROW.epoch)
+        counts = []
+        for _ in range(2):
+            with structlog.testing.capture_logs() as lines:
+                for _ in range(3):
+                    node._handle_notice(notice)
+                    await anyio.sleep(HAND_OVER_VALID_S / 2)
+            counts.append([line["event"] for line in lines])
+            await anyio.sleep(HAND_OVER_VALID_S)
+        assert counts == [["hand-over notice received"]] * 2
+
+    run_with_store(test)
+
+
 def test_claim_expects_the_owner_row_it_was_decided_on() -> None:
     async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
         row_id = tables.get_owner_row("s")
         store.put(row_id, tables.encode_owner(OWNER_ROW))
         decision_view = OwnerView(OWNER_ROW, store.version, 0.0)
-        health = StoreHealth()
-        watched = MonitoredStore(scripted, health, EmulatedClocks())
-        node = Node(
-            NodeSettings("node-2", "z", Address(), Address(), "-"),
-            watched,
-            health,
-            t.cast(t.Any, None),
-            None,
-            DECODERS,
-            EmulatedClocks(),
-            random.Random(1),
-        )
+        node = build_node(scripted)
         # Another node claims the shard, and this node reads that claim after it has
         # decided to claim and before it sends its own.
         other = OwnerRow("node-3", "boot-3", 5)
