Tell requests with another interval apart

What callers see: a job with an id that stands for a scheduled job is answered as accepted although its interval differs, and never runs at that interval.

Cause: the interval was left out when the requests were compared.

Change: it is compared like the number of occurrences and the first due time.

Evidence: of the four cases of test_scheduled_job_with_another_schedule_is_another_request the one with another interval failed before; all pass now.

--- a/src/onyxgap/jobs/submissions.py
+++ b/src/onyxgap/jobs/submissions.py
@@ -95,14 +95,20 @@
 def is_same_request(first: Submission, second: Submission) -> bool:
     """Return whether two submissions with the same id are the same request.
 
-    Compares spec, steps, number of occurrences and first due time.
+    Compares spec, steps and schedule: number, first due time and interval of the
+    occurrences.
 
     :param first: the stored submission.
     :param second: the new submission.
     """
-    return (first.spec, first.steps, first.times, first.start_at_ms) == (
-        second.spec,
-        second.steps,
-        second.times,
-        second.start_at_ms,
+    return _get_request(first) == _get_request(second)
+
+
+def _get_request(submission: Submission) -> tuple[object, ...]:
+    return (
+        submission.spec,
+        submission.steps,
+        submission.times,
+        submission.start_at_ms,
+        submission.interval_ms,
     )
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -313,6 +313,24 @@
     run_with_store(test)
 
 
+@pytest.mark.parametrize(
+    "changes",
+    [{"interval_ms": 500}, {"times": 4}, {"start_at_ms": 1}, {"steps": (Step(2),)}],
+)
+def test_scheduled_job_with_another_schedule_is_another_request(
+    changes: dict[str, t.Any],
+) -> None:
+    async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
+        job_api = build_job_api(scripted)
+        job = attrs.evolve(SUBMISSION, times=3, interval_ms=1000)
+        assert (await job_api.submit(job)).outcome is SubmitOutcome.ACCEPTED
+        assert (await job_api.submit(job)).outcome is SubmitOutcome.ACCEPTED
+        other = attrs.evolve(job, **changes)
+        assert (await job_api.submit(other)).outcome is SubmitOutcome.OTHER_REQUEST
+
+    run_with_store(test)
+
+
 def test_state_and_cancel_of_unknown_and_known_jobs() -> None:
     async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
         job_api = build_job_api(scripted)
