--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -20,12 +20,14 @@
 from onyxgap.daemons.authentication import Authentication
 from onyxgap.daemons.desk import LocalJobApi
 from onyxgap.daemons.fence import FencedWriter
+from onyxgap.daemons.fleet_controller import FleetController
 from onyxgap.daemons.node import Node
 from onyxgap.daemons.node_process import check_settings_file
 from onyxgap.exceptions import FrameError
 from onyxgap.exceptions import OwnershipLostError
 from onyxgap.exceptions import PlatformUnavailableError
 from onyxgap.jobs import tables
+from onyxgap.jobs.admission import AdmissionController
 from onyxgap.jobs.amounts import NO_LIMIT
 from onyxgap.jobs.amounts import Amount
 from onyxgap.jobs.desk import SubmitOutcome
@@ -51,11 +53,13 @@
 from onyxgap.jobs.routing import RouteTable
 from onyxgap.jobs.routing import Service
 from onyxgap.jobs.settings import NodeSettings
+from onyxgap.jobs.settings import TimeLimits
 from onyxgap.jobs.store import WRITE_TIMEOUT_S
 from onyxgap.jobs.store import Batch
 from onyxgap.jobs.store import NotApplied
 from onyxgap.jobs.store import OutcomeUnknown
 from onyxgap.jobs.store import Page
+from onyxgap.jobs.store import RowId
 from onyxgap.jobs.store import WriteOutcome
 from onyxgap.jobs.tables import OwnerRow
 from onyxgap.jobs.timeouts import MAX_TIMEOUT_S
@@ -64,6 +68,9 @@
 from onyxgap.logs import BURST_LINES
 from onyxgap.logs import ROUTINE_SHARE
 from onyxgap.logs import BoundedLogWriter
+from onyxgap.pools.messages import Vm
+from onyxgap.pools.messages import VmState
+from onyxgap.pools.messages import Wave
 from onyxgap.settings import Address
 from onyxgap.standins.emulator.gate import NodeGate
 from onyxgap.standins.emulator.rows import DECODERS
@@ -78,6 +85,7 @@
 CLAIMANT = Claimant("node-2", "boot-2", 0)
 POLICY = QueuePolicy("q", "s")
 ROUTE = Route("h", "/p/", POLICY)
+LONG_DELAY = {"in_time_s": 99.0, "of_use_s": 99.0}
 SUBMISSION = Submission("a" * 16, POLICY, "spec", (Step(1, cpu=10),))
 
 
@@ -305,6 +313,24 @@
     run_with_store(test)
 
 
+@pytest.mark.parametrize(
+    "changes",
+    [{"interval_ms": 500}, {"times": 4}, {"start_at_ms": 1}, {"steps": (Step(2),)}],
+)
+def test_scheduled_job_with_another_schedule_is_another_request(
+    changes: dict[str, t.Any],
+) -> None:
+    async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
+        job_api = build_job_api(scripted)
+        job = attrs.evolve(SUBMISSION, times=3, interval_ms=1000)
+        assert (await job_api.submit(job)).outcome is SubmitOutcome.ACCEPTED
+        assert (await job_api.submit(job)).outcome is SubmitOutcome.ACCEPTED
+        other = attrs.evolve(job, **changes)
+        assert (await job_api.submit(other)).outcome is SubmitOutcome.OTHER_REQUEST
+
+    run_with_store(test)
+
+
 def test_state_and_cancel_of_unknown_and_known_jobs() -> None:
     async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
         job_api = build_job_api(scripted)
@@ -335,6 +361,79 @@
     run_with_store(test)
 
 
+@pytest.mark.parametrize("value", [b"", b"no json", b"[]", b"{}"])
+@pytest.mark.parametrize(
+    "row_id",
+    [
+        tables.get_job_row("s", SUBMISSION.job_id),
+        tables.get_progress_row("s", SUBMISSION.job_id),
+    ],
+)
+def test_malformed_row_of_a_job_leaves_its_callers_without_an_answer(
+    row_id: RowId, value: bytes
+) -> None:
+    async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
+        store.put(row_id, value)
+        job_api = build_job_api(scripted)
+        state = await job_api.get_state(ROUTE, SUBMISSION.job_id)
+        assert state is Unavailable.STORED_JOB
+
+    run_with_store(test)
+
+
+@pytest.mark.parametrize("value", [b"", b"no json", b"[]", b"{}"])
+def test_malformed_submission_in_the_store_is_neither_accepted_nor_rejected(
+    value: bytes,
+) -> None:
+    async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
+        store.put(tables.get_job_row("s", SUBMISSION.job_id), value)
+        job_api = build_job_api(scripted)
+        cancelled = await job_api.cancel(ROUTE, SUBMISSION.job_id)
+        assert cancelled is Unavailable.STORED_JOB
+        assert (await job_api.submit(SUBMISSION)).outcome is SubmitOutcome.UNKNOWN
+        job_api.routes.caps["north"] = Amount(1, NO_LIMIT, NO_LIMIT)
+        too_large = attrs.evolve(SUBMISSION, tenant="north")
+        assert (await job_api.submit(too_large)).outcome is SubmitOutcome.UNKNOWN
+        moved = attrs.evolve(POLICY, service="s2")
+        route = attrs.evolve(ROUTE, policy=moved)
+        services = {"s": Service("s"), "s2": Service("s2")}
+        assert job_api.routes.adopt(Configuration(2, (route,), services))
+        again = attrs.evolve(SUBMISSION, policy=moved)
+        assert (await job_api.submit(again)).outcome is SubmitOutcome.UNKNOWN
+
+    run_with_store(test)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"within": 7},
+        {"within": {"in_time_s": "9", "of_use_s": "9"}},
+        {"within": LONG_DELAY, "job_s": "1"},
+        {"within": LONG_DELAY, "job_s": None},
+        {"over": None},
+    ],
+)
+def test_malformed_delay_estimate_does_not_fail_submissions(
+    changes: dict[str, t.Any],
+) -> None:
+    async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
+        job_api = build_job_api(scripted)
+        job_api.admission = AdmissionController()
+        estimate = {"within": {}, "beyond": {}, "over": [], "job_s": 0.0} | changes
+        row = attrs.evolve(OWNER_ROW, waiting={}, outlook=estimate)
+        now = job_api.clocks.read_monotonic()
+        job_api.views["s"] = OwnerView(row, 1, now)
+        with structlog.testing.capture_logs() as lines:
+            result = await job_api.submit(SUBMISSION)
+        assert result.outcome is SubmitOutcome.ACCEPTED
+        assert "delay estimate could not be decoded" in [
+            line["event"] for line in lines
+        ]
+
+    run_with_store(test)
+
+
 @pytest.mark.parametrize("gang", [False, True])
 def test_job_larger_than_its_tenants_cap_is_refused(gang: bool) -> None:
     async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
@@ -399,23 +498,44 @@
     assert routes.find("other", "/p/1") is None
 
 
+def build_node(scripted: ScriptedStore) -> Node:
+    health = StoreHealth()
+    return Node(
+        NodeSettings("node-2", "z", Address(), Address(), "-"),
+        MonitoredStore(scripted, health, EmulatedClocks()),
+        health,
+        t.cast(t.Any, None),
+        None,
+        DECODERS,
+        EmulatedClocks(),
+        random.Random(1),
+    )
+
+
+def test_each_series_of_hand_over_notices_is_logged_once() -> None:
+    async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
+        node = build_node(scripted)
+        node.views["s"] = OwnerView(OWNER_ROW, 1, 0.0)
+        notice = HandOver("s", OWNER_ROW.boot, OWNER_ROW.epoch)
+        counts = []
+        for _ in range(2):
+            with structlog.testing.capture_logs() as lines:
+                for _ in range(3):
+                    node._handle_notice(notice)
+                    await anyio.sleep(HAND_OVER_VALID_S / 2)
+            counts.append([line["event"] for line in lines])
+            await anyio.sleep(HAND_OVER_VALID_S)
+        assert counts == [["hand-over notice received"]] * 2
+
+    run_with_store(test)
+
+
 def test_claim_expects_the_owner_row_it_was_decided_on() -> None:
     async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
         row_id = tables.get_owner_row("s")
         store.put(row_id, tables.encode_owner(OWNER_ROW))
         decision_view = OwnerView(OWNER_ROW, store.version, 0.0)
-        health = StoreHealth()
-        watched = MonitoredStore(scripted, health, EmulatedClocks())
-        node = Node(
-            NodeSettings("node-2", "z", Address(), Address(), "-"),
-            watched,
-            health,
-            t.cast(t.Any, None),
-            None,
-            DECODERS,
-            EmulatedClocks(),
-            random.Random(1),
-        )
+        node = build_node(scripted)
         # Another node claims the shard, and this node reads that claim after it has
         # decided to claim and before it sends its own.
         other = OwnerRow("node-3", "boot-3", 5)
@@ -428,6 +548,59 @@
     run_with_store(test)
 
 
+def build_fleet_controller(
+    scripted: ScriptedStore, store: EmulatedStore
+) -> FleetController:
+    controller = FleetController(
+        build_writer(scripted, store),
+        t.cast(t.Any, None),
+        scripted,
+        EmulatedClocks(),
+        TimeLimits(),
+        RouteTable(),
+        {},
+        DECODERS.encode_wave_status,
+        random.Random(1),
+        t.cast(t.Any, None),
+    )
+    controller.planner.add_wave(Wave(3, ("vm-1",), 20.0, 1), 0.0)
+    controller.planner.apply_vm_list([Vm("vm-1", "s", VmState.UP)], 0.0)
+    return controller
+
+
+@pytest.mark.parametrize("script", [[], ["refuse"], ["drop"], ["lose"]])
+def test_late_status_of_a_running_wave_does_not_replace_its_success(
+    script: list[str],
+) -> None:
+    async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
+        controller = build_fleet_controller(scripted, store)
+        running = DECODERS.encode_wave_status(3, False)
+        succeeded = DECODERS.encode_wave_status(3, True)
+        for _ in range(3):
+            await controller._write_wave_statuses()
+        assert store.rows[running[0]].value == running[1]
+        previous = build_fleet_controller(scripted, store)
+        store.put(*succeeded)
+        scripted.script = list(script)
+        for _ in range(3):
+            await previous._write_wave_statuses()
+        assert store.rows[succeeded[0]].value == succeeded[1]
+
+    run_with_store(test, *script)
+
+
+def test_status_of_a_wave_becomes_succeeded_once_its_vms_are_gone() -> None:
+    async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
+        controller = build_fleet_controller(scripted, store)
+        await controller._write_wave_statuses()
+        controller.planner.apply_vm_list([Vm("vm-2", "s", VmState.UP)], 0.0)
+        await controller._write_wave_statuses()
+        row, value = DECODERS.encode_wave_status(3, True)
+        assert store.rows[row].value == value
+
+    run_with_store(test)
+
+
 def test_write_timeout_adapts_to_the_store() -> None:
     timeout = WriteTimeout()
     assert timeout.get() == MIN_TIMEOUT_S
