Accept a restarted worker whose wall clock was set back

What callers see: jobs of a pool stand still on one of its workers, which gets new tasks all the while.

Cause: incarnations of a worker are told apart by their start times, by the wall clock of its VM. If the clock had been set back, the present incarnation counted as a former one for ever: its reports and registrations were ignored, while the worker counted as answering, so no lease was expired and starts went on.

Change: if the known incarnation has sent no registration or report for 5 s, a report with an earlier start time replaces it. Its last registration, ignored until then, is applied. The reports of a former incarnation come earlier: a request waits for 2 s at most and may be carried out seconds late.

--- a/src/onyxgap/jobs/placing.py
+++ b/src/onyxgap/jobs/placing.py
@@ -67,6 +67,9 @@
     :param last_clock_ms: latest reading of the worker's clock in any of its answers.
     :param gone: whether this incarnation of the worker is known to have ended.
     :param born: Unix milliseconds of the start of the worker, 0 if not known.
+    :param heard_at: monotonic seconds of the last registration or report of this
+        incarnation.
+    :param former_entry: last registration with an earlier start time, or ``None``.
     """
 
     entry: WorkerEntry
@@ -98,6 +101,8 @@
     last_clock_ms: float = 0.0
     gone: bool = False
     born: int = 0
+    heard_at: float = 0.0
+    former_entry: WorkerEntry | None = None
 
     def is_open(self, now: float) -> bool:
         """Return whether new tasks may be placed on the worker at all."""
--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -68,10 +68,10 @@
         record = self.workers.get(worker_id)
         if record is None:
             return
-        if (
-            self._update_incarnation(record, report.born, now)
-            is not IncarnationMatch.SAME
-        ):
+        match = self._update_incarnation(record, report.born, now)
+        if match is IncarnationMatch.FORMER:
+            self._accept_earlier_start(record, report.born, sent_at, now)
+        if match is not IncarnationMatch.SAME:
             # a newer incarnation starts with an empty record and is asked again
             return
         if record.clock is None:
--- a/src/onyxgap/jobs/shard_workers.py
+++ b/src/onyxgap/jobs/shard_workers.py
@@ -40,7 +40,11 @@
 """Time after a worker's restart is known for which a run that its former incarnation
 was ordered to start may be on the new one without the owner's knowledge: the order
 arrives seconds late, and the longest lease that a worker grants lasts 10 s."""
-
+FORMER_MESSAGE_S = 5.0
+"""Time after the last message of a worker's known incarnation from which a report of one
+with an earlier start time is that of a later one, whose wall clock was set back. A
+report of a former incarnation comes before: a request waits for 2 s at most, and may be
+carried out seconds late."""
 
 _LOG = structlog.get_logger()
 
@@ -77,10 +81,11 @@
         """
         record = self.workers.get(entry.worker_id)
         if record is None:
-            record = WorkerRecord(entry, born=entry.born)
+            record = WorkerRecord(entry, born=entry.born, heard_at=now)
             self.workers[entry.worker_id] = record
         match = self._update_incarnation(record, entry.born, now)
         if match is IncarnationMatch.FORMER:
+            record.former_entry = entry
             return record
         if match is IncarnationMatch.LATER:
             record = self.workers[entry.worker_id]
@@ -111,8 +116,26 @@
             self._replace_incarnation(record, born, now)
         elif match is IncarnationMatch.SAME:
             record.born = record.born or born
+            record.heard_at = now
         return match
 
+    def _accept_earlier_start(
+        self, record: WorkerRecord, born: int, sent_at: float, now: float
+    ) -> None:
+        """Replace an incarnation that is silent by one with an earlier start time.
+
+        :param record: the worker's record.
+        :param born: start time in the report, Unix milliseconds.
+        :param sent_at: monotonic seconds when the report was requested.
+        :param now: monotonic seconds.
+        """
+        if sent_at < record.heard_at + FORMER_MESSAGE_S:
+            return
+        self._replace_incarnation(record, born, now)
+        entry = record.former_entry
+        if entry is not None and entry.born == born:
+            self.observe_worker(entry, now)
+
     def _replace_incarnation(
         self, previous: WorkerRecord, born: int, now: float
     ) -> None:
@@ -141,6 +164,7 @@
         )
         record = WorkerRecord(entry, previous.registered, WorkerClock(0.0, now))
         record.born = born
+        record.heard_at = now
         record.former_runs_until = now + FORMER_RUN_S
         self.workers[worker_id] = record
         for job, task, run in ordered:
--- a/tests/test_lives.py
+++ b/tests/test_lives.py
@@ -17,6 +17,7 @@
 from onyxgap.jobs.messages import Step
 from onyxgap.jobs.shard import START_WINDOW_MS
 from onyxgap.jobs.shard import Shard
+from onyxgap.jobs.shard_workers import FORMER_MESSAGE_S
 from onyxgap.jobs.shard_workers import FORMER_RUN_S
 from onyxgap.jobs.workers import HoldReport
 from onyxgap.jobs.workers import Reply
@@ -149,6 +150,38 @@
     assert (record.born, record.entry.born) == (SECOND_START_MS, SECOND_START_MS)
 
 
+def test_incarnation_with_an_earlier_start_time_is_known_once_no_other_answers(
+    harness: ShardHarness,
+) -> None:
+    # its clock had stepped back; tasks went there for ever, and none of them ended
+    job = harness.add_job(SHORT)
+    harness.start_all()
+    earlier_ms = FIRST_START_MS - 60_000
+    register(harness, earlier_ms)
+    report(harness, earlier_ms)
+    assert harness.shard.workers["w1"].born == FIRST_START_MS
+    harness.now += FORMER_MESSAGE_S
+    report(harness, earlier_ms)
+    record = harness.shard.workers["w1"]
+    assert (record.born, record.entry.cpu) == (earlier_ms, ENTRY.cpu)
+    for stop in harness.shard.list_stops(harness.now):
+        harness.shard.apply_stop_reply(stop, Reply(ReplyKind.DONE), harness.now)
+    report(harness, earlier_ms, 40.0)
+    (task,) = job.occurrences[0].steps[0]
+    assert not task.placed
+    assert len(harness.plan()) == 1
+
+
+def test_former_incarnation_is_ignored_while_the_known_one_answers(
+    harness: ShardHarness,
+) -> None:
+    for number in range(4):
+        harness.now += FORMER_MESSAGE_S / 2
+        report(harness, FIRST_START_MS, 1_000.0 + number)
+        report(harness, FIRST_START_MS - 60_000)
+    assert harness.shard.workers["w1"].born == FIRST_START_MS
+
+
 @pytest.mark.parametrize("answer", [ReplyKind.NO_ANSWER, ReplyKind.DONE])
 def test_start_that_may_have_reached_the_new_incarnation_is_ruled_out(
     harness: ShardHarness, answer: ReplyKind
