--- a/src/onyxgap/jobs/shard_workers.py
+++ b/src/onyxgap/jobs/shard_workers.py
@@ -41,8 +41,8 @@
 was ordered to start may be on the new one without the owner's knowledge: the order
 arrives seconds late, and the longest lease that a worker grants lasts 10 s."""
 FORMER_MESSAGE_S = 5.0
-"""Time after the last message of a worker's known incarnation from which a report of one
-with an earlier start time is that of a later one, whose wall clock was set back. A
+"""Time after the last message of a worker's known incarnation from which a report of
+one with an earlier start time is that of a later one, whose wall clock was set back. A
 report of a former incarnation comes before: a request waits for 2 s at most, and may be
 carried out seconds late."""
 
