Pause before the next hold request after an ignored report

What callers see: nothing at once; a node spends its processor time on one worker.

Cause: the next hold request followed each report at once. A report of another incarnation than the known one was ignored, also the ends in it, so a worker with such ends answered each request at once, hundreds of times a second.

Change: an ignored report is followed by the same pauses as a failed request.

Measured: test_worker_is_not_asked_again_at_once_after_a_report_that_is_ignored fails before and passes now.

--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -304,14 +304,13 @@
     async def _request_report(self, order: HoldOrder) -> bool:
         """Send a hold request and apply its outcome.
 
-        :returns: whether the worker sent a report.
+        :returns: whether the worker may be asked again at once.
         :raises OwnershipLostError: when the worker rejects the epoch as stale.
         """
         sent_at = self._now()
         report = await self.context.workers.hold(order)
         if isinstance(report, HoldReport):
-            await self._apply_report(order.worker_id, report, sent_at)
-            return True
+            return await self._apply_report(order.worker_id, report, sent_at)
         if report.kind is ReplyKind.STALE_OWNER:
             raise OwnershipLostError(
                 f"worker {order.worker_id} was called by a newer owner"
@@ -322,12 +321,12 @@
 
     async def _apply_report(
         self, worker_id: str, report: HoldReport, sent_at: float
-    ) -> None:
+    ) -> bool:
         record = self.state.workers.get(worker_id)
         if record is None:
-            return
+            return False
         was_held = record.held and record.failing_since is None
-        self.state.apply_report(worker_id, report, sent_at, self._now())
+        accepted = self.state.apply_report(worker_id, report, sent_at, self._now())
         if report.ended or not was_held:
             self.wake()
         # before the results of these runs are acknowledged, the worker would answer the
@@ -335,6 +334,7 @@
         with anyio.move_on_after(MAX_ACK_WAIT_S):
             while record.acknowledged < record.processed_sequence and not record.gone:
                 await self._progress_stored.wait()
+        return accepted
 
     def _spawn(
         self, run: t.Callable[..., t.Coroutine[t.Any, t.Any, None]], *args: t.Any
--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -57,23 +57,24 @@
 
     def apply_report(
         self, worker_id: str, report: HoldReport, sent_at: float, now: float
-    ) -> None:
+    ) -> bool:
         """Apply a worker's report of its running and ended runs.
 
         :param worker_id: the worker.
         :param report: the report.
         :param sent_at: monotonic seconds when the hold request was sent.
         :param now: monotonic seconds.
+        :returns: whether the worker may be asked again at once.
         """
         record = self.workers.get(worker_id)
         if record is None:
-            return
+            return False
         match = self._update_incarnation(record, report.born, now)
         if match is IncarnationMatch.FORMER:
             self._accept_earlier_start(record, report.born, sent_at, now)
         if match is not IncarnationMatch.SAME:
             # a newer incarnation starts with an empty record and is asked again
-            return
+            return match is IncarnationMatch.LATER
         if record.clock is None:
             record.clock = WorkerClock(report.clock_ms, now)
         record.clock.observe(report.clock_ms, now)
@@ -91,6 +92,7 @@
             self._apply_running(record, item, report.clock_ms, now)
         self._check_worker_speed(record, report, now)
         self._release_missing_runs(record, listed | ended, sent_at)
+        return True
 
     def _apply_running(
         self, record: WorkerRecord, item: RunningTask, clock_ms: float, now: float
--- a/tests/test_registrations.py
+++ b/tests/test_registrations.py
@@ -1,5 +1,6 @@
 """Which nodes read the registrations of workers, and how owners apply them."""
 
+import types
 import typing as t
 
 import attrs
@@ -15,8 +16,11 @@
 from onyxgap.jobs.store import Page
 from onyxgap.jobs.store import RowId
 from onyxgap.jobs.store import StoredRow
+from onyxgap.jobs.workers import HoldOrder
+from onyxgap.jobs.workers import HoldReport
 from onyxgap.standins.emulator.cloud import WORKER_TABLE
 from onyxgap.standins.emulator.store import EmulatedStoreClient
+from onyxgap.standins.virtual import run_virtually
 from tests.emulated import load_day
 from tests.emulated import play
 from tests.test_order_lanes import SerialWorkers
@@ -67,6 +71,26 @@
     assert list_registered(owner) == ["w3"]
 
 
+@pytest.mark.parametrize(("born", "accepted"), [(8, False), (9, True)])
+def test_worker_is_not_asked_again_at_once_after_a_report_that_is_ignored(
+    owner: OwnerWorkers, born: int, accepted: bool
+) -> None:
+    # with ends that were not acknowledged it answered each request at once
+    async def hold(order: HoldOrder) -> HoldReport:
+        return HoldReport(1.0, (), (), born)
+
+    owner.context = attrs.evolve(
+        owner.context,
+        decode_worker=lambda key, value: attrs.evolve(
+            decode_worker(key, value), born=9
+        ),
+        workers=t.cast("t.Any", types.SimpleNamespace(hold=hold)),
+    )
+    owner._apply_worker_rows([build_row("w1", "shard")], True)
+    order = HoldOrder("w1", "host:1", 1, 0, None, 0)
+    assert run_virtually(owner._request_report, order) is accepted
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_only_owners_read_registrations(
     seed: int, monkeypatch: pytest.MonkeyPatch
