Let connecting use up the time-out of a forwarded call

What callers see: a call that is forwarded to a node that is slow to connect to gets no answer for up to 0.3 s longer than the time its caller has.

Cause: the exchange got the whole time-out after the connection was made.

Change: both share one deadline.

Evidence: two of the three cases of test_connecting_and_answer_share_the_time_out_of_a_call failed before (1.1 and 1.25 s of virtual time, not 1 s), and pass now.

--- a/src/onyxgap/adapters/call_link.py
+++ b/src/onyxgap/adapters/call_link.py
@@ -143,6 +143,7 @@
     async def _ask(
         self, address: str, call: PassedCall, timeout_s: float
     ) -> PassedAnswer | ForwardFailure:
+        deadline = anyio.current_time() + timeout_s
         try:
             target = parse_address(address)
             with anyio.fail_after(min(CONNECT_TIMEOUT_S, timeout_s)):
@@ -154,7 +155,7 @@
             return ForwardFailure.NOT_SENT
         try:
             async with stream:
-                with anyio.fail_after(timeout_s):
+                with anyio.fail_after(deadline - anyio.current_time()):
                     await stream.send(encode_call(self.get_address(), call))
                     return decode_answer(await _receive_frame(stream))
         except (*_CONNECTION_ERRORS, TimeoutError):
--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -26,6 +26,7 @@
 from onyxgap.jobs.passing import PeerSelector
 from onyxgap.jobs.passing import merge_outcomes
 from onyxgap.settings import Address
+from onyxgap.standins.virtual import run_virtually
 from onyxgap.wire.frames import LENGTH_BYTES
 from onyxgap.wire.frames import decode_frame
 from onyxgap.wire.peer import ttypes
@@ -168,6 +169,40 @@
     assert anyio.run(ask) is ForwardFailure.NOT_SENT
 
 
+class SilentStream:
+    """Connection over which no answer is received."""
+
+    async def __aenter__(self) -> "SilentStream":
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        pass
+
+    async def send(self, data: bytes) -> None:
+        await anyio.sleep(0)
+
+    async def receive(self, max_bytes: int = 1) -> bytes:
+        await anyio.sleep_forever()
+        return b""
+
+
+@pytest.mark.parametrize("connect_s", [0.0, 0.1, 0.25])
+def test_connecting_and_answer_share_the_time_out_of_a_call(
+    connect_s: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def connect(host: str, port: int) -> SilentStream:
+        await anyio.sleep(connect_s)
+        return SilentStream()
+
+    async def ask() -> float:
+        link = StreamCallLink(Address("127.0.0.1", 0))
+        assert await link.ask("127.0.0.1:1", CALL, 1.0) is ForwardFailure.NO_ANSWER
+        return anyio.current_time()
+
+    monkeypatch.setattr(anyio, "connect_tcp", connect)
+    assert run_virtually(ask) == pytest.approx(1.0)
+
+
 DAYS = {
     "a third turned away": "at 4 refuse node for 9 by 0.34",
     "half turned away": "at 4 refuse node for 6 by 0.5",
