Let connecting use up the time-out of an attempt

What callers see: an attempt at a target that is slow to connect to takes up to the connect time-out longer than the time left for it.

Cause: the exchange got the whole time-out after the connection was made.

Change: both share one deadline. If none of it is left after connecting, nothing is sent and the target counts as unreachable.

Evidence: test_connecting_and_exchange_share_the_time_out_of_an_attempt failed before (1.4 s of virtual time, not 1 s), and passes now, as does tests/test_scenarios.py.

--- a/src/onyxgap/adapters/target_client.py
+++ b/src/onyxgap/adapters/target_client.py
@@ -120,15 +120,19 @@
         :param address: ``host:port`` of the target.
         :param timeout_s: seconds left for the attempt.
         """
+        deadline = anyio.current_time() + timeout_s
         connection = await self._connect(address, timeout_s)
         if connection is None:
-            return Exchange(
-                Verdict.NOT_RUN, Outcome.UNREACHABLE, reason=Reason.UNREACHABLE
-            )
+            return _build_unreachable_exchange()
+        left_s = deadline - anyio.current_time()
+        if left_s <= 0:
+            # nothing was sent
+            await _close(connection)
+            return _build_unreachable_exchange()
         exchange: Exchange | None = None
         reusable = False
         try:
-            with anyio.fail_after(timeout_s):
+            with anyio.fail_after(left_s):
                 exchange, reusable = await self._exchange(connection, request, address)
         except TimeoutError:
             exchange = _build_failed_exchange(Reason.TIMEOUT)
@@ -299,5 +303,9 @@
     return Exchange(Verdict.RAN, outcome, status, forwarded, body)
 
 
+def _build_unreachable_exchange() -> Exchange:
+    return Exchange(Verdict.NOT_RUN, Outcome.UNREACHABLE, reason=Reason.UNREACHABLE)
+
+
 def _build_failed_exchange(reason: Reason) -> Exchange:
     return Exchange(Verdict.MAY_HAVE_RUN, Outcome.FAILED, reason=reason)
--- a/tests/test_target_client.py
+++ b/tests/test_target_client.py
@@ -22,6 +22,7 @@
 from onyxgap.request.messages import IdentifiedRequest
 from onyxgap.request.messages import Outcome
 from onyxgap.request.messages import Reason
+from onyxgap.standins.virtual import run_virtually
 from onyxgap.verdict import Verdict
 
 TargetScript = t.Callable[[anyio.abc.SocketStream, bytes], t.Awaitable[None]]
@@ -327,3 +328,38 @@
     kept, left = anyio.run(run)
     assert 0 < kept <= MAX_IDLE_CONNECTIONS
     assert left == 0
+
+
+class SilentStream(httpcore.AsyncNetworkStream):
+    """Connection over which no answer is received."""
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        await anyio.sleep_forever()
+        return b""
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        await anyio.sleep(0)
+
+    async def aclose(self) -> None:
+        await anyio.sleep(0)
+
+
+class SlowBackend(httpcore.AnyIOBackend):
+    """Connects to nothing after a delay."""
+
+    async def connect_tcp(
+        self, *arguments: t.Any, **options: t.Any
+    ) -> httpcore.AsyncNetworkStream:
+        await anyio.sleep(0.4)
+        return SilentStream()
+
+
+def test_connecting_and_exchange_share_the_time_out_of_an_attempt() -> None:
+    async def run() -> float:
+        client = HttpTargetClient()
+        client._backend = SlowBackend()
+        exchange = await client.exchange(build_request(), "127.0.0.1:1", 1.0)
+        assert exchange.reason is Reason.TIMEOUT
+        return anyio.current_time()
+
+    assert run_virtually(run) == pytest.approx(1.0)
