--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -19,6 +19,8 @@
 from onyxgap.fleet.observation import Observer
 from onyxgap.fleet.pipe import needs_reconciliation
 from onyxgap.fleet.pipe import plan_pass
+from onyxgap.fleet.pricing import PlanCosts
+from onyxgap.fleet.pricing import compute_price
 from onyxgap.fleet.pricing import list_maintenance_options
 from onyxgap.manifest import Manifest
 from onyxgap.manifest import Pool
@@ -432,6 +434,18 @@
     assert (size.cores, size.memory_gb) == (pytest.approx(11), pytest.approx(22))
 
 
+@pytest.mark.parametrize(
+    ("costs", "price"),
+    [
+        (PlanCosts(moves=3, buffer=0, roll_out_s=0.0), 6.0),
+        (PlanCosts(moves=0, buffer=3, roll_out_s=0.0), 15.0),
+        (PlanCosts(moves=0, buffer=0, roll_out_s=180.0), 21.0),
+    ],
+)
+def test_roll_out_is_priced_per_minute(costs: PlanCosts, price: float) -> None:
+    assert compute_price(costs, Weights(moves=2, buffer=5, roll_out=7)) == price
+
+
 def test_weights_determine_parallel_maintenance() -> None:
     loads = [0, 0, 3, 3]
     gradual = list_maintenance_options(loads, 4, Weights(moves=5, buffer=1, roll_out=1))
