--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -49,9 +49,3 @@
 def quiet_logs() -> None:
     """Discard log lines instead of writing them to the output of the tests."""
     structlog.configure(logger_factory=structlog.ReturnLoggerFactory())
-
-
-@pytest.fixture
-def example_folder() -> pathlib.Path:
-    """Folder of the first example."""
-    return EXAMPLES / "pampa-lance"
