--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,5 @@
 """Shared fixtures, and builders of deployments of the examples."""
 
-import pathlib
 import pathlib
 import random
 
