Remove a worker that registers for another service

What callers see: jobs of a pool stand still on a worker that has left it, and two owners take turns at fencing each other off from it.

Cause: an owner skipped registrations for other services, so a worker of its own that registered for another one under the same id stayed registered and was held.

Change: such a worker is removed, and its runs are released without blame.

Measured: found by reading; no deployment was seen to do this. test_worker_that_registers_for_another_service_is_removed fails before and passes now.

--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -198,6 +198,10 @@
             elif entry.service == self.shard:
                 present.add(entry.worker_id)
                 self._observe_worker(entry)
+            else:
+                # its runs for this service ended when it left
+                reason = "registered for another service"
+                self.state.remove_worker(entry.worker_id, reason, self._now(), False)
         if snapshot:
             for worker_id in self.state.workers.keys() - present:
                 self._mark_unregistered(worker_id)
--- a/tests/test_registrations.py
+++ b/tests/test_registrations.py
@@ -71,6 +71,15 @@
     assert list_registered(owner) == ["w3"]
 
 
+def test_worker_that_registers_for_another_service_is_removed(
+    owner: OwnerWorkers,
+) -> None:
+    # it kept getting tasks of a service to which it no longer belonged
+    owner._apply_worker_rows([build_row("w1", "shard")], True)
+    owner._apply_worker_rows([build_row("w1", "other")], False)
+    assert not owner.state.workers
+
+
 @pytest.mark.parametrize(("born", "accepted"), [(8, False), (9, True)])
 def test_worker_is_not_asked_again_at_once_after_a_report_that_is_ignored(
     owner: OwnerWorkers, born: int, accepted: bool
