Keep allocated ports bound until their processes listen

What is seen: the set-up of tests/test_processes.py fails with "Address already in use" in the log of a process when other programs open ports. It was seen in one of eight runs under load; it was not brought about again.

Cause: the socket that found a free port was closed before the process under test listened on it.

Change: the socket stays bound. It is given SO_REUSEADDR after it was bound, so listeners with that option, such as the servers under test, can take the port over, while others and other test runs cannot. Ports for datagrams are closed as before.

--- a/tests/ports.py
+++ b/tests/ports.py
@@ -1,6 +1,5 @@
 """Allocates free ports on loopback to tests that listen."""
 
-import contextlib
 import os
 import random
 import socket
@@ -10,19 +9,33 @@
 allocation and the start of the process that listens on it."""
 
 _allocated: set[int] = set()
+_reserving: list[socket.socket] = []
 _rng = random.Random(os.getpid())
 
 
 def find_port(kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
     """Find a free port that this process has not allocated before.
 
+    A port for connections stays bound until this process ends: only sockets with
+    ``SO_REUSEADDR``, such as those of the processes under test, can then listen on it.
+
     :param kind: socket type, for connections or for datagrams.
     """
     while True:
         port = _rng.choice(PORTS)
         if port in _allocated:
             continue
-        with socket.socket(socket.AF_INET, kind) as probe, contextlib.suppress(OSError):
+        probe = socket.socket(socket.AF_INET, kind)
+        try:
             probe.bind(("127.0.0.1", port))
-            _allocated.add(port)
-            return port
+        except OSError:
+            probe.close()
+            continue
+        _allocated.add(port)
+        if kind is socket.SOCK_STREAM:
+            # set only now, so that the port was not bound by anyone else
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            _reserving.append(probe)
+        else:
+            probe.close()
+        return port
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -200,3 +201,20 @@
 def test_port_is_never_allocated_twice() -> None:
     ports = [find_port() for _ in range(500)]
     assert len(set(ports)) == len(ports)
+
+
+def test_allocated_port_is_kept_until_its_process_listens() -> None:
+    port = find_port()
+    with socket.socket() as other, pytest.raises(OSError, match="in use"):
+        other.bind(("127.0.0.1", port))
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(("127.0.0.1", port))
+        listener.listen()
+        with socket.create_connection(("127.0.0.1", port)):
+            pass
+
+
+def test_connection_to_an_allocated_port_is_refused() -> None:
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection(("127.0.0.1", find_port()))
