--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -18,6 +18,7 @@
 
 import pytest
 
+from tests.emulated import extend_day
 from tests.emulated import load_day
 from tests.emulated import play
 
@@ -43,3 +44,12 @@
 def test_many_crashing_tasks_at_a_time_break_no_rule(seed: int) -> None:
     result = play(load_day("crashing_burst"), seed, faults=2 + seed % 5)
     assert result.breaches == []
+
+
+@pytest.mark.parametrize("seed", [4, 16])
+def test_workers_that_restart_beside_many_crashing_tasks_break_no_rule(
+    seed: int,
+) -> None:
+    restarts = [f"at {4 + 0.9 * n} rebear vm ring for 0.004" for n in range(11)]
+    result = play(extend_day("crashing_burst", *restarts), seed)
+    assert result.breaches == []
