Require a third crash before a serving job fails

What callers see: a job that serves is shown as failed although nothing is wrong with it, after two workers crashed by themselves just after they had started one of its tasks.

Cause: two crashes with a single suspect were enough, also for serving tasks. These are started again after each loss, and so meet more crashes than others; among many crashing tasks nothing tells a worker's own crash apart.

Change: a serving task needs at least one more crash. That is its third; no start follows it.

--- a/src/onyxgap/jobs/crashes.py
+++ b/src/onyxgap/jobs/crashes.py
@@ -47,6 +47,9 @@
 before the task fails."""
 MAX_EXTRA_CRASHES = 2
 """Bounds how many workers a task crashes while other workers crash by themselves."""
+SERVING_EXTRA_CRASHES = 1
+"""Extra crashes required at least for a serving task: it is started again after each
+loss, and its job would otherwise have run until it is cancelled."""
 
 
 class IsolationLevel(enum.Enum):
--- a/src/onyxgap/jobs/shard_workers.py
+++ b/src/onyxgap/jobs/shard_workers.py
@@ -7,6 +7,7 @@
 import attrs
 import structlog
 
+from .crashes import SERVING_EXTRA_CRASHES
 from .crashes import LostRun
 from .crashes import assign_blame
 from .crashes import find_suspects
@@ -367,13 +368,19 @@
         for job, task in lost:
             if job.state.final:
                 continue
-            extra_crashes = self.crashes.get_extra_crashes(job.submission.job_id)
+            extra_crashes = self._get_extra_crashes(job, task)
             if task.loss_history.causes_crashes(extra_crashes):
                 self._fail_crashing_job(job, task, extra_crashes)
             elif task.loss_history.causes_crashes():
                 self._log_extra_crashes(task, extra_crashes)
         return len(lost)
 
+    def _get_extra_crashes(self, job: Job, task: Task) -> int:
+        extra_crashes = self.crashes.get_extra_crashes(job.submission.job_id)
+        if job.get_step(task).long_running:
+            return max(extra_crashes, SERVING_EXTRA_CRASHES)
+        return extra_crashes
+
     def _log_lost_runs(
         self,
         record: WorkerRecord,
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -327,3 +327,13 @@
         harness.add_worker(f"moved-{number}")
         harness.shard.remove_worker(f"moved-{number}", "its VM is down", harness.now)
     assert harness.shard.crashes.get_extra_crashes("blamed") == 0
+
+
+def test_serving_task_fails_only_at_its_third_crash(harness: ShardHarness) -> None:
+    job = harness.add_job(Step(1, cpu=1000, long_running=True))
+    states = []
+    for number in range(3):
+        crash(harness, start_one(harness, job.submission.job_id).worker_id)
+        harness.add_worker(f"new-{number}")
+        states.append(job.state)
+    assert states == [JobState.RUNNING, JobState.RUNNING, JobState.FAILED]
