Bound the starts of a crashing task also while workers crash by themselves

What callers see: a task that crashes its workers is started a sixth time.

Cause: while other workers crash by themselves, up to two extra crashes with the task as the only suspect are required, and a crash with other suspects, or of a run that was not confirmed, does not count as one.

Change: after five runs lost just after their start, two crashes with a single suspect are enough, as without extra crashes.

--- a/src/onyxgap/jobs/crashes.py
+++ b/src/onyxgap/jobs/crashes.py
@@ -36,6 +36,9 @@
 enough. Otherwise a task would crash more workers where confirmations of starts get
 lost too. Runs that survived their start don't count: a serving task may lose several
 workers to other tasks and then one that crashed by itself."""
+MAX_YOUNG_LOSSES = 5
+"""Number of runs lost just after their start after which :data:`BLAME_LIMIT` is enough,
+whatever extra crashes are required: a task is not started a sixth time."""
 FULL_ISOLATION_LOSSES = 3
 """Lost runs after which a task is fully isolated. A task that crashes its workers late
 is then detected by its seventh start."""
@@ -123,6 +126,8 @@
         """
         if self.blame >= BLAME_LIMIT + extra_crashes * START_CRASH_BLAME:
             return True
+        if self.young_losses >= MAX_YOUNG_LOSSES and self.blame >= BLAME_LIMIT:
+            return True
         return (
             self.young_losses >= YOUNG_LOSSES_LIMIT + extra_crashes
             and self.blame >= START_CRASH_BLAME * (1 + extra_crashes)
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -337,3 +337,11 @@
         harness.add_worker(f"new-{number}")
         states.append(job.state)
     assert states == [JobState.RUNNING, JobState.RUNNING, JobState.FAILED]
+
+
+def test_extra_crashes_allow_no_sixth_start_of_a_crashing_task() -> None:
+    history = NO_LOSSES
+    for blame in (0, 0, START_CRASH_BLAME, 0, START_CRASH_BLAME):
+        assert not history.causes_crashes(MAX_EXTRA_CRASHES)
+        history = history.add_loss(True, blame)
+    assert history.causes_crashes(MAX_EXTRA_CRASHES)
