Leave each pool a VM when serving tasks need them all

What callers see: while a fleet is far too small, the jobs of a pool do not run at all.

Cause: VMs for serving tasks without a worker are allocated before all others, and what is left may be none for a pool without such tasks.

Change: each pool with work gets one VM first.

Evidence: test_pool_keeps_a_vm_beside_serving_tasks_that_need_them_all; before, allocate_vms left the quiet pool none (0 and 12).

--- a/src/onyxgap/pools/allocation.py
+++ b/src/onyxgap/pools/allocation.py
@@ -42,15 +42,24 @@
 
 
 def _allocate_needed(claims: t.Mapping[str, PoolClaim], total: int) -> dict[str, int]:
-    """Allocate fewer VMs than the pools need for their current work."""
-    serving = _allocate_proportionally(
-        {pool: claim.serving for pool, claim in claims.items()}, total
-    )
-    others = _allocate_proportionally(
-        {pool: claim.needed - claim.serving for pool, claim in claims.items()},
-        total - sum(serving.values()),
+    """Allocate fewer VMs than the pools need for their current work.
+
+    Each pool gets one VM first: without any, none of its jobs would ever run.
+    """
+    tiers = (
+        dict.fromkeys(claims, 1),
+        {pool: claim.serving for pool, claim in claims.items()},
+        {pool: claim.needed for pool, claim in claims.items()},
     )
-    return {pool: serving[pool] + others[pool] for pool in claims}
+    allocated = dict.fromkeys(claims, 0)
+    for tier in tiers:
+        lacking = {
+            pool: max(0, min(tier[pool], claim.needed) - allocated[pool])
+            for pool, claim in claims.items()
+        }
+        added = _allocate_proportionally(lacking, total - sum(allocated.values()))
+        allocated = {pool: allocated[pool] + added[pool] for pool in claims}
+    return allocated
 
 
 def _allocate_proportionally(
--- a/tests/test_sharing_vms.py
+++ b/tests/test_sharing_vms.py
@@ -73,3 +73,8 @@
 def test_serving_tasks_share_a_fleet_that_is_too_small_for_them() -> None:
     claims = {name: PoolClaim(12, 12, serving=12) for name in "ab"}
     assert allocate_vms(claims, 16) == {"a": 8, "b": 8}
+
+
+def test_pool_keeps_a_vm_beside_serving_tasks_that_need_them_all() -> None:
+    claims = {"quiet": PoolClaim(2, 2), "serving": PoolClaim(14, 14, serving=14)}
+    assert allocate_vms(claims, 12) == {"quiet": 1, "serving": 11}
