--- a/src/onyxgap/jobs/shortage.py
+++ b/src/onyxgap/jobs/shortage.py
@@ -39,8 +39,10 @@
     """Count the workers that a pool needs for serving tasks that have none to run on.
 
     Workers that are out of reach count as present, since their VMs do, but give no
-    place. Workers that only lack the label or size for a step are not counted, so that
-    no more VMs are requested than the step could use.
+    place. Workers that have not answered yet give places until a call to them fails:
+    they are new, or the owner of the shard is. Workers that only lack the label or size
+    for a step are not counted, so that no more VMs are requested than the step could
+    use.
 
     :param steps: unfinished serving steps of the shard.
     :param records: workers of the shard.
@@ -61,18 +63,18 @@
     if not displaced:
         return 0
     step, step_key = serving.step, serving.step_key
-    places = {id(item): _count_open_places(item, step, step_key) for item in present}
-    lacking = displaced - sum(places.values())
+    places = [_count_open_places(item, step, step_key) for item in present]
+    lacking = displaced - sum(places)
     per_worker = max(
         (_count_places_when_empty(item, step, step_key) for item in present), default=0
     )
     if lacking <= 0 or not per_worker:
         return 0
-    used = sum(
-        places[id(item)] > 0 or not _is_reachable(item) or item.serving != ZERO_AMOUNT
-        for item in present
+    of_use = sum(
+        open_places > 0 or not _is_reachable(item) or item.serving != ZERO_AMOUNT
+        for item, open_places in zip(present, places, strict=True)
     )
-    return used + math.ceil(lacking / per_worker)
+    return of_use + math.ceil(lacking / per_worker)
 
 
 def _count_displaced(serving: ServingStep, cordoned: set[str]) -> int:
@@ -83,11 +85,7 @@
 
 
 def _is_reachable(record: WorkerRecord) -> bool:
-    return (
-        record.held
-        and record.failing_since is None
-        and record.entry.state is WorkerState.READY
-    )
+    return record.failing_since is None and record.entry.state is WorkerState.READY
 
 
 def _count_open_places(record: WorkerRecord, step: Step, step_key: StepKey) -> int:
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -3,7 +3,9 @@
 import typing as t
 
 import attrs
+import orjson
 import pytest
+import structlog.testing
 
 from onyxgap.exceptions import DocumentError
 from onyxgap.pools.bursts import BurstForecast
@@ -141,6 +143,16 @@
             decode_report(value)
 
 
+def test_reports_are_read_by_nodes_of_other_versions() -> None:
+    sent = report("a", workers={"w": WorkerLoad(2, 1, 900)}, serving_vms=3)
+    value = orjson.loads(encode_report(sent))
+    assert decode_report(orjson.dumps({**value, "later": 1})) == sent
+    del value["serving_vms"]
+    assert decode_report(orjson.dumps(value)).serving_vms == 0
+    without = attrs.evolve(sent, serving_vms=0)
+    assert value == orjson.loads(encode_report(without))
+
+
 def build_vms(pool: str, count: int) -> list[Vm]:
     return [
         Vm(f"{pool}{n}", pool, VmState.UP, worker_id=f"w-{pool}{n}")
@@ -425,8 +437,20 @@
 ) -> None:
     planner.sizes = {"a": 2, "b": 4}
     planner.plan(1.0)
-    assert len(planner.cordons) == 2
+    cordoned = set(planner.cordons)
+    assert len(cordoned) == 2
     planner.reports["a"] = build_report(planner, "a", serving_vms=3)
     planner.sizes = {"a": 3, "b": 4}
-    planner.plan(1.1)
+    with structlog.testing.capture_logs() as lines:
+        planner.plan(1.1)
     assert len(planner.cordons) == 1
+    (lifted,) = [line["workers"] for line in lines if "lifted" in line["event"]]
+    assert set(lifted) == cordoned - set(planner.cordons)
+
+
+def test_serving_tasks_take_no_vms_that_were_allocated_to_another_pool(
+    planner: FleetPlanner,
+) -> None:
+    planner.sizes = {"a": 5, "b": 5}
+    planner.reports["b"] = build_report(planner, "b", serving_vms=9)
+    assert sorted(order.pool for order in planner.plan(1.0)) == ["a", "b"]
