--- a/src/onyxgap/pools/planner.py
+++ b/src/onyxgap/pools/planner.py
@@ -18,12 +18,31 @@
 from .messages import VmState
 from .waves import WavePlanner
 
+REGISTRATION_RETURN_S = 2.0
+"""Time within which registrations that expired with the store down are back."""
 STARTUP_TIMEOUT_S = 8.0
 """All VMs start within seconds of each other. One that is not up by then is down."""
 
 _LOG = structlog.get_logger()
 
 
+@attrs.define(slots=True)
+class Shortfall:
+    """VMs that a pool lacks.
+
+    :param vms: number of VMs, negative if the pool has a surplus.
+    :param serving: number of them that its serving tasks lack.
+    """
+
+    vms: int
+    serving: int = 0
+
+    def note_move(self) -> None:
+        """Record that a VM is moved to the pool."""
+        self.vms -= 1
+        self.serving = max(0, self.serving - 1)
+
+
 @attrs.define
 class FleetPlanner(WavePlanner):
     """Plans maintenance and moves of VMs."""
@@ -50,14 +69,15 @@
     def _plan_moves(self, now: float) -> t.Iterator[VmOrder]:
         if not self.sizes or not self.spare_pool or not self._is_startup_complete(now):
             return
-        shortfalls = self._count_shortfalls()
+        self._note_reported_workers(now)
+        shortfalls = self._count_shortfalls(now)
         self._cordon_surplus(shortfalls)
         for vm in self._list_movable(now):
             pool = self._choose_pool(vm, shortfalls)
             if pool == vm.pool:
                 continue
             if pool in shortfalls:
-                shortfalls[pool] -= 1
+                shortfalls[pool].note_move()
             order = VmOrder(vm.name, VmActionKind.MOVE, pool=pool)
             _LOG.info(
                 "VM moves",
@@ -69,6 +89,13 @@
             )
             yield self._add_pending(vm, order)
 
+    def _note_reported_workers(self, now: float) -> None:
+        live = {vm.worker_id for vm in self.vms.values()}
+        for worker_id in self._reported_at.keys() - live:
+            del self._reported_at[worker_id]
+        for report in self.reports.values():
+            self._reported_at |= dict.fromkeys(report.workers.keys() & live, now)
+
     def _is_startup_complete(self, now: float) -> bool:
         """Tell whether the start-up of the deployment is over.
 
@@ -85,38 +112,58 @@
             self._startup_complete = reported and (all_up or may_proceed)
         return self._startup_complete
 
-    def _count_shortfalls(self) -> dict[str, int]:
-        """Count the VMs that each pool lacks; negative if it has a surplus."""
-        shortfalls = {}
-        for pool, wanted in self.sizes.items():
-            incoming = sum(
-                pending.order.kind is VmActionKind.MOVE and pending.order.pool == pool
-                for pending in self.pending_orders.values()
-            )
-            returning = sum(
-                vm.pool == pool
-                and (
-                    vm.state in (VmState.UPKEEP, VmState.MOVING)
-                    or self._is_cordoned(vm, UPKEEP_REASON)
-                )
-                and not self._has_pending_move(vm)
-                for vm in self.vms.values()
+    def _count_shortfalls(self, now: float) -> dict[str, Shortfall]:
+        return {
+            pool: self._count_shortfall(pool, wanted, now)
+            for pool, wanted in self.sizes.items()
+        }
+
+    def _count_shortfall(self, pool: str, wanted: int, now: float) -> Shortfall:
+        usable = self._count_schedulable(pool) + self._count_incoming(pool)
+        # VMs in maintenance return only once their tasks have found other workers
+        needed = min(wanted, self._get_serving_vms(pool))
+        serving = needed - usable + self._count_out_of_reach(pool, now)
+        vms = max(wanted - usable - self._count_returning(pool), serving)
+        return Shortfall(vms, max(0, serving))
+
+    def _count_incoming(self, pool: str) -> int:
+        return sum(
+            pending.order.kind is VmActionKind.MOVE and pending.order.pool == pool
+            for pending in self.pending_orders.values()
+        )
+
+    def _count_returning(self, pool: str) -> int:
+        return sum(
+            vm.pool == pool
+            and (
+                vm.state in (VmState.UPKEEP, VmState.MOVING)
+                or self._is_cordoned(vm, UPKEEP_REASON)
             )
-            usable = self._count_schedulable(pool) + incoming
-            # VMs in maintenance return only once their tasks have found other workers
-            needed = min(wanted, self._get_serving_vms(pool))
-            shortfalls[pool] = max(wanted - usable - returning, needed - usable)
-        return shortfalls
+            and not self._has_pending_move(vm)
+            for vm in self.vms.values()
+        )
 
     def _get_serving_vms(self, pool: str) -> int:
         report = self.reports.get(pool)
         return report.serving_vms if report is not None else 0
 
+    def _count_out_of_reach(self, pool: str, now: float) -> int:
+        """Count schedulable VMs whose workers are no longer registered.
+
+        The shard does not count them among the VMs that its serving tasks need. New
+        VMs, whose workers have not been reported yet, are about to register.
+        """
+        return sum(
+            now - self._reported_at.get(vm.worker_id, now) > REGISTRATION_RETURN_S
+            and self._is_schedulable(vm, pool)
+            for vm in self.vms.values()
+        )
+
     def _has_pending_move(self, vm: Vm) -> bool:
         pending = self.pending_orders.get(vm.name)
         return pending is not None and pending.order.kind is VmActionKind.MOVE
 
-    def _cordon_surplus(self, shortfalls: t.Mapping[str, int]) -> None:
+    def _cordon_surplus(self, shortfalls: t.Mapping[str, Shortfall]) -> None:
         for pool, shortfall in shortfalls.items():
             cordoned = [
                 vm
@@ -125,10 +172,10 @@
                 and self._is_cordoned(vm, MOVE_REASON)
                 and vm.name not in self.pending_orders
             ]
-            if shortfall > 0:
-                self._lift_cordons(pool, cordoned[:shortfall])
-            elif shortfall < 0:
-                self._cordon_least_loaded(pool, -shortfall)
+            if shortfall.vms > 0:
+                self._lift_cordons(pool, cordoned[: shortfall.vms])
+            elif shortfall.vms < 0:
+                self._cordon_least_loaded(pool, -shortfall.vms)
 
     def _lift_cordons(self, pool: str, vms: t.Sequence[Vm]) -> None:
         for vm in vms:
@@ -169,13 +216,17 @@
         ]
         return sorted(movable, key=lambda vm: (vm.pool != self.spare_pool, vm.name))
 
-    def _choose_pool(self, vm: Vm, shortfalls: t.Mapping[str, int]) -> str:
-        """Choose the pool with the largest shortfall, else the spare pool."""
+    def _choose_pool(self, vm: Vm, shortfalls: t.Mapping[str, Shortfall]) -> str:
+        """Choose the pool that lacks VMs most, else the spare pool.
+
+        Pools whose serving tasks lack VMs go first; these tasks can't make up for the
+        time in which they are away.
+        """
         candidates = [
-            (-shortfall, pool)
+            (shortfall.serving == 0, -shortfall.vms, pool)
             for pool, shortfall in shortfalls.items()
-            if shortfall > 0
+            if shortfall.vms > 0
             and pool != vm.pool
             and (vm.name, pool) not in self._refused_moves
         ]
-        return min(candidates)[1] if candidates else self.spare_pool
+        return min(candidates)[-1] if candidates else self.spare_pool
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -24,6 +24,7 @@
 from onyxgap.pools.messages import encode_report
 from onyxgap.pools.offered import WINDOW_S
 from onyxgap.pools.offered import OfferedLoad
+from onyxgap.pools.planner import REGISTRATION_RETURN_S
 from onyxgap.pools.planner import FleetPlanner
 from onyxgap.pools.sizing import SCALE_DOWN_WINDOW_S
 from onyxgap.pools.sizing import PoolSizer
@@ -454,3 +455,28 @@
     planner.sizes = {"a": 5, "b": 5}
     planner.reports["b"] = build_report(planner, "b", serving_vms=9)
     assert sorted(order.pool for order in planner.plan(1.0)) == ["a", "b"]
+
+
+def test_vm_out_of_reach_does_not_stand_in_for_one_that_serving_tasks_need(
+    planner: FleetPlanner,
+) -> None:
+    planner.sizes = {"a": 4, "b": 4}
+    assert planner.plan(1.0) == []
+    loads = {f"w-a{n}": WorkerLoad(1, 1, 100) for n in range(3)}
+    planner.reports["a"] = report("a", workers=loads, serving_vms=4)
+    assert planner.plan(1.0 + REGISTRATION_RETURN_S) == []
+    (order,) = planner.plan(1.1 + REGISTRATION_RETURN_S)
+    assert order.pool == "a"
+    planner.apply_reply(order, VmReply.DONE, 4.0)
+    moved = attrs.evolve(planner.vms[order.vm], pool="a", worker_id="w-new")
+    planner.apply_vm_list([*planner.vms.values(), moved], 6.0)
+    assert planner.plan(6.1) == []
+    assert planner.plan(9.0) == []
+
+
+def test_vm_goes_to_serving_tasks_before_a_pool_with_a_larger_shortfall(
+    planner: FleetPlanner,
+) -> None:
+    planner.sizes = {"a": 14, "b": 5}
+    planner.reports["b"] = build_report(planner, "b", serving_vms=5)
+    assert sorted(order.pool for order in planner.plan(1.0)) == ["a", "b"]
