--- a/src/onyxgap/adapters/call_link.py
+++ b/src/onyxgap/adapters/call_link.py
@@ -136,21 +136,26 @@
             return ForwardFailure.NOT_SENT
         self._sending += 1
         try:
-            return await self._ask(parse_address(address), call, timeout_s)
+            return await self._ask(address, call, timeout_s)
         finally:
             self._sending -= 1
 
     async def _ask(
-        self, target: Address, call: PassedCall, timeout_s: float
+        self, address: str, call: PassedCall, timeout_s: float
     ) -> PassedAnswer | ForwardFailure:
+        deadline = anyio.current_time() + timeout_s
         try:
+            target = parse_address(address)
             with anyio.fail_after(min(CONNECT_TIMEOUT_S, timeout_s)):
                 stream = await anyio.connect_tcp(target.host, target.port)
         except (OSError, TimeoutError):
             return ForwardFailure.NOT_SENT
+        except ValueError as error:
+            _LOG.warning("call not forwarded", address=address, reason=str(error))
+            return ForwardFailure.NOT_SENT
         try:
             async with stream:
-                with anyio.fail_after(timeout_s):
+                with anyio.fail_after(deadline - anyio.current_time()):
                     await stream.send(encode_call(self.get_address(), call))
                     return decode_answer(await _receive_frame(stream))
         except (*_CONNECTION_ERRORS, TimeoutError):
--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -57,23 +57,24 @@
 
     def apply_report(
         self, worker_id: str, report: HoldReport, sent_at: float, now: float
-    ) -> None:
+    ) -> bool:
         """Apply a worker's report of its running and ended runs.
 
         :param worker_id: the worker.
         :param report: the report.
         :param sent_at: monotonic seconds when the hold request was sent.
         :param now: monotonic seconds.
+        :returns: whether the worker may be asked again at once.
         """
         record = self.workers.get(worker_id)
         if record is None:
-            return
-        if (
-            self._update_incarnation(record, report.born, now)
-            is not IncarnationMatch.SAME
-        ):
+            return False
+        match = self._update_incarnation(record, report.born, now)
+        if match is IncarnationMatch.FORMER:
+            self._accept_earlier_start(record, report.born, sent_at, now)
+        if match is not IncarnationMatch.SAME:
             # a newer incarnation starts with an empty record and is asked again
-            return
+            return match is IncarnationMatch.LATER
         if record.clock is None:
             record.clock = WorkerClock(report.clock_ms, now)
         record.clock.observe(report.clock_ms, now)
@@ -91,6 +92,7 @@
             self._apply_running(record, item, report, now)
         self._check_worker_speed(record, report, now)
         self._release_missing_runs(record, listed | ended, sent_at)
+        return True
 
     def _apply_running(
         self, record: WorkerRecord, item: RunningTask, report: HoldReport, now: float
@@ -126,8 +128,7 @@
         if item.checkpoint:
             task.checkpoint = item.checkpoint
 
-    @staticmethod
-    def _update_crash_windows(record: WorkerRecord, task: Task) -> None:
+    def _update_crash_windows(self, record: WorkerRecord, task: Task) -> None:
         if (
             task.task_id in record.in_start_crash_window
             and task.listed_ms >= START_CRASH_WINDOW_MS
@@ -135,6 +136,7 @@
             record.end_start_crash_window(task.task_id, task.loss_history.isolation)
         if task.task_id in record.in_crash_window and task.listed_ms >= CRASH_WINDOW_MS:
             task.loss_history = NO_LOSSES
+            self.crashes.clear_task(task.task_id)
             record.end_crash_window(task.task_id)
 
     @staticmethod
@@ -215,16 +217,19 @@
                 failures=task.failures,
             )
         step = job.get_step(task)
-        members = self._list_gang_members(job, task)
-        for member in members:
+        # a gang is done as a whole; any other end is that of one member
+        done = end.kind is EndKind.DONE
+        ended = self._list_gang_members(job, task) if done else [task]
+        for member in ended:
             member_worker = self.workers.get(member.worker_id)
-            if not member.placed or member_worker is None:
-                continue
-            if end.kind is EndKind.DONE or member is task:
+            if member.placed and member_worker is not None:
                 member_worker.free(step, get_step_key(member))
                 member_worker.end_crash_window(member.task_id)
+        if end.kind in (EndKind.DONE, EndKind.FAILED):
+            self.crashes.clear_task(task.task_id)
         if job.state.final:
-            task.release()
+            for member in ended:
+                member.release()
         else:
             job.apply_end(task, end)
             if job.state is JobState.FAILED:
@@ -364,16 +369,18 @@
         job = self.jobs.get(order.task.job_id)
         task = job.find_task(order.task) if job else None
         record = self.workers.get(order.worker_id)
-        if record is not None and record.clock and reply.clock_ms is not None:
-            record.clock.observe(reply.clock_ms, now)
-            record.last_clock_ms = max(record.last_clock_ms, reply.clock_ms)
         if job is None or task is None or not task.placed:
             return
         if (task.run, task.worker_id) != (order.run, order.worker_id):
             return
+        # a reply to an order for a previous incarnation may be on that one's clock
+        clock_ms = reply.clock_ms if task.start_ruled_out_at is None else None
+        if record is not None and record.clock and clock_ms is not None:
+            record.clock.observe(clock_ms, now)
+            record.last_clock_ms = max(record.last_clock_ms, clock_ms)
         if reply.kind is ReplyKind.DONE:
             job.started = True
-            task.confirm(now, reply.clock_ms)
+            task.confirm(now, clock_ms)
             return
         _LOG.info(
             "start not confirmed",
--- a/src/onyxgap/jobs/shard_workers.py
+++ b/src/onyxgap/jobs/shard_workers.py
@@ -1,5 +1,6 @@
 """Tracks the workers of a shard: registrations, cordons, leases, crashes and load."""
 
+import itertools
 import math
 import typing as t
 
@@ -8,6 +9,7 @@
 
 from .crashes import LostRun
 from .crashes import assign_blame
+from .crashes import find_suspects
 from .job import Job
 from .job import Task
 from .lives import IncarnationMatch
@@ -28,7 +30,15 @@
 """Time after a claim for which leases of the previous owner may still be valid: an
 owner that cannot reach the store stops extending leases after 8 s, and the last lease
 that it granted lasts 5 s."""
-
+FORMER_RUN_S = 20.0
+"""Time after a worker's restart is known for which a run that its former incarnation
+was ordered to start may be on the new one without the owner's knowledge: the order
+arrives seconds late, and the longest lease that a worker grants lasts 10 s."""
+FORMER_MESSAGE_S = 5.0
+"""Time after the last message of a worker's known incarnation from which a report of
+one with an earlier start time is that of a later one, whose wall clock was set back. A
+report of a former incarnation comes before: a request waits for 2 s at most, and may be
+carried out seconds late."""
 
 _LOG = structlog.get_logger()
 
@@ -61,6 +71,20 @@
     return str(task.task_id), task.run, confirmed, round(task.listed_ms)
 
 
+def _describe_loss(task: Task, last_clock_ms: float) -> LostRun:
+    """Describe the run of a task that was lost with its worker.
+
+    :param task: the task.
+    :param last_clock_ms: latest reading of the worker's clock. A run that was started
+        before had not crashed the worker by then, even if no report listed it.
+    """
+    return LostRun(
+        task.task_id.job_id,
+        task.confirmed_at is not None,
+        task.get_survived_ms(last_clock_ms),
+    )
+
+
 @attrs.define
 class ShardWorkers(ShardJobs):
     """The workers of one shard."""
@@ -74,10 +98,11 @@
         """
         record = self.workers.get(entry.worker_id)
         if record is None:
-            record = WorkerRecord(entry, born=entry.born)
+            record = WorkerRecord(entry, born=entry.born, heard_at=now)
             self.workers[entry.worker_id] = record
         match = self._update_incarnation(record, entry.born, now)
         if match is IncarnationMatch.FORMER:
+            record.former_entry = entry
             return record
         if match is IncarnationMatch.LATER:
             record = self.workers[entry.worker_id]
@@ -108,8 +133,26 @@
             self._replace_incarnation(record, born, now)
         elif match is IncarnationMatch.SAME:
             record.born = record.born or born
+            record.heard_at = now
         return match
 
+    def _accept_earlier_start(
+        self, record: WorkerRecord, born: int, sent_at: float, now: float
+    ) -> None:
+        """Replace an incarnation that is silent by one with an earlier start time.
+
+        :param record: the worker's record.
+        :param born: start time in the report, Unix milliseconds.
+        :param sent_at: monotonic seconds when the report was requested.
+        :param now: monotonic seconds.
+        """
+        if sent_at < record.heard_at + FORMER_MESSAGE_S:
+            return
+        self._replace_incarnation(record, born, now)
+        entry = record.former_entry
+        if entry is not None and entry.born == born:
+            self.observe_worker(entry, now)
+
     def _replace_incarnation(
         self, previous: WorkerRecord, born: int, now: float
     ) -> None:
@@ -122,11 +165,12 @@
         fencing token, and the order's deadline means nothing on its new clock. So a run
         whose order may have been sent, and that the previous incarnation did not list,
         stays placed until the new incarnation has confirmed a stop order for it, and a
-        report requested after that does not list the run.
+        report requested after that does not list the run. If the new incarnation is
+        silent, the run is released after :data:`FORMER_RUN_S`.
         """
         worker_id = previous.entry.worker_id
         ordered = [
-            (job, task, task.run, task.start_deadline_ms)
+            (job, task, task.run)
             for job in self.jobs.values()
             for task in job.list_placed()
             if task.worker_id == worker_id and _may_reach_next_incarnation(task)
@@ -137,18 +181,18 @@
         )
         record = WorkerRecord(entry, previous.registered, WorkerClock(0.0, now))
         record.born = born
+        record.heard_at = now
+        record.former_runs_until = now + FORMER_RUN_S
         self.workers[worker_id] = record
-        for job, task, run, deadline_ms in ordered:
+        for job, task, run in ordered:
             if not job.state.final:
-                self._bar(record, job, task, run, deadline_ms)
+                self._bar(record, job, task, run)
 
-    def _bar(
-        self, record: WorkerRecord, job: Job, task: Task, run: int, deadline_ms: float
-    ) -> None:
-        task.place(record.entry.worker_id, 0.0, deadline_ms, run)
+    def _bar(self, record: WorkerRecord, job: Job, task: Task, run: int) -> None:
+        # the deadline of the order is on the clock of the previous incarnation
+        task.place(record.entry.worker_id, 0.0, 0.0, run)
         task.start_ruled_out_at = math.inf
         record.reserve(job.get_step(task), get_step_key(task))
-        record.lease_ms = max(record.lease_ms, deadline_ms)
         self._mark_stopping(task)
         self.dirty.add(job.submission.job_id)
 
@@ -285,7 +329,17 @@
             return False
         if record.clock is None:
             return True
-        return record.clock.get_lower_bound(now) > record.lease_ms
+        if record.clock.get_lower_bound(now) <= record.lease_ms:
+            return False
+        return now >= record.former_runs_until or not self._has_former_runs(record)
+
+    def _has_former_runs(self, record: WorkerRecord) -> bool:
+        return any(
+            task.worker_id == record.entry.worker_id
+            and task.start_ruled_out_at is not None
+            for job in self.jobs.values()
+            for task in job.list_placed()
+        )
 
     def _release_runs(self, record: WorkerRecord, crashed: bool, now: float) -> int:
         lost = [
@@ -295,63 +349,79 @@
             if task.worker_id == record.entry.worker_id
         ]
         tasks = [task for _, task in lost]
-        if tasks:
-            self._log_lost_runs(record, tasks)
+        sent = [task for task in tasks if _may_have_been_sent(task)]
+        runs = [_describe_loss(task, record.last_clock_ms) for task in sent]
+        blames = {}
         if record.entry.state is not WorkerState.DRAINING:
-            sent = [task for task in tasks if _may_have_been_sent(task)]
-            self._record_losses(sent, crashed, record.last_clock_ms)
+            blames = self._record_losses(sent, runs, crashed)
+        if tasks:
+            self._log_lost_runs(record, tasks, blames)
         if crashed and tasks:
             # A worker without runs is not recorded: it may have been drained, and then
             # it has moved or is in maintenance.
-            self.crashes.note([task.task_id.job_id for task in tasks], now)
+            job_ids = [task.task_id.job_id for task in tasks]
+            suspects = itertools.compress(sent, find_suspects(runs))
+            self.crashes.note(job_ids, [task.task_id for task in suspects], now)
         for job, task in lost:
             self._release(job, task)
         for job, task in lost:
             if job.state.final:
                 continue
-            if task.loss_history.causes_crashes(
-                self.crashes.get_extra_crashes(job.submission.job_id)
-            ):
-                self._fail_crashing_job(job, task)
+            extra_crashes = self.crashes.get_extra_crashes(job.submission.job_id)
+            if task.loss_history.causes_crashes(extra_crashes):
+                self._fail_crashing_job(job, task, extra_crashes)
+            elif task.loss_history.causes_crashes():
+                self._log_extra_crashes(task, extra_crashes)
         return len(lost)
 
-    def _log_lost_runs(self, record: WorkerRecord, tasks: t.Sequence[Task]) -> None:
+    def _log_lost_runs(
+        self,
+        record: WorkerRecord,
+        tasks: t.Sequence[Task],
+        blames: t.Mapping[str, int],
+    ) -> None:
         _LOG.info(
             "runs lost",
             worker=record.entry.worker_id,
             service=self.service,
             epoch=self.epoch,
             runs=[_describe_run(task) for task in tasks],
+            blames=blames,
+        )
+
+    def _log_extra_crashes(self, task: Task, extra_crashes: int) -> None:
+        _LOG.info(
+            "more crashes required",
+            task=str(task.task_id),
+            extra_crashes=extra_crashes,
+            losses=task.loss_history.losses,
+            blame=task.loss_history.blame,
         )
 
     @staticmethod
     def _record_losses(
-        tasks: t.Sequence[Task], crashed: bool, last_clock_ms: float
-    ) -> None:
+        tasks: t.Sequence[Task], runs: t.Sequence[LostRun], crashed: bool
+    ) -> dict[str, int]:
         """Record the runs lost with a worker in the loss histories of their tasks.
 
         Otherwise a task that crashes its workers would be started again without end.
 
         :param tasks: the tasks.
+        :param runs: their runs, in the same order.
         :param crashed: whether the worker crashed. A worker that is only out of reach
             ends its runs, too, but none of them is to blame.
-        :param last_clock_ms: latest reading of the worker's clock. A run that was
-            started before had not crashed the worker by then, even if no report listed
-            it.
+        :returns: the blame of the runs that are blamed, by task.
         """
-        runs = [
-            LostRun(
-                task.task_id.job_id,
-                task.confirmed_at is not None,
-                task.get_survived_ms(last_clock_ms),
-            )
-            for task in tasks
-        ]
         blames = assign_blame(runs) if crashed else [0] * len(runs)
         for task, run, blame in zip(tasks, runs, blames, strict=True):
             task.loss_history = task.loss_history.add_loss(run.young, blame)
+        return {
+            str(task.task_id): blame
+            for task, blame in zip(tasks, blames, strict=True)
+            if blame
+        }
 
-    def _fail_crashing_job(self, job: Job, task: Task) -> None:
+    def _fail_crashing_job(self, job: Job, task: Task, extra_crashes: int) -> None:
         _LOG.info(
             "job failed",
             job=job.submission.job_id,
@@ -359,5 +429,6 @@
             failures=task.failures,
             losses=task.loss_history.losses,
             blame=task.loss_history.blame,
+            extra_crashes=extra_crashes,
         )
         self._end_job(job, JobState.FAILED)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -19,6 +19,8 @@
 from onyxgap.fleet.observation import Observer
 from onyxgap.fleet.pipe import needs_reconciliation
 from onyxgap.fleet.pipe import plan_pass
+from onyxgap.fleet.pricing import PlanCosts
+from onyxgap.fleet.pricing import compute_price
 from onyxgap.fleet.pricing import list_maintenance_options
 from onyxgap.manifest import Manifest
 from onyxgap.manifest import Pool
@@ -187,6 +189,29 @@
     assert "60 s old" in overdue.reason
 
 
+def get_overdue_reason(pool_plan: PoolPlan) -> str:
+    (overdue,) = [r for r in pool_plan.reports if r.finding is Finding.OVERDUE]
+    return overdue.reason
+
+
+def test_overdue_maintenance_names_the_budget_only_if_it_is_used_up() -> None:
+    fleet = build_fleet(max_out=2)
+    weights = Weights(moves=5, buffer=50, roll_out=1)
+    manifest = attrs.evolve(fleet.manifest, weights=weights)
+    fleet.apply(ev.ManifestAccepted(2, split_manifest(manifest)))
+    fleet.wall += 40 * DAY_S
+    pool_plan = fleet.advance()
+    assert len(find_events(pool_plan, ev.VmDraining)) == 1
+    assert "used up" not in get_overdue_reason(pool_plan)
+    assert "1 VMs are maintained at a time" in get_overdue_reason(pool_plan)
+
+
+def test_overdue_maintenance_names_the_budget_that_is_used_up() -> None:
+    fleet = build_fleet(max_out=1)
+    fleet.wall += 40 * DAY_S
+    assert "used up" in get_overdue_reason(fleet.advance())
+
+
 def test_maintenance_wave_goes_zone_by_zone() -> None:
     fleet = build_fleet()
     fleet.wall += 40 * DAY_S
@@ -357,6 +382,34 @@
     assert not find_events(fleet.plan(), ev.TaskStopping)
 
 
+def build_fleet_with_failed_urgent_task(idempotent: bool) -> tuple[FleetHarness, str]:
+    """Build two VMs, one full of bulk work and one where an urgent task failed."""
+    bulk = Task("bulk", "p", Priority.BULK, cores=64, idempotent=idempotent)
+    fleet = build_fleet([bulk], zones={"a": 1, "b": 1})
+    (attempt,) = fleet.state.attempts.values()
+    running = ListedTask(attempt.attempt, attempt.vm, TaskStatus.RUNNING)
+    fleet.listed = {attempt.attempt: running}
+    urgent = Task("now", "p", Priority.URGENT, cores=20)
+    manifest = attrs.evolve(fleet.manifest, tasks=[bulk, urgent])
+    fleet.apply(ev.ManifestAccepted(2, split_manifest(manifest)))
+    (free,) = {record.name for record in fleet.state.list_pool("p")} - {attempt.vm}
+    fleet.state.tasks["now"] = TaskHistory(started=1, failed_on=[free])
+    return fleet, attempt.attempt
+
+
+def test_urgent_task_preempts_on_a_worker_where_it_has_not_failed() -> None:
+    fleet, victim = build_fleet_with_failed_urgent_task(idempotent=True)
+    stopping = find_events(fleet.plan(), ev.TaskStopping)
+    assert [event.attempt for event in stopping] == [victim]
+
+
+def test_urgent_task_without_any_worker_but_one_where_it_failed_is_reported() -> None:
+    fleet, _ = build_fleet_with_failed_urgent_task(idempotent=False)
+    pool_plan = fleet.plan()
+    assert not find_events(pool_plan, ev.TaskStopping)
+    assert [report.finding for report in pool_plan.reports] == [Finding.NO_ROOM]
+
+
 def test_many_cancelled_tasks_are_stopped_in_one_pass() -> None:
     tasks = [Task(f"t{n}", "p", Priority.BULK, count=4) for n in range(10)]
     fleet = build_fleet(tasks)
@@ -381,6 +434,18 @@
     assert (size.cores, size.memory_gb) == (pytest.approx(11), pytest.approx(22))
 
 
+@pytest.mark.parametrize(
+    ("costs", "price"),
+    [
+        (PlanCosts(moves=3, buffer=0, roll_out_s=0.0), 6.0),
+        (PlanCosts(moves=0, buffer=3, roll_out_s=0.0), 15.0),
+        (PlanCosts(moves=0, buffer=0, roll_out_s=180.0), 21.0),
+    ],
+)
+def test_roll_out_is_priced_per_minute(costs: PlanCosts, price: float) -> None:
+    assert compute_price(costs, Weights(moves=2, buffer=5, roll_out=7)) == price
+
+
 def test_weights_determine_parallel_maintenance() -> None:
     loads = [0, 0, 3, 3]
     gradual = list_maintenance_options(loads, 4, Weights(moves=5, buffer=1, roll_out=1))
--- a/tests/test_shard.py
+++ b/tests/test_shard.py
@@ -265,6 +265,32 @@
     assert stop.run == order.run + 7
 
 
+def test_cancelled_run_on_an_unregistered_worker_that_answers_is_stopped(
+    harness: ShardHarness,
+) -> None:
+    # its lease was renewed without end
+    harness.add_worker("w1")
+    job = harness.add_job(Step(1, cpu=1000, long_running=True))
+    (order,) = harness.start_all()
+    harness.shard.mark_unregistered("w1")
+    harness.report("w1")
+    harness.shard.cancel(job.submission.job_id)
+    (stop,) = harness.shard.list_stops(harness.now)
+    assert (stop.worker_id, stop.task) == ("w1", order.task)
+
+
+def test_worker_without_registration_that_is_silent_gets_no_stop_order(
+    harness: ShardHarness,
+) -> None:
+    harness.add_worker("w1")
+    job = harness.add_job(Step(1, cpu=1000, long_running=True))
+    harness.start_all()
+    harness.shard.mark_unregistered("w1")
+    harness.shard.apply_failure("w1", Reply(ReplyKind.NO_ANSWER), harness.now)
+    harness.shard.cancel(job.submission.job_id)
+    assert harness.shard.list_stops(harness.now) == []
+
+
 def test_serving_tasks_leave_a_cordoned_worker_one_at_a_time(
     harness: ShardHarness,
 ) -> None:
@@ -525,3 +551,38 @@
     harness.add_job(Step(1, cpu=1000), job_id="c" * 16)
     (order,) = harness.plan()
     assert order.worker_id != busy.worker_id
+
+
+def test_worker_is_reserved_for_a_serving_task_although_another_is_silent(
+    harness: ShardHarness,
+) -> None:
+    # the silent worker was reserved, and smaller tasks took the other one for ever
+    harness.add_worker("w1")
+    harness.add_job(Step(2, cpu=30_000))
+    first, second = harness.start_all()
+    harness.add_worker("w2")
+    silent = Reply(ReplyKind.NO_ANSWER)
+    harness.shard.apply_failure("w2", silent, harness.now)
+    harness.add_job(Step(1, cpu=60_000, long_running=True), job_id="b" * 16)
+    harness.add_job(Step(1, cpu=30_000), job_id="c" * 16)
+    harness.report("w1", (first, EndKind.DONE))
+    assert harness.plan() == []
+    harness.report("w1", (second, EndKind.DONE))
+    assert [order.task.job_id for order in harness.plan()] == ["b" * 16]
+
+
+def test_ended_gang_of_a_cancelled_job_leaves_no_run_behind(
+    harness: ShardHarness,
+) -> None:
+    # freed on its worker but still placed, a member was freed again, or never ended
+    harness.add_worker("w1", cpu=2000)
+    harness.add_worker("w2", cpu=2000)
+    job = harness.add_job(Step(2, cpu=2000, gang=True))
+    first, second = harness.start_all()
+    harness.shard.cancel(job.submission.job_id)
+    harness.shard.mark_stored(job.submission.job_id, JobState.CANCELLED, harness.now)
+    harness.report(first.worker_id, (first, EndKind.DONE))
+    harness.report(second.worker_id, (second, EndKind.DONE))
+    assert harness.shard.jobs == {}
+    assert [item.cpu_used for item in harness.shard.workers.values()] == [0, 0]
+    assert harness.shard.list_stops(harness.now) == []
