Divide VMs as before where no serving tasks lack a worker

Cause: since each pool got one VM first, the others were divided by other fractions also in fleets without serving tasks that lack a worker.

Change: one VM for each pool with other work is only left out of those for serving tasks; what remains is divided as before.

Evidence: tests/test_malformed_rows.py, test_sharing_vms.py and test_pools.py pass.

--- a/src/onyxgap/pools/allocation.py
+++ b/src/onyxgap/pools/allocation.py
@@ -44,22 +44,16 @@
 def _allocate_needed(claims: t.Mapping[str, PoolClaim], total: int) -> dict[str, int]:
     """Allocate fewer VMs than the pools need for their current work.
 
-    Each pool gets one VM first: without any, none of its jobs would ever run.
+    VMs for serving tasks go first. One is left for each pool with other work: without
+    any, none of its jobs would ever run.
     """
-    tiers = (
-        dict.fromkeys(claims, 1),
-        {pool: claim.serving for pool, claim in claims.items()},
-        {pool: claim.needed for pool, claim in claims.items()},
+    others = {pool: claim.needed - claim.serving for pool, claim in claims.items()}
+    left = sum(count > 0 for count in others.values())
+    serving = _allocate_proportionally(
+        {pool: claim.serving for pool, claim in claims.items()}, max(0, total - left)
     )
-    allocated = dict.fromkeys(claims, 0)
-    for tier in tiers:
-        lacking = {
-            pool: max(0, min(tier[pool], claim.needed) - allocated[pool])
-            for pool, claim in claims.items()
-        }
-        added = _allocate_proportionally(lacking, total - sum(allocated.values()))
-        allocated = {pool: allocated[pool] + added[pool] for pool in claims}
-    return allocated
+    rest = _allocate_proportionally(others, total - sum(serving.values()))
+    return {pool: serving[pool] + rest[pool] for pool in claims}
 
 
 def _allocate_proportionally(
