Return the outcome of a report in the test of acknowledged results

The function that the test puts in its place returned nothing, so that each report was followed by a pause, which hid the missing safeguard.

Change: it returns the outcome of the original. What the test asks is the same.

--- a/tests/test_mutations.py
+++ b/tests/test_mutations.py
@@ -47,11 +47,12 @@
 
     def apply_and_acknowledge(
         self: Shard, worker_id: str, *args: t.Any, **keywords: t.Any
-    ) -> None:
-        apply(self, worker_id, *args, **keywords)
+    ) -> bool:
+        accepted = apply(self, worker_id, *args, **keywords)
         record = self.workers.get(worker_id)
         if record is not None:
             record.acknowledged = record.processed_sequence
+        return accepted
 
     patch.setattr(Shard, "apply_report", apply_and_acknowledge)
 
