Close a former owner's connections to its workers

Callers saw jobs of a whole service stand still although workers had room, and serving tasks stay away, on runs in which shards changed their owners.

Cause: a node closed its connections to a worker only when it removed the worker while it owned the shard. After the loss or release of a shard they stayed open, up to 16 idle ones a worker and former owner. A worker accepts 64 channels in all, so after some changes of the owner it refuses the present one, who takes it for silent, grants it no leases and places nothing there. A call that was under way when a worker was forgotten also put its connection back where nobody would close it. Found by reading; whether it is what callers saw is not known, since their record ends before such a line.

Now the hold loop of a worker closes them however it ends, and connections that are retired are closed as their calls return.

--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -276,6 +276,17 @@
         )
 
     async def _run_hold_loop(self, worker_id: str) -> None:
+        try:
+            await self._renew_lease_forever(worker_id)
+        finally:
+            self._hold_loops.discard(worker_id)
+            self._start_limiter.forget(worker_id)
+            # also at the end of the ownership: workers accept few connections
+            with anyio.CancelScope(shield=True):
+                await self.context.workers.forget(worker_id)
+
+    async def _renew_lease_forever(self, worker_id: str) -> None:
+        """Send hold requests until the worker is removed."""
         delay = RETRY_MIN_S
         while worker_id in self.state.workers:
             if await self._request_report(self._build_hold(worker_id)):
@@ -286,9 +297,6 @@
                 continue
             await anyio.sleep(delay * self.context.rng.uniform(0.5, 1.0))
             delay = min(delay * 2, RETRY_MAX_S)
-        self._hold_loops.discard(worker_id)
-        self._start_limiter.forget(worker_id)
-        await self.context.workers.forget(worker_id)
 
     async def _check_isolated_run(self, order: StartOrder) -> None:
         """Check whether a worker survives an isolated run.
--- a/src/onyxgap/jobs/workers.py
+++ b/src/onyxgap/jobs/workers.py
@@ -147,7 +147,7 @@
         """Renew the leases of all runs on a worker and get its report."""
 
     async def forget(self, worker_id: str) -> None:
-        """Close the connections to a worker that no longer exists."""
+        """Close the connections to a worker that this node no longer calls."""
 
 
 @attrs.define(slots=True)
--- a/src/onyxgap/platform/connections.py
+++ b/src/onyxgap/platform/connections.py
@@ -116,6 +116,7 @@
     address: str
     max_connections: int
     _idle: list[anyio.abc.SocketStream] = attrs.field(factory=list)
+    _retired: bool = False
     _permits: anyio.Semaphore = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -172,7 +173,8 @@
             raise
 
     async def _release(self, stream: anyio.abc.SocketStream, stays_open: bool) -> None:
-        if stays_open and len(self._idle) < IDLE_CONNECTIONS:
+        keeps = stays_open and not self._retired
+        if keeps and len(self._idle) < IDLE_CONNECTIONS:
             self._idle.append(stream)
         else:
             await anyio.aclose_forcefully(stream)
@@ -182,3 +184,8 @@
         idle, self._idle = self._idle, []
         for stream in idle:
             await anyio.aclose_forcefully(stream)
+
+    async def retire(self) -> None:
+        """Close every idle connection, and those in use once their calls end."""
+        self._retired = True
+        await self.close()
--- a/src/onyxgap/platform/workers.py
+++ b/src/onyxgap/platform/workers.py
@@ -199,6 +199,6 @@
         return decode_report(answer)
 
     async def forget(self, worker_id: str) -> None:
-        """Close the idle connections to a removed worker."""
+        """Close the connections to a worker that this node no longer calls."""
         for connections in self._connections.pop(worker_id, {}).values():
-            await connections.close()
+            await connections.retire()
