Store that the start-up of a deployment is over

Callers saw jobs of a pool stand still beside empty workers that were cordoned to be moved, and serving tasks without a worker while VMs were spare.

Cause: a fleet controller that takes over plans no moves and lifts no cordons of surplus VMs until all VMs are up, or 8 s have passed. FleetPlanner had a flag for a successor, but nothing ever set it. In a large fleet, or after the loss of a VM for good, some VM is mostly not up, so every change of the controller stopped the sizing of all pools for 8 s, beside the time of the claim.

The fleet row now says whether the start-up is over. Rows of earlier versions say nothing: their successors wait as before.

--- a/src/onyxgap/pools/fleet_state.py
+++ b/src/onyxgap/pools/fleet_state.py
@@ -63,7 +63,8 @@
 
     :param upkeep_s: seconds that maintenance takes.
     :param epoch: fencing token of the fleet controller.
-    :param has_predecessor: whether the deployment has had a previous fleet controller.
+    :param has_predecessor: whether the start-up of the deployment was over under a
+        previous fleet controller.
     :param spare_pool: service whose VMs are off, or empty.
     :param shards: services that run jobs.
     :param vms: VMs by name, as last listed.
@@ -112,6 +113,7 @@
         """
         self.cordons = dict(row.cordons)
         self.base = dict(row.base)
+        self.has_predecessor = row.started
         for name in row.ordered:
             self._last_ordered_at[name] = now
             self._paused_until[name] = now + pause_s
@@ -151,6 +153,7 @@
             frozenset(due - {""}),
             self.base,
             frozenset(self._last_ordered_at),
+            self.has_predecessor or self._startup_complete,
         )
 
     def add_wave(self, wave: Wave, now: float) -> None:
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -136,6 +136,7 @@
         frozenset({"x"}),
         {"a": 8},
         frozenset({"m"}),
+        started=True,
     )
     assert decode_fleet_row(encode_fleet_row(row)) == row
     for value in (b"", b"[]", b'{"cordons":1}'):
@@ -145,6 +146,12 @@
             decode_report(value)
 
 
+def test_fleet_row_of_an_earlier_version_is_read() -> None:
+    value = orjson.loads(encode_fleet_row(FleetRow({"w": "move#1"}, started=True)))
+    del value["started"]
+    assert decode_fleet_row(orjson.dumps(value)) == FleetRow({"w": "move#1"})
+
+
 def test_reports_are_read_by_nodes_of_other_versions() -> None:
     sent = report("a", workers={"w": WorkerLoad(2, 1, 900)}, serving_vms=3)
     value = orjson.loads(encode_report(sent))
