Remove the submission of an expired job before its progress

Back ends saw tasks of jobs that had ended run again (TWICE).

Cause: once the retention of an ended job was over, its progress was removed in one transaction, and its submission in another one, since they are in different partitions. That second write was sent once, its failure only logged, and lost if the owner ended before. A submission without progress is a new job to the next owner of the shard, which ran all of it again.

The submission is now removed first, again until the store has confirmed it, and the progress with a later renewal. An owner that finds progress without a submission removes it.

Whether the users' runs were long enough for it is not known: their jobs are retained for 180 s.

--- a/src/onyxgap/daemons/owner.py
+++ b/src/onyxgap/daemons/owner.py
@@ -15,7 +15,6 @@
 from ..jobs.job import Job
 from ..jobs.messages import JobState
 from ..jobs.placing import WorkerRecord
-from ..jobs.store import Batch
 from ..jobs.store import RowId
 from ..jobs.store import StoredRow
 from ..jobs.submissions import decode_submission
@@ -23,6 +22,7 @@
 from ..pools.messages import PoolReport
 from ..pools.messages import decode_fleet_row
 from ..pools.messages import encode_report
+from .expiry import JobRemover
 from .follower import Follower
 from .owner_workers import OwnerWorkers
 from .reading import read_partitions
@@ -56,7 +56,7 @@
     :param orders: start orders that may be sent once their jobs are stored.
     :param processed: newest result processed of each worker, to be acknowledged; empty
         if some changed jobs are left to a later transaction.
-    :param expired: jobs whose rows are removed.
+    :param expired: jobs whose progress is removed.
     """
 
     puts: dict[RowId, bytes]
@@ -72,6 +72,11 @@
 
     _loaded_version: int = 0
     _workers_version: int = 0
+    _remover: JobRemover = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        super().__attrs_post_init__()
+        self._remover = JobRemover(self.shard, self.context.store)
 
     async def run(self) -> None:
         """Load and run the shard until it is released.
@@ -127,6 +132,7 @@
         rows = [row for page in jobs for row in page.rows]
         version = min(page.version for page in jobs)
         self._apply_job_rows(rows, True, values)
+        self._remover.note_removed(values.keys() - {row.row_id.key for row in rows})
         self._loaded_version = version
         self.loaded = True
         self.loaded_at = self._now()
@@ -232,8 +238,6 @@
             await self.writer.write(
                 commit.puts, self._list_progress_rows(commit.expired)
             )
-            for job_id in commit.expired:
-                self._spawn(self._remove_job, job_id)
             self._apply_commit(commit)
             sent = set(commit.orders)
             orders = [order for order in orders if order not in sent]
@@ -267,7 +271,8 @@
                 states[job_id] = job.state
         expired: tuple[str, ...] = ()
         if renewal_due:
-            expired = self._list_expired(now)
+            expired = self._remover.list_removed()
+            self._remove_expired_submissions(now)
             outlook = encode_delay_estimate(self.state.build_delay_estimate(now))
             self.writer.add_renewal(puts, now, self.state.count_waiting(), outlook)
         if report is not None:
@@ -292,26 +297,21 @@
         report = self.state.build_report(now)
         return None if report == self._reported else report
 
-    def _list_expired(self, now: float) -> tuple[str, ...]:
+    def _remove_expired_submissions(self, now: float) -> None:
         retention_s = self.context.limits.status_s * RETENTION_FACTOR
-        return tuple(self.state.list_expired(now, retention_s)[:2])
+        expired = self.state.list_expired(now, retention_s)
+        for job_id in self._remover.select_due(expired):
+            self._spawn(self._remover.remove_submission, job_id)
 
     def _list_progress_rows(self, job_ids: t.Iterable[str]) -> tuple[RowId, ...]:
         return tuple(tables.get_progress_row(self.shard, job_id) for job_id in job_ids)
 
-    async def _remove_job(self, job_id: str) -> None:
-        rows = (
-            tables.get_job_row(self.shard, job_id),
-            tables.get_cancel_row(self.shard, job_id),
-        )
-        outcome = await self.context.store.write(Batch({}, {}, rows))
-        _LOG.info("job removed", job=job_id, outcome=type(outcome).__name__)
-
     def _apply_commit(self, commit: _Commit) -> None:
         now = self._now()
         for job_id, state in commit.states.items():
             self.state.mark_stored(job_id, state, now)
         self.state.forget_jobs(commit.expired)
+        self._remover.forget(commit.expired)
         self._acknowledge_results(commit.processed)
         for order in commit.orders:
             self._spawn(self._send_start, order)
