Report a worker as drained only with the results of its runs

A report whose transaction leaves changed jobs out now names only workers whose results were all stored earlier.

test_worker_is_not_reported_drained_before_its_results_are_stored fails without the change. The builder of owners for tests moves to tests/owners.py, as three files need it.

--- a/src/onyxgap/daemons/owner.py
+++ b/src/onyxgap/daemons/owner.py
@@ -253,13 +253,14 @@
     def _build_commit(self, orders: t.Sequence[StartOrder]) -> _Commit | None:
         now = self._now()
         wanted = [order.task.job_id for order in orders]
-        dirty = list(dict.fromkeys([*wanted, *self.state.dirty]))[:MAX_BATCH_JOBS]
+        changed = list(dict.fromkeys([*wanted, *self.state.dirty]))
+        dirty = changed[:MAX_BATCH_JOBS]
+        complete = len(dirty) == len(changed)
         renewal_due = self.writer.is_renewal_due(now)
-        report = self._build_due_report(now)
+        report = self._build_due_report(now, complete)
         if not dirty and not renewal_due and report is None:
             return None
         chosen = set(dirty)
-        complete = len(chosen) >= len(self.state.dirty | set(wanted))
         puts: dict[RowId, bytes] = {}
         states = {}
         for job_id in dirty:
@@ -286,15 +287,20 @@
             expired,
         )
 
-    def _build_due_report(self, now: float) -> PoolReport | None:
-        """Build the report if one is due and has changed, else return ``None``."""
+    def _build_due_report(self, now: float, stores_all: bool) -> PoolReport | None:
+        """Build the report if one is due and has changed, else return ``None``.
+
+        :param now: monotonic seconds.
+        :param stores_all: whether the report's transaction stores all changed jobs.
+        """
         age_s = now - self._reported_at
         if age_s < MIN_REPORT_INTERVAL_S:
             return None
         emptied = self._reported.emptied if self._reported else {}
-        if age_s < REPORT_INTERVAL_S and self.state.list_drained_workers() == emptied:
+        drained = self.state.list_drained_workers(stores_all)
+        if age_s < REPORT_INTERVAL_S and drained == emptied:
             return None
-        report = self.state.build_report(now)
+        report = self.state.build_report(now, stores_all)
         return None if report == self._reported else report
 
     def _remove_expired_submissions(self, now: float) -> None:
--- a/src/onyxgap/jobs/shard_demand.py
+++ b/src/onyxgap/jobs/shard_demand.py
@@ -33,17 +33,19 @@
             default=(0, 0),
         )
 
-    def build_report(self, now: float) -> PoolReport:
+    def build_report(self, now: float, stores_all: bool = True) -> PoolReport:
         """Build the load report for the fleet controller.
 
         :param now: monotonic seconds.
+        :param stores_all: whether the transaction that stores the report also stores
+            all results that were processed.
         """
         capacity = self.get_largest_worker_capacity()
         self._measure_arrivals(capacity)
         return PoolReport(
             self.service,
             self._measure_worker_loads(),
-            self.list_drained_workers(),
+            self.list_drained_workers(stores_all),
             **self._sum_load(capacity, now),
             serving_vms=count_needed_workers(
                 self._list_wide_steps(), self.workers.values()
@@ -102,15 +104,22 @@
                 tasks = occurrence.steps[number]
                 yield WideStep(step, get_step_key(tasks[0]), tasks)
 
-    def list_drained_workers(self) -> dict[str, str]:
+    def list_drained_workers(self, stores_all: bool = True) -> dict[str, str]:
         """Return the cordon IDs of drained workers, by worker id.
 
-        A drained worker is cordoned and has no runs left.
+        A drained worker is cordoned, has no runs left, and the results of its runs are
+        stored: once its VM has moved, no other owner can ask for them.
+
+        :param stores_all: whether all results that were processed are stored together
+            with this list.
         """
         return {
             worker_id: self.cordons[worker_id]
             for worker_id, record in self.workers.items()
-            if record.cordoned and record.held and not record.present
+            if record.cordoned
+            and record.held
+            and not record.present
+            and (stores_all or record.acknowledged >= record.processed_sequence)
         }
 
     def _justifies_more_vms(self, job: Job, step: int, now: float) -> bool:
--- /dev/null
+++ b/tests/test_drained_workers.py
@@ -0,0 +1,80 @@
+"""Reports of drained workers, whose VMs the fleet controller may move at once."""
+
+import typing as t
+
+import anyio
+
+from onyxgap.clocks import SystemClocks
+from onyxgap.daemons.owner import MAX_BATCH_JOBS
+from onyxgap.daemons.owner import ShardOwner
+from onyxgap.jobs import tables
+from onyxgap.jobs.job import Job
+from onyxgap.jobs.messages import EndedTask
+from onyxgap.jobs.messages import EndKind
+from onyxgap.jobs.messages import QueuePolicy
+from onyxgap.jobs.messages import Step
+from onyxgap.jobs.messages import Submission
+from onyxgap.jobs.messages import TaskId
+from onyxgap.jobs.messages import WorkerEntry
+from onyxgap.jobs.messages import WorkerState
+from onyxgap.jobs.workers import HoldReport
+from onyxgap.jobs.workers import Reply
+from onyxgap.jobs.workers import ReplyKind
+from onyxgap.jobs.workers import StartOrder
+from onyxgap.pools.messages import decode_report
+from tests.owners import build_owner
+
+CLOCK_MS = 1000.0
+WORKER = WorkerEntry(
+    "w1", "shard", "host:1", "zone", WorkerState.READY, 1000, 1000, 0, (), CLOCK_MS
+)
+POLICY = QueuePolicy("queue", "shard")
+
+
+def build_owner_of_drained_worker() -> ShardOwner:
+    """Build an owner that was told of the end of the last run on a cordoned worker."""
+    nothing: t.Any = None
+    owner = build_owner(nothing, SystemClocks())
+    now = owner._now()
+    add_job(owner, "first")
+    owner.state.observe_worker(WORKER, now)
+    owner.state.apply_report("w1", HoldReport(CLOCK_MS, (), ()), now, now)
+    (order,) = owner.state.plan(now, 0.0)
+    prepared = owner.state.prepare_start(order, now)
+    assert prepared is not None
+    owner.state.apply_start_reply(prepared, Reply(ReplyKind.DONE), now)
+    owner.state.set_cordons({"w1": "move#1"})
+    end = EndedTask(1, order.task, order.run, EndKind.DONE, "")
+    owner.state.apply_report("w1", HoldReport(CLOCK_MS, (), (end,)), now, now)
+    return owner
+
+
+def add_job(owner: ShardOwner, job_id: str) -> None:
+    step = Step(1, cpu=100, memory_mb=1, estimate_ms=100)
+    job = Job(Submission(job_id, POLICY, "", (step,)))
+    owner.state.add_job(job, owner._now(), 0.0)
+
+
+async def read_emptied(other_jobs: t.Sequence[str]) -> t.Mapping[str, str]:
+    """Return the drained workers in the report of an owner's next transaction.
+
+    :param other_jobs: jobs with start orders, which are stored first.
+    """
+    owner = build_owner_of_drained_worker()
+    orders = []
+    for job_id in other_jobs:
+        add_job(owner, job_id)
+        task = TaskId(job_id, 0, 0, 0)
+        orders.append(StartOrder("w2", "host:2", task, 1, "", 0.0, owner.epoch))
+    commit = owner._build_commit(orders)
+    assert commit is not None
+    return decode_report(commit.puts[tables.get_report_row("shard")]).emptied
+
+
+def test_worker_is_reported_drained_with_the_results_of_its_runs() -> None:
+    assert anyio.run(read_emptied, ()) == {"w1": "move#1"}
+
+
+def test_worker_is_not_reported_drained_before_its_results_are_stored() -> None:
+    others = [f"job-{number}" for number in range(MAX_BATCH_JOBS)]
+    assert anyio.run(read_emptied, others) == {}
--- a/tests/test_order_lanes.py
+++ b/tests/test_order_lanes.py
@@ -1,26 +1,22 @@
 """Start orders of an owner that has more of them than it can send at once."""
 
-import random
 import typing as t
 
 import anyio
 import attrs
 import pytest
 
-from onyxgap.daemons.fence import FencedWriter
-from onyxgap.daemons.lag import LoopLag
 from onyxgap.daemons.lanes import MAX_IN_FLIGHT
 from onyxgap.daemons.lanes import MAX_IN_FLIGHT_PER_WORKER
-from onyxgap.daemons.owner_workers import OwnerContext
-from onyxgap.daemons.owner_workers import OwnerWorkers
+from onyxgap.daemons.owner import ShardOwner
 from onyxgap.jobs.holds import MAX_PAUSE_S
 from onyxgap.jobs.holds import choose_hold_pause
 from onyxgap.jobs.messages import TaskId
-from onyxgap.jobs.tables import OwnerRow
 from onyxgap.jobs.workers import Reply
 from onyxgap.jobs.workers import ReplyKind
 from onyxgap.jobs.workers import StartOrder
 from onyxgap.standins.virtual import run_virtually
+from tests.owners import build_owner
 
 CALL_S = 0.004
 VALID_S = 0.5
@@ -68,25 +64,9 @@
         return False
 
 
-def build_owner(workers: SerialWorkers) -> OwnerWorkers:
+def build_limited_owner(workers: SerialWorkers) -> ShardOwner:
     clocks: t.Any = VirtualClocks()
-    nothing: t.Any = None
-    owner = OwnerRow("node", "boot", 1)
-    rng = random.Random(1)
-    writer = FencedWriter("shard", owner, 1, "", nothing, rng)
-    context = OwnerContext(
-        nothing,
-        t.cast("t.Any", workers),
-        clocks,
-        nothing,
-        nothing,
-        rng,
-        LoopLag(clocks),
-        "workers",
-        nothing,
-        nothing,
-    )
-    built = OwnerWorkers(writer, context=context)
+    built = build_owner(t.cast("t.Any", workers), clocks)
     built.state = t.cast("t.Any", PermissiveShard())
     return built
 
@@ -97,7 +77,7 @@
 
 
 async def send_orders(workers: SerialWorkers, orders: t.Iterable[StartOrder]) -> None:
-    owner = build_owner(workers)
+    owner = build_limited_owner(workers)
     async with anyio.create_task_group() as group:
         for order in orders:
             group.start_soon(owner._send_start, order)
--- a/tests/test_worker_connections.py
+++ b/tests/test_worker_connections.py
@@ -1,6 +1,5 @@
 """Connections of an owner to the workers of its shard."""
 
-import random
 import typing as t
 
 import anyio
@@ -9,19 +8,14 @@
 import pytest
 
 from onyxgap.clocks import SystemClocks
-from onyxgap.daemons.fence import FencedWriter
-from onyxgap.daemons.lag import LoopLag
-from onyxgap.daemons.owner_workers import OwnerContext
-from onyxgap.daemons.owner_workers import OwnerWorkers
-from onyxgap.jobs.health import StoreHealth
+from onyxgap.daemons.owner import ShardOwner
 from onyxgap.jobs.messages import TaskId
 from onyxgap.jobs.messages import WorkerEntry
 from onyxgap.jobs.messages import WorkerState
-from onyxgap.jobs.settings import TimeLimits
-from onyxgap.jobs.tables import OwnerRow
 from onyxgap.jobs.workers import StopOrder
 from onyxgap.platform.connections import WorkerConnections
 from onyxgap.platform.workers import PlatformWorkerClient
+from tests.owners import build_owner
 
 REPORT = b'{"clock_ms":1000.0,"running":[],"ended":[]}'
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(REPORT) + REPORT
@@ -75,24 +69,9 @@
             await anyio.sleep(0.01)
 
 
-def build_owner(address: str) -> OwnerWorkers:
+def build_owner_of_worker(address: str) -> ShardOwner:
     clocks = SystemClocks()
-    nothing: t.Any = None
-    rng = random.Random(1)
-    writer = FencedWriter("shard", OwnerRow("node", "boot", 1), 1, "", nothing, rng)
-    context = OwnerContext(
-        nothing,
-        PlatformWorkerClient(),
-        clocks,
-        StoreHealth(),
-        TimeLimits(),
-        rng,
-        LoopLag(clocks),
-        "workers",
-        nothing,
-        nothing,
-    )
-    owner = OwnerWorkers(writer, context=context)
+    owner = build_owner(PlatformWorkerClient(), clocks)
     entry = WorkerEntry(
         "w1", "shard", address, "zone", WorkerState.READY, 1000, 1000, 0, (), 0.0
     )
@@ -103,7 +82,7 @@
 def test_former_owner_keeps_no_connections_to_workers(worker: Worker) -> None:
     async def main() -> None:
         async with anyio.create_task_group() as group:
-            owner = build_owner(await listen(group, worker))
+            owner = build_owner_of_worker(await listen(group, worker))
             entry = owner.state.workers["w1"].entry
             order = StopOrder("w1", entry.address, TaskId("job", 0, 0, 0), 1, 1)
             async with anyio.create_task_group() as ownership:
