Close the connections of a replaced pool as their calls end

Cause: after a failed call, HttpClient uses a new pool and closes the idle connections of the old one. Those with a call in flight stayed open once that call had ended, until the garbage collector met them.

Now each call closes what is idle in the pool that it used if that pool was replaced. The new test of tests/test_connections.py fails without the change.

--- a/src/onyxgap/platform/http.py
+++ b/src/onyxgap/platform/http.py
@@ -107,6 +107,12 @@
     )
 
 
+async def _close_idle_connections(pool: httpcore.AsyncConnectionPool) -> None:
+    for connection in pool.connections:
+        if connection.is_idle():
+            await connection.aclose()
+
+
 @attrs.define
 class HttpClient:
     """HTTP client of one service that keeps connections open between calls.
@@ -168,15 +174,15 @@
         except _NO_ANSWER_ERRORS as error:
             await self._replace_pool(pool)
             return Answer(0, b"", CallFailure.NO_ANSWER, type(error).__name__)
+        if pool is not self._pool:
+            await _close_idle_connections(pool)
         return Answer(response.status, response.content)
 
     async def _replace_pool(self, failed: httpcore.AsyncConnectionPool) -> None:
-        if failed is not self._pool:
-            return
-        self._pool = _build_pool(self.connections)
-        for connection in failed.connections:
-            if connection.is_idle():
-                await connection.aclose()
+        """Use a new pool; calls in flight close those of the old one."""
+        if failed is self._pool:
+            self._pool = _build_pool(self.connections)
+        await _close_idle_connections(failed)
 
     async def close(self) -> None:
         """Close every connection."""
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -1,6 +1,7 @@
 """Tests that the two HTTP clients give the same answers over real sockets."""
 
 import collections
+import contextlib
 import typing as t
 
 import anyio
@@ -209,3 +210,35 @@
     assert (
         run_script(build_connections, [None, OK_ANSWER], script).connection_count == 2
     )
+
+
+def test_calls_in_flight_during_a_failure_leave_no_connections_open() -> None:
+    """Guards against connections of a replaced pool that only the collector closes."""
+    open_connections: set[anyio.abc.SocketStream] = set()
+
+    async def serve(stream: anyio.abc.SocketStream) -> None:
+        open_connections.add(stream)
+        with contextlib.suppress(anyio.EndOfStream):
+            async with stream:
+                while b"/fail" not in await stream.receive():
+                    await anyio.sleep(TIMEOUT_S / 2)
+                    await stream.send(OK_ANSWER)
+        open_connections.discard(stream)
+
+    async def main() -> None:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        host, port = listener.extra(anyio.abc.SocketAttribute.local_address)
+        async with anyio.create_task_group() as group:
+            group.start_soon(listener.serve, serve)
+            client = build_client(f"{host}:{port}")
+            async with anyio.create_task_group() as calls:
+                for _ in range(3):
+                    calls.start_soon(send_request, client)
+                await anyio.sleep(TIMEOUT_S / 4)
+                failed = await send_request(client, "/fail")
+                assert failed.failure is CallFailure.NO_ANSWER
+            await anyio.sleep(TIMEOUT_S / 4)
+            assert not open_connections
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
