--- a/tests/test_registrations.py
+++ b/tests/test_registrations.py
@@ -24,7 +24,7 @@
 from tests.emulated import load_day
 from tests.emulated import play
 from tests.test_order_lanes import SerialWorkers
-from tests.test_order_lanes import build_owner
+from tests.test_order_lanes import build_limited_owner
 
 
 def decode_worker(key: str, value: bytes) -> WorkerEntry:
@@ -44,7 +44,7 @@
 @pytest.fixture
 def owner(monkeypatch: pytest.MonkeyPatch) -> OwnerWorkers:
     monkeypatch.setattr(OwnerWorkers, "_now", lambda self: 1.0)
-    built = build_owner(SerialWorkers())
+    built = build_limited_owner(SerialWorkers())
     built.state = Shard("shard", 1, 0.0)
     built.context = attrs.evolve(built.context, decode_worker=decode_worker)
     return built
