--- a/src/onyxgap/standins/emulator/checks.py
+++ b/src/onyxgap/standins/emulator/checks.py
@@ -24,10 +24,12 @@
 from .runs import RunRecord
 from .serving_checks import check_absences
 from .serving_checks import check_serving
+from .standstill_checks import check_standstills
 from .tenancy import Tenancy
 from .tenant_checks import check_caps
 from .tenant_checks import check_keys
 from .waiting_checks import check_counts
+from .workers import EmulatedWorker
 
 CANCEL_S = 3.0
 """A task may start this long after its job's cancel was confirmed."""
@@ -50,6 +52,7 @@
     :param tenancy: tenants with their keys and caps.
     :param counts: answers to requests for counts of waiting jobs.
     :param disturbances: faults that affected nodes, with their times.
+    :param workers: all workers that ever started.
     """
 
     callers: Callers
@@ -60,6 +63,7 @@
     tenancy: Tenancy
     counts: t.Sequence[CountAnswer] = ()
     disturbances: DisturbanceLog = attrs.field(factory=DisturbanceLog)
+    workers: t.Sequence[EmulatedWorker] = ()
 
     def measure_run(self, record: RunRecord) -> tuple[str, Amount]:
         """Give the tenant of a run, and what it has in use."""
@@ -247,6 +251,14 @@
     jobs = evidence.callers.jobs
     breaches += check_serving(jobs, evidence.records, end_s)
     breaches += check_absences(jobs, evidence.records, evidence.disturbances)
+    breaches += check_standstills(
+        jobs,
+        evidence.records,
+        evidence.workers,
+        evidence.tenancy,
+        evidence.disturbances,
+        end_s,
+    )
     breaches += check_keys(evidence.tenancy)
     breaches += check_counts(
         evidence.counts, evidence.callers.jobs, evidence.records, evidence.disturbances
--- a/src/onyxgap/standins/emulator/cloud.py
+++ b/src/onyxgap/standins/emulator/cloud.py
@@ -116,7 +116,7 @@
                 5e4,
                 born=1 + round(anyio.current_time() * 1000),
             )
-            self.workers.lives[worker_id] = EmulatedWorker(
+            worker = EmulatedWorker(
                 entry,
                 self.find_nature,
                 self.rng,
@@ -125,9 +125,10 @@
                 guarded=vm.pool not in self.unguarded,
                 on_crashing_run=functools.partial(self._crash_after_start, name),
             )
+            self.workers.add(worker)
             self.register(entry)
             if vm.pool in self.unguarded:
-                self.group.start_soon(self._beat, self.workers.lives[worker_id])
+                self.group.start_soon(self._beat, worker)
         self.vms[name] = attrs.evolve(vm, state=VmState.UP, worker_id=worker_id)
 
     def register(self, entry: WorkerEntry) -> None:
@@ -174,6 +175,7 @@
         worker = self.get_worker(name)
         if worker is not None:
             worker.dark = True
+            worker.sound = False
             self.group.start_soon(self._heal_after, worker, for_s)
 
     async def _heal_after(self, worker: EmulatedWorker, for_s: float) -> None:
--- a/src/onyxgap/standins/emulator/day.py
+++ b/src/onyxgap/standins/emulator/day.py
@@ -214,6 +214,7 @@
             self.tenancy,
             self.count_callers.answers,
             self.disturbances,
+            self.workers.history,
         )
         breaches = list_breaches(evidence, anyio.current_time())
         account = settle_account(evidence, self.cloud.paid_s, self.store.calls)
--- a/src/onyxgap/standins/emulator/disturbances.py
+++ b/src/onyxgap/standins/emulator/disturbances.py
@@ -13,9 +13,12 @@
     """Times of kills, stops, freezes and cuts of nodes, and of faults of the store.
 
     :param spans: node, begin and end of each disturbance, in monotonic seconds.
+    :param order_spans: begin and end of the times in which orders to workers were
+        late, or their answers lost.
     """
 
     spans: list[tuple[str, float, float]] = attrs.field(factory=list)
+    order_spans: list[tuple[float, float]] = attrs.field(factory=list)
 
     def record(self, node: str, begin: float, end: float) -> None:
         """Record a disturbance.
@@ -39,3 +42,14 @@
             name in (node, ALL_NODES) and began <= end and ended + RECOVERY_S >= begin
             for name, began, ended in self.spans
         )
+
+    def is_calm(self, begin: float, end: float) -> bool:
+        """Tell whether nothing was disturbed in a span of time, not even orders.
+
+        :param begin: monotonic seconds.
+        :param end: monotonic seconds.
+        """
+        spans = [(began, ended) for _, began, ended in self.spans]
+        return not any(
+            began <= end and ended >= begin for began, ended in spans + self.order_spans
+        )
--- a/src/onyxgap/standins/emulator/faults.py
+++ b/src/onyxgap/standins/emulator/faults.py
@@ -60,6 +60,9 @@
         await anyio.sleep(fault.at)
         if fault.target == "store" or fault.verb == "refuse":
             self._record_disturbance(ALL_NODES, fault.seconds)
+        if fault.target == "orders":
+            now = anyio.current_time()
+            self.disturbances.order_spans.append((now, now + fault.seconds))
         await _FAULTS[fault.verb, fault.target](self, fault)
 
     def _record_disturbance(self, node: str, for_s: float) -> None:
@@ -163,6 +166,7 @@
         name = self._find_vm(fault.name)
         worker = None if name is None else self.cloud.get_worker(name)
         if worker is not None:
+            worker.sound = False
             row = RowId(WORKER_TABLE, "", worker.entry.worker_id)
             self.store.put(row, values[-1])
         await anyio.sleep(fault.seconds)
--- a/src/onyxgap/standins/emulator/workers.py
+++ b/src/onyxgap/standins/emulator/workers.py
@@ -58,6 +58,8 @@
     :param drift: share by which its clock is slow.
     :param guarded: whether it refuses what does not fit.
     :param on_crashing_run: called with its id when it starts a task that crashes it.
+    :param died_at: monotonic seconds of its end.
+    :param sound: whether no fault but a crash has ever affected it.
     """
 
     entry: WorkerEntry
@@ -75,6 +77,8 @@
     fence: int = 0
     lease_ms: float = 0.0
     born_at: float = attrs.field(factory=anyio.current_time)
+    died_at: float = math.inf
+    sound: bool = True
     runs: dict[TaskId, Run] = attrs.field(factory=dict)
     ended: list[EndedTask] = attrs.field(factory=list)
     highest: dict[TaskId, int] = attrs.field(factory=dict)
@@ -89,6 +93,7 @@
         """Change how it treats its tasks; what stood still goes on where it was."""
         now = anyio.current_time()
         self.advance()
+        self.sound = False
         if self.mood is Mood.HANGING:
             for run in self.runs.values():
                 run.ends_at += now - max(self.hung_at, run.record.began)
@@ -99,6 +104,7 @@
 
     def resize(self, share: float) -> None:
         """Change its capacity to a share of what it has; 1 over it takes that back."""
+        self.sound = False
         self.former.append((anyio.current_time(), self.entry))
         self.entry = attrs.evolve(
             self.entry,
@@ -155,6 +161,7 @@
         """End the life of the worker and all that it runs."""
         self.advance()
         self.alive = False
+        self.died_at = anyio.current_time()
         for run in self.runs.values():
             run.record.ended = anyio.current_time()
             run.record.how = "gone"
@@ -297,17 +304,24 @@
 
     :param rng: draws losses.
     :param group: runs late orders.
+    :param history: all workers that ever started.
     """
 
     rng: random.Random
     group: anyio.abc.TaskGroup
     lives: dict[str, EmulatedWorker] = attrs.field(factory=dict)
+    history: list[EmulatedWorker] = attrs.field(factory=list)
     records: list[RunRecord] = attrs.field(factory=list)
     link: Link = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.link = Link(0.0015, self.rng)
 
+    def add(self, worker: EmulatedWorker) -> None:
+        """Add a worker that has started."""
+        self.lives[worker.entry.worker_id] = worker
+        self.history.append(worker)
+
     def find_present(self, address: str) -> EmulatedWorker | None:
         """Find the live worker at an address."""
         for worker in self.lives.values():
