Eject at most half of a pool, and no worker for the failures of one job

Callers saw accepted jobs of a service stand still together for seconds while workers had room, and go on later (LOST).

Cause: two first-attempt failures without a success in between closed a worker for 4 s, also if both tasks were of one job that fails by itself. Such a job has tasks on all workers of a small pool, so it closed the whole pool to all jobs; nothing bounded how many workers were closed, by failures or for being slow. The fleet controller meanwhile counts the pool as large enough and moves its other VMs away. Class of fault: outlier ejection without a bound, where the evidence is not independent.

Now failures count by job: tasks of two jobs must fail. At most half of the usable workers of a pool stay ejected; those whose ejection ends first are readmitted. Refusals of a worker close it as before, for 0.3 s.

--- a/src/onyxgap/jobs/obstacles.py
+++ b/src/onyxgap/jobs/obstacles.py
@@ -36,6 +36,7 @@
     "draining": lambda record, now: record.entry.state is not WorkerState.READY,
     "cordoned": lambda record, now: record.cordoned,
     "blocked": lambda record, now: now < record.blocked_until,
+    "ejected": lambda record, now: now < record.ejected_until,
     "capacity outdated": lambda record, now: now >= record.capacity_valid_until,
     "reserved": lambda record, now: record.reserved,
 }
--- a/src/onyxgap/jobs/placing.py
+++ b/src/onyxgap/jobs/placing.py
@@ -57,7 +57,11 @@
     :param tasks_to_move: tasks to move, since the worker is slow or stalled.
     :param first_attempt_failures: first attempts of tasks that failed since the
         last success.
-    :param blocked_until: monotonic seconds before which no task is placed there.
+    :param failing_jobs: jobs of these tasks.
+    :param blocked_until: monotonic seconds before which no task is placed there, since
+        the worker has refused one.
+    :param ejected_until: monotonic seconds before which no task is placed there, since
+        the worker seems faulty or slow; see :mod:`.outliers`.
     :param capacity_valid_until: monotonic seconds until which the capacity told in the
         registration may be relied on.
     :param cordoned: whether the worker is to be drained.
@@ -93,7 +97,9 @@
     slow_streak: int = 0
     tasks_to_move: list[Task] = attrs.field(factory=list)
     first_attempt_failures: int = 0
+    failing_jobs: set[str] = attrs.field(factory=set)
     blocked_until: float = 0.0
+    ejected_until: float = 0.0
     capacity_valid_until: float = math.inf
     cordoned: bool = False
     due: bool = False
@@ -104,17 +110,25 @@
     heard_at: float = 0.0
     former_entry: WorkerEntry | None = None
 
-    def is_open(self, now: float) -> bool:
-        """Return whether new tasks may be placed on the worker at all."""
+    def is_usable(self, now: float) -> bool:
+        """Return whether nothing certain keeps new tasks off the worker."""
         return (
             self.held
             and self.registered
             and not self.cordoned
-            and not self.reserved
             and not self.gone
             and self.failing_since is None
             and self.entry.state is WorkerState.READY
-            and self.blocked_until <= now < self.capacity_valid_until
+            and now < self.capacity_valid_until
+        )
+
+    def is_open(self, now: float) -> bool:
+        """Return whether new tasks may be placed on the worker at all."""
+        return (
+            self.is_usable(now)
+            and not self.reserved
+            and now >= self.blocked_until
+            and now >= self.ejected_until
         )
 
     def is_answering(self) -> bool:
--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -28,6 +28,7 @@
 from .messages import JobState
 from .messages import Step
 from .obstacles import WaitReporter
+from .outliers import readmit_excess
 from .placing import StepKey
 from .placing import WorkerRecord
 from .placing import choose_worker
@@ -81,6 +82,7 @@
         """
         orders: list[StartOrder] = []
         self.log_done_tasks()
+        readmit_excess(self.workers.values(), now)
         self.evict_serving_tasks(now)
         self.move_stragglers(now)
         for record in self.workers.values():
--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -24,7 +24,7 @@
 from .stragglers import MAX_MOVES
 from .stragglers import SpeedClass
 from .stragglers import classify_speed
-from .stragglers import get_block_time
+from .stragglers import get_ejection_time
 from .stragglers import get_relative_speed
 from .workers import MS_PER_S
 from .workers import HoldReport
@@ -33,10 +33,10 @@
 from .workers import StartOrder
 from .workers import WorkerClock
 
-FAILURES_TO_BLOCK = 2
-"""First-attempt task failures on a worker, without a success in between, after which it
-is blocked. A single one is mostly the fault of its job."""
-FAILURE_BLOCK_S = 4.0
+FAILING_JOBS_TO_EJECT = 2
+"""Jobs with first-attempt task failures on a worker, without a success in between,
+after which it is ejected. All tasks of one job may fail by the fault of the job."""
+FAILURE_EJECTION_S = 4.0
 """How long such a worker gets no new tasks. In the site's examples, a faulty worker
 fails the tasks that it starts for 6 s."""
 REFUSAL_BLOCK_S = 0.3
@@ -166,8 +166,8 @@
             record.slow_streak = 0
         if pace not in (SpeedClass.SLOW, SpeedClass.STALLED):
             return
-        if now >= record.blocked_until:
-            record.blocked_until = now + get_block_time(record.slow_streak)
+        if now >= record.ejected_until:
+            record.ejected_until = now + get_ejection_time(record.slow_streak)
             record.slow_streak += 1
         record.tasks_to_move = [
             task for _, task, _ in measured if task.moves < MAX_MOVES
@@ -263,16 +263,19 @@
     ) -> None:
         if kind is EndKind.DONE:
             record.first_attempt_failures = 0
+            record.failing_jobs.clear()
         elif kind is EndKind.FAILED and not task.failures:
             record.first_attempt_failures += 1
-            if record.first_attempt_failures >= FAILURES_TO_BLOCK:
-                record.blocked_until = now + FAILURE_BLOCK_S
+            record.failing_jobs.add(task.task_id.job_id)
+            if len(record.failing_jobs) >= FAILING_JOBS_TO_EJECT:
+                record.ejected_until = now + FAILURE_EJECTION_S
                 _LOG.info(
                     "worker blocked",
                     worker=record.entry.worker_id,
                     service=self.service,
                     strikes=record.first_attempt_failures,
-                    for_s=FAILURE_BLOCK_S,
+                    jobs=len(record.failing_jobs),
+                    for_s=FAILURE_EJECTION_S,
                 )
 
     def _release_missing_runs(
--- a/src/onyxgap/jobs/stragglers.py
+++ b/src/onyxgap/jobs/stragglers.py
@@ -18,11 +18,11 @@
 times are no reference: their error from job to job is larger than that."""
 MIN_COMPARED_TASKS = 2
 """Number of a worker's tasks that must be compared with others to find it slow."""
-INITIAL_BLOCK_S = 2.0
+INITIAL_EJECTION_S = 2.0
 """Time for which a slow worker gets no new tasks. It is then tried again, which costs
 the tasks that it gets about a second."""
-MAX_BLOCK_S = 8.0
-"""Upper bound of the block time, which doubles each time the worker is slow again."""
+MAX_EJECTION_S = 8.0
+"""Upper bound of the ejection time, which doubles while the worker stays slow."""
 MAX_MOVES = 2
 """Number of times that a task is moved; a task that is slow everywhere then stays."""
 
@@ -74,9 +74,9 @@
     return SpeedClass.NORMAL
 
 
-def get_block_time(slow_streak: int) -> float:
+def get_ejection_time(slow_streak: int) -> float:
     """Give the number of seconds for which a slow worker gets no new tasks.
 
     :param slow_streak: number of times in a row that it was found slow before.
     """
-    return min(INITIAL_BLOCK_S * 2.0**slow_streak, MAX_BLOCK_S)
+    return min(INITIAL_EJECTION_S * 2.0**slow_streak, MAX_EJECTION_S)
--- a/tests/test_obstacles.py
+++ b/tests/test_obstacles.py
@@ -42,6 +42,7 @@
         ({"failing_since": NOW}, "silent"),
         ({"cordoned": True}, "cordoned"),
         ({"blocked_until": NOW + 1}, "blocked"),
+        ({"ejected_until": NOW + 1}, "ejected"),
         ({"capacity_valid_until": NOW}, "capacity outdated"),
         ({"reserved": True}, "reserved"),
         ({"present": {STEP_KEY: 1}}, "placement constraint"),
--- a/tests/test_stragglers.py
+++ b/tests/test_stragglers.py
@@ -10,12 +10,12 @@
 from onyxgap.jobs.progress import MIN_INTERVAL_S
 from onyxgap.jobs.progress import Progress
 from onyxgap.jobs.shard import Shard
-from onyxgap.jobs.stragglers import INITIAL_BLOCK_S
-from onyxgap.jobs.stragglers import MAX_BLOCK_S
+from onyxgap.jobs.stragglers import INITIAL_EJECTION_S
+from onyxgap.jobs.stragglers import MAX_EJECTION_S
 from onyxgap.jobs.stragglers import MAX_MOVES
 from onyxgap.jobs.stragglers import SpeedClass
 from onyxgap.jobs.stragglers import classify_speed
-from onyxgap.jobs.stragglers import get_block_time
+from onyxgap.jobs.stragglers import get_ejection_time
 from onyxgap.jobs.stragglers import get_relative_speed
 from onyxgap.jobs.workers import HoldReport
 from onyxgap.jobs.workers import StartOrder
@@ -121,7 +121,7 @@
         harness.plan()
         assert len(harness.shard.list_stops(harness.now)) == 1
         harness.report(order.worker_id, (order, EndKind.STOPPED))
-        harness.now += MAX_BLOCK_S
+        harness.now += MAX_EJECTION_S
     (order,) = harness.start_all()
     report_progress(harness, order, 0)
     report_progress(harness, order, 0)
@@ -130,9 +130,9 @@
 
 
 def test_block_time_of_a_slow_worker_doubles_up_to_its_bound() -> None:
-    assert [get_block_time(number) for number in range(4)] == [
-        INITIAL_BLOCK_S,
-        2 * INITIAL_BLOCK_S,
-        4 * INITIAL_BLOCK_S,
-        MAX_BLOCK_S,
+    assert [get_ejection_time(number) for number in range(4)] == [
+        INITIAL_EJECTION_S,
+        2 * INITIAL_EJECTION_S,
+        4 * INITIAL_EJECTION_S,
+        MAX_EJECTION_S,
     ]
