--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -33,12 +33,15 @@
 from .workers import StartOrder
 from .workers import WorkerClock
 
-FAILING_JOBS_TO_EJECT = 2
-"""Jobs with first-attempt task failures on a worker, without a success in between,
-after which it is ejected. All tasks of one job may fail by the fault of the job."""
+FAILURES_TO_EJECT = 2
+"""First-attempt task failures on a worker, without a success in between, after which it
+is ejected. A single one is mostly the fault of its job."""
 FAILURE_EJECTION_S = 4.0
-"""How long such a worker gets no new tasks. In the site's examples, a faulty worker
-fails the tasks that it starts for 6 s."""
+"""How long a worker that failed tasks of several jobs gets no new tasks. In the site's
+examples, a faulty worker fails the tasks that it starts for 6 s."""
+SINGLE_JOB_EJECTION_S = 1.0
+"""How long a worker that failed tasks of one job gets no new tasks: enough to try these
+elsewhere. All tasks of a job may fail by the fault of the job."""
 REFUSAL_BLOCK_S = 0.3
 """How long a worker that refused a start gets no new tasks: it is tried again about as
 often as it reports."""
@@ -48,6 +51,11 @@
 
 _LOG = structlog.get_logger()
 
+
+def _get_ejection_time(failing_jobs: int) -> float:
+    return FAILURE_EJECTION_S if failing_jobs > 1 else SINGLE_JOB_EJECTION_S
+
+
 _BLOCKING = (ReplyKind.NO_ROOM, ReplyKind.UNHEALTHY, ReplyKind.NOT_SENT)
 
 
@@ -267,15 +275,16 @@
         elif kind is EndKind.FAILED and not task.failures:
             record.first_attempt_failures += 1
             record.failing_jobs.add(task.task_id.job_id)
-            if len(record.failing_jobs) >= FAILING_JOBS_TO_EJECT:
-                record.ejected_until = now + FAILURE_EJECTION_S
+            if record.first_attempt_failures >= FAILURES_TO_EJECT:
+                ejection_s = _get_ejection_time(len(record.failing_jobs))
+                record.ejected_until = max(record.ejected_until, now + ejection_s)
                 _LOG.info(
                     "worker blocked",
                     worker=record.entry.worker_id,
                     service=self.service,
                     strikes=record.first_attempt_failures,
                     jobs=len(record.failing_jobs),
-                    for_s=FAILURE_EJECTION_S,
+                    for_s=ejection_s,
                 )
 
     def _release_missing_runs(
