Measure the speed of runs on the clock of their worker

What callers saw: jobs whose tasks were stopped and started elsewhere after a pause of their shard's owner, and workers that got no task for 2 to 8 s.

Cause: the span of a speed was the time between the moments at which the owner processed two reports. A report that was generated early in a pause, and processed after it, counted as seconds without progress. Reports of two concurrent hold requests that were processed out of order gave a speed of 0.

Change: progress is measured from the reading of the worker's clock in the report. A reading that is not later than the earlier one is ignored. Runs do not outlive an incarnation of their worker, nor does their progress.

--- a/src/onyxgap/jobs/progress.py
+++ b/src/onyxgap/jobs/progress.py
@@ -1,4 +1,8 @@
-"""Speed of a run, from the percentage of its work that its worker reports as done."""
+"""Speed of a run, from the percentage of its work that its worker reports as done.
+
+Times are on the clock of the worker's incarnation that has the run. The owner may
+process a report long after the worker generated it, and reports out of order.
+"""
 
 import attrs
 
@@ -16,7 +20,7 @@
 class Progress:
     """Progress of a run between two reports.
 
-    :param at: monotonic seconds of the earlier report.
+    :param at: seconds on the worker's clock at the earlier report.
     :param percent: percentage of the work that was done by then.
     :param speed: seconds of declared run time completed per second, ``None`` until it
         is known.
@@ -26,16 +30,16 @@
     percent: int = 0
     speed: float | None = None
 
-    def observe(self, percent: int, estimate_ms: int, now: float) -> None:
-        """Record a report.
+    def observe(self, percent: int, estimate_ms: int, clock_s: float) -> None:
+        """Record a report, unless it is older than the earlier one.
 
         :param percent: percentage of the work that is done.
         :param estimate_ms: declared run time.
-        :param now: monotonic seconds.
+        :param clock_s: seconds on the worker's clock.
         """
-        span_s = now - self.at
+        span_s = clock_s - self.at
         if span_s < MIN_INTERVAL_S:
             return
         done_ms = (percent - self.percent) / PERCENT * max(1, estimate_ms)
         self.speed = max(0.0, done_ms) / (span_s * 1000)
-        self.at, self.percent = now, percent
+        self.at, self.percent = clock_s, percent
--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -122,7 +122,7 @@
         job.started = True
         task.note_listed(now, report.clock_ms, report.born)
         self._update_crash_windows(record, task)
-        self._record_progress(job, task, item, now)
+        self._record_progress(job, task, item, report.clock_ms / MS_PER_S)
         task.percent = item.percent
         task.measurement = item.measurement
         if item.checkpoint:
@@ -140,15 +140,17 @@
             record.end_crash_window(task.task_id)
 
     @staticmethod
-    def _record_progress(job: Job, task: Task, item: RunningTask, now: float) -> None:
+    def _record_progress(
+        job: Job, task: Task, item: RunningTask, clock_s: float
+    ) -> None:
         step = job.get_step(task)
         if step.long_running or step.gang:
             return
         if task.progress is None:
             restore_s = RESTORE_S if task.checkpoint else 0.0
-            task.progress = Progress(now + restore_s, item.percent)
+            task.progress = Progress(clock_s + restore_s, item.percent)
         else:
-            task.progress.observe(item.percent, step.estimate_ms, now)
+            task.progress.observe(item.percent, step.estimate_ms, clock_s)
 
     def _check_worker_speed(
         self, record: WorkerRecord, report: HoldReport, now: float
--- a/tests/test_stragglers.py
+++ b/tests/test_stragglers.py
@@ -40,6 +40,45 @@
     harness.shard.apply_report(order.worker_id, report, harness.now, harness.now)
 
 
+def report_late(
+    harness: ShardHarness, order: StartOrder, percent: int, clock_ms: float
+) -> None:
+    item = RunningTask(order.task, order.run, "", percent)
+    report = HoldReport(clock_ms, (item,), ())
+    harness.shard.apply_report(order.worker_id, report, harness.now, harness.now)
+
+
+@pytest.fixture
+def order(harness: ShardHarness) -> StartOrder:
+    """Start a run whose worker reports 30 and then 60 percent, 0.7 s apart."""
+    harness.add_job(STEP)
+    (order,) = harness.start_all()
+    report_progress(harness, order, 30)
+    report_progress(harness, order, 60)
+    return order
+
+
+def test_pause_of_the_owner_does_not_make_a_worker_look_stalled(
+    harness: ShardHarness, order: StartOrder
+) -> None:
+    generated_ms = 1000.0 + (harness.now - 100.0) * 1000 + 10.0
+    harness.now += 5.0
+    report_late(harness, order, 60, generated_ms)
+    harness.plan()
+    assert harness.shard.list_stops(harness.now) == []
+    assert harness.shard.workers[order.worker_id].ejected_until <= harness.now
+
+
+def test_report_processed_out_of_order_does_not_make_a_worker_look_stalled(
+    harness: ShardHarness, order: StartOrder
+) -> None:
+    latest_ms = 1000.0 + (harness.now - 100.0) * 1000
+    harness.now += 1.0
+    report_late(harness, order, 55, latest_ms - 50.0)
+    harness.plan()
+    assert harness.shard.list_stops(harness.now) == []
+
+
 def test_speed_is_declared_run_time_per_second() -> None:
     progress = Progress(10.0, 20)
     progress.observe(30, 2000, 10.3)
