Find the fleet controller among the soak's processes, and type-check the soak

A soak whose draw had a fault of the fleet controller ended with an AttributeError: FaultyDay._find_slot reads fleet_controller of a node, the soak's RunningNode still had it as holder, and nothing type-checked bench.

The attributes that faults use are now a protocol, FaultedNode, that RunningNode is assigned to; make lint runs mypy over bench/soak, too, with its five errors fixed. With the former name back, mypy and tests/test_soak_faults.py both fail.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 lint: $(STAMP)
 	$(PY) -m ruff check src tests bench
 	$(PY) -m ruff format --check src tests bench
-	$(PY) -m mypy src
+	$(PY) -m mypy src bench/soak
 
 demo: $(STAMP)
 	$(VENV)/bin/onyxgap demo
--- a/bench/soak/platform.py
+++ b/bench/soak/platform.py
@@ -20,6 +20,7 @@
 from onyxgap.jobs.store import Conflict
 from onyxgap.jobs.store import NotApplied
 from onyxgap.jobs.workers import HoldReport
+from onyxgap.platform import registry
 from onyxgap.pools.messages import VmReply
 from onyxgap.standins.emulator.cloud import EmulatedCloudClient
 from onyxgap.standins.emulator.store import EmulatedStoreClient
@@ -143,9 +144,9 @@
     async def _read(self, query: wire.Json) -> Answer:
         table = query["table"]
         key = query.get("from", "") if query.get("limit") == "1" else ""
-        if key == wire.registry.CONFIGURATION_KEY:
+        if key == registry.CONFIGURATION_KEY:
             key = "configuration"
-        known = wire.TABLES.get(table, table)
+        known = wire.read_table(table)
         page = await self.store.read(known, query.get("part", ""), key)
         if not key and "from" in query:
             # further pages are never needed, the first holds all rows
@@ -154,7 +155,7 @@
 
     async def _follow(self, query: wire.Json) -> Answer:
         table, wait_s = query["table"], int(query["wait_ms"]) / 1000
-        known = wire.TABLES.get(table, table)
+        known = wire.read_table(table)
         page = await self.store.follow(known, int(query["after"]), wait_s)
         return self._write_page(page, table)
 
--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -1,5 +1,6 @@
 """Places where a node runs as a process, is paused, killed and started again."""
 
+import itertools
 import os
 import pathlib
 import signal
@@ -24,6 +25,7 @@
 from onyxgap.jobs.tenants import KeyRejection
 from onyxgap.settings import Address
 from onyxgap.standins.emulator.cloud import EmulatedCloudClient
+from onyxgap.standins.emulator.faults import FaultedNode
 from onyxgap.standins.emulator.gate import NodeGate
 from onyxgap.standins.emulator.slots import NodeSlot
 from onyxgap.standins.emulator.store import EmulatedStoreClient
@@ -61,7 +63,7 @@
     """
     blocks = range(PORT_RANGE_START, PORT_RANGE_END, PORTS_PER_NODE + 1)
     offset = os.getpid() % len(blocks)
-    for first in [*blocks[offset:], *blocks[:offset]]:
+    for first in itertools.chain(blocks[offset:], blocks[:offset]):
         guard = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             guard.bind(("127.0.0.1", first + PORTS_PER_NODE))
@@ -121,7 +123,7 @@
         return found
 
     @property
-    def holder(self) -> bool:
+    def fleet_controller(self) -> bool:
         """Whether it has the fleet controller role."""
         return tables.FLEET_SHARD in self.owners
 
@@ -190,7 +192,8 @@
         if self.node is not None:
             return
         # taken before the process is there: two faults may restart it at once
-        node = t.cast(t.Any, RunningNode(self))
+        faulted: FaultedNode = RunningNode(self)
+        node = t.cast(t.Any, faulted)
         self.node, self._wanted = node, True
         settings = self._write_settings()
         command = [sys.executable, "-m", "onyxgap", "node", "--settings", str(settings)]
--- a/bench/soak/wire.py
+++ b/bench/soak/wire.py
@@ -48,10 +48,14 @@
 """Fields of a step that the platform calls otherwise."""
 
 
+def read_table(name: str) -> str:
+    """Read the name of a table of the platform as the emulator calls it."""
+    return TABLES.get(name, name)
+
+
 def read_row_id(raw: Json) -> RowId:
     """Read the identity of a row."""
-    table = raw["table"]
-    return RowId(TABLES.get(table, table), raw.get("part", ""), raw["key"])
+    return RowId(read_table(raw["table"]), raw.get("part", ""), raw["key"])
 
 
 def read_batch(raw: Json) -> Batch:
--- a/src/onyxgap/standins/emulator/faults.py
+++ b/src/onyxgap/standins/emulator/faults.py
@@ -29,6 +29,21 @@
 """Time within which a node that runs as a process has started."""
 
 
+class FaultedNode(t.Protocol):
+    """What the faults of a day use of a running node."""
+
+    @property
+    def owners(self) -> t.Container[str]:
+        """Shards that the node owns."""
+
+    @property
+    def fleet_controller(self) -> object:
+        """True in a condition while the node has the fleet controller role."""
+
+    async def release(self) -> None:
+        """Stop the node as planned."""
+
+
 @attrs.define(eq=False)
 class FaultyDay(Day):
     """A day with the faults of its script."""
@@ -36,7 +51,7 @@
     def _find_slot(self, target: str, name: str) -> NodeSlot:
         shard = tables.FLEET_SHARD if target == "holder" else name
         for slot in self.slots:
-            node = slot.node
+            node: FaultedNode | None = slot.node
             if node is None:
                 continue
             if shard in node.owners or (target == "holder" and node.fleet_controller):
