Break connections between nodes and the platform in the soak

The users' store closed the feeds of two nodes within 20 ms, and workers answered with broken connections. The soak's platform answered late or with an error and never closed a connection, but for calls to a worker that had ended.

New kinds, which only the soak plays: all connections of one node or of all reset at once; a write or order carried out and its connection reset before the answer; an answer cut in the middle; an idle connection closed as a call is sent on it. An abort excuses no breach; windows of the other kinds count as disturbances, as lost answers of the store do.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -13,6 +13,7 @@
 from onyxgap.standins.emulator.faults import draw_faults
 from onyxgap.standins.emulator.script import load_script
 
+from .connection_faults import draw_connection_faults
 from .day import play_soak
 
 DAY = pathlib.Path(__file__).parent / "soak.day"
@@ -24,6 +25,12 @@
     parser.add_argument("--seeds", type=int, default=5, help="how many")
     parser.add_argument("--seed", type=int, default=1, help="the first")
     parser.add_argument("--faults", type=int, default=3, help="random faults of a day")
+    parser.add_argument(
+        "--connection-faults",
+        type=int,
+        default=2,
+        help="random faults of connections of a day, drawn apart",
+    )
     parser.add_argument("--day", type=pathlib.Path, default=DAY, help="day file")
     parser.add_argument("--keep", type=pathlib.Path, help="folder for logs")
     parser.add_argument("--json", action="store_true", help="one JSON object a seed")
@@ -38,6 +45,7 @@
     for seed in range(arguments.seed, arguments.seed + arguments.seeds):
         day = load_script(arguments.day)
         script = draw_faults(day, seed, arguments.faults, include_scripted=True)
+        script = draw_connection_faults(script, seed, arguments.connection_faults)
         with tempfile.TemporaryDirectory(prefix="soak-") as scratch:
             folder = pathlib.Path(scratch)
             if arguments.keep:
--- a/bench/soak/day.py
+++ b/bench/soak/day.py
@@ -3,6 +3,7 @@
 import asyncio
 import functools
 import pathlib
+import random
 
 import anyio
 import anyio.abc
@@ -11,8 +12,11 @@
 from onyxgap.standins.emulator.breach import Breach
 from onyxgap.standins.emulator.day import DayResult
 from onyxgap.standins.emulator.faults import FaultyDay
+from onyxgap.standins.emulator.script import FaultLine
 from onyxgap.standins.emulator.script import Script
 
+from .connection_faults import KINDS
+from .connection_faults import ConnectionFaults
 from .malformed import list_malformed_registrations
 from .processes import ProcessSlot
 
@@ -41,16 +45,29 @@
 
     folder: pathlib.Path = pathlib.Path()
     finish_s: float = FINISH_S
+    _connection_faults: ConnectionFaults = attrs.field(init=False)
 
     def _build(self, group: anyio.abc.TaskGroup) -> None:
         super()._build(group)
-        self.slots = [
+        slots = [
             ProcessSlot(slot.name, self, folder=self.folder) for slot in self.slots
         ]
+        self.slots = [*slots]
+        self._connection_faults = ConnectionFaults(
+            [slot.connections for slot in slots],
+            self.disturbances,
+            random.Random(f"connections/{self.seed}"),
+        )
 
     def _list_malformed_registrations(self, service: str) -> tuple[bytes, ...]:
         return list_malformed_registrations(service)
 
+    async def _play_fault(self, fault: FaultLine) -> None:
+        if (fault.verb, fault.target) in KINDS:
+            await self._connection_faults.play(fault)
+        else:
+            await super()._play_fault(fault)
+
     async def _start_nodes(self, group: anyio.abc.TaskGroup) -> None:
         for slot in self.slots:
             assert isinstance(slot, ProcessSlot)
--- a/bench/soak/platform.py
+++ b/bench/soak/platform.py
@@ -1,7 +1,5 @@
 """The emulated store, workers and VMs behind one HTTP interface for each node."""
 
-import socket
-import struct
 import typing as t
 import urllib.parse
 
@@ -29,14 +27,16 @@
 from onyxgap.standins.emulator.workers import EmulatedWorkersClient
 
 from . import wire
+from .connections import Break
+from .connections import PlatformConnections
+from .connections import get_transport
+from .connections import reset_transport
+from .connections import send_cut_json
 
 MAX_BODY_BYTES = 1_048_576
 OWNER_TIMEOUT_S = 3.0
 """Time for which a call without an answer is held open; all nodes give up before."""
 
-NO_LINGER = struct.pack("ii", 1, 0)
-"""Value of SO_LINGER that makes close send RST instead of FIN."""
-
 VM_REPLIES: t.Mapping[VmReply, tuple[int, str]] = {
     VmReply.DONE: (200, ""),
     VmReply.STALE_HOLDER: (409, "fence"),
@@ -47,17 +47,6 @@
 Answer = tuple[int, wire.Json] | None
 
 
-def reset_connection(send: Send) -> None:
-    """Reset the connection of a call, as when the process of a worker has ended.
-
-    :param send: ``send`` of the call, a bound method of the server's request cycle.
-    """
-    transport = t.cast(t.Any, send).__self__.transport
-    raw_socket = transport.get_extra_info("socket")
-    raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
-    transport.abort()
-
-
 @attrs.define
 class PlatformApp:
     """What one node reaches: store, VMs and all workers.
@@ -67,6 +56,7 @@
     :param orders: the workers as it reaches them.
     :param workers: incarnations of workers.
     :param address: where this listens.
+    :param connections: the node's connections to this.
     """
 
     store: EmulatedStoreClient
@@ -74,24 +64,37 @@
     orders: EmulatedWorkersClient
     workers: EmulatedWorkers
     address: str
+    connections: PlatformConnections
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one call, or hold it open without an answer."""
         if scope["type"] != "http":
             return
         body = await read_body(receive, MAX_BODY_BYTES)
+        transport = get_transport(send)
+        was_idle = self.connections.add(transport)
+        if was_idle and self.connections.draw(Break.CLOSE_IDLE):
+            transport.close()
+            return
         headers = {name.decode(): value.decode() for name, value in scope["headers"]}
         query = dict(urllib.parse.parse_qsl(scope["query_string"].decode()))
         raw = orjson.loads(body) if body else {}
         answer = await self._answer(scope["path"], raw, query, headers)
         worker_id = headers.get("expected-instance")
-        if worker_id is not None and self._find_worker(worker_id) is None:
-            reset_connection(send)
+        is_gone = worker_id is not None and self._find_worker(worker_id) is None
+        if is_gone or (body and self.connections.draw(Break.RESET_ANSWER)):
+            reset_transport(transport)
             return
         if answer is None:
             await anyio.sleep(OWNER_TIMEOUT_S)
             answer = (500, {})
-        await send_json(send, *answer)
+        await self._send(send, *answer)
+
+    async def _send(self, send: Send, status: int, value: wire.Json) -> None:
+        if self.connections.draw(Break.CUT_ANSWER):
+            await send_cut_json(send, status, value)
+        else:
+            await send_json(send, status, value)
 
     async def _answer(
         self, path: str, raw: wire.Json, query: wire.Json, headers: wire.Json
--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -3,6 +3,7 @@
 import itertools
 import os
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -32,6 +33,7 @@
 from onyxgap.standins.emulator.workers import EmulatedWorkersClient
 
 from . import wire
+from .connections import PlatformConnections
 from .platform import PlatformApp
 
 CALL_TIMEOUT_S = 3.0
@@ -139,11 +141,13 @@
     :param folder: where its settings and log are written.
     :param outlived: processes that were still there at the end of their grace.
     :param ended: exit codes of processes that nobody ended.
+    :param connections: connections of its nodes to the platform.
     """
 
     folder: pathlib.Path = pathlib.Path()
     outlived: int = 0
     ended: list[int] = attrs.field(factory=list)
+    connections: PlatformConnections = attrs.field(init=False)
     _ports: int = attrs.field(init=False)
     _pool: httpcore.AsyncConnectionPool | None = None
     _wanted: bool = True
@@ -151,6 +155,7 @@
     def __attrs_post_init__(self) -> None:
         super().__attrs_post_init__()
         self._ports = reserve_ports()
+        self.connections = PlatformConnections(random.Random(f"breaks/{self.name}"))
 
     def _build_gate(self) -> PausedGate:
         return PausedGate(self.name)
@@ -165,6 +170,7 @@
             EmulatedWorkersClient(day.workers, gate),
             day.workers,
             str(address),
+            self.connections,
         )
         await group.start(HttpServer(app, address).run)
 
--- a/src/onyxgap/standins/emulator/faults.py
+++ b/src/onyxgap/standins/emulator/faults.py
@@ -78,6 +78,9 @@
         if fault.target == "orders":
             now = anyio.current_time()
             self.disturbances.order_spans.append((now, now + fault.seconds))
+        await self._play_fault(fault)
+
+    async def _play_fault(self, fault: FaultLine) -> None:
         await _FAULTS[fault.verb, fault.target](self, fault)
 
     def _record_disturbance(self, node: str, for_s: float) -> None:
