--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -1,7 +1,9 @@
 """Places where a node runs as a process, is paused, killed and started again."""
 
+import itertools
 import os
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -24,12 +26,14 @@
 from onyxgap.jobs.tenants import KeyRejection
 from onyxgap.settings import Address
 from onyxgap.standins.emulator.cloud import EmulatedCloudClient
+from onyxgap.standins.emulator.faults import FaultedNode
 from onyxgap.standins.emulator.gate import NodeGate
 from onyxgap.standins.emulator.slots import NodeSlot
 from onyxgap.standins.emulator.store import EmulatedStoreClient
 from onyxgap.standins.emulator.workers import EmulatedWorkersClient
 
 from . import wire
+from .connections import PlatformConnections
 from .platform import PlatformApp
 
 CALL_TIMEOUT_S = 3.0
@@ -61,7 +65,7 @@
     """
     blocks = range(PORT_RANGE_START, PORT_RANGE_END, PORTS_PER_NODE + 1)
     offset = os.getpid() % len(blocks)
-    for first in [*blocks[offset:], *blocks[:offset]]:
+    for first in itertools.chain(blocks[offset:], blocks[:offset]):
         guard = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             guard.bind(("127.0.0.1", first + PORTS_PER_NODE))
@@ -121,7 +125,7 @@
         return found
 
     @property
-    def holder(self) -> bool:
+    def fleet_controller(self) -> bool:
         """Whether it has the fleet controller role."""
         return tables.FLEET_SHARD in self.owners
 
@@ -137,11 +141,13 @@
     :param folder: where its settings and log are written.
     :param outlived: processes that were still there at the end of their grace.
     :param ended: exit codes of processes that nobody ended.
+    :param connections: connections of its nodes to the platform.
     """
 
     folder: pathlib.Path = pathlib.Path()
     outlived: int = 0
     ended: list[int] = attrs.field(factory=list)
+    connections: PlatformConnections = attrs.field(init=False)
     _ports: int = attrs.field(init=False)
     _pool: httpcore.AsyncConnectionPool | None = None
     _wanted: bool = True
@@ -149,6 +155,7 @@
     def __attrs_post_init__(self) -> None:
         super().__attrs_post_init__()
         self._ports = reserve_ports()
+        self.connections = PlatformConnections(random.Random(f"breaks/{self.name}"))
 
     def _build_gate(self) -> PausedGate:
         return PausedGate(self.name)
@@ -163,6 +170,7 @@
             EmulatedWorkersClient(day.workers, gate),
             day.workers,
             str(address),
+            self.connections,
         )
         await group.start(HttpServer(app, address).run)
 
@@ -190,7 +198,8 @@
         if self.node is not None:
             return
         # taken before the process is there: two faults may restart it at once
-        node = t.cast(t.Any, RunningNode(self))
+        faulted: FaultedNode = RunningNode(self)
+        node = t.cast(t.Any, faulted)
         self.node, self._wanted = node, True
         settings = self._write_settings()
         command = [sys.executable, "-m", "onyxgap", "node", "--settings", str(settings)]
