Scope ejections to jobs and steps, and let waiting jobs probe

* the bound is per pool, so a step with a label, with a limit per worker, or whose other workers refuse stood still: such a job, idle for 1.5 s, and a serving task may probe an ejected worker, one task a second;
* the ejection of a readmitted slow worker grew with each report;
* waiting serving steps could reserve all workers of a pool: half at most;
* the product's own targets counted draining ones in the bound.

Same class elsewhere: a service without a report stopped the moves of all pools without a time limit; results and drained workers are tracked by worker, so that other jobs that change do not hold back acknowledgements and reports; a stop order to a removed worker left a connection; queued calls of a replaced pool opened a connection each. The flag of the fleet row is named startup_over on both sides.

The check of standstills misses fewer: calm that begins in the 4 s before, steps side by side, workers before their first fault.

--- a/src/onyxgap/daemons/owner.py
+++ b/src/onyxgap/daemons/owner.py
@@ -54,8 +54,8 @@
     :param puts: rows to write.
     :param states: states of the jobs that are written.
     :param orders: start orders that may be sent once their jobs are stored.
-    :param processed: newest result processed of each worker, to be acknowledged; empty
-        if some changed jobs are left to a later transaction.
+    :param processed: newest result processed of each worker, to be acknowledged;
+        without workers of which some results are left to a later transaction.
     :param expired: jobs whose progress is removed.
     """
 
@@ -233,7 +233,7 @@
         while True:
             commit = self._build_commit(orders)
             if commit is None:
-                self._acknowledge_results(self._read_processed())
+                self._acknowledge_results(self._read_processed(frozenset()))
                 return
             await self.writer.write(
                 commit.puts, self._list_progress_rows(commit.expired)
@@ -244,23 +244,31 @@
             if not orders:
                 return
 
-    def _read_processed(self) -> list[tuple[WorkerRecord, int]]:
-        return [
-            (record, record.processed_sequence)
-            for record in self.state.workers.values()
-        ]
+    def _read_processed(
+        self, stored_jobs: frozenset[str]
+    ) -> list[tuple[WorkerRecord, int]]:
+        """Return the results that will be stored: the newest of each such worker.
+
+        :param stored_jobs: jobs that are about to be stored; from now on, further
+            results count as not stored again.
+        """
+        processed = []
+        for record in self.state.workers.values():
+            record.unstored_jobs -= stored_jobs
+            if not record.unstored_jobs:
+                processed.append((record, record.processed_sequence))
+        return processed
 
     def _build_commit(self, orders: t.Sequence[StartOrder]) -> _Commit | None:
         now = self._now()
         wanted = [order.task.job_id for order in orders]
-        changed = list(dict.fromkeys([*wanted, *self.state.dirty]))
-        dirty = changed[:MAX_BATCH_JOBS]
-        complete = len(dirty) == len(changed)
+        dirty = list(dict.fromkeys([*wanted, *self.state.dirty]))[:MAX_BATCH_JOBS]
+        chosen = frozenset(dirty)
         renewal_due = self.writer.is_renewal_due(now)
-        report = self._build_due_report(now, complete)
+        report = self._build_due_report(now, chosen)
         if not dirty and not renewal_due and report is None:
             return None
-        chosen = set(dirty)
+        processed = self._read_processed(chosen)
         puts: dict[RowId, bytes] = {}
         states = {}
         for job_id in dirty:
@@ -283,24 +291,26 @@
             puts,
             states,
             tuple(order for order in orders if order.task.job_id in chosen),
-            self._read_processed() if complete else (),
+            processed,
             expired,
         )
 
-    def _build_due_report(self, now: float, stores_all: bool) -> PoolReport | None:
+    def _build_due_report(
+        self, now: float, stored_jobs: frozenset[str]
+    ) -> PoolReport | None:
         """Build the report if one is due and has changed, else return ``None``.
 
         :param now: monotonic seconds.
-        :param stores_all: whether the report's transaction stores all changed jobs.
+        :param stored_jobs: jobs that are stored in the same transaction.
         """
         age_s = now - self._reported_at
         if age_s < MIN_REPORT_INTERVAL_S:
             return None
         emptied = self._reported.emptied if self._reported else {}
-        drained = self.state.list_drained_workers(stores_all)
+        drained = self.state.list_drained_workers(stored_jobs)
         if age_s < REPORT_INTERVAL_S and drained == emptied:
             return None
-        report = self.state.build_report(now, stores_all)
+        report = self.state.build_report(now, stored_jobs)
         return None if report == self._reported else report
 
     def _remove_expired_submissions(self, now: float) -> None:
--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -403,6 +403,8 @@
 
     async def _send_stop(self, order: StopOrder) -> None:
         reply = await self.context.workers.stop(order)
+        if order.worker_id not in self._hold_loops:
+            await self.context.workers.forget(order.worker_id)
         self.state.apply_stop_reply(order, reply, self._now())
         _LOG.info(
             "stop ordered",
--- a/src/onyxgap/jobs/job.py
+++ b/src/onyxgap/jobs/job.py
@@ -209,6 +209,7 @@
     :param started: whether a worker has confirmed, listed or ended a run of any of its
         tasks. An order that is only placed or sent may never reach its worker.
     :param accepted_at: monotonic seconds of the acceptance, by the owner's clock.
+    :param active_at: monotonic seconds of the last report that listed a run of the job.
     :param placed_at: monotonic seconds when this owner placed the first task of the
         job, or ``None``.
     :param beyond: whether the tenant was over its rate when the job was accepted.
@@ -227,6 +228,7 @@
     next_occurrence: int = 0
     started: bool = False
     accepted_at: float = 0.0
+    active_at: float = 0.0
     placed_at: float | None = None
     beyond: bool = False
     capped_at: float | None = None
--- a/src/onyxgap/jobs/obstacles.py
+++ b/src/onyxgap/jobs/obstacles.py
@@ -36,7 +36,7 @@
     "draining": lambda record, now: record.entry.state is not WorkerState.READY,
     "cordoned": lambda record, now: record.cordoned,
     "blocked": lambda record, now: now < record.blocked_until,
-    "ejected": lambda record, now: now < record.ejected_until,
+    "ejected": lambda record, now: record.is_ejected(now),
     "capacity outdated": lambda record, now: now >= record.capacity_valid_until,
     "reserved": lambda record, now: record.reserved,
 }
@@ -68,6 +68,8 @@
         return "full"
     if not record.meets_isolation(step_key[0], isolation):
         return "isolation"
+    if record.is_avoided_by(step_key[0], now):
+        return "failed there"
     return "free"
 
 
--- a/src/onyxgap/jobs/placing.py
+++ b/src/onyxgap/jobs/placing.py
@@ -53,15 +53,19 @@
     :param processed_sequence: sequence number of the newest ended run that was
         processed.
     :param acknowledged: sequence number of the newest ended run that is stored.
+    :param unstored_jobs: jobs with ended runs that were processed and are not stored.
     :param slow_streak: number of times in a row that the worker was found slow.
     :param tasks_to_move: tasks to move, since the worker is slow or stalled.
     :param first_attempt_failures: first attempts of tasks that failed since the
         last success.
-    :param failing_jobs: jobs of these tasks.
+    :param failing_jobs: jobs of these tasks, with the monotonic seconds until which
+        their other tasks avoid the worker.
     :param blocked_until: monotonic seconds before which no task is placed there, since
         the worker has refused one.
     :param ejected_until: monotonic seconds before which no task is placed there, since
         the worker seems faulty or slow; see :mod:`.outliers`.
+    :param readmitted: whether it is open all the same in this scheduling pass.
+    :param probed_at: monotonic seconds of the last probe while it was ejected.
     :param capacity_valid_until: monotonic seconds until which the capacity told in the
         registration may be relied on.
     :param cordoned: whether the worker is to be drained.
@@ -94,12 +98,15 @@
     isolated: set[TaskId] = attrs.field(factory=set)
     processed_sequence: int = 0
     acknowledged: int = 0
+    unstored_jobs: set[str] = attrs.field(factory=set)
     slow_streak: int = 0
     tasks_to_move: list[Task] = attrs.field(factory=list)
     first_attempt_failures: int = 0
-    failing_jobs: set[str] = attrs.field(factory=set)
+    failing_jobs: dict[str, float] = attrs.field(factory=dict)
     blocked_until: float = 0.0
     ejected_until: float = 0.0
+    readmitted: bool = False
+    probed_at: float = -math.inf
     capacity_valid_until: float = math.inf
     cordoned: bool = False
     due: bool = False
@@ -111,7 +118,10 @@
     former_entry: WorkerEntry | None = None
 
     def is_usable(self, now: float) -> bool:
-        """Return whether nothing certain keeps new tasks off the worker."""
+        """Return whether the worker is present, answers and is not to be drained.
+
+        Refusals, ejections and reservations are left out.
+        """
         return (
             self.held
             and self.registered
@@ -128,9 +138,17 @@
             self.is_usable(now)
             and not self.reserved
             and now >= self.blocked_until
-            and now >= self.ejected_until
+            and not self.is_ejected(now)
         )
 
+    def is_ejected(self, now: float) -> bool:
+        """Return whether the worker gets no tasks since it seems faulty or slow."""
+        return now < self.ejected_until and not self.readmitted
+
+    def is_avoided_by(self, job_id: str, now: float) -> bool:
+        """Return whether tasks of a job avoid the worker after others failed there."""
+        return now < self.failing_jobs.get(job_id, 0.0)
+
     def is_answering(self) -> bool:
         """Return whether the worker has answered the latest call, as far as known.
 
@@ -248,6 +266,7 @@
     return (
         worker.has_capacity(step)
         and worker.is_open(now)
+        and not worker.is_avoided_by(step_key[0], now)
         and worker.meets_isolation(step_key[0], isolation)
         and is_allowed(worker, step, step_key)
     )
--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -28,12 +28,17 @@
 from .messages import JobState
 from .messages import Step
 from .obstacles import WaitReporter
+from .outliers import PROBE_INTERVAL_S
+from .outliers import PROBE_PATIENCE_S
+from .outliers import list_probeable
 from .outliers import readmit_excess
 from .placing import StepKey
 from .placing import WorkerRecord
 from .placing import choose_worker
+from .placing import is_allowed
 from .placing import is_eligible
 from .placing import may_ever_run
+from .placing import rank_worker
 from .priorities import rate_urgency
 from .ready import ReadyStep
 from .shard_demand import ShardDemand
@@ -62,6 +67,7 @@
     :param backlog: steps that were ready in the last scheduling pass, in its order;
         kept only where run times are learned.
     :param fleet_vms: initial number of VMs of all pools, 0 if unknown.
+    :param probeable: ejected workers that may be probed in this scheduling pass.
     """
 
     shares: ShardShares | None = None
@@ -70,6 +76,7 @@
     backlog: t.Sequence[ReadyStep] = ()
     fleet_vms: int = 0
     wait_reporter: WaitReporter = attrs.field(factory=WaitReporter)
+    probeable: t.Sequence[WorkerRecord] = ()
 
     def plan(self, now: float, wall_ms: float) -> list[StartOrder]:
         """Run a scheduling pass: choose tasks to start, and their workers.
@@ -90,6 +97,7 @@
         open_workers = [
             record for record in self.workers.values() if record.is_open(now)
         ]
+        self.probeable = list_probeable(self.workers.values(), now)
         free_capacity = PassCapacity(open_workers, now)
         usage: t.Mapping[str, Amount] = {}
         if self.shares is not None:
@@ -224,7 +232,9 @@
     ) -> t.Iterator[StartOrder]:
         step = ready.job.submission.steps[ready.step]
         advised = ready.job.submission.policy.advised
-        if not advised and not step.long_running and free_capacity.is_unplaceable(step):
+        may_probe = self._may_probe(ready, now)
+        needs_check = advised or step.long_running or may_probe
+        if not needs_check and free_capacity.is_unplaceable(step):
             return
         step_key = get_step_key(ready.tasks[0])
         allowed = self._list_advised_workers(ready, now) if advised else None
@@ -240,12 +250,17 @@
             if record is None and isolation is not IsolationLevel.NONE:
                 # other tasks of the step may use workers that this one must not
                 if not worker_reserved:
-                    _reserve_worker_for_suspect(candidates, free_capacity)
+                    _reserve_worker(candidates, free_capacity)
                 worker_reserved = True
                 continue
             if record is None:
+                record = self._choose_probe(ready, task, allowed, now)
+                if record is not None:
+                    record.probed_at = now
+                    yield self._place(ready.job, step, task, record, task.run + 1, now)
+                    return
                 if step.long_running:
-                    _reserve_worker(candidates)
+                    _reserve_worker(candidates, free_capacity)
                 if allowed is None:
                     free_capacity.note_unplaceable(step)
                 else:
@@ -253,6 +268,43 @@
                 return
             yield self._place(ready.job, step, task, record, task.run + 1, now)
 
+    def _may_probe(self, ready: ReadyStep, now: float) -> bool:
+        """Return whether a step has waited long enough to probe an ejected worker."""
+        if not self.probeable:
+            return False
+        since = max(ready.job.accepted_at, ready.job.active_at)
+        if ready.job.submission.steps[ready.step].long_running:
+            step_key = get_step_key(ready.tasks[0])
+            since = self.wait_reporter.waiting_since.get(step_key, now)
+        return now - since >= PROBE_PATIENCE_S
+
+    def _choose_probe(
+        self,
+        ready: ReadyStep,
+        task: Task,
+        allowed: t.Collection[str] | None,
+        now: float,
+    ) -> WorkerRecord | None:
+        """Choose an ejected worker for a task that no open worker can take."""
+        if not self._may_probe(ready, now):
+            return None
+        step, step_key = ready.job.submission.steps[ready.step], get_step_key(task)
+        fitting = [
+            record
+            for record in self.probeable
+            if (allowed is None or record.entry.worker_id in allowed)
+            and not record.reserved
+            and now >= record.probed_at + PROBE_INTERVAL_S
+            and record.has_capacity(step)
+            and record.meets_isolation(step_key[0], task.loss_history.isolation)
+            and step_key[0] not in record.failing_jobs
+            and is_allowed(record, step, step_key)
+        ]
+        avoid = task.failed_on
+        return min(
+            fitting, key=lambda item: rank_worker(item, step, avoid), default=None
+        )
+
     def _list_advised_workers(self, ready: ReadyStep, now: float) -> t.Collection[str]:
         """List the workers for which a step has tickets of the policy service.
 
@@ -392,15 +444,21 @@
         return attrs.evolve(order, deadline_ms=deadline_ms)
 
 
-def _reserve_worker(candidates: Candidates) -> None:
+def _reserve_worker(candidates: Candidates, free_capacity: PassCapacity) -> None:
     """Reserve the worker that should be the first to fit a task of a step.
 
     This is for serving tasks and for tasks suspected of crashing workers. Without it,
-    smaller tasks would take all capacity as soon as it is free. A worker on which the
-    task may not be placed would stay reserved for as long as the task waits.
+    smaller tasks would take all capacity as soon as it is free, or start something
+    between any two reports. A worker on which the task may not be placed would stay
+    reserved for as long as the task waits. At most half of the workers are reserved:
+    the other jobs of the pool go on.
 
     :param candidates: open workers that the step may use.
+    :param free_capacity: all open workers.
     """
+    reserved = sum(record.reserved for record in free_capacity.records)
+    if 2 * reserved >= len(free_capacity.records):
+        return
     fitting = [
         record
         for record in candidates.records
@@ -409,19 +467,3 @@
     ]
     if fitting:
         min(fitting, key=lambda record: record.cpu_used).reserved = True
-
-
-def _reserve_worker_for_suspect(
-    candidates: Candidates, free_capacity: PassCapacity
-) -> None:
-    """Reserve a worker for a suspected task, unless half of them are reserved.
-
-    The task needs a worker on which nothing was started recently. A busy pool has
-    none, since each worker starts something between two reports.
-
-    :param candidates: open workers that the step may use.
-    :param free_capacity: all open workers.
-    """
-    reserved = sum(record.reserved for record in free_capacity.records)
-    if 2 * reserved < len(free_capacity.records):
-        _reserve_worker(candidates)
--- a/src/onyxgap/jobs/shard_demand.py
+++ b/src/onyxgap/jobs/shard_demand.py
@@ -33,19 +33,20 @@
             default=(0, 0),
         )
 
-    def build_report(self, now: float, stores_all: bool = True) -> PoolReport:
+    def build_report(
+        self, now: float, stored_jobs: t.Collection[str] = ()
+    ) -> PoolReport:
         """Build the load report for the fleet controller.
 
         :param now: monotonic seconds.
-        :param stores_all: whether the transaction that stores the report also stores
-            all results that were processed.
+        :param stored_jobs: jobs that are stored in the same transaction.
         """
         capacity = self.get_largest_worker_capacity()
         self._measure_arrivals(capacity)
         return PoolReport(
             self.service,
             self._measure_worker_loads(),
-            self.list_drained_workers(stores_all),
+            self.list_drained_workers(stored_jobs),
             **self._sum_load(capacity, now),
             serving_vms=count_needed_workers(
                 self._list_wide_steps(), self.workers.values()
@@ -104,14 +105,15 @@
                 tasks = occurrence.steps[number]
                 yield WideStep(step, get_step_key(tasks[0]), tasks)
 
-    def list_drained_workers(self, stores_all: bool = True) -> dict[str, str]:
+    def list_drained_workers(
+        self, stored_jobs: t.Collection[str] = ()
+    ) -> dict[str, str]:
         """Return the cordon IDs of drained workers, by worker id.
 
         A drained worker is cordoned, has no runs left, and the results of its runs are
         stored: once its VM has moved, no other owner can ask for them.
 
-        :param stores_all: whether all results that were processed are stored together
-            with this list.
+        :param stored_jobs: jobs that are stored in the same transaction as the list.
         """
         return {
             worker_id: self.cordons[worker_id]
@@ -119,7 +121,7 @@
             if record.cordoned
             and record.held
             and not record.present
-            and (stores_all or record.acknowledged >= record.processed_sequence)
+            and record.unstored_jobs <= set(stored_jobs)
         }
 
     def _justifies_more_vms(self, job: Job, step: int, now: float) -> bool:
--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -33,15 +33,15 @@
 from .workers import StartOrder
 from .workers import WorkerClock
 
-FAILURES_TO_EJECT = 2
-"""First-attempt task failures on a worker, without a success in between, after which it
-is ejected. A single one is mostly the fault of its job."""
+FAILING_JOBS_TO_EJECT = 2
+"""Jobs with first-attempt task failures on a worker, without a success in between,
+after which it is ejected."""
 FAILURE_EJECTION_S = 4.0
-"""How long a worker that failed tasks of several jobs gets no new tasks. In the site's
-examples, a faulty worker fails the tasks that it starts for 6 s."""
-SINGLE_JOB_EJECTION_S = 1.0
-"""How long a worker that failed tasks of one job gets no new tasks: enough to try these
-elsewhere. All tasks of a job may fail by the fault of the job."""
+"""How long such a worker gets no new tasks. In the site's examples, a faulty worker
+fails the tasks that it starts for 6 s."""
+JOB_AVOIDANCE_S = 2.0
+"""How long the tasks of a job avoid a worker after a task of it has failed there. All
+tasks of a job may fail by its own fault, so this alone doesn't eject the worker."""
 REFUSAL_BLOCK_S = 0.3
 """How long a worker that refused a start gets no new tasks: it is tried again about as
 often as it reports."""
@@ -52,10 +52,6 @@
 _LOG = structlog.get_logger()
 
 
-def _get_ejection_time(failing_jobs: int) -> float:
-    return FAILURE_EJECTION_S if failing_jobs > 1 else SINGLE_JOB_EJECTION_S
-
-
 _BLOCKING = (ReplyKind.NO_ROOM, ReplyKind.UNHEALTHY, ReplyKind.NOT_SENT)
 
 
@@ -130,6 +126,7 @@
             )
             return
         job.started = True
+        job.active_at = now
         task.note_listed(now, report.clock_ms, report.born)
         self._update_crash_windows(record, task)
         self._record_progress(job, task, item, report.clock_ms / MS_PER_S)
@@ -252,6 +249,7 @@
             self.mark_stored(end.task.job_id, job.stored_state, now)
         else:
             self.dirty.add(end.task.job_id)
+            record.unstored_jobs.add(end.task.job_id)
         return True
 
     def _record_run_time(self, job: Job, task: Task, kind: EndKind, now: float) -> None:
@@ -278,17 +276,16 @@
             record.failing_jobs.clear()
         elif kind is EndKind.FAILED and not task.failures:
             record.first_attempt_failures += 1
-            record.failing_jobs.add(task.task_id.job_id)
-            if record.first_attempt_failures >= FAILURES_TO_EJECT:
-                ejection_s = _get_ejection_time(len(record.failing_jobs))
-                record.ejected_until = max(record.ejected_until, now + ejection_s)
+            record.failing_jobs[task.task_id.job_id] = now + JOB_AVOIDANCE_S
+            if len(record.failing_jobs) >= FAILING_JOBS_TO_EJECT:
+                record.ejected_until = now + FAILURE_EJECTION_S
                 _LOG.info(
                     "worker blocked",
                     worker=record.entry.worker_id,
                     service=self.service,
                     strikes=record.first_attempt_failures,
                     jobs=len(record.failing_jobs),
-                    for_s=ejection_s,
+                    for_s=FAILURE_EJECTION_S,
                 )
 
     def _release_missing_runs(
--- a/src/onyxgap/platform/http.py
+++ b/src/onyxgap/platform/http.py
@@ -1,5 +1,6 @@
 """HTTP client for the platform's services, with typed failures."""
 
+import collections
 import enum
 import typing as t
 
@@ -127,6 +128,9 @@
     address: str
     connections: int = 32
     _pool: httpcore.AsyncConnectionPool = attrs.field(init=False)
+    _in_use: collections.Counter[httpcore.AsyncConnectionPool] = attrs.field(
+        factory=collections.Counter
+    )
 
     def __attrs_post_init__(self) -> None:
         self._pool = _build_pool(self.connections)
@@ -153,6 +157,7 @@
             raw.append((b"Content-Type", b"application/json"))
             raw.append((b"Content-Length", str(len(content)).encode()))
         pool = self._pool
+        self._in_use[pool] += 1
         try:
             response = await pool.request(
                 method,
@@ -174,15 +179,18 @@
         except _NO_ANSWER_ERRORS as error:
             await self._replace_pool(pool)
             return Answer(0, b"", CallFailure.NO_ANSWER, type(error).__name__)
-        if pool is not self._pool:
-            await _close_idle_connections(pool)
+        finally:
+            self._in_use[pool] -= 1
+            if pool is not self._pool and not self._in_use[pool]:
+                del self._in_use[pool]
+                await _close_idle_connections(pool)
         return Answer(response.status, response.content)
 
     async def _replace_pool(self, failed: httpcore.AsyncConnectionPool) -> None:
-        """Use a new pool; calls in flight close those of the old one."""
+        """Use a new pool; the last call in flight closes the old one."""
         if failed is self._pool:
             self._pool = _build_pool(self.connections)
-        await _close_idle_connections(failed)
+            await _close_idle_connections(failed)
 
     async def close(self) -> None:
         """Close every connection."""
--- a/src/onyxgap/pools/fleet_state.py
+++ b/src/onyxgap/pools/fleet_state.py
@@ -63,7 +63,7 @@
 
     :param upkeep_s: seconds that maintenance takes.
     :param epoch: fencing token of the fleet controller.
-    :param has_predecessor: whether the start-up of the deployment was over under a
+    :param startup_over: whether the start-up of the deployment was over under a
         previous fleet controller.
     :param spare_pool: service whose VMs are off, or empty.
     :param shards: services that run jobs.
@@ -79,7 +79,7 @@
 
     upkeep_s: float
     epoch: int = 0
-    has_predecessor: bool = False
+    startup_over: bool = False
     spare_pool: str = ""
     shards: frozenset[str] = frozenset()
     vms: dict[str, Vm] = attrs.field(factory=dict)
@@ -113,7 +113,7 @@
         """
         self.cordons = dict(row.cordons)
         self.base = dict(row.base)
-        self.has_predecessor = row.started
+        self.startup_over = row.startup_over
         for name in row.ordered:
             self._last_ordered_at[name] = now
             self._paused_until[name] = now + pause_s
@@ -153,7 +153,7 @@
             frozenset(due - {""}),
             self.base,
             frozenset(self._last_ordered_at),
-            self.has_predecessor or self._startup_complete,
+            self.startup_over or self._startup_complete,
         )
 
     def add_wave(self, wave: Wave, now: float) -> None:
--- a/src/onyxgap/pools/messages.py
+++ b/src/onyxgap/pools/messages.py
@@ -185,7 +185,7 @@
     :param due: workers of VMs whose maintenance is due but has not started.
     :param base: base size by pool: its VMs when the first fleet controller started.
     :param ordered: VMs about which an order may still be in flight.
-    :param started: whether the start-up of the deployment is over.
+    :param startup_over: whether the start-up of the deployment is over.
     """
 
     cordons: t.Mapping[str, str] = attrs.field(factory=dict)
@@ -193,7 +193,7 @@
     due: frozenset[str] = frozenset()
     base: t.Mapping[str, int] = attrs.field(factory=dict)
     ordered: frozenset[str] = frozenset()
-    started: bool = False
+    startup_over: bool = False
 
 
 def encode_fleet_row(row: FleetRow) -> bytes:
@@ -205,7 +205,7 @@
         "due": sorted(row.due),
         "base": dict(row.base),
         "ordered": sorted(row.ordered),
-        "started": row.started,
+        "startup_over": row.startup_over,
     }
     return orjson.dumps(value)
 
@@ -225,7 +225,7 @@
             dict(raw["base"]),
             frozenset(raw["ordered"]),
             # rows of earlier versions don't have it
-            bool(raw.get("started", False)),
+            bool(raw.get("startup_over", False)),
         )
     except MALFORMED_ERRORS as error:
         raise DocumentError([Fault("$", f"invalid fleet row: {error!r}")]) from None
--- a/src/onyxgap/pools/planner.py
+++ b/src/onyxgap/pools/planner.py
@@ -106,10 +106,9 @@
                 self._first_plan_at = now
             all_up = all(vm.state is VmState.UP for vm in self.vms.values())
             reported = self.shards <= self.reports.keys()
-            may_proceed = (
-                self.has_predecessor or now - self._first_plan_at > STARTUP_TIMEOUT_S
-            )
-            self._startup_complete = reported and (all_up or may_proceed)
+            timed_out = now - self._first_plan_at > STARTUP_TIMEOUT_S
+            known_over = all_up or self.startup_over
+            self._startup_complete = (reported and known_over) or timed_out
         return self._startup_complete
 
     def _count_shortfalls(self, now: float) -> dict[str, Shortfall]:
--- a/src/onyxgap/request/targets.py
+++ b/src/onyxgap/request/targets.py
@@ -251,9 +251,10 @@
             self._eject(target, now)
 
     def _eject(self, target: Target, now: float) -> None:
-        others = [item for item in self.by_vm.values() if item is not target]
+        serving = [item for item in self.by_vm.values() if item.serving]
+        others = [item for item in serving if item is not target]
         ejected = sum(item.ejected_until > now for item in others)
-        if ejected + 1 > self.eject_share * len(self.by_vm):
+        if ejected + 1 > self.eject_share * len(serving):
             return
         duration_s = defaults.EJECT_BASE_S * 2**target.ejections
         target.ejected_until = now + min(duration_s, defaults.EJECT_MAX_S)
--- a/src/onyxgap/standins/emulator/cloud.py
+++ b/src/onyxgap/standins/emulator/cloud.py
@@ -175,7 +175,7 @@
         worker = self.get_worker(name)
         if worker is not None:
             worker.dark = True
-            worker.sound = False
+            worker.note_fault()
             self.group.start_soon(self._heal_after, worker, for_s)
 
     async def _heal_after(self, worker: EmulatedWorker, for_s: float) -> None:
--- a/src/onyxgap/standins/emulator/faults.py
+++ b/src/onyxgap/standins/emulator/faults.py
@@ -184,7 +184,7 @@
         name = self._find_vm(fault.name)
         worker = None if name is None else self.cloud.get_worker(name)
         if worker is not None:
-            worker.sound = False
+            worker.note_fault()
             row = RowId(WORKER_TABLE, "", worker.entry.worker_id)
             self.store.put(row, values[-1])
         await anyio.sleep(fault.seconds)
--- a/src/onyxgap/standins/emulator/standstill_checks.py
+++ b/src/onyxgap/standins/emulator/standstill_checks.py
@@ -33,7 +33,7 @@
 class _Pool:
     """Workers and runs of one pool over time.
 
-    :param workers: its workers that no fault but a crash has affected.
+    :param workers: its workers, which count until a fault affects them.
     :param runs: all runs, by the worker on which they were.
     """
 
@@ -46,7 +46,7 @@
         begin, end = span
         moments = {begin, end}
         for worker in self.workers:
-            moments |= {worker.born_at + JOIN_S, worker.died_at}
+            moments |= {worker.born_at + JOIN_S, worker.died_at, worker.sound_until}
             for run in self.runs.get(worker.entry.worker_id, ()):
                 moments |= {run.began, math.inf if run.ended is None else run.ended}
         return sorted(at for at in moments if begin <= at <= end)
@@ -56,7 +56,7 @@
         return sum(
             self._count_places_on(worker, task, at)
             for worker in self.workers
-            if worker.born_at + JOIN_S <= at < worker.died_at
+            if worker.born_at + JOIN_S <= at < min(worker.died_at, worker.sound_until)
         )
 
     def _count_places_on(self, worker: EmulatedWorker, task: TaskId, at: float) -> int:
@@ -99,8 +99,7 @@
         for begin, end in self._list_idle_spans(notes, end_s):
             if end - begin < MAX_STANDSTILL_S:
                 continue
-            task = self._find_ready_task(notes, begin)
-            if task is not None:
+            for task in self._list_ready_tasks(notes, begin):
                 yield from self._find_in_span(task, (begin, end))
 
     def _list_idle_spans(self, notes: JobNotes, end_s: float) -> t.Iterator[Span]:
@@ -120,20 +119,23 @@
         job_id = notes.submission.job_id
         return [run for run in self.records if run.task.job_id == job_id]
 
-    def _find_ready_task(self, notes: JobNotes, at: float) -> TaskId | None:
-        """Find a task that could start at a moment, ``None`` if all are done."""
+    def _list_ready_tasks(self, notes: JobNotes, at: float) -> list[TaskId]:
+        """List a task of each step that could start at a moment."""
         done = {
             run.task
             for run in self._list_runs(notes)
             if run.how == "done" and run.ended is not None and run.ended <= at
         }
-        submission = notes.submission
-        for number, step in enumerate(submission.steps):
-            for position in range(step.count):
-                task = TaskId(submission.job_id, 0, number, position)
-                if task not in done:
-                    return task
-        return None
+        left = []
+        for number, step in enumerate(notes.submission.steps):
+            job_id = notes.submission.job_id
+            tasks = [TaskId(job_id, 0, number, item) for item in range(step.count)]
+            left.append([task for task in tasks if task not in done])
+        return [
+            tasks[0]
+            for tasks, step in zip(left, notes.submission.steps, strict=True)
+            if tasks and not any(left[earlier] for earlier in step.after)
+        ]
 
     def _find_in_span(self, task: TaskId, span: Span) -> t.Iterator[Span]:
         pool = self._get_pool(task)
@@ -163,11 +165,11 @@
 
     def _is_breach(self, begin: float, end: float) -> bool:
         """Tell whether there were calm seconds enough in which the job stood still."""
-        moments = [begin, *(ended for ended in self._list_ends() if ended > begin)]
+        calm_again = [ended + CALM_BEFORE_S for ended in self._list_ends()]
         return any(
             at + MAX_STANDSTILL_S <= end
             and self.disturbances.is_calm(at - CALM_BEFORE_S, at + MAX_STANDSTILL_S)
-            for at in (moment + CALM_BEFORE_S * (moment != begin) for moment in moments)
+            for at in (begin, *(max(begin, at) for at in calm_again))
         )
 
     def _list_ends(self) -> list[float]:
@@ -180,11 +182,7 @@
     def _get_pool(self, task: TaskId) -> _Pool:
         service = self.jobs[task.job_id].submission.policy.service
         if service not in self._pools:
-            workers = [
-                item
-                for item in self.workers
-                if item.sound and item.entry.service == service
-            ]
+            workers = [item for item in self.workers if item.entry.service == service]
             runs: dict[str, list[RunRecord]] = {}
             for run in self.records:
                 runs.setdefault(run.worker_id, []).append(run)
--- a/src/onyxgap/standins/emulator/workers.py
+++ b/src/onyxgap/standins/emulator/workers.py
@@ -59,7 +59,7 @@
     :param guarded: whether it refuses what does not fit.
     :param on_crashing_run: called with its id when it starts a task that crashes it.
     :param died_at: monotonic seconds of its end.
-    :param sound: whether no fault but a crash has ever affected it.
+    :param sound_until: monotonic seconds of the first fault that affected it.
     """
 
     entry: WorkerEntry
@@ -78,7 +78,7 @@
     lease_ms: float = 0.0
     born_at: float = attrs.field(factory=anyio.current_time)
     died_at: float = math.inf
-    sound: bool = True
+    sound_until: float = math.inf
     runs: dict[TaskId, Run] = attrs.field(factory=dict)
     ended: list[EndedTask] = attrs.field(factory=list)
     highest: dict[TaskId, int] = attrs.field(factory=dict)
@@ -89,11 +89,15 @@
     _unnoted: dict[int, RunRecord] = attrs.field(factory=dict)
     _changed: anyio.Event = attrs.field(factory=anyio.Event)
 
+    def note_fault(self) -> None:
+        """Note that a fault affects it from now on."""
+        self.sound_until = min(self.sound_until, anyio.current_time())
+
     def set_mood(self, mood: Mood) -> None:
         """Change how it treats its tasks; what stood still goes on where it was."""
         now = anyio.current_time()
         self.advance()
-        self.sound = False
+        self.note_fault()
         if self.mood is Mood.HANGING:
             for run in self.runs.values():
                 run.ends_at += now - max(self.hung_at, run.record.began)
@@ -104,7 +108,7 @@
 
     def resize(self, share: float) -> None:
         """Change its capacity to a share of what it has; 1 over it takes that back."""
-        self.sound = False
+        self.note_fault()
         self.former.append((anyio.current_time(), self.entry))
         self.entry = attrs.evolve(
             self.entry,
--- a/tests/test_drained_workers.py
+++ b/tests/test_drained_workers.py
@@ -1,5 +1,6 @@
 """Reports of drained workers, whose VMs the fleet controller may move at once."""
 
+import math
 import typing as t
 
 import anyio
@@ -78,3 +79,29 @@
 def test_worker_is_not_reported_drained_before_its_results_are_stored() -> None:
     others = [f"job-{number}" for number in range(MAX_BATCH_JOBS)]
     assert anyio.run(read_emptied, others) == {}
+
+
+async def commit_beside_changes() -> t.Mapping[str, str]:
+    """Store the end of a run in ten transactions, with new jobs before each."""
+    owner = build_owner_of_drained_worker()
+    emptied: t.Mapping[str, str] = {}
+    for number in range(10):
+        for other in range(MAX_BATCH_JOBS + 1):
+            add_job(owner, f"job-{number}-{other}")
+        owner._reported_at = -math.inf
+        # the job of the end is stored with the first transaction
+        owner.state.dirty -= {"first"} if number else set()
+        wanted = [StartOrder("w2", "", TaskId("first", 0, 0, 0), 1, "", 0.0, 1)]
+        commit = owner._build_commit([] if number else wanted)
+        assert commit is not None
+        row = tables.get_report_row("shard")
+        if row in commit.puts:
+            emptied = decode_report(commit.puts[row]).emptied
+        for job_id, state in commit.states.items():
+            owner.state.mark_stored(job_id, state, owner._now())
+        owner._acknowledge_results(commit.processed)
+    return emptied
+
+
+def test_worker_is_reported_drained_although_other_jobs_change_all_the_time() -> None:
+    assert anyio.run(commit_beside_changes) == {"w1": "move#1"}
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -136,7 +136,7 @@
         frozenset({"x"}),
         {"a": 8},
         frozenset({"m"}),
-        started=True,
+        startup_over=True,
     )
     assert decode_fleet_row(encode_fleet_row(row)) == row
     for value in (b"", b"[]", b'{"cordons":1}'):
@@ -147,8 +147,8 @@
 
 
 def test_fleet_row_of_an_earlier_version_is_read() -> None:
-    value = orjson.loads(encode_fleet_row(FleetRow({"w": "move#1"}, started=True)))
-    del value["started"]
+    value = orjson.loads(encode_fleet_row(FleetRow({"w": "move#1"}, startup_over=True)))
+    del value["startup_over"]
     assert decode_fleet_row(orjson.dumps(value)) == FleetRow({"w": "move#1"})
 
 
@@ -350,6 +350,18 @@
     assert successor.plan(2.0) == []
 
 
+def test_service_without_a_report_does_not_stop_all_moves_for_long(
+    starting_planner: FleetPlanner,
+) -> None:
+    assert starting_planner.plan(1.1 + STARTUP_TIMEOUT_S) == []
+    successor = restart_fleet_controller(starting_planner, 20.0)
+    successor.shards = frozenset("ab")
+    successor.sizes = {"a": 4}
+    assert successor.plan(20.0) == []
+    moves = successor.plan(20.1 + STARTUP_TIMEOUT_S)
+    assert [order.vm for order in moves] == ["z0"]
+
+
 def test_successor_knows_which_vms_were_maintained(planner: FleetPlanner) -> None:
     planner.add_wave(Wave(1, ("z0", "z1"), 20.0, 2), 1.0)
     for order in planner.plan(1.0):
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -242,3 +242,17 @@
         scheduler.release("old", ask_id, outcome, 0.01, 0.0)
     assert list(scheduler.targets.by_vm) == ["vm-0"]
     assert scheduler.targets.count_slots(0.0) == (2, 2)
+
+
+def test_targets_that_drain_do_not_let_all_serving_ones_be_ejected() -> None:
+    targets = TargetSet(random.Random(1))
+    shape = ("z", "r", 4)
+    targets.replace([(name, *shape) for name in ("a", "b", "c", "d")])
+    for name in ("c", "d"):
+        targets.acquire_slot(name)
+    targets.replace([(name, *shape) for name in ("a", "b")])
+    for name in ("a", "b"):
+        for _ in range(10):
+            targets.acquire_slot(name)
+            targets.release_slot(name, Outcome.FAILED, 1.0, 1.0)
+    assert targets.choose(2.0) is not None
--- a/tests/test_worker_connections.py
+++ b/tests/test_worker_connections.py
@@ -121,3 +121,18 @@
             group.cancel_scope.cancel()
 
     anyio.run(main)
+
+
+def test_stop_order_to_a_removed_worker_leaves_no_connection(worker: Worker) -> None:
+    async def main() -> None:
+        async with anyio.create_task_group() as group:
+            owner = build_owner_of_worker(await listen(group, worker))
+            entry = owner.state.workers["w1"].entry
+            owner.state.remove_worker("w1", "gone", 0.0)
+            task = TaskId("job", 0, 0, 0)
+            await owner._send_stop(StopOrder("w1", entry.address, task, 1, 1))
+            assert worker.requests == 1
+            await wait_until(lambda: worker.open == 0)
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
