Check that a planned stop of a process loses no request in the soak

Users' rule: around SIGTERM, a request that callers sent completely, over 0.2 s before its connection ended, gets a whole answer. The soak took every broken connection for one that the caller tries again, and checked nothing.

Callers of the soak now note when a request was sent completely (trace of the HTTP client). If the connection ends over 0.2 s later, without a whole answer, and the process had been asked to stop, the breach is 'lost'. Callers keep their connections until the process has ended. Left out: processes that SIGKILL ended (a fault, or the end of the grace, which is a breach of its own), and calls that the caller gave up after 3 s.

--- a/bench/soak/day.py
+++ b/bench/soak/day.py
@@ -86,6 +86,11 @@
             if slot.outlived:
                 detail = f"{slot.name} outlived its grace {slot.outlived} times"
                 breaches.append(Breach("ends", 0.0, detail))
+            for call in slot.lost_calls.list_lost():
+                detail = (
+                    f"{slot.name} stopped, {call.what} unanswered {call.waited_s:.2f} s"
+                )
+                breaches.append(Breach("lost", call.at, detail))
         return attrs.evolve(result, breaches=breaches)
 
 
--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -34,6 +34,8 @@
 
 from . import wire
 from .connections import PlatformConnections
+from .lost_calls import CallTrace
+from .lost_calls import LostCalls
 from .platform import PlatformApp
 
 CALL_TIMEOUT_S = 3.0
@@ -54,7 +56,7 @@
     504: SubmitOutcome.UNKNOWN,
 }
 _guard_sockets: list[socket.socket] = []
-_BROKEN = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError)
+_BROKEN = (httpcore.NetworkError, httpcore.ProtocolError)
 
 
 def reserve_ports() -> int:
@@ -142,11 +144,13 @@
     :param outlived: processes that were still there at the end of their grace.
     :param ended: exit codes of processes that nobody ended.
     :param connections: connections of its nodes to the platform.
+    :param lost_calls: calls that broke around planned stops.
     """
 
     folder: pathlib.Path = pathlib.Path()
     outlived: int = 0
     ended: list[int] = attrs.field(factory=list)
+    lost_calls: LostCalls = attrs.field(factory=LostCalls)
     connections: PlatformConnections = attrs.field(init=False)
     _ports: int = attrs.field(init=False)
     _pool: httpcore.AsyncConnectionPool | None = None
@@ -209,7 +213,7 @@
             )
         if self.node is node:
             t.cast(PausedGate, self.gate).process = process
-            self._pool = httpcore.AsyncConnectionPool(max_connections=64)
+            self._open_pool()
         else:
             process.kill()
         try:
@@ -222,6 +226,9 @@
             if self.node is node:
                 self.node = None
 
+    def _open_pool(self) -> None:
+        self._pool = httpcore.AsyncConnectionPool(max_connections=64)
+
     def kill(self) -> None:
         """End the process at once."""
         self._wanted = False
@@ -236,6 +243,7 @@
         process = t.cast(PausedGate, self.gate).process
         if process is None or process.returncode is not None:
             return
+        self.lost_calls.stopping = process
         process.terminate()
         with anyio.move_on_after(GRACE_S, shield=True):
             await process.wait()
@@ -251,15 +259,20 @@
         content = None if body is None else orjson.dumps(body)
         timeout = dict.fromkeys(("connect", "read", "write", "pool"), CALL_TIMEOUT_S)
         url = f"http://127.0.0.1:{self._ports + 1}{route.prefix}{rest}"
+        process = t.cast(PausedGate, self.gate).process
+        trace = CallTrace()
         try:
             return await self._pool.request(
                 method,
                 url,
                 headers=headers,
                 content=content,
-                extensions={"timeout": timeout},
+                extensions={"timeout": timeout, "trace": trace.note},
             )
+        except httpcore.TimeoutException:
+            return None
         except _BROKEN:
+            self.lost_calls.note(process, f"{method} {route.prefix}{rest}", trace)
             return None
 
     async def submit(
