Count the calm time of an absence of a serving task

Now a stretch of over 6 s counts in which no disturbance affects a node (each does until 3 s after its end).

--- a/src/onyxgap/standins/emulator/disturbances.py
+++ b/src/onyxgap/standins/emulator/disturbances.py
@@ -43,6 +43,20 @@
             for name, began, ended in self.spans
         )
 
+    def measure_calm(self, begin: float, end: float) -> float:
+        """Measure the longest time in a span in which no node was affected.
+
+        A disturbance affects a node until :data:`RECOVERY_S` after its end.
+
+        :param begin: monotonic seconds.
+        :param end: monotonic seconds.
+        """
+        longest_s, calm_since = 0.0, begin
+        for _, began, ended in sorted(self.spans, key=lambda span: span[1]):
+            longest_s = max(longest_s, min(began, end) - calm_since)
+            calm_since = max(calm_since, ended + RECOVERY_S)
+        return max(longest_s, end - calm_since)
+
     def is_calm(self, begin: float, end: float) -> bool:
         """Tell whether nothing was disturbed in a span of time, not even orders.
 
--- a/src/onyxgap/standins/emulator/serving_checks.py
+++ b/src/onyxgap/standins/emulator/serving_checks.py
@@ -7,12 +7,12 @@
 from ...jobs.messages import TaskId
 from .breach import Breach
 from .callers import JobNotes
-from .disturbances import ALL_NODES
 from .disturbances import DisturbanceLog
 from .runs import RunRecord
 
 MAX_ABSENCE_S = 6.0
-"""Time within which a serving task runs again, if nothing disturbs the nodes."""
+"""Time within which a serving task runs again, counted from the last moment at which a
+disturbance affected a node."""
 
 
 def check_serving(
@@ -40,7 +40,8 @@
 
     :param jobs: what callers were told, by job.
     :param records: runs on workers.
-    :param disturbances: faults that affected nodes; absences beside them are allowed.
+    :param disturbances: faults that affected nodes; only the time of an absence counts
+        in which they did not.
     """
     runs: dict[TaskId, list[RunRecord]] = collections.defaultdict(list)
     for record in records:
@@ -48,21 +49,18 @@
     for task in _list_serving_tasks(jobs):
         ordered = sorted(runs[task], key=lambda run: run.began)
         for earlier, later in itertools.pairwise(ordered):
-            if earlier.ended is None or later.began - earlier.ended <= MAX_ABSENCE_S:
+            if earlier.ended is None:
                 continue
-            if not _is_disturbed(disturbances, earlier.ended, later.began):
+            calm_s = disturbances.measure_calm(earlier.ended, later.began)
+            if calm_s > MAX_ABSENCE_S:
                 away_s = later.began - earlier.ended
-                detail = f"serving task {task} was away for {away_s:.1f} s"
+                detail = (
+                    f"serving task {task} was away for {away_s:.1f} s, "
+                    f"{calm_s:.1f} s of them calm"
+                )
                 yield Breach("lost", later.began, detail)
 
 
-def _is_disturbed(disturbances: DisturbanceLog, begin: float, end: float) -> bool:
-    nodes = {name for name, *_ in disturbances.spans}
-    return any(
-        disturbances.is_disturbed(node, begin, end) for node in nodes | {ALL_NODES}
-    )
-
-
 def _list_serving_tasks(jobs: t.Mapping[str, JobNotes]) -> t.Iterator[TaskId]:
     for job_id, notes in jobs.items():
         step = notes.submission.steps[0]
