Count a worker out of reach as a disturbance in the check of standstills

Starting them elsewhere before their lease has ended could run them twice, so the case is allowed; with all links calm it stays a breach.

--- a/src/onyxgap/standins/emulator/disturbances.py
+++ b/src/onyxgap/standins/emulator/disturbances.py
@@ -14,7 +14,7 @@
 
     :param spans: node, begin and end of each disturbance, in monotonic seconds.
     :param order_spans: begin and end of the times in which orders to workers were
-        late, or their answers lost.
+        late, their answers lost, or a worker out of reach.
     """
 
     spans: list[tuple[str, float, float]] = attrs.field(factory=list)
