Share the former services of queues that moved with new nodes

Cause: a node knew only the services of configurations that it had adopted itself. One that started after the move stored the job in a second shard. Evidence: test_resent_job_of_a_moved_queue_is_not_stored_twice_by_a_new_node failed on: the new node answered that it had stored the job. Change: a row lists the services of queues that moved. A node is not ready and accepts no job before its first read. Not covered: a job sent again before the nodes with the former configuration have recorded the move (about 1 s after they adopt it), and moves known only to nodes that have ended before.

--- a/src/onyxgap/daemons/desk.py
+++ b/src/onyxgap/daemons/desk.py
@@ -45,6 +45,7 @@
 from ..jobs.waiting import WaitingCount
 from .authentication import Authentication
 from .owner import ShardOwner
+from .queue_moves import QueueMoves
 
 WRITE_RETRY_LIMIT_S = 2.0
 """How long a write with unknown outcome is retried; callers time out after 3 s."""
@@ -70,6 +71,8 @@
     :param views: newest owner row of each shard, as seen by this node.
     :param owners: owned shards by name.
     :param authentication: identifies callers.
+    :param queue_moves: knows the services that queues had before this node started;
+        ``None`` if there is no such record.
     :param on_stored: notifies the owner of a shard, given the shard and the key of the
         stored submission or cancellation.
     :param admission: rejects jobs that would start too late to be useful; ``None`` to
@@ -89,6 +92,7 @@
     views: dict[str, OwnerView]
     owners: dict[str, ShardOwner]
     authentication: Authentication
+    queue_moves: QueueMoves | None = None
     on_stored: t.Callable[[str, str], None] = lambda *_: None
     admission: AdmissionController | None = None
     should_forward: t.Callable[[], bool] = lambda: False
@@ -132,9 +136,13 @@
         return (
             not self.stopping
             and self.routes.configuration is not None
+            and self._knows_queue_moves()
             and not self._is_store_down()
         )
 
+    def _knows_queue_moves(self) -> bool:
+        return self.queue_moves is None or self.queue_moves.known
+
     def _is_store_down(self) -> bool:
         return self.health.is_down(self.clocks.read_monotonic())
 
@@ -165,6 +173,8 @@
         if self._is_store_down():
             reason = Unavailable.STORE.value
             return SubmitResult(SubmitOutcome.REFUSED, reason, OUTAGE_RETRY_AFTER_S)
+        if not self._knows_queue_moves():
+            return SubmitResult(SubmitOutcome.REFUSED, Unavailable.QUEUE_MOVES.value)
         for shard in self.routes.list_previous_services(submission.policy):
             try:
                 stored = await self._read_submission(shard, submission.job_id)
--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -60,6 +60,7 @@
             self._group = group
             group.start_soon(self._follow_operator().run)
             group.start_soon(self.exchange.run)
+            group.start_soon(self.queue_moves.run)
             group.start_soon(self._watch_owners)
             group.start_soon(self.lag.watch)
             group.start_soon(self._run_peers)
--- a/src/onyxgap/daemons/node_base.py
+++ b/src/onyxgap/daemons/node_base.py
@@ -41,6 +41,7 @@
 from .owner import ShardOwner
 from .owner_workers import DecodeWorker
 from .passing_desk import ForwardingJobApi
+from .queue_moves import QueueMoves
 from .rows import SkippedRows
 from .rows import decode_rows
 
@@ -101,6 +102,7 @@
     :param forwarding_api: job API that forwards calls, ``None`` if calls are not
         forwarded.
     :param exchange: knows whether the configuration is current.
+    :param queue_moves: services of queues in earlier configurations, shared by nodes.
     :param job_api: job API served by this node alone.
     :param served_api: job API that callers use: ``forwarding_api`` if set, else
         ``job_api``.
@@ -131,6 +133,7 @@
     skipped: SkippedRows = attrs.field(factory=SkippedRows)
     forwarding_api: ForwardingJobApi | None = None
     exchange: ConfigurationExchange = attrs.field(init=False)
+    queue_moves: QueueMoves = attrs.field(init=False)
     job_api: LocalJobApi = attrs.field(init=False)
     served_api: JobApi = attrs.field(init=False)
     lag: LoopLag = attrs.field(init=False)
@@ -153,6 +156,7 @@
             self.members,
             self._read_configuration,
         )
+        self.queue_moves = QueueMoves(self.store, self.routes, self.rng, self.skipped)
         self.job_api = LocalJobApi(
             self.store,
             self.health,
@@ -161,6 +165,7 @@
             self.views,
             self.owners,
             Authentication(self.routes, self.exchange),
+            self.queue_moves,
         )
         self.served_api = self.job_api
         if self.settings.contended:
--- a/src/onyxgap/jobs/desk.py
+++ b/src/onyxgap/jobs/desk.py
@@ -45,6 +45,7 @@
     STORE = "the store gives no answer"
     STORED_JOB = "the stored job could not be decoded"
     CONFIGURATION = "no configuration yet"
+    QUEUE_MOVES = "no record of moved queues yet"
     COUNT = "how many jobs wait is not known here"
     CONFIGURATION_AGE = "whether the configuration is the newest is not known here"
 
--- a/src/onyxgap/jobs/routing.py
+++ b/src/onyxgap/jobs/routing.py
@@ -98,7 +98,7 @@
 
     :param configuration: the active version, ``None`` before the first.
     :param keyed: whether requests need a tenant's key, except on public queues.
-    :param previous_services: services of each queue in previous versions.
+    :param previous_services: services of each queue in other versions, as far as known.
     :param confirmed_at: latest time on the boot clock, in seconds, when the active
         version was known to be the newest.
     :param keys: names of tenants by digest of key.
@@ -166,6 +166,25 @@
             policy = route.policy
             self.previous_services.setdefault(policy.queue, set()).add(policy.service)
 
+    def add_previous_services(self, moves: t.Mapping[str, t.AbstractSet[str]]) -> None:
+        """Add services that queues had in versions that other nodes know.
+
+        :param moves: services by queue.
+        """
+        for queue, services in moves.items():
+            self.previous_services.setdefault(queue, set()).update(services)
+
+    def list_moves(self) -> dict[str, set[str]]:
+        """Return all known services of each queue that has had more than one."""
+        known = {
+            queue: set(services) for queue, services in self.previous_services.items()
+        }
+        for route in self.configuration.routes if self.configuration else ():
+            known.setdefault(route.policy.queue, set()).add(route.policy.service)
+        return {
+            queue: services for queue, services in known.items() if len(services) > 1
+        }
+
     def find(self, host: str, path: str) -> Route | None:
         """Find the route with the longest prefix that matches a path.
 
@@ -188,7 +207,7 @@
         return found is not None and found.guarded
 
     def list_previous_services(self, policy: QueuePolicy) -> tuple[str, ...]:
-        """List other services that a queue had since this process started.
+        """List other services that a queue is known to have had.
 
         :param policy: policy of the queue.
         """
--- a/src/onyxgap/jobs/tables.py
+++ b/src/onyxgap/jobs/tables.py
@@ -28,6 +28,7 @@
 SHARE_PARTS = 16
 """Number of partitions for the rows of tenants. The store handles a few hundred writes
 per second in each."""
+QUEUE_MOVES_TABLE = "onyxgap-queue-moves"
 FLEET_SHARD = "~fleet"
 """Reserved shard of the fleet controller role; no service can have this name."""
 CANCEL_SUFFIX = ".cancel"
@@ -104,6 +105,11 @@
     return RowId(TURNS_TABLE, FLEET_SHARD, "turns")
 
 
+def get_queue_moves_row() -> RowId:
+    """Return the row with the services of queues that moved between services."""
+    return RowId(QUEUE_MOVES_TABLE, "~queues", "moves")
+
+
 def get_member_row(node: str) -> RowId:
     """Return the row in which a node registers its addresses and VM size."""
     return RowId(MEMBER_TABLE, MEMBER_PART, node)
