Count VMs, not orders, in the check of the cap of maintenance waves

The check counted every order of maintenance of the last two seconds as one VM that is down. An order whose answer is lost is repeated, as the platform allows, and then one VM counted as two.

Every two VMs of which the orders are less than the length of maintenance apart still break the rule, so the check is as strict as before for all but repetitions.

--- a/src/onyxgap/standins/emulator/checks.py
+++ b/src/onyxgap/standins/emulator/checks.py
@@ -198,15 +198,22 @@
     """Check that waves keep their cap and that every VM is maintained."""
     for wave in evidence.waves:
         begun = [
-            record.at
+            record
             for record in evidence.orders
             if record.order.kind is VmActionKind.UPKEEP
             and record.order.wave == wave.number
         ]
-        for at in begun:
-            down = sum(at - UPKEEP_S < other <= at for other in begun)
-            if down > wave.cap:
-                yield Breach("limit", at, f"{down} VMs down, cap {wave.cap}")
+        for record in begun:
+            # an order that is repeated for want of an answer is about the same VM
+            down = {
+                other.order.vm
+                for other in begun
+                if record.at - UPKEEP_S < other.at <= record.at
+            }
+            if len(down) > wave.cap:
+                yield Breach(
+                    "limit", record.at, f"{len(down)} VMs down, cap {wave.cap}"
+                )
         for name in wave.vms:
             if wave.number not in evidence.maintained.get(name, set()):
                 yield Breach("wave", 0.0, f"{name} was not maintained")
