--- a/src/onyxgap/daemons/queue_moves.py
+++ b/src/onyxgap/daemons/queue_moves.py
@@ -30,6 +30,9 @@
 MAX_READ_PAUSE_S = 1.0
 """Longest pause between two reads of the row; calls are resent after a second or more.
 Pauses are random, so that one node records a move before the others read the row."""
+RETRY_S = 0.4
+"""Longest pause after a failed read, so that a store that has become available again is
+read within this time."""
 READS = 6
 """Reads for each configuration, in 3 s on average: nodes adopt it within 2 s."""
 MAX_ROW_BYTES = 65_536
@@ -91,6 +94,7 @@
                 reads -= await self._synchronize()
             except PlatformUnavailableError as error:
                 _LOG.info("queue moves could not be read", reason=str(error))
+                await anyio.sleep(RETRY_S * self.rng.uniform(0.5, 1.0))
 
     async def _synchronize(self) -> bool:
         """Read the row, and add moves; return whether the row has all known moves."""
