Keep runs that a report with 500 ends may have left out

Callers saw: a task was started again after a run of it had ended done (TWICE). That this caused the recorded cases is not shown. Cause: a worker returns at most 500 ended runs in one report. A run that was neither listed nor among these counted as missing and was started again, though its end was to follow. Evidence: test_run_whose_end_did_not_fit_into_a_report_is_not_started_again failed: 2 of 502 tasks were started again. Change: a report with 500 ends releases no missing runs.

--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -42,6 +42,9 @@
 REFUSAL_BLOCK_S = 0.3
 """How long a worker that refused a start gets no new tasks: it is tried again about as
 often as it reports."""
+MAX_REPORTED_ENDS = 500
+"""Most ended runs in one report, as published by the platform; the next ones follow
+once these are acknowledged."""
 RETRY_PAUSE_S = 0.05
 """Delay before a failed task or refused start is placed again, so that other workers
 can report first."""
@@ -93,7 +96,9 @@
         for item in report.running:
             self._apply_running(record, item, report, now)
         self._check_worker_speed(record, report, now)
-        self._release_missing_runs(record, listed | ended, sent_at)
+        if len(report.ended) < MAX_REPORTED_ENDS:
+            # otherwise, a run that is not listed may have ended, too
+            self._release_missing_runs(record, listed | ended, sent_at)
         return True
 
     def _apply_running(
--- a/tests/test_shard.py
+++ b/tests/test_shard.py
@@ -27,6 +27,7 @@
 from onyxgap.jobs.messages import WorkerState
 from onyxgap.jobs.shard import START_WINDOW_MS
 from onyxgap.jobs.shard import Shard
+from onyxgap.jobs.shard_reports import MAX_REPORTED_ENDS
 from onyxgap.jobs.shard_workers import LEASE_S
 from onyxgap.jobs.workers import HoldReport
 from onyxgap.jobs.workers import Reply
@@ -224,6 +225,26 @@
     assert [order.worker_id for order in harness.plan()] == ["w2"]
 
 
+def test_run_whose_end_did_not_fit_into_a_report_is_not_started_again(
+    harness: ShardHarness,
+) -> None:
+    harness.add_worker("w1")
+    job = harness.add_job(Step(MAX_REPORTED_ENDS + 2, cpu=1, estimate_ms=100))
+    orders = harness.start_all()
+    assert len(orders) == MAX_REPORTED_ENDS + 2
+    ended = [
+        EndedTask(sequence, order.task, order.run, EndKind.DONE, "")
+        for sequence, order in enumerate(orders, 1)
+    ]
+    for first in (0, MAX_REPORTED_ENDS):
+        harness.now += 0.1
+        ends = tuple(ended[first : first + MAX_REPORTED_ENDS])
+        report = HoldReport(1000.0 + first, (), ends)
+        harness.shard.apply_report("w1", report, harness.now, harness.now)
+        assert harness.plan() == []
+    assert job.state is JobState.SUCCEEDED
+
+
 def test_silent_worker_keeps_its_runs_until_the_lease_expires(
     harness: ShardHarness,
 ) -> None:
