Let a failed task wait for a worker on which it has not failed

Cause: a failed task prefers other workers, but was started on the same one after 0.05 s if the others were full, so it used up its three attempts in less than half a second. Since failures of one job no longer eject a worker, and the last usable worker of a pool is never ejected, nothing stopped that.

Change: a failed task waits 1 s, after later failures 2 s, for a worker on which it has not failed. Other tasks and jobs are not held back, and the wait is shorter than a standstill. Serving tasks have no limit of attempts and don't wait. A job that fails by itself takes longer to fail in a pool of few workers.

--- a/src/onyxgap/jobs/job.py
+++ b/src/onyxgap/jobs/job.py
@@ -53,6 +53,8 @@
     :param stop_sent_at: monotonic seconds when the stop order was last sent.
     :param failed_on: ids of the workers on which the task failed, newest last.
     :param not_before: monotonic seconds before which the task is not tried again.
+    :param retry_elsewhere_until: monotonic seconds before which the task waits for a
+        worker on which it has not failed.
     :param pace: percent of full speed that the run was last told to keep.
     :param progress: progress of the current run according to the reports.
     :param start_ruled_out_at: for a run that a previous incarnation of its worker was
@@ -81,6 +83,7 @@
     stop_sent_at: float = -1e9
     failed_on: tuple[str, ...] = ()
     not_before: float = 0.0
+    retry_elsewhere_until: float = 0.0
     pace: int = 100
     progress: Progress | None = None
     moves: int = 0
@@ -152,6 +155,14 @@
             return self.listed_ms
         return max(self.listed_ms, last_clock_ms - self.confirmed_ms)
 
+    def waits_for_another_worker(self, worker_id: str, now: float) -> bool:
+        """Return whether the task failed too recently to be tried again on a worker.
+
+        :param worker_id: id of the worker.
+        :param now: monotonic seconds.
+        """
+        return now < self.retry_elsewhere_until and worker_id in self.failed_on
+
     def release(self) -> None:
         """Record that no run of the task is on a worker any more."""
         self.phase = TaskPhase.WAITING
--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -251,6 +251,8 @@
                 else:
                     self._request_more_tickets(step, step_key, now)
                 return
+            if task.waits_for_another_worker(record.entry.worker_id, now):
+                continue
             yield self._place(ready.job, step, task, record, task.run + 1, now)
 
     def _list_advised_workers(self, ready: ReadyStep, now: float) -> t.Collection[str]:
--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -15,6 +15,7 @@
 from .messages import EndKind
 from .messages import JobState
 from .messages import RunningTask
+from .messages import Step
 from .messages import TaskId
 from .placing import WorkerRecord
 from .progress import RESTORE_S
@@ -45,6 +46,12 @@
 RETRY_PAUSE_S = 0.05
 """Delay before a failed task or refused start is placed again, so that other workers
 can report first."""
+FIRST_RETRY_ELSEWHERE_S = 1.0
+"""How long a task that has failed once waits for a worker on which it has not failed. A
+faulty worker fails tasks at once, so that a job would use up its attempts there in a
+fraction of a second."""
+LATER_RETRY_ELSEWHERE_S = 2.0
+"""How long it waits after later failures, so that faults of some seconds can pass."""
 
 _LOG = structlog.get_logger()
 
@@ -237,13 +244,26 @@
             if job.state is JobState.FAILED:
                 _LOG.info("job failed", job=end.task.job_id, failures=task.failures)
                 self._end_job(job, JobState.FAILED)
-        task.not_before = now + RETRY_PAUSE_S if end.kind is EndKind.FAILED else 0.0
+        self._delay_retry(task, step, end.kind, now)
         if job.stored_state is not None and job.stored_state.final:
             self.mark_stored(end.task.job_id, job.stored_state, now)
         else:
             self.dirty.add(end.task.job_id)
         return True
 
+    @staticmethod
+    def _delay_retry(task: Task, step: Step, kind: EndKind, now: float) -> None:
+        task.not_before = task.retry_elsewhere_until = 0.0
+        if kind is not EndKind.FAILED:
+            return
+        task.not_before = now + RETRY_PAUSE_S
+        if step.long_running:
+            # serving tasks have no limit of attempts
+            return
+        is_first = task.failures <= 1
+        wait_s = FIRST_RETRY_ELSEWHERE_S if is_first else LATER_RETRY_ELSEWHERE_S
+        task.retry_elsewhere_until = now + wait_s
+
     def _record_run_time(self, job: Job, task: Task, kind: EndKind, now: float) -> None:
         step = job.get_step(task)
         measurable = kind is EndKind.DONE and not step.long_running and not step.gang
--- a/tests/test_shard.py
+++ b/tests/test_shard.py
@@ -27,6 +27,8 @@
 from onyxgap.jobs.messages import WorkerState
 from onyxgap.jobs.shard import START_WINDOW_MS
 from onyxgap.jobs.shard import Shard
+from onyxgap.jobs.shard_reports import FIRST_RETRY_ELSEWHERE_S
+from onyxgap.jobs.shard_reports import RETRY_PAUSE_S
 from onyxgap.jobs.workers import HoldReport
 from onyxgap.jobs.workers import Reply
 from onyxgap.jobs.workers import ReplyKind
@@ -141,6 +143,53 @@
     assert harness.plan() == []
 
 
+def fail_beside_a_full_worker(harness: ShardHarness) -> tuple[StartOrder, StartOrder]:
+    """Fill ``w1`` with one job and have the task of another fail on ``w2``."""
+    harness.add_worker("w1")
+    harness.add_job(Step(1, cpu=64_000), job_id="b" * 16)
+    (filling,) = harness.start_all()
+    harness.add_worker("w2")
+    harness.add_job(Step(1, cpu=1000))
+    (failed,) = harness.start_all()
+    harness.report("w2", (failed, EndKind.FAILED))
+    harness.now += RETRY_PAUSE_S
+    return filling, failed
+
+
+def test_failed_task_does_not_use_up_its_attempts_on_a_faulty_worker(
+    harness: ShardHarness,
+) -> None:
+    filling, failed = fail_beside_a_full_worker(harness)
+    assert harness.plan() == []
+    harness.report("w1", (filling, EndKind.DONE))
+    (again,) = harness.plan()
+    assert (again.task, again.worker_id) == (failed.task, "w1")
+
+
+def test_failed_task_does_not_wait_long_for_another_worker(
+    harness: ShardHarness,
+) -> None:
+    _, failed = fail_beside_a_full_worker(harness)
+    harness.now += FIRST_RETRY_ELSEWHERE_S
+    (again,) = harness.plan()
+    assert (again.task, again.worker_id) == (failed.task, "w2")
+
+
+def test_faulty_worker_does_not_fail_a_job_at_once_if_there_is_no_other(
+    harness: ShardHarness,
+) -> None:
+    harness.add_worker("w1")
+    job = harness.add_job(Step(1, cpu=1000))
+    (first,) = harness.start_all()
+    harness.report("w1", (first, EndKind.FAILED))
+    harness.now += FIRST_RETRY_ELSEWHERE_S - 0.1
+    assert harness.plan() == []
+    harness.now += 0.1
+    (second,) = harness.start_all()
+    harness.report("w1", (second, EndKind.FAILED))
+    assert job.state is JobState.FAILED
+
+
 def test_unanswered_start_is_retried_after_its_deadline(harness: ShardHarness) -> None:
     harness.add_worker("w1")
     harness.add_job(Step(1, cpu=1000))
