--- a/tests/test_standstills.py
+++ b/tests/test_standstills.py
@@ -4,6 +4,7 @@
 import typing as t
 
 import anyio
+import pytest
 
 from onyxgap.jobs.messages import QueuePolicy
 from onyxgap.jobs.messages import Step
@@ -117,3 +118,9 @@
 
 def test_one_faulty_worker_of_four_fails_no_wide_job() -> None:
     assert play(parse_script("wide", WIDE), 3).breaches == []
+
+
+@pytest.mark.parametrize("seed", [5033, 5038])
+def test_jobs_do_not_fail_on_faulty_workers_of_a_small_pool(seed: int) -> None:
+    # a worker fails all tasks for some seconds, and the others are full or moved
+    assert play(load_day("short"), seed, 5).breaches == []
