--- a/src/onyxgap/jobs/obstacles.py
+++ b/src/onyxgap/jobs/obstacles.py
@@ -68,8 +68,6 @@
         return "full"
     if not record.meets_isolation(step_key[0], isolation):
         return "isolation"
-    if record.is_avoided_by(step_key[0], now):
-        return "failed there"
     return "free"
 
 
--- a/src/onyxgap/jobs/placing.py
+++ b/src/onyxgap/jobs/placing.py
@@ -58,8 +58,7 @@
     :param tasks_to_move: tasks to move, since the worker is slow or stalled.
     :param first_attempt_failures: first attempts of tasks that failed since the
         last success.
-    :param failing_jobs: jobs of these tasks, with the monotonic seconds until which
-        their other tasks avoid the worker.
+    :param failing_jobs: jobs of these tasks.
     :param blocked_until: monotonic seconds before which no task is placed there, since
         the worker has refused one.
     :param ejected_until: monotonic seconds before which no task is placed there, since
@@ -102,7 +101,7 @@
     slow_streak: int = 0
     tasks_to_move: list[Task] = attrs.field(factory=list)
     first_attempt_failures: int = 0
-    failing_jobs: dict[str, float] = attrs.field(factory=dict)
+    failing_jobs: set[str] = attrs.field(factory=set)
     blocked_until: float = 0.0
     ejected_until: float = 0.0
     readmitted: bool = False
@@ -145,10 +144,6 @@
         """Return whether the worker gets no tasks since it seems faulty or slow."""
         return now < self.ejected_until and not self.readmitted
 
-    def is_avoided_by(self, job_id: str, now: float) -> bool:
-        """Return whether tasks of a job avoid the worker after others failed there."""
-        return now < self.failing_jobs.get(job_id, 0.0)
-
     def is_answering(self) -> bool:
         """Return whether the worker has answered the latest call, as far as known.
 
@@ -266,7 +261,6 @@
     return (
         worker.has_capacity(step)
         and worker.is_open(now)
-        and not worker.is_avoided_by(step_key[0], now)
         and worker.meets_isolation(step_key[0], isolation)
         and is_allowed(worker, step, step_key)
     )
--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -36,13 +36,10 @@
 
 FAILING_JOBS_TO_EJECT = 2
 """Jobs with first-attempt task failures on a worker, without a success in between,
-after which it is ejected."""
+after which it is ejected. All tasks of one job may fail by the fault of the job."""
 FAILURE_EJECTION_S = 4.0
 """How long such a worker gets no new tasks. In the site's examples, a faulty worker
 fails the tasks that it starts for 6 s."""
-JOB_AVOIDANCE_S = 2.0
-"""How long the tasks of a job avoid a worker after a task of it has failed there. All
-tasks of a job may fail by its own fault, so this alone doesn't eject the worker."""
 REFUSAL_BLOCK_S = 0.3
 """How long a worker that refused a start gets no new tasks: it is tried again about as
 often as it reports."""
@@ -52,12 +49,10 @@
 RETRY_PAUSE_S = 0.05
 """Delay before a failed task or refused start is placed again, so that other workers
 can report first."""
-FIRST_RETRY_ELSEWHERE_S = 1.0
-"""How long a task that has failed once waits for a worker on which it has not failed. A
+RETRY_ELSEWHERE_S = 2.0
+"""How long a task that has failed waits for a worker on which it has not failed. A
 faulty worker fails tasks at once, so that a job would use up its attempts there in a
 fraction of a second."""
-LATER_RETRY_ELSEWHERE_S = 2.0
-"""How long it waits after later failures, so that faults of some seconds can pass."""
 
 _LOG = structlog.get_logger()
 
@@ -273,9 +268,7 @@
         if step.long_running:
             # serving tasks have no limit of attempts
             return
-        is_first = task.failures <= 1
-        wait_s = FIRST_RETRY_ELSEWHERE_S if is_first else LATER_RETRY_ELSEWHERE_S
-        task.retry_elsewhere_until = now + wait_s
+        task.retry_elsewhere_until = now + RETRY_ELSEWHERE_S
 
     def _record_run_time(self, job: Job, task: Task, kind: EndKind, now: float) -> None:
         step = job.get_step(task)
@@ -301,7 +294,7 @@
             record.failing_jobs.clear()
         elif kind is EndKind.FAILED and not task.failures:
             record.first_attempt_failures += 1
-            record.failing_jobs[task.task_id.job_id] = now + JOB_AVOIDANCE_S
+            record.failing_jobs.add(task.task_id.job_id)
             if len(record.failing_jobs) >= FAILING_JOBS_TO_EJECT:
                 record.ejected_until = now + FAILURE_EJECTION_S
                 _LOG.info(
