Read a noticed row again after a failed read

Cause: an owner that gets the notice of a stored row reads it once. The read broke with a RemoteProtocolError 0.15 s after the cancel, and the change feed brought the row over 3 s later only, since the store was slow and its feeds deaf. In between, at 2.9 s, the owner placed three tasks of the job. The users' record has such broken calls to the store on two nodes.

The read is now repeated, for 3 s at most, until the store answers or the feed has brought the row. test_noticed_cancel_is_read_again_after_a_connection_broke fails without the change.

--- a/src/onyxgap/daemons/owner.py
+++ b/src/onyxgap/daemons/owner.py
@@ -38,9 +38,9 @@
 MAX_BATCH_JOBS = 90
 """Most jobs stored in one transaction, which takes 100 entries; some are needed for the
 owner's own rows."""
-NOTICE_WAIT_S = 0.1
-"""Time to wait after a notice of a new row before it is read: the change feed mostly
-brings the row within it."""
+NOTICE_WAITS_S = (0.1, 0.2, 0.4, 0.8, 1.6)
+"""Times to wait before the reads of a row of which a notice came. The change feed
+mostly brings the row within the first; the others follow a failed read."""
 RETENTION_FACTOR = 1.5
 """Factor by which the states of ended jobs stay readable longer than configured."""
 
@@ -185,18 +185,25 @@
             self._group.start_soon(self._fetch_unless_known, key)
 
     async def _fetch_unless_known(self, key: str) -> None:
-        await anyio.sleep(NOTICE_WAIT_S)
         job_id = key.removesuffix(tables.CANCEL_SUFFIX)
-        if self.state.knows(job_id, cancelled=job_id != key):
-            return
+        for wait_s in NOTICE_WAITS_S:
+            await anyio.sleep(wait_s)
+            if self.state.knows(job_id, cancelled=job_id != key):
+                return
+            if await self._fetch(job_id, key):
+                return
+
+    async def _fetch(self, job_id: str, key: str) -> bool:
+        """Read a row of a job; return whether the store answered."""
         row = tables.get_job_row(self.shard, job_id)
         try:
             page = await self.context.store.read(row.table, row.part, key)
         except PlatformUnavailableError as error:
             _LOG.info("noticed row could not be read", row=key, reason=str(error))
-            return
+            return False
         _LOG.info("noticed row read", row=key, shard=self.shard, version=page.version)
         self._apply_job_rows(page.rows, False)
+        return True
 
     def _apply_fleet_rows(self, rows: t.Sequence[StoredRow], snapshot: bool) -> None:
         for _, fleet in decode_rows(
