Judge absences and waves by what was carried out

Two checks were wrong, each shown by a trace.

* An absence in which orders were late or lost.
That time no longer counts as calm.
A worker out of reach still does not excuse an absence.
* The cap of waves.
The order for herd-2 was carried out at 36.74 s without an answer and repeated at 37.31; herd-1 followed at 38.83, after the 2 s of maintenance of herd-2.
The check took the repetition for the begin.
Orders that had been carried out before no longer count.

--- a/src/onyxgap/standins/emulator/checks.py
+++ b/src/onyxgap/standins/emulator/checks.py
@@ -202,9 +202,10 @@
             for record in evidence.orders
             if record.order.kind is VmActionKind.UPKEEP
             and record.order.wave == wave.number
+            # one that is repeated for want of an answer begins nothing
+            and not record.repeated
         ]
         for record in begun:
-            # an order that is repeated for want of an answer is about the same VM
             down = {
                 other.order.vm
                 for other in begun
--- a/src/onyxgap/standins/emulator/cloud.py
+++ b/src/onyxgap/standins/emulator/cloud.py
@@ -46,6 +46,7 @@
     :param holder: who gave it.
     :param token: fencing token.
     :param node: node that sent it.
+    :param repeated: whether it had been carried out before, so that it did nothing.
     """
 
     at: float
@@ -53,6 +54,7 @@
     holder: str
     token: int
     node: str
+    repeated: bool = False
 
 
 @attrs.define(eq=False)
@@ -275,7 +277,10 @@
             await anyio.sleep(1.0)
             return VmReply.UNKNOWN
         now = anyio.current_time()
-        self.cloud.orders.append(OrderRecord(now, order, holder, token, self.gate.node))
+        repeated = order.wave in self.cloud.maintained.get(order.vm, set())
+        self.cloud.orders.append(
+            OrderRecord(now, order, holder, token, self.gate.node, repeated)
+        )
         reply = self.cloud.carry_out(order)
         await anyio.sleep(ORDER_DELAY_S)
         await self.gate.pass_through()
--- a/tests/test_absences.py
+++ b/tests/test_absences.py
@@ -63,3 +63,10 @@
 
 def test_short_absence_is_allowed_without_faults() -> None:
     assert count_breaches(15.9, []) == 0
+
+
+def test_time_in_which_orders_are_late_is_no_calm_time() -> None:
+    log = DisturbanceLog(order_spans=[(9.0, 17.0)])
+    assert log.measure_calm(10.0, 22.0) == 5.0
+    log = DisturbanceLog(cut_spans=[(9.0, 17.0)])
+    assert log.measure_calm(10.0, 22.0) == 12.0
