Log the age of the configuration that a request is handled by

Whether a request was handled by an outdated version could not be told from the log: answers named the version in force but not when it was last known to be the newest, and a request without a queue left no line. Submissions, counts and missing states now log both, and a missing queue has its own line. No decision changes.

tests/test_node_parts.py, test_waiting_counts.py, test_tenants.py, test_bill.py pass.

--- a/src/onyxgap/daemons/desk.py
+++ b/src/onyxgap/daemons/desk.py
@@ -114,7 +114,10 @@
             return route
         if not await self.authentication.exchange.make_sure():
             return Unavailable.CONFIGURATION_AGE
-        return self.routes.find(host, path)
+        route = self.routes.find(host, path)
+        if route is None:
+            _LOG.info("no queue for request", path=path, **self._describe_version())
+        return route
 
     async def identify(
         self, route: Route, keys: t.Sequence[bytes], job_id: str
@@ -159,8 +162,8 @@
             service=submission.policy.service,
             outcome=result.outcome.value,
             reason=result.reason,
-            configuration=self.get_configuration_version(),
             took_s=round(took_s, 4),
+            **self._describe_version(),
         )
         return result
 
@@ -169,6 +172,14 @@
         configuration = self.routes.configuration
         return configuration.version if configuration else 0
 
+    def _describe_version(self) -> dict[str, float]:
+        """Describe the configuration in force for the log."""
+        age_s = round(self.authentication.exchange.get_age(), 2)
+        return {
+            "configuration": self.get_configuration_version(),
+            "configuration_age_s": age_s,
+        }
+
     async def _submit(self, submission: Submission) -> SubmitResult:
         if self._is_store_down():
             reason = Unavailable.STORE.value
@@ -307,8 +318,8 @@
                 job=job_id,
                 queue=route.policy.queue,
                 outcome=outcome,
-                configuration=self.get_configuration_version(),
                 took_s=round(took_s, 4),
+                **self._describe_version(),
             )
         return state
 
@@ -428,7 +439,7 @@
             source=waiting.source.value,
             age_s=round(waiting.age_s, 2),
             epoch=waiting.epoch,
-            configuration=self.get_configuration_version(),
+            **self._describe_version(),
         )
         return Unavailable.COUNT if waiting.count is None else waiting.count
 
