--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -25,6 +25,8 @@
 from onyxgap.jobs.routing import Route
 from onyxgap.jobs.tenants import KeyRejection
 from onyxgap.settings import Address
+from onyxgap.standins.emulator.callers import NoQueue
+from onyxgap.standins.emulator.callers import SubmitAnswer
 from onyxgap.standins.emulator.cloud import EmulatedCloudClient
 from onyxgap.standins.emulator.faults import FaultedNode
 from onyxgap.standins.emulator.gate import NodeGate
@@ -212,6 +214,7 @@
                 command, stdin=None, stdout=log, stderr=log
             )
         if self.node is node:
+            self.day.routes.record_start(self.name)
             t.cast(PausedGate, self.gate).process = process
             self._open_pool()
         else:
@@ -250,7 +253,7 @@
         if process.returncode is None:
             self.outlived += 1
 
-    async def _call(
+    async def _request(
         self, method: str, route: Route, rest: str, key: str, body: t.Any = None
     ) -> httpcore.Response | None:
         if self.node is None or self._pool is None:
@@ -277,38 +280,46 @@
 
     async def submit(
         self, route: Route, submission: Submission, key: str
-    ) -> SubmitOutcome | KeyRejection | None:
+    ) -> SubmitAnswer:
         """Hand a job in; ``None`` when the connection broke."""
         body = wire.write_job(submission)
-        response = await self._call("POST", route, submission.job_id, key, body)
+        response = await self._request("POST", route, submission.job_id, key, body)
         if response is None:
             return None
         if response.status == 401:
             return KeyRejection.UNKNOWN
+        if response.status == 404:
+            return NoQueue.NOT_FOUND
         return _OUTCOMES.get(response.status)
 
     async def get_state(self, route: Route, job_id: str, key: str) -> t.Any:
         """Ask for a job's state."""
-        response = await self._call("GET", route, job_id, key)
+        response = await self._request("GET", route, job_id, key)
         if response is not None and response.status == 200:
             return JobState(orjson.loads(response.content)["state"])
         if response is not None and response.status == 401:
             return KeyRejection.UNKNOWN
+        if response is not None and response.status == 404:
+            return NoQueue.NOT_FOUND
         gone = response is not None and response.status == 410
         return None if gone else Unavailable.STORE
 
     async def cancel(self, route: Route, job_id: str, key: str) -> t.Any:
         """Cancel a job."""
-        response = await self._call("DELETE", route, job_id, key)
+        response = await self._request("DELETE", route, job_id, key)
         if response is not None and response.status in (200, 410):
             return response.status == 200
         if response is not None and response.status == 401:
             return KeyRejection.UNKNOWN
+        if response is not None and response.status == 404:
+            return NoQueue.NOT_FOUND
         return Unavailable.STORE
 
-    async def count_waiting(self, route: Route, key: str) -> int | None:
+    async def count_waiting(self, route: Route, key: str) -> int | NoQueue | None:
         """Request the number of waiting jobs of a queue."""
-        response = await self._call("GET", route, "", key)
+        response = await self._request("GET", route, "", key)
+        if response is not None and response.status == 404:
+            return NoQueue.NOT_FOUND
         if response is None or response.status != 200:
             return None
         return int(orjson.loads(response.content)["waiting"])
--- a/bench/soak/wire.py
+++ b/bench/soak/wire.py
@@ -22,9 +22,8 @@
 from onyxgap.pools.messages import Vm
 from onyxgap.pools.messages import VmActionKind
 from onyxgap.pools.messages import VmOrder
-from onyxgap.standins.emulator.callers import build_policy
 from onyxgap.standins.emulator.cloud import WORKER_TABLE
-from onyxgap.standins.emulator.rows import HOST
+from onyxgap.standins.emulator.route_history import build_route
 from onyxgap.standins.emulator.rows import OPERATOR_TABLE
 from onyxgap.standins.emulator.rows import SPARE_POOL
 
@@ -135,14 +134,15 @@
 def _write_configuration(value: bytes) -> bytes:
     raw = orjson.loads(value)
     routes = []
-    for pool in raw["pools"]:
-        policy = build_policy(pool)
+    for prefix, service in raw["routes"].items():
+        route = build_route(prefix, service)
+        policy = route.policy
         routes.append(
             {
                 "name": policy.queue,
-                "host": HOST,
-                "path_prefix": f"/{pool}/",
-                "service": pool,
+                "host": route.host,
+                "path_prefix": prefix,
+                "service": service,
                 "max_attempts": policy.max_attempts,
                 "stretch": policy.stretch,
                 "slo_ms": policy.slo_ms,
--- a/src/onyxgap/standins/emulator/callers.py
+++ b/src/onyxgap/standins/emulator/callers.py
@@ -1,5 +1,6 @@
 """Callers: hand jobs in, ask for their state, cancel some; note what they are told."""
 
+import enum
 import math
 import random
 import typing as t
@@ -32,12 +33,40 @@
 MAX_ATTEMPTS = 3
 
 
+class NoQueue(enum.Enum):
+    """Answer of a node that has no route for a request."""
+
+    NOT_FOUND = "no such queue"
+
+
+SubmitAnswer = SubmitOutcome | KeyRejection | NoQueue | None
+"""Answer to a submission, ``None`` when the connection broke."""
+
+
+@attrs.frozen(slots=True)
+class Attempt:
+    """An attempt to hand a job in.
+
+    :param node: name of the node.
+    :param sent_at: monotonic seconds when it was sent.
+    :param answered_at: monotonic seconds when it was answered or given up.
+    :param outcome: the answer.
+    """
+
+    node: str
+    sent_at: float
+    answered_at: float
+    outcome: SubmitAnswer
+
+
 class CallerNode(t.Protocol):
     """A node as callers reach it, if it is up."""
 
+    name: str
+
     async def submit(
         self, route: Route, submission: Submission, key: str
-    ) -> SubmitOutcome | KeyRejection | None:
+    ) -> SubmitAnswer:
         """Hand a job in; ``None`` when the connection broke."""
 
     async def get_state(self, route: Route, job_id: str, key: str) -> t.Any:
@@ -56,6 +85,7 @@
     :param sent_at: monotonic seconds of the first try.
     :param objective_s: seconds within which it should end.
     :param outcomes: answers to each try to hand it in.
+    :param attempts: the tries that were sent to a node.
     :param accepted_at: monotonic seconds of the first acceptance.
     :param cancelled_at: monotonic seconds when a cancel was confirmed.
     :param shown: states that it was shown in, with the time of each change.
@@ -71,7 +101,8 @@
     objective_s: float
     poison: bool = False
     crashing: bool = False
-    outcomes: list[SubmitOutcome | KeyRejection | None] = attrs.field(factory=list)
+    outcomes: list[SubmitAnswer] = attrs.field(factory=list)
+    attempts: list[Attempt] = attrs.field(factory=list)
     accepted_at: float | None = None
     cancelled_at: float | None = None
     cancel_requested: bool = False
@@ -243,10 +274,9 @@
             await anyio.sleep(RETRY_S)
         return False
 
-    async def _send(
-        self, node: CallerNode, notes: JobNotes
-    ) -> SubmitOutcome | KeyRejection | None:
+    async def _send(self, node: CallerNode, notes: JobNotes) -> SubmitAnswer:
         submission = notes.submission
+        sent_at = anyio.current_time()
         key = self.tenancy.draw_key(submission.tenant) if submission.tenant else ""
         access = self.tenancy.open_access(key) if key else None
         outcome = None
@@ -254,6 +284,8 @@
             outcome = await node.submit(notes.route, submission, key)
             if access is not None:
                 access.note(outcome)
+        now = anyio.current_time()
+        notes.attempts.append(Attempt(node.name, sent_at, now, outcome))
         return outcome
 
     async def _call(
@@ -301,17 +333,21 @@
         with anyio.move_on_after(PATIENCE_S):
             node = self.rng.choice(nodes)
             state = await self._call(node.get_state, notes)
-        if isinstance(state, Unavailable | KeyRejection):
+        if isinstance(state, Unavailable | KeyRejection | NoQueue):
             return
         if not notes.shown or notes.get_last_state() is not state:
             notes.shown.append((anyio.current_time(), state))
 
 
-def build_policy(pool: str) -> QueuePolicy:
-    """Build the policy of a pool's queue."""
+def build_policy(name: str, service: str = "") -> QueuePolicy:
+    """Build the policy of a queue.
+
+    :param name: name of the queue; also that of its pool, unless another one is given.
+    :param service: pool whose workers run the jobs of the queue.
+    """
     return QueuePolicy(
-        f"queue-{pool}",
-        pool,
+        f"queue-{name}",
+        service or name,
         max_attempts=MAX_ATTEMPTS,
         stretch=STRETCH,
         slo_ms=SLO_MS,
--- a/src/onyxgap/standins/emulator/checks.py
+++ b/src/onyxgap/standins/emulator/checks.py
@@ -21,6 +21,13 @@
 from .cloud import OrderRecord
 from .count_callers import CountAnswer
 from .disturbances import DisturbanceLog
+from .route_checks import check_in_force
+from .route_checks import check_regressions
+from .route_checks import check_services
+from .route_checks import list_handlings
+from .route_checks import list_order_effects
+from .route_history import RouteHistory
+from .route_probes import ProbeAnswer
 from .runs import RunRecord
 from .serving_checks import check_absences
 from .serving_checks import check_serving
@@ -53,6 +60,9 @@
     :param counts: answers to requests for counts of waiting jobs.
     :param disturbances: faults that affected nodes, with their times.
     :param workers: all workers that ever started.
+    :param routes: routes of all versions of the configuration.
+    :param probes: answers to requests for counts on any route.
+    :param stored_services: services under which jobs are stored, by job.
     """
 
     callers: Callers
@@ -64,6 +74,9 @@
     counts: t.Sequence[CountAnswer] = ()
     disturbances: DisturbanceLog = attrs.field(factory=DisturbanceLog)
     workers: t.Sequence[EmulatedWorker] = ()
+    routes: RouteHistory = attrs.field(factory=RouteHistory)
+    probes: t.Sequence[ProbeAnswer] = ()
+    stored_services: t.Mapping[str, str] = attrs.field(factory=dict)
 
     def measure_run(self, record: RunRecord) -> tuple[str, Amount]:
         """Give the tenant of a run, and what it has in use."""
@@ -189,7 +202,8 @@
             if state is JobState.FAILED and not (notes.poison or notes.crashing):
                 yield Breach("lost", at, f"{job_id} failed without cause")
         serving = notes.submission.steps[0].long_running
-        open_ended = notes.accepted_at is None or serving
+        unasked = evidence.routes.was_dropped(notes.route.prefix)
+        open_ended = notes.accepted_at is None or serving or unasked
         if not open_ended and notes.find_final_at() is None:
             yield Breach("lost", 0.0, f"{job_id} never ended")
 
@@ -238,6 +252,39 @@
                 yield Breach("one", later.at, "two holders take turns")
 
 
+def find_services(evidence: Evidence) -> dict[str, str]:
+    """Find the service of each job: that of its workers, else that of its row."""
+    services = {
+        job_id: notes.submission.policy.service
+        for job_id, notes in evidence.callers.jobs.items()
+    }
+    services.update(evidence.stored_services)
+    by_worker = _list_worker_services(evidence)
+    for record in evidence.records:
+        services[record.task.job_id] = by_worker[record.worker_id]
+    return services
+
+
+def _list_worker_services(evidence: Evidence) -> dict[str, str]:
+    return {worker.entry.worker_id: worker.entry.service for worker in evidence.workers}
+
+
+def check_routes(evidence: Evidence) -> t.Iterator[Breach]:
+    """Check that requests are handled by the routes of a version in force."""
+    jobs, history = evidence.callers.jobs, evidence.routes
+    if len({tuple(item.services.items()) for item in history.versions}) <= 1:
+        return
+    services = _list_worker_services(evidence)
+    runs: dict[str, list[RunRecord]] = collections.defaultdict(list)
+    for record in evidence.records:
+        runs[record.task.job_id].append(record)
+    handlings = list_handlings(jobs, evidence.probes, runs, services, history)
+    yield from check_in_force(handlings, history)
+    orders = list_order_effects(jobs, evidence.records, services, history)
+    yield from check_regressions(handlings, orders, history)
+    yield from check_services(jobs, evidence.records, services, history)
+
+
 def list_breaches(evidence: Evidence, end_s: float) -> list[Breach]:
     """List the broken rules of a day, in order of time.
 
@@ -261,6 +308,7 @@
     breaches += check_absences(jobs, evidence.records, evidence.disturbances)
     breaches += check_standstills(
         jobs,
+        find_services(evidence),
         evidence.records,
         evidence.workers,
         evidence.tenancy,
@@ -268,6 +316,7 @@
         end_s,
     )
     breaches += check_keys(evidence.tenancy)
+    breaches += check_routes(evidence)
     breaches += check_counts(
         evidence.counts, evidence.callers.jobs, evidence.records, evidence.disturbances
     )
--- a/src/onyxgap/standins/emulator/count_callers.py
+++ b/src/onyxgap/standins/emulator/count_callers.py
@@ -7,6 +7,7 @@
 import attrs
 
 from ...jobs.routing import Route
+from .callers import NoQueue
 from .tenancy import Tenancy
 
 MEAN_PAUSE_S = 0.4
@@ -19,7 +20,7 @@
 
     name: str
 
-    async def count_waiting(self, route: Route, key: str) -> int | None:
+    async def count_waiting(self, route: Route, key: str) -> int | NoQueue | None:
         """Request a count; ``None`` if the node does not answer with one."""
 
 
@@ -71,10 +72,10 @@
 
     async def _ask(self, node: CountingNode, route: Route) -> None:
         sent_at = anyio.current_time()
-        count = None
+        count: int | NoQueue | None = None
         with anyio.move_on_after(PATIENCE_S):
             count = await node.count_waiting(route, self._choose_key())
-        if count is None:
+        if not isinstance(count, int):
             self.unanswered += 1
             return
         queue, now = route.policy.queue, anyio.current_time()
--- a/src/onyxgap/standins/emulator/day.py
+++ b/src/onyxgap/standins/emulator/day.py
@@ -10,6 +10,7 @@
 
 from ...jobs.routing import Route
 from ...jobs.store import RowId
+from ...jobs.tables import PROGRESS_TABLE
 from ...pools.messages import Vm
 from ...pools.messages import VmState
 from ...pools.messages import Wave
@@ -17,7 +18,6 @@
 from ...pools.sizing import Sizer
 from .breach import Breach
 from .callers import Callers
-from .callers import build_policy
 from .checks import Account
 from .checks import Evidence
 from .checks import list_breaches
@@ -28,7 +28,10 @@
 from .hindsight import Plan
 from .hindsight import plan_in_hindsight
 from .peers import EmulatedNetwork
-from .rows import HOST
+from .route_history import RouteHistory
+from .route_history import build_prefix
+from .route_history import build_route
+from .route_probes import RouteProbes
 from .rows import OPERATOR_TABLE
 from .rows import SPARE_POOL
 from .script import Script
@@ -80,6 +83,8 @@
     count_callers: CountCallers = attrs.field(init=False)
     disturbances: DisturbanceLog = attrs.field(factory=DisturbanceLog)
     tenancy: Tenancy = attrs.field(init=False)
+    routes: RouteHistory = attrs.field(factory=RouteHistory)
+    route_probes: RouteProbes = attrs.field(init=False)
     slots: list[NodeSlot] = attrs.field(factory=list)
     waves: list[Wave] = attrs.field(factory=list)
     _version: int = 0
@@ -102,6 +107,8 @@
                 assert load.stop <= self.script.end_s
             for pool in self.script.pools:
                 group.start_soon(self.count_callers.run, self._get_route(pool.name))
+            if self.script.changes_routes():
+                group.start_soon(self.route_probes.run)
             for wave in self.script.waves:
                 group.start_soon(self._ask_for_wave, wave)
             self._start_faults(group)
@@ -129,6 +136,9 @@
         self.count_callers = CountCallers(
             self._list_nodes, self.tenancy, random.Random(f"counts/{self.seed}")
         )
+        self.route_probes = RouteProbes(
+            self._list_nodes, self.routes, random.Random(f"probes/{self.seed}")
+        )
         self.cloud = EmulatedCloud(
             self.store,
             self.workers,
@@ -139,6 +149,7 @@
             frozenset(line.name for line in self.script.pools if not line.guarded),
         )
         for line in self.script.pools:
+            self.routes.services[build_prefix(line.name)] = line.name
             for number in range(line.vms):
                 self._add_vm(line.name, number, line.cores, line.memory)
         for number in range(self.script.spare):
@@ -167,13 +178,15 @@
             {
                 "version": self._version,
                 "pools": pools,
+                "routes": self.routes.services,
                 "tenants": self.tenancy.encode(),
             }
         )
+        self.routes.record_version(self._version)
         self.store.put(RowId(OPERATOR_TABLE, "", "configuration"), value)
 
     def _get_route(self, pool: str) -> Route:
-        return Route(HOST, f"/{pool}/", build_policy(pool))
+        return build_route(build_prefix(pool), pool)
 
     def _list_nodes(self) -> list[t.Any]:
         return [slot for slot in self.slots if slot.node is not None]
@@ -215,11 +228,22 @@
             self.count_callers.answers,
             self.disturbances,
             self.workers.history,
+            self.routes,
+            self.route_probes.answers,
+            self._list_stored_services(),
         )
         breaches = list_breaches(evidence, anyio.current_time())
         account = settle_account(evidence, self.cloud.paid_s, self.store.calls)
         return DayResult(breaches, account, self._plan_in_hindsight(evidence))
 
+    def _list_stored_services(self) -> dict[str, str]:
+        """List the services of the stored submissions, by job."""
+        return {
+            row_id.key: row_id.part.rpartition("/")[0]
+            for row_id in self.store.rows
+            if row_id.key in self.callers.jobs and row_id.table != PROGRESS_TABLE
+        }
+
     def _plan_in_hindsight(self, evidence: Evidence) -> Plan:
         pools = self.script.pools
         return plan_in_hindsight(
--- a/src/onyxgap/standins/emulator/faults.py
+++ b/src/onyxgap/standins/emulator/faults.py
@@ -17,7 +17,11 @@
 from .day import DayResult
 from .disturbances import ALL_NODES
 from .malformed import list_malformed_registrations
+from .route_history import build_prefix
+from .route_history import build_route
+from .script import ROUTE_FAULTS
 from .script import FaultLine
+from .script import LoadLine
 from .script import Script
 from .slots import NodeSlot
 from .workers import Mood
@@ -25,6 +29,8 @@
 WHOLE = 1.0
 """Strength from which all keys of a tenant are taken back at once."""
 KEY_GAP_S = 0.1
+ADDED_ROUTE_LOAD_S = 8.0
+"""Time for which callers hand jobs in on an added route."""
 NODE_START_S = 1.0
 """Time within which a node that runs as a process has started."""
 
@@ -46,7 +52,18 @@
 
 @attrs.define(eq=False)
 class FaultyDay(Day):
-    """A day with the faults of its script."""
+    """A day with the faults of its script.
+
+    :param routes_rng: draws the routes to change; not shared, so that other draws stay
+        the same.
+    """
+
+    routes_rng: random.Random = attrs.field(init=False)
+    _added_routes: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        super().__attrs_post_init__()
+        self.routes_rng = random.Random(f"routes/{self.seed}")
 
     def _find_slot(self, target: str, name: str) -> NodeSlot:
         shard = tables.FLEET_SHARD if target == "holder" else name
@@ -246,6 +263,48 @@
             self._configure()
             await anyio.sleep(fault.strength)
 
+    async def move_routes(self, fault: FaultLine) -> None:
+        """Move a queue to other pools, one after the other."""
+        for _ in range(int(fault.seconds)):
+            pools = [line.name for line in self.script.pools]
+            prefix = build_prefix(fault.name or self.routes_rng.choice(pools))
+            present = self.routes.services[prefix]
+            others = [pool for pool in pools if pool != present]
+            self.routes.services[prefix] = self.routes_rng.choice(others)
+            self._configure()
+            await anyio.sleep(fault.strength)
+
+    async def add_routes(self, fault: FaultLine) -> None:
+        """Add queues, one after the other, with callers that hand jobs in."""
+        for _ in range(int(fault.seconds)):
+            pool = fault.name or self.routes_rng.choice(self.script.pools).name
+            self._added_routes += 1
+            # every other one is below the prefix of another queue
+            parent = f"{pool}/" if self._added_routes % 2 else ""
+            prefix = build_prefix(f"{parent}added-{self._added_routes}")
+            self.routes.services[prefix] = pool
+            self._configure()
+            self._start_load(prefix, pool)
+            await anyio.sleep(fault.strength)
+
+    def _start_load(self, prefix: str, pool: str) -> None:
+        stop_s = min(anyio.current_time() + ADDED_ROUTE_LOAD_S, self.script.end_s)
+        load = LoadLine(prefix, 0.5, 0.0, stop_s, width=2.0, work=0.4)
+        assert self._group is not None
+        self._group.start_soon(
+            self.callers.run_load, load, build_route(prefix, pool), lambda: 1.0
+        )
+
+    async def drop_routes(self, fault: FaultLine) -> None:
+        """Drop added queues, one after the other."""
+        for _ in range(int(fault.seconds)):
+            pools = {build_prefix(line.name) for line in self.script.pools}
+            added = sorted(self.routes.services.keys() - pools)
+            if added:
+                del self.routes.services[self.routes_rng.choice(added)]
+                self._configure()
+            await anyio.sleep(fault.strength)
+
     async def revoke_keys(self, fault: FaultLine) -> None:
         """Take keys back in quick succession; all of a tenant's where it is strong."""
         for _ in range(int(fault.seconds)):
@@ -301,15 +360,22 @@
     ("malform", "rows"): FaultyDay.malform_rows,
     ("revoke", "keys"): FaultyDay.revoke_keys,
     ("cap", "tenant"): FaultyDay.change_cap,
+    ("add", "route"): FaultyDay.add_routes,
+    ("drop", "route"): FaultyDay.drop_routes,
+    ("move", "route"): FaultyDay.move_routes,
 }
 
 _TENANT_FAULTS = frozenset({("revoke", "keys"), ("cap", "tenant")})
 """Faults that require a day with tenants."""
-_ONLY_SCRIPTED = _TENANT_FAULTS | {
-    ("shrink", "vm"),
-    ("rebear", "vm"),
-    ("malform", "rows"),
-}
+_ONLY_SCRIPTED = (
+    _TENANT_FAULTS
+    | ROUTE_FAULTS
+    | {
+        ("shrink", "vm"),
+        ("rebear", "vm"),
+        ("malform", "rows"),
+    }
+)
 """Excluded from random draws by default, so that a seed keeps its faults."""
 
 
@@ -338,7 +404,7 @@
     rng = random.Random(f"faults/{seed}")
     excluded = _ONLY_SCRIPTED
     if include_scripted:
-        excluded = frozenset() if script.tenants else _TENANT_FAULTS
+        excluded = ROUTE_FAULTS if script.tenants else ROUTE_FAULTS | _TENANT_FAULTS
     verbs = sorted(_FAULTS.keys() - excluded)
     pools = [line.name for line in script.pools]
     faults = []
--- a/src/onyxgap/standins/emulator/rows.py
+++ b/src/onyxgap/standins/emulator/rows.py
@@ -7,18 +7,16 @@
 from ...jobs.messages import WorkerEntry
 from ...jobs.messages import WorkerState
 from ...jobs.routing import Configuration
-from ...jobs.routing import Route
 from ...jobs.routing import Service
 from ...jobs.store import RowId
 from ...jobs.tenants import Tenant
 from ...jobs.tenants import digest_key
 from ...pools.messages import Wave
-from .callers import build_policy
 from .cloud import WORKER_TABLE
+from .route_history import build_route
 
 OPERATOR_TABLE = "operator"
 STATUS_TABLE = "waves"
-HOST = "emulator"
 SPARE_POOL = "spare"
 
 
@@ -32,7 +30,7 @@
 def _decode_configuration(value: bytes) -> Configuration:
     raw = orjson.loads(value)
     routes = tuple(
-        Route(HOST, f"/{pool}/", build_policy(pool)) for pool in raw["pools"]
+        build_route(prefix, service) for prefix, service in raw["routes"].items()
     )
     services = {pool: Service(pool, guarded) for pool, guarded in raw["pools"].items()}
     services[SPARE_POOL] = Service(SPARE_POOL, spare=True)
--- a/src/onyxgap/standins/emulator/script.py
+++ b/src/onyxgap/standins/emulator/script.py
@@ -173,8 +173,16 @@
     tenants: list[TenantLine] = attrs.field(factory=list)
     faults: list[FaultLine] = attrs.field(factory=list)
 
+    def changes_routes(self) -> bool:
+        """Return whether a fault adds, drops or moves routes."""
+        return any((item.verb, item.target) in ROUTE_FAULTS for item in self.faults)
 
-FAULTS = frozenset(
+
+ROUTE_FAULTS = frozenset({("add", "route"), ("drop", "route"), ("move", "route")})
+"""Faults that change the routes: ``seconds`` versions, each ``strength`` seconds after
+the one before."""
+
+FAULTS = ROUTE_FAULTS | frozenset(
     {
         ("kill", "owner"),
         ("kill", "holder"),
--- a/src/onyxgap/standins/emulator/slots.py
+++ b/src/onyxgap/standins/emulator/slots.py
@@ -9,6 +9,7 @@
 
 from ...clocks import Clocks
 from ...daemons.node import Node
+from ...jobs.desk import JobApi
 from ...jobs.desk import SubmitOutcome
 from ...jobs.desk import Unavailable
 from ...jobs.health import MonitoredStore
@@ -20,12 +21,15 @@
 from ...jobs.tenants import KeyRejection
 from ...pools.sizing import Sizer
 from ...settings import Address
+from .callers import NoQueue
+from .callers import SubmitAnswer
 from .cloud import EmulatedCloud
 from .cloud import EmulatedCloudClient
 from .gate import NodeGate
 from .peers import EmulatedCallLink
 from .peers import EmulatedNetwork
 from .peers import EmulatedPeers
+from .route_history import RouteHistory
 from .rows import DECODERS
 from .script import Script
 from .store import EmulatedStore
@@ -46,6 +50,7 @@
     workers: EmulatedWorkers
     cloud: EmulatedCloud
     network: EmulatedNetwork
+    routes: RouteHistory
     build_sizer: t.Callable[[], Sizer]
 
 
@@ -119,6 +124,7 @@
             memory_mb=self._get_memory_mb(),
             boot=f"{day.rng.getrandbits(48):012x}",
         )
+        day.routes.record_start(self.name)
         with anyio.CancelScope() as scope:
             self.scope = scope
             await self.node.run()
@@ -141,7 +147,7 @@
 
     async def submit(
         self, route: Route, submission: Submission, key: str
-    ) -> SubmitOutcome | KeyRejection | None:
+    ) -> SubmitAnswer:
         """Hand a job in; ``None`` when the connection broke."""
         node = self.node
         if node is None:
@@ -149,12 +155,18 @@
         if node.routes.configuration is None:
             return SubmitOutcome.REFUSED
         await self.gate.pass_through()
-        caller = await self._identify(node, route, submission.job_id, key)
+        job_id = submission.job_id
+        found = await _find_route(node.served_api, route, job_id)
+        if isinstance(found, Unavailable):
+            return SubmitOutcome.REFUSED
+        if found is None:
+            return NoQueue.NOT_FOUND
+        caller = await self._identify(node, found, job_id, key)
         if isinstance(caller, Unavailable):
             return SubmitOutcome.REFUSED
         if isinstance(caller, KeyRejection):
             return caller
-        owned = attrs.evolve(submission, tenant=caller.tenant)
+        owned = attrs.evolve(submission, policy=found.policy, tenant=caller.tenant)
         result = await node.served_api.submit(owned)
         return result.outcome if self.node is node else None
 
@@ -167,33 +179,64 @@
 
     async def get_state(self, route: Route, job_id: str, key: str) -> t.Any:
         """Ask for a job's state."""
-        node = self.node
-        if node is None or node.routes.configuration is None:
-            return Unavailable.STORE
-        await self.gate.pass_through()
-        caller = await self._identify(node, route, job_id, key)
-        if not isinstance(caller, Caller):
-            return caller
-        state = await node.served_api.get_state(route, job_id, caller)
-        return state if self.node is node else Unavailable.STORE
+        return await self._call(
+            lambda api, found, caller: api.get_state(found, job_id, caller),
+            route,
+            job_id,
+            key,
+        )
 
     async def cancel(self, route: Route, job_id: str, key: str) -> t.Any:
         """Cancel a job."""
+        return await self._call(
+            lambda api, found, caller: api.cancel(found, job_id, caller),
+            route,
+            job_id,
+            key,
+        )
+
+    async def _call(
+        self,
+        call: t.Callable[[JobApi, Route, Caller], t.Awaitable[t.Any]],
+        route: Route,
+        job_id: str,
+        key: str,
+    ) -> t.Any:
         node = self.node
         if node is None or node.routes.configuration is None:
             return Unavailable.STORE
         await self.gate.pass_through()
-        caller = await self._identify(node, route, job_id, key)
+        found = await _find_route(node.served_api, route, job_id)
+        if found is None:
+            return NoQueue.NOT_FOUND
+        if isinstance(found, Unavailable):
+            return found
+        caller = await self._identify(node, found, job_id, key)
         if not isinstance(caller, Caller):
             return caller
-        known = await node.served_api.cancel(route, job_id, caller)
-        return known if self.node is node else Unavailable.STORE
+        answer = await call(node.served_api, found, caller)
+        return answer if self.node is node else Unavailable.STORE
 
-    async def count_waiting(self, route: Route, key: str) -> int | None:
+    async def count_waiting(self, route: Route, key: str) -> int | NoQueue | None:
         """Request the number of waiting jobs of a queue."""
         node = self.node
         if node is None or node.routes.configuration is None:
             return None
         await self.gate.pass_through()
-        count = node.served_api.count_waiting(route)
+        found = await _find_route(node.served_api, route, "")
+        if found is None:
+            return NoQueue.NOT_FOUND
+        if isinstance(found, Unavailable):
+            return None
+        count = node.served_api.count_waiting(found)
         return count if isinstance(count, int) and self.node is node else None
+
+
+async def _find_route(
+    api: JobApi, route: Route, job_id: str
+) -> Route | None | Unavailable:
+    """Find a request's route in the configuration of a node."""
+    found = await api.find_route(route.host, route.prefix + job_id)
+    if isinstance(found, Route) and found.prefix != route.prefix:
+        return None
+    return found
--- a/src/onyxgap/standins/emulator/standstill_checks.py
+++ b/src/onyxgap/standins/emulator/standstill_checks.py
@@ -81,6 +81,7 @@
     """Searches a day for jobs that stood still.
 
     :param jobs: what callers were told, by job.
+    :param services: services of the jobs, by job.
     :param records: runs on workers.
     :param workers: all workers that ever started.
     :param tenancy: tenants with their caps.
@@ -88,6 +89,7 @@
     """
 
     jobs: t.Mapping[str, JobNotes]
+    services: t.Mapping[str, str]
     records: t.Sequence[RunRecord]
     workers: t.Sequence[EmulatedWorker]
     tenancy: Tenancy
@@ -179,7 +181,7 @@
         return self.jobs[task.job_id].submission.steps[task.step]
 
     def _get_pool(self, task: TaskId) -> _Pool:
-        service = self.jobs[task.job_id].submission.policy.service
+        service = self.services[task.job_id]
         if service not in self._pools:
             workers = [item for item in self.workers if item.entry.service == service]
             runs: dict[str, list[RunRecord]] = {}
@@ -191,6 +193,7 @@
 
 def check_standstills(
     jobs: t.Mapping[str, JobNotes],
+    services: t.Mapping[str, str],
     records: t.Sequence[RunRecord],
     workers: t.Sequence[EmulatedWorker],
     tenancy: Tenancy,
@@ -202,6 +205,7 @@
     Jobs that are cancelled, fail by their own fault or crash workers are left out.
 
     :param jobs: what callers were told, by job.
+    :param services: services of the jobs, by job.
     :param records: runs on workers.
     :param workers: all workers that ever started.
     :param tenancy: tenants with their caps.
@@ -209,7 +213,7 @@
         stand still.
     :param end_s: when the day ended.
     """
-    search = _Standstills(jobs, records, workers, tenancy, disturbances)
+    search = _Standstills(jobs, services, records, workers, tenancy, disturbances)
     for job_id, notes in jobs.items():
         excused = notes.poison or notes.crashing or notes.cancel_requested
         if notes.accepted_at is None or excused:
--- a/tests/test_standstills.py
+++ b/tests/test_standstills.py
@@ -26,6 +26,7 @@
 
 NOTHING: t.Any = None
 JOB = "a" * 16
+SERVICES = {JOB: "s"}
 WIDE = """
 nodes 3
 pool ring vms 4
@@ -52,7 +53,9 @@
     notes = JobNotes(submission, NOTHING, 10.0, 5.0, accepted_at=10.0)
     workers = [build_worker()]
     log = log or DisturbanceLog()
-    return len(list(check_standstills({JOB: notes}, [], workers, NOTHING, log, 30.0)))
+    return len(
+        list(check_standstills({JOB: notes}, SERVICES, [], workers, NOTHING, log, 30.0))
+    )
 
 
 def test_standstill_on_a_calm_day_is_found() -> None:
@@ -84,7 +87,9 @@
         )
         notes = JobNotes(submission, NOTHING, 0.0, 5.0, accepted_at=now - 20.0)
         log = DisturbanceLog()
-        found = check_standstills({JOB: notes}, [], [worker], NOTHING, log, now)
+        found = check_standstills(
+            {JOB: notes}, SERVICES, [], [worker], NOTHING, log, now
+        )
         return len(list(found))
 
     assert anyio.run(main) == 1
@@ -104,7 +109,9 @@
     log = DisturbanceLog()
     log.record("other node", 12.0, 13.0)
     found = [
-        *check_standstills(notes, records, [build_worker()], NOTHING, log, 30.0),
+        *check_standstills(
+            notes, SERVICES, records, [build_worker()], NOTHING, log, 30.0
+        ),
         *check_absences(notes, records, log),
         *check_serving(notes, records, 30.0),
     ]
