Judge routes like keys while the feeds of the store deliver nothing

The check of routes allowed 2 s at all times. The rule extends that bound by the time for an unstable store where feeds deliver nothing though rows change, as check_keys already does.

--- a/src/onyxgap/standins/emulator/route_checks.py
+++ b/src/onyxgap/standins/emulator/route_checks.py
@@ -16,7 +16,8 @@
 from .route_history import RouteVersion
 from .route_probes import ProbeAnswer
 from .runs import RunRecord
-from .tenant_checks import CONFIGURATION_S
+from .tenancy import Tenancy
+from .tenant_checks import get_configuration_bound
 
 ROLLBACK_SLACK_S = 0.25
 """Time after the effect of a version from which its node may use no older one."""
@@ -125,15 +126,16 @@
 
 
 def check_in_force(
-    handlings: t.Iterable[Handling], history: RouteHistory
+    handlings: t.Iterable[Handling], history: RouteHistory, tenancy: Tenancy
 ) -> t.Iterator[Breach]:
     """Check that each request is handled by a version that may be in force.
 
     :param handlings: how requests were handled.
     :param history: routes of the day.
+    :param tenancy: knows when feeds of the store delivered nothing.
     """
     for handling in handlings:
-        begin = handling.sent_at - CONFIGURATION_S
+        begin = handling.sent_at - get_configuration_bound(tenancy, handling.sent_at)
         versions = history.list_in_force(begin, handling.answered_at)
         if versions and not any(map(handling.is_allowed_by, versions)):
             handled = ", ".join(sorted(handling.services)).strip() or "no queue"
