Use a route only while the configuration is known to be current

What callers saw: on deployments without keys, a node whose feed of the operator's rows fails while its other calls to the store succeed went on for good with the routes that it had: it accepted jobs of removed and moved queues and counted them.

Cause: the age of the configuration was asked for only where no route matched, and for callers with keys.

Now RouteLookup, taken out of the job API, asks for every request: a configuration that is not current is confirmed by one read of its row a second, or the call is rejected, at once while the store is down. The version in force has one getter.

--- a/src/onyxgap/daemons/authentication.py
+++ b/src/onyxgap/daemons/authentication.py
@@ -82,13 +82,12 @@
             self._suppressed += 1
             return
         self._logged_in_second += 1
-        configuration = self.routes.configuration
         _LOG.info(
             "caller rejected",
             job=job_id,
             queue=route.policy.queue,
             reason=reason,
-            configuration=configuration.version if configuration else 0,
+            configuration=self.routes.get_version(),
             unlogged=self._suppressed,
         )
         self._suppressed = 0
--- a/src/onyxgap/daemons/configuration_exchange.py
+++ b/src/onyxgap/daemons/configuration_exchange.py
@@ -121,8 +121,7 @@
             for member in self.members.values()
             if member.address not in ("", own_address)
         ]
-        configuration = self.routes.configuration
-        version = configuration.version if configuration else 0
+        version = self.routes.get_version()
         self._last_query_id += 1
         self._queried_at[self._last_query_id] = self.clocks.read_boot()
         self._queried_at.pop(self._last_query_id - MAX_OPEN_QUERIES, None)
--- a/src/onyxgap/daemons/desk.py
+++ b/src/onyxgap/daemons/desk.py
@@ -46,6 +46,7 @@
 from .authentication import Authentication
 from .owner import ShardOwner
 from .queue_moves import QueueMoves
+from .route_lookup import RouteLookup
 
 WRITE_RETRY_LIMIT_S = 2.0
 """How long a write with unknown outcome is retried; callers time out after 3 s."""
@@ -100,24 +101,15 @@
     on_answer: t.Callable[[str, str, float], None] = lambda *_: None
     stopping: bool = False
     _final_statuses: dict[str, JobStatus] = attrs.field(factory=dict)
+    _lookup: RouteLookup = attrs.field(init=False)
 
-    async def find_route(self, host: str, path: str) -> Route | None | Unavailable:
-        """Find the route of a request, ``None`` if there is none.
+    def __attrs_post_init__(self) -> None:
+        exchange = self.authentication.exchange
+        self._lookup = RouteLookup(self.routes, exchange, self._is_store_down)
 
-        A missing route is reported only if the configuration's row was read within the
-        last second (``READ_VALID_S``).
-        """
-        if self.routes.configuration is None:
-            return Unavailable.CONFIGURATION
-        route = self.routes.find(host, path)
-        if route is not None:
-            return route
-        if not await self.authentication.exchange.make_sure():
-            return Unavailable.CONFIGURATION_AGE
-        route = self.routes.find(host, path)
-        if route is None:
-            _LOG.info("no queue for request", path=path, **self._describe_version())
-        return route
+    async def find_route(self, host: str, path: str) -> Route | None | Unavailable:
+        """Find the route of a request, ``None`` if there is none."""
+        return await self._lookup.find(host, path)
 
     async def identify(
         self, route: Route, keys: t.Sequence[bytes], job_id: str
@@ -167,16 +159,11 @@
         )
         return result
 
-    def get_configuration_version(self) -> int:
-        """Return the version of the configuration in force, 0 if there is none."""
-        configuration = self.routes.configuration
-        return configuration.version if configuration else 0
-
     def _describe_version(self) -> dict[str, float]:
         """Describe the configuration in force for the log."""
         age_s = round(self.authentication.exchange.get_age(), 2)
         return {
-            "configuration": self.get_configuration_version(),
+            "configuration": self.routes.get_version(),
             "configuration_age_s": age_s,
         }
 
--- a/src/onyxgap/daemons/node_process.py
+++ b/src/onyxgap/daemons/node_process.py
@@ -137,7 +137,7 @@
                 (owner.state.get_start_lag() for owner in node.owners.values()),
                 default=0.0,
             ),
-            "configuration_version": node.job_api.get_configuration_version,
+            "configuration_version": node.routes.get_version,
             "ready": node.job_api.is_ready,
             "store_down": lambda: node.health.is_down(node.clocks.read_monotonic()),
             "log_lines_dropped": lambda: lines.dropped_total,
--- a/src/onyxgap/jobs/messages.py
+++ b/src/onyxgap/jobs/messages.py
@@ -4,10 +4,14 @@
 """
 
 import enum
+import re
 import typing as t
 
 import attrs
 
+JOB_ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}")
+"""Format of the job IDs that callers choose."""
+
 
 class JobState(enum.Enum):
     """State of a job as reported to its caller."""
--- a/src/onyxgap/jobs/routing.py
+++ b/src/onyxgap/jobs/routing.py
@@ -149,6 +149,10 @@
         if version in (0, self.configuration.version):
             self.confirmed_at = max(self.confirmed_at, at)
 
+    def get_version(self) -> int:
+        """Return the version of the active configuration, 0 if there is none."""
+        return self.configuration.version if self.configuration else 0
+
     def find_cap(self, tenant: str) -> Amount:
         """Return the cap on what a tenant may have running."""
         return self.caps.get(tenant, UNLIMITED)
--- a/src/onyxgap/platform/job_api.py
+++ b/src/onyxgap/platform/job_api.py
@@ -1,6 +1,5 @@
 """ASGI applications: the job API for callers, and readiness probes and metrics."""
 
-import re
 import typing as t
 
 import attrs
@@ -22,6 +21,7 @@
 from ..jobs.desk import SubmitOutcome
 from ..jobs.desk import SubmitResult
 from ..jobs.desk import Unavailable
+from ..jobs.messages import JOB_ID_PATTERN
 from ..jobs.messages import Step
 from ..jobs.messages import Submission
 from ..jobs.routing import Route
@@ -31,7 +31,6 @@
 from ..jobs.tenants import KeyRejection
 
 READY_PATH = "/readyz"
-_JOB_ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}")
 _KEY_HEADER = b"key"
 _CHALLENGE = ("WWW-Authenticate", "Key")
 _JSON = ("Content-Type", "application/json")
@@ -217,7 +216,7 @@
         if not request.suffix and request.method == "GET":
             await self._get_waiting_count(request, send)
             return
-        if not _JOB_ID_PATTERN.fullmatch(request.suffix):
+        if not JOB_ID_PATTERN.fullmatch(request.suffix):
             await _send_problem(send, 404, "a job's id has 16 hexadecimal digits")
             return
         handler = {
