Find an added route below the prefix of another one

Cause: a route was found, so that the row was not read; that the rest of the path named no job was only noticed later, and answered with 404.

Now such a match counts as a missing route: the row is read, at most once a second, before the 404.

--- a/src/onyxgap/daemons/route_lookup.py
+++ b/src/onyxgap/daemons/route_lookup.py
@@ -11,6 +11,7 @@
 import structlog
 
 from ..jobs.desk import Unavailable
+from ..jobs.messages import JOB_ID_PATTERN
 from ..jobs.routing import Route
 from ..jobs.routing import RouteTable
 from .configuration_exchange import ConfigurationExchange
@@ -34,8 +35,9 @@
     async def find(self, host: str, path: str) -> Route | None | Unavailable:
         """Find the route of a request, ``None`` if there is none.
 
-        A missing route is reported only if the configuration's row was read within
-        ``READ_VALID_S``.
+        A missing route, or one that leaves a rest of the path which names no job, is
+        reported only if the configuration's row was read within ``READ_VALID_S``: a
+        route with a longer prefix may have been added.
 
         :param host: value of the ``Host`` header.
         :param path: path of the request.
@@ -45,7 +47,7 @@
         if not self.exchange.is_current() and not await self._make_sure():
             return Unavailable.CONFIGURATION_AGE
         route = self.routes.find(host, path)
-        if route is not None:
+        if route is not None and _names_queue_or_job(route, path):
             return route
         if not await self._make_sure():
             return Unavailable.CONFIGURATION_AGE
@@ -61,3 +63,8 @@
     async def _make_sure(self) -> bool:
         """Read the configuration's row, unless the store is down."""
         return not self.is_store_down() and await self.exchange.make_sure()
+
+
+def _names_queue_or_job(route: Route, path: str) -> bool:
+    rest = path[len(route.prefix) :]
+    return not rest or JOB_ID_PATTERN.fullmatch(rest) is not None
--- a/tests/test_route_lookup.py
+++ b/tests/test_route_lookup.py
@@ -84,3 +84,14 @@
         assert store.calls == calls
 
     run_with_store(test)
+
+
+def test_added_route_below_the_prefix_of_another_one_is_found() -> None:
+    async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
+        node = await start_without_feed(scripted, store, ring="ring")
+        await anyio.sleep(1.1)
+        write_routes(store, 2, ring="ring", ring_added="herd")
+        assert node.exchange.is_current()
+        assert await find_service(node, f"/ring/added/{JOB_ID}") == "herd"
+
+    run_with_store(test)
