Give stored submissions and queue lengths modules of their own

One answer changes: where the store does not tell whether a former service of the queue has the job, the outcome is unknown, as for the present service, and no longer a rejection, which would say that the job never runs.

--- a/src/onyxgap/daemons/desk.py
+++ b/src/onyxgap/daemons/desk.py
@@ -2,7 +2,6 @@
 
 import typing as t
 
-import anyio
 import attrs
 import structlog
 
@@ -20,44 +19,29 @@
 from ..jobs.health import StoreHealth
 from ..jobs.messages import JobState
 from ..jobs.messages import JobStatus
-from ..jobs.messages import QueuePolicy
 from ..jobs.messages import Submission
 from ..jobs.ownership import OwnerView
 from ..jobs.routing import DEFAULT_BODY_BYTES
 from ..jobs.routing import Route
 from ..jobs.routing import RouteTable
-from ..jobs.store import ABSENT
-from ..jobs.store import Applied
-from ..jobs.store import Batch
-from ..jobs.store import Conflict
-from ..jobs.store import NotApplied
 from ..jobs.store import Store
 from ..jobs.store import StoredRow
-from ..jobs.store import WriteOutcome
-from ..jobs.submissions import decode_submission
-from ..jobs.submissions import encode_submission
-from ..jobs.submissions import is_same_request
 from ..jobs.tenants import ANONYMOUS
 from ..jobs.tenants import Caller
 from ..jobs.tenants import KeyRejection
 from ..jobs.tenants import find_oversized_step
-from ..jobs.waiting import CountSource
-from ..jobs.waiting import WaitingCount
 from .authentication import Authentication
 from .owner import ShardOwner
+from .queue_lengths import QueueLengths
 from .queue_moves import QueueMoves
 from .route_lookup import RouteLookup
+from .submission_store import SubmissionStore
 
-WRITE_RETRY_LIMIT_S = 2.0
-"""How long a write with unknown outcome is retried; callers time out after 3 s."""
-WRITE_RETRY_PAUSE_S = 0.08
-"""Pause between two attempts of such a write, in addition to the write's timeout."""
 OUTAGE_RETRY_AFTER_S = 2
 """Outages last 4 to 9 s and callers try five times; other nodes may answer sooner."""
 MAX_CACHED_STATUSES = 4_000
 """Statuses of ended jobs cached in memory; about 100 bytes each."""
 
-_UNREADABLE_JOB = SubmitResult(SubmitOutcome.UNKNOWN, Unavailable.STORED_JOB.value)
 _LOG = structlog.get_logger()
 
 
@@ -102,10 +86,19 @@
     stopping: bool = False
     _final_statuses: dict[str, JobStatus] = attrs.field(factory=dict)
     _lookup: RouteLookup = attrs.field(init=False)
+    _submissions: SubmissionStore = attrs.field(init=False)
+    _queue_lengths: QueueLengths = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         exchange = self.authentication.exchange
         self._lookup = RouteLookup(self.routes, exchange, self._is_store_down)
+        self._submissions = SubmissionStore(
+            self.store,
+            self.clocks,
+            lambda shard, key: self.on_stored(shard, key),
+            lambda: self.should_forward(),
+        )
+        self._queue_lengths = QueueLengths(self.owners, self.views)
 
     async def find_route(self, host: str, path: str) -> Route | None | Unavailable:
         """Find the route of a request, ``None`` if there is none."""
@@ -174,20 +167,17 @@
         if not self._knows_queue_moves():
             return SubmitResult(SubmitOutcome.REFUSED, Unavailable.QUEUE_MOVES.value)
         for shard in self.routes.list_previous_services(submission.policy):
-            try:
-                stored = await self._read_submission(shard, submission.job_id)
-            except PlatformUnavailableError as error:
-                return SubmitResult(SubmitOutcome.REFUSED, str(error))
-            except DocumentError:
-                # the job may have been accepted, so it must not be called rejected
-                return _UNREADABLE_JOB
-            if stored is not None:
-                return _compare(stored, submission)
+            result = await self._submissions.find_result(submission, shard)
+            if result is not None:
+                return result
         rejection = self._check_cap(submission) or self._check_load(submission)
         if rejection is not None:
-            return await self._reject_unless_stored(submission, rejection)
+            service = submission.policy.service
+            known = await self._submissions.find_result(submission, service)
+            return known or rejection
         accepted_ms = int(self.clocks.read_wall() * 1000)
-        return await self._store(attrs.evolve(submission, accepted_ms=accepted_ms))
+        accepted = attrs.evolve(submission, accepted_ms=accepted_ms)
+        return await self._submissions.insert(accepted)
 
     def _check_cap(self, submission: Submission) -> SubmitResult | None:
         """Reject a job with a step that can never run within its tenant's cap."""
@@ -221,65 +211,6 @@
         )
         return SubmitResult(SubmitOutcome.OVERLOADED, reason, overload.retry_after_s)
 
-    async def _reject_unless_stored(
-        self, submission: Submission, rejection: SubmitResult
-    ) -> SubmitResult:
-        """Return a rejection unless the job has been accepted before."""
-        try:
-            stored = await self._read_submission(
-                submission.policy.service, submission.job_id
-            )
-        except PlatformUnavailableError as error:
-            return SubmitResult(SubmitOutcome.UNKNOWN, str(error))
-        except DocumentError:
-            return _UNREADABLE_JOB
-        return rejection if stored is None else _compare(stored, submission)
-
-    async def _store(self, submission: Submission) -> SubmitResult:
-        row = tables.get_job_row(submission.policy.service, submission.job_id)
-        batch = Batch({row: ABSENT}, {row: encode_submission(submission)})
-        outcome = await self._write_until_certain(batch)
-        if isinstance(outcome, Applied):
-            self.on_stored(submission.policy.service, row.key)
-            return SubmitResult(SubmitOutcome.ACCEPTED)
-        if isinstance(outcome, NotApplied):
-            return SubmitResult(SubmitOutcome.REFUSED, outcome.reason)
-        if isinstance(outcome, Conflict):
-            present = outcome.find(row)
-            try:
-                stored = _decode_submission_row(present) if present else None
-            except DocumentError:
-                return _UNREADABLE_JOB
-            if stored is not None:
-                return _compare(stored, submission)
-        return SubmitResult(SubmitOutcome.UNKNOWN, "the write was not confirmed")
-
-    async def _write_until_certain(self, batch: Batch) -> WriteOutcome:
-        """Retry a conditional insert until its outcome is certain or time is up.
-
-        After an attempt with unknown outcome, a later ``NotApplied`` is not certain:
-        the earlier attempt may still be applied.
-        """
-        deadline = self.clocks.read_monotonic() + WRITE_RETRY_LIMIT_S
-        unknown: WriteOutcome | None = None
-        while True:
-            outcome = await self.store.write(batch)
-            if isinstance(outcome, Applied | Conflict):
-                return outcome
-            if isinstance(outcome, NotApplied):
-                if unknown is None:
-                    return outcome
-            else:
-                unknown = outcome
-            if self.clocks.read_monotonic() >= deadline or self.should_forward():
-                return unknown
-            await anyio.sleep(WRITE_RETRY_PAUSE_S)
-
-    async def _read_submission(self, shard: str, job_id: str) -> Submission | None:
-        row = tables.get_job_row(shard, job_id)
-        page = await self.store.read(row.table, row.part, row.key)
-        return _decode_submission_row(page.rows[0]) if page.rows else None
-
     def _list_shards(self, route: Route) -> list[str]:
         """List the shards that may have a job, the most likely first."""
         policy = route.policy
@@ -359,7 +290,7 @@
             if status.state.final:
                 self._cache(job_id, status)
             return status
-        submission = await self._read_submission(shard, job_id)
+        submission = await self._submissions.read(shard, job_id)
         if submission is not None:
             return JobStatus(JobState.QUEUED, submission.tenant)
         return None
@@ -394,29 +325,22 @@
             return Unavailable.STORE
         try:
             for shard in self._list_shards(route):
-                submission = await self._read_submission(shard, job_id)
+                submission = await self._submissions.read(shard, job_id)
                 if submission is None:
                     continue
                 if not caller.may_access(submission.tenant):
                     return self._deny(route, job_id)
-                return await self._store_cancel(shard, job_id)
+                stored = await self._submissions.cancel(shard, job_id)
+                return stored or Unavailable.STORE
         except PlatformUnavailableError:
             return Unavailable.STORE
         except DocumentError:
             return Unavailable.STORED_JOB
         return False
 
-    async def _store_cancel(self, shard: str, job_id: str) -> bool | Unavailable:
-        row = tables.get_cancel_row(shard, job_id)
-        outcome = await self._write_until_certain(Batch({row: ABSENT}, {row: b"1"}))
-        if isinstance(outcome, Applied | Conflict):
-            self.on_stored(shard, row.key)
-            return True
-        return Unavailable.STORE
-
     def count_waiting(self, route: Route) -> int | Unavailable:
         """Return the number of jobs of a queue that have not started."""
-        waiting = self._find_waiting_count(route.policy)
+        waiting = self._queue_lengths.count(route.policy, self.clocks.read_monotonic())
         self.on_answer("count", waiting.source.value, 0.0)
         _LOG.info(
             "waiting jobs counted",
@@ -430,55 +354,6 @@
         )
         return Unavailable.COUNT if waiting.count is None else waiting.count
 
-    def _find_waiting_count(self, policy: QueuePolicy) -> WaitingCount:
-        now = self.clocks.read_monotonic()
-        current = self._count_in_shard(policy.service, policy.queue, now)
-        if current.count is None:
-            return current
-        other = self._count_in_other_shards(policy)
-        return attrs.evolve(current, count=current.count + other)
-
-    def _count_in_shard(self, shard: str, queue: str, now: float) -> WaitingCount:
-        owner = self.owners.get(shard)
-        if owner is not None and owner.loaded:
-            count = owner.state.count_waiting().get(queue, 0)
-            return WaitingCount(count, CountSource.OWNER, epoch=owner.epoch)
-        view = self.views.get(shard)
-        report = view.get_load_report(now) if view is not None else None
-        if view is None or report is None:
-            return WaitingCount(None, CountSource.NONE)
-        count = report.get_waiting_count(queue)
-        age_s = now - view.load_reported_at
-        return WaitingCount(count, CountSource.OWNER_ROW, age_s, report.epoch)
-
-    def _count_in_other_shards(self, policy: QueuePolicy) -> int:
-        """Count the waiting jobs in the shards of the queue's previous services.
-
-        New jobs go to the current service, so reports of other shards are used at any
-        age.
-        """
-        return sum(
-            view.load_report.get_waiting_count(policy.queue)
-            for shard, view in self.views.items()
-            if shard != policy.service and view.load_report is not None
-        )
-
-
-def _decode_submission_row(row: StoredRow) -> Submission:
-    """Decode a stored submission; a malformed one is logged.
-
-    :raises DocumentError: if the row is malformed.
-    """
-    try:
-        return decode_submission(row.value)
-    except DocumentError as error:
-        _LOG.warning(
-            "stored submission could not be decoded",
-            row=row.row_id.key,
-            reason=str(error),
-        )
-        raise
-
 
 def _decode_status_row(row: StoredRow) -> JobStatus:
     """Decode the status in a row of stored progress; a malformed one is logged.
@@ -494,13 +369,3 @@
             reason=str(error),
         )
         raise
-
-
-def _compare(stored: Submission, submission: Submission) -> SubmitResult:
-    if not Caller(submission.tenant).may_access(stored.tenant):
-        return SubmitResult(SubmitOutcome.OTHER_TENANT, Denied.OTHER_TENANT.value)
-    if is_same_request(stored, submission):
-        return SubmitResult(SubmitOutcome.ACCEPTED, "known")
-    return SubmitResult(
-        SubmitOutcome.OTHER_REQUEST, "the id stands for another request"
-    )
