Keep the shards of services to which no route leads any more

Cause: shards were the services of the routes in force. A service without a route was claimed by no node, and the fleet controller took its VMs for drained.

Now RouteTable.list_shards has the former services of queues, too, and nodes, the fleet controller and look-ups use it. A removed queue counts as moved if no route leads to its service.

--- a/src/onyxgap/daemons/desk.py
+++ b/src/onyxgap/daemons/desk.py
@@ -214,8 +214,7 @@
     def _list_shards(self, route: Route) -> list[str]:
         """List the shards that may have a job, the most likely first."""
         policy = route.policy
-        configuration = self.routes.configuration
-        others = configuration.list_shards() if configuration else ()
+        others = self.routes.list_shards()
         previous = self.routes.list_previous_services(policy)
         return list(dict.fromkeys([policy.service, *previous, *others]))
 
--- a/src/onyxgap/daemons/fleet_controller.py
+++ b/src/onyxgap/daemons/fleet_controller.py
@@ -153,8 +153,7 @@
             _LOG.warning("burst forecast not restored", reason=repr(error))
 
     def _list_report_partitions(self) -> t.Sequence[str]:
-        configuration = self.routes.configuration
-        return configuration.list_shards() if configuration else ()
+        return self.routes.list_shards()
 
     def _apply_reports(self, rows: t.Sequence[StoredRow], snapshot: bool) -> None:
         for _, report in decode_rows(
@@ -181,7 +180,7 @@
     def _update_inputs(self) -> None:
         configuration = self.routes.configuration
         if configuration is not None:
-            self.planner.shards = frozenset(configuration.list_shards())
+            self.planner.shards = frozenset(self.routes.list_shards())
             spare = [
                 item.name for item in configuration.services.values() if item.spare
             ]
--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -86,11 +86,10 @@
                 self._claim_next_shard(follower)
 
     def _list_shards(self) -> t.Sequence[str]:
-        configuration = self.routes.configuration
-        if configuration is None:
+        if self.routes.configuration is None:
             return ()
         fleet_shards = [tables.FLEET_SHARD] if self.cloud is not None else []
-        return [*configuration.list_shards(), *fleet_shards]
+        return [*self.routes.list_shards(), *fleet_shards]
 
     def _list_owners(self) -> list[ShardOwner]:
         return list(self.owners.values())
--- a/src/onyxgap/jobs/routing.py
+++ b/src/onyxgap/jobs/routing.py
@@ -179,16 +179,33 @@
             self.previous_services.setdefault(queue, set()).update(services)
 
     def list_moves(self) -> dict[str, set[str]]:
-        """Return all known services of each queue that has had more than one."""
+        """Return all known services of each queue that has a former service.
+
+        A removed queue counts if no route leads to its services any more.
+        """
         known = {
             queue: set(services) for queue, services in self.previous_services.items()
         }
+        active = set(self.configuration.list_shards()) if self.configuration else set()
         for route in self.configuration.routes if self.configuration else ():
             known.setdefault(route.policy.queue, set()).add(route.policy.service)
         return {
-            queue: services for queue, services in known.items() if len(services) > 1
+            queue: services
+            for queue, services in known.items()
+            if len(services) > 1 or not services <= active
         }
 
+    def list_shards(self) -> tuple[str, ...]:
+        """List the services that may have jobs, sorted by name; each is one shard.
+
+        These are the services of all routes, and former ones: the jobs that they
+        accepted have to end there.
+        """
+        if self.configuration is None:
+            return ()
+        active = self.configuration.list_shards()
+        return tuple(sorted(set(active).union(*self.previous_services.values())))
+
     def find(self, host: str, path: str) -> Route | None:
         """Find the route with the longest prefix that matches a path.
 
--- a/tests/test_route_days.py
+++ b/tests/test_route_days.py
@@ -47,3 +47,11 @@
 def test_late_write_of_a_submission_runs_no_moved_job_twice(seed: int) -> None:
     script = extend_day("routes", "at 4.5 late store for 9 by 0.6")
     assert play(script, seed).breaches == []
+
+
+@pytest.mark.parametrize("seed", [2, 4, 5])
+def test_jobs_of_a_service_without_routes_end_under_a_new_owner(seed: int) -> None:
+    script = extend_day(
+        "short", "at 6 move route ring for 1 by 1", "at 6.3 kill owner ring for 1"
+    )
+    assert play(script, seed).breaches == []
