Record the service of a queue before its first job is accepted there

Cause: a move was recorded up to a second after it, by nodes that remembered the version before, and read by others up to 3 s later. Versions that follow each other quickly, and nodes that end together, leave no one who knows.

Now the row lists the services in which a queue has had jobs: a node records the service before it accepts the first job there, so that nothing is left to record when the queue moves. It reads the row once for each version before it accepts a job, or tells that one is unknown. The format of the row is the same.

--- a/src/onyxgap/daemons/desk.py
+++ b/src/onyxgap/daemons/desk.py
@@ -131,6 +131,9 @@
     def _knows_queue_moves(self) -> bool:
         return self.queue_moves is None or self.queue_moves.known
 
+    async def _update_queue_moves(self) -> bool:
+        return self.queue_moves is None or await self.queue_moves.update()
+
     def _is_store_down(self) -> bool:
         return self.health.is_down(self.clocks.read_monotonic())
 
@@ -164,7 +167,7 @@
         if self._is_store_down():
             reason = Unavailable.STORE.value
             return SubmitResult(SubmitOutcome.REFUSED, reason, OUTAGE_RETRY_AFTER_S)
-        if not self._knows_queue_moves():
+        if self.queue_moves and not await self.queue_moves.record(submission.policy):
             return SubmitResult(SubmitOutcome.REFUSED, Unavailable.QUEUE_MOVES.value)
         for shard in self.routes.list_previous_services(submission.policy):
             result = await self._submissions.find_result(submission, shard)
@@ -268,7 +271,7 @@
             status = owner.state.get_status(job_id)
             if status is not None:
                 return status
-        if self._is_store_down():
+        if self._is_store_down() or not await self._update_queue_moves():
             return Unavailable.STORE
         try:
             for shard in self._list_shards(route):
@@ -320,7 +323,7 @@
     async def _cancel(
         self, route: Route, job_id: str, caller: Caller
     ) -> bool | Unavailable | Denied:
-        if self._is_store_down():
+        if self._is_store_down() or not await self._update_queue_moves():
             return Unavailable.STORE
         try:
             for shard in self._list_shards(route):
--- a/src/onyxgap/daemons/queue_moves.py
+++ b/src/onyxgap/daemons/queue_moves.py
@@ -1,7 +1,9 @@
-"""Shares with all nodes which services the queues had in earlier configurations.
+"""Shares with all nodes which services the queues have had.
 
-A node that starts after a queue was moved to another service doesn't know the former
-one, where it has to look for a job that is submitted again.
+A node that starts after a queue was moved to another service, or that adopts a version
+without the ones before it, doesn't know the former service, where it has to look for a
+job that is submitted again. So a service is recorded before the first job of a queue is
+accepted there; a move may be followed by the end of all nodes at once.
 """
 
 import random
@@ -17,6 +19,7 @@
 from ..exceptions import Fault
 from ..exceptions import PlatformUnavailableError
 from ..jobs import tables
+from ..jobs.messages import QueuePolicy
 from ..jobs.routing import RouteTable
 from ..jobs.store import ABSENT
 from ..jobs.store import Applied
@@ -35,19 +38,25 @@
 read within this time."""
 READS = 6
 """Reads for each configuration, in 3 s on average: nodes adopt it within 2 s."""
+RECORD_ATTEMPTS = 4
+"""Attempts to record a service before a job is rejected. Other nodes that record it at
+the same time make an attempt fail, and then it is mostly recorded by one of them."""
 MAX_ROW_BYTES = 65_536
 """Largest row that the store accepts."""
 
 _LOG = structlog.get_logger()
 
+Services = dict[str, set[str]]
+"""Services by queue."""
+
 
 def encode_moves(moves: t.Mapping[str, t.AbstractSet[str]]) -> bytes:
-    """Encode all services of each queue that moved."""
+    """Encode the services of each queue."""
     return orjson.dumps({queue: sorted(moves[queue]) for queue in sorted(moves)})
 
 
-def decode_moves(value: bytes) -> dict[str, set[str]]:
-    """Decode all services of each queue that moved.
+def decode_moves(value: bytes) -> Services:
+    """Decode the services of each queue.
 
     :raises DocumentError: if the row is malformed.
     """
@@ -63,7 +72,7 @@
 
 @attrs.define(eq=False)
 class QueueMoves:
-    """Reads and extends the row that lists the services of moved queues.
+    """Reads and extends the row that lists the services of queues.
 
     :param store: the store.
     :param routes: the configuration in force, and the services known so far.
@@ -77,6 +86,9 @@
     rng: random.Random
     skipped: SkippedRows
     known: bool = False
+    _read_version: int = 0
+    _recorded: Services = attrs.field(factory=dict)
+    _synchronizing: anyio.Lock = attrs.field(factory=anyio.Lock)
 
     async def run(self) -> t.NoReturn:
         """Read the row, and add moves to it, after each new configuration."""
@@ -90,14 +102,50 @@
                 continue
             if self.known:
                 await anyio.sleep(self.rng.uniform(0.0, MAX_READ_PAUSE_S))
-            try:
-                reads -= await self._synchronize()
-            except PlatformUnavailableError as error:
-                _LOG.info("queue moves could not be read", reason=str(error))
+            async with self._synchronizing:
+                recorded = await self._try_to_synchronize(self.routes.list_moves())
+            reads -= recorded
+            if not recorded:
                 await anyio.sleep(RETRY_S * self.rng.uniform(0.5, 1.0))
 
-    async def _synchronize(self) -> bool:
-        """Read the row, and add moves; return whether the row has all known moves."""
+    async def update(self) -> bool:
+        """Read the row, unless it was read under the configuration in force.
+
+        :returns: whether it has been read.
+        """
+        async with self._synchronizing:
+            if self._read_version == self.routes.get_version():
+                return True
+            return await self._try_to_synchronize({})
+
+    async def record(self, policy: QueuePolicy) -> bool:
+        """Record the service of a queue, unless this node knows that it is recorded.
+
+        :param policy: policy of the queue.
+        :returns: whether the service is recorded, and the row has been read under the
+            configuration in force.
+        """
+        async with self._synchronizing:
+            for _ in range(RECORD_ATTEMPTS):
+                if self._is_recorded(policy):
+                    return True
+                await self._try_to_synchronize({policy.queue: {policy.service}})
+            return self._is_recorded(policy)
+
+    def _is_recorded(self, policy: QueuePolicy) -> bool:
+        is_read = self._read_version == self.routes.get_version()
+        return is_read and policy.service in self._recorded.get(policy.queue, ())
+
+    async def _try_to_synchronize(self, services: Services) -> bool:
+        try:
+            return await self._synchronize(services)
+        except PlatformUnavailableError as error:
+            _LOG.info("queue moves could not be read", reason=str(error))
+            return False
+
+    async def _synchronize(self, services: Services) -> bool:
+        """Read the row, and add services; return whether the row has all of them."""
+        version = self.routes.get_version()
         row = tables.get_queue_moves_row()
         page = await self.store.read(row.table, row.part, row.key)
         decoded = decode_rows(
@@ -106,16 +154,30 @@
             self.skipped,
             "queue moves skipped",
         )
+        recorded: Services = {}
         for _, moves in decoded:
-            self.routes.add_previous_services(moves or {})
+            recorded = moves or {}
+        self.routes.add_previous_services(recorded)
         self.known = True
-        known = self.routes.list_moves()
-        value = encode_moves(known)
-        if not known or any(stored.value == value for stored in page.rows):
+        self._read_version, self._recorded = version, recorded
+        wanted = _merge(recorded, services)
+        if wanted == recorded:
             return True
+        value = encode_moves(wanted)
         if len(value) > MAX_ROW_BYTES:
             _LOG.error("too many queue moves to be recorded", size=len(value))
+            self._recorded = wanted
             return True
-        version = max((stored.version for stored in page.rows), default=ABSENT)
-        outcome = await self.store.write(Batch({row: version}, {row: value}))
-        return isinstance(outcome, Applied)
+        expected = max((stored.version for stored in page.rows), default=ABSENT)
+        outcome = await self.store.write(Batch({row: expected}, {row: value}))
+        if not isinstance(outcome, Applied):
+            return False
+        self._recorded = wanted
+        return True
+
+
+def _merge(first: Services, second: Services) -> Services:
+    return {
+        queue: first.get(queue, set()) | second.get(queue, set())
+        for queue in first.keys() | second.keys()
+    }
--- a/tests/test_queue_moves.py
+++ b/tests/test_queue_moves.py
@@ -11,11 +11,13 @@
 
 from onyxgap.daemons.node import Node
 from onyxgap.daemons.queue_moves import READS
+from onyxgap.daemons.queue_moves import RECORD_ATTEMPTS
 from onyxgap.daemons.queue_moves import decode_moves
 from onyxgap.daemons.queue_moves import encode_moves
 from onyxgap.exceptions import DocumentError
 from onyxgap.jobs import tables
 from onyxgap.jobs.desk import SubmitOutcome
+from onyxgap.jobs.messages import JobState
 from onyxgap.jobs.messages import Submission
 from onyxgap.jobs.routing import Configuration
 from onyxgap.jobs.routing import Route
@@ -92,6 +94,40 @@
     run_nodes(test)
 
 
+def test_node_that_skipped_a_version_knows_the_jobs_accepted_under_it() -> None:
+    async def test(start_node: t.Callable[[], Node], store: EmulatedStore) -> None:
+        first, second = start_node(), start_node()
+        for node in (first, second):
+            configure(node, 1, "s")
+        await anyio.sleep(10.0)
+        configure(first, 2, "s2")
+        accepted = await first.job_api.submit(address_to("s2"))
+        assert accepted.outcome is SubmitOutcome.ACCEPTED
+        configure(second, 3, "s")
+        state = await second.job_api.get_state(ROUTE, SUBMISSION.job_id)
+        assert state is JobState.QUEUED
+        result = await second.job_api.submit(SUBMISSION)
+        assert (result.outcome, result.reason) == (SubmitOutcome.ACCEPTED, "known")
+        assert tables.get_job_row("s", SUBMISSION.job_id) not in store.rows
+
+    run_nodes(test)
+
+
+def test_service_is_recorded_before_its_first_job_is_accepted() -> None:
+    async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
+        node = build_node(scripted)
+        configure(node, 1, "s")
+        result = await node.job_api.submit(SUBMISSION)
+        assert result.outcome is SubmitOutcome.REFUSED
+        assert tables.get_job_row("s", SUBMISSION.job_id) not in store.rows
+        result = await node.job_api.submit(SUBMISSION)
+        assert result.outcome is SubmitOutcome.ACCEPTED
+        stored = store.rows[tables.get_queue_moves_row()].value
+        assert decode_moves(stored) == {"q": {"s"}}
+
+    run_with_store(test, *["refuse"] * RECORD_ATTEMPTS)
+
+
 @pytest.mark.parametrize("script", [[], ["lose"], ["drop"], ["refuse"], ["lose"] * 4])
 def test_moves_recorded_by_two_nodes_at_once_are_all_kept(script: list[str]) -> None:
     async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
--- a/tests/test_route_days.py
+++ b/tests/test_route_days.py
@@ -55,3 +55,13 @@
         "short", "at 6 move route ring for 1 by 1", "at 6.3 kill owner ring for 1"
     )
     assert play(script, seed).breaches == []
+
+
+@pytest.mark.parametrize("seed", [2, 4])
+def test_jobs_of_a_service_without_routes_end_after_all_nodes_are_killed(
+    seed: int,
+) -> None:
+    script = extend_day(
+        "short", "at 6 move route ring for 1 by 1", "at 6.3 kill all for 1"
+    )
+    assert play(script, seed).breaches == []
