Store a job of a moved queue under one of its services only

What callers saw: tasks that ran twice. From outside, the node that had taken both calls also went back to the older version.

Cause: a node looked for the job in the former shards before it wrote to the new one. No look finds a write that is still under way, and the two rows have no condition in common.

Now the submission of a queue that has had other services is written in one transaction with a pointer in each of their shards, on condition that none of them has the job. An older write then fails, and a node with an older version finds the job by the pointer. The reads of the former shards before each submission are gone. Owners pass pointers over, and remove them after the retention period of ended jobs. Queues that never moved are written as before.

--- a/bench/soak/wire.py
+++ b/bench/soak/wire.py
@@ -66,6 +66,7 @@
             for item in raw.get("puts", ())
         },
         tuple(read_row_id(item) for item in raw.get("remove", ())),
+        bool(raw.get("across", False)),
     )
 
 
--- a/src/onyxgap/daemons/desk.py
+++ b/src/onyxgap/daemons/desk.py
@@ -169,18 +169,15 @@
             return SubmitResult(SubmitOutcome.REFUSED, reason, OUTAGE_RETRY_AFTER_S)
         if self.queue_moves and not await self.queue_moves.record(submission.policy):
             return SubmitResult(SubmitOutcome.REFUSED, Unavailable.QUEUE_MOVES.value)
-        for shard in self.routes.list_previous_services(submission.policy):
-            result = await self._submissions.find_result(submission, shard)
-            if result is not None:
-                return result
+        others = self.routes.list_other_services(submission.policy)
         rejection = self._check_cap(submission) or self._check_load(submission)
         if rejection is not None:
-            service = submission.policy.service
-            known = await self._submissions.find_result(submission, service)
+            services = (submission.policy.service, *others)
+            known = await self._submissions.find_result(submission, services)
             return known or rejection
         accepted_ms = int(self.clocks.read_wall() * 1000)
         accepted = attrs.evolve(submission, accepted_ms=accepted_ms)
-        return await self._submissions.insert(accepted)
+        return await self._submissions.insert(accepted, others)
 
     def _check_cap(self, submission: Submission) -> SubmitResult | None:
         """Reject a job with a step that can never run within its tenant's cap."""
@@ -218,7 +215,7 @@
         """List the shards that may have a job, the most likely first."""
         policy = route.policy
         others = self.routes.list_shards()
-        previous = self.routes.list_previous_services(policy)
+        previous = self.routes.list_other_services(policy)
         return list(dict.fromkeys([policy.service, *previous, *others]))
 
     async def get_state(
@@ -292,10 +289,12 @@
             if status.state.final:
                 self._cache(job_id, status)
             return status
-        submission = await self._submissions.read(shard, job_id)
-        if submission is not None:
-            return JobStatus(JobState.QUEUED, submission.tenant)
-        return None
+        found = await self._submissions.find(shard, job_id)
+        if found is None:
+            return None
+        if found.shard != shard:
+            return await self._read_status(found.shard, job_id)
+        return JobStatus(JobState.QUEUED, found.submission.tenant)
 
     def _cache(self, job_id: str, status: JobStatus) -> None:
         self._final_statuses[job_id] = status
@@ -327,12 +326,12 @@
             return Unavailable.STORE
         try:
             for shard in self._list_shards(route):
-                submission = await self._submissions.read(shard, job_id)
-                if submission is None:
+                found = await self._submissions.find(shard, job_id)
+                if found is None:
                     continue
-                if not caller.may_access(submission.tenant):
+                if not caller.may_access(found.submission.tenant):
                     return self._deny(route, job_id)
-                stored = await self._submissions.cancel(shard, job_id)
+                stored = await self._submissions.cancel(found.shard, job_id)
                 return stored or Unavailable.STORE
         except PlatformUnavailableError:
             return Unavailable.STORE
--- a/src/onyxgap/daemons/expiry.py
+++ b/src/onyxgap/daemons/expiry.py
@@ -17,6 +17,8 @@
 
 MAX_REMOVED_JOBS = 2
 """Most jobs removed with one renewal of the owner row, which has to be quick."""
+MAX_REMOVED_POINTERS = 4
+"""Most pointers removed with one renewal of the owner row."""
 
 _LOG = structlog.get_logger()
 
@@ -74,3 +76,50 @@
         """Drop jobs whose progress was removed."""
         for job_id in job_ids:
             self._removed.pop(job_id, None)
+
+
+@attrs.define(eq=False)
+class PointerRemover:
+    """Removes the pointers of a shard to jobs of other shards.
+
+    A pointer is kept as long as the state of an ended job: writes that it has to make
+    fail are carried out much earlier.
+
+    :param shard: the shard that has the pointers.
+    :param store: the store.
+    """
+
+    shard: str
+    store: Store
+    _noted_at: dict[str, float] = attrs.field(factory=dict)
+
+    def note(self, job_id: str, now: float) -> None:
+        """Record a pointer.
+
+        :param job_id: job of the pointer.
+        :param now: monotonic seconds.
+        """
+        self._noted_at.setdefault(job_id, now)
+
+    def select_due(self, now: float, retention_s: float) -> list[str]:
+        """Choose jobs whose pointers are to be removed now, the oldest first.
+
+        :param now: monotonic seconds.
+        :param retention_s: seconds for which a pointer is kept.
+        """
+        oldest = list(self._noted_at.items())[:MAX_REMOVED_POINTERS]
+        due = [job_id for job_id, at in oldest if now - at > retention_s]
+        for job_id in due:
+            del self._noted_at[job_id]
+        return due
+
+    async def remove(self, job_id: str, now: float) -> None:
+        """Remove a pointer; after a failure it is kept for a further retention period.
+
+        :param job_id: a job that :meth:`select_due` has chosen.
+        :param now: monotonic seconds.
+        """
+        row = tables.get_job_row(self.shard, job_id)
+        outcome = await self.store.write(Batch({}, {}, (row,)))
+        if not isinstance(outcome, Applied):
+            self.note(job_id, now)
--- a/src/onyxgap/daemons/owner.py
+++ b/src/onyxgap/daemons/owner.py
@@ -18,11 +18,13 @@
 from ..jobs.store import RowId
 from ..jobs.store import StoredRow
 from ..jobs.submissions import decode_submission
+from ..jobs.submissions import is_pointer
 from ..jobs.workers import StartOrder
 from ..pools.messages import PoolReport
 from ..pools.messages import decode_fleet_row
 from ..pools.messages import encode_report
 from .expiry import JobRemover
+from .expiry import PointerRemover
 from .follower import Follower
 from .owner_workers import OwnerWorkers
 from .reading import read_partitions
@@ -73,10 +75,12 @@
     _loaded_version: int = 0
     _workers_version: int = 0
     _remover: JobRemover = attrs.field(init=False)
+    _pointer_remover: PointerRemover = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         super().__attrs_post_init__()
         self._remover = JobRemover(self.shard, self.context.store)
+        self._pointer_remover = PointerRemover(self.shard, self.context.store)
 
     async def run(self) -> None:
         """Load and run the shard until it is released.
@@ -159,7 +163,11 @@
         cancels: list[StoredRow] = []
         submissions: list[StoredRow] = []
         for row in rows:
-            if row.row_id.part in parts and not row.removed:
+            if row.row_id.part not in parts or row.removed:
+                continue
+            if is_pointer(row.value):
+                self._pointer_remover.note(row.row_id.key, now)
+            else:
                 is_cancel = row.row_id.key.endswith(tables.CANCEL_SUFFIX)
                 (cancels if is_cancel else submissions).append(row)
         for row in cancels:
@@ -325,6 +333,8 @@
         expired = self.state.list_expired(now, retention_s)
         for job_id in self._remover.select_due(expired):
             self._spawn(self._remover.remove_submission, job_id)
+        for job_id in self._pointer_remover.select_due(now, retention_s):
+            self._spawn(self._pointer_remover.remove, job_id, now)
 
     def _list_progress_rows(self, job_ids: t.Iterable[str]) -> tuple[RowId, ...]:
         return tuple(tables.get_progress_row(self.shard, job_id) for job_id in job_ids)
--- a/src/onyxgap/daemons/submission_store.py
+++ b/src/onyxgap/daemons/submission_store.py
@@ -23,7 +23,9 @@
 from ..jobs.store import Store
 from ..jobs.store import StoredRow
 from ..jobs.store import WriteOutcome
-from ..jobs.submissions import decode_submission
+from ..jobs.submissions import SubmissionPointer
+from ..jobs.submissions import decode_row
+from ..jobs.submissions import encode_pointer
 from ..jobs.submissions import encode_submission
 from ..jobs.submissions import is_same_request
 from ..jobs.tenants import Caller
@@ -37,6 +39,18 @@
 _LOG = structlog.get_logger()
 
 
+@attrs.frozen(slots=True)
+class LocatedSubmission:
+    """A stored submission and where it was found.
+
+    :param shard: the shard that has the job.
+    :param submission: the submission.
+    """
+
+    shard: str
+    submission: Submission
+
+
 @attrs.define(eq=False)
 class SubmissionStore:
     """Stores submissions and cancellations, each job once.
@@ -53,33 +67,61 @@
     on_stored: t.Callable[[str, str], None]
     should_stop: t.Callable[[], bool]
 
-    async def read(self, shard: str, job_id: str) -> Submission | None:
-        """Read a submission, ``None`` if the shard has none.
+    async def find(self, shard: str, job_id: str) -> LocatedSubmission | None:
+        """Find a submission in a shard, or in the one that the shard points to.
 
         :raises DocumentError: if the stored submission is malformed.
         :raises PlatformUnavailableError: if the store does not answer.
         """
+        stored = await self._read(shard, job_id)
+        if isinstance(stored, SubmissionPointer):
+            shard = stored.service
+            stored = await self._read(shard, job_id)
+        if not isinstance(stored, Submission):
+            return None
+        return LocatedSubmission(shard, stored)
+
+    async def _read(
+        self, shard: str, job_id: str
+    ) -> Submission | SubmissionPointer | None:
         row = tables.get_job_row(shard, job_id)
         page = await self.store.read(row.table, row.part, row.key)
         return _decode_row(page.rows[0]) if page.rows else None
 
     async def find_result(
-        self, submission: Submission, shard: str
+        self, submission: Submission, shards: t.Iterable[str]
     ) -> SubmitResult | None:
-        """Return the result of a submission that a shard has, else ``None``."""
+        """Return the result of a submission that is stored already, else ``None``.
+
+        :param submission: the submission.
+        :param shards: the shards that may have the job.
+        """
         try:
-            stored = await self.read(shard, submission.job_id)
+            for shard in shards:
+                found = await self.find(shard, submission.job_id)
+                if found is not None:
+                    return _compare(found.submission, submission)
         except PlatformUnavailableError as error:
             return SubmitResult(SubmitOutcome.UNKNOWN, str(error))
         except DocumentError:
             # the job may have been accepted, so it must not be called rejected
             return _UNREADABLE_JOB
-        return None if stored is None else _compare(stored, submission)
+        return None
 
-    async def insert(self, submission: Submission) -> SubmitResult:
-        """Store a submission unless the job is stored already."""
-        row = tables.get_job_row(submission.policy.service, submission.job_id)
-        batch = Batch({row: ABSENT}, {row: encode_submission(submission)})
+    async def insert(
+        self, submission: Submission, other_services: t.Collection[str]
+    ) -> SubmitResult:
+        """Store a submission unless the job is stored already.
+
+        :param submission: the submission.
+        :param other_services: other services in which the queue has had jobs.
+        """
+        service, job_id = submission.policy.service, submission.job_id
+        row = tables.get_job_row(service, job_id)
+        pointer = encode_pointer(SubmissionPointer(service))
+        puts = {tables.get_job_row(other, job_id): pointer for other in other_services}
+        puts[row] = encode_submission(submission)
+        batch = Batch(dict.fromkeys(puts, ABSENT), puts, across=len(puts) > 1)
         outcome = await self._write_until_certain(batch)
         if isinstance(outcome, Applied):
             self.on_stored(submission.policy.service, row.key)
@@ -87,14 +129,25 @@
         if isinstance(outcome, NotApplied):
             return SubmitResult(SubmitOutcome.REFUSED, outcome.reason)
         if isinstance(outcome, Conflict):
-            present = outcome.find(row)
+            found = await self._find_conflicting(submission, outcome)
+            if found is not None:
+                return found
+        return SubmitResult(SubmitOutcome.UNKNOWN, "the write was not confirmed")
+
+    async def _find_conflicting(
+        self, submission: Submission, conflict: Conflict
+    ) -> SubmitResult | None:
+        """Return the result of the stored submission that a write conflicts with."""
+        shards = []
+        for row in conflict.rows:
             try:
-                stored = _decode_row(present) if present else None
+                stored = _decode_row(row)
             except DocumentError:
                 return _UNREADABLE_JOB
-            if stored is not None:
+            if isinstance(stored, Submission):
                 return _compare(stored, submission)
-        return SubmitResult(SubmitOutcome.UNKNOWN, "the write was not confirmed")
+            shards.append(stored.service)
+        return await self.find_result(submission, shards)
 
     async def cancel(self, shard: str, job_id: str) -> bool:
         """Store the cancellation of a job; return whether it is certainly stored."""
@@ -127,13 +180,13 @@
             await anyio.sleep(WRITE_RETRY_PAUSE_S)
 
 
-def _decode_row(row: StoredRow) -> Submission:
-    """Decode a stored submission; a malformed one is logged.
+def _decode_row(row: StoredRow) -> Submission | SubmissionPointer:
+    """Decode a row of a submission; a malformed one is logged.
 
     :raises DocumentError: if the row is malformed.
     """
     try:
-        return decode_submission(row.value)
+        return decode_row(row.value)
     except DocumentError as error:
         _LOG.warning(
             "stored submission could not be decoded",
--- a/src/onyxgap/jobs/routing.py
+++ b/src/onyxgap/jobs/routing.py
@@ -92,6 +92,13 @@
     return index
 
 
+def _index_services(configuration: Configuration) -> dict[str, set[str]]:
+    services: dict[str, set[str]] = {}
+    for route in configuration.routes:
+        services.setdefault(route.policy.queue, set()).add(route.policy.service)
+    return services
+
+
 @attrs.define
 class RouteTable:
     """Holds the active configuration, and finds routes, caps and weights in it.
@@ -115,6 +122,7 @@
     caps: dict[str, Amount] = attrs.field(factory=dict)
     weights: dict[str, float] = attrs.field(factory=dict)
     _index: dict[str, list[Route]] = attrs.field(factory=dict)
+    _services: dict[str, set[str]] = attrs.field(factory=dict)
 
     def adopt(self, configuration: Configuration) -> bool:
         """Make a version the active one if it is newer.
@@ -126,9 +134,10 @@
         if active is not None and configuration.version <= active.version:
             return False
         if active is not None:
-            self._record_services(active)
+            self.add_previous_services(self._services)
         self.configuration = configuration
         self._index = _index_routes(configuration)
+        self._services = _index_services(configuration)
         self.keys = index_keys(configuration.tenants)
         for tenant in configuration.tenants:
             self.caps[tenant.name] = tenant.cap
@@ -165,11 +174,6 @@
         """Return whether requests to a queue need a tenant's key."""
         return self.keyed and not route.public
 
-    def _record_services(self, previous: Configuration) -> None:
-        for route in previous.routes:
-            policy = route.policy
-            self.previous_services.setdefault(policy.queue, set()).add(policy.service)
-
     def add_previous_services(self, moves: t.Mapping[str, t.AbstractSet[str]]) -> None:
         """Add services that queues had in versions that other nodes know.
 
@@ -184,11 +188,10 @@
         A removed queue counts if no route leads to its services any more.
         """
         known = {
-            queue: set(services) for queue, services in self.previous_services.items()
+            queue: services | self._services.get(queue, set())
+            for queue, services in self.previous_services.items()
         }
-        active = set(self.configuration.list_shards()) if self.configuration else set()
-        for route in self.configuration.routes if self.configuration else ():
-            known.setdefault(route.policy.queue, set()).add(route.policy.service)
+        active = set().union(*self._services.values())
         return {
             queue: services
             for queue, services in known.items()
@@ -227,11 +230,11 @@
         found = self.configuration.services.get(service)
         return found is not None and found.guarded
 
-    def list_previous_services(self, policy: QueuePolicy) -> tuple[str, ...]:
-        """List other services that a queue is known to have had.
+    def list_other_services(self, policy: QueuePolicy) -> tuple[str, ...]:
+        """List the services of a queue in all known versions but that of its policy.
 
-        :param policy: policy of the queue.
+        :param policy: policy of the queue in one of the versions.
         """
-        return tuple(
-            sorted(self.previous_services.get(policy.queue, set()) - {policy.service})
-        )
+        known = self.previous_services.get(policy.queue, set())
+        known = known | self._services.get(policy.queue, set())
+        return tuple(sorted(known - {policy.service}))
--- a/src/onyxgap/jobs/store.py
+++ b/src/onyxgap/jobs/store.py
@@ -15,7 +15,8 @@
     """Identifier of a row.
 
     :param table: name of the table.
-    :param part: partition; all rows of a transaction must be in the same one.
+    :param part: partition; all rows of a transaction must be in the same one, unless it
+        is declared to go across partitions.
     :param key: key within the partition.
     """
 
@@ -47,11 +48,13 @@
     :param expected: required version of each of these rows.
     :param puts: rows to write.
     :param removals: rows to remove.
+    :param across: whether the rows may be in several partitions, which takes longer.
     """
 
     expected: t.Mapping[RowId, int]
     puts: t.Mapping[RowId, bytes]
     removals: tuple[RowId, ...] = ()
+    across: bool = False
 
 
 @attrs.frozen(slots=True)
--- a/src/onyxgap/jobs/submissions.py
+++ b/src/onyxgap/jobs/submissions.py
@@ -73,6 +73,46 @@
     return orjson.dumps(value)
 
 
+@attrs.frozen(slots=True)
+class SubmissionPointer:
+    """Stands in a shard for a job that another shard has.
+
+    Written to the former services of the job's queue together with the submission. A
+    write of the same submission under an older configuration, which may be carried out
+    seconds later, then fails.
+
+    :param service: service whose shard has the submission.
+    """
+
+    service: str
+
+
+_POINTER_PREFIX = b'{"moved_to":'
+
+
+def encode_pointer(pointer: SubmissionPointer) -> bytes:
+    """Encode a pointer for its row in the store."""
+    return orjson.dumps({"moved_to": pointer.service})
+
+
+def is_pointer(value: bytes) -> bool:
+    """Return whether the value of a row is a pointer rather than a submission."""
+    return value.startswith(_POINTER_PREFIX)
+
+
+def decode_row(value: bytes) -> Submission | SubmissionPointer:
+    """Decode the row of a submission, which may be a pointer.
+
+    :raises DocumentError: if the row is malformed.
+    """
+    if not is_pointer(value):
+        return decode_submission(value)
+    try:
+        return SubmissionPointer(str(orjson.loads(value)["moved_to"]))
+    except MALFORMED_ERRORS as error:
+        raise DocumentError([Fault("$", f"no pointer to a job: {error!r}")]) from None
+
+
 def _build_step(raw: t.Mapping[str, t.Any]) -> Step:
     return Step(**{**raw, "after": tuple(raw.get("after", ()))})
 
--- a/src/onyxgap/platform/store.py
+++ b/src/onyxgap/platform/store.py
@@ -59,6 +59,7 @@
             for row_id, value in batch.puts.items()
         ],
         "remove": [_encode_id(row_id) for row_id in batch.removals],
+        **({"across": True} if batch.across else {}),
     }
 
 
