Use no older configuration once a job of a newer one is known

What users saw: a VM "went back from version N or newer to N or older".

Cause: a node learns of a version by the feed of the operator's rows, but of jobs by other ways. While the feeds stood still, other nodes read version 10 at 11.0 s, since callers asked for routes unknown to them, and accepted a job whose queue had moved. node-3 owned the shard, started the job under the new route at 11.48 s, and accepted another one 290 ms later by version 7, which it still had.

Now a submission is stored with the version under which it was accepted, and an owner tells its node before it starts the job; so does a node that answers a query. From then on no older version counts as current: the next call reads the row, once for each version that became known, or is rejected.

--- a/src/onyxgap/daemons/configuration_exchange.py
+++ b/src/onyxgap/daemons/configuration_exchange.py
@@ -7,6 +7,10 @@
 Change feeds of the store may also stall. Before a node rejects a key or route that a
 newer configuration might contain, it reads the configuration's row. One read serves all
 such calls within a second.
+
+A node may also learn of a newer version before it has it, for example from a job that
+another node accepted. It must not go on with an older one once workers have seen its
+orders for such a job.
 """
 
 import math
@@ -74,6 +78,18 @@
     _queried_at: dict[int, float] = attrs.field(factory=dict)
     _assembly: ConfigurationAssembler = attrs.field(factory=ConfigurationAssembler)
     _encoded: tuple[int, list[bytes]] = (0, [])
+    _newest_seen: int = 0
+    _read_for: int = 0
+
+    def note_version(self, version: int) -> None:
+        """Record that a version exists; no older one counts as current from now on.
+
+        :param version: number of the version.
+        """
+        self._newest_seen = max(self._newest_seen, version)
+
+    def _is_outdated(self) -> bool:
+        return self.routes.get_version() < self._newest_seen
 
     def get_age(self) -> float:
         """Return the seconds since the configuration was last confirmed as newest."""
@@ -81,17 +97,22 @@
 
     def is_current(self) -> bool:
         """Return whether the configuration was confirmed recently enough to be used."""
-        return self.get_age() <= self.propagation_limit_s * VALID_FRACTION
+        max_age_s = self.propagation_limit_s * VALID_FRACTION
+        return not self._is_outdated() and self.get_age() <= max_age_s
 
     async def make_sure(self) -> bool:
         """Read the configuration's row, unless it was read within ``READ_VALID_S``.
 
+        A version that became known after that read is read at once.
+
         :returns: whether that read succeeded and the configuration is current.
         """
         async with self._reading:
             now = self.clocks.read_boot()
-            if now - self._read_at > READ_VALID_S:
+            unread = self._is_outdated() and self._read_for < self._newest_seen
+            if unread or now - self._read_at > READ_VALID_S:
                 self._read_at, self._read_done = now, False
+                self._read_for = self._newest_seen
                 try:
                     await self.read_newest()
                 except PlatformUnavailableError as error:
@@ -108,10 +129,8 @@
         """Query other nodes while the store does not confirm the configuration."""
         while True:
             await anyio.sleep(QUERY_INTERVAL_S)
-            if (
-                self.get_age()
-                > self.propagation_limit_s * VALID_FRACTION * QUERY_FRACTION
-            ):
+            max_age_s = self.propagation_limit_s * VALID_FRACTION * QUERY_FRACTION
+            if self._is_outdated() or self.get_age() > max_age_s:
                 self._send_query()
 
     def _send_query(self) -> None:
@@ -167,6 +186,7 @@
         queried_at = self._queried_at.get(part.asked)
         if queried_at is None:
             return
+        self.note_version(part.version)
         if part.parts:
             self._add_part(part)
         # the time at which the answer was sent is unknown, so its age counts from the
--- a/src/onyxgap/daemons/desk.py
+++ b/src/onyxgap/daemons/desk.py
@@ -155,6 +155,11 @@
         )
         return result
 
+    def add_version(self, submission: Submission) -> Submission:
+        """Add the version in force to a submission, unless it has a newer one."""
+        version = max(submission.configuration, self.routes.get_version())
+        return attrs.evolve(submission, configuration=version)
+
     def _describe_version(self) -> dict[str, float]:
         """Describe the configuration in force for the log."""
         age_s = round(self.authentication.exchange.get_age(), 2)
@@ -176,7 +181,7 @@
             known = await self._submissions.find_result(submission, services)
             return known or rejection
         accepted_ms = int(self.clocks.read_wall() * 1000)
-        accepted = attrs.evolve(submission, accepted_ms=accepted_ms)
+        accepted = attrs.evolve(self.add_version(submission), accepted_ms=accepted_ms)
         return await self._submissions.insert(accepted, others)
 
     def _check_cap(self, submission: Submission) -> SubmitResult | None:
--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -256,6 +256,7 @@
             self.policy_client,
             self.settings.contended,
             self.skipped,
+            self.exchange.note_version,
         )
         owner = ShardOwner(writer, context)
         self.owners[shard] = owner
--- a/src/onyxgap/daemons/owner.py
+++ b/src/onyxgap/daemons/owner.py
@@ -180,6 +180,7 @@
         skipped = self.context.skipped
         for _, job in decode_rows(submissions, restore, skipped, "row skipped"):
             if job is not None:
+                self.context.on_version(job.submission.configuration)
                 self.state.add_job(job, now, wall_ms)
         if rows:
             self.wake()
--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -100,6 +100,8 @@
     :param policy_client: client of the policy service; ``None`` if there is none.
     :param contended: whether submitted jobs may exceed the capacity of the workers.
     :param skipped: number of rows that could not be decoded, by table.
+    :param on_version: called with the version of the configuration under which a job
+        was accepted, before the job is started.
     """
 
     store: Store
@@ -116,6 +118,7 @@
     policy_client: PolicyClient | None = None
     contended: bool = False
     skipped: SkippedRows = attrs.field(factory=SkippedRows)
+    on_version: t.Callable[[int], None] = lambda _: None
 
 
 @attrs.define(eq=False)
--- a/src/onyxgap/daemons/passing_desk.py
+++ b/src/onyxgap/daemons/passing_desk.py
@@ -123,7 +123,7 @@
             submission.tenant,
             submission.policy.queue,
             submission.policy.service,
-            encode_submission(submission),
+            encode_submission(self.local.add_version(submission)),
         )
         async for answer in self._forward(call, deadline):
             result = _merge_result(result, answer)
--- a/src/onyxgap/jobs/messages.py
+++ b/src/onyxgap/jobs/messages.py
@@ -119,6 +119,8 @@
     :param interval_ms: time between two occurrences, in milliseconds.
     :param accepted_ms: wall-clock time of acceptance, in ms since 1970.
     :param tenant: tenant that it belongs to; empty if its queue is open to anyone.
+    :param configuration: version of the configuration under which it was accepted, 0 if
+        it is not known.
     """
 
     job_id: str
@@ -130,6 +132,7 @@
     interval_ms: int = 0
     accepted_ms: int = 0
     tenant: str = ""
+    configuration: int = 0
 
 
 class TaskId(t.NamedTuple):
--- a/src/onyxgap/standins/emulator/checks.py
+++ b/src/onyxgap/standins/emulator/checks.py
@@ -151,6 +151,18 @@
             yield Breach("budget", at, f"{task} crashed {len(ends)} workers")
 
 
+def count_crash_starts(evidence: Evidence) -> int:
+    """Count the starts of the task that crashed its workers most often."""
+    return max(
+        (
+            len(runs)
+            for task, runs in _group_runs(evidence).items()
+            if evidence.callers.find_nature(task).crashes
+        ),
+        default=0,
+    )
+
+
 def check_room(evidence: Evidence) -> t.Iterator[Breach]:
     """Check that no start brings a worker over its capacity."""
     for record in evidence.records:
@@ -340,6 +352,7 @@
     :param vm_s: seconds of VMs in pools.
     :param moves: moves of VMs.
     :param store_calls: calls to the store.
+    :param crash_starts: most starts of a task that crashes its workers.
     """
 
     accepted: int
@@ -354,6 +367,7 @@
     vm_s: float
     moves: int
     store_calls: int
+    crash_starts: int = 0
 
 
 def settle_account(evidence: Evidence, vm_s: float, store_calls: int) -> Account:
@@ -397,4 +411,5 @@
         vm_s=round(vm_s, 1),
         moves=moves,
         store_calls=store_calls,
+        crash_starts=count_crash_starts(evidence),
     )
--- a/tests/test_route_days.py
+++ b/tests/test_route_days.py
@@ -65,3 +65,16 @@
         "short", "at 6 move route ring for 1 by 1", "at 6.3 kill all for 1"
     )
     assert play(script, seed).breaches == []
+
+
+@pytest.mark.parametrize("seed", [215])
+def test_owner_with_an_older_version_goes_not_back_after_it_started_a_job(
+    seed: int,
+) -> None:
+    script = extend_day(
+        "routes",
+        "at 4.7 deaf store for 2",
+        "at 7.8 deaf store for 2",
+        "at 10.8 deaf store for 3",
+    )
+    assert play(script, seed).breaches == []
--- a/tests/test_route_lookup.py
+++ b/tests/test_route_lookup.py
@@ -95,3 +95,29 @@
         assert await find_service(node, f"/ring/added/{JOB_ID}") == "herd"
 
     run_with_store(test)
+
+
+def test_route_of_an_older_version_is_not_used_once_a_newer_one_is_known() -> None:
+    async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
+        node = await start_without_feed(scripted, store, ring="ring")
+        write_routes(store, 2, ring="herd")
+        assert node.exchange.is_current()
+        node.exchange.note_version(2)
+        assert not node.exchange.is_current()
+        assert await find_service(node, f"/ring/{JOB_ID}") == "herd"
+        assert node.exchange.is_current()
+
+    run_with_store(test)
+
+
+def test_newer_version_is_read_once_although_it_cannot_be_adopted() -> None:
+    async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
+        node = await start_without_feed(scripted, store, ring="ring")
+        node.exchange.note_version(2)
+        calls = store.calls
+        for _ in range(3):
+            found = await node.job_api.find_route(HOST, f"/ring/{JOB_ID}")
+            assert found is Unavailable.CONFIGURATION_AGE
+        assert store.calls == calls + 1
+
+    run_with_store(test)
