--- a/src/onyxgap/standins/emulator/count_callers.py
+++ b/src/onyxgap/standins/emulator/count_callers.py
@@ -74,14 +74,15 @@
         sent_at = anyio.current_time()
         count: int | NoQueue | None = None
         with anyio.move_on_after(PATIENCE_S):
-            count = await node.count_waiting(route, self._choose_key())
+            count = await node.count_waiting(route, self.choose_key())
         if not isinstance(count, int):
             self.unanswered += 1
             return
         queue, now = route.policy.queue, anyio.current_time()
         self.answers.append(CountAnswer(node.name, queue, sent_at, now, count))
 
-    def _choose_key(self) -> str:
+    def choose_key(self) -> str:
+        """Choose a valid key, empty on a day without tenants."""
         for line in self.tenancy.lines:
             keys = self.tenancy.list_keys(line.name)
             if keys:
--- a/src/onyxgap/standins/emulator/day.py
+++ b/src/onyxgap/standins/emulator/day.py
@@ -137,7 +137,10 @@
             self._list_nodes, self.tenancy, random.Random(f"counts/{self.seed}")
         )
         self.route_probes = RouteProbes(
-            self._list_nodes, self.routes, random.Random(f"probes/{self.seed}")
+            self._list_nodes,
+            self.routes,
+            self.count_callers.choose_key,
+            random.Random(f"probes/{self.seed}"),
         )
         self.cloud = EmulatedCloud(
             self.store,
--- a/src/onyxgap/standins/emulator/route_probes.py
+++ b/src/onyxgap/standins/emulator/route_probes.py
@@ -51,6 +51,7 @@
 
     :param nodes: lists the nodes that are up.
     :param history: routes of the day.
+    :param choose_key: chooses the key of a request.
     :param rng: draws pauses, nodes and routes; not shared, so that other draws stay the
         same.
     :param answers: the definite answers.
@@ -58,6 +59,7 @@
 
     nodes: t.Callable[[], t.Sequence[ProbedNode]]
     history: RouteHistory
+    choose_key: t.Callable[[], str]
     rng: random.Random
     answers: list[ProbeAnswer] = attrs.field(factory=list)
 
@@ -76,7 +78,9 @@
         sent_at = anyio.current_time()
         count: int | NoQueue | None = None
         with anyio.move_on_after(PATIENCE_S):
-            count = await node.count_waiting(build_route(prefix, HOST), "")
+            count = await node.count_waiting(
+                build_route(prefix, HOST), self.choose_key()
+            )
         if count is not None:
             found, now = isinstance(count, int), anyio.current_time()
             self.answers.append(ProbeAnswer(node.name, prefix, sent_at, now, found))
