Count the age of a load report only from a change of its row

Cause: the report was the last one of an owner that had been killed; the new node counted its age from its own first reading.

Failed before: test_report_of_unknown_age_gives_no_count_until_it_is_renewed (no such argument).

--- a/src/onyxgap/jobs/ownership.py
+++ b/src/onyxgap/jobs/ownership.py
@@ -69,7 +69,9 @@
         if self.load_report is None and has_load:
             self.load_report, self.load_reported_at = self.row, self.changed_at
 
-    def replace_row(self, row: OwnerRow, version: int, now: float) -> "OwnerView":
+    def replace_row(
+        self, row: OwnerRow, version: int, now: float, *, changed_now: bool = True
+    ) -> "OwnerView":
         """Return the view with a newer owner row.
 
         A claim contains no load report, so the previous one is kept until it expires.
@@ -77,7 +79,11 @@
         :param row: the new row.
         :param version: its version.
         :param now: monotonic seconds.
+        :param changed_now: whether the row was seen to change. The age of any other
+            load report is not known: its owner may have failed long before.
         """
+        if row.waiting is not None and not changed_now:
+            return OwnerView(row, version, now, load_report=row)
         if row.waiting is not None:
             return OwnerView(row, version, now)
         return OwnerView(
--- a/tests/test_waiting_counts.py
+++ b/tests/test_waiting_counts.py
@@ -145,3 +145,14 @@
     script = extend_day("backlog", "at 10 down store for 4")
     rules = {breach.rule for breach in play(script, seed).breaches}
     assert "mixed" not in rules
+
+
+def test_report_of_unknown_age_gives_no_count_until_it_is_renewed(
+    job_api: LocalJobApi, clocks: ManualClocks
+) -> None:
+    view = OwnerView(None, 0, clocks.now)
+    first = view.replace_row(OWNER_ROW, 1, clocks.now, changed_now=False)
+    job_api.views["ring"] = first
+    assert job_api.count_waiting(ROUTE) is Unavailable.COUNT
+    job_api.views["ring"] = first.replace_row(OWNER_ROW, 2, clocks.now)
+    assert job_api.count_waiting(ROUTE) == 5
