Count a lost run once for its task

What callers saw: a job that failed without cause.

Now the loss history keeps the number of the run that was lost last, and counts it once. Failed before: test_run_that_is_lost_with_two_incarnations_of_its_worker_counts_once. The test of the restored history now asks for the number of the run, too.

--- a/src/onyxgap/jobs/crashes.py
+++ b/src/onyxgap/jobs/crashes.py
@@ -93,23 +93,32 @@
     :param losses: number of lost runs.
     :param young_losses: number of them that may have crashed the worker by their start.
     :param blame: total blame for the lost runs; see :func:`assign_blame`.
+    :param last_run: number of the run that was lost last, 0 if it is not known.
     """
 
     losses: int = 0
     young_losses: int = 0
     blame: int = 0
+    last_run: int = 0
 
-    def add_loss(self, young: bool, blame: int = 0) -> t.Self:
+    def add_loss(self, young: bool, blame: int = 0, run: int = 0) -> t.Self:
         """Return a copy with one more lost run.
 
+        A run whose start was not confirmed stays placed while its worker starts again,
+        and is lost again with each incarnation. It counts once.
+
         :param young: whether the start of the run may have crashed the worker.
         :param blame: blame for the crash.
+        :param run: number of the run, 0 if it is not known.
         """
+        if run and run == self.last_run:
+            return self
         return attrs.evolve(
             self,
             losses=self.losses + 1,
             young_losses=self.young_losses + young,
             blame=self.blame + blame,
+            last_run=run,
         )
 
     @property
--- a/src/onyxgap/jobs/shard_workers.py
+++ b/src/onyxgap/jobs/shard_workers.py
@@ -441,7 +441,8 @@
         """
         blames = assign_blame(runs) if crashed else [0] * len(runs)
         for task, run, blame in zip(tasks, runs, blames, strict=True):
-            task.loss_history = task.loss_history.add_loss(run.young, blame)
+            history = task.loss_history
+            task.loss_history = history.add_loss(run.young, blame, task.run)
         return {
             str(task.task_id): blame
             for task, blame in zip(tasks, blames, strict=True)
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -83,6 +83,12 @@
     assert not history.causes_crashes(serving=True)
 
 
+def test_run_that_is_lost_with_two_incarnations_of_its_worker_counts_once() -> None:
+    history = NO_LOSSES.add_loss(True, run=1).add_loss(True, run=1)
+    assert history == NO_LOSSES.add_loss(True, run=1)
+    assert history.add_loss(True, run=2).young_losses == 2
+
+
 def test_task_that_crashes_its_workers_late_is_given_up_by_its_seventh_start() -> None:
     # three workers crash with other suspects; after that the task is fully isolated
     history = NO_LOSSES.add_loss(False).add_loss(False).add_loss(False)
@@ -185,7 +191,7 @@
     crash(harness, start_one(harness, "a" * 16).worker_id)
     restored = restore_job(job.submission, encode_progress(job))
     (task,) = restored.occurrences[0].steps[0]
-    assert task.loss_history == NO_LOSSES.add_loss(True, START_CRASH_BLAME)
+    assert task.loss_history == NO_LOSSES.add_loss(True, START_CRASH_BLAME, task.run)
 
 
 def test_progress_without_loss_history_is_restored(harness: ShardHarness) -> None:
