--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -53,3 +53,12 @@
     restarts = [f"at {4 + 0.9 * n} rebear vm ring for 0.004" for n in range(11)]
     result = play(extend_day("crashing_burst", *restarts), seed)
     assert result.breaches == []
+
+
+@pytest.mark.parametrize("seed", [136, 148, 149])
+def test_crashing_task_without_confirmed_starts_is_not_started_a_sixth_time(
+    seed: int,
+) -> None:
+    crashes = [f"at {at} crash vm ring for 1" for at in range(4, 10)]
+    script = extend_day("crashing_burst", "at 5 lose orders for 10 by 0.6", *crashes)
+    assert play(script, seed, faults=2).breaches == []
