Record the services of all queues together

What callers would have seen: rejections and seconds of delay for the first jobs of many queues, found while reading the diff.

Now the row gets the services of all queues at once, with the first read under a new configuration, and a submission waits for nothing once its service is recorded. Configurations whose queues don't fit into the row are recorded as before.

test_first_jobs_of_many_queues_on_many_nodes_are_not_rejected failed before. Three tests name what the row holds now: all queues, and one write for the first configuration.

--- a/src/onyxgap/daemons/queue_moves.py
+++ b/src/onyxgap/daemons/queue_moves.py
@@ -91,7 +91,7 @@
     _synchronizing: anyio.Lock = attrs.field(factory=anyio.Lock)
 
     async def run(self) -> t.NoReturn:
-        """Read the row, and add moves to it, after each new configuration."""
+        """Read the row, and add services to it, after each new configuration."""
         version, reads = 0, 0
         while True:
             await anyio.sleep(CHECK_INTERVAL_S)
@@ -103,7 +103,7 @@
             if self.known:
                 await anyio.sleep(self.rng.uniform(0.0, MAX_READ_PAUSE_S))
             async with self._synchronizing:
-                recorded = await self._try_to_synchronize(self.routes.list_moves())
+                recorded = await self._try_to_synchronize()
             reads -= recorded
             if not recorded:
                 await anyio.sleep(RETRY_S * self.rng.uniform(0.5, 1.0))
@@ -113,10 +113,10 @@
 
         :returns: whether it has been read.
         """
+        if self._is_read():
+            return True
         async with self._synchronizing:
-            if self._read_version == self.routes.get_version():
-                return True
-            return await self._try_to_synchronize({})
+            return self._is_read() or await self._try_to_synchronize()
 
     async def record(self, policy: QueuePolicy) -> bool:
         """Record the service of a queue, unless this node knows that it is recorded.
@@ -125,6 +125,8 @@
         :returns: whether the service is recorded, and the row has been read under the
             configuration in force.
         """
+        if self._is_recorded(policy):
+            return True
         async with self._synchronizing:
             for _ in range(RECORD_ATTEMPTS):
                 if self._is_recorded(policy):
@@ -132,19 +134,28 @@
                 await self._try_to_synchronize({policy.queue: {policy.service}})
             return self._is_recorded(policy)
 
+    def _is_read(self) -> bool:
+        return self._read_version == self.routes.get_version()
+
     def _is_recorded(self, policy: QueuePolicy) -> bool:
-        is_read = self._read_version == self.routes.get_version()
-        return is_read and policy.service in self._recorded.get(policy.queue, ())
+        recorded = self._recorded.get(policy.queue, ())
+        return self._is_read() and policy.service in recorded
 
-    async def _try_to_synchronize(self, services: Services) -> bool:
+    async def _try_to_synchronize(self, needed: Services | None = None) -> bool:
         try:
-            return await self._synchronize(services)
+            return await self._synchronize(needed or {})
         except PlatformUnavailableError as error:
             _LOG.info("queue moves could not be read", reason=str(error))
             return False
 
-    async def _synchronize(self, services: Services) -> bool:
-        """Read the row, and add services; return whether the row has all of them."""
+    async def _synchronize(self, needed: Services) -> bool:
+        """Read the row, and add services; return whether the row has all of them.
+
+        All queues are added together, so that nodes that accept the first jobs of many
+        queues at the same time don't wait for each other's writes.
+
+        :param needed: services that are added even if not all fit into the row.
+        """
         version = self.routes.get_version()
         row = tables.get_queue_moves_row()
         page = await self.store.read(row.table, row.part, row.key)
@@ -160,7 +171,9 @@
         self.routes.add_previous_services(recorded)
         self.known = True
         self._read_version, self._recorded = version, recorded
-        wanted = _merge(recorded, services)
+        wanted = _merge(recorded, _merge(needed, self.routes.list_services()))
+        if len(encode_moves(wanted)) > MAX_ROW_BYTES:
+            wanted = _merge(recorded, _merge(needed, self.routes.list_moves()))
         if wanted == recorded:
             return True
         value = encode_moves(wanted)
--- a/src/onyxgap/jobs/routing.py
+++ b/src/onyxgap/jobs/routing.py
@@ -182,15 +182,20 @@
         for queue, services in moves.items():
             self.previous_services.setdefault(queue, set()).update(services)
 
+    def list_services(self) -> dict[str, set[str]]:
+        """Return all known services of each queue."""
+        previous = self.previous_services
+        return {
+            queue: previous.get(queue, set()) | self._services.get(queue, set())
+            for queue in previous.keys() | self._services.keys()
+        }
+
     def list_moves(self) -> dict[str, set[str]]:
         """Return all known services of each queue that has a former service.
 
         A removed queue counts if no route leads to its services any more.
         """
-        known = {
-            queue: services | self._services.get(queue, set())
-            for queue, services in self.previous_services.items()
-        }
+        known = self.list_services()
         active = set().union(*self._services.values())
         return {
             queue: services
