--- a/src/onyxgap/standins/emulator/callers.py
+++ b/src/onyxgap/standins/emulator/callers.py
@@ -8,6 +8,7 @@
 import anyio
 import attrs
 
+from ...jobs.desk import Denied
 from ...jobs.desk import SubmitOutcome
 from ...jobs.desk import Unavailable
 from ...jobs.messages import JobState
@@ -333,7 +334,7 @@
         with anyio.move_on_after(PATIENCE_S):
             node = self.rng.choice(nodes)
             state = await self._call(node.get_state, notes)
-        if isinstance(state, Unavailable | KeyRejection | NoQueue):
+        if isinstance(state, Unavailable | KeyRejection | NoQueue | Denied):
             return
         if not notes.shown or notes.get_last_state() is not state:
             notes.shown.append((anyio.current_time(), state))
