Count the age of a load report on the store's clock

Cause: a node took a report for as old as its own reading of the row.

An owner now writes into its row when it counted, as a lower bound of the store's clock, which is the only clock that nodes have in common and comes with each page. A reader compares it with an upper bound. So the age holds however the row reached it, also for rows of a conflict, and VMs that were suspended, since the boot clock is read.

Tests that build reports give them a time of the store's clock; what they assert is the same. The test of a report of unknown age has a row without a time in place of the argument that is gone.

--- a/src/onyxgap/daemons/desk.py
+++ b/src/onyxgap/daemons/desk.py
@@ -98,7 +98,9 @@
             lambda shard, key: self.on_stored(shard, key),
             lambda: self.should_forward(),
         )
-        self._queue_lengths = QueueLengths(self.owners, self.views)
+        self._queue_lengths = QueueLengths(
+            self.owners, self.views, self.health.store_clock
+        )
 
     async def find_route(self, host: str, path: str) -> Route | None | Unavailable:
         """Find the route of a request, ``None`` if there is none."""
@@ -199,11 +201,12 @@
         """Reject a job that would wait too long, as estimated by its shard's owner."""
         view = self.views.get(submission.policy.service)
         now = self.clocks.read_monotonic()
-        report = view.get_load_report(now) if view is not None else None
+        store_ms = self.health.store_clock.get_latest_ms(self.clocks.read_boot())
+        report = view.get_load_report(store_ms) if view is not None else None
         if self.admission is None or report is None:
             return None
         try:
-            estimate = decode_delay_estimate(report.outlook)
+            estimate = decode_delay_estimate(report.row.outlook)
         except DocumentError as error:
             _LOG.warning("delay estimate could not be decoded", reason=str(error))
             return None
@@ -346,7 +349,7 @@
 
     def count_waiting(self, route: Route) -> int | Unavailable:
         """Return the number of jobs of a queue that have not started."""
-        waiting = self._queue_lengths.count(route.policy, self.clocks.read_monotonic())
+        waiting = self._queue_lengths.count(route.policy, self.clocks.read_boot())
         self.on_answer("count", waiting.source.value, 0.0)
         _LOG.info(
             "waiting jobs counted",
--- a/src/onyxgap/daemons/fence.py
+++ b/src/onyxgap/daemons/fence.py
@@ -57,6 +57,7 @@
         now: float,
         waiting: t.Mapping[str, int],
         outlook: t.Mapping[str, t.Any] | None = None,
+        counted_at_ms: float | None = None,
     ) -> None:
         """Add the renewed owner row to the rows of a write.
 
@@ -64,12 +65,14 @@
         :param now: monotonic seconds.
         :param waiting: jobs of which nothing has started, by queue.
         :param outlook: encoded delay estimate of the shard.
+        :param counted_at_ms: lower bound of the store's clock, ``None`` if not known.
         """
         self.owner = attrs.evolve(
             self.owner,
             beat=self.owner.beat + 1,
             waiting=waiting,
             outlook=outlook or {},
+            counted_at_ms=None if counted_at_ms is None else int(counted_at_ms),
         )
         puts[tables.get_owner_row(self.shard)] = tables.encode_owner(self.owner)
         self._renewed_at = now
--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -106,23 +106,13 @@
             "owner row skipped",
         ):
             if owner is not None and row.version > self._get_known_version(row):
-                self._update_owner_view(
-                    row.row_id.part, owner, row.version, now, changed_now=not snapshot
-                )
+                self._update_owner_view(row.row_id.part, owner, row.version, now)
 
     def _update_owner_view(
-        self,
-        shard: str,
-        owner: OwnerRow,
-        version: int,
-        now: float,
-        *,
-        changed_now: bool = True,
+        self, shard: str, owner: OwnerRow, version: int, now: float
     ) -> None:
         view = self.views.get(shard) or OwnerView(None, 0, now)
-        self.views[shard] = view.replace_row(
-            owner, version, now, changed_now=changed_now
-        )
+        self.views[shard] = view.replace_row(owner, version, now)
 
     def _get_known_version(self, row: StoredRow) -> int:
         view = self.views.get(row.row_id.part)
--- a/src/onyxgap/daemons/owner.py
+++ b/src/onyxgap/daemons/owner.py
@@ -299,7 +299,12 @@
             expired = self._remover.list_removed()
             self._remove_expired_submissions(now)
             outlook = encode_delay_estimate(self.state.build_delay_estimate(now))
-            self.writer.add_renewal(puts, now, self.state.count_waiting(), outlook)
+            counted_at_ms = self.context.health.store_clock.get_earliest_ms(
+                self.context.clocks.read_boot()
+            )
+            self.writer.add_renewal(
+                puts, now, self.state.count_waiting(), outlook, counted_at_ms
+            )
         if report is not None:
             puts[tables.get_report_row(self.shard)] = encode_report(report)
             self._reported, self._reported_at = report, now
--- a/src/onyxgap/daemons/queue_lengths.py
+++ b/src/onyxgap/daemons/queue_lengths.py
@@ -6,6 +6,7 @@
 
 from ..jobs.messages import QueuePolicy
 from ..jobs.ownership import OwnerView
+from ..jobs.store_clock import StoreClock
 from ..jobs.waiting import CountSource
 from ..jobs.waiting import WaitingCount
 from .owner import ShardOwner
@@ -17,16 +18,18 @@
 
     :param owners: owned shards by name.
     :param views: newest owner row of each shard, as seen by this node.
+    :param store_clock: clock by which owners tell when they have counted.
     """
 
     owners: t.Mapping[str, ShardOwner]
     views: t.Mapping[str, OwnerView]
+    store_clock: StoreClock
 
     def count(self, policy: QueuePolicy, now: float) -> WaitingCount:
         """Count the waiting jobs of a queue.
 
         :param policy: policy of the queue.
-        :param now: monotonic seconds.
+        :param now: seconds of the boot clock.
         """
         current = self._count_in_shard(policy, now)
         if current.count is None:
@@ -40,12 +43,13 @@
             count = owner.state.count_waiting().get(policy.queue, 0)
             return WaitingCount(count, CountSource.OWNER, epoch=owner.epoch)
         view = self.views.get(policy.service)
-        report = view.get_load_report(now) if view is not None else None
-        if view is None or report is None:
+        store_ms = self.store_clock.get_latest_ms(now)
+        report = view.get_load_report(store_ms) if view is not None else None
+        if report is None:
             return WaitingCount(None, CountSource.NONE)
-        count = report.get_waiting_count(policy.queue)
-        age_s = now - view.load_reported_at
-        return WaitingCount(count, CountSource.OWNER_ROW, age_s, report.epoch)
+        count = report.row.get_waiting_count(policy.queue)
+        epoch = report.row.epoch
+        return WaitingCount(count, CountSource.OWNER_ROW, report.age_s, epoch)
 
     def _count_in_other_shards(self, policy: QueuePolicy) -> int:
         """Count the waiting jobs in the shards of the queue's previous services.
--- a/src/onyxgap/jobs/health.py
+++ b/src/onyxgap/jobs/health.py
@@ -13,6 +13,8 @@
 from .store import Page
 from .store import Store
 from .store import WriteOutcome
+from .store_clock import ClockReading
+from .store_clock import StoreClock
 from .timeouts import WriteTimeout
 
 OUTAGE_S = 0.6
@@ -29,17 +31,19 @@
 
 @attrs.define
 class StoreHealth:
-    """Last answer of the store, time of the first failure after it, and latency.
+    """Last answer of the store, time of the first failure after it, latency and clock.
 
     :param answered_at: monotonic seconds of the last answer.
     :param failing_since: monotonic seconds of the first failure after the last answer,
         or ``None``.
     :param latency_s: smoothed latency of calls that do not wait for changes.
+    :param store_clock: estimate of the store's clock.
     """
 
     answered_at: float = 0.0
     failing_since: float | None = None
     latency_s: float = 0.0
+    store_clock: StoreClock = attrs.field(factory=StoreClock)
 
     def note_latency(self, took_s: float) -> None:
         """Record the duration of a call that did not wait for changes."""
@@ -113,11 +117,13 @@
 
         :raises PlatformUnavailableError: if the store does not answer.
         """
+        sent_at = self.clocks.read_boot()
         try:
             page = await self.store.read(table, part, key)
         except PlatformUnavailableError as error:
             self.health.note_failure(self.clocks.read_monotonic(), f"read: {error}")
             raise
+        self._observe_clock(page, sent_at)
         self.health.note_answer(self.clocks.read_monotonic())
         return page
 
@@ -135,13 +141,19 @@
         :raises PlatformUnavailableError: if the store does not answer.
         """
         started = self.clocks.read_monotonic()
+        sent_at = self.clocks.read_boot()
         try:
             page = await self.store.follow(table, after, wait_s)
         except PlatformUnavailableError as error:
             self.health.note_failure(self.clocks.read_monotonic(), f"follow: {error}")
             raise
+        self._observe_clock(page, sent_at)
         now = self.clocks.read_monotonic()
         if not wait_s:
             self.health.note_latency(now - started)
         self.health.note_answer(now)
         return page
+
+    def _observe_clock(self, page: Page, sent_at: float) -> None:
+        reading = ClockReading(page.now_ms, sent_at, self.clocks.read_boot())
+        self.health.store_clock.observe(reading)
--- a/src/onyxgap/jobs/ownership.py
+++ b/src/onyxgap/jobs/ownership.py
@@ -4,13 +4,13 @@
 owner. The delays below only prevent shards from moving without need.
 """
 
-import math
 import typing as t
 import zlib
 
 import attrs
 
 from .tables import OwnerRow
+from .workers import MS_PER_S
 
 OWNER_TIMEOUT_S = 2.2
 """Time without a renewal after which an owner counts as failed. Owners renew their row
@@ -42,6 +42,18 @@
 nodes on larger VMs. Those need the time for a hand-over notice and a claim."""
 
 
+@attrs.frozen(slots=True)
+class LoadReport:
+    """What the owner of a shard last told of its load.
+
+    :param row: the owner row with the report.
+    :param age_s: most seconds since the owner determined it.
+    """
+
+    row: OwnerRow
+    age_s: float
+
+
 @attrs.define(slots=True)
 class OwnerView:
     """What a node knows about the owner of a shard.
@@ -53,7 +65,6 @@
         notices in the current series, ``None`` if there was none.
     :param last_notice_at: monotonic seconds of the latest hand-over notice.
     :param load_report: newest owner row with a load report, ``None`` if there was none.
-    :param load_reported_at: monotonic seconds when that row was read.
     """
 
     row: OwnerRow | None
@@ -62,16 +73,12 @@
     handed_over_at: float | None = None
     last_notice_at: float = 0.0
     load_report: OwnerRow | None = None
-    load_reported_at: float = -math.inf
 
     def __attrs_post_init__(self) -> None:
-        has_load = self.row is not None and self.row.waiting is not None
-        if self.load_report is None and has_load:
-            self.load_report, self.load_reported_at = self.row, self.changed_at
+        if self.row is not None and self.row.waiting is not None:
+            self.load_report = self.row
 
-    def replace_row(
-        self, row: OwnerRow, version: int, now: float, *, changed_now: bool = True
-    ) -> "OwnerView":
+    def replace_row(self, row: OwnerRow, version: int, now: float) -> "OwnerView":
         """Return the view with a newer owner row.
 
         A claim contains no load report, so the previous one is kept until it expires.
@@ -79,29 +86,19 @@
         :param row: the new row.
         :param version: its version.
         :param now: monotonic seconds.
-        :param changed_now: whether the row was seen to change. The age of any other
-            load report is not known: its owner may have failed long before.
         """
-        if row.waiting is not None and not changed_now:
-            return OwnerView(row, version, now, load_report=row)
-        if row.waiting is not None:
-            return OwnerView(row, version, now)
-        return OwnerView(
-            row,
-            version,
-            now,
-            load_report=self.load_report,
-            load_reported_at=self.load_reported_at,
-        )
+        return OwnerView(row, version, now, load_report=self.load_report)
 
-    def get_load_report(self, now: float) -> OwnerRow | None:
-        """Return the newest load report, ``None`` if it has expired or never existed.
+    def get_load_report(self, store_ms: float | None) -> LoadReport | None:
+        """Return the newest load report unless it has expired or its age is unknown.
 
-        :param now: monotonic seconds.
+        :param store_ms: upper bound of the store's clock, ``None`` if not known.
         """
-        if now - self.load_reported_at > LOAD_REPORT_VALID_S:
+        row = self.load_report
+        if row is None or row.counted_at_ms is None or store_ms is None:
             return None
-        return self.load_report
+        age_s = (store_ms - row.counted_at_ms) / MS_PER_S
+        return LoadReport(row, age_s) if 0.0 <= age_s <= LOAD_REPORT_VALID_S else None
 
     def record_hand_over(self, now: float) -> "OwnerView":
         """Return the view after a hand-over notice of the owner.
--- a/src/onyxgap/jobs/store.py
+++ b/src/onyxgap/jobs/store.py
@@ -113,7 +113,8 @@
 
     :param rows: in key order, or in the order of their changes for a change feed.
     :param version: newest version of the whole store at the time of the read.
-    :param now_ms: milliseconds of the store's monotonic clock at that time.
+    :param now_ms: milliseconds of the store's monotonic clock at that time, 0 if the
+        answer does not tell.
     """
 
     rows: tuple[StoredRow, ...]
--- /dev/null
+++ b/src/onyxgap/jobs/store_clock.py
@@ -0,0 +1,74 @@
+"""Estimates the store's clock, the only clock that all nodes have in common."""
+
+import attrs
+
+from .workers import MS_PER_S
+
+MAX_DRIFT = 0.001
+"""Largest difference in rate between the clock of a node and that of the store."""
+
+
+@attrs.frozen(slots=True)
+class ClockReading:
+    """The store's clock as told by one answer.
+
+    :param store_ms: milliseconds of the store's clock, at some moment of the call.
+    :param sent_at: seconds of the node's boot clock when the call was sent.
+    :param answered_at: seconds of the node's boot clock when it was answered.
+    """
+
+    store_ms: float
+    sent_at: float
+    answered_at: float
+
+    def get_error_s(self, now: float) -> float:
+        """Return the width in seconds of the range that the store's clock is in.
+
+        :param now: seconds of the boot clock.
+        """
+        drift_s = 2 * MAX_DRIFT * (now - self.answered_at)
+        return self.answered_at - self.sent_at + drift_s
+
+
+@attrs.define
+class StoreClock:
+    """Bounds of the store's clock, from the most exact of its recent answers.
+
+    The boot clock of the node also counts while its VM is suspended.
+
+    :param reading: the reading in use, ``None`` before the first answer.
+    """
+
+    reading: ClockReading | None = None
+
+    def observe(self, reading: ClockReading) -> None:
+        """Use a reading if it is at least as exact as the one in use is by now.
+
+        :param reading: the reading; one of 0 ms is an answer without a time.
+        """
+        if not reading.store_ms:
+            return
+        now = reading.answered_at
+        current = self.reading
+        if current is None or reading.get_error_s(now) <= current.get_error_s(now):
+            self.reading = reading
+
+    def get_earliest_ms(self, now: float) -> float | None:
+        """Return a lower bound of the store's clock, ``None`` if it is not known.
+
+        :param now: seconds of the boot clock.
+        """
+        if self.reading is None:
+            return None
+        passed_s = (now - self.reading.answered_at) * (1 - MAX_DRIFT)
+        return self.reading.store_ms + passed_s * MS_PER_S
+
+    def get_latest_ms(self, now: float) -> float | None:
+        """Return an upper bound of the store's clock, ``None`` if it is not known.
+
+        :param now: seconds of the boot clock.
+        """
+        if self.reading is None:
+            return None
+        passed_s = (now - self.reading.sent_at) * (1 + MAX_DRIFT)
+        return self.reading.store_ms + passed_s * MS_PER_S
--- a/src/onyxgap/jobs/tables.py
+++ b/src/onyxgap/jobs/tables.py
@@ -127,6 +127,8 @@
     :param waiting: number of jobs that have not started, by queue; ``None`` until the
         owner has counted them.
     :param outlook: estimate of the shard's queueing delays; see :mod:`.admission`.
+    :param counted_at_ms: milliseconds of the store's clock when ``waiting`` and
+        ``outlook`` were determined, or somewhat earlier; ``None`` if not known.
     """
 
     node: str
@@ -136,6 +138,7 @@
     released: bool = False
     waiting: t.Mapping[str, int] | None = None
     outlook: t.Mapping[str, t.Any] = attrs.field(factory=dict)
+    counted_at_ms: int | None = None
 
     def get_waiting_count(self, queue: str) -> int:
         """Return the number of waiting jobs of a queue, 0 if none is reported."""
--- a/src/onyxgap/jobs/waiting.py
+++ b/src/onyxgap/jobs/waiting.py
@@ -21,7 +21,7 @@
 
     :param count: number of waiting jobs, ``None`` if it is not known.
     :param source: source of the count.
-    :param age_s: seconds since this node read the owner's row, 0 for other sources.
+    :param age_s: seconds since the owner counted, at most; 0 for other sources.
     :param epoch: fencing token of the owner that counted, 0 if there is no source.
     """
 
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -61,6 +61,7 @@
 from onyxgap.jobs.store import Page
 from onyxgap.jobs.store import RowId
 from onyxgap.jobs.store import WriteOutcome
+from onyxgap.jobs.store_clock import ClockReading
 from onyxgap.jobs.tables import OwnerRow
 from onyxgap.jobs.timeouts import MAX_TIMEOUT_S
 from onyxgap.jobs.timeouts import MIN_TIMEOUT_S
@@ -421,8 +422,9 @@
         job_api = build_job_api(scripted)
         job_api.admission = AdmissionController()
         estimate = {"within": {}, "beyond": {}, "over": [], "job_s": 0.0} | changes
-        row = attrs.evolve(OWNER_ROW, waiting={}, outlook=estimate)
+        row = attrs.evolve(OWNER_ROW, waiting={}, outlook=estimate, counted_at_ms=1)
         now = job_api.clocks.read_monotonic()
+        job_api.health.store_clock.observe(ClockReading(1, now, now))
         job_api.views["s"] = OwnerView(row, 1, now)
         with structlog.testing.capture_logs() as lines:
             result = await job_api.submit(SUBMISSION)
--- a/tests/test_waiting_counts.py
+++ b/tests/test_waiting_counts.py
@@ -22,6 +22,7 @@
 from onyxgap.jobs.routing import RouteTable
 from onyxgap.jobs.routing import Service
 from onyxgap.jobs.shard import Shard
+from onyxgap.jobs.store_clock import ClockReading
 from onyxgap.jobs.tables import OwnerRow
 from onyxgap.jobs.workers import HoldReport
 from onyxgap.jobs.workers import Reply
@@ -40,7 +41,11 @@
     "w", "ring", "w:1", "z", WorkerState.READY, 64_000, 256_000, 0, ("a", "r"), 1_000.0
 )
 ROUTE = Route("host", "/queue/", QueuePolicy("queue", "ring"))
-OWNER_ROW = OwnerRow("node-1", "boot", epoch=3, beat=8, waiting={"queue": 5})
+STORE_MS = 50_000
+"""The store's clock when the clocks of a test are started."""
+OWNER_ROW = OwnerRow(
+    "node-1", "boot", epoch=3, beat=8, waiting={"queue": 5}, counted_at_ms=STORE_MS
+)
 
 
 @pytest.fixture
@@ -54,7 +59,9 @@
     routes.adopt(Configuration(1, (ROUTE,), {"ring": Service("ring")}))
     store = EmulatedStoreClient(EmulatedStore(random.Random(1), None), NodeGate("n"))
     authentication = Authentication(routes, build_exchange(routes))
-    return LocalJobApi(store, StoreHealth(), clocks, routes, {}, {}, authentication)
+    health = StoreHealth()
+    health.store_clock.observe(ClockReading(STORE_MS, clocks.now, clocks.now))
+    return LocalJobApi(store, health, clocks, routes, {}, {}, authentication)
 
 
 def test_waiting_count_reports_source_and_age(
@@ -102,9 +109,8 @@
     assert job_api.count_waiting(ROUTE) == 5
     clocks.now += 10.0
     assert job_api.count_waiting(ROUTE) is Unavailable.COUNT
-    job_api.views["ring"] = OwnerView(
-        attrs.evolve(OWNER_ROW, waiting={}), 2, clocks.now
-    )
+    renewed = attrs.evolve(OWNER_ROW, waiting={}, counted_at_ms=STORE_MS + 10_000)
+    job_api.views["ring"] = OwnerView(renewed, 2, clocks.now)
     assert job_api.count_waiting(ROUTE) == 5
 
 
@@ -150,8 +156,8 @@
 def test_report_of_unknown_age_gives_no_count_until_it_is_renewed(
     job_api: LocalJobApi, clocks: ManualClocks
 ) -> None:
-    view = OwnerView(None, 0, clocks.now)
-    first = view.replace_row(OWNER_ROW, 1, clocks.now, changed_now=False)
+    row = attrs.evolve(OWNER_ROW, counted_at_ms=None)
+    first = OwnerView(None, 0, clocks.now).replace_row(row, 1, clocks.now)
     job_api.views["ring"] = first
     assert job_api.count_waiting(ROUTE) is Unavailable.COUNT
     job_api.views["ring"] = first.replace_row(OWNER_ROW, 2, clocks.now)
