Count a moved queue only with recent reports of its former shards

What callers saw: after a restart of all nodes, the owner of the shard that a queue had moved to showed 0 of 28 waiting jobs until the former shard was claimed again, for 3 s. Cause: the reports of the queue's former shards were used at any age, and a shard without a report counted as empty.

Evidence: the case start_again_after_a_move_of_the_queue of test_load_report_age.py, in virtual time.

Shards that the queue is not known to have had keep adding their last report.

--- a/src/onyxgap/daemons/desk.py
+++ b/src/onyxgap/daemons/desk.py
@@ -99,7 +99,7 @@
             lambda: self.should_forward(),
         )
         self._queue_lengths = QueueLengths(
-            self.owners, self.views, self.health.store_clock
+            self.owners, self.views, self.health.store_clock, self.routes
         )
 
     async def find_route(self, host: str, path: str) -> Route | None | Unavailable:
--- a/src/onyxgap/daemons/queue_lengths.py
+++ b/src/onyxgap/daemons/queue_lengths.py
@@ -6,11 +6,14 @@
 
 from ..jobs.messages import QueuePolicy
 from ..jobs.ownership import OwnerView
+from ..jobs.routing import RouteTable
 from ..jobs.store_clock import StoreClock
 from ..jobs.waiting import CountSource
 from ..jobs.waiting import WaitingCount
 from .owner import ShardOwner
 
+_UNKNOWN = WaitingCount(None, CountSource.NONE)
+
 
 @attrs.define(eq=False)
 class QueueLengths:
@@ -19,11 +22,13 @@
     :param owners: owned shards by name.
     :param views: newest owner row of each shard, as seen by this node.
     :param store_clock: clock by which owners tell when they have counted.
+    :param routes: knows the former services of queues.
     """
 
     owners: t.Mapping[str, ShardOwner]
     views: t.Mapping[str, OwnerView]
     store_clock: StoreClock
+    routes: RouteTable
 
     def count(self, policy: QueuePolicy, now: float) -> WaitingCount:
         """Count the waiting jobs of a queue.
@@ -31,34 +36,47 @@
         :param policy: policy of the queue.
         :param now: seconds of the boot clock.
         """
-        current = self._count_in_shard(policy, now)
-        if current.count is None:
-            return current
-        other = self._count_in_other_shards(policy)
-        return attrs.evolve(current, count=current.count + other)
+        former = self._list_former_shards(policy)
+        shards = (policy.service, *former)
+        counts = [self._count_in_shard(shard, policy.queue, now) for shard in shards]
+        total = self._count_in_rows_except(shards, policy.queue)
+        for item in counts:
+            if item.count is None:
+                return _UNKNOWN
+            total += item.count
+        age_s = max(item.age_s for item in counts)
+        return attrs.evolve(counts[0], count=total, age_s=age_s)
+
+    def _list_former_shards(self, policy: QueuePolicy) -> tuple[str, ...]:
+        """List the shards of the queue's former services that have owners."""
+        shards = self.routes.list_shards()
+        former = self.routes.list_other_services(policy)
+        return tuple(shard for shard in former if shard in shards)
 
-    def _count_in_shard(self, policy: QueuePolicy, now: float) -> WaitingCount:
-        owner = self.owners.get(policy.service)
+    def _count_in_shard(self, shard: str, queue: str, now: float) -> WaitingCount:
+        owner = self.owners.get(shard)
         if owner is not None and owner.loaded:
-            count = owner.state.count_waiting().get(policy.queue, 0)
+            count = owner.state.count_waiting().get(queue, 0)
             return WaitingCount(count, CountSource.OWNER, epoch=owner.epoch)
-        view = self.views.get(policy.service)
+        view = self.views.get(shard)
         store_ms = self.store_clock.get_latest_ms(now)
         report = view.get_load_report(store_ms) if view is not None else None
         if report is None:
-            return WaitingCount(None, CountSource.NONE)
-        count = report.row.get_waiting_count(policy.queue)
+            return _UNKNOWN
+        count = report.row.get_waiting_count(queue)
         epoch = report.row.epoch
         return WaitingCount(count, CountSource.OWNER_ROW, report.age_s, epoch)
 
-    def _count_in_other_shards(self, policy: QueuePolicy) -> int:
-        """Count the waiting jobs in the shards of the queue's previous services.
+    def _count_in_rows_except(self, shards: t.Collection[str], queue: str) -> int:
+        """Count the waiting jobs of a queue in shards that it is not known to have had.
+
+        They receive no new jobs of the queue, so reports of any age are used.
 
-        New jobs go to the current service, so reports of other shards are used at any
-        age.
+        :param shards: the shards that are left out.
+        :param queue: the queue.
         """
         return sum(
-            view.load_report.get_waiting_count(policy.queue)
+            view.load_report.get_waiting_count(queue)
             for shard, view in self.views.items()
-            if shard != policy.service and view.load_report is not None
+            if shard not in shards and view.load_report is not None
         )
--- a/tests/test_load_report_age.py
+++ b/tests/test_load_report_age.py
@@ -15,16 +15,19 @@
 from onyxgap.standins.emulator.disturbances import DisturbanceLog
 from onyxgap.standins.emulator.faults import FaultyDay
 from onyxgap.standins.emulator.gate import Link
+from onyxgap.standins.emulator.route_history import build_prefix
 from onyxgap.standins.emulator.script import parse_script
 from onyxgap.standins.emulator.slots import NodeSlot
 from onyxgap.standins.emulator.waiting_checks import check_counts
 from onyxgap.standins.virtual import run_virtually
 
 SHARD = "ring"
+OTHER_SHARD = "herd"
 QUEUE = "queue-ring"
 DAY = """
 nodes 3
 pool ring vms 1
+pool herd vms 1
 load ring every 0.05 from 8 to 9.4 width 1 work 8 cpu 30
 end 10
 """
@@ -35,6 +38,7 @@
 JOBS_ACCEPTED_AT = 9.5
 """Time before which jobs are accepted. Until then, no other node claims the shard."""
 RESTARTED_AT = 15.0
+NODES_KILLED_AFTER_S = 0.1
 ASKED_FOR_S = 3.0
 ASK_INTERVAL_S = 0.05
 
@@ -56,15 +60,20 @@
     answers: list[CountAnswer] = attrs.field(factory=list)
 
     def assign_nodes(self) -> tuple[NodeSlot, NodeSlot, NodeSlot]:
-        """Return the shard's owner and the two other nodes."""
-        owners = [
-            slot
-            for slot in self.slots
-            if slot.node is not None and SHARD in slot.node.owners
-        ]
-        (owner,) = owners
-        first, second = (slot for slot in self.slots if slot is not owner)
-        return owner, first, second
+        """Return the shard's owner, if possible the other shard's, and the third."""
+        (owner,) = (slot for slot in self.slots if self.owns(slot, SHARD))
+        others = [slot for slot in self.slots if slot is not owner]
+        others.sort(key=lambda slot: not self.owns(slot, OTHER_SHARD))
+        return owner, others[0], others[1]
+
+    @staticmethod
+    def owns(slot: NodeSlot, shard: str) -> bool:
+        return slot.node is not None and shard in slot.node.owners
+
+    def move_queue(self) -> None:
+        """Move the queue to the other shard."""
+        self.routes.services[build_prefix(SHARD)] = OTHER_SHARD
+        self._configure()
 
     def start(self, slot: NodeSlot) -> None:
         assert self._group is not None
@@ -158,8 +167,27 @@
     await day.ask(asked)
 
 
+async def start_again_after_a_move_of_the_queue(day: HeldDay) -> None:
+    owner, asked, accepting = day.assign_nodes()
+    assert day.owns(asked, OTHER_SHARD)
+    await day.kill_owner(owner, accepting)
+    day.move_queue()
+    await anyio.sleep(NODES_KILLED_AFTER_S)
+    asked.kill()
+    await anyio.sleep_until(RESTARTED_AT)
+    day.start(asked)
+    await day.ask(asked)
+
+
 @pytest.mark.parametrize(
-    "steps", [start_again, lose_the_store, stand_still, read_a_late_renewal]
+    "steps",
+    [
+        start_again,
+        start_again_after_a_move_of_the_queue,
+        lose_the_store,
+        stand_still,
+        read_a_late_renewal,
+    ],
 )
 def test_last_count_of_a_killed_owner_is_not_taken_for_a_new_one(steps: Steps) -> None:
     day = play_steps(steps)
