Report the load of a shard as one message

Queue lengths, delay estimate and the time of both went through the writer as loose arguments, and the writer built the renewed row. ShardLoad holds them now, and OwnerRow builds its own renewal.

--- a/src/onyxgap/daemons/fence.py
+++ b/src/onyxgap/daemons/fence.py
@@ -14,7 +14,9 @@
 from ..jobs.store import Conflict
 from ..jobs.store import RowId
 from ..jobs.store import Store
+from ..jobs.tables import NO_LOAD
 from ..jobs.tables import OwnerRow
+from ..jobs.tables import ShardLoad
 
 RENEWAL_INTERVAL_S = 0.7
 """Time between two renewals of the owner row. Three of them fit into the owner
@@ -52,28 +54,15 @@
         return now - self._renewed_at >= RENEWAL_INTERVAL_S
 
     def add_renewal(
-        self,
-        puts: dict[RowId, bytes],
-        now: float,
-        waiting: t.Mapping[str, int],
-        outlook: t.Mapping[str, t.Any] | None = None,
-        counted_at_ms: float | None = None,
+        self, puts: dict[RowId, bytes], now: float, load: ShardLoad = NO_LOAD
     ) -> None:
         """Add the renewed owner row to the rows of a write.
 
         :param puts: rows of the write; the owner row is added to them.
         :param now: monotonic seconds.
-        :param waiting: jobs of which nothing has started, by queue.
-        :param outlook: encoded delay estimate of the shard.
-        :param counted_at_ms: lower bound of the store's clock, ``None`` if not known.
+        :param load: load of the shard.
         """
-        self.owner = attrs.evolve(
-            self.owner,
-            beat=self.owner.beat + 1,
-            waiting=waiting,
-            outlook=outlook or {},
-            counted_at_ms=None if counted_at_ms is None else int(counted_at_ms),
-        )
+        self.owner = self.owner.renew(load)
         puts[tables.get_owner_row(self.shard)] = tables.encode_owner(self.owner)
         self._renewed_at = now
 
--- a/src/onyxgap/daemons/fleet_controller.py
+++ b/src/onyxgap/daemons/fleet_controller.py
@@ -241,7 +241,7 @@
     async def _write_rows(self, puts: dict[RowId, bytes]) -> None:
         now = self._now()
         if self.writer.is_renewal_due(now):
-            self.writer.add_renewal(puts, now, {})
+            self.writer.add_renewal(puts, now)
             forecast = orjson.dumps(self.sizer.export(self._get_wall_offset()))
             if forecast != self._stored_forecast:
                 puts[tables.get_turns_row()] = self._stored_forecast = forecast
--- a/src/onyxgap/daemons/owner.py
+++ b/src/onyxgap/daemons/owner.py
@@ -19,6 +19,7 @@
 from ..jobs.store import StoredRow
 from ..jobs.submissions import decode_submission
 from ..jobs.submissions import is_pointer
+from ..jobs.tables import ShardLoad
 from ..jobs.workers import StartOrder
 from ..pools.messages import PoolReport
 from ..pools.messages import decode_fleet_row
@@ -298,13 +299,7 @@
         if renewal_due:
             expired = self._remover.list_removed()
             self._remove_expired_submissions(now)
-            outlook = encode_delay_estimate(self.state.build_delay_estimate(now))
-            counted_at_ms = self.context.health.store_clock.get_earliest_ms(
-                self.context.clocks.read_boot()
-            )
-            self.writer.add_renewal(
-                puts, now, self.state.count_waiting(), outlook, counted_at_ms
-            )
+            self.writer.add_renewal(puts, now, self._measure_load(now))
         if report is not None:
             puts[tables.get_report_row(self.shard)] = encode_report(report)
             self._reported, self._reported_at = report, now
@@ -316,6 +311,15 @@
             expired,
         )
 
+    def _measure_load(self, now: float) -> ShardLoad:
+        return ShardLoad(
+            self.state.count_waiting(),
+            encode_delay_estimate(self.state.build_delay_estimate(now)),
+            self.context.health.store_clock.get_earliest_ms(
+                self.context.clocks.read_boot()
+            ),
+        )
+
     def _build_due_report(
         self, now: float, stored_jobs: frozenset[str]
     ) -> PoolReport | None:
--- a/src/onyxgap/jobs/ownership.py
+++ b/src/onyxgap/jobs/ownership.py
@@ -89,7 +89,7 @@
         """
         return OwnerView(row, version, now, load_report=self.load_report)
 
-    def get_load_report(self, store_ms: float | None) -> LoadReport | None:
+    def get_load_report(self, store_ms: int | None) -> LoadReport | None:
         """Return the newest load report unless it has expired or its age is unknown.
 
         :param store_ms: upper bound of the store's clock, ``None`` if not known.
--- a/src/onyxgap/jobs/store_clock.py
+++ b/src/onyxgap/jobs/store_clock.py
@@ -1,5 +1,7 @@
 """Estimates the store's clock, the only clock that all nodes have in common."""
 
+import math
+
 import attrs
 
 from .workers import MS_PER_S
@@ -53,7 +55,7 @@
         if current is None or reading.get_error_s(now) <= current.get_error_s(now):
             self.reading = reading
 
-    def get_earliest_ms(self, now: float) -> float | None:
+    def get_earliest_ms(self, now: float) -> int | None:
         """Return a lower bound of the store's clock, ``None`` if it is not known.
 
         :param now: seconds of the boot clock.
@@ -61,9 +63,9 @@
         if self.reading is None:
             return None
         passed_s = (now - self.reading.answered_at) * (1 - MAX_DRIFT)
-        return self.reading.store_ms + passed_s * MS_PER_S
+        return math.floor(self.reading.store_ms + passed_s * MS_PER_S)
 
-    def get_latest_ms(self, now: float) -> float | None:
+    def get_latest_ms(self, now: float) -> int | None:
         """Return an upper bound of the store's clock, ``None`` if it is not known.
 
         :param now: seconds of the boot clock.
@@ -71,4 +73,4 @@
         if self.reading is None:
             return None
         passed_s = (now - self.reading.sent_at) * (1 + MAX_DRIFT)
-        return self.reading.store_ms + passed_s * MS_PER_S
+        return math.ceil(self.reading.store_ms + passed_s * MS_PER_S)
--- a/src/onyxgap/jobs/tables.py
+++ b/src/onyxgap/jobs/tables.py
@@ -115,6 +115,24 @@
     return RowId(MEMBER_TABLE, MEMBER_PART, node)
 
 
+@attrs.frozen(slots=True)
+class ShardLoad:
+    """Load of a shard, as its owner reports it in the owner row.
+
+    :param waiting: number of jobs that have not started, by queue.
+    :param outlook: encoded delay estimate of the shard; see :mod:`.admission`.
+    :param counted_at_ms: lower bound of the store's clock in milliseconds when these
+        were determined, ``None`` if it is not known.
+    """
+
+    waiting: t.Mapping[str, int]
+    outlook: t.Mapping[str, t.Any] = attrs.field(factory=dict)
+    counted_at_ms: int | None = None
+
+
+NO_LOAD = ShardLoad({})
+
+
 @attrs.frozen(slots=True)
 class OwnerRow:
     """Ownership record of a shard, renewed by the owner as a heartbeat.
@@ -124,11 +142,9 @@
     :param epoch: fencing token.
     :param beat: sequence number that increases with each renewal.
     :param released: whether the owner released the shard.
-    :param waiting: number of jobs that have not started, by queue; ``None`` until the
-        owner has counted them.
-    :param outlook: estimate of the shard's queueing delays; see :mod:`.admission`.
-    :param counted_at_ms: milliseconds of the store's clock when ``waiting`` and
-        ``outlook`` were determined, or somewhat earlier; ``None`` if not known.
+    :param waiting: as in :class:`ShardLoad`; ``None`` until the owner has counted.
+    :param outlook: as in :class:`ShardLoad`.
+    :param counted_at_ms: as in :class:`ShardLoad`.
     """
 
     node: str
@@ -140,6 +156,19 @@
     outlook: t.Mapping[str, t.Any] = attrs.field(factory=dict)
     counted_at_ms: int | None = None
 
+    def renew(self, load: ShardLoad) -> "OwnerRow":
+        """Return the row of the next heartbeat.
+
+        :param load: the load that it reports.
+        """
+        return attrs.evolve(
+            self,
+            beat=self.beat + 1,
+            waiting=load.waiting,
+            outlook=load.outlook,
+            counted_at_ms=load.counted_at_ms,
+        )
+
     def get_waiting_count(self, queue: str) -> int:
         """Return the number of waiting jobs of a queue, 0 if none is reported."""
         return (self.waiting or {}).get(queue, 0)
