Move the reading of stored statuses into a module of its own

LocalJobApi answered calls, and also read progress rows, followed pointers and cached the statuses of ended jobs. StoredStatuses does that now, beside SubmissionStore and QueueLengths. No behaviour changes.

--- a/src/onyxgap/daemons/desk.py
+++ b/src/onyxgap/daemons/desk.py
@@ -8,14 +8,12 @@
 from ..clocks import Clocks
 from ..exceptions import DocumentError
 from ..exceptions import PlatformUnavailableError
-from ..jobs import tables
 from ..jobs.admission import AdmissionController
 from ..jobs.admission import decode_delay_estimate
 from ..jobs.desk import Denied
 from ..jobs.desk import SubmitOutcome
 from ..jobs.desk import SubmitResult
 from ..jobs.desk import Unavailable
-from ..jobs.encoding import decode_status
 from ..jobs.health import StoreHealth
 from ..jobs.messages import JobState
 from ..jobs.messages import JobStatus
@@ -25,7 +23,6 @@
 from ..jobs.routing import Route
 from ..jobs.routing import RouteTable
 from ..jobs.store import Store
-from ..jobs.store import StoredRow
 from ..jobs.tenants import ANONYMOUS
 from ..jobs.tenants import Caller
 from ..jobs.tenants import KeyRejection
@@ -35,12 +32,11 @@
 from .queue_lengths import QueueLengths
 from .queue_moves import QueueMoves
 from .route_lookup import RouteLookup
+from .stored_statuses import StoredStatuses
 from .submission_store import SubmissionStore
 
 OUTAGE_RETRY_AFTER_S = 2
 """Outages last 4 to 9 s and callers try five times; other nodes may answer sooner."""
-MAX_CACHED_STATUSES = 4_000
-"""Statuses of ended jobs cached in memory; about 100 bytes each."""
 
 _LOG = structlog.get_logger()
 
@@ -84,9 +80,9 @@
     count_nodes: t.Callable[[], int] = lambda: 1
     on_answer: t.Callable[[str, str, float], None] = lambda *_: None
     stopping: bool = False
-    _final_statuses: dict[str, JobStatus] = attrs.field(factory=dict)
     _lookup: RouteLookup = attrs.field(init=False)
     _submissions: SubmissionStore = attrs.field(init=False)
+    _statuses: StoredStatuses = attrs.field(init=False)
     _queue_lengths: QueueLengths = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -98,6 +94,7 @@
             lambda shard, key: self.on_stored(shard, key),
             lambda: self.should_forward(),
         )
+        self._statuses = StoredStatuses(self.store, self._submissions)
         self._queue_lengths = QueueLengths(
             self.owners, self.views, self.health.store_clock, self.routes
         )
@@ -269,8 +266,9 @@
     async def _get_status(
         self, route: Route, job_id: str
     ) -> JobStatus | None | Unavailable:
-        if job_id in self._final_statuses:
-            return self._final_statuses[job_id]
+        final = self._statuses.get_final(job_id)
+        if final is not None:
+            return final
         owner = self.owners.get(route.policy.service)
         if owner is not None and owner.loaded:
             status = owner.state.get_status(job_id)
@@ -279,35 +277,11 @@
         if self._is_store_down() or not await self._update_queue_moves():
             return Unavailable.STORE
         try:
-            for shard in self._list_shards(route):
-                status = await self._read_status(shard, job_id)
-                if status is not None:
-                    return status
+            return await self._statuses.find(self._list_shards(route), job_id)
         except PlatformUnavailableError:
             return Unavailable.STORE
         except DocumentError:
             return Unavailable.STORED_JOB
-        return None
-
-    async def _read_status(self, shard: str, job_id: str) -> JobStatus | None:
-        row = tables.get_progress_row(shard, job_id)
-        page = await self.store.read(row.table, row.part, row.key)
-        if page.rows:
-            status = _decode_status_row(page.rows[0])
-            if status.state.final:
-                self._cache(job_id, status)
-            return status
-        found = await self._submissions.find(shard, job_id)
-        if found is None:
-            return None
-        if found.shard != shard:
-            return await self._read_status(found.shard, job_id)
-        return JobStatus(JobState.QUEUED, found.submission.tenant)
-
-    def _cache(self, job_id: str, status: JobStatus) -> None:
-        self._final_statuses[job_id] = status
-        if len(self._final_statuses) > MAX_CACHED_STATUSES:
-            del self._final_statuses[next(iter(self._final_statuses))]
 
     async def cancel(
         self, route: Route, job_id: str, caller: Caller = ANONYMOUS
@@ -362,19 +336,3 @@
             **self._describe_version(),
         )
         return Unavailable.COUNT if waiting.count is None else waiting.count
-
-
-def _decode_status_row(row: StoredRow) -> JobStatus:
-    """Decode the status in a row of stored progress; a malformed one is logged.
-
-    :raises DocumentError: if the row is malformed.
-    """
-    try:
-        return decode_status(row.value)
-    except DocumentError as error:
-        _LOG.warning(
-            "stored progress could not be decoded",
-            row=row.row_id.key,
-            reason=str(error),
-        )
-        raise
--- /dev/null
+++ b/src/onyxgap/daemons/stored_statuses.py
@@ -0,0 +1,87 @@
+"""Reads the statuses of jobs from their stored progress and submissions."""
+
+import typing as t
+
+import attrs
+import structlog
+
+from ..exceptions import DocumentError
+from ..jobs import tables
+from ..jobs.encoding import decode_status
+from ..jobs.messages import JobState
+from ..jobs.messages import JobStatus
+from ..jobs.store import Store
+from ..jobs.store import StoredRow
+from .submission_store import SubmissionStore
+
+MAX_CACHED_STATUSES = 4_000
+"""Statuses of ended jobs cached in memory; about 100 bytes each."""
+
+_LOG = structlog.get_logger()
+
+
+@attrs.define
+class StoredStatuses:
+    """Finds the statuses of jobs in the store, and caches those of ended jobs.
+
+    :param store: the store.
+    :param submissions: stored submissions.
+    """
+
+    store: Store
+    submissions: SubmissionStore
+    _final: dict[str, JobStatus] = attrs.field(factory=dict)
+
+    def get_final(self, job_id: str) -> JobStatus | None:
+        """Return the cached status of an ended job, ``None`` if there is none."""
+        return self._final.get(job_id)
+
+    async def find(self, shards: t.Iterable[str], job_id: str) -> JobStatus | None:
+        """Read the status of a job, ``None`` if no shard has the job.
+
+        :param shards: shards that may have the job, the most likely first.
+        :param job_id: ID of the job.
+        :raises PlatformUnavailableError: if the store does not answer.
+        :raises DocumentError: if a row of the job is malformed.
+        """
+        for shard in shards:
+            status = await self._read(shard, job_id)
+            if status is not None:
+                return status
+        return None
+
+    async def _read(self, shard: str, job_id: str) -> JobStatus | None:
+        row = tables.get_progress_row(shard, job_id)
+        page = await self.store.read(row.table, row.part, row.key)
+        if page.rows:
+            status = _decode_status_row(page.rows[0])
+            if status.state.final:
+                self._cache(job_id, status)
+            return status
+        found = await self.submissions.find(shard, job_id)
+        if found is None:
+            return None
+        if found.shard != shard:
+            return await self._read(found.shard, job_id)
+        return JobStatus(JobState.QUEUED, found.submission.tenant)
+
+    def _cache(self, job_id: str, status: JobStatus) -> None:
+        self._final[job_id] = status
+        if len(self._final) > MAX_CACHED_STATUSES:
+            del self._final[next(iter(self._final))]
+
+
+def _decode_status_row(row: StoredRow) -> JobStatus:
+    """Decode the status in a row of stored progress; a malformed one is logged.
+
+    :raises DocumentError: if the row is malformed.
+    """
+    try:
+        return decode_status(row.value)
+    except DocumentError as error:
+        _LOG.warning(
+            "stored progress could not be decoded",
+            row=row.row_id.key,
+            reason=str(error),
+        )
+        raise
