--- a/tests/test_load_report_age.py
+++ b/tests/test_load_report_age.py
@@ -39,6 +39,8 @@
 """Time before which jobs are accepted. Until then, no other node claims the shard."""
 RESTARTED_AT = 15.0
 NODES_KILLED_AFTER_S = 0.1
+FIRST_READING_S = 0.2
+"""Time in which a node that starts reads its configuration and the owner rows."""
 ASKED_FOR_S = 3.0
 ASK_INTERVAL_S = 0.05
 
@@ -195,3 +197,18 @@
     zeros = [CountAnswer("", QUEUE, time, time, 0) for time in times]
     assert day.list_wrong(zeros), "no job waits long enough to be counted"
     assert not day.list_wrong(day.answers)
+
+
+async def start_beside_the_owner(day: HeldDay) -> None:
+    _, asked, _ = day.assign_nodes()
+    asked.kill()
+    await anyio.sleep_until(FAULT_AT)
+    day.start(asked)
+    await anyio.sleep(FIRST_READING_S)
+    await day.ask(asked)
+
+
+def test_count_of_a_running_owner_is_known_from_the_first_reading() -> None:
+    day = play_steps(start_beside_the_owner)
+    first = day.answers[0]
+    assert first.sent_at < FAULT_AT + FIRST_READING_S + ASK_INTERVAL_S
