Read the time of a load report before the load is determined

The time in an owner row has to be a lower bound. It was read after the jobs had been counted, so an owner that was paused in between would have written an old count with a new time. The test fails before: 53,996 ms in place of at most 50,000.

--- a/src/onyxgap/daemons/owner.py
+++ b/src/onyxgap/daemons/owner.py
@@ -312,13 +312,12 @@
         )
 
     def _measure_load(self, now: float) -> ShardLoad:
-        return ShardLoad(
-            self.state.count_waiting(),
-            encode_delay_estimate(self.state.build_delay_estimate(now)),
-            self.context.health.store_clock.get_earliest_ms(
-                self.context.clocks.read_boot()
-            ),
+        # the time first: the process may be paused before it has counted
+        counted_at_ms = self.context.health.store_clock.get_earliest_ms(
+            self.context.clocks.read_boot()
         )
+        outlook = encode_delay_estimate(self.state.build_delay_estimate(now))
+        return ShardLoad(self.state.count_waiting(), outlook, counted_at_ms)
 
     def _build_due_report(
         self, now: float, stored_jobs: frozenset[str]
--- a/tests/test_load_report_age.py
+++ b/tests/test_load_report_age.py
@@ -11,6 +11,8 @@
 import attrs
 import pytest
 
+from onyxgap.jobs.shard import Shard
+from onyxgap.jobs.store_clock import ClockReading
 from onyxgap.standins.emulator.count_callers import CountAnswer
 from onyxgap.standins.emulator.disturbances import DisturbanceLog
 from onyxgap.standins.emulator.faults import FaultyDay
@@ -21,6 +23,10 @@
 from onyxgap.standins.emulator.waiting_checks import check_counts
 from onyxgap.standins.virtual import run_virtually
 
+from .exchanges import ManualClocks
+from .owners import build_owner
+
+STORE_MS = 50_000
 SHARD = "ring"
 OTHER_SHARD = "herd"
 QUEUE = "queue-ring"
@@ -212,3 +218,22 @@
     day = play_steps(start_beside_the_owner)
     first = day.answers[0]
     assert first.sent_at < FAULT_AT + FIRST_READING_S + ASK_INTERVAL_S
+
+
+def test_pause_while_the_owner_counts_does_not_make_its_count_younger(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    clocks = ManualClocks()
+    workers: t.Any = None
+    owner = build_owner(workers, clocks)
+    reading = ClockReading(STORE_MS, clocks.now, clocks.now)
+    owner.context.health.store_clock.observe(reading)
+
+    def pause(state: Shard) -> dict[str, int]:
+        clocks.now += 4.0
+        return {}
+
+    monkeypatch.setattr(Shard, "count_waiting", pause)
+    counted_at_ms = owner._measure_load(clocks.now).counted_at_ms
+    assert counted_at_ms is not None
+    assert counted_at_ms <= STORE_MS
