Log how a process learns of a version, and of which version a known job is

An answer "accepted, known" told neither the version nor the service under which the job is stored, and no line told when a process learned that a version exists. So a node that answered for a job of a version that it had not read, one that found a job of its own former version and one that forwarded a call could not be told apart.

Adds the events "newer configuration known" and "stored job found", the version to "call passed on" and "cancel answered", and the gauge onyxgap_configuration_known. The known version moves from the exchange to VersionObserver, unchanged.

--- a/src/onyxgap/daemons/configuration_exchange.py
+++ b/src/onyxgap/daemons/configuration_exchange.py
@@ -33,6 +33,8 @@
 from ..jobs.notices import Peers
 from ..jobs.routing import Configuration
 from ..jobs.routing import RouteTable
+from .version_observer import VersionObserver
+from .version_observer import VersionSource
 
 VALID_FRACTION = 0.65
 """Age up to which the configuration in force counts as current, as a fraction of
@@ -62,6 +64,7 @@
     :param peers: sends queries and answers to other nodes.
     :param members: all nodes, with their addresses.
     :param read_newest: reads the configuration's row from the store and applies it.
+    :param versions: the versions that are known to exist.
     """
 
     routes: RouteTable
@@ -71,6 +74,7 @@
     peers: Peers
     members: t.Mapping[str, Member]
     read_newest: t.Callable[[], t.Awaitable[None]]
+    versions: VersionObserver = attrs.field(init=False)
     _reading: anyio.Lock = attrs.field(factory=anyio.Lock)
     _read_at: float = -math.inf
     _read_done: bool = False
@@ -78,18 +82,10 @@
     _queried_at: dict[int, float] = attrs.field(factory=dict)
     _assembly: ConfigurationAssembler = attrs.field(factory=ConfigurationAssembler)
     _encoded: tuple[int, list[bytes]] = (0, [])
-    _newest_seen: int = 0
     _read_for: int = 0
 
-    def note_version(self, version: int) -> None:
-        """Record that a version exists; no older one counts as current from now on.
-
-        :param version: number of the version.
-        """
-        self._newest_seen = max(self._newest_seen, version)
-
-    def _is_outdated(self) -> bool:
-        return self.routes.get_version() < self._newest_seen
+    def __attrs_post_init__(self) -> None:
+        self.versions = VersionObserver(self.routes)
 
     def get_age(self) -> float:
         """Return the seconds since the configuration was last confirmed as newest."""
@@ -98,7 +94,7 @@
     def is_current(self) -> bool:
         """Return whether the configuration was confirmed recently enough to be used."""
         max_age_s = self.propagation_limit_s * VALID_FRACTION
-        return not self._is_outdated() and self.get_age() <= max_age_s
+        return not self.versions.is_outdated() and self.get_age() <= max_age_s
 
     async def make_sure(self) -> bool:
         """Read the configuration's row, unless it was read within ``READ_VALID_S``.
@@ -109,10 +105,11 @@
         """
         async with self._reading:
             now = self.clocks.read_boot()
-            unread = self._is_outdated() and self._read_for < self._newest_seen
+            newest = self.versions.newest
+            unread = self.versions.is_outdated() and self._read_for < newest
             if unread or now - self._read_at > READ_VALID_S:
                 self._read_at, self._read_done = now, False
-                self._read_for = self._newest_seen
+                self._read_for = newest
                 try:
                     await self.read_newest()
                 except PlatformUnavailableError as error:
@@ -130,7 +127,7 @@
         while True:
             await anyio.sleep(QUERY_INTERVAL_S)
             max_age_s = self.propagation_limit_s * VALID_FRACTION * QUERY_FRACTION
-            if self._is_outdated() or self.get_age() > max_age_s:
+            if self.versions.is_outdated() or self.get_age() > max_age_s:
                 self._send_query()
 
     def _send_query(self) -> None:
@@ -186,7 +183,7 @@
         queried_at = self._queried_at.get(part.asked)
         if queried_at is None:
             return
-        self.note_version(part.version)
+        self.versions.observe(part.version, VersionSource.PEER_ANSWER)
         if part.parts:
             self._add_part(part)
         # the time at which the answer was sent is unknown, so its age counts from the
--- a/src/onyxgap/daemons/desk.py
+++ b/src/onyxgap/daemons/desk.py
@@ -298,6 +298,7 @@
             queue=route.policy.queue,
             outcome=outcome,
             took_s=round(took_s, 4),
+            **self._describe_version(),
         )
         return result
 
--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -256,7 +256,7 @@
             self.policy_client,
             self.settings.contended,
             self.skipped,
-            self.exchange.note_version,
+            self.exchange.versions.observe,
         )
         owner = ShardOwner(writer, context)
         self.owners[shard] = owner
--- a/src/onyxgap/daemons/node_process.py
+++ b/src/onyxgap/daemons/node_process.py
@@ -138,6 +138,7 @@
                 default=0.0,
             ),
             "configuration_version": node.routes.get_version,
+            "configuration_known": node.exchange.versions.get_newest,
             "ready": node.job_api.is_ready,
             "store_down": lambda: node.health.is_down(node.clocks.read_monotonic()),
             "log_lines_dropped": lambda: lines.dropped_total,
--- a/src/onyxgap/daemons/owner.py
+++ b/src/onyxgap/daemons/owner.py
@@ -30,6 +30,7 @@
 from .owner_workers import OwnerWorkers
 from .reading import read_partitions
 from .rows import decode_rows
+from .version_observer import VersionSource
 
 MAX_PASS_INTERVAL_S = 0.2
 """Longest time between two scheduling passes; occurrences may start 250 ms early."""
@@ -181,7 +182,8 @@
         skipped = self.context.skipped
         for _, job in decode_rows(submissions, restore, skipped, "row skipped"):
             if job is not None:
-                self.context.on_version(job.submission.configuration)
+                version = job.submission.configuration
+                self.context.on_version(version, VersionSource.OWNED_JOB)
                 self.state.add_job(job, now, wall_ms)
         if rows:
             self.wake()
--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -42,6 +42,7 @@
 from .rows import SkippedRows
 from .rows import decode_rows
 from .share_keeper import ShareSynchronizer
+from .version_observer import VersionSource
 
 LEASE_MARGIN_S = 0.3
 """Leases are shorter by this than the longest lease that a worker grants."""
@@ -118,7 +119,7 @@
     policy_client: PolicyClient | None = None
     contended: bool = False
     skipped: SkippedRows = attrs.field(factory=SkippedRows)
-    on_version: t.Callable[[int], None] = lambda _: None
+    on_version: t.Callable[[int, VersionSource], None] = lambda *_: None
 
 
 @attrs.define(eq=False)
--- a/src/onyxgap/daemons/passing_desk.py
+++ b/src/onyxgap/daemons/passing_desk.py
@@ -176,6 +176,7 @@
             to=address,
             outcome=outcome,
             failed=failed,
+            configuration=self.local.routes.get_version(),
             took_s=round(took_s, 4),
         )
 
--- a/src/onyxgap/daemons/submission_store.py
+++ b/src/onyxgap/daemons/submission_store.py
@@ -100,7 +100,7 @@
             for shard in shards:
                 found = await self.find(shard, submission.job_id)
                 if found is not None:
-                    return _compare(found.submission, submission)
+                    return _compare(found, submission)
         except PlatformUnavailableError as error:
             return SubmitResult(SubmitOutcome.UNKNOWN, str(error))
         except DocumentError:
@@ -145,7 +145,8 @@
             except DocumentError:
                 return _UNREADABLE_JOB
             if isinstance(stored, Submission):
-                return _compare(stored, submission)
+                found = LocatedSubmission(stored.policy.service, stored)
+                return _compare(found, submission)
             shards.append(stored.service)
         return await self.find_result(submission, shards)
 
@@ -196,7 +197,15 @@
         raise
 
 
-def _compare(stored: Submission, submission: Submission) -> SubmitResult:
+def _compare(found: LocatedSubmission, submission: Submission) -> SubmitResult:
+    stored = found.submission
+    _LOG.info(
+        "stored job found",
+        job=stored.job_id,
+        service=found.shard,
+        wanted=submission.policy.service,
+        stored_under=stored.configuration,
+    )
     if not Caller(submission.tenant).may_access(stored.tenant):
         return SubmitResult(SubmitOutcome.OTHER_TENANT, Denied.OTHER_TENANT.value)
     if is_same_request(stored, submission):
--- a/tests/test_route_lookup.py
+++ b/tests/test_route_lookup.py
@@ -4,6 +4,7 @@
 import orjson
 
 from onyxgap.daemons.node import Node
+from onyxgap.daemons.version_observer import VersionSource
 from onyxgap.jobs.desk import Unavailable
 from onyxgap.jobs.health import OUTAGE_S
 from onyxgap.jobs.routing import Route
@@ -102,7 +103,7 @@
         node = await start_without_feed(scripted, store, ring="ring")
         write_routes(store, 2, ring="herd")
         assert node.exchange.is_current()
-        node.exchange.note_version(2)
+        node.exchange.versions.observe(2, VersionSource.OWNED_JOB)
         assert not node.exchange.is_current()
         assert await find_service(node, f"/ring/{JOB_ID}") == "herd"
         assert node.exchange.is_current()
@@ -113,7 +114,7 @@
 def test_newer_version_is_read_once_although_it_cannot_be_adopted() -> None:
     async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
         node = await start_without_feed(scripted, store, ring="ring")
-        node.exchange.note_version(2)
+        node.exchange.versions.observe(2, VersionSource.OWNED_JOB)
         calls = store.calls
         for _ in range(3):
             found = await node.job_api.find_route(HOST, f"/ring/{JOB_ID}")
