Let the check of routes see the versions of answered retries

check_regressions gave each job to the first attempt that may have stored it; a node that answered "accepted, known" to a later one had shown nothing. An accepted attempt now shows the version under which its job runs, whichever attempt it is; what counts as handled by an older version is as before.

--- a/src/onyxgap/standins/emulator/checks.py
+++ b/src/onyxgap/standins/emulator/checks.py
@@ -24,6 +24,7 @@
 from .route_checks import check_in_force
 from .route_checks import check_regressions
 from .route_checks import check_services
+from .route_checks import list_answer_effects
 from .route_checks import list_handlings
 from .route_checks import list_order_effects
 from .route_history import RouteHistory
@@ -292,8 +293,11 @@
         runs[record.task.job_id].append(record)
     handlings = list_handlings(jobs, evidence.probes, runs, services, history)
     yield from check_in_force(handlings, history, evidence.tenancy)
-    orders = list_order_effects(jobs, evidence.records, services, history)
-    yield from check_regressions(handlings, orders, history)
+    shown = [
+        *list_order_effects(jobs, evidence.records, services, history),
+        *list_answer_effects(jobs, runs, services, history),
+    ]
+    yield from check_regressions(handlings, shown, history)
     yield from check_services(jobs, evidence.records, services, history)
 
 
--- a/src/onyxgap/standins/emulator/faults.py
+++ b/src/onyxgap/standins/emulator/faults.py
@@ -249,10 +249,24 @@
         self.tenancy.deaf.append((now, now + fault.seconds))
         await self.store.deafen(fault.seconds)
 
+    async def deafen_nodes(self, fault: FaultLine) -> None:
+        """Have the feeds of a share of the nodes hear nothing for a while."""
+        now = anyio.current_time()
+        self.tenancy.deaf.append((now, now + fault.seconds))
+        names = self._draw_nodes(fault.strength)
+        for name in names:
+            self._record_disturbance(name, fault.seconds)
+        self.store.deaf_nodes |= names
+        await anyio.sleep(fault.seconds)
+        self.store.deaf_nodes -= names
+
+    def _draw_nodes(self, share: float) -> set[str]:
+        count = max(1, int(share * len(self.slots)))
+        return {slot.name for slot in self.rng.sample(self.slots, count)}
+
     async def refuse_node(self, fault: FaultLine) -> None:
         """Have the store turn a share of the nodes away."""
-        count = max(1, int(fault.strength * len(self.slots)))
-        names = {slot.name for slot in self.rng.sample(self.slots, count)}
+        names = self._draw_nodes(fault.strength)
         self.store.refusing |= names
         await anyio.sleep(fault.seconds)
         self.store.refusing -= names
@@ -352,6 +366,7 @@
     ("late", "store"): FaultyDay.delay_calls,
     ("forget", "store"): FaultyDay.forget_history,
     ("deaf", "store"): FaultyDay.deafen_feeds,
+    ("deaf", "node"): FaultyDay.deafen_nodes,
     ("refuse", "node"): FaultyDay.refuse_node,
     ("late", "orders"): FaultyDay.delay_calls,
     ("lose", "orders"): FaultyDay.lose_answers,
@@ -371,6 +386,7 @@
     _TENANT_FAULTS
     | ROUTE_FAULTS
     | {
+        ("deaf", "node"),
         ("shrink", "vm"),
         ("rebear", "vm"),
         ("malform", "rows"),
--- a/src/onyxgap/standins/emulator/route_checks.py
+++ b/src/onyxgap/standins/emulator/route_checks.py
@@ -148,13 +148,13 @@
 
 def check_regressions(
     handlings: t.Sequence[Handling],
-    orders: t.Iterable[tuple[str, Effect]],
+    shown: t.Iterable[tuple[str, Effect]],
     history: RouteHistory,
 ) -> t.Iterator[Breach]:
     """Check that no process handles a request by an older version than before.
 
     :param handlings: how requests were handled.
-    :param orders: effects of the orders to workers, with the nodes that sent them.
+    :param shown: further effects, with the nodes that have shown them.
     :param history: routes of the day.
     """
     effects: dict[tuple[str, int], list[Effect]] = collections.defaultdict(list)
@@ -164,7 +164,7 @@
             start = history.count_starts(handling.node, handling.effect_at)
             effect = Effect(handling.effect_at, allowing[0])
             effects[handling.node, start].append(effect)
-    for node, effect in orders:
+    for node, effect in shown:
         effects[node, history.count_starts(node, effect.at)].append(effect)
     for handling in handlings:
         allowing = _list_allowing(handling, history)
@@ -213,6 +213,41 @@
             yield record.node, Effect(record.began, allowing[0])
 
 
+def list_answer_effects(
+    jobs: t.Mapping[str, JobNotes],
+    runs: t.Mapping[str, t.Sequence[RunRecord]],
+    services: t.Mapping[str, str],
+    history: RouteHistory,
+) -> t.Iterator[tuple[str, Effect]]:
+    """Yield the effects of accepted submissions, with the nodes that answered them.
+
+    A node that answers a repeated submission need not have stored the job, but takes
+    part in the version under which the job runs.
+
+    :param jobs: what callers were told, by job.
+    :param runs: runs on workers, by job.
+    :param services: services of workers, by worker.
+    :param history: routes of the day.
+    """
+    for job_id, notes in jobs.items():
+        found = runs.get(job_id, ())
+        if not found:
+            continue
+        began = min(run.began for run in found)
+        used = {services[run.worker_id] for run in found}
+        for attempt in notes.attempts:
+            if attempt.outcome is not SubmitOutcome.ACCEPTED:
+                continue
+            at = max(began, attempt.answered_at)
+            allowing = [
+                number
+                for service in used
+                for number in history.list_allowing(notes.route.prefix, service, at)
+            ]
+            if allowing:
+                yield attempt.node, Effect(at, min(allowing))
+
+
 def check_services(
     jobs: t.Mapping[str, JobNotes],
     records: t.Iterable[RunRecord],
--- a/src/onyxgap/standins/emulator/script.py
+++ b/src/onyxgap/standins/emulator/script.py
@@ -204,6 +204,7 @@
         ("late", "store"),
         ("forget", "store"),
         ("deaf", "store"),
+        ("deaf", "node"),
         ("refuse", "node"),
         ("late", "orders"),
         ("lose", "orders"),
--- a/src/onyxgap/standins/emulator/store.py
+++ b/src/onyxgap/standins/emulator/store.py
@@ -38,6 +38,7 @@
     :param refusing: nodes that it turns away.
     :param slowness: factor on the time of each call.
     :param deaf: whether feeds hear nothing of what changes.
+    :param deaf_nodes: nodes whose feeds hear nothing of what changes.
     """
 
     rng: random.Random
@@ -46,6 +47,7 @@
     refusing: set[str] = attrs.field(factory=set)
     slowness: float = 1.0
     deaf: bool = False
+    deaf_nodes: set[str] = attrs.field(factory=set)
     link: Link = attrs.field(init=False)
     version: int = 0
     calls: int = 0
@@ -110,14 +112,18 @@
         self._history.clear()
         self._forgotten = self.version
 
-    def list_changes(self, table: str, after: int) -> list[StoredRow]:
-        """List the changes of a table after a version.
+    def is_deaf(self, node: str) -> bool:
+        """Return whether the feeds of a node hear nothing of what changes."""
+        return self.deaf or node in self.deaf_nodes
+
+    def list_changes(self, node: str, table: str, after: int) -> list[StoredRow]:
+        """List the changes of a table after a version, as a node hears of them.
 
         :raises HistoryTruncatedError: when they were dropped.
         """
         if after < self._forgotten:
             raise HistoryTruncatedError
-        if self.deaf:
+        if self.is_deaf(node):
             return []
         return [
             row
@@ -230,11 +236,12 @@
         """Wait for changes of a table after a version."""
         await self._enter()
         give_up = anyio.current_time() + wait_s
-        rows = self.store.list_changes(table, after)
+        node = self.gate.node
+        rows = self.store.list_changes(node, table, after)
         while not rows and anyio.current_time() < give_up:
             await self.store.wait_for_change(give_up - anyio.current_time())
-            rows = self.store.list_changes(table, after)
-        version = after if self.store.deaf else self.store.version
+            rows = self.store.list_changes(node, table, after)
+        version = after if self.store.is_deaf(node) else self.store.version
         page = Page(tuple(rows), version, anyio.current_time() * 1000)
         if self._is_unreachable():
             await anyio.sleep(CALL_TIMEOUT_S)
