Learn of a version from each stored job that a node reads

Callers saw: a node answered for a job that ran by a newer version of the configuration, and then handled a request by an older one (CONFIG: "went back from version N or newer to N or older").

Cause: had a process record a version where an owner loads a job, and nowhere else that a stored job is read. A repeated submission that conflicts with the stored one, the look-up beside a rejection, a request for a state and a cancellation read the same row, and the node went on with the version that it had.

Change: all stored submissions and statuses are decoded by SubmissionDecoder, which records their version before the caller of the decoder sees them. The progress of a job carries its version, too, since a state is mostly read from there. A node that has recorded a newer version reads the configuration's row before its next request, as before.

--- a/src/onyxgap/daemons/desk.py
+++ b/src/onyxgap/daemons/desk.py
@@ -33,6 +33,7 @@
 from .queue_moves import QueueMoves
 from .route_lookup import RouteLookup
 from .stored_statuses import StoredStatuses
+from .submission_decoder import SubmissionDecoder
 from .submission_store import SubmissionStore
 
 OUTAGE_RETRY_AFTER_S = 2
@@ -91,6 +92,7 @@
         self._submissions = SubmissionStore(
             self.store,
             self.clocks,
+            SubmissionDecoder(exchange.versions),
             lambda shard, key: self.on_stored(shard, key),
             lambda: self.should_forward(),
         )
--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -27,6 +27,7 @@
 from .owner import ShardOwner
 from .owner_workers import OwnerContext
 from .rows import decode_rows
+from .submission_decoder import SubmissionDecoder
 from .vm_watch import VmWatch
 
 OWNER_POLL_S = 0.7
@@ -256,7 +257,7 @@
             self.policy_client,
             self.settings.contended,
             self.skipped,
-            self.exchange.versions.observe,
+            SubmissionDecoder(self.exchange.versions),
         )
         owner = ShardOwner(writer, context)
         self.owners[shard] = owner
--- a/src/onyxgap/daemons/owner.py
+++ b/src/onyxgap/daemons/owner.py
@@ -17,7 +17,6 @@
 from ..jobs.placing import WorkerRecord
 from ..jobs.store import RowId
 from ..jobs.store import StoredRow
-from ..jobs.submissions import decode_submission
 from ..jobs.submissions import is_pointer
 from ..jobs.tables import ShardLoad
 from ..jobs.workers import StartOrder
@@ -175,15 +174,16 @@
         for row in cancels:
             self.state.cancel(row.row_id.key.removesuffix(tables.CANCEL_SUFFIX))
 
+        decoder = self.context.submission_decoder
+
         def restore(row: StoredRow) -> Job:
             value = (progress or {}).get(row.row_id.key)
-            return restore_job(decode_submission(row.value), value)
+            submission = decoder.decode(row.value, VersionSource.OWNED_JOB)
+            return restore_job(submission, value)
 
         skipped = self.context.skipped
         for _, job in decode_rows(submissions, restore, skipped, "row skipped"):
             if job is not None:
-                version = job.submission.configuration
-                self.context.on_version(version, VersionSource.OWNED_JOB)
                 self.state.add_job(job, now, wall_ms)
         if rows:
             self.wake()
--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -42,7 +42,7 @@
 from .rows import SkippedRows
 from .rows import decode_rows
 from .share_keeper import ShareSynchronizer
-from .version_observer import VersionSource
+from .submission_decoder import SubmissionDecoder
 
 LEASE_MARGIN_S = 0.3
 """Leases are shorter by this than the longest lease that a worker grants."""
@@ -101,8 +101,7 @@
     :param policy_client: client of the policy service; ``None`` if there is none.
     :param contended: whether submitted jobs may exceed the capacity of the workers.
     :param skipped: number of rows that could not be decoded, by table.
-    :param on_version: called with the version of the configuration under which a job
-        was accepted, before the job is started.
+    :param submission_decoder: decodes stored submissions.
     """
 
     store: Store
@@ -119,7 +118,7 @@
     policy_client: PolicyClient | None = None
     contended: bool = False
     skipped: SkippedRows = attrs.field(factory=SkippedRows)
-    on_version: t.Callable[[int, VersionSource], None] = lambda *_: None
+    submission_decoder: SubmissionDecoder = attrs.field(factory=SubmissionDecoder)
 
 
 @attrs.define(eq=False)
--- a/src/onyxgap/daemons/stored_statuses.py
+++ b/src/onyxgap/daemons/stored_statuses.py
@@ -3,22 +3,16 @@
 import typing as t
 
 import attrs
-import structlog
 
-from ..exceptions import DocumentError
 from ..jobs import tables
-from ..jobs.encoding import decode_status
 from ..jobs.messages import JobState
 from ..jobs.messages import JobStatus
 from ..jobs.store import Store
-from ..jobs.store import StoredRow
 from .submission_store import SubmissionStore
 
 MAX_CACHED_STATUSES = 4_000
 """Statuses of ended jobs cached in memory; about 100 bytes each."""
 
-_LOG = structlog.get_logger()
-
 
 @attrs.define
 class StoredStatuses:
@@ -54,7 +48,7 @@
         row = tables.get_progress_row(shard, job_id)
         page = await self.store.read(row.table, row.part, row.key)
         if page.rows:
-            status = _decode_status_row(page.rows[0])
+            status = self.submissions.decoder.decode_status(page.rows[0])
             if status.state.final:
                 self._cache(job_id, status)
             return status
@@ -63,25 +57,10 @@
             return None
         if found.shard != shard:
             return await self._read(found.shard, job_id)
-        return JobStatus(JobState.QUEUED, found.submission.tenant)
+        submission = found.submission
+        return JobStatus(JobState.QUEUED, submission.tenant, submission.configuration)
 
     def _cache(self, job_id: str, status: JobStatus) -> None:
         self._final[job_id] = status
         if len(self._final) > MAX_CACHED_STATUSES:
             del self._final[next(iter(self._final))]
-
-
-def _decode_status_row(row: StoredRow) -> JobStatus:
-    """Decode the status in a row of stored progress; a malformed one is logged.
-
-    :raises DocumentError: if the row is malformed.
-    """
-    try:
-        return decode_status(row.value)
-    except DocumentError as error:
-        _LOG.warning(
-            "stored progress could not be decoded",
-            row=row.row_id.key,
-            reason=str(error),
-        )
-        raise
--- a/src/onyxgap/daemons/submission_store.py
+++ b/src/onyxgap/daemons/submission_store.py
@@ -21,14 +21,13 @@
 from ..jobs.store import Conflict
 from ..jobs.store import NotApplied
 from ..jobs.store import Store
-from ..jobs.store import StoredRow
 from ..jobs.store import WriteOutcome
 from ..jobs.submissions import SubmissionPointer
-from ..jobs.submissions import decode_row
 from ..jobs.submissions import encode_pointer
 from ..jobs.submissions import encode_submission
 from ..jobs.submissions import is_same_request
 from ..jobs.tenants import Caller
+from .submission_decoder import SubmissionDecoder
 
 WRITE_RETRY_LIMIT_S = 2.0
 """How long a write with unknown outcome is retried; callers time out after 3 s."""
@@ -57,6 +56,7 @@
 
     :param store: the store.
     :param clocks: the process's clocks.
+    :param decoder: decodes stored submissions.
     :param on_stored: notifies the owner of a shard, given the shard and the key of the
         stored submission or cancellation.
     :param should_stop: returns whether a write with unknown outcome is retried no more.
@@ -64,6 +64,7 @@
 
     store: Store
     clocks: Clocks
+    decoder: SubmissionDecoder
     on_stored: t.Callable[[str, str], None]
     should_stop: t.Callable[[], bool]
 
@@ -86,7 +87,7 @@
     ) -> Submission | SubmissionPointer | None:
         row = tables.get_job_row(shard, job_id)
         page = await self.store.read(row.table, row.part, row.key)
-        return _decode_row(page.rows[0]) if page.rows else None
+        return self.decoder.decode_row(page.rows[0]) if page.rows else None
 
     async def find_result(
         self, submission: Submission, shards: t.Iterable[str]
@@ -141,7 +142,7 @@
         shards = []
         for row in conflict.rows:
             try:
-                stored = _decode_row(row)
+                stored = self.decoder.decode_row(row)
             except DocumentError:
                 return _UNREADABLE_JOB
             if isinstance(stored, Submission):
@@ -181,22 +182,6 @@
             await anyio.sleep(WRITE_RETRY_PAUSE_S)
 
 
-def _decode_row(row: StoredRow) -> Submission | SubmissionPointer:
-    """Decode a row of a submission; a malformed one is logged.
-
-    :raises DocumentError: if the row is malformed.
-    """
-    try:
-        return decode_row(row.value)
-    except DocumentError as error:
-        _LOG.warning(
-            "stored submission could not be decoded",
-            row=row.row_id.key,
-            reason=str(error),
-        )
-        raise
-
-
 def _compare(found: LocatedSubmission, submission: Submission) -> SubmitResult:
     stored = found.submission
     _LOG.info(
--- a/src/onyxgap/daemons/version_observer.py
+++ b/src/onyxgap/daemons/version_observer.py
@@ -14,6 +14,7 @@
     """Where a process learned that a version exists."""
 
     OWNED_JOB = "owned-job"
+    STORED_JOB = "stored-job"
     PEER_ANSWER = "peer-answer"
 
 
@@ -25,7 +26,7 @@
     :param newest: newest version that is known to exist, 0 if none is.
     """
 
-    routes: RouteTable
+    routes: RouteTable = attrs.field(factory=RouteTable)
     newest: int = 0
 
     def observe(self, version: int, source: VersionSource) -> None:
--- a/src/onyxgap/jobs/encoding.py
+++ b/src/onyxgap/jobs/encoding.py
@@ -63,19 +63,21 @@
             "begun": job.started,
             "open": occurrences,
             "tenant": job.submission.tenant,
+            "configuration": job.submission.configuration,
         }
     )
 
 
 def decode_status(value: bytes) -> JobStatus:
-    """Decode only the state and the tenant of a stored job.
+    """Decode only the state, the tenant and the version of a stored job.
 
     :param value: result of :func:`encode_progress`.
     :raises DocumentError: if the row is not the progress of a job.
     """
     try:
         raw = orjson.loads(value)
-        return JobStatus(JobState(raw["state"]), raw.get("tenant", ""))
+        state, tenant = JobState(raw["state"]), raw.get("tenant", "")
+        return JobStatus(state, tenant, raw.get("configuration", 0))
     except MALFORMED_ERRORS as error:
         raise DocumentError([Fault("$", f"no stored job: {error!r}")]) from None
 
--- a/src/onyxgap/jobs/messages.py
+++ b/src/onyxgap/jobs/messages.py
@@ -100,10 +100,13 @@
 
     :param state: state of the job.
     :param tenant: its tenant, or empty.
+    :param configuration: version of the configuration under which the job was accepted,
+        0 if it is not known.
     """
 
     state: JobState
     tenant: str = ""
+    configuration: int = 0
 
 
 @attrs.frozen(slots=True)
