Skip a stored job whose version is not a version

A stored job whose version was a string or null ended its owner with a TypeError when the version was compared, and again after each claim; a negative or fractional one was taken. Such a row is malformed and is skipped like others. The five cases of the test failed before: the node answered for the job.

--- a/src/onyxgap/jobs/encoding.py
+++ b/src/onyxgap/jobs/encoding.py
@@ -17,6 +17,7 @@
 from .messages import JobState
 from .messages import JobStatus
 from .messages import Submission
+from .submissions import check_version
 
 
 def _encode_task(task: Task) -> t.Any:
@@ -77,7 +78,7 @@
     try:
         raw = orjson.loads(value)
         state, tenant = JobState(raw["state"]), raw.get("tenant", "")
-        return JobStatus(state, tenant, raw.get("configuration", 0))
+        return JobStatus(state, tenant, check_version(raw.get("configuration", 0)))
     except MALFORMED_ERRORS as error:
         raise DocumentError([Fault("$", f"no stored job: {error!r}")]) from None
 
--- a/src/onyxgap/jobs/submissions.py
+++ b/src/onyxgap/jobs/submissions.py
@@ -117,6 +117,18 @@
     return Step(**{**raw, "after": tuple(raw.get("after", ()))})
 
 
+def check_version(value: object) -> int:
+    """Check the version of the configuration in a stored row.
+
+    :param value: the version as it was stored, 0 if there is none.
+    :returns: the version.
+    :raises ValueError: if it is no version.
+    """
+    if type(value) is not int or value < 0:
+        raise ValueError(f"{value!r} is no version of the configuration")
+    return value
+
+
 def decode_submission(value: bytes) -> Submission:
     """Decode a submission from its row in the store.
 
@@ -127,6 +139,7 @@
         raw = orjson.loads(value)
         raw["policy"] = QueuePolicy(**raw["policy"])
         raw["steps"] = tuple(map(_build_step, raw["steps"]))
+        check_version(raw.get("configuration", 0))
         return Submission(**raw)
     except MALFORMED_ERRORS as error:
         raise DocumentError([Fault("$", f"no stored job: {error!r}")]) from None
--- a/tests/test_learned_versions.py
+++ b/tests/test_learned_versions.py
@@ -9,14 +9,17 @@
 import anyio
 import anyio.abc
 import attrs
+import orjson
 import pytest
 
 from onyxgap.jobs import tables
 from onyxgap.jobs.desk import SubmitOutcome
+from onyxgap.jobs.desk import Unavailable
 from onyxgap.jobs.encoding import encode_progress
 from onyxgap.jobs.job import Job
 from onyxgap.jobs.messages import JobState
 from onyxgap.jobs.messages import Step
+from onyxgap.jobs.submissions import encode_submission
 from onyxgap.standins.emulator.faults import FaultyDay
 from onyxgap.standins.emulator.slots import NodeSlot
 from onyxgap.standins.virtual import run_virtually
@@ -25,6 +28,7 @@
 from tests.outdated_nodes import PATH
 from tests.outdated_nodes import Nodes
 from tests.outdated_nodes import run_with_nodes
+from tests.test_node_parts import SUBMISSION
 from tests.test_route_lookup import find_service
 
 
@@ -86,6 +90,23 @@
     run_with_nodes(test)
 
 
+@pytest.mark.parametrize("version", ["2", None, -1, 2.5, True])
+def test_stored_job_with_a_malformed_version_is_not_answered_for(
+    version: object,
+) -> None:
+    async def test(nodes: Nodes) -> None:
+        value = orjson.loads(encode_submission(SUBMISSION))
+        value["configuration"] = version
+        row = tables.get_job_row("ring", JOB_ID)
+        nodes.store.put(row, orjson.dumps(value))
+        route = await nodes.find_route(nodes.outdated)
+        state = await nodes.outdated.job_api.get_state(route, JOB_ID)
+        assert state is Unavailable.STORED_JOB
+        assert nodes.outdated.exchange.is_current()
+
+    run_with_nodes(test)
+
+
 class RetryDay(FaultyDay):
     """A day on which a caller sends its job again to a node that is outdated."""
 
