Tell the version of the configuration with each forwarded call

Callers could see: a node that forwards a call to one with a newer version answers for a job that runs by it, and goes on with its own version. The node that answers a call of a newer one learned nothing either.

Cause: PassedCall and PassedAnswer carried no version, and the submission in a call was decoded without a look at its version (the class of the fault in repeated submissions).

Change: both messages carry the newest version that their sender knows, as optional fields of the wire format, and the receiver records it. A node that learns so that its configuration is outdated forwards the call to no other node. Submissions in calls are decoded by SubmissionDecoder; a test of the boundaries keeps it the only place.

--- a/src/onyxgap/adapters/call_link.py
+++ b/src/onyxgap/adapters/call_link.py
@@ -52,6 +52,7 @@
         queue=call.queue,
         service_name=call.service,
         submission=call.submission,
+        configuration=call.configuration,
     )
     return encode_frame(ttypes.Frame(sender=sender, call=message))
 
@@ -70,7 +71,13 @@
     except ValueError:
         raise FrameError(f"unknown kind of call: {raw.kind!r}") from None
     return PassedCall(
-        kind, raw.job_id, raw.tenant, raw.queue, raw.service_name, raw.submission
+        kind,
+        raw.job_id,
+        raw.tenant,
+        raw.queue,
+        raw.service_name,
+        raw.submission,
+        raw.configuration or 0,
     )
 
 
@@ -95,7 +102,9 @@
     raw = frame.answer
     if raw is None:
         raise FrameError("frame has no answer")
-    return PassedAnswer(raw.outcome, raw.reason, raw.retry_after_s)
+    return PassedAnswer(
+        raw.outcome, raw.reason, raw.retry_after_s, raw.configuration or 0
+    )
 
 
 async def _receive_frame(stream: anyio.abc.SocketStream) -> ttypes.Frame:
--- a/src/onyxgap/daemons/desk.py
+++ b/src/onyxgap/daemons/desk.py
@@ -35,6 +35,7 @@
 from .stored_statuses import StoredStatuses
 from .submission_decoder import SubmissionDecoder
 from .submission_store import SubmissionStore
+from .version_observer import VersionObserver
 
 OUTAGE_RETRY_AFTER_S = 2
 """Outages last 4 to 9 s and callers try five times; other nodes may answer sooner."""
@@ -65,6 +66,8 @@
     :param on_answer: called after each answer with the kind of call, its outcome and
         its duration in seconds.
     :param stopping: whether the node is shutting down.
+    :param versions: versions of the configuration that are known to exist.
+    :param decoder: decodes submissions and statuses.
     """
 
     store: Store
@@ -81,6 +84,8 @@
     count_nodes: t.Callable[[], int] = lambda: 1
     on_answer: t.Callable[[str, str, float], None] = lambda *_: None
     stopping: bool = False
+    versions: VersionObserver = attrs.field(init=False)
+    decoder: SubmissionDecoder = attrs.field(init=False)
     _lookup: RouteLookup = attrs.field(init=False)
     _submissions: SubmissionStore = attrs.field(init=False)
     _statuses: StoredStatuses = attrs.field(init=False)
@@ -88,11 +93,13 @@
 
     def __attrs_post_init__(self) -> None:
         exchange = self.authentication.exchange
+        self.versions = exchange.versions
+        self.decoder = SubmissionDecoder(self.versions)
         self._lookup = RouteLookup(self.routes, exchange, self._is_store_down)
         self._submissions = SubmissionStore(
             self.store,
             self.clocks,
-            SubmissionDecoder(exchange.versions),
+            self.decoder,
             lambda shard, key: self.on_stored(shard, key),
             lambda: self.should_forward(),
         )
--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -27,7 +27,6 @@
 from .owner import ShardOwner
 from .owner_workers import OwnerContext
 from .rows import decode_rows
-from .submission_decoder import SubmissionDecoder
 from .vm_watch import VmWatch
 
 OWNER_POLL_S = 0.7
@@ -257,7 +256,7 @@
             self.policy_client,
             self.settings.contended,
             self.skipped,
-            SubmissionDecoder(self.exchange.versions),
+            self.job_api.decoder,
         )
         owner = ShardOwner(writer, context)
         self.owners[shard] = owner
--- a/src/onyxgap/daemons/passing_desk.py
+++ b/src/onyxgap/daemons/passing_desk.py
@@ -24,12 +24,13 @@
 from ..jobs.passing import PeerSelector
 from ..jobs.passing import merge_outcomes
 from ..jobs.routing import Route
-from ..jobs.submissions import decode_submission
 from ..jobs.submissions import encode_submission
 from ..jobs.tenants import ANONYMOUS
 from ..jobs.tenants import Caller
 from ..jobs.tenants import KeyRejection
 from .desk import LocalJobApi
+from .version_observer import VersionObserver
+from .version_observer import VersionSource
 
 CALL_TIMEOUT_S = 2.7
 """Timeout of a call including all attempts; callers time out after 3 s."""
@@ -65,6 +66,10 @@
     def __attrs_post_init__(self) -> None:
         self.local.should_forward = self.should_forward
 
+    @property
+    def _versions(self) -> VersionObserver:
+        return self.local.versions
+
     def _now(self) -> float:
         return self.clocks.read_monotonic()
 
@@ -124,11 +129,15 @@
             submission.policy.queue,
             submission.policy.service,
             encode_submission(self.local.add_version(submission)),
+            self._versions.get_newest(),
         )
         async for answer in self._forward(call, deadline):
             result = _merge_result(result, answer)
             if result.outcome not in (SubmitOutcome.REFUSED, SubmitOutcome.UNKNOWN):
                 return result
+            if self._versions.is_outdated():
+                # the queue may have been moved or removed in the newer version
+                return result
         return result
 
     async def _forward(
@@ -148,6 +157,9 @@
                 address, call, min(FORWARD_TIMEOUT_S, remaining_s)
             )
             self._log_forwarded(call, address, answer, self._now() - started)
+            if isinstance(answer, PassedAnswer):
+                source = VersionSource.FORWARDED_ANSWER
+                self._versions.observe(answer.configuration, source)
             if answer is ForwardFailure.NOT_SENT or _is_unable(answer):
                 self.peer_selector.record_failure(address, self._now())
                 continue
@@ -177,6 +189,7 @@
             outcome=outcome,
             failed=failed,
             configuration=self.local.routes.get_version(),
+            known=0 if isinstance(answer, ForwardFailure) else answer.configuration,
             took_s=round(took_s, 4),
         )
 
@@ -188,7 +201,7 @@
         state = await self.local.get_state(route, job_id, caller)
         if state is not Unavailable.STORE:
             return state
-        call = _build_call(CallKind.STATE, route, job_id, caller)
+        call = self._build_call(CallKind.STATE, route, job_id, caller)
         answer = await self._forward_idempotent(call, deadline)
         if answer is None:
             return state
@@ -204,7 +217,7 @@
         result = await self.local.cancel(route, job_id, caller)
         if result is not Unavailable.STORE:
             return result
-        call = _build_call(CallKind.CANCEL, route, job_id, caller)
+        call = self._build_call(CallKind.CANCEL, route, job_id, caller)
         answer = await self._forward_idempotent(call, deadline)
         if answer is None:
             return result
@@ -212,6 +225,19 @@
             return Denied.OTHER_TENANT
         return answer.outcome != NOT_FOUND
 
+    def _build_call(
+        self, kind: CallKind, route: Route, job_id: str, caller: Caller
+    ) -> PassedCall:
+        policy = route.policy
+        return PassedCall(
+            kind,
+            job_id,
+            caller.tenant,
+            policy.queue,
+            policy.service,
+            configuration=self._versions.get_newest(),
+        )
+
     async def _forward_idempotent(
         self, call: PassedCall, deadline: float
     ) -> PassedAnswer | None:
@@ -226,6 +252,11 @@
 
         :param call: the forwarded call.
         """
+        self._versions.observe(call.configuration, VersionSource.FORWARDED_CALL)
+        answer = await self._answer(call)
+        return attrs.evolve(answer, configuration=self._versions.get_newest())
+
+    async def _answer(self, call: PassedCall) -> PassedAnswer:
         if self.health.is_suspect(self._now()) or self.local.stopping:
             return PassedAnswer(UNABLE, Unavailable.STORE.value)
         if call.kind is CallKind.SUBMIT:
@@ -239,7 +270,8 @@
 
     async def _answer_submission(self, call: PassedCall) -> PassedAnswer:
         try:
-            submission = decode_submission(call.submission)
+            source = VersionSource.FORWARDED_CALL
+            submission = self.local.decoder.decode(call.submission, source)
         except DocumentError as error:
             return PassedAnswer(UNABLE, str(error))
         result = await self.local.submit(submission)
@@ -259,13 +291,6 @@
     return SubmitResult(outcome, answer.reason, answer.retry_after_s)
 
 
-def _build_call(
-    kind: CallKind, route: Route, job_id: str, caller: Caller
-) -> PassedCall:
-    policy = route.policy
-    return PassedCall(kind, job_id, caller.tenant, policy.queue, policy.service)
-
-
 _JobResult = JobState | bool | None | Unavailable | Denied
 
 
--- a/src/onyxgap/daemons/version_observer.py
+++ b/src/onyxgap/daemons/version_observer.py
@@ -15,6 +15,8 @@
 
     OWNED_JOB = "owned-job"
     STORED_JOB = "stored-job"
+    FORWARDED_CALL = "forwarded-call"
+    FORWARDED_ANSWER = "forwarded-answer"
     PEER_ANSWER = "peer-answer"
 
 
--- a/src/onyxgap/jobs/passing.py
+++ b/src/onyxgap/jobs/passing.py
@@ -44,6 +44,8 @@
     :param queue: name of the queue.
     :param service: pool whose workers run the jobs of the queue.
     :param submission: the encoded submission, empty for other operations.
+    :param configuration: newest version of the configuration that the forwarding node
+        knows to exist.
     """
 
     kind: CallKind
@@ -52,6 +54,7 @@
     queue: str
     service: str
     submission: bytes = b""
+    configuration: int = 0
 
 
 @attrs.frozen(slots=True)
@@ -61,11 +64,14 @@
     :param outcome: outcome of the operation, or :data:`UNABLE`.
     :param reason: reason for the caller and the log.
     :param retry_after_s: seconds after which a refused caller should retry.
+    :param configuration: newest version of the configuration that the answering node
+        knows to exist.
     """
 
     outcome: str
     reason: str = ""
     retry_after_s: int = 1
+    configuration: int = 0
 
 
 UNABLE = "unable"
--- a/src/onyxgap/wire/peer.thrift
+++ b/src/onyxgap/wire/peer.thrift
@@ -83,12 +83,14 @@
   4: required string queue;
   5: required string service_name;
   6: required binary submission;        // as it would be stored, or empty
+  7: optional i64 configuration;        // newest version that the sender knows
 }
 
 struct PassedAnswer {
   1: required string outcome;           // of the kind of call, or unable
   2: required string reason;
   3: required i32 retry_after_s;
+  4: optional i64 configuration;        // newest version that the sender knows
 }
 
 struct Frame {
--- a/src/onyxgap/wire/peer/ttypes.py
+++ b/src/onyxgap/wire/peer/ttypes.py
@@ -1246,6 +1246,7 @@
      - queue
      - service_name
      - submission
+     - configuration
 
     """
 
@@ -1256,16 +1257,18 @@
         'queue',
         'service_name',
         'submission',
+        'configuration',
     )
 
 
-    def __init__(self, kind=None, job_id=None, tenant=None, queue=None, service_name=None, submission=None,):
+    def __init__(self, kind=None, job_id=None, tenant=None, queue=None, service_name=None, submission=None, configuration=None,):
         self.kind = kind
         self.job_id = job_id
         self.tenant = tenant
         self.queue = queue
         self.service_name = service_name
         self.submission = submission
+        self.configuration = configuration
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1306,6 +1309,11 @@
                     self.submission = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.configuration = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1340,6 +1348,10 @@
             oprot.writeFieldBegin('submission', TType.STRING, 6)
             oprot.writeBinary(self.submission)
             oprot.writeFieldEnd()
+        if self.configuration is not None:
+            oprot.writeFieldBegin('configuration', TType.I64, 7)
+            oprot.writeI64(self.configuration)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1383,6 +1395,7 @@
      - outcome
      - reason
      - retry_after_s
+     - configuration
 
     """
 
@@ -1390,13 +1403,15 @@
         'outcome',
         'reason',
         'retry_after_s',
+        'configuration',
     )
 
 
-    def __init__(self, outcome=None, reason=None, retry_after_s=None,):
+    def __init__(self, outcome=None, reason=None, retry_after_s=None, configuration=None,):
         self.outcome = outcome
         self.reason = reason
         self.retry_after_s = retry_after_s
+        self.configuration = configuration
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1422,6 +1437,11 @@
                     self.retry_after_s = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.configuration = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1444,6 +1464,10 @@
             oprot.writeFieldBegin('retry_after_s', TType.I32, 3)
             oprot.writeI32(self.retry_after_s)
             oprot.writeFieldEnd()
+        if self.configuration is not None:
+            oprot.writeFieldBegin('configuration', TType.I64, 4)
+            oprot.writeI64(self.configuration)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1904,6 +1928,7 @@
     (4, TType.STRING, 'queue', 'UTF8', None, ),  # 4
     (5, TType.STRING, 'service_name', 'UTF8', None, ),  # 5
     (6, TType.STRING, 'submission', 'BINARY', None, ),  # 6
+    (7, TType.I64, 'configuration', None, None, ),  # 7
 )
 all_structs.append(PassedAnswer)
 PassedAnswer.thrift_spec = (
@@ -1911,6 +1936,7 @@
     (1, TType.STRING, 'outcome', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'reason', 'UTF8', None, ),  # 2
     (3, TType.I32, 'retry_after_s', None, None, ),  # 3
+    (4, TType.I64, 'configuration', None, None, ),  # 4
 )
 all_structs.append(Frame)
 Frame.thrift_spec = (
--- a/tests/test_boundaries.py
+++ b/tests/test_boundaries.py
@@ -55,3 +55,13 @@
 def test_only_node_process_imports_platform(path: pathlib.Path) -> None:
     if path.stem != "node_process":
         assert "platform" not in list_packages(path)
+
+
+@pytest.mark.parametrize(
+    "path", sorted((PACKAGE / "daemons").glob("*.py")), ids=lambda path: path.stem
+)
+def test_versions_of_jobs_are_decoded_in_one_place(path: pathlib.Path) -> None:
+    decodes = re.findall(
+        r"import (decode_row|decode_submission|decode_status)$", path.read_text(), re.M
+    )
+    assert not decodes or path.stem == "submission_decoder"
--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -34,7 +34,7 @@
 from tests.emulated import play
 from tests.ports import find_port
 
-CALL = PassedCall(CallKind.SUBMIT, "a" * 16, "north", "q", "s", b"body")
+CALL = PassedCall(CallKind.SUBMIT, "a" * 16, "north", "q", "s", b"body", 7)
 
 
 def build_peer_selector(count: int) -> PeerSelector:
@@ -95,7 +95,7 @@
 def test_encoded_call_and_answer_decode_to_the_same_objects() -> None:
     frame = decode_frame(encode_call("n0:1", CALL)[LENGTH_BYTES:])
     assert decode_call(frame) == CALL
-    answer = PassedAnswer("accepted", "known", 3)
+    answer = PassedAnswer("accepted", "known", 3, 7)
     frame = decode_frame(encode_answer("n0:1", answer)[LENGTH_BYTES:])
     assert decode_answer(frame) == answer
 
@@ -237,3 +237,12 @@
     fault = "at 4 refuse node for 9 by 0.34"
     assert measure_failed_attempts(fault) > 0.02
     assert measure_failed_attempts("contended", fault) <= 0.02
+
+
+def test_frames_without_a_version_are_decoded() -> None:
+    call = ttypes.PassedCall("submit", "a" * 16, "north", "q", "s", b"body")
+    found = decode_call(ttypes.Frame(sender="n0:1", call=call))
+    assert found == attrs.evolve(CALL, configuration=0)
+    answer = ttypes.PassedAnswer("accepted", "known", 3)
+    found_answer = decode_answer(ttypes.Frame(sender="n0:1", answer=answer))
+    assert found_answer == PassedAnswer("accepted", "known", 3)
