Bind a submission of an older version to the present route of its queue

Callers could see: a job that a node without the store forwarded under an older version was stored, and ran, in the former service of its queue by a node that had the newer version in force, or in a queue that was removed. A request for which the configuration changed between the look-up of its route and its write was stored under the route of one version with the number of another.

Cause: the node that writes a submission took its policy as given and added only its own version to it.

Change: RouteBinder binds a submission, before it is recorded, written or forwarded, to the service that the queue has in the version in force, and leaves one of a newer version as it is. Where the queue is gone the submission is rejected as not accepted, unless the job is stored already. The write keeps its conditions on the shards of all former services, so a job is still stored once.

--- a/src/onyxgap/daemons/desk.py
+++ b/src/onyxgap/daemons/desk.py
@@ -31,6 +31,7 @@
 from .owner import ShardOwner
 from .queue_lengths import QueueLengths
 from .queue_moves import QueueMoves
+from .route_binder import RouteBinder
 from .route_lookup import RouteLookup
 from .stored_statuses import StoredStatuses
 from .submission_decoder import SubmissionDecoder
@@ -68,6 +69,7 @@
     :param stopping: whether the node is shutting down.
     :param versions: versions of the configuration that are known to exist.
     :param decoder: decodes submissions and statuses.
+    :param binder: binds submissions to the routes in force.
     """
 
     store: Store
@@ -86,6 +88,7 @@
     stopping: bool = False
     versions: VersionObserver = attrs.field(init=False)
     decoder: SubmissionDecoder = attrs.field(init=False)
+    binder: RouteBinder = attrs.field(init=False)
     _lookup: RouteLookup = attrs.field(init=False)
     _submissions: SubmissionStore = attrs.field(init=False)
     _statuses: StoredStatuses = attrs.field(init=False)
@@ -95,6 +98,7 @@
         exchange = self.authentication.exchange
         self.versions = exchange.versions
         self.decoder = SubmissionDecoder(self.versions)
+        self.binder = RouteBinder(self.routes)
         self._lookup = RouteLookup(self.routes, exchange, self._is_store_down)
         self._submissions = SubmissionStore(
             self.store,
@@ -148,6 +152,7 @@
     async def submit(self, submission: Submission) -> SubmitResult:
         """Accept a job or return why it was not accepted."""
         started = self.clocks.read_monotonic()
+        submission = self.binder.bind(submission)
         result = await self._submit(submission)
         took_s = self.clocks.read_monotonic() - started
         self.on_answer("submit", result.outcome.value, took_s)
@@ -163,11 +168,6 @@
         )
         return result
 
-    def add_version(self, submission: Submission) -> Submission:
-        """Add the version in force to a submission, unless it has a newer one."""
-        version = max(submission.configuration, self.routes.get_version())
-        return attrs.evolve(submission, configuration=version)
-
     def _describe_version(self) -> dict[str, float]:
         """Describe the configuration in force for the log."""
         age_s = round(self.authentication.exchange.get_age(), 2)
@@ -183,15 +183,25 @@
         if self.queue_moves and not await self.queue_moves.record(submission.policy):
             return SubmitResult(SubmitOutcome.REFUSED, Unavailable.QUEUE_MOVES.value)
         others = self.routes.list_other_services(submission.policy)
-        rejection = self._check_cap(submission) or self._check_load(submission)
+        rejection = (
+            self._check_queue(submission)
+            or self._check_cap(submission)
+            or self._check_load(submission)
+        )
         if rejection is not None:
             services = (submission.policy.service, *others)
             known = await self._submissions.find_result(submission, services)
             return known or rejection
         accepted_ms = int(self.clocks.read_wall() * 1000)
-        accepted = attrs.evolve(self.add_version(submission), accepted_ms=accepted_ms)
+        accepted = attrs.evolve(submission, accepted_ms=accepted_ms)
         return await self._submissions.insert(accepted, others)
 
+    def _check_queue(self, submission: Submission) -> SubmitResult | None:
+        """Reject a job whose queue was moved or removed since its route was found."""
+        if self.binder.is_bound(submission):
+            return None
+        return SubmitResult(SubmitOutcome.REFUSED, Unavailable.QUEUE.value)
+
     def _check_cap(self, submission: Submission) -> SubmitResult | None:
         """Reject a job with a step that can never run within its tenant's cap."""
         if not submission.tenant:
--- a/src/onyxgap/daemons/passing_desk.py
+++ b/src/onyxgap/daemons/passing_desk.py
@@ -122,13 +122,16 @@
         if not self.local.is_configuration_current():
             # the queue may have been removed, and the other node does not check that
             return result
+        submission = self.local.binder.bind(submission)
+        if not self.local.binder.is_bound(submission):
+            return SubmitResult(result.outcome, Unavailable.QUEUE.value)
         call = PassedCall(
             CallKind.SUBMIT,
             submission.job_id,
             submission.tenant,
             submission.policy.queue,
             submission.policy.service,
-            encode_submission(self.local.add_version(submission)),
+            encode_submission(submission),
             self._versions.get_newest(),
         )
         async for answer in self._forward(call, deadline):
--- a/src/onyxgap/jobs/desk.py
+++ b/src/onyxgap/jobs/desk.py
@@ -47,6 +47,7 @@
     CONFIGURATION = "no configuration yet"
     QUEUE_MOVES = "no record of moved queues yet"
     COUNT = "how many jobs wait is not known here"
+    QUEUE = "the queue was moved or removed while the request was handled"
     CONFIGURATION_AGE = "whether the configuration is the newest is not known here"
 
 
--- a/src/onyxgap/jobs/routing.py
+++ b/src/onyxgap/jobs/routing.py
@@ -92,11 +92,19 @@
     return index
 
 
-def _index_services(configuration: Configuration) -> dict[str, set[str]]:
-    services: dict[str, set[str]] = {}
+def _index_policies(configuration: Configuration) -> dict[str, list[QueuePolicy]]:
+    policies: dict[str, list[QueuePolicy]] = {}
     for route in configuration.routes:
-        services.setdefault(route.policy.queue, set()).add(route.policy.service)
-    return services
+        known = policies.setdefault(route.policy.queue, [])
+        if route.policy.service not in [policy.service for policy in known]:
+            known.append(route.policy)
+    return policies
+
+
+def _list_services(policies: t.Mapping[str, list[QueuePolicy]]) -> dict[str, set[str]]:
+    return {
+        queue: {policy.service for policy in found} for queue, found in policies.items()
+    }
 
 
 @attrs.define
@@ -122,6 +130,7 @@
     caps: dict[str, Amount] = attrs.field(factory=dict)
     weights: dict[str, float] = attrs.field(factory=dict)
     _index: dict[str, list[Route]] = attrs.field(factory=dict)
+    _policies: dict[str, list[QueuePolicy]] = attrs.field(factory=dict)
     _services: dict[str, set[str]] = attrs.field(factory=dict)
 
     def adopt(self, configuration: Configuration) -> bool:
@@ -137,7 +146,8 @@
             self.add_previous_services(self._services)
         self.configuration = configuration
         self._index = _index_routes(configuration)
-        self._services = _index_services(configuration)
+        self._policies = _index_policies(configuration)
+        self._services = _list_services(self._policies)
         self.keys = index_keys(configuration.tenants)
         for tenant in configuration.tenants:
             self.caps[tenant.name] = tenant.cap
@@ -225,6 +235,13 @@
                 return route
         return None
 
+    def list_policies(self, queue: str) -> t.Sequence[QueuePolicy]:
+        """List the policies of a queue in the active version, one for each service.
+
+        :param queue: name of the queue.
+        """
+        return self._policies.get(queue, ())
+
     def is_guarded(self, service: str) -> bool:
         """Return whether the workers of a service reject tasks that do not fit.
 
--- a/tests/test_forwarded_versions.py
+++ b/tests/test_forwarded_versions.py
@@ -20,6 +20,7 @@
 from tests.outdated_nodes import Nodes
 from tests.outdated_nodes import run_with_nodes
 from tests.test_route_lookup import find_service
+from tests.test_route_lookup import write_routes
 
 
 @attrs.define
@@ -89,6 +90,50 @@
     run_with_nodes(test)
 
 
+def test_job_forwarded_under_an_older_version_is_stored_under_its_new_service() -> None:
+    async def test(nodes: Nodes) -> None:
+        job = await nodes.build_submission(nodes.outdated)
+        newer = build_forwarding_api(nodes.updated)
+        nodes.reject_node(nodes.outdated)
+        result = await build_forwarding_api(nodes.outdated, newer).submit(job)
+        assert result.outcome is SubmitOutcome.ACCEPTED
+        assert nodes.list_services() == ["herd"]
+
+    run_with_nodes(test)
+
+
+def test_job_forwarded_from_a_removed_queue_is_rejected_and_not_stored() -> None:
+    async def test(nodes: Nodes) -> None:
+        job = await nodes.build_submission(nodes.outdated)
+        write_routes(nodes.store, 3, other="herd")
+        await anyio.sleep(1.1)
+        assert await nodes.updated.exchange.make_sure()
+        newer = build_forwarding_api(nodes.updated)
+        nodes.reject_node(nodes.outdated)
+        result = await build_forwarding_api(nodes.outdated, newer).submit(job)
+        assert result.outcome is SubmitOutcome.REFUSED
+        assert nodes.list_services() == []
+
+    run_with_nodes(test)
+
+
+def test_job_forwarded_from_a_removed_queue_is_known_if_it_was_accepted() -> None:
+    async def test(nodes: Nodes) -> None:
+        job = await nodes.build_submission(nodes.outdated)
+        assert (await nodes.outdated.job_api.submit(job)).outcome is (
+            SubmitOutcome.ACCEPTED
+        )
+        write_routes(nodes.store, 3, other="herd")
+        await anyio.sleep(1.1)
+        assert await nodes.updated.exchange.make_sure()
+        newer = build_forwarding_api(nodes.updated)
+        nodes.reject_node(nodes.outdated)
+        result = await build_forwarding_api(nodes.outdated, newer).submit(job)
+        assert (result.outcome, result.reason) == (SubmitOutcome.ACCEPTED, "known")
+
+    run_with_nodes(test)
+
+
 @pytest.mark.parametrize("kind", ["submit", "state"])
 def test_node_that_answers_a_forwarded_call_of_a_newer_one_uses_no_older_route(
     kind: str,
--- a/tests/test_learned_versions.py
+++ b/tests/test_learned_versions.py
@@ -149,3 +149,15 @@
     result = run_virtually(RetryDay(script, 1).play)
     assert result.account.accepted == 2
     assert result.breaches == []
+
+
+def test_request_in_hand_is_bound_to_the_new_service_of_its_queue() -> None:
+    async def test(nodes: Nodes) -> None:
+        job = await nodes.build_submission(nodes.outdated)
+        await anyio.sleep(1.1)
+        assert await nodes.outdated.exchange.make_sure()
+        result = await nodes.outdated.job_api.submit(job)
+        assert result.outcome is SubmitOutcome.ACCEPTED
+        assert nodes.list_services() == ["herd"]
+
+    run_with_nodes(test)
