Learn of a version from the query of a node that has it in force

A node that is asked for the configuration by one with a newer version answered with nothing and went on with its own: the query's version was compared, and not recorded. The same class as in repeated submissions and forwarded calls; such a node shows no effect by this alone. The query is recorded like the other sources. The test failed before.

--- a/src/onyxgap/daemons/configuration_exchange.py
+++ b/src/onyxgap/daemons/configuration_exchange.py
@@ -153,6 +153,7 @@
 
         :param query: the query.
         """
+        self.versions.observe(query.version, VersionSource.PEER_QUERY)
         configuration = self.routes.configuration
         if configuration is None or not self.is_current():
             return
--- a/src/onyxgap/daemons/version_observer.py
+++ b/src/onyxgap/daemons/version_observer.py
@@ -17,6 +17,7 @@
     STORED_JOB = "stored-job"
     FORWARDED_CALL = "forwarded-call"
     FORWARDED_ANSWER = "forwarded-answer"
+    PEER_QUERY = "peer-query"
     PEER_ANSWER = "peer-answer"
 
 
--- a/tests/test_learned_versions.py
+++ b/tests/test_learned_versions.py
@@ -19,6 +19,7 @@
 from onyxgap.jobs.job import Job
 from onyxgap.jobs.messages import JobState
 from onyxgap.jobs.messages import Step
+from onyxgap.jobs.notices import ConfigurationQuestion
 from onyxgap.jobs.submissions import encode_submission
 from onyxgap.standins.emulator.faults import FaultyDay
 from onyxgap.standins.emulator.slots import NodeSlot
@@ -151,6 +152,14 @@
     assert result.breaches == []
 
 
+def test_node_that_is_queried_by_a_newer_one_uses_no_older_route() -> None:
+    async def test(nodes: Nodes) -> None:
+        nodes.outdated.exchange.answer(ConfigurationQuestion("other:1", 1, 2))
+        assert await find_service(nodes.outdated, PATH) == "herd"
+
+    run_with_nodes(test)
+
+
 def test_request_in_hand_is_bound_to_the_new_service_of_its_queue() -> None:
     async def test(nodes: Nodes) -> None:
         job = await nodes.build_submission(nodes.outdated)
