Record the former service of a submission that is bound to a new one

Binding a forwarded submission to the present service of its queue let a node that had skipped the version before write it without a condition on the former service, which only the submission named. A late write of the node that forwarded it then stored the job a second time. Found on reading the change; it was on no deployment.

RouteBinder tells the routes of the former service, so that the write expects no row there and leaves a pointer. Both tests failed before: list_services() was ["ring", "herd"].

--- a/src/onyxgap/daemons/route_binder.py
+++ b/src/onyxgap/daemons/route_binder.py
@@ -25,14 +25,18 @@
         """Bind a submission to the version in force, unless it has a newer one.
 
         Its policy is replaced if the queue was moved to another service, and is left if
-        several routes now lead to the queue by different services.
+        several routes now lead to the queue by different services. The former service
+        is recorded, since it may have the job.
 
         :param submission: the submission; its version is 0 if it was not yet bound.
         """
         version = self.routes.get_version()
         if submission.configuration > version:
             return submission
-        policy = self._find_policy(submission.policy)
+        former = submission.policy
+        policy = self._find_policy(former)
+        if policy is not former:
+            self.routes.add_previous_services({former.queue: {former.service}})
         return attrs.evolve(submission, policy=policy, configuration=version)
 
     def _find_policy(self, policy: QueuePolicy) -> QueuePolicy:
--- a/tests/test_forwarded_versions.py
+++ b/tests/test_forwarded_versions.py
@@ -8,6 +8,7 @@
 
 from onyxgap.daemons.node import Node
 from onyxgap.daemons.passing_desk import ForwardingJobApi
+from onyxgap.jobs import tables
 from onyxgap.jobs.desk import SubmitOutcome
 from onyxgap.jobs.members import Member
 from onyxgap.jobs.messages import JobState
@@ -15,6 +16,9 @@
 from onyxgap.jobs.passing import PassedAnswer
 from onyxgap.jobs.passing import PassedCall
 from onyxgap.jobs.passing import PeerSelector
+from onyxgap.jobs.store import ABSENT
+from onyxgap.jobs.store import Batch
+from onyxgap.jobs.submissions import encode_submission
 from tests.outdated_nodes import JOB_ID
 from tests.outdated_nodes import PATH
 from tests.outdated_nodes import Nodes
@@ -102,6 +106,19 @@
     run_with_nodes(test)
 
 
+def test_late_write_under_the_former_service_of_a_forwarded_job_fails() -> None:
+    async def test(nodes: Nodes) -> None:
+        job = await nodes.build_submission(nodes.outdated)
+        newer = build_forwarding_api(nodes.updated)
+        nodes.reject_node(nodes.outdated)
+        await build_forwarding_api(nodes.outdated, newer).submit(job)
+        row = tables.get_job_row("ring", JOB_ID)
+        nodes.store.apply(Batch({row: ABSENT}, {row: encode_submission(job)}))
+        assert nodes.list_services() == ["herd"]
+
+    run_with_nodes(test)
+
+
 def test_job_forwarded_from_a_removed_queue_is_rejected_and_not_stored() -> None:
     async def test(nodes: Nodes) -> None:
         job = await nodes.build_submission(nodes.outdated)
--- a/tests/test_route_binder.py
+++ b/tests/test_route_binder.py
@@ -37,6 +37,12 @@
     assert binder.is_bound(submission) == (bound_to in services)
 
 
+def test_former_service_of_a_moved_submission_is_known_to_have_had_its_queue() -> None:
+    binder = build_binder("s2")
+    policy = binder.bind(SUBMISSION).policy
+    assert binder.routes.list_other_services(policy) == ("s",)
+
+
 def test_submission_of_a_newer_version_is_left_as_it_is() -> None:
     binder = build_binder("s2")
     submission = attrs.evolve(SUBMISSION, configuration=5)
