Decode rows of jobs and find stored services in one place each

The two decoders of SubmissionDecoder logged malformed rows alike, and two test modules looked for the stored services of a job by the same lines.

--- a/src/onyxgap/daemons/submission_decoder.py
+++ b/src/onyxgap/daemons/submission_decoder.py
@@ -4,6 +4,9 @@
 act on a job whose version it has not recorded.
 """
 
+import contextlib
+import typing as t
+
 import attrs
 import structlog
 
@@ -21,6 +24,15 @@
 _LOG = structlog.get_logger()
 
 
+@contextlib.contextmanager
+def _log_malformed(row: StoredRow, event: str) -> t.Iterator[None]:
+    try:
+        yield
+    except DocumentError as error:
+        _LOG.warning(event, row=row.row_id.key, reason=str(error))
+        raise
+
+
 @attrs.define(eq=False)
 class SubmissionDecoder:
     """Decodes the submissions and statuses of jobs.
@@ -46,15 +58,8 @@
 
         :raises DocumentError: if the row is malformed.
         """
-        try:
+        with _log_malformed(row, "stored submission could not be decoded"):
             stored = decode_row(row.value)
-        except DocumentError as error:
-            _LOG.warning(
-                "stored submission could not be decoded",
-                row=row.row_id.key,
-                reason=str(error),
-            )
-            raise
         if isinstance(stored, Submission):
             self.versions.observe(stored.configuration, VersionSource.STORED_JOB)
         return stored
@@ -64,14 +69,7 @@
 
         :raises DocumentError: if the row is malformed.
         """
-        try:
+        with _log_malformed(row, "stored progress could not be decoded"):
             status = decode_status(row.value)
-        except DocumentError as error:
-            _LOG.warning(
-                "stored progress could not be decoded",
-                row=row.row_id.key,
-                reason=str(error),
-            )
-            raise
         self.versions.observe(status.configuration, VersionSource.STORED_JOB)
         return status
--- a/tests/outdated_nodes.py
+++ b/tests/outdated_nodes.py
@@ -55,15 +55,18 @@
 
     def list_services(self) -> list[str]:
         """List the services under which the job is stored."""
-        rows = {name: tables.get_job_row(name, JOB_ID) for name in ("ring", "herd")}
-        return [
-            name
-            for name, row in rows.items()
-            if row in self.store.rows
-            and not isinstance(
-                decode_row(self.store.rows[row].value), SubmissionPointer
-            )
-        ]
+        return list_stored_services(self.store, "ring", "herd")
+
+
+def list_stored_services(store: EmulatedStore, *services: str) -> list[str]:
+    """List the services under which the job itself is stored, not a pointer to it."""
+    rows = {name: tables.get_job_row(name, JOB_ID) for name in services}
+    return [
+        name
+        for name, row in rows.items()
+        if row in store.rows
+        and not isinstance(decode_row(store.rows[row].value), SubmissionPointer)
+    ]
 
 
 def run_with_nodes(test: t.Callable[[Nodes], t.Awaitable[None]]) -> None:
--- a/tests/test_forwarded_versions.py
+++ b/tests/test_forwarded_versions.py
@@ -62,6 +62,13 @@
     )
 
 
+async def remove_queue(nodes: Nodes) -> None:
+    """Have the node under version 2 adopt a version without the queue."""
+    write_routes(nodes.store, 3, other="herd")
+    await anyio.sleep(1.1)
+    assert await nodes.updated.exchange.make_sure()
+
+
 async def forward_submission(nodes: Nodes, api: ForwardingJobApi) -> None:
     result = await api.submit(await nodes.build_submission(nodes.outdated))
     assert result.outcome is SubmitOutcome.ACCEPTED
@@ -122,9 +129,7 @@
 def test_job_forwarded_from_a_removed_queue_is_rejected_and_not_stored() -> None:
     async def test(nodes: Nodes) -> None:
         job = await nodes.build_submission(nodes.outdated)
-        write_routes(nodes.store, 3, other="herd")
-        await anyio.sleep(1.1)
-        assert await nodes.updated.exchange.make_sure()
+        await remove_queue(nodes)
         newer = build_forwarding_api(nodes.updated)
         nodes.reject_node(nodes.outdated)
         result = await build_forwarding_api(nodes.outdated, newer).submit(job)
@@ -140,9 +145,7 @@
         assert (await nodes.outdated.job_api.submit(job)).outcome is (
             SubmitOutcome.ACCEPTED
         )
-        write_routes(nodes.store, 3, other="herd")
-        await anyio.sleep(1.1)
-        assert await nodes.updated.exchange.make_sure()
+        await remove_queue(nodes)
         newer = build_forwarding_api(nodes.updated)
         nodes.reject_node(nodes.outdated)
         result = await build_forwarding_api(nodes.outdated, newer).submit(job)
--- a/tests/test_moved_submissions.py
+++ b/tests/test_moved_submissions.py
@@ -21,6 +21,7 @@
 from onyxgap.jobs.submissions import encode_submission
 from onyxgap.platform.store import encode_batch
 from onyxgap.standins.emulator.store import EmulatedStore
+from tests.outdated_nodes import list_stored_services
 from tests.test_node_parts import POLICY
 from tests.test_node_parts import ROUTE
 from tests.test_node_parts import SUBMISSION
@@ -47,23 +48,12 @@
     run_with_store(run)
 
 
-def list_stored_services(store: EmulatedStore) -> list[str]:
-    """List the services under which the job itself is stored."""
-    rows = {name: tables.get_job_row(name, JOB_ID) for name in ("s", "s2")}
-    return [
-        name
-        for name, row in rows.items()
-        if row in store.rows
-        and not isinstance(decode_row(store.rows[row].value), SubmissionPointer)
-    ]
-
-
 def test_late_write_under_the_former_service_stores_no_second_job() -> None:
     async def test(outdated: Node, updated: Node, store: EmulatedStore) -> None:
         await updated.job_api.submit(address_to("s2"))
         row = tables.get_job_row("s", JOB_ID)
         store.apply(Batch({row: 0}, {row: encode_submission(SUBMISSION)}))
-        assert list_stored_services(store) == ["s2"]
+        assert list_stored_services(store, "s", "s2") == ["s2"]
 
     run_moved(test)
 
@@ -75,7 +65,7 @@
         for node, submission in nodes if first == "outdated" else nodes[::-1]:
             result = await node.job_api.submit(submission)
             assert result.outcome is SubmitOutcome.ACCEPTED
-        assert len(list_stored_services(store)) == 1
+        assert len(list_stored_services(store, "s", "s2")) == 1
 
     run_moved(test)
 
--- a/tests/test_route_days.py
+++ b/tests/test_route_days.py
@@ -78,3 +78,15 @@
         "at 10.8 deaf store for 3",
     )
     assert play(script, seed).breaches == []
+
+
+@pytest.mark.parametrize("seed", [1])
+def test_nodes_whose_feeds_stand_still_beside_others_go_not_back(seed: int) -> None:
+    script = extend_day(
+        "routes",
+        "at 4 lose store for 10 by 0.3",
+        "at 4.7 deaf node for 1.9 by 0.5",
+        "at 7.8 deaf node for 1.9 by 0.5",
+        "at 10.8 deaf node for 1.9 by 0.5",
+    )
+    assert play(script, seed).breaches == []
