Let a node without a configuration judge no submission's route

RouteBinder took a node that has no version yet for one in which the queue was removed. On a deployment no such node accepts requests, and submissions that others forward to it carry a version; test_slow_store builds its job API without a configuration, and all its submissions were rejected. The new test of the binder failed before.

--- a/src/onyxgap/daemons/route_binder.py
+++ b/src/onyxgap/daemons/route_binder.py
@@ -48,11 +48,13 @@
     def is_bound(self, submission: Submission) -> bool:
         """Return whether a route leads to the queue and service of a submission.
 
-        A version that this node has not adopted is not judged.
+        A version that this node has not adopted is not judged, nor is any by a node
+        that has none.
 
         :param submission: the submission, after :meth:`bind`.
         """
-        if submission.configuration > self.routes.get_version():
+        version = self.routes.get_version()
+        if not version or submission.configuration > version:
             return True
         policies = self.routes.list_policies(submission.policy.queue)
         return any(found.service == submission.policy.service for found in policies)
--- a/tests/test_route_binder.py
+++ b/tests/test_route_binder.py
@@ -50,6 +50,12 @@
     assert binder.is_bound(submission)
 
 
+def test_node_without_a_configuration_rejects_no_submission() -> None:
+    binder = RouteBinder(RouteTable())
+    assert binder.bind(SUBMISSION) == SUBMISSION
+    assert binder.is_bound(SUBMISSION)
+
+
 def test_policy_of_a_queue_that_was_not_moved_is_kept() -> None:
     policy = attrs.evolve(SUBMISSION.policy, priority=3)
     submission = attrs.evolve(SUBMISSION, policy=policy)
