Log the runs that are kept on silent workers, and what keeps them

Users saw tasks that serve stay away and jobs stand still after the death of a worker. Such a run is in no line of the log: its task does not wait for a worker, and it is not lost before the owner gives it up.

`runs in doubt` names the runs, how long the worker has been silent, how long its lease may last and by whose grant, and the age of the newest list of VMs; the metric onyxgap_runs_in_doubt counts them. A refused connection to a worker is named as such; it was `OSError`, as was any other failed attempt.

What bounds leases has moved from shard_workers.py to shard_leases.py. No decision has changed.

--- a/src/onyxgap/daemons/node_process.py
+++ b/src/onyxgap/daemons/node_process.py
@@ -127,6 +127,9 @@
             "workers_silent": lambda: sum(
                 len(owner.state.list_silent()) for owner in node.owners.values()
             ),
+            "runs_in_doubt": lambda: sum(
+                owner.state.count_doubtful_runs() for owner in node.owners.values()
+            ),
             "workers_registered": lambda: sum(
                 len(owner.state.list_registered()) for owner in node.owners.values()
             ),
--- a/src/onyxgap/daemons/owner.py
+++ b/src/onyxgap/daemons/owner.py
@@ -235,6 +235,7 @@
             await self._wait_for_wake(self._get_max_wait_s())
             self._update_capacity_validity()
             self.state.expire_workers(self._now())
+            self.state.report_doubtful_runs(self._now())
             orders = self.state.plan(self._now(), self._wall_ms())
             if self.state.ticket_cache.wanted:
                 self._tickets_needed.set()
--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -22,7 +22,7 @@
 from ..jobs.run_times import RunTimes
 from ..jobs.settings import TimeLimits
 from ..jobs.shard import Shard
-from ..jobs.shard_workers import LEASE_S
+from ..jobs.shard_leases import LEASE_S
 from ..jobs.share_book import ShardShares
 from ..jobs.store import Store
 from ..jobs.store import StoredRow
--- /dev/null
+++ b/src/onyxgap/jobs/shard_leases.py
@@ -0,0 +1,120 @@
+"""Bounds of the leases of a shard's workers, and the runs that they keep."""
+
+import attrs
+
+from .doubts import DoubtfulRuns
+from .doubts import DoubtReporter
+from .doubts import LeaseSource
+from .job import Job
+from .job import Task
+from .placing import WorkerRecord
+from .shard_jobs import ShardJobs
+from .workers import MS_PER_S
+
+LEASE_S = 5.0
+"""Length of a lease. It covers a change of the owner: the owner time-out of 2.2 s, the
+claim and the first hold request."""
+INHERITED_LEASE_S = 13.0
+"""Time after a claim for which leases of the previous owner may still be valid: an
+owner that cannot reach the store stops extending leases after 8 s, and the last lease
+that it granted lasts 5 s."""
+FORMER_LEASE_S = LEASE_S + 0.3
+"""Longest lease of the previous owner that may be left when a worker first answers this
+one, which fences off the previous owner. That owner's estimate of a clock that is 2%
+slow runs ahead by 0.3 s at most, if the last reading of the clock is 15 s old."""
+
+
+@attrs.define
+class ShardLeases(ShardJobs):
+    """Leases of the workers of one shard.
+
+    :param listed_at: monotonic seconds when the newest list of VMs that this owner has
+        seen was requested, ``None`` if it has seen none.
+    """
+
+    listed_at: float | None = None
+    doubt_reporter: DoubtReporter = attrs.field(factory=DoubtReporter)
+
+    def list_silent(self) -> list[WorkerRecord]:
+        """List the workers that do not answer, or are no longer registered."""
+        return [
+            record
+            for record in self.workers.values()
+            if record.failing_since is not None or not record.registered
+        ]
+
+    def list_doubtful_runs(self, now: float) -> list[DoubtfulRuns]:
+        """List the runs that are kept on silent workers.
+
+        :param now: monotonic seconds.
+        """
+        return [
+            self._describe_doubt(record, now)
+            for record in self.list_silent()
+            if record.present
+        ]
+
+    def count_doubtful_runs(self) -> int:
+        """Return the number of runs that are kept on silent workers."""
+        return sum(record.count_present() for record in self.list_silent())
+
+    def report_doubtful_runs(self, now: float) -> None:
+        """Log the runs that are kept on workers that have been silent for some time.
+
+        :param now: monotonic seconds.
+        """
+        list_age_s = None if self.listed_at is None else now - self.listed_at
+        doubtful = self.list_doubtful_runs(now)
+        self.doubt_reporter.report(doubtful, self.service, self.epoch, list_age_s, now)
+
+    def _describe_doubt(self, record: WorkerRecord, now: float) -> DoubtfulRuns:
+        silent_since = record.failing_since or record.heard_at
+        return DoubtfulRuns(
+            record.entry.worker_id,
+            [task.task_id for _, task in self._list_runs_on(record)],
+            now - max(silent_since, self.claimed_at),
+            self._get_lease_left_s(record, now),
+            LeaseSource.OWN if record.held else LeaseSource.FORMER_OWNER,
+            record.registered,
+        )
+
+    def _list_runs_on(self, record: WorkerRecord) -> list[tuple[Job, Task]]:
+        return [
+            (job, task)
+            for job in self.jobs.values()
+            for task in job.list_placed()
+            if task.worker_id == record.entry.worker_id
+        ]
+
+    def _get_lease_left_s(self, record: WorkerRecord, now: float) -> float:
+        if not record.held:
+            return self.claimed_at + INHERITED_LEASE_S - now
+        if record.clock is None:
+            return 0.0
+        return (record.lease_ms - record.clock.get_lower_bound(now)) / MS_PER_S
+
+    def _has_lease_expired(self, record: WorkerRecord, now: float) -> bool:
+        if not record.held and now < self.claimed_at + INHERITED_LEASE_S:
+            return False
+        if record.clock is None:
+            return True
+        if record.clock.get_lower_bound(now) <= record.lease_ms:
+            return False
+        return now >= record.former_runs_until or not self._has_former_runs(record)
+
+    def _inherit_lease(self, record: WorkerRecord, clock_ms: float, now: float) -> None:
+        """Take into account the lease that the previous owner may have granted.
+
+        :param record: a worker that has answered its first hold request.
+        :param clock_ms: reading of the worker's clock in the answer.
+        :param now: monotonic seconds.
+        """
+        valid_s = self.claimed_at + INHERITED_LEASE_S - now
+        lease_s = min(FORMER_LEASE_S, self.max_lease_s, valid_s)
+        record.lease_ms = max(record.lease_ms, clock_ms + lease_s * MS_PER_S)
+
+    def _has_former_runs(self, record: WorkerRecord) -> bool:
+        return any(
+            task.start_ruled_out_at is not None
+            for _, task in self._list_runs_on(record)
+        )
--- a/src/onyxgap/jobs/shard_workers.py
+++ b/src/onyxgap/jobs/shard_workers.py
@@ -19,26 +19,14 @@
 from .messages import WorkerEntry
 from .messages import WorkerState
 from .placing import WorkerRecord
-from .shard_jobs import ShardJobs
 from .shard_jobs import get_step_key
-from .workers import MS_PER_S
+from .shard_leases import ShardLeases
 from .workers import Reply
 from .workers import ReplyKind
 from .workers import StartOrder
 from .workers import StopOrder
 from .workers import WorkerClock
 
-LEASE_S = 5.0
-"""Length of a lease. It covers a change of the owner: the owner time-out of 2.2 s, the
-claim and the first hold request."""
-INHERITED_LEASE_S = 13.0
-"""Time after a claim for which leases of the previous owner may still be valid: an
-owner that cannot reach the store stops extending leases after 8 s, and the last lease
-that it granted lasts 5 s."""
-FORMER_LEASE_S = LEASE_S + 0.3
-"""Longest lease of the previous owner that may be left when a worker first answers this
-one, which fences off the previous owner. That owner's estimate of a clock that is 2%
-slow runs ahead by 0.3 s at most, if the last reading of the clock is 15 s old."""
 FORMER_RUN_S = 20.0
 """Time after a worker's restart is known for which a run that its former incarnation
 was ordered to start may be on the new one without the owner's knowledge: the order
@@ -95,7 +83,7 @@
 
 
 @attrs.define
-class ShardWorkers(ShardJobs):
+class ShardWorkers(ShardLeases):
     """The workers of one shard."""
 
     def observe_worker(self, entry: WorkerEntry, now: float) -> WorkerRecord:
@@ -180,9 +168,8 @@
         worker_id = previous.entry.worker_id
         ordered = [
             (job, task, task.run)
-            for job in self.jobs.values()
-            for task in job.list_placed()
-            if task.worker_id == worker_id and _may_reach_next_incarnation(task)
+            for job, task in self._list_runs_on(previous)
+            if _may_reach_next_incarnation(task)
         ]
         self.remove_worker(worker_id, "worker restarted under the same id", now)
         entry = attrs.evolve(
@@ -291,20 +278,13 @@
         """List the workers that are registered."""
         return [record for record in self.workers.values() if record.registered]
 
-    def list_silent(self) -> list[WorkerRecord]:
-        """List the workers that do not answer, or are no longer registered."""
-        return [
-            record
-            for record in self.workers.values()
-            if record.failing_since is not None or not record.registered
-        ]
-
     def apply_live_workers(self, live: t.Collection[str], sent_at: float) -> None:
         """Remove silent workers that the platform's list of VMs does not show as up.
 
         :param live: ids of the workers of VMs that are up.
         :param sent_at: monotonic seconds when the list was requested.
         """
+        self.listed_at = sent_at
         for record in self.list_silent():
             silent_since = record.failing_since or self.claimed_at
             if record.entry.worker_id not in live and sent_at > silent_since:
@@ -333,41 +313,8 @@
                     silent_s=now - (record.failing_since or now),
                 )
 
-    def _has_lease_expired(self, record: WorkerRecord, now: float) -> bool:
-        if not record.held and now < self.claimed_at + INHERITED_LEASE_S:
-            return False
-        if record.clock is None:
-            return True
-        if record.clock.get_lower_bound(now) <= record.lease_ms:
-            return False
-        return now >= record.former_runs_until or not self._has_former_runs(record)
-
-    def _inherit_lease(self, record: WorkerRecord, clock_ms: float, now: float) -> None:
-        """Take into account the lease that the previous owner may have granted.
-
-        :param record: a worker that has answered its first hold request.
-        :param clock_ms: reading of the worker's clock in the answer.
-        :param now: monotonic seconds.
-        """
-        valid_s = self.claimed_at + INHERITED_LEASE_S - now
-        lease_s = min(FORMER_LEASE_S, self.max_lease_s, valid_s)
-        record.lease_ms = max(record.lease_ms, clock_ms + lease_s * MS_PER_S)
-
-    def _has_former_runs(self, record: WorkerRecord) -> bool:
-        return any(
-            task.worker_id == record.entry.worker_id
-            and task.start_ruled_out_at is not None
-            for job in self.jobs.values()
-            for task in job.list_placed()
-        )
-
     def _release_runs(self, record: WorkerRecord, crashed: bool, now: float) -> int:
-        lost = [
-            (job, task)
-            for job in self.jobs.values()
-            for task in job.list_placed()
-            if task.worker_id == record.entry.worker_id
-        ]
+        lost = self._list_runs_on(record)
         tasks = [task for _, task in lost]
         sent = [task for task in tasks if _may_have_been_sent(task)]
         runs = [_describe_loss(task, record.last_clock_ms) for task in sent]
--- a/src/onyxgap/platform/connections.py
+++ b/src/onyxgap/platform/connections.py
@@ -28,6 +28,15 @@
     """The peer closed the connection during an answer, or did not send HTTP."""
 
 
+def _name_error(error: Exception) -> str:
+    """Return the name of an error, or that of the failed connection attempt behind it.
+
+    Otherwise a refused connection and one without a route are both ``OSError``.
+    """
+    cause = error.__cause__
+    return type(cause if isinstance(cause, OSError) else error).__name__
+
+
 class _AnswerReader:
     """Assembles an answer from the received bytes."""
 
@@ -148,7 +157,7 @@
         ) as error:
             failure = CallFailure.NO_ANSWER if stream else CallFailure.NOT_SENT
             await self.close()
-            return Answer(0, b"", failure, type(error).__name__)
+            return Answer(0, b"", failure, _name_error(error))
         return answer
 
     async def _acquire(self) -> anyio.abc.SocketStream:
--- a/tests/test_shard_liveness.py
+++ b/tests/test_shard_liveness.py
@@ -29,8 +29,8 @@
 from onyxgap.jobs.messages import WorkerState
 from onyxgap.jobs.placing import WorkerRecord
 from onyxgap.jobs.shard import Shard
+from onyxgap.jobs.shard_leases import LEASE_S
 from onyxgap.jobs.shard_workers import FORMER_RUN_S
-from onyxgap.jobs.shard_workers import LEASE_S
 from onyxgap.jobs.workers import HoldOrder
 from onyxgap.jobs.workers import HoldReport
 from onyxgap.jobs.workers import Reply
--- a/tests/test_worker_connections.py
+++ b/tests/test_worker_connections.py
@@ -14,6 +14,7 @@
 from onyxgap.jobs.messages import WorkerState
 from onyxgap.jobs.workers import StopOrder
 from onyxgap.platform.connections import WorkerConnections
+from onyxgap.platform.http import CallFailure
 from onyxgap.platform.workers import PlatformWorkerClient
 from tests.owners import build_owner
 
@@ -136,3 +137,15 @@
             group.cancel_scope.cancel()
 
     anyio.run(main)
+
+
+def test_refused_connection_is_named_in_the_outcome_of_a_call() -> None:
+    async def main() -> None:
+        async with await anyio.create_tcp_listener(local_host="127.0.0.1") as listener:
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        connections = WorkerConnections(f"127.0.0.1:{port}", 1)
+        answer = await connections.call("POST", "/hold", {}, timeout_s=1.0)
+        assert answer.failure is CallFailure.NOT_SENT
+        assert answer.reason == "ConnectionRefusedError"
+
+    anyio.run(main)
