--- a/src/onyxgap/standins/emulator/cloud.py
+++ b/src/onyxgap/standins/emulator/cloud.py
@@ -20,6 +20,8 @@
 from .gate import NodeGate
 from .nature import FindNature
 from .store import EmulatedStore
+from .vm_list import ANSWER_TIMEOUT_S
+from .vm_list import VmList
 from .workers import EmulatedWorker
 from .workers import EmulatedWorkers
 
@@ -81,9 +83,13 @@
     orders: list[OrderRecord] = attrs.field(factory=list)
     maintained: dict[str, set[int]] = attrs.field(factory=dict)
     paid_s: float = 0.0
+    vm_list: VmList = attrs.field(init=False)
     _paid_at: float = 0.0
     _lives: int = 0
 
+    def __attrs_post_init__(self) -> None:
+        self.vm_list = VmList(self.vms)
+
     def add(self, vm: Vm) -> None:
         """Add a VM that is up."""
         self.vms[vm.name] = vm
@@ -128,6 +134,7 @@
                 on_crashing_run=functools.partial(self._crash_after_start, name),
             )
             self.workers.add(worker)
+            self.workers.halted.discard(entry.address)
             self.register(entry)
             if vm.pool in self.unguarded:
                 self.group.start_soon(self._beat, worker)
@@ -144,6 +151,31 @@
         self._end_life(name, VmState.DOWN)
         self.group.start_soon(self._return_after, name, for_s)
 
+    def halt(self, name: str, for_s: float) -> None:
+        """Take the power from a VM: its address does not even refuse connections."""
+        self.workers.halted.add(f"{name}:1")
+        self.crash(name, for_s)
+
+    def end_worker(self, name: str, for_s: float) -> None:
+        """End a worker's process; its VM stays up, and is listed under its id.
+
+        :param name: the VM.
+        :param for_s: seconds after which another worker starts there.
+        """
+        worker = self.get_worker(name)
+        if worker is None or not worker.alive:
+            return
+        worker.crash()
+        self.group.start_soon(self._unregister, worker.entry.worker_id)
+        self.group.start_soon(self._replace_after, name, worker, for_s)
+
+    async def _replace_after(
+        self, name: str, worker: EmulatedWorker, for_s: float
+    ) -> None:
+        await anyio.sleep(for_s)
+        if self.get_worker(name) is worker:
+            self._boot(name)
+
     def _crash_after_start(self, name: str, worker_id: str) -> None:
         self.group.start_soon(self._crash_life_soon, name, worker_id)
 
@@ -263,9 +295,9 @@
         await self.gate.pass_through()
         await anyio.sleep(ORDER_DELAY_S)
         if "cloud" in self.gate.cut_from:
-            await anyio.sleep(1.0)
+            await anyio.sleep(ANSWER_TIMEOUT_S)
             raise PlatformUnavailableError("no answer")
-        vms = tuple(self.cloud.vms.values())
+        vms = await self.cloud.vm_list.answer()
         await self.gate.pass_through()
         return vms
 
@@ -274,7 +306,7 @@
         await self.gate.pass_through()
         await anyio.sleep(ORDER_DELAY_S)
         if "cloud" in self.gate.cut_from:
-            await anyio.sleep(1.0)
+            await anyio.sleep(ANSWER_TIMEOUT_S)
             return VmReply.UNKNOWN
         now = anyio.current_time()
         repeated = order.wave in self.cloud.maintained.get(order.vm, set())
--- a/src/onyxgap/standins/emulator/faults.py
+++ b/src/onyxgap/standins/emulator/faults.py
@@ -24,6 +24,7 @@
 from .script import LoadLine
 from .script import Script
 from .slots import NodeSlot
+from .vm_list import ListState
 from .workers import Mood
 
 WHOLE = 1.0
@@ -90,7 +91,7 @@
 
     async def _run_fault(self, fault: FaultLine) -> None:
         await anyio.sleep(fault.at)
-        if fault.target == "store" or fault.verb == "refuse":
+        if fault.target == "store" or (fault.verb, fault.target) == ("refuse", "node"):
             self._record_disturbance(ALL_NODES, fault.seconds)
         now = anyio.current_time()
         if fault.target == "orders":
@@ -158,6 +159,24 @@
         if name is not None:
             self.cloud.crash(name, fault.seconds)
 
+    async def halt_vm(self, fault: FaultLine) -> None:
+        """Take the power from a VM of a pool."""
+        name = self._find_vm(fault.name)
+        if name is not None:
+            self.cloud.halt(name, fault.seconds)
+
+    async def end_worker(self, fault: FaultLine) -> None:
+        """End the process of a worker whose VM stays up."""
+        name = self._find_vm(fault.name)
+        if name is not None:
+            self.cloud.end_worker(name, fault.seconds)
+
+    async def disturb_list(self, fault: FaultLine) -> None:
+        """Have the platform answer requests for the list of VMs wrongly or not."""
+        self.cloud.vm_list.set_state(_LIST_STATES[fault.verb])
+        await anyio.sleep(fault.seconds)
+        self.cloud.vm_list.set_state(ListState.TRUE)
+
     async def rebear_vm(self, fault: FaultLine) -> None:
         """Have a worker crash and start again under its id."""
         name = self._find_vm(fault.name)
@@ -343,6 +362,12 @@
         self._configure()
 
 
+_LIST_STATES = {
+    "down": ListState.SILENT,
+    "refuse": ListState.REFUSED,
+    "old": ListState.OLD,
+}
+
 _FAULTS: t.Mapping[
     tuple[str, str], t.Callable[[FaultyDay, FaultLine], t.Coroutine[t.Any, t.Any, None]]
 ] = {
@@ -372,6 +397,11 @@
     ("lose", "orders"): FaultyDay.lose_answers,
     ("configure", "routes"): FaultyDay.configure,
     ("rebear", "vm"): FaultyDay.rebear_vm,
+    ("halt", "vm"): FaultyDay.halt_vm,
+    ("end", "worker"): FaultyDay.end_worker,
+    ("down", "list"): FaultyDay.disturb_list,
+    ("refuse", "list"): FaultyDay.disturb_list,
+    ("old", "list"): FaultyDay.disturb_list,
     ("malform", "rows"): FaultyDay.malform_rows,
     ("revoke", "keys"): FaultyDay.revoke_keys,
     ("cap", "tenant"): FaultyDay.change_cap,
@@ -380,6 +410,10 @@
     ("move", "route"): FaultyDay.move_routes,
 }
 
+_DEATHS = (("crash", "vm"), ("end", "worker"), ("halt", "vm"))
+_LIST_FAULTS = (("down", "list"), ("old", "list"), ("refuse", "list"))
+_DRAWN_APART = frozenset({("halt", "vm"), ("end", "worker"), *_LIST_FAULTS})
+"""Drawn by :func:`draw_worker_deaths` only, so that other draws of a seed stay."""
 _TENANT_FAULTS = frozenset({("revoke", "keys"), ("cap", "tenant")})
 """Faults that require a day with tenants."""
 _ONLY_SCRIPTED = (
@@ -421,7 +455,7 @@
     excluded = _ONLY_SCRIPTED
     if include_scripted:
         excluded = ROUTE_FAULTS if script.tenants else ROUTE_FAULTS | _TENANT_FAULTS
-    verbs = sorted(_FAULTS.keys() - excluded)
+    verbs = sorted(_FAULTS.keys() - excluded - _DRAWN_APART)
     pools = [line.name for line in script.pools]
     faults = []
     for _ in range(count):
@@ -432,3 +466,26 @@
         name = "" if (verb, target) in _TENANT_FAULTS else pool
         faults.append(FaultLine(at, verb, target, name, seconds, strength))
     return attrs.evolve(script, faults=[*script.faults, *faults])
+
+
+def draw_worker_deaths(script: Script, seed: int, count: int) -> Script:
+    """Add deaths of workers that the list of VMs does not tell of.
+
+    They are drawn apart from the other faults, which stay the same. Each comes a short
+    time after a list fault has begun, which lasts longer than a lease.
+
+    :param script: the day.
+    :param seed: seed of the draw.
+    :param count: number of deaths.
+    """
+    rng = random.Random(f"deaths/{seed}")
+    faults = []
+    for _ in range(count):
+        at = rng.uniform(4.0, script.end_s - 8.0)
+        list_verb, list_target = rng.choice(_LIST_FAULTS)
+        faults.append(FaultLine(at, list_verb, list_target, seconds=16.0))
+        verb, target = rng.choice(_DEATHS)
+        pool = rng.choice(script.pools).name
+        at += rng.uniform(0.0, 1.0)
+        faults.append(FaultLine(at, verb, target, pool, rng.uniform(4.0, 20.0)))
+    return attrs.evolve(script, faults=[*script.faults, *faults])
--- a/src/onyxgap/standins/emulator/workers.py
+++ b/src/onyxgap/standins/emulator/workers.py
@@ -309,6 +309,7 @@
     :param rng: draws losses.
     :param group: runs late orders.
     :param history: all workers that ever started.
+    :param halted: addresses of VMs without power, which do not answer at all.
     """
 
     rng: random.Random
@@ -316,6 +317,7 @@
     lives: dict[str, EmulatedWorker] = attrs.field(factory=dict)
     history: list[EmulatedWorker] = attrs.field(factory=list)
     records: list[RunRecord] = attrs.field(factory=list)
+    halted: set[str] = attrs.field(factory=set)
     link: Link = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -350,7 +352,8 @@
         await self.gate.take_processor()
         await anyio.sleep(self.workers.link.delay_s)
         worker = self.workers.find_present(address)
-        if worker is not None and worker.dark or "workers" in self.gate.cut_from:
+        is_dark = worker.dark if worker else address in self.workers.halted
+        if is_dark or "workers" in self.gate.cut_from:
             await anyio.sleep(CALL_TIMEOUT_S)
             return Reply(ReplyKind.NO_ANSWER, detail="no answer")
         if worker is None:
