Grant leases only while renewals of the owner row are confirmed

A task could run twice at once. An owner extended the leases of its workers until the store had not answered it for 8 s, and any answer counted, also to a read. An owner whose writes are refused while its reads are answered never stopped; another node claims its shard, gives up the runs of a worker that it does not reach 13 s after its claim, and starts them elsewhere. Only another worker that had been called by the new owner told the former one.

Leases are now granted for 8 s after the newest renewal of the owner row that the store has confirmed, counted from when it was sent, on a clock that also counts while the VM is suspended, and not once the shard is being released. That is what the next owner knows of: it claims on condition that the owner row has not been renewed since.

--- a/src/onyxgap/daemons/fence.py
+++ b/src/onyxgap/daemons/fence.py
@@ -9,6 +9,7 @@
 
 from ..exceptions import OwnershipLostError
 from ..jobs import tables
+from ..jobs.leases import GrantPeriod
 from ..jobs.store import Applied
 from ..jobs.store import Batch
 from ..jobs.store import Conflict
@@ -38,6 +39,7 @@
     :param nonce: last known value of the fence row, unique to each write.
     :param store: the store.
     :param rng: source of the jitter of retries.
+    :param grants: when the owner may grant leases.
     """
 
     shard: str
@@ -46,6 +48,7 @@
     nonce: str
     store: Store
     rng: random.Random
+    grants: GrantPeriod
     _renewed_at: float = -math.inf
     _sequence: int = 0
 
@@ -82,18 +85,23 @@
         self._sequence += 1
         nonce = f"{self.owner.boot}/{self.owner.epoch}/{self._sequence}"
         fenced = {**puts, fence: nonce.encode()}
+        renews = tables.get_owner_row(self.shard) in puts
+        first_sent_at = self.grants.read_boot()
         delay = RETRY_MIN_S
         while True:
             batch = Batch({fence: self.version}, fenced, removals)
+            sent_at = self.grants.read_boot()
             outcome = await self.store.write(batch)
             if isinstance(outcome, Applied):
-                self.version, self.nonce = outcome.version, nonce
+                self._note_applied(outcome.version, nonce, sent_at if renews else None)
                 return
             if isinstance(outcome, Conflict):
                 row = outcome.find(fence)
                 written = row.value.decode() if row else ""
                 if row is not None and written == nonce:
-                    self.version, self.nonce = row.version, nonce
+                    # which of the earlier attempts was applied is not known
+                    confirmed_at = first_sent_at if renews else None
+                    self._note_applied(row.version, nonce, confirmed_at)
                     return
                 if row is None or written != self.nonce:
                     raise OwnershipLostError(
@@ -105,11 +113,21 @@
             await anyio.sleep(delay * self.rng.uniform(0.5, 1.0))
             delay = min(delay * 2, RETRY_MAX_S)
 
+    def _note_applied(
+        self, version: int, nonce: str, confirmed_at: float | None
+    ) -> None:
+        self.version, self.nonce = version, nonce
+        if confirmed_at is not None:
+            self.grants.confirm(confirmed_at)
+
     async def release(self) -> None:
         """Release the shard, so that another node can claim it at once.
 
+        No leases are granted from then on.
+
         :raises OwnershipLostError: when another node has claimed it already.
         """
+        self.grants.closed = True
         self.owner = attrs.evolve(self.owner, released=True)
         row = tables.get_owner_row(self.shard)
         await self.write({row: tables.encode_owner(self.owner)})
--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -10,6 +10,7 @@
 from ..exceptions import OwnershipLostError
 from ..exceptions import PlatformUnavailableError
 from ..jobs import tables
+from ..jobs.leases import GrantPeriod
 from ..jobs.members import is_small_vm
 from ..jobs.ownership import CLAIM_BACKOFF_S
 from ..jobs.ownership import Claimant
@@ -198,6 +199,7 @@
                 tables.get_fence_row(shard): nonce.encode(),
             },
         )
+        sent_at = self.clocks.read_boot()
         for _ in range(CLAIM_ATTEMPTS):
             outcome = await self.store.write(batch)
             now = self.clocks.read_monotonic()
@@ -213,14 +215,17 @@
                     return
             if version:
                 self._update_owner_view(shard, row, version, now)
-                self._start_owner(shard, row, version, nonce)
+                grants = GrantPeriod(self.clocks.read_boot, sent_at)
+                self._start_owner(shard, row, version, nonce, grants)
                 return
             await anyio.sleep(CLAIM_RETRY_S)
 
-    def _start_owner(self, shard: str, row: OwnerRow, version: int, nonce: str) -> None:
+    def _start_owner(
+        self, shard: str, row: OwnerRow, version: int, nonce: str, grants: GrantPeriod
+    ) -> None:
         assert self._group is not None
         _LOG.info("shard claimed", shard=shard, epoch=row.epoch, version=version)
-        writer = FencedWriter(shard, row, version, nonce, self.store, self.rng)
+        writer = FencedWriter(shard, row, version, nonce, self.store, self.rng, grants)
         if shard == tables.FLEET_SHARD:
             assert self.cloud is not None
             fleet_controller = FleetController(
--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -46,9 +46,6 @@
 
 LEASE_MARGIN_S = 0.3
 """Leases are shorter by this than the longest lease that a worker grants."""
-RENEW_WITHOUT_STORE_S = 8.0
-"""Leases are renewed until the store has not answered for this long. Outages of the
-store last up to about 9 s in all; see ``INHERITED_LEASE_S``."""
 MAX_ACK_WAIT_S = 2.0
 """Longest time that the next hold request waits until the results of ended runs are
 stored; leases last 5 s."""
@@ -263,11 +260,10 @@
         wait_s = choose_hold_wait(record) if wait_s is None else wait_s
         now = self._now()
         deadline_ms: float | None = None
-        store_silent_s = now - self.context.health.answered_at
         # a request to a silent worker may be carried out late, so it does not extend
         # the lease; otherwise the end of the lease would not be certain
         answering = record.failing_since is None
-        if record.clock and answering and store_silent_s < RENEW_WITHOUT_STORE_S:
+        if record.clock and answering and self.writer.grants.is_open():
             lease_s = min(LEASE_S, self.context.limits.max_lease_s - LEASE_MARGIN_S)
             deadline_ms = record.clock.estimate(now) + lease_s * 1000
             record.lease_ms = max(record.lease_ms, deadline_ms)
--- a/src/onyxgap/jobs/shard_leases.py
+++ b/src/onyxgap/jobs/shard_leases.py
@@ -16,8 +16,7 @@
 claim and the first hold request."""
 INHERITED_LEASE_S = 13.0
 """Time after a claim for which leases of the previous owner may still be valid: an
-owner that cannot reach the store stops extending leases after 8 s, and the last lease
-that it granted lasts 5 s."""
+owner grants none later than 8 s after its last renewal, and the last one lasts 5 s."""
 FORMER_LEASE_S = LEASE_S + 0.3
 """Longest lease of the previous owner that may be left when a worker first answers this
 one, which fences off the previous owner. That owner's estimate of a clock that is 2%
--- a/src/onyxgap/standins/emulator/faults.py
+++ b/src/onyxgap/standins/emulator/faults.py
@@ -189,6 +189,32 @@
         if name is not None:
             self.cloud.cut(name, fault.seconds)
 
+    async def split_workers(self, fault: FaultLine) -> None:
+        """Let the owner of a shard reach one worker, and the other nodes the others."""
+        name = self._find_vm(fault.name)
+        if name is None:
+            return
+        owner = self._find_slot("owner", fault.name)
+        addresses = {f"{vm.name}:1" for vm in self.cloud.vms.values()}
+        near = f"{name}:1"
+        cuts = [
+            (slot.gate, addresses - {near} if slot is owner else {near})
+            for slot in self.slots
+        ]
+        for gate, cut in cuts:
+            gate.cut_from |= cut
+        await anyio.sleep(fault.seconds)
+        for gate, cut in cuts:
+            gate.cut_from -= cut
+
+    async def refuse_writes(self, fault: FaultLine) -> None:
+        """Have the store refuse the writes of the owner of a shard."""
+        slot = self._find_slot("owner", fault.name)
+        self._record_disturbance(slot.name, fault.seconds)
+        self.store.refusing_writes.add(slot.name)
+        await anyio.sleep(fault.seconds)
+        self.store.refusing_writes.discard(slot.name)
+
     async def _set_mood(self, fault: FaultLine, mood: Mood) -> None:
         name = self._find_vm(fault.name)
         worker = None if name is None else self.cloud.get_worker(name)
@@ -402,6 +428,8 @@
     ("down", "list"): FaultyDay.disturb_list,
     ("refuse", "list"): FaultyDay.disturb_list,
     ("old", "list"): FaultyDay.disturb_list,
+    ("split", "workers"): FaultyDay.split_workers,
+    ("refuse", "writes"): FaultyDay.refuse_writes,
     ("malform", "rows"): FaultyDay.malform_rows,
     ("revoke", "keys"): FaultyDay.revoke_keys,
     ("cap", "tenant"): FaultyDay.change_cap,
@@ -412,8 +440,16 @@
 
 _DEATHS = (("crash", "vm"), ("end", "worker"), ("halt", "vm"))
 _LIST_FAULTS = (("down", "list"), ("old", "list"), ("refuse", "list"))
-_DRAWN_APART = frozenset({("halt", "vm"), ("end", "worker"), *_LIST_FAULTS})
-"""Drawn by :func:`draw_worker_deaths` only, so that other draws of a seed stay."""
+_NOT_DRAWN = frozenset(
+    {
+        ("halt", "vm"),
+        ("end", "worker"),
+        ("split", "workers"),
+        ("refuse", "writes"),
+        *_LIST_FAULTS,
+    }
+)
+"""Not drawn with the other faults, so that the draws of a seed stay the same."""
 _TENANT_FAULTS = frozenset({("revoke", "keys"), ("cap", "tenant")})
 """Faults that require a day with tenants."""
 _ONLY_SCRIPTED = (
@@ -455,7 +491,7 @@
     excluded = _ONLY_SCRIPTED
     if include_scripted:
         excluded = ROUTE_FAULTS if script.tenants else ROUTE_FAULTS | _TENANT_FAULTS
-    verbs = sorted(_FAULTS.keys() - excluded - _DRAWN_APART)
+    verbs = sorted(_FAULTS.keys() - excluded - _NOT_DRAWN)
     pools = [line.name for line in script.pools]
     faults = []
     for _ in range(count):
--- a/src/onyxgap/standins/emulator/gate.py
+++ b/src/onyxgap/standins/emulator/gate.py
@@ -13,7 +13,7 @@
 
     :param node: name of the node.
     :param cut_from: services that it does not reach: ``store``, ``workers``,
-        ``cloud``.
+        ``cloud``, and addresses of workers.
     :param call_cost_s: processor time that a call to a worker takes the node, which
         makes one at a time.
     """
--- a/src/onyxgap/standins/emulator/script.py
+++ b/src/onyxgap/standins/emulator/script.py
@@ -215,6 +215,8 @@
         ("down", "list"),
         ("refuse", "list"),
         ("old", "list"),
+        ("split", "workers"),
+        ("refuse", "writes"),
         ("malform", "rows"),
         ("revoke", "keys"),
         ("cap", "tenant"),
--- a/src/onyxgap/standins/emulator/store.py
+++ b/src/onyxgap/standins/emulator/store.py
@@ -36,6 +36,7 @@
     :param group: runs late writes.
     :param down: whether it gives no answer to anybody.
     :param refusing: nodes that it turns away.
+    :param refusing_writes: nodes of which it refuses writes, and answers reads.
     :param slowness: factor on the time of each call.
     :param deaf: whether feeds hear nothing of what changes.
     :param deaf_nodes: nodes whose feeds hear nothing of what changes.
@@ -45,6 +46,7 @@
     group: anyio.abc.TaskGroup
     down: bool = False
     refusing: set[str] = attrs.field(factory=set)
+    refusing_writes: set[str] = attrs.field(factory=set)
     slowness: float = 1.0
     deaf: bool = False
     deaf_nodes: set[str] = attrs.field(factory=set)
@@ -186,6 +188,8 @@
             if str(error) == "turned away":
                 return NotApplied(str(error))
             return OutcomeUnknown(str(error))
+        if self.gate.node in self.store.refusing_writes:
+            return NotApplied("write turned away")
         parts = {row_id.part for row_id in [*batch.expected, *batch.puts]}
         parts |= {row_id.part for row_id in batch.removals}
         in_one = len(parts) == 1
--- a/src/onyxgap/standins/emulator/workers.py
+++ b/src/onyxgap/standins/emulator/workers.py
@@ -353,7 +353,7 @@
         await anyio.sleep(self.workers.link.delay_s)
         worker = self.workers.find_present(address)
         is_dark = worker.dark if worker else address in self.workers.halted
-        if is_dark or "workers" in self.gate.cut_from:
+        if is_dark or not self.gate.cut_from.isdisjoint({"workers", address}):
             await anyio.sleep(CALL_TIMEOUT_S)
             return Reply(ReplyKind.NO_ANSWER, detail="no answer")
         if worker is None:
--- a/tests/owners.py
+++ b/tests/owners.py
@@ -9,6 +9,7 @@
 from onyxgap.daemons.owner import ShardOwner
 from onyxgap.daemons.owner_workers import OwnerContext
 from onyxgap.jobs.health import StoreHealth
+from onyxgap.jobs.leases import GrantPeriod
 from onyxgap.jobs.settings import TimeLimits
 from onyxgap.jobs.tables import OwnerRow
 from onyxgap.jobs.workers import WorkerClient
@@ -18,7 +19,9 @@
     """Build an owner of the shard ``shard`` that can't reach a store."""
     nothing: t.Any = None
     rng = random.Random(1)
-    writer = FencedWriter("shard", OwnerRow("node", "boot", 1), 1, "", nothing, rng)
+    grants = GrantPeriod(clocks.read_boot, clocks.read_boot())
+    row = OwnerRow("node", "boot", 1)
+    writer = FencedWriter("shard", row, 1, "", nothing, rng, grants)
     context = OwnerContext(
         nothing,
         workers,
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -35,6 +35,7 @@
 from onyxgap.jobs.health import OUTAGE_S
 from onyxgap.jobs.health import MonitoredStore
 from onyxgap.jobs.health import StoreHealth
+from onyxgap.jobs.leases import GrantPeriod
 from onyxgap.jobs.messages import JobState
 from onyxgap.jobs.messages import QueuePolicy
 from onyxgap.jobs.messages import Step
@@ -237,10 +238,10 @@
 
 def build_writer(scripted: ScriptedStore, store: EmulatedStore) -> FencedWriter:
     store.put(tables.get_fence_row("s"), b"boot-1/4/0")
-    writer = FencedWriter(
-        "s", OWNER_ROW, store.version, "boot-1/4/0", scripted, random.Random(1)
+    grants = GrantPeriod(EmulatedClocks().read_boot, 0.0)
+    return FencedWriter(
+        "s", OWNER_ROW, store.version, "boot-1/4/0", scripted, random.Random(1), grants
     )
-    return writer
 
 
 @pytest.mark.parametrize("step", ["refuse", "drop", "lose"])
--- a/tests/test_silent_store.py
+++ b/tests/test_silent_store.py
@@ -25,6 +25,7 @@
 from onyxgap.jobs import tables
 from onyxgap.jobs.health import MonitoredStore
 from onyxgap.jobs.health import StoreHealth
+from onyxgap.jobs.leases import GrantPeriod
 from onyxgap.jobs.messages import QueuePolicy
 from onyxgap.jobs.ownership import LOAD_REPORT_VALID_S
 from onyxgap.jobs.routing import Configuration
@@ -131,7 +132,8 @@
         """Renew the row of an owner whose count grows, until cancelled."""
         owner = OwnerRow("node-1", "boot", epoch=1)
         rng = random.Random(1)
-        writer = FencedWriter(SHARD, owner, fence_version, "", self.store, rng)
+        grants = GrantPeriod(CLOCKS.read_boot, 0.0)
+        writer = FencedWriter(SHARD, owner, fence_version, "", self.store, rng, grants)
         while True:
             with contextlib.suppress(PlatformUnavailableError):
                 await self.store.read(tables.OWNER_TABLE, SHARD)
