Build owners of tests without reading a clock

Tests of registrations build an owner outside an event loop, where a virtual clock cannot be read; read it there, so that five tests ended with an error.

--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -93,6 +93,7 @@
 def test_answers_to_reads_do_not_let_an_owner_grant_leases() -> None:
     clocks = ManualClocks()
     owner = build_owner(NOTHING, clocks)
+    owner.writer.grants.confirmed_at = clocks.now
     owner.state.observe_worker(ENTRY, clocks.now)
     assert owner._build_hold("w1").deadline_ms is not None
     clocks.now += GRANT_WITHOUT_STORE_S
--- a/tests/test_order_lanes.py
+++ b/tests/test_order_lanes.py
@@ -50,6 +50,9 @@
     def read_monotonic(self) -> float:
         return anyio.current_time()
 
+    def read_boot(self) -> float:
+        return anyio.current_time()
+
 
 class PermissiveShard:
     """Shard state that permits every order and sets its deadline when it is sent."""
