Reckon with grants of former owners only as long as these can have made any

Users saw tasks that serve stay away for long after their worker had died, and jobs stand still: LOST. The list of VMs alone tells at once that a worker is dead. Without it, a new owner kept the runs of a silent worker for 13 s after its claim, whatever it knew of its predecessor: also when that one had released the shard 2 s before, or had been a former process of the very same node.

A new owner now knows from the owner row, which its claim requires to be unchanged, that leases were granted for 8 s after the renewal that it has seen at the most. It learns of an earlier end: - a released row: none were granted after the release was sent; - nodes register their process, with its start on the store's clock, before they claim shards: a later process of the node proves the end of the former one; - a process that loses a shard adds that to its registration, so an owner that was paused or cut off is known to have stopped as soon as it is back. Owner rows tell until when owners before theirs may have granted leases, so that a bound is never lost in a series of owners. Rows of earlier versions lack that, and are reckoned with for 8 s after the claim as before.

--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -46,6 +46,26 @@
 _LOG = structlog.get_logger()
 
 
+@attrs.frozen(eq=False)
+class _Claim:
+    """A claim that the store has confirmed.
+
+    :param shard: the shard.
+    :param previous: what was known of its previous owner.
+    :param row: the new owner row.
+    :param version: version of that row.
+    :param nonce: value of the fence row.
+    :param grants: when the new owner may grant leases.
+    """
+
+    shard: str
+    previous: OwnerView
+    row: OwnerRow
+    version: int
+    nonce: str
+    grants: GrantPeriod
+
+
 @attrs.define(eq=False)
 class Node(NodePeers):
     """Node without its listeners, which the process starts.
@@ -57,6 +77,7 @@
 
     async def run(self) -> None:
         """Run the node until cancelled."""
+        self.registration.started_at = self.clocks.read_boot()
         async with anyio.create_task_group() as group:
             self._group = group
             group.start_soon(self._follow_operator().run)
@@ -122,7 +143,7 @@
     def _claim_next_shard(self, follower: Follower) -> None:
         now = self.clocks.read_monotonic()
         reachable_since = self._update_store_reachable_since(now)
-        if reachable_since is None or not follower.after:
+        if reachable_since is None or not follower.after or not self._may_claim():
             return
         for shard in self._list_shards():
             self.views.setdefault(shard, OwnerView(None, 0, now))
@@ -158,6 +179,11 @@
             )
             self._group.start_soon(self._claim, shard, view)
 
+    def _may_claim(self) -> bool:
+        # other nodes take an owner of another process for ended once a later one of
+        # its node has registered
+        return self.registration.registered or not self.peers.get_address()
+
     def _update_store_reachable_since(self, now: float) -> float | None:
         answered_at = self.health.answered_at
         if self.health.is_down(now) or not answered_at:
@@ -216,16 +242,23 @@
             if version:
                 self._update_owner_view(shard, row, version, now)
                 grants = GrantPeriod(self.clocks.read_boot, sent_at)
-                self._start_owner(shard, row, version, nonce, grants)
+                self._start_owner(_Claim(shard, view, row, version, nonce, grants))
                 return
             await anyio.sleep(CLAIM_RETRY_S)
 
-    def _start_owner(
-        self, shard: str, row: OwnerRow, version: int, nonce: str, grants: GrantPeriod
-    ) -> None:
+    def _start_owner(self, claim: _Claim) -> None:
         assert self._group is not None
-        _LOG.info("shard claimed", shard=shard, epoch=row.epoch, version=version)
-        writer = FencedWriter(shard, row, version, nonce, self.store, self.rng, grants)
+        shard, row = claim.shard, claim.row
+        _LOG.info("shard claimed", shard=shard, epoch=row.epoch, version=claim.version)
+        writer = FencedWriter(
+            shard,
+            row,
+            claim.version,
+            claim.nonce,
+            self.store,
+            self.rng,
+            claim.grants,
+        )
         if shard == tables.FLEET_SHARD:
             assert self.cloud is not None
             fleet_controller = FleetController(
@@ -263,7 +296,9 @@
             self.skipped,
             self.job_api.decoder,
         )
-        owner = ShardOwner(writer, context)
+        former_grants = self.former_owners.bound(shard, claim.previous)
+        owner = ShardOwner(writer, context, former_grants)
+        owner.set_former_grants_end(self.former_owners.get_end_ms(former_grants))
         self.owners[shard] = owner
         self._group.start_soon(self._run_owner, shard, row.epoch, owner.run)
 
@@ -274,12 +309,15 @@
             await run()
         except OwnershipLostError as error:
             _LOG.info("shard lost", shard=shard, reason=str(error))
+            self.registration.note_lost(shard, epoch)
         except PlatformUnavailableError as error:
             _LOG.info("shard not loaded", shard=shard, reason=str(error))
+            self.registration.note_lost(shard, epoch)
         except Exception:
             # An error in one shard must not stop the others; the shard is claimed anew.
             self.shards_failed += 1
             _LOG.exception("shard failed", shard=shard, epoch=epoch)
+            self.registration.note_lost(shard, epoch)
         finally:
             if shard == tables.FLEET_SHARD:
                 self.fleet_controller = None
--- a/src/onyxgap/daemons/node_base.py
+++ b/src/onyxgap/daemons/node_base.py
@@ -37,7 +37,9 @@
 from .desk import LocalJobApi
 from .fleet_controller import FleetController
 from .follower import Follower
+from .former_owners import FormerOwners
 from .lag import LoopLag
+from .member_registration import MemberRegistration
 from .owner import ShardOwner
 from .owner_workers import DecodeWorker
 from .passing_desk import ForwardingJobApi
@@ -107,6 +109,8 @@
     :param served_api: job API that callers use: ``forwarding_api`` if set, else
         ``job_api``.
     :param lag: lag of the event loop.
+    :param registration: registration of this node as a member.
+    :param former_owners: knows which former owners of its shards have ended.
     """
 
     settings: NodeSettings
@@ -137,6 +141,8 @@
     job_api: LocalJobApi = attrs.field(init=False)
     served_api: JobApi = attrs.field(init=False)
     lag: LoopLag = attrs.field(init=False)
+    registration: MemberRegistration = attrs.field(init=False)
+    former_owners: FormerOwners = attrs.field(init=False)
     _store_reachable_since: float | None = None
     _store_answered_at: float = 0.0
     _claiming: set[str] = attrs.field(factory=set)
@@ -178,6 +184,20 @@
             self.served_api = self.forwarding_api
             self.job_api.admission = AdmissionController()
             self.job_api.count_nodes = lambda: len(self.members)
+        self._build_registration()
+
+    def _build_registration(self) -> None:
+        forwards = self.forwarding_api is not None
+        call_address = self.calls.get_address() if forwards else ""
+        member = Member(
+            self.peers.get_address(), self.memory_mb, call_address, self.boot
+        )
+        self.registration = MemberRegistration(
+            self.settings.node, self.store, self.health, self.clocks, member
+        )
+        self.former_owners = FormerOwners(
+            self.clocks, self.health, self.members, self.registration
+        )
 
     def _follow_operator(self) -> Follower:
         return Follower(
--- a/src/onyxgap/daemons/node_peers.py
+++ b/src/onyxgap/daemons/node_peers.py
@@ -7,9 +7,7 @@
 import structlog
 
 from ..jobs import tables
-from ..jobs.members import Member
 from ..jobs.members import decode_member
-from ..jobs.members import encode_member
 from ..jobs.members import is_small_vm
 from ..jobs.members import list_large_vm_nodes
 from ..jobs.notices import ConfigurationPart
@@ -18,8 +16,6 @@
 from ..jobs.notices import JobNotice
 from ..jobs.notices import Notice
 from ..jobs.relief import ShardOfferPolicy
-from ..jobs.store import Applied
-from ..jobs.store import Batch
 from ..jobs.store import StoredRow
 from .follower import Follower
 from .node_base import NodeBase
@@ -29,8 +25,6 @@
 MEMBERS_WAIT_S = 10.0
 """Maximum wait of one call that follows the member table. Members change only when
 nodes start; until a change is read, the new member gets no notices."""
-MEMBER_RETRY_S = 0.5
-"""Pause between two attempts to register this node as a member."""
 HAND_OVER_INTERVAL_S = 0.3
 """Interval of checking whether to offer shards to other nodes, and of repeating the
 hand-over notices."""
@@ -59,7 +53,7 @@
         )
         async with anyio.create_task_group() as group:
             group.start_soon(self.peers.run, self._handle_notice)
-            group.start_soon(self._register)
+            group.start_soon(self.registration.run)
             group.start_soon(members.run)
             group.start_soon(self._send_hand_overs)
             if self.settings.contended:
@@ -67,27 +61,22 @@
             if self.forwarding_api is not None:
                 group.start_soon(self.calls.run, self.forwarding_api.answer)
 
-    async def _register(self) -> None:
-        row = tables.get_member_row(self.settings.node)
-        call_address = (
-            self.calls.get_address() if self.forwarding_api is not None else ""
-        )
-        member = Member(self.peers.get_address(), self.memory_mb, call_address)
-        value = encode_member(member)
-        outcome = await self.store.write(Batch({}, {row: value}))
-        while not isinstance(outcome, Applied):
-            await anyio.sleep(MEMBER_RETRY_S)
-            outcome = await self.store.write(Batch({}, {row: value}))
-
     def _apply_member_rows(self, rows: t.Sequence[StoredRow], snapshot: bool) -> None:
         for row, member in decode_rows(
             rows,
-            lambda row: decode_member(row.value),
+            lambda row: decode_member(row.value, row.version),
             self.skipped,
             "member row skipped",
         ):
             if member is not None:
                 self.members[row.row_id.key] = member
+        self._update_former_grants()
+
+    def _update_former_grants(self) -> None:
+        for shard, owner in self.owners.items():
+            grants = owner.former_grants
+            if grants is not None and self.former_owners.update(shard, grants):
+                owner.set_former_grants_end(self.former_owners.get_end_ms(grants))
 
     def _notify_owner(self, shard: str, key: str) -> None:
         owner = self.owners.get(shard)
--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -16,6 +16,7 @@
 from ..jobs.health import StoreHealth
 from ..jobs.holds import choose_hold_pause
 from ..jobs.holds import choose_hold_wait
+from ..jobs.leases import FormerGrants
 from ..jobs.messages import WorkerEntry
 from ..jobs.priorities import LearnedForecast
 from ..jobs.rates import TenantRates
@@ -123,6 +124,8 @@
     """The part of a shard's owner that keeps its leases and sends orders to workers.
 
     :param context: what all owners of the node have in common.
+    :param former_grants: until when former owners may have granted leases, ``None`` if
+        nothing but the claim is known.
     :param state: state of the shard.
     :param share_synchronizer: reads and writes shares; ``None`` without tenants.
     :param loaded: whether the rows of the shard were read.
@@ -130,6 +133,7 @@
     """
 
     context: OwnerContext
+    former_grants: FormerGrants | None = None
     state: Shard = attrs.field(init=False)
     share_synchronizer: ShareSynchronizer | None = attrs.field(default=None, init=False)
     loaded: bool = False
@@ -148,6 +152,7 @@
             self.epoch,
             self._now(),
             max_lease_s=context.limits.max_lease_s,
+            former_grants=self.former_grants,
         )
         if context.contended:
             self.state.run_times = RunTimes()
@@ -167,6 +172,15 @@
                 context.skipped,
             )
 
+    def set_former_grants_end(self, end_ms: int | None) -> None:
+        """Set until when the next owner has to reckon with grants of former ones.
+
+        :param end_ms: milliseconds of the store's clock, ``None`` if not known.
+        """
+        owner = self.writer.owner
+        self.writer.owner = attrs.evolve(owner, former_grants_end_ms=end_ms)
+        self.wake()
+
     def _now(self) -> float:
         return self.context.clocks.read_monotonic()
 
--- a/src/onyxgap/jobs/shard_leases.py
+++ b/src/onyxgap/jobs/shard_leases.py
@@ -7,30 +7,36 @@
 from .doubts import LeaseSource
 from .job import Job
 from .job import Task
+from .leases import GRANT_WITHOUT_STORE_S
+from .leases import FormerGrants
 from .placing import WorkerRecord
 from .shard_jobs import ShardJobs
+from .workers import MAX_CLOCK_DRIFT
 from .workers import MS_PER_S
 
 LEASE_S = 5.0
 """Length of a lease. It covers a change of the owner: the owner time-out of 2.2 s, the
 claim and the first hold request."""
-INHERITED_LEASE_S = 13.0
-"""Time after a claim for which leases of the previous owner may still be valid: an
-owner grants none later than 8 s after its last renewal, and the last one lasts 5 s."""
 FORMER_LEASE_S = LEASE_S + 0.3
 """Longest lease of the previous owner that may be left when a worker first answers this
 one, which fences off the previous owner. That owner's estimate of a clock that is 2%
 slow runs ahead by 0.3 s at most, if the last reading of the clock is 15 s old."""
+UNHEARD_LEASE_S = FORMER_LEASE_S / (1 - MAX_CLOCK_DRIFT)
+"""Longest time for which a worker that this owner has not heard of keeps a lease after
+the last grant, on a clock that is 2% slow."""
 
 
 @attrs.define
 class ShardLeases(ShardJobs):
     """Leases of the workers of one shard.
 
+    :param former_grants: until when former owners may have granted leases, ``None`` if
+        nothing but the claim is known.
     :param listed_at: monotonic seconds when the newest list of VMs that this owner has
         seen was requested, ``None`` if it has seen none.
     """
 
+    former_grants: FormerGrants | None = None
     listed_at: float | None = None
     doubt_reporter: DoubtReporter = attrs.field(factory=DoubtReporter)
 
@@ -87,13 +93,24 @@
 
     def _get_lease_left_s(self, record: WorkerRecord, now: float) -> float:
         if not record.held:
-            return self.claimed_at + INHERITED_LEASE_S - now
+            return self._get_former_leases_end() - now
         if record.clock is None:
             return 0.0
         return (record.lease_ms - record.clock.get_lower_bound(now)) / MS_PER_S
 
+    def _get_former_leases_end(self) -> float:
+        """Return the monotonic second at which all leases of former owners have ended.
+
+        That holds for the workers that this owner has not heard of.
+        """
+        if self.former_grants is None:
+            granted_until = self.claimed_at + GRANT_WITHOUT_STORE_S
+        else:
+            granted_until = self.former_grants.until
+        return granted_until + UNHEARD_LEASE_S
+
     def _has_lease_expired(self, record: WorkerRecord, now: float) -> bool:
-        if not record.held and now < self.claimed_at + INHERITED_LEASE_S:
+        if not record.held and now < self._get_former_leases_end():
             return False
         if record.clock is None:
             return True
@@ -108,7 +125,7 @@
         :param clock_ms: reading of the worker's clock in the answer.
         :param now: monotonic seconds.
         """
-        valid_s = self.claimed_at + INHERITED_LEASE_S - now
+        valid_s = self._get_former_leases_end() - now
         lease_s = min(FORMER_LEASE_S, self.max_lease_s, valid_s)
         record.lease_ms = max(record.lease_ms, clock_ms + lease_s * MS_PER_S)
 
--- a/src/onyxgap/jobs/store_clock.py
+++ b/src/onyxgap/jobs/store_clock.py
@@ -74,3 +74,25 @@
             return None
         passed_s = (now - self.reading.sent_at) * (1 + MAX_DRIFT)
         return math.ceil(self.reading.store_ms + passed_s * MS_PER_S)
+
+    def get_longest_wait_s(self, store_ms: int, now: float) -> float | None:
+        """Return the most seconds until the store's clock shows a time.
+
+        :param store_ms: the time, which may be in the past.
+        :param now: seconds of the boot clock.
+        :returns: seconds, negative for the past, or ``None`` if that is not known.
+        """
+        earliest_ms = self.get_earliest_ms(now)
+        return None if earliest_ms is None else (store_ms - earliest_ms) / MS_PER_S
+
+    def get_latest_ms_at(self, at: float, now: float) -> int | None:
+        """Return an upper bound of the store's clock at another time.
+
+        :param at: seconds of the boot clock, in the past or the future.
+        :param now: seconds of the boot clock.
+        """
+        latest_ms = self.get_latest_ms(now)
+        if latest_ms is None:
+            return None
+        factor = 1 + math.copysign(MAX_DRIFT, at - now)
+        return latest_ms + math.ceil((at - now) * factor * MS_PER_S)
--- a/src/onyxgap/jobs/tables.py
+++ b/src/onyxgap/jobs/tables.py
@@ -145,6 +145,9 @@
     :param waiting: as in :class:`ShardLoad`; ``None`` until the owner has counted.
     :param outlook: as in :class:`ShardLoad`.
     :param counted_at_ms: as in :class:`ShardLoad`.
+    :param former_grants_end_ms: upper bound of the store's clock in milliseconds until
+        which former owners may have granted leases; ``None`` if the owner does not
+        know, or does not end its own grants in time.
     """
 
     node: str
@@ -155,6 +158,7 @@
     waiting: t.Mapping[str, int] | None = None
     outlook: t.Mapping[str, t.Any] = attrs.field(factory=dict)
     counted_at_ms: int | None = None
+    former_grants_end_ms: int | None = None
 
     def renew(self, load: ShardLoad) -> "OwnerRow":
         """Return the row of the next heartbeat.
