Ignore lists of VMs that lack a worker which answers

A task could run twice at once. A silent worker that the list of VMs does not show as up was taken for dead. A list that is older than the worker does not show it either, so one failed call to a worker that had joined since was enough to give up its runs while they went on.

A list that lacks a worker which answers is not current; it is now ignored and logged. If the only worker that joined since is the silent one, the list cannot be told from a current one; that remains.

--- a/src/onyxgap/jobs/placing.py
+++ b/src/onyxgap/jobs/placing.py
@@ -116,6 +116,10 @@
     heard_at: float = 0.0
     former_entry: WorkerEntry | None = None
 
+    def is_silent(self) -> bool:
+        """Return whether the worker does not answer, or is no longer registered."""
+        return self.failing_since is not None or not self.registered
+
     def is_usable(self, now: float) -> bool:
         """Return whether the worker is present, answers and is not to be drained.
 
--- a/src/onyxgap/jobs/shard_leases.py
+++ b/src/onyxgap/jobs/shard_leases.py
@@ -42,11 +42,7 @@
 
     def list_silent(self) -> list[WorkerRecord]:
         """List the workers that do not answer, or are no longer registered."""
-        return [
-            record
-            for record in self.workers.values()
-            if record.failing_since is not None or not record.registered
-        ]
+        return [record for record in self.workers.values() if record.is_silent()]
 
     def list_doubtful_runs(self, now: float) -> list[DoubtfulRuns]:
         """List the runs that are kept on silent workers.
--- a/src/onyxgap/jobs/shard_workers.py
+++ b/src/onyxgap/jobs/shard_workers.py
@@ -281,17 +281,35 @@
     def apply_live_workers(self, live: t.Collection[str], sent_at: float) -> None:
         """Remove silent workers that the platform's list of VMs does not show as up.
 
+        A list that lacks a worker which answers is not current, and is ignored.
+
         :param live: ids of the workers of VMs that are up.
         :param sent_at: monotonic seconds when the list was requested.
         """
+        missing = [
+            record
+            for worker_id, record in self.workers.items()
+            if worker_id not in live
+        ]
+        answering = [record for record in missing if record.is_answering()]
+        if answering:
+            self._log_outdated_list(answering)
+            return
         self.listed_at = sent_at
-        for record in self.list_silent():
+        for record in missing:
             silent_since = record.failing_since or self.claimed_at
-            if record.entry.worker_id not in live and sent_at > silent_since:
+            if record.is_silent() and sent_at > silent_since:
                 self.remove_worker(
                     record.entry.worker_id, "VM is down or runs another worker", sent_at
                 )
 
+    def _log_outdated_list(self, answering: t.Sequence[WorkerRecord]) -> None:
+        _LOG.info(
+            "list of VMs outdated",
+            service=self.service,
+            answering=[record.entry.worker_id for record in answering],
+        )
+
     def expire_workers(self, now: float) -> None:
         """Release the runs of silent workers whose lease has certainly expired."""
         for record in list(self.workers.values()):
--- a/tests/test_unknown_deaths.py
+++ b/tests/test_unknown_deaths.py
@@ -14,6 +14,14 @@
 load ring every 0.5 from 3 to 20 width 6 work 0.6 cpu 3.5
 end 30
 """
+REPLACED_DAY = """
+nodes 3
+pool ring vms 6
+spare 2
+serve ring tasks 4 cpu 5 memory 20 per-vm 1 may-miss 1
+load ring every 0.5 from 3 to 20 width 6 work 1.0 cpu 3.5
+end 30
+"""
 LISTS = {
     "silent": "at 11 down list for 19",
     "refused": "at 11 refuse list for 19",
@@ -67,3 +75,13 @@
 ) -> None:
     script = build_day(LISTS[vm_list], OWNERS[owner], *CUT_OFF)
     assert list_broken_rules(script) == []
+
+
+@pytest.mark.parametrize("seed", [2, 4])
+def test_old_vm_list_does_not_end_runs_of_workers_that_joined_later(seed: int) -> None:
+    replaced = [f"at {5 + 0.5 * n} crash vm ring for 0.5" for n in range(8)]
+    cuts = [f"at {at} cut vm ring for 3" for at in (13, 14, 16)]
+    script = parse_script(
+        "old-list", "\n".join([REPLACED_DAY, "at 4 old list for 26", *replaced, *cuts])
+    )
+    assert list_broken_rules(script, seed) == []
