--- a/src/onyxgap/jobs/doubts.py
+++ b/src/onyxgap/jobs/doubts.py
@@ -55,47 +55,52 @@
 class DoubtReporter:
     """Logs the runs on workers that have been silent for some time.
 
+    :param service: name of the shard.
+    :param epoch: fencing token of the owner.
     :param reported_at: monotonic seconds of the last report, by worker.
     """
 
+    service: str
+    epoch: int
     reported_at: dict[str, float] = attrs.field(factory=dict)
 
-    def report(
-        self,
-        doubtful: t.Sequence[DoubtfulRuns],
-        service: str,
-        epoch: int,
-        list_age_s: float | None,
-        now: float,
-    ) -> None:
-        """Log the runs that are due for a report.
-
-        :param doubtful: runs on the silent workers of the shard.
-        :param service: name of the shard.
-        :param epoch: fencing token of the owner.
+    def keep_only(self, worker_ids: t.Collection[str]) -> None:
+        """Forget the workers that are no longer silent.
+
+        :param worker_ids: the silent workers.
+        """
+        for worker_id in self.reported_at.keys() - set(worker_ids):
+            del self.reported_at[worker_id]
+
+    def is_due(self, worker_id: str, silent_s: float, now: float) -> bool:
+        """Tell whether the runs on a silent worker are to be reported.
+
+        :param worker_id: the worker.
+        :param silent_s: seconds since it became silent.
+        :param now: monotonic seconds.
+        """
+        reported_at = self.reported_at.get(worker_id, -math.inf)
+        return silent_s >= REPORT_AFTER_S and now - reported_at >= REPORT_INTERVAL_S
+
+    def report(self, doubt: DoubtfulRuns, list_age_s: float | None, now: float) -> None:
+        """Log the runs on a silent worker.
+
+        :param doubt: the runs.
         :param list_age_s: seconds since the newest list of VMs was requested, which
-            shows these workers as up; ``None`` if this owner has seen none.
+            shows the worker as up; ``None`` if this owner has seen none.
         :param now: monotonic seconds.
         """
-        silent = {item.worker_id for item in doubtful}
-        for worker_id in self.reported_at.keys() - silent:
-            del self.reported_at[worker_id]
-        for item in doubtful:
-            reported_at = self.reported_at.get(item.worker_id, -math.inf)
-            is_due = now - reported_at >= REPORT_INTERVAL_S
-            if item.silent_s < REPORT_AFTER_S or not is_due:
-                continue
-            self.reported_at[item.worker_id] = now
-            _LOG.info(
-                "runs in doubt",
-                worker=item.worker_id,
-                service=service,
-                epoch=epoch,
-                count=len(item.runs),
-                runs=[str(task) for task in item.runs[:MAX_REPORTED_RUNS]],
-                silent_s=round(item.silent_s, 3),
-                lease_left_s=round(item.lease_left_s, 3),
-                lease_source=item.lease_source.value,
-                registered=item.registered,
-                list_age_s=None if list_age_s is None else round(list_age_s, 3),
-            )
+        self.reported_at[doubt.worker_id] = now
+        _LOG.info(
+            "runs in doubt",
+            worker=doubt.worker_id,
+            service=self.service,
+            epoch=self.epoch,
+            count=len(doubt.runs),
+            runs=[str(task) for task in doubt.runs[:MAX_REPORTED_RUNS]],
+            silent_s=round(doubt.silent_s, 3),
+            lease_left_s=round(doubt.lease_left_s, 3),
+            lease_source=doubt.lease_source.value,
+            registered=doubt.registered,
+            list_age_s=None if list_age_s is None else round(list_age_s, 3),
+        )
--- a/src/onyxgap/jobs/shard_leases.py
+++ b/src/onyxgap/jobs/shard_leases.py
@@ -38,23 +38,15 @@
 
     former_grants: FormerGrants | None = None
     listed_at: float | None = None
-    doubt_reporter: DoubtReporter = attrs.field(factory=DoubtReporter)
+    doubt_reporter: DoubtReporter = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.doubt_reporter = DoubtReporter(self.service, self.epoch)
 
     def list_silent(self) -> list[WorkerRecord]:
         """List the workers that do not answer, or are no longer registered."""
         return [record for record in self.workers.values() if record.is_silent()]
 
-    def list_doubtful_runs(self, now: float) -> list[DoubtfulRuns]:
-        """List the runs that are kept on silent workers.
-
-        :param now: monotonic seconds.
-        """
-        return [
-            self._describe_doubt(record, now)
-            for record in self.list_silent()
-            if record.present
-        ]
-
     def count_doubtful_runs(self) -> int:
         """Return the number of runs that are kept on silent workers."""
         return sum(record.count_present() for record in self.list_silent())
@@ -64,16 +56,27 @@
 
         :param now: monotonic seconds.
         """
+        silent = [record for record in self.list_silent() if record.present]
+        reporter = self.doubt_reporter
+        reporter.keep_only([record.entry.worker_id for record in silent])
         list_age_s = None if self.listed_at is None else now - self.listed_at
-        doubtful = self.list_doubtful_runs(now)
-        self.doubt_reporter.report(doubtful, self.service, self.epoch, list_age_s, now)
+        for record in silent:
+            silent_s = self._get_silent_s(record, now)
+            if reporter.is_due(record.entry.worker_id, silent_s, now):
+                doubt = self._describe_doubt(record, silent_s, now)
+                reporter.report(doubt, list_age_s, now)
 
-    def _describe_doubt(self, record: WorkerRecord, now: float) -> DoubtfulRuns:
+    def _get_silent_s(self, record: WorkerRecord, now: float) -> float:
         silent_since = record.failing_since or record.heard_at
+        return now - max(silent_since, self.claimed_at)
+
+    def _describe_doubt(
+        self, record: WorkerRecord, silent_s: float, now: float
+    ) -> DoubtfulRuns:
         return DoubtfulRuns(
             record.entry.worker_id,
             [task.task_id for _, task in self._list_runs_on(record)],
-            now - max(silent_since, self.claimed_at),
+            silent_s,
             self._get_lease_left_s(record, now),
             LeaseSource.OWN if record.held else LeaseSource.FORMER_OWNER,
             record.registered,
