Estimate clocks of workers from recent readings only

Found by review: a lease of a former owner could outlast what the next owner reckons with. The estimate of a worker's clock used the reading with the highest lower bound, however old. For a clock that is 2% slow, and answers that vary by milliseconds, that reading stays for minutes, and the estimate, and with it the deadline of each lease, runs ahead by 2% of its age. An owner of 300 s that released its shard had granted leases that ended 10.2 s later, the next owner gave the runs up after 5.4 s; a task could run twice at once.

The estimate now uses readings of the last 10 s; the lower bound, by which leases are known to have expired, is as before. The new test fails without the change for all four ranges of the answers' delay.

--- a/src/onyxgap/jobs/shard_leases.py
+++ b/src/onyxgap/jobs/shard_leases.py
@@ -20,7 +20,8 @@
 FORMER_LEASE_S = LEASE_S + 0.3
 """Longest lease of the previous owner that may be left when a worker first answers this
 one, which fences off the previous owner. That owner's estimate of a clock that is 2%
-slow runs ahead by 0.3 s at most, if the last reading of the clock is 15 s old."""
+slow runs ahead by less than 0.3 s, as it uses no reading for longer than 15 s; see
+``MAX_READING_AGE_S``."""
 UNHEARD_LEASE_S = FORMER_LEASE_S / (1 - MAX_CLOCK_DRIFT)
 """Longest time for which a worker that this owner has not heard of keeps a lease after
 the last grant, on a clock that is 2% slow."""
--- a/src/onyxgap/jobs/workers.py
+++ b/src/onyxgap/jobs/workers.py
@@ -13,6 +13,9 @@
 """Largest share by which a worker's clock runs slow, as published by the platform."""
 MS_PER_S = 1000.0
 """Milliseconds in a second."""
+MAX_READING_AGE_S = 10.0
+"""Age from which a reading of a worker's clock is replaced by any newer one: the
+estimate of a slow clock runs ahead by 2% of that age."""
 
 
 class ReplyKind(enum.Enum):
@@ -154,22 +157,43 @@
 class WorkerClock:
     """Estimate of a worker's clock from its readings and our monotonic clock.
 
-    :param sample_ms: reading of the worker's clock, in milliseconds.
-    :param read_at: monotonic seconds when the reading arrived.
+    :param sample_ms: reading of the worker's clock that gives the highest lower bound,
+        in milliseconds.
+    :param read_at: monotonic seconds when that reading arrived.
+    :param recent_ms: the same of the recent readings, for estimates.
+    :param recent_at: monotonic seconds when that reading arrived.
     """
 
     sample_ms: float
     read_at: float
+    recent_ms: float = attrs.field(init=False)
+    recent_at: float = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.recent_ms, self.recent_at = self.sample_ms, self.read_at
 
     def observe(self, sample_ms: float, now: float) -> None:
         """Use a new reading, unless the present one gives a higher lower bound."""
         if sample_ms >= self.get_lower_bound(now):
             self.sample_ms, self.read_at = sample_ms, now
+        is_old = now - self.recent_at >= MAX_READING_AGE_S
+        recent_bound = get_slowest_reading(self.recent_ms, now - self.recent_at)
+        if is_old or sample_ms >= recent_bound:
+            self.recent_ms, self.recent_at = sample_ms, now
 
     def estimate(self, now: float) -> float:
         """Return the estimated reading of the worker's clock, in milliseconds."""
-        return self.sample_ms + (now - self.read_at) * MS_PER_S
+        return self.recent_ms + (now - self.recent_at) * MS_PER_S
 
     def get_lower_bound(self, now: float) -> float:
         """Return the lowest possible reading of the worker's clock, in milliseconds."""
-        return self.sample_ms + (now - self.read_at) * MS_PER_S * (1 - MAX_CLOCK_DRIFT)
+        return get_slowest_reading(self.sample_ms, now - self.read_at)
+
+
+def get_slowest_reading(sample_ms: float, age_s: float) -> float:
+    """Return what the slowest clock shows some time after a reading.
+
+    :param sample_ms: the reading, in milliseconds.
+    :param age_s: seconds since the reading.
+    """
+    return sample_ms + age_s * MS_PER_S * (1 - MAX_CLOCK_DRIFT)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -19,9 +19,14 @@
 from onyxgap.jobs.members import decode_member
 from onyxgap.jobs.members import encode_member
 from onyxgap.jobs.ownership import OwnerView
+from onyxgap.jobs.shard_leases import FORMER_LEASE_S
+from onyxgap.jobs.shard_leases import LEASE_S
 from onyxgap.jobs.store_clock import ClockReading
 from onyxgap.jobs.store_clock import StoreClock
 from onyxgap.jobs.tables import OwnerRow
+from onyxgap.jobs.workers import MAX_CLOCK_DRIFT
+from onyxgap.jobs.workers import MS_PER_S
+from onyxgap.jobs.workers import WorkerClock
 from onyxgap.standins.emulator.gate import NodeGate
 from onyxgap.standins.emulator.slots import EmulatedClocks
 from onyxgap.standins.emulator.store import EmulatedStore
@@ -94,6 +99,21 @@
     assert decode_member(encode_member(member), 3) == member
 
 
+@pytest.mark.parametrize("jitter_s", [0.003, 0.01, 0.1, 0.3])
+def test_estimate_of_a_slow_clock_does_not_run_ahead_for_longer(
+    jitter_s: float,
+) -> None:
+    rng = random.Random(1)
+    clock = WorkerClock(0.0, 0.0)
+    ahead_ms = []
+    for number in range(600):
+        at = 0.5 * number
+        true_ms = at * MS_PER_S * (1 - MAX_CLOCK_DRIFT)
+        ahead_ms.append(clock.estimate(at) - true_ms)
+        clock.observe(true_ms, at + rng.uniform(0.0, jitter_s))
+    assert max(ahead_ms) <= (FORMER_LEASE_S - LEASE_S) * MS_PER_S
+
+
 def test_store_clock_bounds_times_to_come_and_past_ones() -> None:
     clock = StoreClock()
     assert clock.get_latest_ms_at(1.0, 2.0) is None
