Send no start orders once an owner may grant no leases

Found by review: a start order grants a lease, too, of 0.5 s. One that had waited for a slot was sent however long the ownership had not been confirmed, or the shard been released. The new test sends one after the release without the change, and none with it; its task waits again.

--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -31,6 +31,7 @@
 from ..jobs.workers import MS_PER_S
 from ..jobs.workers import HoldOrder
 from ..jobs.workers import HoldReport
+from ..jobs.workers import Reply
 from ..jobs.workers import ReplyKind
 from ..jobs.workers import StartOrder
 from ..jobs.workers import StopOrder
@@ -399,7 +400,11 @@
             if ready is None:
                 self.wake()
                 return
-            reply = await self.context.workers.start(ready)
+            if self.writer.grants.is_open():
+                reply = await self.context.workers.start(ready)
+            else:
+                # a start grants a lease, too
+                reply = Reply(ReplyKind.TOO_LATE, detail="ownership not confirmed")
         if reply.kind is ReplyKind.STALE_OWNER:
             raise OwnershipLostError(
                 f"worker {order.worker_id} was called by a newer owner"
--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -10,8 +10,13 @@
 from onyxgap.daemons.fence import FencedWriter
 from onyxgap.exceptions import OwnershipLostError
 from onyxgap.jobs import tables
+from onyxgap.jobs.job import Job
+from onyxgap.jobs.job import TaskPhase
 from onyxgap.jobs.leases import GRANT_WITHOUT_STORE_S
 from onyxgap.jobs.leases import GrantPeriod
+from onyxgap.jobs.messages import QueuePolicy
+from onyxgap.jobs.messages import Step
+from onyxgap.jobs.messages import Submission
 from onyxgap.jobs.messages import WorkerEntry
 from onyxgap.jobs.messages import WorkerState
 from onyxgap.jobs.store import Applied
@@ -21,10 +26,12 @@
 from onyxgap.jobs.store import StoredRow
 from onyxgap.jobs.store import WriteOutcome
 from onyxgap.jobs.tables import OwnerRow
+from onyxgap.jobs.workers import HoldReport
 from onyxgap.standins.emulator.script import parse_script
 from onyxgap.standins.virtual import run_virtually
 from tests.emulated import play
 from tests.owners import build_owner
+from tests.test_order_lanes import SerialWorkers
 
 NOTHING: t.Any = None
 ENTRY = WorkerEntry(
@@ -146,3 +153,23 @@
 def test_run_is_not_started_twice_beside_an_owner_whose_writes_are_refused() -> None:
     script = parse_script("refused-writes", DAY)
     assert "twice" not in {item.rule for item in play(script, 1).breaches}
+
+
+def test_no_start_order_is_sent_once_grants_have_ended() -> None:
+    async def main() -> None:
+        clocks = ManualClocks()
+        workers: t.Any = SerialWorkers()
+        owner = build_owner(workers, clocks)
+        owner.state.observe_worker(ENTRY, clocks.now)
+        report = HoldReport(1000.0, (), ())
+        owner.state.apply_report("w1", report, clocks.now, clocks.now)
+        policy = QueuePolicy("q", "shard")
+        job = Job(Submission("a" * 16, policy, "spec", (Step(1, cpu=1000),)))
+        owner.state.add_job(job, clocks.now, 0.0)
+        (order,) = owner.state.plan(clocks.now, 0.0)
+        owner.writer.grants.closed = True
+        await owner._send_start(order)
+        assert not workers.arrived
+        assert job.occurrences[0].steps[0][0].phase is TaskPhase.WAITING
+
+    run_virtually(main)
