Judge by lists of VMs each silent worker that an earlier list has shown

A list that lacks a worker which answers was ignored as a whole. And once no worker answered, an old list was believed again, and ended workers that had joined after it was made: their tasks could run twice.

A worker that an earlier list has shown is now taken for dead as soon as a list lacks it. One that no list has shown is so only by a list that shows workers which answer, and all of them.

--- a/src/onyxgap/jobs/shard_workers.py
+++ b/src/onyxgap/jobs/shard_workers.py
@@ -84,7 +84,12 @@
 
 @attrs.define
 class ShardWorkers(ShardLeases):
-    """The workers of one shard."""
+    """The workers of one shard.
+
+    :param listed_workers: workers that a list of VMs has shown as up.
+    """
+
+    listed_workers: set[str] = attrs.field(factory=set)
 
     def observe_worker(self, entry: WorkerEntry, now: float) -> WorkerRecord:
         """Record a registration.
@@ -279,36 +284,34 @@
         return [record for record in self.workers.values() if record.registered]
 
     def apply_live_workers(self, live: t.Collection[str], sent_at: float) -> None:
-        """Remove silent workers that the platform's list of VMs does not show as up.
+        """Remove silent workers that the platform's list of VMs no longer shows as up.
 
-        A list that lacks a worker which answers is not current, and is ignored.
+        A list may be older than a worker that it lacks. So that worker must have been
+        in an earlier list, or the list must show workers that answer, and all of them.
 
         :param live: ids of the workers of VMs that are up.
         :param sent_at: monotonic seconds when the list was requested.
         """
-        missing = [
-            record
+        answering = {
+            worker_id
             for worker_id, record in self.workers.items()
-            if worker_id not in live
-        ]
-        answering = [record for record in missing if record.is_answering()]
-        if answering:
-            self._log_outdated_list(answering)
-            return
+            if record.is_answering()
+        }
+        is_current = bool(answering) and answering <= set(live)
+        if not is_current:
+            self._log_doubtful_list(answering - set(live))
         self.listed_at = sent_at
-        for record in missing:
+        for record in self.list_silent():
+            worker_id = record.entry.worker_id
             silent_since = record.failing_since or self.claimed_at
-            if record.is_silent() and sent_at > silent_since:
-                self.remove_worker(
-                    record.entry.worker_id, "VM is down or runs another worker", sent_at
-                )
-
-    def _log_outdated_list(self, answering: t.Sequence[WorkerRecord]) -> None:
-        _LOG.info(
-            "list of VMs outdated",
-            service=self.service,
-            answering=[record.entry.worker_id for record in answering],
-        )
+            is_proof = is_current or worker_id in self.listed_workers
+            if worker_id not in live and is_proof and sent_at > silent_since:
+                reason = "VM is down or runs another worker"
+                self.remove_worker(worker_id, reason, sent_at)
+        self.listed_workers = self.workers.keys() & (self.listed_workers | set(live))
+
+    def _log_doubtful_list(self, missing: t.Collection[str]) -> None:
+        _LOG.info("list of VMs in doubt", service=self.service, missing=sorted(missing))
 
     def expire_workers(self, now: float) -> None:
         """Release the runs of silent workers whose lease has certainly expired."""
