Play untrue lists of VMs and VMs without power in the soak

The soak could not play deaths of workers that the list of VMs does not tell of. A list that the emulator refuses or does not answer became a status 500 with a traceback, and a call to a worker whose VM has no power was reset at once, as if only its process had ended.

--- a/bench/soak/platform.py
+++ b/bench/soak/platform.py
@@ -47,6 +47,11 @@
 Answer = tuple[int, wire.Json] | None
 
 
+def _answer_failed_call(error: PlatformUnavailableError, refusal: str) -> Answer:
+    """Answer a refused call with 503, and any other that failed not at all."""
+    return (503, {}) if str(error) == refusal else None
+
+
 @attrs.define
 class PlatformApp:
     """What one node reaches: store, VMs and all workers.
@@ -81,8 +86,9 @@
         raw = orjson.loads(body) if body else {}
         answer = await self._answer(scope["path"], raw, query, headers)
         worker_id = headers.get("expected-instance")
-        is_gone = worker_id is not None and self._find_worker(worker_id) is None
-        if is_gone or (body and self.connections.draw(Break.RESET_ANSWER)):
+        if worker_id is not None and self._is_powerless(worker_id):
+            answer = None
+        elif self._draw_reset(worker_id, body):
             reset_transport(transport)
             return
         if answer is None:
@@ -90,6 +96,12 @@
             answer = (500, {})
         await self._send(send, *answer)
 
+    def _draw_reset(self, worker_id: str | None, body: bytes) -> bool:
+        """Draw whether a call is reset; one to a worker that has ended always is."""
+        if worker_id is not None and self._find_worker(worker_id) is None:
+            return True
+        return bool(body) and self.connections.draw(Break.RESET_ANSWER)
+
     async def _send(self, send: Send, status: int, value: wire.Json) -> None:
         if self.connections.draw(Break.CUT_ANSWER):
             await send_cut_json(send, status, value)
@@ -102,8 +114,7 @@
         if path.startswith("/rows-"):
             return await self._answer_store(path, raw, query)
         if path == "/machines":
-            vms = await self.cloud.list_vms()
-            return 200, {"machines": [wire.write_vm(vm) for vm in vms]}
+            return await self._list_vms()
         if path.startswith("/machine-"):
             holder, token = headers["lease-holder"], int(headers["fencing-token"])
             order = wire.read_vm_order(path, raw)
@@ -114,6 +125,13 @@
             return status, {"reason": reason}
         return await self._answer_worker(path, raw, headers["expected-instance"])
 
+    async def _list_vms(self) -> Answer:
+        try:
+            vms = await self.cloud.list_vms()
+        except PlatformUnavailableError as error:
+            return _answer_failed_call(error, "refused")
+        return 200, {"machines": [wire.write_vm(vm) for vm in vms]}
+
     async def _answer_store(
         self, path: str, raw: wire.Json, query: wire.Json
     ) -> Answer:
@@ -129,7 +147,7 @@
         except HistoryTruncatedError:
             return 410, {}
         except PlatformUnavailableError as error:
-            return (503, {}) if str(error) == "turned away" else None
+            return _answer_failed_call(error, "turned away")
 
     async def _write(self, raw: wire.Json) -> Answer:
         outcome = await self.store.write(wire.read_batch(raw))
@@ -166,6 +184,13 @@
         worker = self.workers.lives.get(worker_id)
         return worker if worker is not None and worker.alive else None
 
+    def _is_powerless(self, worker_id: str) -> bool:
+        """Return whether a worker's VM has no power: it does not even reset calls."""
+        worker = self.workers.lives.get(worker_id)
+        if worker is None or worker.alive:
+            return False
+        return worker.entry.address in self.workers.halted
+
     async def _answer_worker(self, path: str, raw: wire.Json, worker_id: str) -> Answer:
         worker = self._find_worker(worker_id)
         if worker is None:
