--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -11,6 +11,7 @@
 import structlog
 
 from onyxgap.standins.emulator.faults import draw_faults
+from onyxgap.standins.emulator.faults import draw_worker_deaths
 from onyxgap.standins.emulator.script import load_script
 
 from .connection_faults import draw_connection_faults
@@ -31,6 +32,12 @@
         default=2,
         help="random faults of connections of a day, drawn apart",
     )
+    parser.add_argument(
+        "--deaths",
+        type=int,
+        default=0,
+        help="deaths of workers that the list of VMs does not tell of, drawn apart",
+    )
     parser.add_argument("--day", type=pathlib.Path, default=DAY, help="day file")
     parser.add_argument("--keep", type=pathlib.Path, help="folder for logs")
     parser.add_argument("--json", action="store_true", help="one JSON object a seed")
@@ -46,6 +53,7 @@
         day = load_script(arguments.day)
         script = draw_faults(day, seed, arguments.faults, include_scripted=True)
         script = draw_connection_faults(script, seed, arguments.connection_faults)
+        script = draw_worker_deaths(script, seed, arguments.deaths)
         with tempfile.TemporaryDirectory(prefix="soak-") as scratch:
             folder = pathlib.Path(scratch)
             if arguments.keep:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,6 +17,16 @@
 at 10 refuse node for 3 by 0.5
 at 12 stop owner herd for 1
 """
+DEATHS_DAY = """
+nodes 3
+pool ring vms 6
+spare 2
+serve ring tasks 5 cpu 5 memory 20 per-vm 1 may-miss 1
+load ring every 0.5 from 3 to 16 width 4 work 0.6 cpu 3.5
+at 7.9 kill owner ring for 1
+at 8 end worker ring for 60
+end 20
+"""
 
 
 @pytest.fixture(autouse=True)
@@ -40,3 +50,10 @@
     result = play_soak(parse_script("soak", day), 1, tmp_path, finish_s=FINISH_S)
     assert result.breaches == []
     assert not any("shard failed" in log.read_text() for log in tmp_path.glob("*.log"))
+
+
+def test_processes_do_not_keep_runs_of_a_dead_worker_long_after_their_owner_was_killed(
+    tmp_path: pathlib.Path,
+) -> None:
+    result = play_soak(parse_script("deaths", DEATHS_DAY), 1, tmp_path)
+    assert result.breaches == []
--- a/tests/test_soak_faults.py
+++ b/tests/test_soak_faults.py
@@ -10,6 +10,8 @@
 from onyxgap.jobs import tables
 from onyxgap.jobs.store import RowId
 from onyxgap.jobs.store import StoredRow
+from onyxgap.standins.emulator.faults import draw_faults
+from onyxgap.standins.emulator.faults import draw_worker_deaths
 from onyxgap.standins.emulator.script import load_script
 
 
@@ -38,3 +40,11 @@
     slots = [build_slot(f"node-{number}", rows) for number in range(3)]
     day.slots = slots  # type: ignore[assignment]
     assert day._find_slot(target, "ring") is slots[1]
+
+
+def test_deaths_leave_the_other_faults_of_a_seed_as_they_are() -> None:
+    script = draw_faults(load_script(DAY), 9100, 6, include_scripted=True)
+    assert draw_worker_deaths(script, 9100, 0) == script
+    both = draw_worker_deaths(script, 9100, 2)
+    assert both.faults[:-4] == script.faults
+    assert [item.target for item in both.faults[-4::2]] == ["list", "list"]
