Emulate workers that start and stop orders do not reach

A worker may answer hold requests on connections that are open already, and refuse new ones. The fault "refuse vm" plays that: starts and stops are not delivered, hold requests are answered.

--- a/src/onyxgap/standins/emulator/faults.py
+++ b/src/onyxgap/standins/emulator/faults.py
@@ -171,6 +171,16 @@
         if name is not None:
             self.cloud.end_worker(name, fault.seconds)
 
+    async def refuse_orders(self, fault: FaultLine) -> None:
+        """Have a worker refuse new connections; hold requests go over open ones."""
+        name = self._find_vm(fault.name)
+        worker = None if name is None else self.cloud.get_worker(name)
+        if worker is not None:
+            worker.note_fault()
+            worker.refusing = True
+            await anyio.sleep(fault.seconds)
+            worker.refusing = False
+
     async def disturb_list(self, fault: FaultLine) -> None:
         """Have the platform answer requests for the list of VMs wrongly or not."""
         self.cloud.vm_list.set_state(_LIST_STATES[fault.verb])
@@ -425,6 +435,7 @@
     ("rebear", "vm"): FaultyDay.rebear_vm,
     ("halt", "vm"): FaultyDay.halt_vm,
     ("end", "worker"): FaultyDay.end_worker,
+    ("refuse", "vm"): FaultyDay.refuse_orders,
     ("down", "list"): FaultyDay.disturb_list,
     ("refuse", "list"): FaultyDay.disturb_list,
     ("old", "list"): FaultyDay.disturb_list,
@@ -444,6 +455,7 @@
     {
         ("halt", "vm"),
         ("end", "worker"),
+        ("refuse", "vm"),
         ("split", "workers"),
         ("refuse", "writes"),
         *_LIST_FAULTS,
--- a/src/onyxgap/standins/emulator/script.py
+++ b/src/onyxgap/standins/emulator/script.py
@@ -212,6 +212,7 @@
         ("rebear", "vm"),
         ("halt", "vm"),
         ("end", "worker"),
+        ("refuse", "vm"),
         ("down", "list"),
         ("refuse", "list"),
         ("old", "list"),
--- a/src/onyxgap/standins/emulator/workers.py
+++ b/src/onyxgap/standins/emulator/workers.py
@@ -58,6 +58,7 @@
     :param drift: share by which its clock is slow.
     :param guarded: whether it refuses what does not fit.
     :param on_crashing_run: called with its id when it starts a task that crashes it.
+    :param refusing: whether orders to start or stop do not reach it.
     :param died_at: monotonic seconds of its end.
     :param sound_until: monotonic seconds of the first fault that affected it.
     """
@@ -72,6 +73,7 @@
     mood: Mood = Mood.SOUND
     hung_at: float = 0.0
     dark: bool = False
+    refusing: bool = False
     alive: bool = True
     slowness: float = 1.0
     fence: int = 0
@@ -362,6 +364,12 @@
             return Reply(ReplyKind.OTHER_WORKER, worker.read_clock())
         return worker
 
+    async def _connect(self, worker_id: str, address: str) -> EmulatedWorker | Reply:
+        worker = await self._reach(worker_id, address)
+        if isinstance(worker, EmulatedWorker) and worker.refusing:
+            return Reply(ReplyKind.NOT_SENT, detail="refused")
+        return worker
+
     async def _answer(self, reply: Reply) -> Reply:
         if self.workers.link.draw_loss():
             await anyio.sleep(CALL_TIMEOUT_S)
@@ -372,7 +380,7 @@
 
     async def start(self, order: StartOrder) -> Reply:
         """Order a run to start."""
-        worker = await self._reach(order.worker_id, order.address)
+        worker = await self._connect(order.worker_id, order.address)
         if isinstance(worker, Reply):
             return await self._answer(worker)
         late_s = self.workers.link.draw_late()
@@ -386,7 +394,7 @@
 
     async def stop(self, order: StopOrder) -> Reply:
         """Order a run to stop; it never starts afterwards."""
-        worker = await self._reach(order.worker_id, order.address)
+        worker = await self._connect(order.worker_id, order.address)
         if isinstance(worker, Reply):
             return await self._answer(worker)
         return await self._answer(worker.stop(order))
