Eject workers that start orders do not reach

A serving task never got a worker, and start orders were sent in vain: LOST. A worker that answers hold requests on open connections but refuses new ones counted as usable. It was blocked for 0.3 s after each order that was not delivered, however many there had been, and its free capacity kept the pool from getting another VM.

From the second start in a row that is not delivered, the worker is now ejected as an outlier, for 0.6 s, doubled up to 2.4 s, and gives no place to wide steps in the report of demand until a start reaches it. Starts that are sent together count as one, and one short refusal ejects nothing. The limits on outliers hold: at most half of the usable workers of a pool, and a job that stands still may probe one each second. That the capacity is full is not affected, since such an order was delivered.

In a shard with a manual clock, a start was placed on the worker every 0.35 s; now at most one a second once it is ejected for longer.

--- a/src/onyxgap/jobs/outliers.py
+++ b/src/onyxgap/jobs/outliers.py
@@ -1,6 +1,7 @@
 """Keeps tasks off workers that seem faulty or slow, without closing a pool.
 
-A worker that fails tasks or is slow is ejected: it gets no new tasks for some seconds.
+A worker that fails tasks, is slow or is not reached by start orders is ejected: it gets
+no new tasks for some seconds.
 That evidence is indirect: jobs may fail by themselves, and progress may look slow on
 every worker. If most of a pool looks faulty, its workers are not outliers. So at most
 half of a pool is ejected, and a job that would otherwise stand still may probe an
@@ -38,8 +39,8 @@
         for record in records
         if record.is_usable(now) and now >= record.blocked_until
     ]
-    ejected = [record for record in usable if now < record.ejected_until]
-    ejected.sort(key=lambda record: record.ejected_until)
+    ejected = [record for record in usable if now < record.get_ejection_end()]
+    ejected.sort(key=WorkerRecord.get_ejection_end)
     excess = max(0, len(ejected) - int(len(usable) * MAX_EJECTED_SHARE))
     newly = [record for record in ejected[:excess] if not record.readmitted]
     for position, record in enumerate(ejected):
--- a/src/onyxgap/jobs/placing.py
+++ b/src/onyxgap/jobs/placing.py
@@ -63,6 +63,11 @@
         the worker has refused one.
     :param ejected_until: monotonic seconds before which no task is placed there, since
         the worker seems faulty or slow; see :mod:`.outliers`.
+    :param undelivered_starts: start orders since the last one that reached the worker,
+        those sent together counted as one.
+    :param undelivered_until: monotonic seconds before which no task is placed there,
+        since orders do not reach it; see :mod:`.deliveries`.
+    :param takes_starts: whether start orders reach it, as far as known.
     :param readmitted: whether it is open all the same in this scheduling pass.
     :param probed_at: monotonic seconds of the last probe while it was ejected.
     :param capacity_valid_until: monotonic seconds until which the capacity told in the
@@ -104,6 +109,9 @@
     failing_jobs: set[str] = attrs.field(factory=set)
     blocked_until: float = 0.0
     ejected_until: float = 0.0
+    undelivered_starts: int = 0
+    undelivered_until: float = 0.0
+    takes_starts: bool = True
     readmitted: bool = False
     probed_at: float = -math.inf
     capacity_valid_until: float = math.inf
@@ -145,8 +153,12 @@
         )
 
     def is_ejected(self, now: float) -> bool:
-        """Return whether the worker gets no tasks since it seems faulty or slow."""
-        return now < self.ejected_until and not self.readmitted
+        """Return whether the worker gets no tasks since it is an outlier."""
+        return now < self.get_ejection_end() and not self.readmitted
+
+    def get_ejection_end(self) -> float:
+        """Return the monotonic seconds until which the worker is an outlier."""
+        return max(self.ejected_until, self.undelivered_until)
 
     def is_answering(self) -> bool:
         """Return whether the worker has answered the latest call, as far as known.
--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -8,6 +8,7 @@
 from .crashes import CRASH_WINDOW_MS
 from .crashes import NO_LOSSES
 from .crashes import START_CRASH_WINDOW_MS
+from .deliveries import note_delivery
 from .job import Job
 from .job import Task
 from .lives import IncarnationMatch
@@ -400,6 +401,8 @@
         job = self.jobs.get(order.task.job_id)
         task = job.find_task(order.task) if job else None
         record = self.workers.get(order.worker_id)
+        if record is not None:
+            note_delivery(record, reply.kind, now)
         if job is None or task is None or not task.placed:
             return
         if (task.run, task.worker_id) != (order.run, order.worker_id):
--- a/src/onyxgap/jobs/shortage.py
+++ b/src/onyxgap/jobs/shortage.py
@@ -38,11 +38,11 @@
 ) -> int:
     """Count the workers that a pool needs for wide steps whose tasks have none.
 
-    Workers that are out of reach count as present, since their VMs do, but give no
-    place. Workers that have not answered yet give places until a call to them fails:
-    they are new, or the owner of the shard is. Workers that only lack the label or size
-    for a step are not counted, so that no more VMs are requested than the step could
-    use.
+    Workers that are out of reach, be it only for start orders, count as present, since
+    their VMs do, but give no place. Workers that have not answered yet give places
+    until a call to them fails: they are new, or the owner of the shard is. Workers that
+    only lack the label or size for a step are not counted, so that no more VMs are
+    requested than the step could use.
 
     :param steps: unfinished wide steps of the shard.
     :param records: workers of the shard.
@@ -87,7 +87,11 @@
 
 
 def _is_reachable(record: WorkerRecord) -> bool:
-    return record.failing_since is None and record.entry.state is WorkerState.READY
+    return (
+        record.failing_since is None
+        and record.takes_starts
+        and record.entry.state is WorkerState.READY
+    )
 
 
 def _count_open_places(record: WorkerRecord, step: Step, step_key: StepKey) -> int:
--- a/tests/test_outliers.py
+++ b/tests/test_outliers.py
@@ -1,5 +1,6 @@
 """Ejection of workers that seem faulty or slow."""
 
+import itertools
 import typing as t
 
 import pytest
@@ -8,8 +9,11 @@
 from onyxgap.jobs.messages import EndKind
 from onyxgap.jobs.messages import JobState
 from onyxgap.jobs.messages import Step
+from onyxgap.jobs.outliers import PROBE_INTERVAL_S
+from onyxgap.jobs.outliers import PROBE_PATIENCE_S
 from onyxgap.jobs.outliers import readmit_excess
 from onyxgap.jobs.shard import Shard
+from onyxgap.jobs.shard_reports import REFUSAL_BLOCK_S
 from onyxgap.jobs.stragglers import MAX_EJECTION_S
 from onyxgap.jobs.stragglers import SpeedClass
 from onyxgap.jobs.workers import Reply
@@ -159,6 +163,69 @@
     pytest.fail(f"stood still for 3 s, {refused} refused starts")
 
 
+def refuse_starts(harness: ShardHarness, for_s: float) -> list[float]:
+    """Have no start order reach a worker; return when one was placed, in seconds."""
+    began = harness.now
+    placed_at = []
+    while harness.now < began + for_s:
+        for order in harness.plan():
+            ready = harness.shard.prepare_start(order, harness.now)
+            assert ready is not None
+            reply = Reply(ReplyKind.NOT_SENT)
+            harness.shard.apply_start_reply(ready, reply, harness.now)
+            placed_at.append(harness.now - began)
+        harness.now += 0.05
+    return placed_at
+
+
+def test_starts_are_not_sent_three_times_a_second_to_a_worker_that_none_reaches(
+    harness: ShardHarness,
+) -> None:
+    """A full worker is beside it, so that its ejection does not close the pool."""
+    harness.add_worker("w1", cpu=4000)
+    harness.add_worker("w2", cpu=2000)
+    harness.add_job(Step(1, cpu=4000, long_running=True), job_id="b" * 16)
+    assert [order.worker_id for order in harness.start_all()] == ["w1"]
+    harness.add_job(Step(1, cpu=1000))
+    placed_at = [at for at in refuse_starts(harness, 6.0) if at >= PROBE_PATIENCE_S]
+    gaps = [later - at for at, later in itertools.pairwise(placed_at)]
+    assert min(gaps) >= PROBE_INTERVAL_S
+
+
+def test_start_that_reaches_a_worker_ends_its_ejection(harness: ShardHarness) -> None:
+    for worker_id in ("w1", "w2"):
+        harness.add_worker(worker_id, cpu=2000)
+    harness.add_job(Step(2, cpu=2000), job_id="b" * 16)
+    refuse_starts(harness, 1.0)
+    assert not all(item.takes_starts for item in harness.shard.workers.values())
+    harness.now += 4.0
+    assert len(harness.start_all()) == 2
+    assert list_ejected(harness) == []
+    assert all(item.takes_starts for item in harness.shard.workers.values())
+
+
+def test_undelivered_starts_leave_half_of_a_pool_open(harness: ShardHarness) -> None:
+    for number in range(4):
+        harness.add_worker(f"w{number}", cpu=2000)
+    harness.add_job(Step(8, cpu=2000), job_id="b" * 16)
+    refuse_starts(harness, 0.4)
+    assert len(list_ejected(harness)) == 4
+    harness.now += REFUSAL_BLOCK_S
+    readmit_excess(harness.shard.workers.values(), harness.now)
+    assert len(list_ejected(harness)) == 2
+
+
+def test_short_refusal_of_a_start_does_not_eject_a_worker(
+    harness: ShardHarness,
+) -> None:
+    harness.add_worker("w1")
+    harness.add_worker("w2")
+    harness.add_job(Step(4, cpu=1000))
+    assert len(refuse_starts(harness, 0.05)) == 4
+    assert list_ejected(harness) == []
+    assert all(item.takes_starts for item in harness.shard.workers.values())
+
+
 def test_streak_of_a_readmitted_worker_does_not_grow_with_each_report(
     harness: ShardHarness, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/tests/test_shortage.py
+++ b/tests/test_shortage.py
@@ -62,6 +62,7 @@
     [
         {"failing_since": 1.0},
         {"held": False, "failing_since": 1.0},
+        {"takes_starts": False},
         {"cordoned": True},
     ],
 )
