Request a VM if starts do not reach the only worker with room

A job stood still for 10 s and longer while other VMs were to be had: LOST. All other workers of its pool were full of serving tasks, and start orders did not reach the one with room. A finite step counts in the report of demand as a fraction of a VM, and that fraction fitted into what was free on the worker.

While starts do not reach a worker, a waiting task of each finite step is now counted like a wide step of one task: if no other worker has a place for it beside the tasks that serve, the pool needs one more VM. Steps that only fill free capacity get none.

--- a/src/onyxgap/jobs/shard_demand.py
+++ b/src/onyxgap/jobs/shard_demand.py
@@ -9,6 +9,7 @@
 from ..pools.messages import WorkerLoad
 from .job import Job
 from .job import Occurrence
+from .job import TaskPhase
 from .load import estimate_vm_seconds
 from .load import get_load_kind
 from .load import get_worker_fraction
@@ -49,7 +50,8 @@
             self.list_drained_workers(stored_jobs),
             **self._sum_load(capacity, now),
             serving_vms=count_needed_workers(
-                self._list_wide_steps(), self.workers.values()
+                [*self._list_wide_steps(), *self._list_steps_beside_unreached()],
+                self.workers.values(),
             ),
             arrived_jobs=self.arrived_jobs,
             offered=round(self.offered, 3),
@@ -105,6 +107,22 @@
                 tasks = occurrence.steps[number]
                 yield WideStep(step, get_step_key(tasks[0]), tasks)
 
+    def _list_steps_beside_unreached(self) -> t.Iterator[WideStep]:
+        """Yield a waiting task of each finite step if starts do not reach a worker.
+
+        What is free there hides from the sums of fractions that the pool is full.
+        """
+        if all(item.takes_starts for item in self.workers.values() if item.registered):
+            return
+        for job, occurrence, number in self._list_ready_steps():
+            step = job.submission.steps[number]
+            if step.long_running or step.gang or step.fills:
+                continue
+            tasks = occurrence.steps[number]
+            waiting = [task for task in tasks if task.phase is TaskPhase.WAITING]
+            if waiting:
+                yield WideStep(step, get_step_key(waiting[0]), waiting[:1])
+
     def list_drained_workers(
         self, stored_jobs: t.Collection[str] = ()
     ) -> dict[str, str]:
--- a/tests/test_shortage.py
+++ b/tests/test_shortage.py
@@ -1,5 +1,6 @@
 """Number of VMs that a pool needs for serving tasks that have no worker to run on."""
 
+import math
 import typing as t
 
 import attrs
@@ -138,3 +139,23 @@
     harness.add_job(Step(4, cpu=1000, gang=True, anti_affinity=1))
     assert harness.start_all() == []
     assert harness.shard.build_report(harness.now).serving_vms == 4
+
+
+@pytest.mark.parametrize(
+    ("changes", "needed"), [({}, 3), ({"fills": True}, 0), ({"cpu": 1000}, 0)]
+)
+def test_job_whose_only_place_is_on_a_worker_without_starts_gets_another_vm(
+    changes: dict[str, t.Any], needed: int
+) -> None:
+    harness = ShardHarness(Shard("s", epoch=3, claimed_at=50.0))
+    harness.add_worker("w1")
+    harness.add_job(Step(1, cpu=60_000, long_running=True), job_id="b" * 16)
+    assert len(harness.start_all()) == 1
+    harness.add_worker("w2")
+    harness.add_job(attrs.evolve(Step(1, cpu=8000, memory_mb=1000), **changes))
+    unreached = harness.shard.workers["w2"]
+    unreached.blocked_until = math.inf
+    harness.plan()
+    assert harness.shard.build_report(harness.now).serving_vms == 0
+    unreached.takes_starts = False
+    assert harness.shard.build_report(harness.now).serving_vms == needed
