Count no VM as capacity whose worker was gone before the controller changed

Only a controller that had seen the worker before knew that it was gone.

A VM that is listed as up now counts as out of reach if its worker is in no report for 4 s, and the 2 s that a registration takes to return, after the controller has first seen it.

--- a/src/onyxgap/pools/planner.py
+++ b/src/onyxgap/pools/planner.py
@@ -20,6 +20,9 @@
 
 REGISTRATION_RETURN_S = 2.0
 """Time within which registrations that expired with the store down are back."""
+JOIN_TIMEOUT_S = 4.0
+"""Time within which a worker of a VM that is listed as up has registered and is in the
+report of its shard."""
 STARTUP_TIMEOUT_S = 8.0
 """All VMs start within seconds of each other. One that is not up by then is down."""
 
@@ -93,6 +96,8 @@
         live = {vm.worker_id for vm in self.vms.values()}
         for worker_id in self._reported_at.keys() - live:
             del self._reported_at[worker_id]
+        joined_by = now + JOIN_TIMEOUT_S
+        self._reported_at = dict.fromkeys(live, joined_by) | self._reported_at
         for report in self.reports.values():
             self._reported_at |= dict.fromkeys(report.workers.keys() & live, now)
 
@@ -147,10 +152,11 @@
         return report.serving_vms if report is not None else 0
 
     def _count_out_of_reach(self, pool: str, now: float) -> int:
-        """Count schedulable VMs whose workers are no longer registered.
+        """Count schedulable VMs whose workers are not registered.
 
-        The shard does not count them among the VMs that its serving tasks need. New
-        VMs, whose workers have not been reported yet, are about to register.
+        The shard does not count them among the VMs that its serving tasks need. The
+        worker of a VM that is new to this controller is about to register, or ended
+        before the controller took its role.
         """
         return sum(
             now - self._reported_at.get(vm.worker_id, now) > REGISTRATION_RETURN_S
