Let nodes claim shards although they cannot register as members

It now does so 10 s after its start, when no late write can register a former process of the node over it. The row of a process that starts while the store is away tells its start once the store's clock is known, and a pause between the readings of two clocks cannot set the end of grants too early.

--- a/src/onyxgap/daemons/former_owners.py
+++ b/src/onyxgap/daemons/former_owners.py
@@ -70,8 +70,9 @@
 
         :param grants: the bound.
         """
-        now = self.clocks.read_boot()
+        # the clock that is read first is that of the bound, in case of a pause between
         wait_s = grants.until - self.clocks.read_monotonic()
+        now = self.clocks.read_boot()
         return self.health.store_clock.get_latest_ms_at(now + wait_s, now)
 
     def _find_end(self, shard: str, view: OwnerView) -> float | None:
--- a/src/onyxgap/daemons/member_registration.py
+++ b/src/onyxgap/daemons/member_registration.py
@@ -1,5 +1,7 @@
 """Registers a node as a member, and tells other nodes of shards that it has lost."""
 
+import math
+
 import anyio
 import attrs
 
@@ -21,8 +23,8 @@
 CLOCK_CHECK_INTERVAL_S = 0.01
 """Time between two checks whether the store's clock is known."""
 CLOCK_TIMEOUT_S = 1.0
-"""Longest wait for the store's clock; without it, the row does not tell when the
-process started."""
+"""Time to wait for the store's clock before the first write. The row tells when the
+process started once the clock is known."""
 
 
 @attrs.define(eq=False)
@@ -60,11 +62,11 @@
 
         Returns if a newer process of the node has registered.
         """
-        await self._wait_for_store_clock()
-        now = self.clocks.read_boot()
-        started_ms = self.health.store_clock.get_latest_ms_at(self.started_at, now)
-        self.member = attrs.evolve(self.member, started_ms=started_ms)
+        await self._wait_for_store_clock(CLOCK_TIMEOUT_S)
         await self._write()
+        if self.member.started_ms is None:
+            await self._wait_for_store_clock(math.inf)
+            await self._write()
         while not self._replaced:
             await self._changed.wait()
             self._changed = anyio.Event()
@@ -82,13 +84,14 @@
             self.lost[shard] = LostShard(epoch, ended_ms)
             self._changed.set()
 
-    async def _wait_for_store_clock(self) -> None:
-        with anyio.move_on_after(CLOCK_TIMEOUT_S):
+    async def _wait_for_store_clock(self, longest_s: float) -> None:
+        with anyio.move_on_after(longest_s):
             while self.health.store_clock.reading is None:
                 await anyio.sleep(CLOCK_CHECK_INTERVAL_S)
 
     async def _write(self) -> None:
         row = tables.get_member_row(self.node)
+        self._note_start()
         value = encode_member(attrs.evolve(self.member, lost=dict(self.lost)))
         while True:
             outcome = await self.store.write(Batch({row: self._version}, {row: value}))
@@ -100,6 +103,12 @@
             elif self._is_settled(outcome.find(row), value):
                 return
 
+    def _note_start(self) -> None:
+        if self.member.started_ms is None:
+            now = self.clocks.read_boot()
+            started_ms = self.health.store_clock.get_latest_ms_at(self.started_at, now)
+            self.member = attrs.evolve(self.member, started_ms=started_ms)
+
     def _is_settled(self, stored: StoredRow | None, value: bytes) -> bool:
         """Learn the stored row's version; tell whether the row is to be kept."""
         self._version = stored.version if stored is not None else 0
--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -37,6 +37,9 @@
 renewal that was not seen during the gap proves nothing about the owner."""
 CLAIM_CHECK_S = 0.1
 """Interval of checking for shards that this node may claim."""
+MAX_REGISTRATION_WAIT_S = 10.0
+"""Time for which a node that cannot register as a member claims no shards. By then, no
+late write can register a former process of the node any more."""
 CLAIM_ATTEMPTS = 2
 """Write attempts of a claim that is refused or gets no answer. After them, the claim is
 abandoned and the shard is checked again."""
@@ -182,7 +185,10 @@
     def _may_claim(self) -> bool:
         # other nodes take an owner of another process for ended once a later one of
         # its node has registered
-        return self.registration.registered or not self.peers.get_address()
+        if self.registration.registered or not self.peers.get_address():
+            return True
+        age_s = self.clocks.read_boot() - self.registration.started_at
+        return age_s >= MAX_REGISTRATION_WAIT_S
 
     def _update_store_reachable_since(self, now: float) -> float | None:
         answered_at = self.health.answered_at
--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -2,12 +2,14 @@
 
 import math
 import random
+import types
 import typing as t
 
 import attrs
 import pytest
 
 from onyxgap.daemons.fence import FencedWriter
+from onyxgap.daemons.node import Node
 from onyxgap.exceptions import OwnershipLostError
 from onyxgap.jobs import tables
 from onyxgap.jobs.job import Job
@@ -173,3 +175,17 @@
         assert job.occurrences[0].steps[0][0].phase is TaskPhase.WAITING
 
     run_virtually(main)
+
+
+@pytest.mark.parametrize(("age_s", "may_claim"), [(9.9, False), (10.0, True)])
+def test_node_that_cannot_register_claims_shards_after_a_time(
+    age_s: float, may_claim: bool
+) -> None:
+    clocks = ManualClocks()
+    registration = types.SimpleNamespace(registered=False, started_at=100.0)
+    peers = types.SimpleNamespace(get_address=lambda: "node-1:1")
+    node: t.Any = types.SimpleNamespace(
+        registration=registration, peers=peers, clocks=clocks
+    )
+    clocks.now += age_s
+    assert Node._may_claim(node) is may_claim
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -190,6 +190,27 @@
     run_with_processes(test)
 
 
+def test_start_of_a_process_is_told_once_the_store_clock_is_known() -> None:
+    async def test(processes: Processes) -> None:
+        registration = processes.build("boot-1")
+        registration.health.store_clock.reading = None
+        await run_for(registration, 2.0)
+        assert processes.read().started_ms is None
+
+        async def learn() -> None:
+            await anyio.sleep(1.5)
+            now = CLOCKS.read_boot()
+            reading = ClockReading(now * 1000 + 1.0, now, now)
+            registration.health.store_clock.observe(reading)
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(learn)
+            await run_for(registration, 4.0)
+        assert processes.read().started_ms is not None
+
+    run_with_processes(test)
+
+
 def test_claiming_node_learns_of_the_end_of_the_former_process() -> None:
     async def test(processes: Processes) -> None:
         own = processes.build("boot-9")
