Learn from answers that a list of VMs is older than a worker

The only worker of its service that had joined since the list was made failed one call, and the list, which showed all other workers, was taken for current.

--- a/src/onyxgap/jobs/placing.py
+++ b/src/onyxgap/jobs/placing.py
@@ -82,6 +82,9 @@
     :param heard_at: monotonic seconds of the last registration or report of this
         incarnation.
     :param former_entry: last registration with an earlier start time, or ``None``.
+    :param answered_at: monotonic seconds when the last call that it answered was sent.
+    :param missed_at: monotonic seconds when the first list of VMs that lacked it,
+        although it answered, was requested.
     """
 
     entry: WorkerEntry
@@ -123,6 +126,8 @@
     born: int = 0
     heard_at: float = 0.0
     former_entry: WorkerEntry | None = None
+    answered_at: float = -math.inf
+    missed_at: float = math.inf
 
     def is_silent(self) -> bool:
         """Return whether the worker does not answer, or is no longer registered."""
--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -93,6 +93,7 @@
             self._inherit_lease(record, report.clock_ms, now)
         record.held = True
         record.failing_since = None
+        record.answered_at = max(record.answered_at, sent_at)
         for end in report.ended:
             if end.sequence > record.processed_sequence:
                 record.processed_sequence = end.sequence
--- a/src/onyxgap/jobs/shard_workers.py
+++ b/src/onyxgap/jobs/shard_workers.py
@@ -289,8 +289,9 @@
         """Remove silent workers that the platform's list of VMs no longer shows as up.
 
         A list may be older than a worker that it lacks. So that worker must have been
-        in an earlier list, or the list must show all workers that answer. If none does,
-        it must differ from the one before.
+        in an earlier list, or the list must show all workers that answer, and the
+        worker must not have answered after a list that lacked it. If no worker answers,
+        the list must differ from the one before.
 
         :param live: ids of the workers of VMs that are up.
         :param sent_at: monotonic seconds when the list was requested.
@@ -300,15 +301,20 @@
             for worker_id, record in self.workers.items()
             if record.is_answering()
         }
+        missing = answering - set(live)
         has_changed = self.last_live != frozenset(live)
-        is_current = answering <= set(live) and (bool(answering) or has_changed)
+        is_current = not missing and (bool(answering) or has_changed)
         if not is_current:
-            self._log_doubtful_list(answering - set(live))
+            self._log_doubtful_list(missing)
+        for worker_id in missing:
+            record = self.workers[worker_id]
+            record.missed_at = min(record.missed_at, sent_at)
         self.listed_at = sent_at
         for record in self.list_silent():
             worker_id = record.entry.worker_id
             silent_since = record.failing_since or self.claimed_at
-            is_proof = is_current or worker_id in self.listed_workers
+            is_known = is_current and record.answered_at <= record.missed_at
+            is_proof = is_known or worker_id in self.listed_workers
             if worker_id not in live and is_proof and sent_at > silent_since:
                 reason = "VM is down or runs another worker"
                 self.remove_worker(worker_id, reason, sent_at)
--- a/tests/test_vm_lists.py
+++ b/tests/test_vm_lists.py
@@ -67,3 +67,13 @@
 ) -> None:
     silence(harness, "w3")
     assert list_vms(harness, "w1", "w2") == {"w1", "w2"}
+
+
+def test_worker_that_answered_after_a_list_without_it_is_not_ended_by_the_next(
+    harness: ShardHarness,
+) -> None:
+    silence(harness, "w1")
+    assert list_vms(harness, "w1", "w2") == {"w1", "w2", "w3"}
+    harness.report("w3")
+    silence(harness, "w3")
+    assert list_vms(harness, "w1", "w2") == {"w1", "w2", "w3"}
