Tell the next owner of former grants with the claim already

Answers of the store were cut in the middle, so that five nodes in a row claimed a shard within 8 s and failed to load it. An owner told until when former owners may have granted leases in its first renewal only. Each of these ended before, the next one took the bound for unknown, and reckoned with 8 s from its own claim: runs of two dead workers were kept with 12.4 s of their leases to go, 3 s after these workers' last possible grant.

The row of a claim now holds the bound, as far as it does not depend on when the claim succeeds. A process that claims a shard which it has claimed before knows that it grants no leases for it: its former claim may have been applied without an answer.

--- a/src/onyxgap/daemons/former_owners.py
+++ b/src/onyxgap/daemons/former_owners.py
@@ -45,6 +45,18 @@
         self.update(shard, grants)
         return grants
 
+    def get_claim_end_ms(self, shard: str, view: OwnerView) -> int | None:
+        """Return the bound that a claim tells the next owner, before it succeeds.
+
+        :param shard: the shard to be claimed.
+        :param view: what is known of the previous owner.
+        :returns: milliseconds of the store's clock; ``None`` if the bound depends on
+            when the claim succeeds.
+        """
+        if view.row is not None and view.row.former_grants_end_ms is None:
+            return None
+        return self.get_end_ms(self.bound(shard, view))
+
     def update(self, shard: str, grants: FormerGrants) -> bool:
         """Lower a bound if the previous owner is known to have stopped.
 
@@ -80,11 +92,12 @@
         if row is None:
             return None
         own = self.registration
-        if row.node == own.node and row.boot != own.member.boot:
-            return self._get_process_start()
-        member = self.members.get(row.node)
         if row.node == own.node:
-            member = attrs.evolve(own.member, lost=own.lost)
+            # a process claims no shard that it owns
+            is_own = row.boot == own.member.boot
+            now = self.clocks.read_monotonic()
+            return now if is_own else self._get_process_start()
+        member = self.members.get(row.node)
         end_ms = None if member is None else find_grants_end(shard, view, member)
         return None if end_ms is None else self._convert(end_ms)
 
--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -221,7 +221,12 @@
         # Expect the version on which the decision to claim was based. self.views may
         # hold a newer row by now, for example the claim of another node.
         previous_epoch = view.row.epoch if view.row else 0
-        row = OwnerRow(self.settings.node, self.boot, previous_epoch + 1)
+        row = OwnerRow(
+            self.settings.node,
+            self.boot,
+            previous_epoch + 1,
+            former_grants_end_ms=self.former_owners.get_claim_end_ms(shard, view),
+        )
         owner_row = tables.get_owner_row(shard)
         nonce = f"{self.boot}/{row.epoch}/0"
         batch = Batch(
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -230,6 +230,35 @@
     run_with_processes(test)
 
 
+def test_claim_tells_the_next_owner_of_the_bound_before_any_renewal() -> None:
+    async def test(processes: Processes) -> None:
+        await anyio.sleep(100.0)
+        owners = FormerOwners(CLOCKS, StoreHealth(), {}, processes.build("boot-9"))
+        owners.registration.node = "node-2"
+        owners.health = owners.registration.health
+        now = CLOCKS.read_monotonic()
+        view = OwnerView(ROW, 7, now - 3.0)
+        end_ms = owners.get_claim_end_ms("s", view)
+        assert end_ms is not None
+        assert end_ms / MS_PER_S == pytest.approx(now + 5.0, abs=0.1)
+        unknown = attrs.evolve(ROW, former_grants_end_ms=None)
+        assert owners.get_claim_end_ms("s", OwnerView(unknown, 7, now)) is None
+
+    run_with_processes(test)
+
+
+def test_process_that_claims_its_own_former_shard_knows_that_it_grants_none() -> None:
+    async def test(processes: Processes) -> None:
+        await anyio.sleep(100.0)
+        own = processes.build("boot-1")
+        owners = FormerOwners(CLOCKS, own.health, {}, own)
+        now = CLOCKS.read_monotonic()
+        grants = owners.bound("s", OwnerView(ROW, 7, now - 1.0))
+        assert grants.until == pytest.approx(now)
+
+    run_with_processes(test)
+
+
 def test_process_knows_that_the_former_one_of_its_node_has_ended() -> None:
     async def test(processes: Processes) -> None:
         await anyio.sleep(100.0)
