Do not take an order that was withheld for one that reached its worker

Found by review: a start that an owner without confirmed ownership does not send was recorded with a reply of the worker, which ended the ejection of a worker that starts do not reach. It has an outcome of its own now.

--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -404,7 +404,7 @@
                 reply = await self.context.workers.start(ready)
             else:
                 # a start grants a lease, too
-                reply = Reply(ReplyKind.TOO_LATE, detail="ownership not confirmed")
+                reply = Reply(ReplyKind.WITHHELD, detail="ownership not confirmed")
         if reply.kind is ReplyKind.STALE_OWNER:
             raise OwnershipLostError(
                 f"worker {order.worker_id} was called by a newer owner"
--- a/src/onyxgap/jobs/deliveries.py
+++ b/src/onyxgap/jobs/deliveries.py
@@ -28,8 +28,8 @@
     :param kind: outcome of the order.
     :param now: monotonic seconds.
     """
-    if kind is ReplyKind.NO_ANSWER:
-        # the order may have reached it
+    if kind in (ReplyKind.NO_ANSWER, ReplyKind.WITHHELD):
+        # the order may have reached it, or nothing was sent
         return
     if kind is not ReplyKind.NOT_SENT:
         record.undelivered_starts = 0
--- a/src/onyxgap/jobs/workers.py
+++ b/src/onyxgap/jobs/workers.py
@@ -31,6 +31,8 @@
     INVALID = "invalid"
     OTHER_WORKER = "other-life"
     NOT_SENT = "not-sent"
+    WITHHELD = "withheld"
+    """The owner did not send the order, since its ownership was not confirmed."""
     NO_ANSWER = "no-answer"
 
 
