Forget that a list has shown a worker once it has restarted

Found by review: a worker that restarts under its id counted as shown by a list that had shown its former incarnation, so that a list from between the two could end its runs. The new test fails without the change.

--- a/src/onyxgap/jobs/shard_workers.py
+++ b/src/onyxgap/jobs/shard_workers.py
@@ -251,6 +251,7 @@
         if record is None or record.gone:
             return
         record.gone = True
+        self.listed_workers.discard(worker_id)
         freed = self._release_runs(record, crashed, now)
         _LOG.info(
             "worker removed",
--- a/tests/test_vm_lists.py
+++ b/tests/test_vm_lists.py
@@ -1,10 +1,12 @@
 """What lists of VMs prove about silent workers: a list may be older than a worker."""
 
+import attrs
 import pytest
 
 from onyxgap.jobs.shard import Shard
 from onyxgap.jobs.workers import Reply
 from onyxgap.jobs.workers import ReplyKind
+from tests.test_shard import ENTRY
 from tests.test_shard import ShardHarness
 
 SILENT = Reply(ReplyKind.NO_ANSWER)
@@ -77,3 +79,20 @@
     harness.report("w3")
     silence(harness, "w3")
     assert list_vms(harness, "w1", "w2") == {"w1", "w2", "w3"}
+
+
+def test_first_list_ends_no_worker_that_joined_later_while_none_answers(
+    harness: ShardHarness,
+) -> None:
+    silence(harness, "w1", "w2", "w3")
+    assert list_vms(harness, "w1", "w2") == {"w1", "w2", "w3"}
+
+
+def test_worker_that_restarts_under_its_id_is_not_taken_for_listed(
+    harness: ShardHarness,
+) -> None:
+    assert list_vms(harness, "w1", "w2", "w3") == {"w1", "w2", "w3"}
+    entry = attrs.evolve(ENTRY, worker_id="w3", born=7)
+    harness.shard.observe_worker(entry, harness.now)
+    harness.shard.observe_worker(attrs.evolve(entry, born=8), harness.now)
+    assert "w3" not in harness.shard.listed_workers
