--- a/review/standin/worker.py
+++ b/review/standin/worker.py
@@ -34,7 +34,7 @@
         self.runs, self.ended, self.highest = {}, [], {}
         self.last_end = self.fence = self.beats = 0
         self.lease_ms = 0.0
-        self.lease_timer = None
+        self.lease_timer = self.beat_task = None
         self.changed = asyncio.Event()
         self.alive = True
         self.server = Server(self.handle)
@@ -59,7 +59,7 @@
     async def start(self):
         """Listen, and register from now on."""
         await self.server.start(*self.address)
-        asyncio.get_running_loop().create_task(self._beat())
+        self.beat_task = asyncio.create_task(self._beat())
 
     async def _beat(self):
         while self.alive:
@@ -141,6 +141,9 @@
         if reason != "late":
             self._extend(raw["deadline_ms"])
         if reason:
+            self.record.write(
+                "start-refused", worker=self.id, task=task, run=run, reason=reason
+            )
             return 409, {"clock_ms": self.clock_ms(), "reason": reason}
         item = Run(task, run, spec["cpu"], spec["ms"] / 1000)
         self.runs[task] = item
@@ -154,6 +157,7 @@
 
     def _stop_run(self, raw):
         task, run = raw["task"], raw["run"]
+        self.record.write("stop", worker=self.id, task=task, run=run)
         self.highest[task] = max(self.highest.get(task, 0), run)
         item = self.runs.get(task)
         if item is not None and item.run == run:
