--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 	touch $(STAMP)
 
 test: $(STAMP) lint
-	$(PY) -m pytest
+	$(PY) -m pytest -n 6 --dist worksteal
 
 lint: $(STAMP)
 	$(PY) -m ruff check src tests bench
