Find a job only through its own queue

What callers saw: a caller without a key was shown, and cancelled, the job of a tenant that had the same ID on a queue of another service (LOST: the tenant's job was shown as cancelled). Likewise the second of two equal jobs with one ID on two queues of a service was answered as accepted ("known") and never ran.

A queue that moves to another service keeps its name and its jobs. To workers a subtask's name is ID.K.STEP.INDEX, so within one service an ID stands for one job; a second one under it is rejected with 409.

Cause: a job was looked for by its ID in the shards of all services, and the queue of what was found was compared with that of the call neither for GET nor for DELETE, in the owner's memory, in the cache of final states, in stored rows and in calls forwarded by other nodes. Resubmissions compared the request and the tenant, but not the queue.

Why it works: each place that finds a job by its ID now compares its queue, which the progress row has, too; rows stored without it take it from the submission.

--- a/src/onyxgap/cli/main.py
+++ b/src/onyxgap/cli/main.py
@@ -210,6 +210,11 @@
         help="read these logs of nodes instead; the subject is a job, task, worker, VM"
         " or shard",
     )
+    explain.add_argument(
+        "--queue",
+        default="",
+        help="with --logs: the queue of the job, if jobs of several have its id",
+    )
     _add_platform_options(explain)
     bill = _add_command(
         group,
--- a/src/onyxgap/cli/tracing.py
+++ b/src/onyxgap/cli/tracing.py
@@ -12,6 +12,7 @@
 TIME_FIELD = "timestamp"
 EVENT_FIELD = "event"
 WORKER_FIELD = "worker"
+QUEUE_FIELD = "queue"
 HIDDEN_FIELDS = frozenset({TIME_FIELD, EVENT_FIELD, "level"})
 EXIT_FAILURE = 1
 MAX_LIST_ITEMS = 4
@@ -38,6 +39,13 @@
         """
         return any(_refers_to(value, subject) for value in self.fields.values())
 
+    def is_of_queue(self, queue: str) -> bool:
+        """Return whether no field names another queue.
+
+        :param queue: name of the queue; empty for any.
+        """
+        return not queue or self.fields.get(QUEUE_FIELD, queue) == queue
+
 
 def _refers_to(value: t.Any, subject: str) -> bool:
     if isinstance(value, list):
@@ -67,7 +75,9 @@
             yield LogLine(str(fields.get(TIME_FIELD, "")), line_source, fields)
 
 
-def select_lines(lines: t.Sequence[LogLine], subject: str) -> list[LogLine]:
+def select_lines(
+    lines: t.Sequence[LogLine], subject: str, queue: str = ""
+) -> list[LogLine]:
     """Select the lines about a subject, in order of time.
 
     Lines about the workers that ran it are included if they were written between its
@@ -75,9 +85,12 @@
 
     :param lines: log lines of all nodes.
     :param subject: id of a job, task, worker, VM or shard.
+    :param queue: queue of the job, since another one may have a job of that id; empty
+        for the jobs of all queues.
     """
     matching = sorted(
-        (line for line in lines if line.mentions(subject)), key=lambda line: line.at
+        (line for line in lines if line.mentions(subject) and line.is_of_queue(queue)),
+        key=lambda line: line.at,
     )
     if not matching:
         return []
@@ -131,7 +144,7 @@
         except OSError as error:
             print(f"{name}: {error.strerror}", file=sys.stderr)
             return EXIT_FAILURE
-    selected = select_lines(lines, arguments.subject)
+    selected = select_lines(lines, arguments.subject, arguments.queue)
     for line in selected:
         text = render_line(line, arguments.subject)
         print(json.dumps(line.fields) if arguments.json else text)
--- a/src/onyxgap/daemons/desk.py
+++ b/src/onyxgap/daemons/desk.py
@@ -285,18 +285,19 @@
     async def _get_status(
         self, route: Route, job_id: str
     ) -> JobStatus | None | Unavailable:
-        final = self._statuses.get_final(job_id)
+        queue = route.policy.queue
+        final = self._statuses.get_final(queue, job_id)
         if final is not None:
             return final
         owner = self.owners.get(route.policy.service)
         if owner is not None and owner.loaded:
             status = owner.state.get_status(job_id)
-            if status is not None:
+            if status is not None and status.queue == queue:
                 return status
         if self._is_store_down() or not await self._update_queue_moves():
             return Unavailable.STORE
         try:
-            return await self._statuses.find(self._list_shards(route), job_id)
+            return await self._statuses.find(self._list_shards(route), queue, job_id)
         except PlatformUnavailableError:
             return Unavailable.STORE
         except DocumentError:
@@ -329,7 +330,7 @@
         try:
             for shard in self._list_shards(route):
                 found = await self._submissions.find(shard, job_id)
-                if found is None:
+                if found is None or not found.belongs_to(route.policy.queue):
                     continue
                 if not caller.may_access(found.submission.tenant):
                     return self._deny(route, job_id)
--- a/src/onyxgap/daemons/submission_store.py
+++ b/src/onyxgap/daemons/submission_store.py
@@ -34,6 +34,9 @@
 WRITE_RETRY_PAUSE_S = 0.08
 """Pause between two attempts of such a write, in addition to the write's timeout."""
 
+_USED_BY_OTHER_QUEUE = SubmitResult(
+    SubmitOutcome.OTHER_REQUEST, "the id stands for a job of another queue"
+)
 _UNREADABLE_JOB = SubmitResult(SubmitOutcome.UNKNOWN, Unavailable.STORED_JOB.value)
 _LOG = structlog.get_logger()
 
@@ -49,6 +52,10 @@
     shard: str
     submission: Submission
 
+    def belongs_to(self, queue: str) -> bool:
+        """Return whether the job is one of a queue."""
+        return self.submission.policy.queue == queue
+
 
 @attrs.define(eq=False)
 class SubmissionStore:
@@ -97,17 +104,21 @@
         :param submission: the submission.
         :param shards: the shards that may have the job.
         """
+        result = None
         try:
             for shard in shards:
                 found = await self.find(shard, submission.job_id)
-                if found is not None:
-                    return _compare(found, submission)
+                if found is None:
+                    continue
+                result = _compare(found, submission)
+                if result is not _USED_BY_OTHER_QUEUE:
+                    return result
         except PlatformUnavailableError as error:
             return SubmitResult(SubmitOutcome.UNKNOWN, str(error))
         except DocumentError:
             # the job may have been accepted, so it must not be called rejected
             return _UNREADABLE_JOB
-        return None
+        return result
 
     async def insert(
         self, submission: Submission, other_services: t.Collection[str]
@@ -139,17 +150,21 @@
         self, submission: Submission, conflict: Conflict
     ) -> SubmitResult | None:
         """Return the result of the stored submission that a write conflicts with."""
+        result = None
         shards = []
         for row in conflict.rows:
             try:
                 stored = self.decoder.decode_row(row)
             except DocumentError:
                 return _UNREADABLE_JOB
-            if isinstance(stored, Submission):
-                found = LocatedSubmission(stored.policy.service, stored)
-                return _compare(found, submission)
-            shards.append(stored.service)
-        return await self.find_result(submission, shards)
+            if isinstance(stored, SubmissionPointer):
+                shards.append(stored.service)
+                continue
+            found = LocatedSubmission(stored.policy.service, stored)
+            result = _compare(found, submission)
+            if result is not _USED_BY_OTHER_QUEUE:
+                return result
+        return await self.find_result(submission, shards) or result
 
     async def cancel(self, shard: str, job_id: str) -> bool:
         """Store the cancellation of a job; return whether it is certainly stored."""
@@ -191,6 +206,8 @@
         wanted=submission.policy.service,
         stored_under=stored.configuration,
     )
+    if not found.belongs_to(submission.policy.queue):
+        return _USED_BY_OTHER_QUEUE
     if not Caller(submission.tenant).may_access(stored.tenant):
         return SubmitResult(SubmitOutcome.OTHER_TENANT, Denied.OTHER_TENANT.value)
     if is_same_request(stored, submission):
--- a/src/onyxgap/jobs/encoding.py
+++ b/src/onyxgap/jobs/encoding.py
@@ -65,20 +65,23 @@
             "open": occurrences,
             "tenant": job.submission.tenant,
             "configuration": job.submission.configuration,
+            "queue": job.submission.policy.queue,
         }
     )
 
 
 def decode_status(value: bytes) -> JobStatus:
-    """Decode only the state, the tenant and the version of a stored job.
+    """Decode only the state of a stored job, and who may read it.
 
     :param value: result of :func:`encode_progress`.
     :raises DocumentError: if the row is not the progress of a job.
     """
     try:
         raw = orjson.loads(value)
-        state, tenant = JobState(raw["state"]), raw.get("tenant", "")
-        return JobStatus(state, tenant, check_version(raw.get("configuration", 0)))
+        version = check_version(raw.get("configuration", 0))
+        return JobStatus(
+            JobState(raw["state"]), raw.get("tenant", ""), version, raw.get("queue", "")
+        )
     except MALFORMED_ERRORS as error:
         raise DocumentError([Fault("$", f"no stored job: {error!r}")]) from None
 
--- a/src/onyxgap/jobs/messages.py
+++ b/src/onyxgap/jobs/messages.py
@@ -96,23 +96,28 @@
 
 @attrs.frozen(slots=True)
 class JobStatus:
-    """State of a job, and the tenant that may read it.
+    """State of a job, and who may read it.
 
     :param state: state of the job.
     :param tenant: its tenant, or empty.
     :param configuration: version of the configuration under which the job was accepted,
         0 if it is not known.
+    :param queue: queue of the job; empty in rows that were stored without it.
     """
 
     state: JobState
     tenant: str = ""
     configuration: int = 0
+    queue: str = ""
 
 
 @attrs.frozen(slots=True)
 class Submission:
     """An accepted job as it was submitted; immutable.
 
+    A job is identified by its queue and its id. Workers are told only the id, so that
+    within a service no two jobs have the same one.
+
     :param job_id: id chosen by the caller.
     :param policy: policy of its queue at the time of acceptance.
     :param spec: opaque text that is passed to the workers.
--- a/src/onyxgap/jobs/shard_jobs.py
+++ b/src/onyxgap/jobs/shard_jobs.py
@@ -40,6 +40,13 @@
     return (task_id.job_id, task_id.occurrence, task_id.step)
 
 
+def _build_status(job: Job, state: JobState) -> JobStatus:
+    submission = job.submission
+    return JobStatus(
+        state, submission.tenant, submission.configuration, submission.policy.queue
+    )
+
+
 @attrs.define
 class ShardJobs:
     """Jobs of one shard, and the state that its subclasses share.
@@ -141,7 +148,7 @@
 
     def _move_to_final(self, job: Job, state: JobState, now: float) -> None:
         job_id = job.submission.job_id
-        self.final[job_id] = JobStatus(state, job.submission.tenant)
+        self.final[job_id] = _build_status(job, state)
         self.ended_at[job_id] = now
         self.jobs.pop(job_id, None)
         self.ticket_cache.forget_job(job_id)
@@ -186,7 +193,7 @@
         job = self.jobs.get(job_id)
         if job is None:
             return None
-        return JobStatus(job.stored_state or JobState.QUEUED, job.submission.tenant)
+        return _build_status(job, job.stored_state or JobState.QUEUED)
 
     def knows(self, job_id: str, cancelled: bool = False) -> bool:
         """Tell whether a job, or its cancellation, is known here.
--- a/src/onyxgap/jobs/tenants.py
+++ b/src/onyxgap/jobs/tenants.py
@@ -66,9 +66,11 @@
     tenant: str = ""
 
     def may_access(self, job_tenant: str) -> bool:
-        """Tell whether the caller may read and cancel a job.
+        """Tell whether the caller may read and cancel a job of the queue that it calls.
 
-        A job without a tenant was submitted while its queue was public.
+        A job without a tenant was submitted while its queue was public. A caller
+        without a tenant calls a queue that is public now; its jobs may have tenants
+        from the time before.
 
         :param job_tenant: tenant of the job, or empty.
         """
--- a/tests/test_tracing.py
+++ b/tests/test_tracing.py
@@ -41,6 +41,17 @@
     assert select_lines(lines, "cc33") == []
 
 
+def test_lines_about_a_job_of_another_queue_with_the_same_id_can_be_left_out() -> None:
+    text = """
+{"event":"cancel answered","job":"aa11","queue":"bids","timestamp":"T1"}
+{"event":"cancel answered","job":"aa11","queue":"visits","timestamp":"T2"}
+"""
+    lines = list(parse_lines("a", text))
+    queues = [line.fields["queue"] for line in select_lines(lines, "aa11", "bids")]
+    assert queues == ["bids"]
+    assert len(select_lines(lines, "aa11")) == 2
+
+
 def test_command_prints_lines_and_fails_if_none_is_found(
     tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
