Do not apply rows of jobs that were read before their removal

What callers saw: jobs that had ended done, and were acknowledged and shown as succeeded 45 s before, ran once more (TWICE) after the store lost its history while it was slow.

Meanwhile it goes on removing expired jobs and forgetting them. A submission that was read before its removal is then a new job. Nothing compared versions.

A page that is older than what the feed has delivered brings nothing.

The same cause on related paths, each with a test that fails without the change: * a removal that a slow store applies late removed a submission that was handed in again under that ID; it expects the version of the row now, as do removals of pointers; * a late cancellation was stored beside no job and cancelled the next one with its ID; * a job handed in again between the removal of its submission and that of its progress was hidden by the old state, at its owner, after a change of the owner (the progress names the version of its submission) and in the cache of final states, which is gone.

--- a/src/onyxgap/daemons/desk.py
+++ b/src/onyxgap/daemons/desk.py
@@ -286,9 +286,6 @@
         self, route: Route, job_id: str
     ) -> JobStatus | None | Unavailable:
         queue = route.policy.queue
-        final = self._statuses.get_final(queue, job_id)
-        if final is not None:
-            return final
         owner = self.owners.get(route.policy.service)
         if owner is not None and owner.loaded:
             status = owner.state.get_status(job_id)
@@ -334,8 +331,7 @@
                     continue
                 if not caller.may_access(found.submission.tenant):
                     return self._deny(route, job_id)
-                stored = await self._submissions.cancel(found.shard, job_id)
-                return stored or Unavailable.STORE
+                return await self._submissions.cancel(found)
         except PlatformUnavailableError:
             return Unavailable.STORE
         except DocumentError:
--- a/src/onyxgap/daemons/expiry.py
+++ b/src/onyxgap/daemons/expiry.py
@@ -3,6 +3,9 @@
 Submissions and progress are in different partitions, so no transaction removes both.
 The submission is removed first: without progress, it would be a new job to the next
 owner of the shard.
+
+A removal may be applied seconds after it was sent, when a caller has stored a new job
+under the same ID. So each removal has the version of what it removes as a condition.
 """
 
 import typing as t
@@ -13,6 +16,8 @@
 from ..jobs import tables
 from ..jobs.store import Applied
 from ..jobs.store import Batch
+from ..jobs.store import Conflict
+from ..jobs.store import RowId
 from ..jobs.store import Store
 
 MAX_REMOVED_JOBS = 2
@@ -23,6 +28,22 @@
 _LOG = structlog.get_logger()
 
 
+async def _remove(
+    store: Store, row: RowId, version: int, others: tuple[RowId, ...] = ()
+) -> bool:
+    """Remove a row unless it has changed; return whether it is gone.
+
+    :param store: the store.
+    :param row: the row.
+    :param version: version of the row.
+    :param others: rows of the same partition that are removed with it.
+    """
+    outcome = await store.write(Batch({row: version}, {}, (row, *others)))
+    if isinstance(outcome, Conflict):
+        return outcome.find(row) is None
+    return isinstance(outcome, Applied)
+
+
 @attrs.define(eq=False)
 class JobRemover:
     """Removes the submissions of expired jobs, and tells whose progress may go next.
@@ -49,19 +70,20 @@
         self._in_flight.update(due)
         return due
 
-    async def remove_submission(self, job_id: str) -> None:
+    async def remove_submission(self, job_id: str, version: int) -> None:
         """Remove the submission of a job; after a failure the job stays due.
 
         :param job_id: a job that :meth:`select_due` has chosen.
+        :param version: version of its submission.
         """
-        rows = (
-            tables.get_job_row(self.shard, job_id),
-            tables.get_cancel_row(self.shard, job_id),
-        )
-        outcome = await self.store.write(Batch({}, {}, rows))
-        _LOG.info("submission removed", job=job_id, outcome=type(outcome).__name__)
+        row = tables.get_job_row(self.shard, job_id)
+        cancellation = tables.get_cancel_row(self.shard, job_id)
+        gone = await _remove(self.store, row, version, (cancellation,))
+        _LOG.info("submission removed", job=job_id, version=version, gone=gone)
+        if job_id not in self._in_flight:
+            return
         self._in_flight.discard(job_id)
-        if isinstance(outcome, Applied):
+        if gone:
             self.note_removed([job_id])
 
     def note_removed(self, job_ids: t.Iterable[str]) -> None:
@@ -72,10 +94,34 @@
         """List jobs whose progress is to be removed with the next renewal."""
         return tuple(self._removed)[:MAX_REMOVED_JOBS]
 
-    def forget(self, job_ids: t.Iterable[str]) -> None:
-        """Drop jobs whose progress was removed."""
-        for job_id in job_ids:
-            self._removed.pop(job_id, None)
+    def forget(self, job_ids: t.Iterable[str]) -> list[str]:
+        """Drop jobs whose progress was removed.
+
+        :returns: those of them under whose ID no new job was stored meanwhile.
+        """
+        forgotten = [job_id for job_id in job_ids if job_id in self._removed]
+        for job_id in forgotten:
+            del self._removed[job_id]
+        return forgotten
+
+    def keep(self, job_id: str) -> None:
+        """Remove nothing more under the ID of a job, since a new job has it."""
+        self._in_flight.discard(job_id)
+        self._removed.pop(job_id, None)
+
+
+@attrs.frozen(slots=True)
+class NotedPointer:
+    """A pointer of a shard to a job of another shard.
+
+    :param job_id: job of the pointer.
+    :param version: version of the pointer's row.
+    :param noted_at: monotonic seconds when it was first seen.
+    """
+
+    job_id: str
+    version: int
+    noted_at: float
 
 
 @attrs.define(eq=False)
@@ -91,35 +137,38 @@
 
     shard: str
     store: Store
-    _noted_at: dict[str, float] = attrs.field(factory=dict)
+    _noted: dict[str, NotedPointer] = attrs.field(factory=dict)
 
-    def note(self, job_id: str, now: float) -> None:
+    def note(self, job_id: str, version: int, now: float) -> None:
         """Record a pointer.
 
         :param job_id: job of the pointer.
+        :param version: version of the pointer's row.
         :param now: monotonic seconds.
         """
-        self._noted_at.setdefault(job_id, now)
+        known = self._noted.get(job_id)
+        if known is None or known.version < version:
+            self._noted.pop(job_id, None)
+            self._noted[job_id] = NotedPointer(job_id, version, now)
 
-    def select_due(self, now: float, retention_s: float) -> list[str]:
-        """Choose jobs whose pointers are to be removed now, the oldest first.
+    def select_due(self, now: float, retention_s: float) -> list[NotedPointer]:
+        """Choose the pointers to be removed now, the oldest first.
 
         :param now: monotonic seconds.
         :param retention_s: seconds for which a pointer is kept.
         """
-        oldest = list(self._noted_at.items())[:MAX_REMOVED_POINTERS]
-        due = [job_id for job_id, at in oldest if now - at > retention_s]
-        for job_id in due:
-            del self._noted_at[job_id]
+        oldest = list(self._noted.values())[:MAX_REMOVED_POINTERS]
+        due = [pointer for pointer in oldest if now - pointer.noted_at > retention_s]
+        for pointer in due:
+            del self._noted[pointer.job_id]
         return due
 
-    async def remove(self, job_id: str, now: float) -> None:
+    async def remove(self, pointer: NotedPointer, now: float) -> None:
         """Remove a pointer; after a failure it is kept for a further retention period.
 
-        :param job_id: a job that :meth:`select_due` has chosen.
+        :param pointer: a pointer that :meth:`select_due` has chosen.
         :param now: monotonic seconds.
         """
-        row = tables.get_job_row(self.shard, job_id)
-        outcome = await self.store.write(Batch({}, {}, (row,)))
-        if not isinstance(outcome, Applied):
-            self.note(job_id, now)
+        row = tables.get_job_row(self.shard, pointer.job_id)
+        if not await _remove(self.store, row, pointer.version):
+            self.note(pointer.job_id, pointer.version, now)
--- a/src/onyxgap/daemons/follower.py
+++ b/src/onyxgap/daemons/follower.py
@@ -33,7 +33,9 @@
 class Follower:
     """Reads partitions of a table, then follows every change of the table.
 
-    The partitions are read again if the store no longer has all changes since.
+    The partitions are read again if the store no longer has all changes since. They are
+    read one after the other, so that their pages differ in version. Changes that a page
+    has already are not passed on again.
 
     :param store: the store.
     :param table: the table.
@@ -44,6 +46,7 @@
     :param pause_s: seconds between calls; greater than 0 for changes that need not be
         applied at once.
     :param after: version after which changes are followed; 0 to read a snapshot first.
+    :param delivered: version up to which all changes were passed to ``on_rows``.
     :param on_caught_up: called with the time, in seconds of the boot clock, up to which
         all changes were passed to ``on_rows``; ``None`` if not needed.
     :param read_boot: reads the boot clock, which also counts while the VM is suspended.
@@ -57,8 +60,10 @@
     wait_s: float = WAIT_S
     pause_s: float = 0.0
     after: int = 0
+    delivered: int = 0
     on_caught_up: t.Callable[[float], None] | None = None
     read_boot: t.Callable[[], float] = anyio.current_time
+    _page_versions: dict[str, int] = attrs.field(factory=dict)
 
     async def run(self) -> t.NoReturn:
         """Follow the table until cancelled; outages of the store are waited for."""
@@ -87,24 +92,38 @@
             return
         asked_at = anyio.current_time()
         page = await self.store.follow(self.table, self.after, self.wait_s)
-        self.after = max(self.after, page.version)
+        self.after = self.delivered = max(self.after, page.version)
         if page.rows:
-            self.on_rows(page.rows, False)
+            self.on_rows(self._select_new(page.rows), False)
             self._report_caught_up(sent_at)
         elif anyio.current_time() - asked_at >= self.wait_s:
             # the store waited for the whole time and reported no change
             self._report_caught_up(sent_at + self.wait_s)
 
+    def resume(self, versions: t.Mapping[str, int]) -> None:
+        """Continue after pages that were read, with the changes that they lack.
+
+        :param versions: versions of the pages by partition.
+        """
+        self._page_versions = dict(versions)
+        self.after = min(versions.values(), default=0)
+        self.delivered = max(self.delivered, self.after)
+
+    def _select_new(self, rows: t.Sequence[StoredRow]) -> list[StoredRow]:
+        """Select the changes that the pages lack."""
+        versions = self._page_versions
+        return [row for row in rows if row.version > versions.get(row.row_id.part, 0)]
+
     def _report_caught_up(self, at: float) -> None:
         if self.on_caught_up is not None:
             self.on_caught_up(at)
 
     async def _read_snapshot(self) -> None:
-        pages: list[Page] = []
+        pages: dict[str, Page] = {}
         for part in self.parts():
-            pages.append(await self.store.read(self.table, part))
-        rows = [row for page in pages for row in page.rows]
+            pages[part] = await self.store.read(self.table, part)
+        rows = [row for page in pages.values() for row in page.rows]
         self.on_rows(rows, True)
-        self.after = min((page.version for page in pages), default=0)
+        self.resume({part: page.version for part, page in pages.items()})
         if not pages:
             await anyio.sleep(RETRY_MIN_S)
--- a/src/onyxgap/daemons/owner.py
+++ b/src/onyxgap/daemons/owner.py
@@ -26,6 +26,7 @@
 from .expiry import JobRemover
 from .expiry import PointerRemover
 from .follower import Follower
+from .job_versions import JobVersions
 from .owner_workers import OwnerWorkers
 from .reading import read_partitions
 from .rows import decode_rows
@@ -73,15 +74,17 @@
 class ShardOwner(OwnerWorkers):
     """Runs one shard, from its claim to its loss or release."""
 
-    _loaded_version: int = 0
     _workers_version: int = 0
     _remover: JobRemover = attrs.field(init=False)
     _pointer_remover: PointerRemover = attrs.field(init=False)
+    _job_follower: Follower = attrs.field(init=False)
+    _versions: JobVersions = attrs.field(factory=JobVersions)
 
     def __attrs_post_init__(self) -> None:
         super().__attrs_post_init__()
         self._remover = JobRemover(self.shard, self.context.store)
         self._pointer_remover = PointerRemover(self.shard, self.context.store)
+        self._job_follower = self._follow_jobs()
 
     async def run(self) -> None:
         """Load and run the shard until it is released.
@@ -94,7 +97,7 @@
         for worker_id in list(self.state.workers):
             self._start_hold_loop(worker_id)
         group.start_soon(self._follow_workers(self._workers_version).run)
-        group.start_soon(self._follow_jobs().run)
+        group.start_soon(self._job_follower.run)
         group.start_soon(self._follow_fleet().run)
         if self.share_synchronizer is not None:
             group.start_soon(self.share_synchronizer.build_follower().run)
@@ -109,7 +112,6 @@
             self._list_job_parts,
             self._apply_job_rows,
             self.context.rng,
-            after=self._loaded_version,
         )
 
     def _follow_fleet(self) -> Follower:
@@ -135,10 +137,12 @@
         values = {row.row_id.key: row.value for row in progress.rows}
         self._apply_fleet_rows(fleet.rows, True)
         rows = [row for page in jobs for row in page.rows]
-        version = min(page.version for page in jobs)
+        versions = [page.version for page in jobs]
         self._apply_job_rows(rows, True, values)
         self._remover.note_removed(values.keys() - {row.row_id.key for row in rows})
-        self._loaded_version = version
+        self._job_follower.resume(
+            dict(zip(self._list_job_parts(), versions, strict=True))
+        )
         self.loaded = True
         self.loaded_at = self._now()
         _LOG.info(
@@ -147,7 +151,7 @@
             epoch=self.epoch,
             jobs=len(self.state.jobs),
             ended=len(self.state.final),
-            version=version,
+            version=min(versions),
         )
 
     def _list_job_parts(self) -> t.Sequence[str]:
@@ -167,7 +171,9 @@
             if row.row_id.part not in parts or row.removed:
                 continue
             if is_pointer(row.value):
-                self._pointer_remover.note(row.row_id.key, now)
+                self._pointer_remover.note(row.row_id.key, row.version, now)
+            elif self._versions.is_outdated(row):
+                _LOG.debug("outdated row skipped", row=row.row_id.key)
             else:
                 is_cancel = row.row_id.key.endswith(tables.CANCEL_SUFFIX)
                 (cancels if is_cancel else submissions).append(row)
@@ -179,15 +185,24 @@
         def restore(row: StoredRow) -> Job:
             value = (progress or {}).get(row.row_id.key)
             submission = decoder.decode(row.value, VersionSource.OWNED_JOB)
-            return restore_job(submission, value)
+            return restore_job(submission, value, row.version)
 
         skipped = self.context.skipped
-        for _, job in decode_rows(submissions, restore, skipped, "row skipped"):
+        for row, job in decode_rows(submissions, restore, skipped, "row skipped"):
             if job is not None:
+                self._forget_earlier(job, row.version)
                 self.state.add_job(job, now, wall_ms)
         if rows:
             self.wake()
 
+    def _forget_earlier(self, job: Job, version: int) -> None:
+        """Forget an ended job under whose ID a new one was stored after its removal."""
+        job_id = job.submission.job_id
+        if self._versions.get_stored(job_id):
+            self.state.forget_jobs([job_id])
+        self._remover.keep(job_id)
+        self._versions.note_stored(job_id, version)
+
     def fetch_if_missing(self, key: str) -> None:
         """Read a stored submission or cancellation unless the change feed brings it.
 
@@ -214,7 +229,8 @@
             _LOG.info("noticed row could not be read", row=key, reason=str(error))
             return False
         _LOG.info("noticed row read", row=key, shard=self.shard, version=page.version)
-        self._apply_job_rows(page.rows, False)
+        if page.version >= self._job_follower.delivered:
+            self._apply_job_rows(page.rows, False)
         return True
 
     def _apply_fleet_rows(self, rows: t.Sequence[StoredRow], snapshot: bool) -> None:
@@ -344,9 +360,11 @@
         retention_s = self.context.limits.status_s * RETENTION_FACTOR
         expired = self.state.list_expired(now, retention_s)
         for job_id in self._remover.select_due(expired):
-            self._spawn(self._remover.remove_submission, job_id)
-        for job_id in self._pointer_remover.select_due(now, retention_s):
-            self._spawn(self._pointer_remover.remove, job_id, now)
+            version = self._versions.get_stored(job_id)
+            self._spawn(self._remover.remove_submission, job_id, version)
+        for pointer in self._pointer_remover.select_due(now, retention_s):
+            self._spawn(self._pointer_remover.remove, pointer, now)
+        self._versions.forget_removals(self._job_follower.after)
 
     def _list_progress_rows(self, job_ids: t.Iterable[str]) -> tuple[RowId, ...]:
         return tuple(tables.get_progress_row(self.shard, job_id) for job_id in job_ids)
@@ -355,8 +373,9 @@
         now = self._now()
         for job_id, state in commit.states.items():
             self.state.mark_stored(job_id, state, now)
-        self.state.forget_jobs(commit.expired)
-        self._remover.forget(commit.expired)
+        removed = self._remover.forget(commit.expired)
+        self.state.forget_jobs(removed)
+        self._versions.note_removed(removed, self.writer.version)
         self._acknowledge_results(commit.processed)
         for order in commit.orders:
             self._spawn(self._send_start, order)
--- a/src/onyxgap/daemons/stored_statuses.py
+++ b/src/onyxgap/daemons/stored_statuses.py
@@ -11,13 +11,12 @@
 from ..jobs.store import Store
 from .submission_store import SubmissionStore
 
-MAX_CACHED_STATUSES = 4_000
-"""Statuses of ended jobs cached in memory; about 100 bytes each."""
-
 
 @attrs.define
 class StoredStatuses:
-    """Finds the statuses of jobs in the store, and caches those of ended jobs.
+    """Finds the statuses of jobs in the store.
+
+    They are not cached: once a job is removed, a new one may be stored under its ID.
 
     :param store: the store.
     :param submissions: stored submissions.
@@ -25,11 +24,6 @@
 
     store: Store
     submissions: SubmissionStore
-    _final: dict[tuple[str, str], JobStatus] = attrs.field(factory=dict)
-
-    def get_final(self, queue: str, job_id: str) -> JobStatus | None:
-        """Return the cached status of an ended job, ``None`` if there is none."""
-        return self._final.get((queue, job_id))
 
     async def find(
         self, shards: t.Iterable[str], queue: str, job_id: str
@@ -45,7 +39,6 @@
         for shard in shards:
             status = await self._read(shard, job_id)
             if status is not None and status.queue == queue:
-                self._cache(job_id, status)
                 return status
         return None
 
@@ -74,10 +67,3 @@
         if found is None:
             return None
         return attrs.evolve(status, queue=found.submission.policy.queue)
-
-    def _cache(self, job_id: str, status: JobStatus) -> None:
-        if not status.state.final:
-            return
-        self._final[status.queue, job_id] = status
-        if len(self._final) > MAX_CACHED_STATUSES:
-            del self._final[next(iter(self._final))]
--- a/src/onyxgap/daemons/submission_store.py
+++ b/src/onyxgap/daemons/submission_store.py
@@ -47,10 +47,12 @@
 
     :param shard: the shard that has the job.
     :param submission: the submission.
+    :param version: version of its row.
     """
 
     shard: str
     submission: Submission
+    version: int
 
     def belongs_to(self, queue: str) -> bool:
         """Return whether the job is one of a queue."""
@@ -83,18 +85,20 @@
         """
         stored = await self._read(shard, job_id)
         if isinstance(stored, SubmissionPointer):
-            shard = stored.service
-            stored = await self._read(shard, job_id)
-        if not isinstance(stored, Submission):
-            return None
-        return LocatedSubmission(shard, stored)
+            stored = await self._read(stored.service, job_id)
+        return stored if isinstance(stored, LocatedSubmission) else None
 
     async def _read(
         self, shard: str, job_id: str
-    ) -> Submission | SubmissionPointer | None:
+    ) -> LocatedSubmission | SubmissionPointer | None:
         row = tables.get_job_row(shard, job_id)
         page = await self.store.read(row.table, row.part, row.key)
-        return self.decoder.decode_row(page.rows[0]) if page.rows else None
+        if not page.rows:
+            return None
+        stored = self.decoder.decode_row(page.rows[0])
+        if isinstance(stored, SubmissionPointer):
+            return stored
+        return LocatedSubmission(shard, stored, page.rows[0].version)
 
     async def find_result(
         self, submission: Submission, shards: t.Iterable[str]
@@ -160,19 +164,31 @@
             if isinstance(stored, SubmissionPointer):
                 shards.append(stored.service)
                 continue
-            found = LocatedSubmission(stored.policy.service, stored)
+            found = LocatedSubmission(stored.policy.service, stored, row.version)
             result = _compare(found, submission)
             if result is not _USED_BY_OTHER_QUEUE:
                 return result
         return await self.find_result(submission, shards) or result
 
-    async def cancel(self, shard: str, job_id: str) -> bool:
-        """Store the cancellation of a job; return whether it is certainly stored."""
-        row = tables.get_cancel_row(shard, job_id)
-        outcome = await self._write_until_certain(Batch({row: ABSENT}, {row: b"1"}))
-        if not isinstance(outcome, Applied | Conflict):
+    async def cancel(self, found: LocatedSubmission) -> bool | Unavailable:
+        """Store the cancellation of a job.
+
+        A write that is carried out late must not cancel a new job with the same ID, so
+        the cancellation is stored only beside the submission that was found.
+
+        :param found: the job.
+        :returns: whether the job is cancelled; false if it was removed meanwhile.
+        """
+        job_id = found.submission.job_id
+        submission = tables.get_job_row(found.shard, job_id)
+        row = tables.get_cancel_row(found.shard, job_id)
+        expected = {submission: found.version, row: ABSENT}
+        outcome = await self._write_until_certain(Batch(expected, {row: b"1"}))
+        if isinstance(outcome, Conflict) and outcome.find(row) is None:
             return False
-        self.on_stored(shard, row.key)
+        if not isinstance(outcome, Applied | Conflict):
+            return Unavailable.STORE
+        self.on_stored(found.shard, row.key)
         return True
 
     async def _write_until_certain(self, batch: Batch) -> WriteOutcome:
--- a/src/onyxgap/jobs/encoding.py
+++ b/src/onyxgap/jobs/encoding.py
@@ -66,6 +66,7 @@
             "tenant": job.submission.tenant,
             "configuration": job.submission.configuration,
             "queue": job.submission.policy.queue,
+            "version": job.version,
         }
     )
 
@@ -98,16 +99,22 @@
         task.loss_history = LossHistory(*losses)
 
 
-def restore_job(submission: Submission, value: bytes | None) -> Job:
+def restore_job(submission: Submission, value: bytes | None, version: int = 0) -> Job:
     """Restore a job from its stored rows.
 
+    Progress of another submission is that of an earlier job with the same ID, which is
+    being removed.
+
     :param submission: the submission, which never changes.
     :param value: result of :func:`encode_progress`, ``None`` if no progress is stored.
+    :param version: version of the submission's row.
     """
-    job = Job(submission)
+    job = Job(submission, version=version)
     if value is None:
         return job
     raw = orjson.loads(value)
+    if raw.get("version") not in (None, version):
+        return job
     job.state = job.stored_state = JobState(raw["state"])
     job.finished = raw["finished"]
     job.next_occurrence = raw["next"]
--- a/src/onyxgap/jobs/job.py
+++ b/src/onyxgap/jobs/job.py
@@ -212,6 +212,7 @@
     """A job with its progress.
 
     :param submission: the job as submitted.
+    :param version: version of the submission's row.
     :param state: current state, which may not be stored yet.
     :param stored_state: state in the store, or ``None`` if none is stored yet.
     :param occurrences: open occurrences by number.
@@ -232,6 +233,7 @@
     """
 
     submission: Submission
+    version: int = attrs.field(default=0, kw_only=True)
     state: JobState = JobState.QUEUED
     stored_state: JobState | None = None
     occurrences: dict[int, Occurrence] = attrs.field(factory=dict)
--- a/src/onyxgap/standins/emulator/script.py
+++ b/src/onyxgap/standins/emulator/script.py
@@ -156,6 +156,7 @@
     :param call_cost_s: processor time that a call to a worker takes a node.
     :param contended: whether nodes weigh callers against each other.
     :param small: number of nodes on small VMs, the first ones.
+    :param retention_s: time for which the state of an ended job must stay readable.
     """
 
     name: str
@@ -163,6 +164,7 @@
     call_cost_s: float = 0.0
     contended: bool = False
     small: int = 0
+    retention_s: float = 120.0
     spare: int = 0
     turn_s: float = 0.0
     end_s: float = 40.0
@@ -296,6 +298,7 @@
     "call-cost": _read_number("call_cost_s", float),
     "contended": _contend,
     "small": _read_number("small", int),
+    "retention": _read_number("retention_s", float),
     "spare": _read_number("spare", int),
     "turns": _read_number("turn_s", float),
     "end": _read_number("end_s", float),
--- a/src/onyxgap/standins/emulator/slots.py
+++ b/src/onyxgap/standins/emulator/slots.py
@@ -17,6 +17,7 @@
 from ...jobs.messages import Submission
 from ...jobs.routing import Route
 from ...jobs.settings import NodeSettings
+from ...jobs.settings import TimeLimits
 from ...jobs.tenants import Caller
 from ...jobs.tenants import KeyRejection
 from ...pools.sizing import Sizer
@@ -108,6 +109,7 @@
             "-",
             keyed=bool(day.script.tenants),
             contended=day.script.contended,
+            limits=TimeLimits(status_s=day.script.retention_s),
         )
         self.node = Node(
             settings,
--- a/tests/owners.py
+++ b/tests/owners.py
@@ -1,4 +1,4 @@
-"""Builds owners of a shard for tests that need no store."""
+"""Builds owners of a shard for tests."""
 
 import math
 import random
@@ -12,19 +12,25 @@
 from onyxgap.jobs.health import StoreHealth
 from onyxgap.jobs.leases import GrantPeriod
 from onyxgap.jobs.settings import TimeLimits
+from onyxgap.jobs.store import Store
 from onyxgap.jobs.tables import OwnerRow
 from onyxgap.jobs.workers import WorkerClient
 
 
-def build_owner(workers: WorkerClient, clocks: Clocks) -> ShardOwner:
-    """Build an owner of the shard ``shard`` that may grant leases without a store."""
+def build_owner(
+    workers: WorkerClient, clocks: Clocks, store: Store | None = None
+) -> ShardOwner:
+    """Build an owner of the shard ``shard`` that may grant leases.
+
+    :param store: the store, ``None`` if the test needs none.
+    """
     nothing: t.Any = None
     rng = random.Random(1)
     grants = GrantPeriod(lambda: clocks.read_boot(), confirmed_at=math.inf)
     row = OwnerRow("node", "boot", 1)
-    writer = FencedWriter("shard", row, 1, "", nothing, rng, grants)
+    writer = FencedWriter("shard", row, 1, "", store or nothing, rng, grants)
     context = OwnerContext(
-        nothing,
+        store or nothing,
         workers,
         clocks,
         StoreHealth(),
--- a/tests/test_moved_submissions.py
+++ b/tests/test_moved_submissions.py
@@ -119,16 +119,17 @@
         for job_id in jobs:
             row = tables.get_job_row("s", job_id)
             store.put(row, encode_pointer(SubmissionPointer("s2")))
-            remover.note(job_id, anyio.current_time())
+            remover.note(job_id, store.version, anyio.current_time())
         assert remover.select_due(RETENTION_S - 1, RETENTION_S) == []
         due = remover.select_due(RETENTION_S + 1, RETENTION_S)
-        assert due == jobs[:MAX_REMOVED_POINTERS]
-        for job_id in due:
-            await remover.remove(job_id, RETENTION_S + 1)
+        assert [pointer.job_id for pointer in due] == jobs[:MAX_REMOVED_POINTERS]
+        for pointer in due:
+            await remover.remove(pointer, RETENTION_S + 1)
         left = [row.key for row in store.rows]
         assert left == [jobs[0], jobs[-1]]
         # the first removal was refused
         late = 2 * RETENTION_S + 2
-        assert remover.select_due(late, RETENTION_S) == [jobs[-1], jobs[0]]
+        due = remover.select_due(late, RETENTION_S)
+        assert [pointer.job_id for pointer in due] == [jobs[-1], jobs[0]]
 
     run_with_store(test, "refuse")
