Bound what is stored by its size, and do not repeat refused writes

What callers saw: after all nodes had lost power for 9.5 s, one scheduled job kept its whole service from starting anything; 27 accepted jobs stood still beside idle workers (LOST). A job with a label of 100 KB was answered 504 after 25 refused writes, integers beyond 64 bits 500.

Cause, three in one: * the progress of a job was one row, and nothing bounded its open occurrences: ten of 300 subtasks gave more than 65,536 bytes. A transaction was bounded by 90 jobs and not by the 1 MB of a call; * the answer 400 was taken for an unknown outcome, and the fenced writer repeated the batch without end; * the batch held the renewal of the owner row and all other jobs of the shard, so that each owner lost the shard to the next one, which did the same.

Why it works: progress takes several rows where one is too small, in one transaction, and a call is filled by the size as encoded. A job has 6,000 tasks open at most; the other occurrences wait, and jobs whose occurrences never end are rejected above that. Progress that fits into a row is stored as before, so that nodes of the version before read it. A definite refusal ends a write. The jobs of the refused transaction are then stored one by one, apart from the owner's rows; one that is refused alone waits, without its starts being sent or its results acknowledged. Reports and loads that exceed a row are left out, and the fleet controller goes on renewing. A submission that exceeds a row, and integers that JSON does not carry, are rejected at once with 400.

--- a/src/onyxgap/daemons/desk.py
+++ b/src/onyxgap/daemons/desk.py
@@ -23,6 +23,9 @@
 from ..jobs.routing import Route
 from ..jobs.routing import RouteTable
 from ..jobs.store import Store
+from ..jobs.store import StoreLimits
+from ..jobs.submissions import MAX_INTEGER
+from ..jobs.submissions import encode_submission
 from ..jobs.tenants import ANONYMOUS
 from ..jobs.tenants import Caller
 from ..jobs.tenants import KeyRejection
@@ -67,6 +70,7 @@
     :param on_answer: called after each answer with the kind of call, its outcome and
         its duration in seconds.
     :param stopping: whether the node is shutting down.
+    :param row_bytes: largest row of the store.
     :param versions: versions of the configuration that are known to exist.
     :param decoder: decodes submissions and statuses.
     :param binder: binds submissions to the routes in force.
@@ -86,6 +90,7 @@
     count_nodes: t.Callable[[], int] = lambda: 1
     on_answer: t.Callable[[str, str, float], None] = lambda *_: None
     stopping: bool = False
+    row_bytes: int = StoreLimits().row_bytes
     versions: VersionObserver = attrs.field(init=False)
     decoder: SubmissionDecoder = attrs.field(init=False)
     binder: RouteBinder = attrs.field(init=False)
@@ -153,7 +158,7 @@
         """Accept a job or return why it was not accepted."""
         started = self.clocks.read_monotonic()
         submission = self.binder.bind(submission)
-        result = await self._submit(submission)
+        result = self.check_size(submission) or await self._submit(submission)
         took_s = self.clocks.read_monotonic() - started
         self.on_answer("submit", result.outcome.value, took_s)
         _LOG.info(
@@ -196,6 +201,15 @@
         accepted = attrs.evolve(submission, accepted_ms=accepted_ms)
         return await self._submissions.insert(accepted, others)
 
+    def check_size(self, submission: Submission) -> SubmitResult | None:
+        """Reject a job that does not fit into a row of the store."""
+        accepted = attrs.evolve(submission, accepted_ms=MAX_INTEGER)
+        size = len(encode_submission(accepted))
+        if size <= self.row_bytes:
+            return None
+        reason = f"takes {size} bytes as stored, {self.row_bytes} are allowed"
+        return SubmitResult(SubmitOutcome.TOO_LARGE, reason)
+
     def _check_queue(self, submission: Submission) -> SubmitResult | None:
         """Reject a job whose queue was moved or removed since its route was found."""
         if self.binder.is_bound(submission):
--- a/src/onyxgap/daemons/fence.py
+++ b/src/onyxgap/daemons/fence.py
@@ -6,16 +6,21 @@
 
 import anyio
 import attrs
+import structlog
 
 from ..exceptions import OwnershipLostError
+from ..exceptions import WriteRefusedError
 from ..jobs import tables
 from ..jobs.leases import GrantPeriod
 from ..jobs.store import Applied
 from ..jobs.store import Batch
 from ..jobs.store import Conflict
+from ..jobs.store import Invalid
 from ..jobs.store import RowId
 from ..jobs.store import Store
+from ..jobs.store import StoreLimits
 from ..jobs.tables import NO_LOAD
+from ..jobs.tables import UNKNOWN_LOAD
 from ..jobs.tables import OwnerRow
 from ..jobs.tables import ShardLoad
 
@@ -28,6 +33,8 @@
 """Longest delay before a write is repeated, so that a store that has become available
 again is used within this time."""
 
+_LOG = structlog.get_logger()
+
 
 @attrs.define(eq=False)
 class FencedWriter:
@@ -40,6 +47,7 @@
     :param store: the store.
     :param rng: source of the jitter of retries.
     :param grants: when the owner may grant leases.
+    :param row_bytes: largest row of the store.
     """
 
     shard: str
@@ -49,6 +57,7 @@
     store: Store
     rng: random.Random
     grants: GrantPeriod
+    row_bytes: int = StoreLimits().row_bytes
     _renewed_at: float = -math.inf
     _sequence: int = 0
 
@@ -65,8 +74,12 @@
         :param now: monotonic seconds.
         :param load: load of the shard.
         """
-        self.owner = self.owner.renew(load)
-        puts[tables.get_owner_row(self.shard)] = tables.encode_owner(self.owner)
+        renewed = self.owner.renew(load)
+        if len(tables.encode_owner(renewed)) > self.row_bytes:
+            _LOG.error("load too large for the owner row", shard=self.shard)
+            renewed = self.owner.renew(UNKNOWN_LOAD)
+        self.owner = renewed
+        puts[tables.get_owner_row(self.shard)] = tables.encode_owner(renewed)
         self._renewed_at = now
 
     async def write(
@@ -80,6 +93,7 @@
         :param puts: rows to write.
         :param removals: rows to remove.
         :raises OwnershipLostError: when another node has claimed the shard.
+        :raises WriteRefusedError: when the store will never apply the write.
         """
         fence = tables.get_fence_row(self.shard)
         self._sequence += 1
@@ -95,6 +109,10 @@
             if isinstance(outcome, Applied):
                 self._note_applied(outcome.version, nonce, sent_at if renews else None)
                 return
+            if isinstance(outcome, Invalid):
+                if renews:
+                    self._renewed_at = -math.inf
+                raise WriteRefusedError(outcome.reason)
             if isinstance(outcome, Conflict):
                 row = outcome.find(fence)
                 written = row.value.decode() if row else ""
--- a/src/onyxgap/daemons/fleet_controller.py
+++ b/src/onyxgap/daemons/fleet_controller.py
@@ -13,6 +13,7 @@
 from ..exceptions import MALFORMED_ERRORS
 from ..exceptions import OwnershipLostError
 from ..exceptions import PlatformUnavailableError
+from ..exceptions import WriteRefusedError
 from ..jobs import tables
 from ..jobs.routing import RouteTable
 from ..jobs.settings import TimeLimits
@@ -232,8 +233,15 @@
         if not puts and not self.writer.is_renewal_due(self._now()):
             return
         started = self.clocks.read_boot()
-        await self._write_rows(puts)
         self._stored_row = value
+        try:
+            await self._write_rows(puts)
+        except WriteRefusedError as error:
+            # the same row would be refused again, and hold up the renewal
+            _LOG.error("fleet row refused by the store", reason=str(error))
+            for order in orders:
+                self.planner.apply_reply(order, VmReply.RETRY, self._now())
+            return
         assert self._group is not None
         for order in orders:
             self._group.start_soon(self._send_order, order, started)
--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -269,6 +269,7 @@
             self.store,
             self.rng,
             claim.grants,
+            self.settings.store_limits.row_bytes,
         )
         if shard == tables.FLEET_SHARD:
             assert self.cloud is not None
@@ -306,6 +307,7 @@
             self.settings.contended,
             self.skipped,
             self.job_api.decoder,
+            self.settings.store_limits,
         )
         former_grants = self.former_owners.bound(shard, claim.previous)
         owner = ShardOwner(writer, context, former_grants)
--- a/src/onyxgap/daemons/node_base.py
+++ b/src/onyxgap/daemons/node_base.py
@@ -162,7 +162,13 @@
             self.members,
             self._read_configuration,
         )
-        self.queue_moves = QueueMoves(self.store, self.routes, self.rng, self.skipped)
+        self.queue_moves = QueueMoves(
+            self.store,
+            self.routes,
+            self.rng,
+            self.skipped,
+            row_bytes=self.settings.store_limits.row_bytes,
+        )
         self.job_api = LocalJobApi(
             self.store,
             self.health,
@@ -172,6 +178,7 @@
             self.owners,
             Authentication(self.routes, self.exchange),
             self.queue_moves,
+            row_bytes=self.settings.store_limits.row_bytes,
         )
         self.served_api = self.job_api
         if self.settings.contended:
--- a/src/onyxgap/daemons/owner.py
+++ b/src/onyxgap/daemons/owner.py
@@ -8,13 +8,17 @@
 import structlog
 
 from ..exceptions import PlatformUnavailableError
+from ..exceptions import WriteRefusedError
 from ..jobs import tables
 from ..jobs.admission import encode_delay_estimate
-from ..jobs.encoding import encode_progress
 from ..jobs.encoding import restore_job
 from ..jobs.job import Job
 from ..jobs.messages import JobState
 from ..jobs.placing import WorkerRecord
+from ..jobs.progress_rows import StoredProgress
+from ..jobs.progress_rows import build_part_key
+from ..jobs.progress_rows import encode_progress_rows
+from ..jobs.progress_rows import join_progress
 from ..jobs.store import RowId
 from ..jobs.store import StoredRow
 from ..jobs.submissions import is_pointer
@@ -26,6 +30,9 @@
 from .expiry import JobRemover
 from .expiry import PointerRemover
 from .follower import Follower
+from .job_batches import REFUSED_RETRY_S
+from .job_batches import EncodedJob
+from .job_batches import JobBatches
 from .job_versions import JobVersions
 from .owner_workers import OwnerWorkers
 from .reading import read_partitions
@@ -39,9 +46,8 @@
 them."""
 MIN_REPORT_INTERVAL_S = 0.05
 """Least time between two reports, also if the list of drained workers has changed."""
-MAX_BATCH_JOBS = 90
-"""Most jobs stored in one transaction, which takes 100 entries; some are needed for the
-owner's own rows."""
+REFUSED_PAUSE_S = 0.4
+"""Pause after the store has refused the owner's own rows."""
 NOTICE_WAITS_S = (0.1, 0.2, 0.4, 0.8, 1.6)
 """Times to wait before the reads of a row of which a notice came. The change feed
 mostly brings the row within the first; the others follow a failed read."""
@@ -56,6 +62,8 @@
     """Contents of one transaction, and what to do once it is stored.
 
     :param puts: rows to write.
+    :param removals: rows to remove.
+    :param jobs: the jobs that are written, as they are encoded.
     :param states: states of the jobs that are written.
     :param orders: start orders that may be sent once their jobs are stored.
     :param processed: newest result processed of each worker, to be acknowledged;
@@ -64,11 +72,18 @@
     """
 
     puts: dict[RowId, bytes]
+    removals: tuple[RowId, ...]
+    jobs: t.Mapping[str, EncodedJob]
     states: dict[str, JobState]
     orders: tuple[StartOrder, ...]
     processed: t.Sequence[tuple[WorkerRecord, int]]
     expired: tuple[str, ...]
 
+    def has_only_jobs(self) -> bool:
+        """Return whether all rows are those of jobs."""
+        rows = sum(job.count_entries() for job in self.jobs.values())
+        return rows == len(self.puts) + len(self.removals)
+
 
 @attrs.define(eq=False)
 class ShardOwner(OwnerWorkers):
@@ -79,12 +94,14 @@
     _pointer_remover: PointerRemover = attrs.field(init=False)
     _job_follower: Follower = attrs.field(init=False)
     _versions: JobVersions = attrs.field(factory=JobVersions)
+    _batches: JobBatches = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         super().__attrs_post_init__()
         self._remover = JobRemover(self.shard, self.context.store)
         self._pointer_remover = PointerRemover(self.shard, self.context.store)
         self._job_follower = self._follow_jobs()
+        self._batches = JobBatches(self.shard, self.context.store_limits)
 
     async def run(self) -> None:
         """Load and run the shard until it is released.
@@ -134,12 +151,12 @@
         )
         self._apply_worker_rows(workers.rows, True)
         self._workers_version = workers.version
-        values = {row.row_id.key: row.value for row in progress.rows}
+        stored = join_progress(progress.rows)
         self._apply_fleet_rows(fleet.rows, True)
         rows = [row for page in jobs for row in page.rows]
         versions = [page.version for page in jobs]
-        self._apply_job_rows(rows, True, values)
-        self._remover.note_removed(values.keys() - {row.row_id.key for row in rows})
+        self._apply_job_rows(rows, True, stored)
+        self._remover.note_removed(stored.keys() - {row.row_id.key for row in rows})
         self._job_follower.resume(
             dict(zip(self._list_job_parts(), versions, strict=True))
         )
@@ -161,7 +178,7 @@
         self,
         rows: t.Sequence[StoredRow],
         snapshot: bool,
-        progress: t.Mapping[str, bytes] | None = None,
+        progress: t.Mapping[str, StoredProgress] | None = None,
     ) -> None:
         now, wall_ms = self._now(), self._wall_ms()
         parts = frozenset(self._list_job_parts())
@@ -183,9 +200,12 @@
         decoder = self.context.submission_decoder
 
         def restore(row: StoredRow) -> Job:
-            value = (progress or {}).get(row.row_id.key)
+            stored = (progress or {}).get(row.row_id.key)
+            value = stored.value if stored is not None else None
             submission = decoder.decode(row.value, VersionSource.OWNED_JOB)
-            return restore_job(submission, value, row.version)
+            job = restore_job(submission, value, row.version)
+            job.progress_parts = stored.parts if stored is not None else 0
+            return job
 
         skipped = self.context.skipped
         for row, job in decode_rows(submissions, restore, skipped, "row skipped"):
@@ -267,19 +287,49 @@
 
     async def _commit(self, orders: t.Sequence[StartOrder]) -> None:
         while True:
+            orders = self._withdraw_refused(orders)
             commit = self._build_commit(orders)
             if commit is None:
                 self._acknowledge_results(self._read_processed(frozenset()))
                 return
-            await self.writer.write(
-                commit.puts, self._list_progress_rows(commit.expired)
-            )
+            try:
+                await self.writer.write(commit.puts, commit.removals)
+            except WriteRefusedError as error:
+                await self._revert_commit(commit, str(error))
+                continue
             self._apply_commit(commit)
             sent = set(commit.orders)
             orders = [order for order in orders if order not in sent]
-            if not orders:
+            if not orders and not self._batches.has_suspects():
                 return
 
+    async def _revert_commit(self, commit: _Commit, reason: str) -> None:
+        """Have the jobs of a refused transaction stored again, one by one."""
+        self._reported = None
+        if not commit.jobs:
+            _LOG.error("write refused by the store", shard=self.shard, reason=reason)
+            await anyio.sleep(REFUSED_PAUSE_S)
+            return
+        job_ids = commit.jobs.keys()
+        alone = commit.has_only_jobs()
+        self._batches.note_refused(job_ids, alone, self._now(), reason)
+        self.state.dirty |= job_ids
+        for record in self.state.workers.values():
+            if record.acknowledged < record.processed_sequence:
+                record.unstored_jobs |= job_ids
+
+    def _withdraw_refused(self, orders: t.Sequence[StartOrder]) -> list[StartOrder]:
+        """Withdraw the orders of jobs whose progress is not stored for now."""
+        now = self._now()
+        kept = []
+        for order in orders:
+            job_id = order.task.job_id
+            if self._batches.is_refused(job_id, now) or job_id not in self.state.jobs:
+                self.state.withdraw_start(order, now + REFUSED_RETRY_S)
+            else:
+                kept.append(order)
+        return kept
+
     def _read_processed(
         self, stored_jobs: frozenset[str]
     ) -> list[tuple[WorkerRecord, int]]:
@@ -297,39 +347,75 @@
 
     def _build_commit(self, orders: t.Sequence[StartOrder]) -> _Commit | None:
         now = self._now()
-        wanted = [order.task.job_id for order in orders]
-        dirty = list(dict.fromkeys([*wanted, *self.state.dirty]))[:MAX_BATCH_JOBS]
-        chosen = frozenset(dirty)
         renewal_due = self.writer.is_renewal_due(now)
-        report = self._build_due_report(now, chosen)
-        if not dirty and not renewal_due and report is None:
+        expired = self._remover.list_removed() if renewal_due else ()
+        jobs = self._choose_jobs(orders, renewal_due, len(expired))
+        chosen = frozenset(jobs)
+        apart = self._batches.has_suspects() and bool(jobs)
+        report = None if apart else self._build_due_report(now, chosen)
+        if not jobs and not renewal_due and report is None:
             return None
+        self.state.dirty -= chosen
         processed = self._read_processed(chosen)
-        puts: dict[RowId, bytes] = {}
-        states = {}
-        for job_id in dirty:
-            self.state.dirty.discard(job_id)
-            job = self.state.jobs.get(job_id)
-            if job is not None:
-                row = tables.get_progress_row(self.shard, job_id)
-                puts[row] = encode_progress(job)
-                states[job_id] = job.state
-        expired: tuple[str, ...] = ()
-        if renewal_due:
-            expired = self._remover.list_removed()
+        puts = {row: value for job in jobs.values() for row, value in job.puts.items()}
+        removals = [row for job in jobs.values() for row in job.removals]
+        if renewal_due and not apart:
+            removals += self._list_progress_rows(expired)
             self._remove_expired_submissions(now)
             self.writer.add_renewal(puts, now, self._measure_load(now))
         if report is not None:
-            puts[tables.get_report_row(self.shard)] = encode_report(report)
-            self._reported, self._reported_at = report, now
+            self._add_report(puts, report, now)
         return _Commit(
             puts,
-            states,
+            tuple(removals),
+            jobs,
+            {job_id: self.state.jobs[job_id].state for job_id in jobs},
             tuple(order for order in orders if order.task.job_id in chosen),
             processed,
             expired,
         )
 
+    def _choose_jobs(
+        self, orders: t.Sequence[StartOrder], renewal_due: bool, removals: int
+    ) -> dict[str, EncodedJob]:
+        """Choose the jobs of the next transaction.
+
+        :param orders: orders to be sent; their jobs go first.
+        :param renewal_due: whether the owner row has to be renewed.
+        :param removals: number of rows that the transaction removes.
+        """
+        self.state.dirty &= self.state.jobs.keys()
+        if renewal_due and self._batches.has_suspects():
+            return {}
+        wanted = [order.task.job_id for order in orders]
+        return self._batches.choose(
+            dict.fromkeys([*wanted, *self.state.dirty]),
+            self._encode_job,
+            self._now(),
+            removals,
+        )
+
+    def _encode_job(self, job_id: str) -> EncodedJob:
+        job = self.state.jobs[job_id]
+        values = encode_progress_rows(job, self.context.store_limits)
+        puts = {self._get_part(job_id, n): value for n, value in enumerate(values)}
+        outdated = range(len(values), job.progress_parts + 1)
+        return EncodedJob(puts, tuple(self._get_part(job_id, n) for n in outdated))
+
+    def _get_part(self, job_id: str, part: int) -> RowId:
+        return tables.get_progress_row(self.shard, build_part_key(job_id, part))
+
+    def _add_report(
+        self, puts: dict[RowId, bytes], report: PoolReport, now: float
+    ) -> None:
+        """Add the report to the rows of a transaction, unless it exceeds a row."""
+        self._reported, self._reported_at = report, now
+        value = encode_report(report)
+        if len(value) > self.context.store_limits.row_bytes:
+            _LOG.error("report too large", shard=self.shard, size=len(value))
+            return
+        puts[tables.get_report_row(self.shard)] = value
+
     def _measure_load(self, now: float) -> ShardLoad:
         # the time first: the process may be paused before it has counted
         counted_at_ms = self.context.health.store_clock.get_earliest_ms(
@@ -371,6 +457,11 @@
 
     def _apply_commit(self, commit: _Commit) -> None:
         now = self._now()
+        self._batches.note_stored(commit.jobs)
+        for job_id, encoded in commit.jobs.items():
+            job = self.state.jobs.get(job_id)
+            if job is not None:
+                job.progress_parts = len(encoded.puts) - 1
         for job_id, state in commit.states.items():
             self.state.mark_stored(job_id, state, now)
         removed = self._remover.forget(commit.expired)
--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -27,6 +27,7 @@
 from ..jobs.share_book import ShardShares
 from ..jobs.store import Store
 from ..jobs.store import StoredRow
+from ..jobs.store import StoreLimits
 from ..jobs.tenants import TenantLimits
 from ..jobs.workers import MS_PER_S
 from ..jobs.workers import HoldOrder
@@ -101,6 +102,7 @@
     :param contended: whether submitted jobs may exceed the capacity of the workers.
     :param skipped: number of rows that could not be decoded, by table.
     :param submission_decoder: decodes stored submissions.
+    :param store_limits: limits of the store on a write.
     """
 
     store: Store
@@ -118,6 +120,7 @@
     contended: bool = False
     skipped: SkippedRows = attrs.field(factory=SkippedRows)
     submission_decoder: SubmissionDecoder = attrs.field(factory=SubmissionDecoder)
+    store_limits: StoreLimits = StoreLimits()
 
 
 @attrs.define(eq=False)
--- a/src/onyxgap/daemons/passing_desk.py
+++ b/src/onyxgap/daemons/passing_desk.py
@@ -110,6 +110,9 @@
     async def submit(self, submission: Submission) -> SubmitResult:
         """Accept a job or return why it was not accepted."""
         deadline = self._now() + CALL_TIMEOUT_S
+        too_large = self.local.check_size(submission)
+        if too_large is not None:
+            return too_large
         result = SubmitResult(SubmitOutcome.REFUSED, Unavailable.STORE.value)
         if self._is_store_unreachable():
             # the outcome of a write would most likely be unknown, so the caller gets a
--- a/src/onyxgap/daemons/queue_moves.py
+++ b/src/onyxgap/daemons/queue_moves.py
@@ -25,6 +25,7 @@
 from ..jobs.store import Applied
 from ..jobs.store import Batch
 from ..jobs.store import Store
+from ..jobs.store import StoreLimits
 from .rows import SkippedRows
 from .rows import decode_rows
 
@@ -41,8 +42,6 @@
 RECORD_ATTEMPTS = 4
 """Attempts to record a service before a job is rejected. Other nodes that record it at
 the same time make an attempt fail, and then it is mostly recorded by one of them."""
-MAX_ROW_BYTES = 65_536
-"""Largest row that the store accepts."""
 
 _LOG = structlog.get_logger()
 
@@ -79,6 +78,7 @@
     :param rng: source of the pauses between reads.
     :param skipped: number of rows that could not be decoded, by table.
     :param known: whether the row was read since this node has a configuration.
+    :param row_bytes: largest row of the store.
     """
 
     store: Store
@@ -86,6 +86,7 @@
     rng: random.Random
     skipped: SkippedRows
     known: bool = False
+    row_bytes: int = StoreLimits().row_bytes
     _read_version: int = 0
     _recorded: Services = attrs.field(factory=dict)
     _synchronizing: anyio.Lock = attrs.field(factory=anyio.Lock)
@@ -172,12 +173,12 @@
         self.known = True
         self._read_version, self._recorded = version, recorded
         wanted = _merge(recorded, _merge(needed, self.routes.list_services()))
-        if len(encode_moves(wanted)) > MAX_ROW_BYTES:
+        if len(encode_moves(wanted)) > self.row_bytes:
             wanted = _merge(recorded, _merge(needed, self.routes.list_moves()))
         if wanted == recorded:
             return True
         value = encode_moves(wanted)
-        if len(value) > MAX_ROW_BYTES:
+        if len(value) > self.row_bytes:
             _LOG.error("too many queue moves to be recorded", size=len(value))
             self._recorded = wanted
             return True
--- a/src/onyxgap/daemons/share_keeper.py
+++ b/src/onyxgap/daemons/share_keeper.py
@@ -17,6 +17,7 @@
 from ..jobs.store import Applied
 from ..jobs.store import Batch
 from ..jobs.store import Conflict
+from ..jobs.store import Invalid
 from ..jobs.store import NotApplied
 from ..jobs.store import Store
 from ..jobs.store import StoredRow
@@ -119,6 +120,10 @@
                 return outcome.version
             if isinstance(outcome, Conflict):
                 return self._resolve_conflict(batch, outcome)
+            if isinstance(outcome, Invalid):
+                _LOG.error("share row refused by the store", reason=outcome.reason)
+                await anyio.sleep(RETRY_MAX_S)
+                return None
             if isinstance(outcome, NotApplied) and not outcome_unknown:
                 await anyio.sleep(delay * self.rng.uniform(0.5, 1.0))
                 return None
--- a/src/onyxgap/daemons/submission_store.py
+++ b/src/onyxgap/daemons/submission_store.py
@@ -19,6 +19,7 @@
 from ..jobs.store import Applied
 from ..jobs.store import Batch
 from ..jobs.store import Conflict
+from ..jobs.store import Invalid
 from ..jobs.store import NotApplied
 from ..jobs.store import Store
 from ..jobs.store import WriteOutcome
@@ -144,6 +145,8 @@
             return SubmitResult(SubmitOutcome.ACCEPTED)
         if isinstance(outcome, NotApplied):
             return SubmitResult(SubmitOutcome.REFUSED, outcome.reason)
+        if isinstance(outcome, Invalid):
+            return SubmitResult(SubmitOutcome.TOO_LARGE, outcome.reason)
         if isinstance(outcome, Conflict):
             found = await self._find_conflicting(submission, outcome)
             if found is not None:
@@ -201,7 +204,7 @@
         unknown: WriteOutcome | None = None
         while True:
             outcome = await self.store.write(batch)
-            if isinstance(outcome, Applied | Conflict):
+            if isinstance(outcome, Applied | Conflict | Invalid):
                 return outcome
             if isinstance(outcome, NotApplied):
                 if unknown is None:
--- a/src/onyxgap/exceptions.py
+++ b/src/onyxgap/exceptions.py
@@ -67,5 +67,9 @@
     """The store no longer has the requested changes; the table must be read in full."""
 
 
+class WriteRefusedError(OnyxgapError):
+    """The store will not carry out a write, however often it is repeated."""
+
+
 class OwnershipLostError(OnyxgapError):
     """Another process owns the shard; this one must make no more decisions for it."""
--- a/src/onyxgap/jobs/desk.py
+++ b/src/onyxgap/jobs/desk.py
@@ -20,6 +20,7 @@
     OTHER_REQUEST = "other-request"
     OTHER_TENANT = "other-tenant"
     ABOVE_CAP = "above-cap"
+    TOO_LARGE = "too-large"
     OVERLOADED = "overloaded"
     REFUSED = "refused"
     UNKNOWN = "unknown"
--- a/src/onyxgap/jobs/health.py
+++ b/src/onyxgap/jobs/health.py
@@ -9,6 +9,7 @@
 from .store import Applied
 from .store import Batch
 from .store import Conflict
+from .store import Invalid
 from .store import OutcomeUnknown
 from .store import Page
 from .store import Store
@@ -105,7 +106,7 @@
         now = self.clocks.read_monotonic()
         if isinstance(outcome, OutcomeUnknown):
             self.timeout.record_timeout()
-        if isinstance(outcome, Applied | Conflict):
+        if isinstance(outcome, Applied | Conflict | Invalid):
             self.timeout.note_answer(now - started)
             self.health.note_answer(now)
         else:
--- a/src/onyxgap/jobs/job.py
+++ b/src/onyxgap/jobs/job.py
@@ -14,6 +14,7 @@
 from .messages import Submission
 from .messages import TaskId
 from .progress import Progress
+from .submissions import MAX_OPEN_TASKS
 
 
 class TaskPhase(enum.IntEnum):
@@ -213,6 +214,8 @@
 
     :param submission: the job as submitted.
     :param version: version of the submission's row.
+    :param progress_parts: number of rows beside the first one in which its progress is
+        stored.
     :param state: current state, which may not be stored yet.
     :param stored_state: state in the store, or ``None`` if none is stored yet.
     :param occurrences: open occurrences by number.
@@ -234,6 +237,7 @@
 
     submission: Submission
     version: int = attrs.field(default=0, kw_only=True)
+    progress_parts: int = attrs.field(default=0, kw_only=True)
     state: JobState = JobState.QUEUED
     stored_state: JobState | None = None
     occurrences: dict[int, Occurrence] = attrs.field(factory=dict)
@@ -283,14 +287,28 @@
                     if task.placed:
                         yield task
 
+    def may_open(self) -> bool:
+        """Return whether an occurrence is left and the stored progress has room for it.
+
+        Occurrences that last until the job is cancelled always have room, since
+        :func:`~onyxgap.jobs.submissions.check_submission` bounds their number.
+        """
+        if self.next_occurrence >= self.total_occurrences:
+            return False
+        steps = self.submission.steps
+        if not self.occurrences or any(step.long_running for step in steps):
+            return True
+        tasks = sum(step.count for step in steps)
+        return (len(self.occurrences) + 1) * tasks <= MAX_OPEN_TASKS
+
     def open_due_occurrences(self, wall_ms: float) -> bool:
-        """Open all occurrences that are due.
+        """Open the occurrences that are due and have room.
 
         :param wall_ms: Unix milliseconds.
         :returns: whether any occurrence was opened.
         """
         opened = False
-        while self.next_occurrence < self.total_occurrences:
+        while self.may_open():
             if self.submission.times and wall_ms < self.get_due_ms():
                 break
             number = self.next_occurrence
--- a/src/onyxgap/jobs/passing.py
+++ b/src/onyxgap/jobs/passing.py
@@ -187,6 +187,7 @@
         SubmitOutcome.ACCEPTED,
         SubmitOutcome.OTHER_REQUEST,
         SubmitOutcome.OTHER_TENANT,
+        SubmitOutcome.TOO_LARGE,
     }
 )
 """Outcomes that hold regardless of the outcome of earlier attempts."""
--- a/src/onyxgap/jobs/settings.py
+++ b/src/onyxgap/jobs/settings.py
@@ -3,6 +3,7 @@
 import attrs
 
 from ..settings import Address
+from .store import StoreLimits
 
 
 @attrs.frozen
@@ -53,6 +54,7 @@
     :param contended: whether callers may request more than the capacity; the node then
         applies fair sharing and admission control.
     :param limits: time limits of the deployment.
+    :param store_limits: limits of the store on a write.
     """
 
     node: str
@@ -66,3 +68,4 @@
     keyed: bool = False
     contended: bool = False
     limits: TimeLimits = attrs.field(factory=TimeLimits)
+    store_limits: StoreLimits = StoreLimits()
--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -445,6 +445,19 @@
         record.lease_ms = max(record.lease_ms, deadline_ms)
         return attrs.evolve(order, deadline_ms=deadline_ms)
 
+    def withdraw_start(self, order: StartOrder, retry_at: float) -> None:
+        """Give up an order that was not sent, since it cannot be stored.
+
+        :param order: the order.
+        :param retry_at: monotonic seconds before which the task is not placed again.
+        """
+        job = self.jobs.get(order.task.job_id)
+        task = job.find_task(order.task) if job else None
+        if job is None or task is None or not task.placed or task.run != order.run:
+            return
+        self._release(job, task)
+        task.not_before = retry_at
+
 
 def _reserve_worker(candidates: Candidates, free_capacity: PassCapacity) -> None:
     """Reserve the worker that should be the first to fit a task of a step.
--- a/src/onyxgap/jobs/shard_jobs.py
+++ b/src/onyxgap/jobs/shard_jobs.py
@@ -241,7 +241,7 @@
         waits = [
             job.get_due_ms() - wall_ms
             for job in self.jobs.values()
-            if job.submission.times and job.next_occurrence < job.total_occurrences
+            if job.submission.times and job.may_open()
         ]
         return min(waits, default=3_600_000.0)
 
--- a/src/onyxgap/jobs/store.py
+++ b/src/onyxgap/jobs/store.py
@@ -10,6 +10,20 @@
 """Version of a row that does not exist, as a condition of a batch."""
 
 
+@attrs.frozen(slots=True)
+class StoreLimits:
+    """Limits of the store on what one call may write.
+
+    :param row_bytes: largest value of a row.
+    :param call_bytes: largest call, as it is encoded.
+    :param call_entries: most conditions, writes and removals of a call.
+    """
+
+    row_bytes: int = 65_536
+    call_bytes: int = 1_000_000
+    call_entries: int = 100
+
+
 @attrs.frozen(slots=True)
 class RowId:
     """Identifier of a row.
@@ -86,7 +100,17 @@
 
 @attrs.frozen(slots=True)
 class NotApplied:
-    """The store rejected the batch; nothing was written.
+    """The store rejected the batch for now; nothing was written.
+
+    :param reason: short reason for the log.
+    """
+
+    reason: str
+
+
+@attrs.frozen(slots=True)
+class Invalid:
+    """The batch is malformed or over a limit of the store; it can never be applied.
 
     :param reason: short reason for the log.
     """
@@ -104,7 +128,7 @@
     reason: str
 
 
-WriteOutcome = Applied | Conflict | NotApplied | OutcomeUnknown
+WriteOutcome = Applied | Conflict | NotApplied | Invalid | OutcomeUnknown
 
 
 @attrs.frozen(slots=True)
--- a/src/onyxgap/jobs/submissions.py
+++ b/src/onyxgap/jobs/submissions.py
@@ -12,10 +12,15 @@
 from .messages import Step
 from .messages import Submission
 
+MAX_INTEGER = 2**53 - 1
+"""Largest integer of a submission; JSON numbers beyond it may have been rounded."""
 MAX_SPEC_BYTES = 4_000
 """Maximum length of a spec; the limit that the platform publishes."""
 MAX_TASKS = 1_500
-"""Maximum tasks of all steps; the progress of a job then fits into a row of 64 KB."""
+"""Maximum tasks of all steps."""
+MAX_OPEN_TASKS = 6_000
+"""Maximum tasks of a job whose progress is stored at the same time. Other occurrences
+wait, so that the progress fits into one call to the store."""
 MAX_STEPS = 100
 """Limits the cost of validating a body. It is far above the five steps of the jobs
 seen."""
@@ -38,6 +43,14 @@
             )
 
 
+def _count_lasting_tasks(submission: Submission) -> int:
+    """Count the tasks of all occurrences if these last until the job is cancelled."""
+    if not any(step.long_running for step in submission.steps):
+        return 0
+    tasks = sum(step.count for step in submission.steps)
+    return max(1, submission.times) * tasks
+
+
 def check_submission(submission: Submission) -> Submission:
     """Validate a submission.
 
@@ -56,6 +69,9 @@
         faults += _check_step(number, step, len(submission.steps))
     if sum(step.count for step in submission.steps) > MAX_TASKS:
         faults.append(Fault("$.steps", f"more than {MAX_TASKS} tasks"))
+    if _count_lasting_tasks(submission) > MAX_OPEN_TASKS:
+        reason = f"more than {MAX_OPEN_TASKS} tasks in occurrences that never end"
+        faults.append(Fault("$.times", reason))
     if faults:
         raise DocumentError(faults)
     return submission
--- a/src/onyxgap/jobs/tables.py
+++ b/src/onyxgap/jobs/tables.py
@@ -64,9 +64,13 @@
     return RowId(row.table, row.part, job_id + CANCEL_SUFFIX)
 
 
-def get_progress_row(shard: str, job_id: str) -> RowId:
-    """Return the row of a job's progress."""
-    return RowId(PROGRESS_TABLE, shard, job_id)
+def get_progress_row(shard: str, key: str) -> RowId:
+    """Return a row of a job's progress.
+
+    :param shard: the shard of the job.
+    :param key: ID of the job for the first row; see :mod:`.progress_rows`.
+    """
+    return RowId(PROGRESS_TABLE, shard, key)
 
 
 def list_share_parts() -> tuple[str, ...]:
@@ -119,18 +123,20 @@
 class ShardLoad:
     """Load of a shard, as its owner reports it in the owner row.
 
-    :param waiting: number of jobs that have not started, by queue.
+    :param waiting: number of jobs that have not started, by queue; ``None`` if it is
+        not reported.
     :param outlook: encoded delay estimate of the shard; see :mod:`.admission`.
     :param counted_at_ms: lower bound of the store's clock in milliseconds when these
         were determined, ``None`` if it is not known.
     """
 
-    waiting: t.Mapping[str, int]
+    waiting: t.Mapping[str, int] | None
     outlook: t.Mapping[str, t.Any] = attrs.field(factory=dict)
     counted_at_ms: int | None = None
 
 
 NO_LOAD = ShardLoad({})
+UNKNOWN_LOAD = ShardLoad(None)
 
 
 @attrs.frozen(slots=True)
--- a/src/onyxgap/platform/job_api.py
+++ b/src/onyxgap/platform/job_api.py
@@ -25,6 +25,7 @@
 from ..jobs.messages import Step
 from ..jobs.messages import Submission
 from ..jobs.routing import Route
+from ..jobs.submissions import MAX_INTEGER
 from ..jobs.submissions import check_submission
 from ..jobs.tenants import ANONYMOUS
 from ..jobs.tenants import Caller
@@ -63,6 +64,7 @@
     SubmitOutcome.OTHER_REQUEST: 409,
     SubmitOutcome.OTHER_TENANT: 403,
     SubmitOutcome.ABOVE_CAP: 400,
+    SubmitOutcome.TOO_LARGE: 400,
     SubmitOutcome.OVERLOADED: 429,
     SubmitOutcome.REFUSED: 503,
     SubmitOutcome.UNKNOWN: 504,
@@ -74,13 +76,23 @@
 
 
 def _check_type(path: str, value: t.Any, kind: type) -> t.Any:
-    if kind is int and isinstance(value, float) and value.is_integer():
-        return int(value)
-    if not isinstance(value, kind) or (kind is int and isinstance(value, bool)):
+    if kind is int:
+        return _check_integer(path, value)
+    if not isinstance(value, kind):
         _fail(path, f"expected {kind.__name__}")
     return value
 
 
+def _check_integer(path: str, value: t.Any) -> int:
+    if isinstance(value, float) and value.is_integer():
+        value = int(value)
+    if not isinstance(value, int) or isinstance(value, bool):
+        _fail(path, "expected int")
+    if abs(value) > MAX_INTEGER:
+        _fail(path, f"beyond {MAX_INTEGER}")
+    return value
+
+
 def _decode_step(number: int, raw: t.Any) -> Step:
     path = f"$.steps[{number}]"
     if not isinstance(raw, dict):
--- a/src/onyxgap/platform/settings.py
+++ b/src/onyxgap/platform/settings.py
@@ -7,6 +7,7 @@
 from ..exceptions import Fault
 from ..jobs.settings import NodeSettings
 from ..jobs.settings import TimeLimits
+from ..jobs.store import StoreLimits
 from ..settings import Address
 from ..settings import parse_address
 
@@ -108,6 +109,9 @@
         keyed=TENANTS_CONTRACT in contracts,
         contended=CONTENTION_CONTRACT in contracts,
         limits=_read_limits(reader),
+        store_limits=StoreLimits(
+            row_bytes=reader.read("platform.row_bytes", int, StoreLimits().row_bytes)
+        ),
     )
     for key in ("listen.front", "listen.ready"):
         if key not in reader.values:
--- a/src/onyxgap/platform/store.py
+++ b/src/onyxgap/platform/store.py
@@ -13,6 +13,7 @@
 from ..jobs.store import Applied
 from ..jobs.store import Batch
 from ..jobs.store import Conflict
+from ..jobs.store import Invalid
 from ..jobs.store import NotApplied
 from ..jobs.store import OutcomeUnknown
 from ..jobs.store import Page
@@ -30,6 +31,7 @@
 PAGE_ROWS = 500
 """Maximum rows that the store returns in one answer."""
 _REJECTED_STATUSES = (429, 503)
+_INVALID_STATUSES = (400, 403, 404, 405, 413, 414, 415, 422, 431)
 
 
 def _encode_id(row_id: RowId) -> dict[str, t.Any]:
@@ -70,6 +72,8 @@
     """
     if answer.failure is CallFailure.NOT_SENT or answer.status in _REJECTED_STATUSES:
         return NotApplied(answer.reason or f"status {answer.status}")
+    if answer.status in _INVALID_STATUSES:
+        return Invalid(f"status {answer.status}")
     body = answer.read_object()
     try:
         if answer.status == 200:
--- a/src/onyxgap/standins/emulator/callers.py
+++ b/src/onyxgap/standins/emulator/callers.py
@@ -20,9 +20,12 @@
 from ...jobs.tenants import KeyRejection
 from .nature import TaskNature
 from .script import LoadLine
+from .script import ScheduleLine
 from .script import ServeLine
 from .tenancy import Tenancy
 
+WALL_START_S = 1_800_000_000.0
+"""Wall-clock time at the start of a day."""
 POLL_S = 0.5
 RETRIES = 4
 RETRY_S = 0.4
@@ -110,6 +113,30 @@
     shown: list[tuple[float, JobState | None]] = attrs.field(factory=list)
     work_s: dict[TaskId, float] = attrs.field(factory=dict)
 
+    def is_scheduled(self) -> bool:
+        """Return whether it runs many times."""
+        return self.submission.times > 0
+
+    def list_due(self, at: float) -> range:
+        """List the numbers of the occurrences that are due at a moment.
+
+        :param at: monotonic seconds.
+        """
+        submission = self.submission
+        if not submission.times:
+            return range(1)
+        late_ms = (WALL_START_S + at) * 1000 - submission.start_at_ms
+        due = 1 + int(late_ms // max(1, submission.interval_ms))
+        return range(min(submission.times, max(0, due)))
+
+    def get_due_s(self, occurrence: int) -> float:
+        """Return when an occurrence is due, in monotonic seconds."""
+        submission = self.submission
+        if not submission.times:
+            return 0.0
+        due_ms = submission.start_at_ms + occurrence * submission.interval_ms
+        return due_ms / 1000 - WALL_START_S
+
     def get_last_state(self) -> JobState | None:
         """Give the last state that the caller was shown."""
         return self.shown[-1][1] if self.shown else None
@@ -233,6 +260,30 @@
         while not await self._submit(notes):
             await anyio.sleep(RETRY_S)
 
+    async def run_schedule(self, schedule: ScheduleLine, route: Route) -> None:
+        """Hand in a job that runs many times, and ask for it until it ends.
+
+        :param schedule: its occurrences.
+        :param route: where.
+        """
+        step = Step(
+            count=schedule.width,
+            cpu=int(schedule.cpu * 1000),
+            memory_mb=int(schedule.memory * 1000),
+            estimate_ms=int(schedule.work * 1000),
+        )
+        notes = self._add(route, (step,), 1e9, False, self.rng)
+        notes.submission = attrs.evolve(
+            notes.submission,
+            times=schedule.times,
+            start_at_ms=int((WALL_START_S + schedule.start) * 1000),
+            interval_ms=int(schedule.every * 1000),
+        )
+        await anyio.sleep(1.0)
+        while not await self._submit(notes):
+            await anyio.sleep(RETRY_S)
+        await self._poll(notes)
+
     async def _live(self, notes: JobNotes, load: LoadLine) -> None:
         if not await self._submit(notes):
             return
--- a/src/onyxgap/standins/emulator/checks.py
+++ b/src/onyxgap/standins/emulator/checks.py
@@ -33,6 +33,7 @@
 from .serving_checks import check_absences
 from .serving_checks import check_serving
 from .standstill_checks import check_standstills
+from .store import RefusedWrite
 from .tenancy import Tenancy
 from .tenant_checks import check_caps
 from .tenant_checks import check_keys
@@ -64,6 +65,7 @@
     :param routes: routes of all versions of the configuration.
     :param probes: answers to requests for counts on any route.
     :param stored_services: services under which jobs are stored, by job.
+    :param refused_writes: calls that the store refused as over a limit.
     """
 
     callers: Callers
@@ -78,6 +80,7 @@
     routes: RouteHistory = attrs.field(factory=RouteHistory)
     probes: t.Sequence[ProbeAnswer] = ()
     stored_services: t.Mapping[str, str] = attrs.field(factory=dict)
+    refused_writes: t.Sequence[RefusedWrite] = ()
 
     def measure_run(self, record: RunRecord) -> tuple[str, Amount]:
         """Give the tenant of a run, and what it has in use."""
@@ -206,6 +209,7 @@
     """Check that what callers are shown is true, and that no job is lost."""
     for job_id, notes in evidence.callers.jobs.items():
         tasks = sum(step.count for step in notes.submission.steps)
+        tasks *= max(1, notes.submission.times)
         for at, state in notes.shown:
             done = _count_done(evidence, notes, at)
             if state is JobState.SUCCEEDED and done < tasks:
@@ -247,6 +251,12 @@
                 yield Breach("wave", 0.0, f"{name} was not maintained")
 
 
+def check_limits(evidence: Evidence) -> t.Iterator[Breach]:
+    """Check that no write exceeds a limit of the store."""
+    for refused in evidence.refused_writes:
+        yield Breach("store", refused.at, f"{refused.node}: {refused.reason}")
+
+
 def check_holders(evidence: Evidence) -> t.Iterator[Breach]:
     """Check that orders for one VM come from one holder, with rising numbers."""
     by_vm: dict[str, list[OrderRecord]] = {}
@@ -317,6 +327,7 @@
         check_states,
         check_waves,
         check_holders,
+        check_limits,
     )
     breaches = [breach for check in checks for breach in check(evidence)]
     jobs = evidence.callers.jobs
@@ -383,7 +394,7 @@
     """
     counts: collections.Counter[str] = collections.Counter()
     for notes in evidence.callers.jobs.values():
-        if notes.submission.steps[0].long_running:
+        if notes.submission.steps[0].long_running or notes.is_scheduled():
             continue
         counts["accepted" if notes.accepted_at is not None else "refused"] += 1
         counts["tries"] += len(notes.outcomes)
--- a/src/onyxgap/standins/emulator/day.py
+++ b/src/onyxgap/standins/emulator/day.py
@@ -103,6 +103,9 @@
             for line in self.script.serves:
                 route = self._get_route(line.pool)
                 group.start_soon(self.callers.run_service, line, route)
+            for schedule in self.script.schedules:
+                route = self._get_route(schedule.pool)
+                group.start_soon(self.callers.run_schedule, schedule, route)
             for number, load in enumerate(self.script.loads):
                 group.start_soon(self._run_load, number)
                 assert load.stop <= self.script.end_s
@@ -235,6 +238,7 @@
             self.routes,
             self.route_probes.answers,
             self._list_stored_services(),
+            self.store.refused,
         )
         breaches = list_breaches(evidence, anyio.current_time())
         account = settle_account(evidence, self.cloud.paid_s, self.store.calls)
--- a/src/onyxgap/standins/emulator/hindsight.py
+++ b/src/onyxgap/standins/emulator/hindsight.py
@@ -71,6 +71,8 @@
     for notes in evidence.callers.jobs.values():
         if notes.accepted_at is None or notes.cancelled_at is not None:
             continue
+        if notes.is_scheduled():
+            continue
         pool = notes.submission.policy.service
         start = notes.sent_at + ACCEPT_S
         for number, step in enumerate(notes.submission.steps):
@@ -176,7 +178,9 @@
     owed = [
         notes
         for notes in evidence.callers.jobs.values()
-        if notes.cancelled_at is None and not notes.submission.steps[0].long_running
+        if notes.cancelled_at is None
+        and not notes.submission.steps[0].long_running
+        and not notes.is_scheduled()
     ]
     in_time = sum(
         measure_chain(notes) + 2 * ACCEPT_S <= notes.objective_s for notes in owed
--- a/src/onyxgap/standins/emulator/script.py
+++ b/src/onyxgap/standins/emulator/script.py
@@ -6,6 +6,7 @@
     pool ring vms 4 cores 64 memory 256
     spare 3
     serve ring tasks 4 cpu 5 memory 20 may-miss 1
+    schedule ring times 20 every 1 from 3 width 30 work 0.2 cpu 0.01
     load ring every 0.2 from 2 to 20 width 6 work 0.6 cpu 3.5 memory 12
     turns 5
     tenant north cpu 90 memory 400 weight 3
@@ -61,6 +62,30 @@
     per_vm: int = 0
 
 
+@attrs.frozen
+class ScheduleLine:
+    """A job that runs many times.
+
+    :param pool: where it runs.
+    :param times: number of its occurrences.
+    :param every: seconds between two of them.
+    :param start: when the first one is due.
+    :param width: tasks of each.
+    :param work: seconds of a task.
+    :param cpu: cores of a task.
+    :param memory: GB of a task.
+    """
+
+    pool: str
+    times: int
+    every: float
+    start: float
+    width: int = 10
+    work: float = 0.2
+    cpu: float = 0.01
+    memory: float = 0.01
+
+
 @attrs.frozen
 class LoadLine:
     """Jobs handed in at random moments.
@@ -170,6 +195,7 @@
     end_s: float = 40.0
     pools: list[PoolLine] = attrs.field(factory=list)
     serves: list[ServeLine] = attrs.field(factory=list)
+    schedules: list[ScheduleLine] = attrs.field(factory=list)
     loads: list[LoadLine] = attrs.field(factory=list)
     waves: list[WaveLine] = attrs.field(factory=list)
     tenants: list[TenantLine] = attrs.field(factory=list)
@@ -257,6 +283,11 @@
     script.serves.append(ServeLine(words[0], **pairs))
 
 
+def _read_schedule(script: Script, words: list[str]) -> None:
+    pairs = _read_pairs(words[1:], _kinds_of(ScheduleLine))
+    script.schedules.append(ScheduleLine(words[0], **pairs))
+
+
 def _read_load(script: Script, words: list[str]) -> None:
     pairs = _read_pairs(words[1:], _kinds_of(LoadLine))
     script.loads.append(LoadLine(words[0], **pairs))
@@ -304,6 +335,7 @@
     "end": _read_number("end_s", float),
     "pool": _read_pool,
     "serve": _read_serve,
+    "schedule": _read_schedule,
     "load": _read_load,
     "tenant": _read_tenant,
     "wave": _read_wave,
--- a/src/onyxgap/standins/emulator/slots.py
+++ b/src/onyxgap/standins/emulator/slots.py
@@ -22,6 +22,7 @@
 from ...jobs.tenants import KeyRejection
 from ...pools.sizing import Sizer
 from ...settings import Address
+from .callers import WALL_START_S
 from .callers import NoQueue
 from .callers import SubmitAnswer
 from .cloud import EmulatedCloud
@@ -64,7 +65,7 @@
 
     def read_wall(self) -> float:
         """Read the wall clock that goes with it."""
-        return 1_800_000_000.0 + anyio.current_time()
+        return WALL_START_S + anyio.current_time()
 
     def read_boot(self) -> float:
         """Read the virtual clock."""
--- a/src/onyxgap/standins/emulator/standstill_checks.py
+++ b/src/onyxgap/standins/emulator/standstill_checks.py
@@ -101,8 +101,8 @@
         for begin, end in self._list_idle_spans(notes, end_s):
             if end - begin < MAX_STANDSTILL_S:
                 continue
-            for task in self._list_ready_tasks(notes, begin):
-                yield from self._find_in_span(task, (begin, end))
+            for task, since in self._list_waiting_tasks(notes, begin, end):
+                yield from self._find_in_span(task, (since, end))
 
     def _list_idle_spans(self, notes: JobNotes, end_s: float) -> t.Iterator[Span]:
         """Yield the times in which nothing of a job ran, from its acceptance on."""
@@ -121,8 +121,19 @@
         job_id = notes.submission.job_id
         return [run for run in self.records if run.task.job_id == job_id]
 
-    def _list_ready_tasks(self, notes: JobNotes, at: float) -> list[TaskId]:
-        """List a task of each step that could start at a moment."""
+    def _list_waiting_tasks(
+        self, notes: JobNotes, begin: float, end: float
+    ) -> t.Iterator[tuple[TaskId, float]]:
+        """Yield tasks that could start in a span, and since when."""
+        for number in notes.list_due(end):
+            since = max(begin, notes.get_due_s(number))
+            for task in self._list_ready_tasks(notes, number, begin):
+                yield task, since
+
+    def _list_ready_tasks(
+        self, notes: JobNotes, occurrence: int, at: float
+    ) -> list[TaskId]:
+        """List a task of each step of an occurrence that could start at a moment."""
         done = {
             run.task
             for run in self._list_runs(notes)
@@ -131,7 +142,9 @@
         left = []
         for number, step in enumerate(notes.submission.steps):
             job_id = notes.submission.job_id
-            tasks = [TaskId(job_id, 0, number, item) for item in range(step.count)]
+            tasks = [
+                TaskId(job_id, occurrence, number, item) for item in range(step.count)
+            ]
             left.append([task for task in tasks if task not in done])
         return [
             tasks[0]
--- a/src/onyxgap/standins/emulator/store.py
+++ b/src/onyxgap/standins/emulator/store.py
@@ -13,21 +13,56 @@
 from ...jobs.store import Applied
 from ...jobs.store import Batch
 from ...jobs.store import Conflict
+from ...jobs.store import Invalid
 from ...jobs.store import NotApplied
 from ...jobs.store import OutcomeUnknown
 from ...jobs.store import Page
 from ...jobs.store import RowId
 from ...jobs.store import StoredRow
+from ...jobs.store import StoreLimits
 from ...jobs.store import WriteOutcome
 from .gate import Link
 from .gate import NodeGate
 from .gate import run_late
 
+NAME_BYTES = 40
+"""Bytes of a call for an entry, beside its names and its value."""
 TRANSACTION_S = 0.005
 QUEUE_LIMIT_S = 1.0
 CALL_TIMEOUT_S = 1.0
 
 
+@attrs.frozen
+class RefusedWrite:
+    """A call that was over a limit.
+
+    :param at: monotonic seconds.
+    :param node: node that sent it.
+    :param reason: the limit, and by how much.
+    """
+
+    at: float
+    node: str
+    reason: str
+
+
+def find_excess(batch: Batch, limits: StoreLimits) -> str:
+    """Describe the limit that a call exceeds, an empty string if there is none.
+
+    :param batch: what the call writes.
+    :param limits: limits of the store.
+    """
+    for row_id, value in batch.puts.items():
+        if len(value) > limits.row_bytes:
+            return f"row {row_id.table}/{row_id.key} of {len(value)} bytes"
+    row_ids = [*batch.expected, *batch.puts, *batch.removals]
+    if len(row_ids) > limits.call_entries:
+        return f"{len(row_ids)} entries"
+    names = sum(len(row.table + row.part + row.key) + NAME_BYTES for row in row_ids)
+    size = names + sum(len(value) * 4 // 3 + 4 for value in batch.puts.values())
+    return f"call of {size} bytes" if size > limits.call_bytes else ""
+
+
 @attrs.define(eq=False)
 class EmulatedStore:
     """State of the store, shared by all nodes.
@@ -40,6 +75,8 @@
     :param slowness: factor on the time of each call.
     :param deaf: whether feeds hear nothing of what changes.
     :param deaf_nodes: nodes whose feeds hear nothing of what changes.
+    :param limits: limits on a call.
+    :param refused: calls that were over a limit.
     """
 
     rng: random.Random
@@ -50,6 +87,8 @@
     slowness: float = 1.0
     deaf: bool = False
     deaf_nodes: set[str] = attrs.field(factory=set)
+    limits: StoreLimits = StoreLimits()
+    refused: list[RefusedWrite] = attrs.field(factory=list)
     link: Link = attrs.field(init=False)
     version: int = 0
     calls: int = 0
@@ -190,6 +229,11 @@
             return OutcomeUnknown(str(error))
         if self.gate.node in self.store.refusing_writes:
             return NotApplied("write turned away")
+        excess = find_excess(batch, self.store.limits)
+        if excess:
+            refused = RefusedWrite(anyio.current_time(), self.gate.node, excess)
+            self.store.refused.append(refused)
+            return Invalid(excess)
         parts = {row_id.part for row_id in [*batch.expected, *batch.puts]}
         parts |= {row_id.part for row_id in batch.removals}
         in_one = len(parts) == 1
--- a/tests/owners.py
+++ b/tests/owners.py
@@ -18,11 +18,15 @@
 
 
 def build_owner(
-    workers: WorkerClient, clocks: Clocks, store: Store | None = None
+    workers: WorkerClient,
+    clocks: Clocks,
+    store: Store | None = None,
+    build: type[ShardOwner] = ShardOwner,
 ) -> ShardOwner:
     """Build an owner of the shard ``shard`` that may grant leases.
 
     :param store: the store, ``None`` if the test needs none.
+    :param build: class of the owner.
     """
     nothing: t.Any = None
     rng = random.Random(1)
@@ -41,4 +45,4 @@
         nothing,
         nothing,
     )
-    return ShardOwner(writer, context=context)
+    return build(writer, context=context)
--- a/tests/test_removed_jobs.py
+++ b/tests/test_removed_jobs.py
@@ -19,6 +19,7 @@
 from onyxgap.jobs.messages import QueuePolicy
 from onyxgap.jobs.messages import Step
 from onyxgap.jobs.messages import Submission
+from onyxgap.jobs.progress_rows import StoredProgress
 from onyxgap.jobs.routing import Route
 from onyxgap.jobs.store import Batch
 from onyxgap.jobs.store import RowId
@@ -55,7 +56,7 @@
     """Build an owner of a job that has ended, stored as version 5."""
     owner = build_owner(t.cast(t.Any, None), EmulatedClocks(), store)
     progress = encode_progress(Job(SUBMISSION, version=5, state=JobState.SUCCEEDED))
-    owner._apply_job_rows([build_row(5)], True, {JOB_ID: progress})
+    owner._apply_job_rows([build_row(5)], True, {JOB_ID: StoredProgress(progress)})
     assert JOB_ID in owner.state.final
     return owner
 
