Remove ended jobs as fast as they come, and keep a shard while it is loaded

Now up to 32 jobs are removed with each renewal, and the owner row is renewed while the shard is read and its rows are decoded, 200 at a time. A shard of which a read fails is given up as before.

A shard that takes 10 s to read is renewed all the while.

--- a/src/onyxgap/daemons/expiry.py
+++ b/src/onyxgap/daemons/expiry.py
@@ -8,6 +8,7 @@
 under the same ID. So each removal has the version of what it removes as a condition.
 """
 
+import itertools
 import typing as t
 
 import attrs
@@ -20,8 +21,9 @@
 from ..jobs.store import RowId
 from ..jobs.store import Store
 
-MAX_REMOVED_JOBS = 2
-"""Most jobs removed with one renewal of the owner row, which has to be quick."""
+MAX_REMOVED_JOBS = 32
+"""Most submissions that are being removed at a time, and most jobs whose progress is
+removed with one renewal of the owner row. So more than 40 jobs a second may end."""
 MAX_REMOVED_POINTERS = 4
 """Most pointers removed with one renewal of the owner row."""
 
@@ -62,11 +64,13 @@
 
         :param expired: jobs whose retention period is over, the oldest first.
         """
-        due = [
+        waiting = (
             job_id
             for job_id in expired
             if job_id not in self._in_flight and job_id not in self._removed
-        ][:MAX_REMOVED_JOBS]
+        )
+        free = MAX_REMOVED_JOBS - len(self._in_flight)
+        due = list(itertools.islice(waiting, max(0, free)))
         self._in_flight.update(due)
         return due
 
@@ -92,7 +96,7 @@
 
     def list_removed(self) -> tuple[str, ...]:
         """List jobs whose progress is to be removed with the next renewal."""
-        return tuple(self._removed)[:MAX_REMOVED_JOBS]
+        return tuple(itertools.islice(self._removed, MAX_REMOVED_JOBS))
 
     def forget(self, job_ids: t.Iterable[str]) -> list[str]:
         """Drop jobs whose progress was removed.
--- a/src/onyxgap/daemons/owner.py
+++ b/src/onyxgap/daemons/owner.py
@@ -22,6 +22,7 @@
 from ..jobs.store import RowId
 from ..jobs.store import StoredRow
 from ..jobs.submissions import is_pointer
+from ..jobs.tables import UNKNOWN_LOAD
 from ..jobs.tables import ShardLoad
 from ..jobs.workers import StartOrder
 from ..pools.messages import PoolReport
@@ -29,6 +30,7 @@
 from ..pools.messages import encode_report
 from .expiry import JobRemover
 from .expiry import PointerRemover
+from .fence import RENEWAL_INTERVAL_S
 from .follower import Follower
 from .job_batches import REFUSED_RETRY_S
 from .job_batches import EncodedJob
@@ -48,6 +50,8 @@
 """Least time between two reports, also if the list of drained workers has changed."""
 REFUSED_PAUSE_S = 0.4
 """Pause after the store has refused the owner's own rows."""
+LOADED_ROWS = 200
+"""Rows of submissions that are decoded at a time while a shard is loaded."""
 NOTICE_WAITS_S = (0.1, 0.2, 0.4, 0.8, 1.6)
 """Times to wait before the reads of a row of which a notice came. The change feed
 mostly brings the row within the first; the others follow a failed read."""
@@ -141,6 +145,30 @@
         )
 
     async def _load(self) -> None:
+        """Load the shard; other nodes would claim it if its row did not change."""
+        read = anyio.Event()
+        failure: PlatformUnavailableError | None = None
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._renew_until, read)
+            try:
+                await self._read_shard()
+            except PlatformUnavailableError as error:
+                failure = error
+            finally:
+                read.set()
+        if failure is not None:
+            raise failure
+
+    async def _renew_until(self, read: anyio.Event) -> None:
+        while not read.is_set():
+            with anyio.move_on_after(RENEWAL_INTERVAL_S):
+                await read.wait()
+            if not read.is_set():
+                puts: dict[RowId, bytes] = {}
+                self.writer.add_renewal(puts, self._now(), UNKNOWN_LOAD)
+                await self.writer.write(puts)
+
+    async def _read_shard(self) -> None:
         table = tables.get_job_table(self.shard)
         wanted = [(table, part) for part in self._list_job_parts()]
         wanted.append((tables.PROGRESS_TABLE, self.shard))
@@ -155,7 +183,10 @@
         self._apply_fleet_rows(fleet.rows, True)
         rows = [row for page in jobs for row in page.rows]
         versions = [page.version for page in jobs]
-        self._apply_job_rows(rows, True, stored)
+        for start in range(0, len(rows), LOADED_ROWS):
+            self._apply_job_rows(rows[start : start + LOADED_ROWS], True, stored)
+            # the owner row is renewed meanwhile
+            await anyio.sleep(0)
         self._remover.note_removed(stored.keys() - {row.row_id.key for row in rows})
         self._job_follower.resume(
             dict(zip(self._list_job_parts(), versions, strict=True))
--- a/tests/test_removed_jobs.py
+++ b/tests/test_removed_jobs.py
@@ -11,6 +11,7 @@
 from onyxgap.daemons.follower import Follower
 from onyxgap.daemons.job_versions import JobVersions
 from onyxgap.daemons.owner import ShardOwner
+from onyxgap.exceptions import PlatformUnavailableError
 from onyxgap.jobs import tables
 from onyxgap.jobs.encoding import encode_progress
 from onyxgap.jobs.encoding import restore_job
@@ -19,8 +20,10 @@
 from onyxgap.jobs.messages import QueuePolicy
 from onyxgap.jobs.messages import Step
 from onyxgap.jobs.messages import Submission
+from onyxgap.jobs.ownership import OWNER_TIMEOUT_S
 from onyxgap.jobs.progress_rows import StoredProgress
 from onyxgap.jobs.routing import Route
+from onyxgap.jobs.settings import TimeLimits
 from onyxgap.jobs.store import Batch
 from onyxgap.jobs.store import RowId
 from onyxgap.jobs.store import StoredRow
@@ -38,6 +41,12 @@
 from tests.test_node_parts import build_node
 from tests.test_node_parts import run_with_store
 
+ARRIVALS_PER_S = 22
+"""Jobs a second of one queue, as on the largest deployments."""
+KEPT_S = 3.0
+"""Time for which ended jobs are kept with a retention of two seconds."""
+LOAD_S = 10.0
+"""Time that reading a shard takes: longer than the owner timeout."""
 JOB_ID = "a" * 16
 POLICY = QueuePolicy("q", "shard")
 ROUTE = Route("h", "/p/", POLICY)
@@ -252,6 +261,75 @@
     run_with_store(test)
 
 
+def test_ended_jobs_are_removed_as_fast_as_they_come() -> None:
+    async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
+        owner = build_owner(t.cast(t.Any, None), EmulatedClocks(), scripted)
+        owner.context = attrs.evolve(owner.context, limits=TimeLimits(status_s=2.0))
+        store.put(tables.get_fence_row("shard"), b"")
+        owner.writer.version = store.version
+        async with anyio.create_task_group() as group:
+            owner._group = group
+            for number in range(600):
+                add_ended_job(owner, store, f"{number:016x}")
+                await anyio.sleep(1 / ARRIVALS_PER_S)
+                await owner._commit([])
+                assert len(store.rows) < 2 * 2 * ARRIVALS_PER_S * KEPT_S
+        assert len(owner.state.final) < 2 * ARRIVALS_PER_S * KEPT_S
+
+    run_with_store(test)
+
+
+def add_ended_job(owner: ShardOwner, store: EmulatedStore, job_id: str) -> None:
+    submission = attrs.evolve(SUBMISSION, job_id=job_id)
+    row = tables.get_job_row("shard", job_id)
+    store.put(row, encode_submission(submission))
+    version = store.rows[row].version
+    job = Job(submission, version=version, state=JobState.SUCCEEDED)
+    progress = encode_progress(job)
+    store.put(tables.get_progress_row("shard", job_id), progress)
+    stored = {job_id: StoredProgress(progress)}
+    owner._apply_job_rows([store.rows[row]], False, stored)
+
+
+@attrs.define
+class SlowReadStore(ScriptedStore):
+    """Store whose reads of whole partitions take long."""
+
+    async def read(self, table: str, part: str, key: str = "") -> t.Any:
+        if not key:
+            await anyio.sleep(LOAD_S)
+        return await super().read(table, part, key)
+
+
+def test_shard_that_is_loaded_for_long_is_not_claimed_by_other_nodes() -> None:
+    async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
+        slow = SlowReadStore(scripted.inner, [])
+        owner = build_owner(t.cast(t.Any, None), EmulatedClocks(), slow)
+        store.put(tables.get_fence_row("shard"), b"")
+        owner.writer.version = store.version
+        row = tables.get_owner_row("shard")
+        beats = []
+        async with anyio.create_task_group() as group:
+            group.start_soon(owner._load)
+            while not owner.loaded:
+                await anyio.sleep(OWNER_TIMEOUT_S)
+                beats.append(tables.decode_owner(store.rows[row].value).beat)
+        assert beats == sorted(set(beats))
+        assert len(beats) >= LOAD_S / OWNER_TIMEOUT_S
+
+    run_with_store(test)
+
+
+def test_shard_that_cannot_be_read_is_not_kept() -> None:
+    async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
+        owner = build_owner(t.cast(t.Any, None), EmulatedClocks(), scripted)
+        with pytest.raises(PlatformUnavailableError):
+            await owner._load()
+        assert not owner.loaded
+
+    run_with_store(test, "unreadable")
+
+
 def build_removal_day(*statements: str) -> Script:
     """Build a day on which jobs are removed three seconds after they ended."""
     text = (DAYS / "short.day").read_text()
