Fill the transactions of the tests of drained workers by the store's limit

They took MAX_BATCH_JOBS from the owner, which is gone since: a transaction is bounded by the entries and bytes of a call. They use as many jobs as a call has entries now, which one transaction does not store either.

--- a/tests/test_drained_workers.py
+++ b/tests/test_drained_workers.py
@@ -6,7 +6,6 @@
 import anyio
 
 from onyxgap.clocks import SystemClocks
-from onyxgap.daemons.owner import MAX_BATCH_JOBS
 from onyxgap.daemons.owner import ShardOwner
 from onyxgap.jobs import tables
 from onyxgap.jobs.job import Job
@@ -18,6 +17,7 @@
 from onyxgap.jobs.messages import TaskId
 from onyxgap.jobs.messages import WorkerEntry
 from onyxgap.jobs.messages import WorkerState
+from onyxgap.jobs.store import StoreLimits
 from onyxgap.jobs.workers import HoldReport
 from onyxgap.jobs.workers import Reply
 from onyxgap.jobs.workers import ReplyKind
@@ -30,6 +30,8 @@
     "w1", "shard", "host:1", "zone", WorkerState.READY, 1000, 1000, 0, (), CLOCK_MS
 )
 POLICY = QueuePolicy("queue", "shard")
+MANY_JOBS = StoreLimits().call_entries
+"""More jobs than one transaction stores."""
 
 
 def build_owner_of_drained_worker() -> ShardOwner:
@@ -77,7 +79,7 @@
 
 
 def test_worker_is_not_reported_drained_before_its_results_are_stored() -> None:
-    others = [f"job-{number}" for number in range(MAX_BATCH_JOBS)]
+    others = [f"job-{number}" for number in range(MANY_JOBS)]
     assert anyio.run(read_emptied, others) == {}
 
 
@@ -86,7 +88,7 @@
     owner = build_owner_of_drained_worker()
     emptied: t.Mapping[str, str] = {}
     for number in range(10):
-        for other in range(MAX_BATCH_JOBS + 1):
+        for other in range(MANY_JOBS):
             add_job(owner, f"job-{number}-{other}")
         owner._reported_at = -math.inf
         # the job of the end is stored with the first transaction
