--- a/src/onyxgap/standins/emulator/callers.py
+++ b/src/onyxgap/standins/emulator/callers.py
@@ -213,13 +213,18 @@
         return notes
 
     async def run_load(
-        self, load: LoadLine, route: Route, is_due: t.Callable[[], float]
+        self,
+        load: LoadLine,
+        route: Route,
+        is_due: t.Callable[[], float],
+        on_accepted: t.Callable[[JobNotes], None] = lambda notes: None,
     ) -> None:
         """Hand jobs in at random moments.
 
         :param load: how many and which.
         :param route: where.
         :param is_due: factor on the rate at this moment.
+        :param on_accepted: called with each job that was accepted.
         """
         # drawn apart from all else, so that each policy meets the same jobs
         rng = random.Random(f"{load.pool}/{load.start}/{self.seed}")
@@ -239,7 +244,7 @@
                 notes = self._add(route, steps, objective_s, poison, rng)
                 # a load without such jobs draws nothing, so that its day stays the same
                 notes.crashing = bool(load.crashing) and rng.random() < load.crashing
-                group.start_soon(self._live, notes, load)
+                group.start_soon(self._live, notes, load, on_accepted)
 
     async def run_service(self, serve: ServeLine, route: Route) -> None:
         """Hand in a job that serves until the end.
@@ -284,9 +289,15 @@
             await anyio.sleep(RETRY_S)
         await self._poll(notes)
 
-    async def _live(self, notes: JobNotes, load: LoadLine) -> None:
+    async def _live(
+        self,
+        notes: JobNotes,
+        load: LoadLine,
+        on_accepted: t.Callable[[JobNotes], None],
+    ) -> None:
         if not await self._submit(notes):
             return
+        on_accepted(notes)
         async with anyio.create_task_group() as group:
             if self.rng.random() < load.resend:
                 group.start_soon(self._resend, notes)
--- a/src/onyxgap/standins/emulator/checks.py
+++ b/src/onyxgap/standins/emulator/checks.py
@@ -2,6 +2,7 @@
 
 import collections
 import itertools
+import math
 import typing as t
 
 import attrs
@@ -34,6 +35,7 @@
 from .serving_checks import check_serving
 from .standstill_checks import check_standstills
 from .store import RefusedWrite
+from .strangers import StrangerAnswer
 from .tenancy import Tenancy
 from .tenant_checks import check_caps
 from .tenant_checks import check_keys
@@ -66,6 +68,8 @@
     :param probes: answers to requests for counts on any route.
     :param stored_services: services under which jobs are stored, by job.
     :param refused_writes: calls that the store refused as over a limit.
+    :param stranger_answers: answers about jobs of other queues.
+    :param retention_s: time for which the state of an ended job must stay readable.
     """
 
     callers: Callers
@@ -81,6 +85,8 @@
     probes: t.Sequence[ProbeAnswer] = ()
     stored_services: t.Mapping[str, str] = attrs.field(factory=dict)
     refused_writes: t.Sequence[RefusedWrite] = ()
+    stranger_answers: t.Sequence[StrangerAnswer] = ()
+    retention_s: float = math.inf
 
     def measure_run(self, record: RunRecord) -> tuple[str, Amount]:
         """Give the tenant of a run, and what it has in use."""
@@ -205,6 +211,25 @@
     )
 
 
+def _may_be_removed(evidence: Evidence, notes: JobNotes, at: float) -> bool:
+    """Return whether the state of a job need not be readable any more."""
+    job_id = notes.submission.job_id
+    runs = [run for run in evidence.records if run.task.job_id == job_id]
+    if any(run.ended is None for run in runs) or not (runs or notes.cancelled_at):
+        return False
+    ends = [run.ended for run in runs if run.ended is not None]
+    ended = max([*ends, notes.cancelled_at or 0.0])
+    return ended + evidence.retention_s <= at
+
+
+def check_strangers(evidence: Evidence) -> t.Iterator[Breach]:
+    """Check that no job is reached through a queue of which it is not."""
+    for item in evidence.stranger_answers:
+        if item.reveals_the_job():
+            detail = f"{item.job_id} {item.call} through another queue: {item.answer}"
+            yield Breach("lost", item.at, detail)
+
+
 def check_states(evidence: Evidence) -> t.Iterator[Breach]:
     """Check that what callers are shown is true, and that no job is lost."""
     for job_id, notes in evidence.callers.jobs.items():
@@ -214,14 +239,17 @@
             done = _count_done(evidence, notes, at)
             if state is JobState.SUCCEEDED and done < tasks:
                 yield Breach("mixed", at, f"{job_id} succeeded with {done} of {tasks}")
-            if state is None:
+            if state is None and not _may_be_removed(evidence, notes, at):
                 yield Breach("lost", at, f"{job_id} is not known")
+            if state is JobState.CANCELLED and not notes.cancel_requested:
+                yield Breach("lost", at, f"{job_id} cancelled without cause")
             if state is JobState.FAILED and not (notes.poison or notes.crashing):
                 yield Breach("lost", at, f"{job_id} failed without cause")
         serving = notes.submission.steps[0].long_running
         unasked = evidence.routes.was_dropped(notes.route.prefix)
         open_ended = notes.accepted_at is None or serving or unasked
-        if not open_ended and notes.find_final_at() is None:
+        removed = any(state is None for _, state in notes.shown)
+        if not open_ended and not removed and notes.find_final_at() is None:
             yield Breach("lost", 0.0, f"{job_id} never ended")
 
 
@@ -328,6 +356,7 @@
         check_waves,
         check_holders,
         check_limits,
+        check_strangers,
     )
     breaches = [breach for check in checks for breach in check(evidence)]
     jobs = evidence.callers.jobs
--- a/src/onyxgap/standins/emulator/day.py
+++ b/src/onyxgap/standins/emulator/day.py
@@ -19,6 +19,7 @@
 from ...pools.sizing import Sizer
 from .breach import Breach
 from .callers import Callers
+from .callers import JobNotes
 from .checks import Account
 from .checks import Evidence
 from .checks import list_breaches
@@ -31,13 +32,16 @@
 from .peers import EmulatedNetwork
 from .route_history import RouteHistory
 from .route_history import build_prefix
+from .route_history import build_public_prefix
 from .route_history import build_route
 from .route_probes import RouteProbes
 from .rows import OPERATOR_TABLE
 from .rows import SPARE_POOL
+from .script import LoadLine
 from .script import Script
 from .slots import NodeSlot
 from .store import EmulatedStore
+from .strangers import Strangers
 from .tenancy import Tenancy
 from .workers import EmulatedWorkers
 
@@ -86,6 +90,7 @@
     tenancy: Tenancy = attrs.field(init=False)
     routes: RouteHistory = attrs.field(factory=RouteHistory)
     route_probes: RouteProbes = attrs.field(init=False)
+    strangers: Strangers = attrs.field(init=False)
     slots: list[NodeSlot] = attrs.field(factory=list)
     waves: list[Wave] = attrs.field(factory=list)
     _version: int = 0
@@ -140,6 +145,14 @@
         self.count_callers = CountCallers(
             self._list_nodes, self.tenancy, random.Random(f"counts/{self.seed}")
         )
+        self.strangers = Strangers(
+            self._list_nodes,
+            [
+                build_route(build_public_prefix(name), name)
+                for name in self.script.public
+            ],
+            random.Random(f"strangers/{self.seed}"),
+        )
         self.route_probes = RouteProbes(
             self._list_nodes,
             self.routes,
@@ -162,6 +175,8 @@
         for number in range(self.script.spare):
             first = self.script.pools[0]
             self._add_vm(SPARE_POOL, number, first.cores, first.memory)
+        for name in self.script.public:
+            self.routes.services[build_public_prefix(name)] = name
         self._configure()
         self.slots = [NodeSlot(f"node-{n}", self) for n in range(self.script.nodes)]
 
@@ -208,7 +223,20 @@
             turn = int(anyio.current_time() / turn_s) % len(self.script.loads)
             return BUSY_FACTOR if turn == number else QUIET_FACTOR
 
-        await self.callers.run_load(load, self._get_route(load.pool), get_factor)
+        route = self._get_route(load.pool)
+        on_accepted = self._choose_strangers(load)
+        await self.callers.run_load(load, route, get_factor, on_accepted)
+
+    def _choose_strangers(self, load: LoadLine) -> t.Callable[[JobNotes], None]:
+        """Return what sends strangers after the jobs of a load."""
+        assert self._group is not None
+        group = self._group
+
+        def send(notes: JobNotes) -> None:
+            if load.strangers and self.strangers.rng.random() < load.strangers:
+                group.start_soon(self.strangers.call, notes)
+
+        return send
 
     async def _ask_for_wave(self, line: t.Any) -> None:
         await anyio.sleep(line.at)
@@ -239,6 +267,8 @@
             self.route_probes.answers,
             self._list_stored_services(),
             self.store.refused,
+            self.strangers.answers,
+            self.script.retention_s,
         )
         breaches = list_breaches(evidence, anyio.current_time())
         account = settle_account(evidence, self.cloud.paid_s, self.store.calls)
--- a/src/onyxgap/standins/emulator/route_history.py
+++ b/src/onyxgap/standins/emulator/route_history.py
@@ -11,6 +11,8 @@
 from .callers import build_policy
 
 HOST = "emulator"
+PUBLIC_PREFIX = "/public/"
+"""Begin of the path prefixes of queues that need no key."""
 NOT_FOUND = ""
 """Service of a path prefix that has no route."""
 
@@ -20,13 +22,21 @@
     return f"/{name}/"
 
 
+def build_public_prefix(name: str) -> str:
+    """Build the path prefix of the queue of a pool that needs no key."""
+    return f"{PUBLIC_PREFIX}{name}/"
+
+
 def build_route(prefix: str, service: str) -> Route:
     """Build a route of the emulated configuration.
 
-    :param prefix: path prefix, which determines the name of the queue.
+    :param prefix: path prefix, which determines the name of the queue, and whether
+        callers need a key.
     :param service: pool whose workers run the jobs of the queue.
     """
-    return Route(HOST, prefix, build_policy(prefix.strip("/"), service))
+    public = prefix.startswith(PUBLIC_PREFIX)
+    policy = build_policy(prefix.strip("/").replace("/", "-"), service)
+    return Route(HOST, prefix, policy, public=public)
 
 
 @attrs.frozen
--- a/src/onyxgap/standins/emulator/script.py
+++ b/src/onyxgap/standins/emulator/script.py
@@ -10,6 +10,7 @@
     load ring every 0.2 from 2 to 20 width 6 work 0.6 cpu 3.5 memory 12
     turns 5
     tenant north cpu 90 memory 400 weight 3
+    public ring
     wave at 3 of 5 cap 2 within 15
     at 5 kill owner ring for 2
     end 40
@@ -103,6 +104,7 @@
     :param poison: share that always fails.
     :param crashing: share of which the first task crashes each worker that starts it.
     :param resend: share that is handed in a second time, elsewhere.
+    :param strangers: share whose IDs callers of public queues use as well.
     """
 
     pool: str
@@ -118,6 +120,7 @@
     poison: float = 0.0
     crashing: float = 0.0
     resend: float = 0.0
+    strangers: float = 0.0
 
 
 @attrs.frozen
@@ -182,6 +185,7 @@
     :param contended: whether nodes weigh callers against each other.
     :param small: number of nodes on small VMs, the first ones.
     :param retention_s: time for which the state of an ended job must stay readable.
+    :param public: pools that also run a queue that is open to callers without a key.
     """
 
     name: str
@@ -200,6 +204,7 @@
     waves: list[WaveLine] = attrs.field(factory=list)
     tenants: list[TenantLine] = attrs.field(factory=list)
     faults: list[FaultLine] = attrs.field(factory=list)
+    public: list[str] = attrs.field(factory=list)
 
     def changes_routes(self) -> bool:
         """Return whether a fault adds, drops or moves routes."""
@@ -298,6 +303,10 @@
     script.tenants.append(TenantLine(words[0], **pairs))
 
 
+def _read_public(script: Script, words: list[str]) -> None:
+    script.public += words
+
+
 def _read_wave(script: Script, words: list[str]) -> None:
     script.waves.append(WaveLine(**_read_pairs(words, _kinds_of(WaveLine))))
 
@@ -339,6 +348,7 @@
     "load": _read_load,
     "tenant": _read_tenant,
     "wave": _read_wave,
+    "public": _read_public,
     "at": _read_fault,
 }
 
