--- a/bench/soak/day.py
+++ b/bench/soak/day.py
@@ -4,6 +4,7 @@
 import functools
 import pathlib
 import random
+import time
 
 import anyio
 import anyio.abc
@@ -49,6 +50,7 @@
 
     def _build(self, group: anyio.abc.TaskGroup) -> None:
         super()._build(group)
+        self.callers.wall_start_s = time.time() - anyio.current_time()
         slots = [
             ProcessSlot(slot.name, self, folder=self.folder) for slot in self.slots
         ]
--- a/bench/soak/platform.py
+++ b/bench/soak/platform.py
@@ -16,6 +16,7 @@
 from onyxgap.exceptions import PlatformUnavailableError
 from onyxgap.jobs.store import Applied
 from onyxgap.jobs.store import Conflict
+from onyxgap.jobs.store import Invalid
 from onyxgap.jobs.store import NotApplied
 from onyxgap.jobs.workers import HoldReport
 from onyxgap.platform import registry
@@ -33,7 +34,8 @@
 from .connections import reset_transport
 from .connections import send_cut_json
 
-MAX_BODY_BYTES = 1_048_576
+MAX_BODY_BYTES = 8 * 1_048_576
+"""More than the largest call of the store, which refuses larger ones itself."""
 OWNER_TIMEOUT_S = 3.0
 """Time for which a call without an answer is held open; all nodes give up before."""
 
@@ -156,6 +158,8 @@
         if isinstance(outcome, Conflict):
             rows = [wire.write_row(row, row.row_id.table, "") for row in outcome.rows]
             return 412, {"rows": rows}
+        if isinstance(outcome, Invalid):
+            return 400, {"error": outcome.reason}
         return (503, {}) if isinstance(outcome, NotApplied) else None
 
     def _write_page(self, page: t.Any, table: str) -> Answer:
--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -194,6 +194,7 @@
             "cloud.address": f"127.0.0.1:{first}",
             "port_range": f"{first + 3},{first + 5}",
             "contracts": contracts,
+            "bounds.status_s": str(self.day.script.retention_s),
         }
         path = self.folder / f"{self.name}.conf"
         path.write_text("".join(f"{key}={value}\n" for key, value in lines.items()))
--- a/bench/soak/wire.py
+++ b/bench/soak/wire.py
@@ -147,6 +147,7 @@
                 "max_attempts": policy.max_attempts,
                 "stretch": policy.stretch,
                 "slo_ms": policy.slo_ms,
+                "public": route.public,
             }
         )
     services: list[Json] = [
@@ -191,7 +192,13 @@
         steps.append(
             {STEP_FIELDS.get(name, name): item for name, item in raw.items() if item}
         )
-    return {"spec": submission.spec, "steps": steps}
+    schedule = {
+        "times": submission.times,
+        "start_at_ms": submission.start_at_ms,
+        "interval_ms": submission.interval_ms,
+    }
+    timed = {name: value for name, value in schedule.items() if value}
+    return {"spec": submission.spec, "steps": steps, **timed}
 
 
 def read_start(worker_id: str, raw: Json) -> StartOrder:
--- a/src/onyxgap/standins/emulator/callers.py
+++ b/src/onyxgap/standins/emulator/callers.py
@@ -25,7 +25,7 @@
 from .tenancy import Tenancy
 
 WALL_START_S = 1_800_000_000.0
-"""Wall-clock time at the start of a day."""
+"""Wall-clock time at the start of a day in virtual time."""
 POLL_S = 0.5
 RETRIES = 4
 RETRY_S = 0.4
@@ -97,6 +97,7 @@
     :param crashing: whether its first task crashes each worker that starts it.
     :param cancel_requested: whether its caller has sent a request to cancel it.
     :param work_s: run time of its tasks.
+    :param first_due_s: monotonic seconds when its first occurrence is due.
     """
 
     submission: Submission
@@ -112,6 +113,7 @@
     cancel_requested: bool = False
     shown: list[tuple[float, JobState | None]] = attrs.field(factory=list)
     work_s: dict[TaskId, float] = attrs.field(factory=dict)
+    first_due_s: float = 0.0
 
     def is_scheduled(self) -> bool:
         """Return whether it runs many times."""
@@ -125,17 +127,13 @@
         submission = self.submission
         if not submission.times:
             return range(1)
-        late_ms = (WALL_START_S + at) * 1000 - submission.start_at_ms
+        late_ms = (at - self.first_due_s) * 1000
         due = 1 + int(late_ms // max(1, submission.interval_ms))
         return range(min(submission.times, max(0, due)))
 
     def get_due_s(self, occurrence: int) -> float:
         """Return when an occurrence is due, in monotonic seconds."""
-        submission = self.submission
-        if not submission.times:
-            return 0.0
-        due_ms = submission.start_at_ms + occurrence * submission.interval_ms
-        return due_ms / 1000 - WALL_START_S
+        return self.first_due_s + occurrence * self.submission.interval_ms / 1000
 
     def get_last_state(self) -> JobState | None:
         """Give the last state that the caller was shown."""
@@ -172,6 +170,7 @@
     :param tenancy: tenants whose jobs they hand in, with their keys.
     :param seed: seed of the jobs.
     :param jobs: what they were told, by job.
+    :param wall_start_s: wall-clock time at the start of the day.
     """
 
     nodes: t.Callable[[], list[CallerNode]]
@@ -179,6 +178,7 @@
     tenancy: Tenancy
     seed: int = 0
     jobs: dict[str, JobNotes] = attrs.field(factory=dict)
+    wall_start_s: float = WALL_START_S
 
     def find_nature(self, task: TaskId) -> TaskNature:
         """Find out what a task does wherever it is started."""
@@ -281,9 +281,10 @@
         notes.submission = attrs.evolve(
             notes.submission,
             times=schedule.times,
-            start_at_ms=int((WALL_START_S + schedule.start) * 1000),
+            start_at_ms=int((self.wall_start_s + schedule.start) * 1000),
             interval_ms=int(schedule.every * 1000),
         )
+        notes.first_due_s = schedule.start
         await anyio.sleep(1.0)
         while not await self._submit(notes):
             await anyio.sleep(RETRY_S)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,6 +17,11 @@
 at 10 refuse node for 3 by 0.5
 at 12 stop owner herd for 1
 """
+LIMIT_FAULTS = """
+at 6 kill all for 3
+at 12 deaf store for 1
+at 13 slow store for 2 by 60
+"""
 DEATHS_DAY = """
 nodes 3
 pool ring vms 6
@@ -42,6 +47,15 @@
     assert result.account.in_time
 
 
+def test_rules_hold_for_processes_that_meet_limits_and_colliding_ids(
+    tmp_path: pathlib.Path,
+) -> None:
+    day = DAY.with_name("limits.day").read_text()
+    result = play_soak(parse_script("limits", day + LIMIT_FAULTS), 1, tmp_path)
+    assert result.breaches == []
+    assert result.account.in_time
+
+
 def test_rules_hold_for_processes_that_read_malformed_registrations(
     tmp_path: pathlib.Path,
 ) -> None:
