--- a/src/onyxgap/daemons/owner.py
+++ b/src/onyxgap/daemons/owner.py
@@ -181,6 +181,7 @@
         expired = self._remover.list_removed() if renewal_due else ()
         jobs = self._choose_jobs(orders, renewal_due, len(expired))
         chosen = frozenset(jobs)
+        # a job that may be refused is stored apart from the owner's own rows
         apart = self._batches.has_suspects() and bool(jobs)
         report = None if apart else self._build_due_report(now, chosen)
         if not jobs and not renewal_due and report is None:
@@ -189,7 +190,7 @@
         processed = self._read_processed(chosen)
         puts = {row: value for job in jobs.values() for row, value in job.puts.items()}
         removals = [row for job in jobs.values() for row in job.removals]
-        if renewal_due and not apart:
+        if renewal_due:
             removals += self._list_progress_rows(expired)
             self._remove_expired_submissions(now)
             self.writer.add_renewal(puts, now, self._measure_load(now))
@@ -208,7 +209,7 @@
     def _choose_jobs(
         self, orders: t.Sequence[StartOrder], renewal_due: bool, removals: int
     ) -> dict[str, EncodedJob]:
-        """Choose the jobs of the next transaction.
+        """Choose the jobs of the next transaction, none if the renewal goes first.
 
         :param orders: orders to be sent; their jobs go first.
         :param renewal_due: whether the owner row has to be renewed.
