--- a/tests/test_removed_jobs.py
+++ b/tests/test_removed_jobs.py
@@ -1,10 +1,14 @@
 """Guards against ended jobs that run again, or hide new ones, once they are removed."""
 
+import math
 import typing as t
 
 import anyio
 import attrs
 import pytest
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
 
 from onyxgap.daemons.expiry import JobRemover
 from onyxgap.daemons.expiry import PointerRemover
@@ -349,3 +353,91 @@
         "at 15 slow store for 2 by 60",
     )
     assert play(script, seed).breaches == []
+
+
+@attrs.define
+class LateReader:
+    """A store with one job ID, and an owner that reads it now or as of earlier.
+
+    :param owner: the owner.
+    :param row: the submission in the store, ``None`` if there is none.
+    :param read: what a snapshot that is being read has of it.
+    :param started: versions of the submissions that the owner took for new jobs.
+    """
+
+    owner: ShardOwner
+    version: int = 10
+    row: StoredRow | None = None
+    read: StoredRow | None = None
+    started: list[int] = attrs.field(factory=list)
+
+    def hand_in(self) -> None:
+        """Store a submission unless there is one."""
+        self.version += 1
+        if self.row is None:
+            self.row = build_row(self.version)
+
+    def follow(self) -> None:
+        """Deliver all changes, unless a snapshot is being read."""
+        if self.owner._job_follower.after:
+            self.owner._job_follower.after = self.version
+            self._apply(self.row, False)
+
+    def begin_snapshot(self) -> None:
+        """Read the submission for a snapshot."""
+        self.owner._job_follower.after = 0
+        self.read = self.row
+
+    def end_snapshot(self) -> None:
+        """Apply the snapshot."""
+        if not self.owner._job_follower.after:
+            self._apply(self.read, True)
+            self.owner._job_follower.after = self.version
+
+    def finish(self) -> None:
+        """End the owner's job."""
+        job = self.owner.state.jobs.get(JOB_ID)
+        if job is not None:
+            self.owner.state._move_to_final(job, JobState.SUCCEEDED, 0.0)
+
+    def remove(self) -> None:
+        """Remove the rows of an ended job, if the store still has its submission."""
+        stored = self.owner._versions.get_stored(JOB_ID)
+        if JOB_ID not in self.owner.state.final or self.row is None:
+            return
+        if self.row.version != stored:
+            return
+        self.version += 1
+        self.row = None
+        self.owner.writer._renewed_at = -math.inf
+        remove_job(self.owner, self.version)
+        self.owner._versions.forget_removals(self.owner._job_follower.after)
+
+    def _apply(self, row: StoredRow | None, snapshot: bool) -> None:
+        present = JOB_ID in self.owner.state.jobs
+        if row is not None:
+            self.owner._apply_job_rows([row], snapshot)
+        if JOB_ID in self.owner.state.jobs and not present:
+            assert row is not None
+            self.started.append(row.version)
+
+
+ACTS = ("hand_in", "follow", "begin_snapshot", "end_snapshot", "finish", "remove")
+
+
+@settings(max_examples=400, deadline=None, derandomize=True)
+@given(st.lists(st.sampled_from(ACTS), min_size=20, max_size=60))
+def test_each_submission_is_one_job_in_whatever_order_it_is_read(
+    acts: list[str],
+) -> None:
+    async def run() -> None:
+        owner = build_owner(t.cast(t.Any, None), EmulatedClocks())
+        owner._job_follower.after = 10
+        reader = LateReader(owner)
+        for act in [*acts, "end_snapshot", "follow"]:
+            getattr(reader, act)()
+        assert len(reader.started) == len(set(reader.started))
+        if reader.row is not None:
+            assert reader.started[-1] == reader.row.version
+
+    anyio.run(run)
