--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -25,11 +25,11 @@
 from onyxgap.jobs.routing import Route
 from onyxgap.jobs.tenants import KeyRejection
 from onyxgap.settings import Address
-from onyxgap.standins.emulator.callers import NoQueue
-from onyxgap.standins.emulator.callers import SubmitAnswer
 from onyxgap.standins.emulator.cloud import EmulatedCloudClient
 from onyxgap.standins.emulator.faults import FaultedNode
 from onyxgap.standins.emulator.gate import NodeGate
+from onyxgap.standins.emulator.job_notes import NoQueue
+from onyxgap.standins.emulator.job_notes import SubmitAnswer
 from onyxgap.standins.emulator.slots import NodeSlot
 from onyxgap.standins.emulator.store import EmulatedStoreClient
 from onyxgap.standins.emulator.workers import EmulatedWorkersClient
--- /dev/null
+++ b/src/onyxgap/standins/emulator/account.py
@@ -0,0 +1,101 @@
+"""What callers got on a finished day, and what it took."""
+
+import collections
+
+import attrs
+
+from ...jobs.desk import SubmitOutcome
+from ...pools.messages import VmActionKind
+from .checks import Evidence
+from .checks import group_runs
+
+
+@attrs.frozen
+class Account:
+    """What callers got.
+
+    :param accepted: jobs accepted.
+    :param refused: jobs of which every try was refused or broken.
+    :param tries: tries to hand a job in.
+    :param failed_tries: those of them that were refused, uncertain or broken.
+    :param cancelled: accepted jobs that their callers cancelled.
+    :param in_time: jobs that ended within their objective.
+    :param late: jobs that ended later.
+    :param runs: runs that began.
+    :param wasted_s: core-seconds of runs that did not end as done.
+    :param vm_s: seconds of VMs in pools.
+    :param moves: moves of VMs.
+    :param store_calls: calls to the store.
+    :param crash_starts: most starts of a task that crashes its workers.
+    """
+
+    accepted: int
+    refused: int
+    tries: int
+    failed_tries: int
+    cancelled: int
+    in_time: int
+    late: int
+    runs: int
+    wasted_s: float
+    vm_s: float
+    moves: int
+    store_calls: int
+    crash_starts: int = 0
+
+
+def settle_account(evidence: Evidence, vm_s: float, store_calls: int) -> Account:
+    """Sum up what callers got and what it took.
+
+    :param evidence: what happened.
+    :param vm_s: seconds of VMs in pools.
+    :param store_calls: calls to the store.
+    """
+    counts: collections.Counter[str] = collections.Counter()
+    for notes in evidence.callers.jobs.values():
+        if notes.submission.steps[0].long_running or notes.is_scheduled():
+            continue
+        counts["accepted" if notes.accepted_at is not None else "refused"] += 1
+        counts["tries"] += len(notes.outcomes)
+        accepted = notes.outcomes.count(SubmitOutcome.ACCEPTED)
+        counts["failed_tries"] += len(notes.outcomes) - accepted
+        counts["cancelled"] += notes.cancelled_at is not None
+        final_at = notes.find_final_at()
+        if final_at is not None and notes.cancelled_at is None:
+            in_time = final_at - notes.sent_at <= notes.objective_s
+            counts["in_time" if in_time else "late"] += 1
+    wasted_s = sum(
+        (record.ended - record.began)
+        * evidence.callers.find_nature(record.task).step.cpu
+        / 1000
+        for record in evidence.records
+        if record.ended is not None and record.how not in ("done", "failed")
+    )
+    moves = sum(item.order.kind is VmActionKind.MOVE for item in evidence.orders)
+    return Account(
+        accepted=counts["accepted"],
+        refused=counts["refused"],
+        tries=counts["tries"],
+        failed_tries=counts["failed_tries"],
+        cancelled=counts["cancelled"],
+        in_time=counts["in_time"],
+        late=counts["late"],
+        runs=len(evidence.records),
+        wasted_s=round(wasted_s, 1),
+        vm_s=round(vm_s, 1),
+        moves=moves,
+        store_calls=store_calls,
+        crash_starts=count_crash_starts(evidence),
+    )
+
+
+def count_crash_starts(evidence: Evidence) -> int:
+    """Count the starts of the task that crashed its workers most often."""
+    return max(
+        (
+            len(runs)
+            for task, runs in group_runs(evidence).items()
+            if evidence.callers.find_nature(task).crashes
+        ),
+        default=0,
+    )
--- a/src/onyxgap/standins/emulator/checks.py
+++ b/src/onyxgap/standins/emulator/checks.py
@@ -17,11 +17,11 @@
 from ...pools.messages import Wave
 from .breach import Breach
 from .callers import Callers
-from .callers import JobNotes
 from .cloud import UPKEEP_S
 from .cloud import OrderRecord
 from .count_callers import CountAnswer
 from .disturbances import DisturbanceLog
+from .job_notes import JobNotes
 from .route_checks import check_in_force
 from .route_checks import check_regressions
 from .route_checks import check_services
@@ -94,7 +94,8 @@
         return submission.tenant, get_task_amount(submission.steps[record.task.step])
 
 
-def _group_runs(evidence: Evidence) -> dict[TaskId, list[RunRecord]]:
+def group_runs(evidence: Evidence) -> dict[TaskId, list[RunRecord]]:
+    """Group the runs of a day by their tasks."""
     runs: dict[TaskId, list[RunRecord]] = collections.defaultdict(list)
     for record in evidence.records:
         runs[record.task].append(record)
@@ -103,7 +104,7 @@
 
 def check_twice(evidence: Evidence) -> t.Iterator[Breach]:
     """Check that no task runs twice at once, nor again after it was done."""
-    for task, runs in _group_runs(evidence).items():
+    for task, runs in group_runs(evidence).items():
         for earlier, later in itertools.pairwise(sorted(runs, key=lambda r: r.began)):
             if earlier.ended is None or earlier.ended > later.began:
                 yield Breach("twice", later.began, f"{task} runs twice at once")
@@ -129,7 +130,7 @@
 
 def check_budget(evidence: Evidence) -> t.Iterator[Breach]:
     """Check that no task starts after it has failed as often as it may."""
-    for task, runs in _group_runs(evidence).items():
+    for task, runs in group_runs(evidence).items():
         job = evidence.callers.jobs[task.job_id].submission
         if job.steps[task.step].long_running:
             continue
@@ -146,7 +147,7 @@
 
 def check_crashes(evidence: Evidence) -> t.Iterator[Breach]:
     """Check that a task that crashes its workers is soon not started any more."""
-    for task, runs in _group_runs(evidence).items():
+    for task, runs in group_runs(evidence).items():
         if not evidence.callers.find_nature(task).crashes:
             continue
         ends = [
@@ -161,18 +162,6 @@
             yield Breach("budget", at, f"{task} crashed {len(ends)} workers")
 
 
-def count_crash_starts(evidence: Evidence) -> int:
-    """Count the starts of the task that crashed its workers most often."""
-    return max(
-        (
-            len(runs)
-            for task, runs in _group_runs(evidence).items()
-            if evidence.callers.find_nature(task).crashes
-        ),
-        default=0,
-    )
-
-
 def check_room(evidence: Evidence) -> t.Iterator[Breach]:
     """Check that no start brings a worker over its capacity."""
     for record in evidence.records:
@@ -378,82 +367,3 @@
     )
     breaches += check_caps(evidence.tenancy, evidence.records, evidence.measure_run)
     return sorted(breaches, key=lambda breach: breach.at)
-
-
-@attrs.frozen
-class Account:
-    """What callers got.
-
-    :param accepted: jobs accepted.
-    :param refused: jobs of which every try was refused or broken.
-    :param tries: tries to hand a job in.
-    :param failed_tries: those of them that were refused, uncertain or broken.
-    :param cancelled: accepted jobs that their callers cancelled.
-    :param in_time: jobs that ended within their objective.
-    :param late: jobs that ended later.
-    :param runs: runs that began.
-    :param wasted_s: core-seconds of runs that did not end as done.
-    :param vm_s: seconds of VMs in pools.
-    :param moves: moves of VMs.
-    :param store_calls: calls to the store.
-    :param crash_starts: most starts of a task that crashes its workers.
-    """
-
-    accepted: int
-    refused: int
-    tries: int
-    failed_tries: int
-    cancelled: int
-    in_time: int
-    late: int
-    runs: int
-    wasted_s: float
-    vm_s: float
-    moves: int
-    store_calls: int
-    crash_starts: int = 0
-
-
-def settle_account(evidence: Evidence, vm_s: float, store_calls: int) -> Account:
-    """Sum up what callers got and what it took.
-
-    :param evidence: what happened.
-    :param vm_s: seconds of VMs in pools.
-    :param store_calls: calls to the store.
-    """
-    counts: collections.Counter[str] = collections.Counter()
-    for notes in evidence.callers.jobs.values():
-        if notes.submission.steps[0].long_running or notes.is_scheduled():
-            continue
-        counts["accepted" if notes.accepted_at is not None else "refused"] += 1
-        counts["tries"] += len(notes.outcomes)
-        accepted = notes.outcomes.count(SubmitOutcome.ACCEPTED)
-        counts["failed_tries"] += len(notes.outcomes) - accepted
-        counts["cancelled"] += notes.cancelled_at is not None
-        final_at = notes.find_final_at()
-        if final_at is not None and notes.cancelled_at is None:
-            in_time = final_at - notes.sent_at <= notes.objective_s
-            counts["in_time" if in_time else "late"] += 1
-    wasted_s = sum(
-        (record.ended - record.began)
-        * evidence.callers.find_nature(record.task).step.cpu
-        / 1000
-        for record in evidence.records
-        if record.ended is not None and record.how not in ("done", "failed")
-    )
-    moves = sum(item.order.kind is VmActionKind.MOVE for item in evidence.orders)
-    return Account(
-        accepted=counts["accepted"],
-        refused=counts["refused"],
-        tries=counts["tries"],
-        failed_tries=counts["failed_tries"],
-        cancelled=counts["cancelled"],
-        in_time=counts["in_time"],
-        late=counts["late"],
-        runs=len(evidence.records),
-        wasted_s=round(wasted_s, 1),
-        vm_s=round(vm_s, 1),
-        moves=moves,
-        store_calls=store_calls,
-        crash_starts=count_crash_starts(evidence),
-    )
--- a/src/onyxgap/standins/emulator/count_callers.py
+++ b/src/onyxgap/standins/emulator/count_callers.py
@@ -7,7 +7,7 @@
 import attrs
 
 from ...jobs.routing import Route
-from .callers import NoQueue
+from .job_notes import NoQueue
 from .tenancy import Tenancy
 
 MEAN_PAUSE_S = 0.4
--- a/src/onyxgap/standins/emulator/experiment.py
+++ b/src/onyxgap/standins/emulator/experiment.py
@@ -8,7 +8,7 @@
 import orjson
 
 from ..virtual import run_virtually
-from .checks import Account
+from .account import Account
 from .day import DayResult
 from .faults import draw_faults
 from .faults import play_day
--- a/src/onyxgap/standins/emulator/hindsight.py
+++ b/src/onyxgap/standins/emulator/hindsight.py
@@ -10,9 +10,9 @@
 
 import attrs
 
-from .callers import JobNotes
 from .checks import Evidence
 from .cloud import MOVE_S
+from .job_notes import JobNotes
 
 GRID_S = 0.1
 """Resolution of the plan; tasks take 0.6 s and more."""
--- a/src/onyxgap/standins/emulator/route_checks.py
+++ b/src/onyxgap/standins/emulator/route_checks.py
@@ -8,9 +8,9 @@
 from ...jobs.desk import SubmitOutcome
 from ...jobs.tenants import KeyRejection
 from .breach import Breach
-from .callers import Attempt
-from .callers import JobNotes
-from .callers import NoQueue
+from .job_notes import Attempt
+from .job_notes import JobNotes
+from .job_notes import NoQueue
 from .route_history import NOT_FOUND
 from .route_history import RouteHistory
 from .route_history import RouteVersion
--- a/src/onyxgap/standins/emulator/route_probes.py
+++ b/src/onyxgap/standins/emulator/route_probes.py
@@ -7,7 +7,7 @@
 import attrs
 
 from ...jobs.routing import Route
-from .callers import NoQueue
+from .job_notes import NoQueue
 from .route_history import HOST
 from .route_history import RouteHistory
 from .route_history import build_route
--- a/src/onyxgap/standins/emulator/serving_checks.py
+++ b/src/onyxgap/standins/emulator/serving_checks.py
@@ -6,8 +6,8 @@
 
 from ...jobs.messages import TaskId
 from .breach import Breach
-from .callers import JobNotes
 from .disturbances import DisturbanceLog
+from .job_notes import JobNotes
 from .runs import RunRecord
 
 MAX_ABSENCE_S = 6.0
--- a/src/onyxgap/standins/emulator/slots.py
+++ b/src/onyxgap/standins/emulator/slots.py
@@ -23,11 +23,11 @@
 from ...pools.sizing import Sizer
 from ...settings import Address
 from .callers import WALL_START_S
-from .callers import NoQueue
-from .callers import SubmitAnswer
 from .cloud import EmulatedCloud
 from .cloud import EmulatedCloudClient
 from .gate import NodeGate
+from .job_notes import NoQueue
+from .job_notes import SubmitAnswer
 from .peers import EmulatedCallLink
 from .peers import EmulatedNetwork
 from .peers import EmulatedPeers
--- a/src/onyxgap/standins/emulator/standstill_checks.py
+++ b/src/onyxgap/standins/emulator/standstill_checks.py
@@ -10,8 +10,8 @@
 from ...jobs.messages import Step
 from ...jobs.messages import TaskId
 from .breach import Breach
-from .callers import JobNotes
 from .disturbances import DisturbanceLog
+from .job_notes import JobNotes
 from .runs import RunRecord
 from .tenancy import Tenancy
 from .workers import EmulatedWorker
--- a/src/onyxgap/standins/emulator/strangers.py
+++ b/src/onyxgap/standins/emulator/strangers.py
@@ -11,7 +11,7 @@
 from ...jobs.routing import Route
 from .callers import PATIENCE_S
 from .callers import CallerNode
-from .callers import JobNotes
+from .job_notes import JobNotes
 
 CALLS = 3
 """Rounds of calls about one ID."""
--- a/src/onyxgap/standins/emulator/waiting_checks.py
+++ b/src/onyxgap/standins/emulator/waiting_checks.py
@@ -4,9 +4,9 @@
 import typing as t
 
 from .breach import Breach
-from .callers import JobNotes
 from .count_callers import CountAnswer
 from .disturbances import DisturbanceLog
+from .job_notes import JobNotes
 from .runs import RunRecord
 
 VISIBILITY_DELAY_S = 5.0
--- a/tests/test_absences.py
+++ b/tests/test_absences.py
@@ -6,9 +6,9 @@
 from onyxgap.jobs.messages import Submission
 from onyxgap.jobs.messages import TaskId
 from onyxgap.jobs.routing import Route
-from onyxgap.standins.emulator.callers import JobNotes
 from onyxgap.standins.emulator.callers import build_policy
 from onyxgap.standins.emulator.disturbances import DisturbanceLog
+from onyxgap.standins.emulator.job_notes import JobNotes
 from onyxgap.standins.emulator.runs import RunRecord
 from onyxgap.standins.emulator.serving_checks import check_absences
 
--- a/tests/test_hindsight.py
+++ b/tests/test_hindsight.py
@@ -9,7 +9,6 @@
 from onyxgap.jobs.messages import Submission
 from onyxgap.jobs.messages import TaskId
 from onyxgap.jobs.routing import Route
-from onyxgap.standins.emulator.callers import JobNotes
 from onyxgap.standins.emulator.callers import build_policy
 from onyxgap.standins.emulator.experiment import HINDSIGHT
 from onyxgap.standins.emulator.experiment import render_table
@@ -19,6 +18,7 @@
 from onyxgap.standins.emulator.hindsight import Plan
 from onyxgap.standins.emulator.hindsight import list_stays
 from onyxgap.standins.emulator.hindsight import plan_in_hindsight
+from onyxgap.standins.emulator.job_notes import JobNotes
 from tests.emulated import load_day
 from tests.emulated import play
 
--- a/tests/test_standstills.py
+++ b/tests/test_standstills.py
@@ -12,9 +12,9 @@
 from onyxgap.jobs.messages import TaskId
 from onyxgap.jobs.messages import WorkerEntry
 from onyxgap.jobs.messages import WorkerState
-from onyxgap.standins.emulator.callers import JobNotes
 from onyxgap.standins.emulator.disturbances import ALL_NODES
 from onyxgap.standins.emulator.disturbances import DisturbanceLog
+from onyxgap.standins.emulator.job_notes import JobNotes
 from onyxgap.standins.emulator.runs import RunRecord
 from onyxgap.standins.emulator.script import parse_script
 from onyxgap.standins.emulator.serving_checks import check_absences
