--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -195,6 +195,7 @@
             "port_range": f"{first + 3},{first + 5}",
             "contracts": contracts,
             "bounds.status_s": str(self.day.script.retention_s),
+            "platform.row_bytes": str(self.day.script.row_bytes),
         }
         path = self.folder / f"{self.name}.conf"
         path.write_text("".join(f"{key}={value}\n" for key, value in lines.items()))
--- a/src/onyxgap/standins/emulator/day.py
+++ b/src/onyxgap/standins/emulator/day.py
@@ -10,6 +10,7 @@
 
 from ...jobs.routing import Route
 from ...jobs.store import RowId
+from ...jobs.store import StoreLimits
 from ...jobs.submissions import is_pointer
 from ...jobs.tables import PROGRESS_TABLE
 from ...pools.messages import Vm
@@ -137,6 +138,7 @@
 
     def _build(self, group: anyio.abc.TaskGroup) -> None:
         self.store = EmulatedStore(self.rng, group)
+        self.store.limits = StoreLimits(row_bytes=self.script.row_bytes)
         self.workers = EmulatedWorkers(self.rng, group)
         self.network = EmulatedNetwork(group, random.Random(self.seed))
         tenants_rng = random.Random(f"tenants/{self.seed}")
--- a/src/onyxgap/standins/emulator/script.py
+++ b/src/onyxgap/standins/emulator/script.py
@@ -23,6 +23,7 @@
 
 from ...exceptions import DocumentError
 from ...exceptions import Fault
+from ...jobs.store import StoreLimits
 
 
 @attrs.frozen
@@ -185,6 +186,7 @@
     :param contended: whether nodes weigh callers against each other.
     :param small: number of nodes on small VMs, the first ones.
     :param retention_s: time for which the state of an ended job must stay readable.
+    :param row_bytes: largest row of the store.
     :param public: pools that also run a queue that is open to callers without a key.
     """
 
@@ -194,6 +196,7 @@
     contended: bool = False
     small: int = 0
     retention_s: float = 120.0
+    row_bytes: int = StoreLimits().row_bytes
     spare: int = 0
     turn_s: float = 0.0
     end_s: float = 40.0
@@ -339,6 +342,7 @@
     "contended": _contend,
     "small": _read_number("small", int),
     "retention": _read_number("retention_s", float),
+    "row-bytes": _read_number("row_bytes", int),
     "spare": _read_number("spare", int),
     "turns": _read_number("turn_s", float),
     "end": _read_number("end_s", float),
--- a/src/onyxgap/standins/emulator/slots.py
+++ b/src/onyxgap/standins/emulator/slots.py
@@ -18,6 +18,7 @@
 from ...jobs.routing import Route
 from ...jobs.settings import NodeSettings
 from ...jobs.settings import TimeLimits
+from ...jobs.store import StoreLimits
 from ...jobs.tenants import Caller
 from ...jobs.tenants import KeyRejection
 from ...pools.sizing import Sizer
@@ -111,6 +112,7 @@
             keyed=bool(day.script.tenants),
             contended=day.script.contended,
             limits=TimeLimits(status_s=day.script.retention_s),
+            store_limits=StoreLimits(row_bytes=day.script.row_bytes),
         )
         self.node = Node(
             settings,
--- a/tests/test_limit_days.py
+++ b/tests/test_limit_days.py
@@ -39,6 +39,13 @@
     assert play(load_day("limits"), seed, faults=4).breaches == []
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_progress_in_several_small_rows_outlives_the_end_of_all_nodes(
+    seed: int,
+) -> None:
+    assert play(load_day("small_rows"), seed).breaches == []
+
+
 def test_day_shows_a_job_that_is_reached_through_another_queue(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,6 +10,7 @@
 from onyxgap.standins.emulator.day import FINISH_S
 from onyxgap.standins.emulator.script import parse_script
 from tests.emulated import DAYS
+from tests.emulated import load_day
 
 FAULTS = """
 at 6 kill owner ring for 1
@@ -56,6 +57,14 @@
     assert result.account.in_time
 
 
+def test_rules_hold_for_processes_whose_progress_exceeds_small_rows(
+    tmp_path: pathlib.Path,
+) -> None:
+    result = play_soak(load_day("small_rows"), 1, tmp_path)
+    assert result.breaches == []
+    assert result.account.in_time
+
+
 def test_rules_hold_for_processes_that_read_malformed_registrations(
     tmp_path: pathlib.Path,
 ) -> None:
