--- a/tests/test_removed_jobs.py
+++ b/tests/test_removed_jobs.py
@@ -206,6 +206,21 @@
     run_with_store(test)
 
 
+def test_state_of_a_removed_job_is_not_that_of_a_new_one_with_its_id() -> None:
+    async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
+        node = build_node(scripted)
+        progress = tables.get_progress_row("shard", JOB_ID)
+        store.put(JOB_ROW, encode_submission(SUBMISSION))
+        store.put(progress, encode_progress(Job(SUBMISSION, state=JobState.SUCCEEDED)))
+        assert await node.job_api.get_state(ROUTE, JOB_ID) is JobState.SUCCEEDED
+        store.apply(Batch({}, {}, (JOB_ROW,)))
+        store.apply(Batch({}, {}, (progress,)))
+        store.put(JOB_ROW, encode_submission(RESUBMITTED))
+        assert await node.job_api.get_state(ROUTE, JOB_ID) is JobState.QUEUED
+
+    run_with_store(test)
+
+
 @pytest.mark.parametrize("page_version", [8, 12])
 def test_row_read_on_a_notice_is_applied_unless_the_feed_is_newer(
     page_version: int,
