--- a/src/onyxgap/pools/fleet_state.py
+++ b/src/onyxgap/pools/fleet_state.py
@@ -21,7 +21,7 @@
 REFUSED_PAUSE_S = 5.0
 """Pause after an order was refused as invalid: most such orders are refused again."""
 LATE_ORDER_S = 13.0
-"""Time after which an order that got no answer is certainly not carried out any more."""
+"""Time after which an order without an answer is certainly not carried out."""
 UPKEEP_MARGIN_S = 0.3
 """Margin after the duration of maintenance until it is certainly over."""
 
