Log why and since when workers are cordoned, and from how old a row

Cause: when jobs wait beside cordoned workers, no log line tells for what each worker is cordoned, since when, whether an order about its VM is out, or how old the row is from which the shard's owner knows of it.

Change: the fleet controller keeps a Cordon (ID, reason, wave, time) by worker. Its row stores cordon_set_ms, cordon_waves, ordered_workers, epoch, listed_at_ms and written_at_ms beside the fields that it had; rows without them are read. Times of the list and of the write alone do not cause a write. `step waits` has cordons, fleet_row_age_s, fleet_epoch and vm_list_age_s while a worker of the shard is cordoned. New gauge onyxgap_cordons_in_force. Planning is meant to stay as it was.

In test_pools.py the drained report takes cordon IDs from the row, as the planner's cordons are objects now; its assertions are the same.

--- a/src/onyxgap/daemons/fleet_controller.py
+++ b/src/onyxgap/daemons/fleet_controller.py
@@ -15,6 +15,7 @@
 from ..exceptions import PlatformUnavailableError
 from ..exceptions import WriteRefusedError
 from ..jobs import tables
+from ..jobs.health import StoreHealth
 from ..jobs.routing import RouteTable
 from ..jobs.settings import TimeLimits
 from ..jobs.store import ABSENT
@@ -24,6 +25,7 @@
 from ..jobs.store import RowId
 from ..jobs.store import Store
 from ..jobs.store import StoredRow
+from ..pools.cordons import CordonReporter
 from ..pools.messages import CloudClient
 from ..pools.messages import FleetRow
 from ..pools.messages import VmOrder
@@ -70,6 +72,7 @@
     :param rng: adds jitter to retries.
     :param sizer: chooses the sizes of the pools.
     :param skipped: number of rows that could not be decoded, by table.
+    :param health: health of the store, with the estimate of its clock.
     """
 
     cloud: CloudClient
@@ -82,10 +85,12 @@
     rng: random.Random
     sizer: Sizer
     skipped: SkippedRows = attrs.field(factory=SkippedRows)
+    health: StoreHealth = attrs.field(factory=StoreHealth)
     planner: FleetPlanner = attrs.field(init=False)
     _previous_row: FleetRow = attrs.field(factory=FleetRow)
     _stored_row: bytes = b""
     _stored_forecast: bytes = b""
+    _cordon_reporter: CordonReporter = attrs.field(factory=CordonReporter)
     _written_statuses: dict[int, bool] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
@@ -94,6 +99,9 @@
     def _now(self) -> float:
         return self.clocks.read_monotonic()
 
+    def _get_store_ms(self) -> int | None:
+        return self.health.store_clock.get_earliest_ms(self.clocks.read_boot())
+
     async def run(self) -> None:
         """Run the fleet controller until the role is released.
 
@@ -114,7 +122,7 @@
         await self._plan_until_released()
 
     async def _load(self) -> None:
-        claimed_at = self._now()
+        claimed_at, claimed_at_ms = self._now(), self._get_store_ms()
         partitions = [
             (tables.FLEET_TABLE, tables.FLEET_SHARD),
             (tables.TURNS_TABLE, tables.FLEET_SHARD),
@@ -131,7 +139,7 @@
         # this one sends an order about the VM
         pause_s = self._get_order_pause_s()
         self._update_inputs()
-        self.planner.restore(self._previous_row, claimed_at, pause_s)
+        self.planner.restore(self._previous_row, claimed_at, pause_s, claimed_at_ms)
         for row in forecast_page.rows:
             self._restore_forecast(row)
         _LOG.info(
@@ -168,13 +176,13 @@
 
     async def _poll_vm_list(self) -> None:
         while True:
-            sent_at = self._now()
+            sent_at, sent_at_ms = self._now(), self._get_store_ms()
             try:
                 vms = await self.cloud.list_vms()
             except PlatformUnavailableError as error:
                 _LOG.info("VMs not listed", reason=str(error))
             else:
-                self.planner.apply_vm_list(vms, sent_at)
+                self.planner.apply_vm_list(vms, sent_at, sent_at_ms)
                 self.wake()
             await anyio.sleep(VM_LIST_INTERVAL_S)
 
@@ -198,11 +206,20 @@
             now = self._now()
             self.sizer.advance(now)
             self._choose_sizes(now)
-            await self._store_and_send(self.planner.plan(now))
+            await self._store_and_send(self.planner.plan(now, self._get_store_ms()))
             await self._write_wave_statuses()
+            self._report_cordons()
         await self.writer.release()
         _LOG.info("fleet controller role released", epoch=self.epoch)
 
+    def _report_cordons(self) -> None:
+        now = self._now()
+        self._cordon_reporter.report(
+            lambda: self.planner.list_cordons_in_force(now),
+            self.planner.get_vm_list_age_s(now),
+            now,
+        )
+
     def _choose_sizes(self, now: float) -> None:
         sizes = self.sizer.choose_sizes(
             self.planner.reports, self.planner.base, self.planner.count_vms(), now
@@ -225,11 +242,12 @@
         if self.writer.is_renewal_due(self._now()):
             # ended orders are removed with the renewal, which saves a write
             self.planner.forget_orders(self._now() - self._get_order_pause_s())
-        value = encode_fleet_row(self.planner.get_row())
+        row = self.planner.get_row(self._get_store_ms())
+        value = encode_fleet_row(row.omit_times())
         # every order, also a repeated one, is sent after a fenced write: a controller
         # that was suspended and has a successor must not send orders
         changed = bool(orders) or value != self._stored_row
-        puts = {tables.get_fleet_row(): value} if changed else {}
+        puts = {tables.get_fleet_row(): encode_fleet_row(row)} if changed else {}
         if not puts and not self.writer.is_renewal_due(self._now()):
             return
         started = self.clocks.read_boot()
--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -285,6 +285,7 @@
                 self.rng,
                 sizer=self.build_sizer(),
                 skipped=self.skipped,
+                health=self.health,
             )
             self.fleet_controller = fleet_controller
             self._group.start_soon(
--- a/src/onyxgap/daemons/node_process.py
+++ b/src/onyxgap/daemons/node_process.py
@@ -130,6 +130,11 @@
             "runs_in_doubt": lambda: sum(
                 owner.state.count_doubtful_runs() for owner in node.owners.values()
             ),
+            "cordons_in_force": lambda: (
+                len(node.fleet_controller.planner.cordons)
+                if node.fleet_controller is not None
+                else 0
+            ),
             "workers_registered": lambda: sum(
                 len(owner.state.list_registered()) for owner in node.owners.values()
             ),
--- a/src/onyxgap/daemons/owner_jobs.py
+++ b/src/onyxgap/daemons/owner_jobs.py
@@ -16,6 +16,8 @@
 from ..jobs.store import StoredRow
 from ..jobs.submissions import is_pointer
 from ..jobs.tables import UNKNOWN_LOAD
+from ..pools.cordons import Moment
+from ..pools.cordons import receive_cordons
 from ..pools.messages import decode_fleet_row
 from .expiry import JobRemover
 from .expiry import PointerRemover
@@ -220,5 +222,11 @@
             if fleet is None:
                 continue
             self.state.set_cordons(fleet.cordons, fleet.due)
+            self.state.received_cordons = receive_cordons(fleet, self._get_moment())
             self.state.fleet_vms = sum(fleet.base.values())
             self.wake()
+
+    def _get_moment(self) -> Moment:
+        clocks, store_clock = self.context.clocks, self.context.health.store_clock
+        store_ms = store_clock.get_earliest_ms(clocks.read_boot())
+        return Moment(self._now(), store_ms)
--- a/src/onyxgap/jobs/obstacles.py
+++ b/src/onyxgap/jobs/obstacles.py
@@ -11,6 +11,7 @@
 import attrs
 import structlog
 
+from ..pools.cordons import CordonSummary
 from .crashes import IsolationLevel
 from .messages import Step
 from .messages import WorkerState
@@ -112,12 +113,15 @@
         waiting: t.Sequence[ReadyStep],
         records: t.Collection[WorkerRecord],
         now: float,
+        summarize_cordons: t.Callable[[float], CordonSummary | None],
     ) -> None:
         """Log the steps that have waited for some time, serving ones first.
 
         :param waiting: steps of which the scheduling pass could not place all tasks.
         :param records: workers of the shard.
         :param now: monotonic seconds.
+        :param summarize_cordons: returns the cordons of the shard at a time, ``None``
+            if no worker is cordoned.
         """
         known = self.waiting_since
         self.waiting_since = {
@@ -134,15 +138,20 @@
             return
         self._reported_at = now
         due.sort(key=self._get_report_key)
+        cordons = summarize_cordons(now)
         for ready in due[:MAX_REPORTED_STEPS]:
-            self._log(ready, records, now)
+            self._log(ready, records, now, cordons)
 
     def _get_report_key(self, ready: ReadyStep) -> tuple[bool, float]:
         serving = ready.job.submission.steps[ready.step].long_running
         return not serving, self.waiting_since[_get_step_key(ready)]
 
     def _log(
-        self, ready: ReadyStep, records: t.Collection[WorkerRecord], now: float
+        self,
+        ready: ReadyStep,
+        records: t.Collection[WorkerRecord],
+        now: float,
+        cordons: CordonSummary | None,
     ) -> None:
         step = ready.job.submission.steps[ready.step]
         left = [task for task in ready.tasks if not task.placed]
@@ -162,4 +171,5 @@
             workers=count_obstacles(
                 records, step, _get_step_key(ready), now, isolation
             ),
+            **(attrs.asdict(cordons) if cordons is not None else {}),
         )
--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -114,7 +114,9 @@
             if len(placed) < len(ready.tasks):
                 waiting.append(ready)
             orders += placed
-        self.wait_reporter.report(waiting, self.workers.values(), now)
+        self.wait_reporter.report(
+            waiting, self.workers.values(), now, self.summarize_cordons
+        )
         if self.shares is not None:
             self.shares.end_pass(free_capacity.get_free_capacity(), now)
         return orders
--- a/src/onyxgap/jobs/shard_demand.py
+++ b/src/onyxgap/jobs/shard_demand.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from ..pools.cordons import CordonSummary
+from ..pools.cordons import summarize_cordons
 from ..pools.messages import PoolReport
 from ..pools.messages import WorkerLoad
 from .job import Job
@@ -142,6 +144,21 @@
             and record.unstored_jobs <= set(stored_jobs)
         }
 
+    def summarize_cordons(self, now: float) -> CordonSummary | None:
+        """Summarize the cordons for the log, ``None`` if no worker is cordoned.
+
+        :param now: monotonic seconds.
+        """
+        cordoned = {
+            worker_id: self.cordons[worker_id]
+            for worker_id, record in self.workers.items()
+            if record.cordoned and worker_id in self.cordons
+        }
+        if not cordoned:
+            return None
+        drained = self.list_drained_workers()
+        return summarize_cordons(cordoned, drained, self.received_cordons, now)
+
     def _justifies_more_vms(self, job: Job, step: int, now: float) -> bool:
         """Return whether a waiting step justifies more VMs for the pool."""
         urgency = rate_urgency(job, step, now, self.forecast)
--- a/src/onyxgap/jobs/shard_jobs.py
+++ b/src/onyxgap/jobs/shard_jobs.py
@@ -6,6 +6,7 @@
 import attrs
 import structlog
 
+from ..pools.cordons import ReceivedCordons
 from .advice import TicketCache
 from .crashes import CrashLog
 from .job import Job
@@ -62,6 +63,8 @@
     :param run_times: learns how long tasks run; ``None`` where declared run times are
         used.
     :param forecast: predicts whether jobs can still end in time or be of use.
+    :param received_cordons: what the latest row of the fleet controller tells about
+        cordons, for the log.
     """
 
     service: str
@@ -77,6 +80,7 @@
     stopping: dict[TaskId, Task] = attrs.field(factory=dict)
     early_cancels: set[str] = attrs.field(factory=set)
     cordons: t.Mapping[str, str] = attrs.field(factory=dict)
+    received_cordons: ReceivedCordons | None = None
     due: frozenset[str] = frozenset()
     arrived_jobs: int = 0
     unmeasured_jobs: list[Job] = attrs.field(factory=list)
--- a/src/onyxgap/pools/fleet_state.py
+++ b/src/onyxgap/pools/fleet_state.py
@@ -5,6 +5,12 @@
 import attrs
 import structlog
 
+from .cordons import Cordon
+from .cordons import CordonInForce
+from .cordons import CordonReason
+from .cordons import Moment
+from .cordons import OrderProgress
+from .cordons import read_cordons
 from .messages import FleetRow
 from .messages import PoolReport
 from .messages import Vm
@@ -14,8 +20,6 @@
 from .messages import VmState
 from .messages import Wave
 
-UPKEEP_REASON = "upkeep"
-MOVE_REASON = "move"
 RESEND_S = 0.5
 """Delay before an order is sent again; about the interval at which VMs are listed."""
 REFUSED_PAUSE_S = 5.0
@@ -35,12 +39,24 @@
     :param answered_at: monotonic seconds of the reply that it was carried out.
     :param resend_at: monotonic seconds when it is sent again, if its outcome is
         unknown.
+    :param sent_at: monotonic seconds of the pass that last sent it.
     """
 
     order: VmOrder
     worker_id: str
     answered_at: float | None = None
     resend_at: float | None = None
+    sent_at: float | None = None
+
+    def describe(self, now: float) -> OrderProgress:
+        """Describe the progress of the order for the log.
+
+        :param now: monotonic seconds.
+        """
+        sent_s = None if self.sent_at is None else round(now - self.sent_at, 3)
+        return OrderProgress(
+            self.order.kind.value, self.answered_at is not None, sent_s
+        )
 
 
 @attrs.define(slots=True)
@@ -70,11 +86,13 @@
     :param vms: VMs by name, as last listed.
     :param waves: progress of maintenance waves by number.
     :param reports: latest report by shard.
-    :param cordons: cordon ID, which begins with the reason, by worker to be drained.
+    :param cordons: cordon by worker to be drained.
     :param pending_orders: pending order by VM.
     :param sizes: desired number of VMs by pool; other pools keep their VMs.
     :param busy: pools that are in a burst.
     :param base: base size by pool: its VMs when the first fleet controller started.
+    :param listed: time when the VM list in use was requested, ``None`` before the
+        first.
     """
 
     upkeep_s: float
@@ -85,11 +103,13 @@
     vms: dict[str, Vm] = attrs.field(factory=dict)
     waves: dict[int, WaveProgress] = attrs.field(factory=dict)
     reports: dict[str, PoolReport] = attrs.field(factory=dict)
-    cordons: dict[str, str] = attrs.field(factory=dict)
+    cordons: dict[str, Cordon] = attrs.field(factory=dict)
     pending_orders: dict[str, PendingOrder] = attrs.field(factory=dict)
     sizes: dict[str, int] = attrs.field(factory=dict)
     busy: frozenset[str] = frozenset()
     base: dict[str, int] = attrs.field(factory=dict)
+    listed: Moment | None = None
+    _pass_moment: Moment = Moment(0.0)
     _last_ordered_at: dict[str, float] = attrs.field(factory=dict)
     _cordon_count: int = 0
     _startup_complete: bool = False
@@ -98,7 +118,9 @@
     _refused_moves: set[tuple[str, str]] = attrs.field(factory=set)
     _reported_at: dict[str, float] = attrs.field(factory=dict)
 
-    def restore(self, row: FleetRow, now: float, pause_s: float) -> None:
+    def restore(
+        self, row: FleetRow, now: float, pause_s: float, store_ms: int | None = None
+    ) -> None:
         """Restore the state that a previous fleet controller stored.
 
         The previous controller stored the name of each VM before it sent an order
@@ -110,8 +132,9 @@
         :param now: monotonic seconds of the claim.
         :param pause_s: minimum seconds between orders of two fleet controllers about
             one VM.
+        :param store_ms: milliseconds of the store's clock at ``now``, if known.
         """
-        self.cordons = dict(row.cordons)
+        self.cordons = read_cordons(row, Moment(now, store_ms))
         self.base = dict(row.base)
         self.startup_over = row.startup_over
         for name in row.ordered:
@@ -137,8 +160,11 @@
             if progress is not None:
                 progress.done |= names
 
-    def get_row(self) -> FleetRow:
-        """Return the state to store for shards and for a successor."""
+    def get_row(self, written_at_ms: int | None = None) -> FleetRow:
+        """Return the state to store for shards and for a successor.
+
+        :param written_at_ms: milliseconds of the store's clock, if known.
+        """
         done = {
             number: frozenset(progress.done) for number, progress in self.waves.items()
         }
@@ -148,14 +174,67 @@
             for name in self._list_remaining(progress)
         }
         return FleetRow(
-            dict(self.cordons),
+            {key: cordon.cordon_id for key, cordon in self.cordons.items()},
             done,
             frozenset(due - {""}),
             self.base,
             frozenset(self._last_ordered_at),
             self.startup_over or self._startup_complete,
+            {
+                key: cordon.set_at_ms
+                for key, cordon in self.cordons.items()
+                if cordon.set_at_ms is not None
+            },
+            {key: cordon.wave for key, cordon in self.cordons.items() if cordon.wave},
+            self._list_ordered_workers(),
+            self.epoch,
+            self.listed.store_ms if self.listed is not None else None,
+            written_at_ms,
+        )
+
+    def _list_ordered_workers(self) -> frozenset[str]:
+        return frozenset(
+            vm.worker_id
+            for vm in self.vms.values()
+            if vm.worker_id
+            and vm.worker_id in self.cordons
+            and vm.name in self._last_ordered_at
+        )
+
+    def list_cordons_in_force(self, now: float) -> list[CordonInForce]:
+        """List the cordons with what is known of their workers and VMs.
+
+        :param now: monotonic seconds.
+        """
+        vms = {vm.worker_id: vm for vm in self.vms.values()}
+        return [
+            self._describe_cordon(worker_id, cordon, vms.get(worker_id), now)
+            for worker_id, cordon in self.cordons.items()
+        ]
+
+    def _describe_cordon(
+        self, worker_id: str, cordon: Cordon, vm: Vm | None, now: float
+    ) -> CordonInForce:
+        pending = self.pending_orders.get(vm.name) if vm is not None else None
+        return CordonInForce(
+            worker_id,
+            vm.name if vm is not None else "",
+            vm.pool if vm is not None else "",
+            cordon.cordon_id,
+            cordon.reason.value if cordon.reason is not None else "",
+            cordon.wave,
+            cordon.get_age_s(now),
+            pending.describe(now) if pending is not None else None,
+            vm is not None and self._is_drained(vm),
         )
 
+    def get_vm_list_age_s(self, now: float) -> float | None:
+        """Return the age of the VM list in use, ``None`` before the first.
+
+        :param now: monotonic seconds.
+        """
+        return None if self.listed is None else round(now - self.listed.at, 3)
+
     def add_wave(self, wave: Wave, now: float) -> None:
         """Add a maintenance wave, unless it is known already."""
         if wave.number not in self.waves:
@@ -168,12 +247,19 @@
                 duration_s=wave.duration_s,
             )
 
-    def apply_vm_list(self, vms: t.Iterable[Vm], sent_at: float) -> None:
+    def _get_list_age_in_pass_s(self) -> float | None:
+        return self.get_vm_list_age_s(self._pass_moment.at)
+
+    def apply_vm_list(
+        self, vms: t.Iterable[Vm], sent_at: float, sent_at_ms: int | None = None
+    ) -> None:
         """Update the VMs from a list of the platform.
 
         :param vms: all VMs.
         :param sent_at: monotonic seconds when the list was requested.
+        :param sent_at_ms: the same time on the store's clock, if known.
         """
+        self.listed = Moment(sent_at, sent_at_ms)
         self.vms = {vm.name: vm for vm in vms}
         if not self.base:
             for vm in self.vms.values():
@@ -266,17 +352,24 @@
         return (
             report is not None
             and vm.worker_id in self.cordons
-            and report.emptied.get(vm.worker_id) == self.cordons[vm.worker_id]
+            and report.emptied.get(vm.worker_id) == self.cordons[vm.worker_id].cordon_id
         )
 
-    def _cordon(self, vm: Vm, reason: str) -> None:
+    def _cordon(self, vm: Vm, reason: CordonReason, wave: int = 0) -> None:
         # the cordon ID is unique: a shard that reported the worker drained under an
         # earlier cordon says nothing about this one
         self._cordon_count += 1
-        self.cordons[vm.worker_id] = f"{reason}#{self.epoch}.{self._cordon_count}"
+        self.cordons[vm.worker_id] = Cordon(
+            f"{reason.value}#{self.epoch}.{self._cordon_count}",
+            reason,
+            wave,
+            self._pass_moment.at,
+            self._pass_moment.store_ms,
+        )
 
-    def _is_cordoned(self, vm: Vm, reason: str) -> bool:
-        return self.cordons.get(vm.worker_id, "").startswith(reason + "#")
+    def _is_cordoned(self, vm: Vm, reason: CordonReason) -> bool:
+        cordon = self.cordons.get(vm.worker_id)
+        return cordon is not None and cordon.reason is reason
 
     def _add_pending(self, vm: Vm, order: VmOrder) -> VmOrder:
         self.pending_orders[vm.name] = PendingOrder(order, vm.worker_id)
--- a/src/onyxgap/pools/messages.py
+++ b/src/onyxgap/pools/messages.py
@@ -186,6 +186,15 @@
     :param base: base size by pool: its VMs when the first fleet controller started.
     :param ordered: VMs about which an order may still be in flight.
     :param startup_over: whether the start-up of the deployment is over.
+    :param cordon_set_ms: milliseconds of the store's clock when each cordon was set, by
+        worker, if that is known.
+    :param cordon_waves: maintenance wave by worker that is cordoned for one.
+    :param ordered_workers: cordoned workers of the VMs in ``ordered``.
+    :param epoch: fencing token of the fleet controller, 0 if it is not known.
+    :param listed_at_ms: milliseconds of the store's clock when the VM list that the
+        controller acted on was requested, ``None`` if that is not known.
+    :param written_at_ms: milliseconds of the store's clock when the row was written,
+        ``None`` if that is not known.
     """
 
     cordons: t.Mapping[str, str] = attrs.field(factory=dict)
@@ -194,6 +203,16 @@
     base: t.Mapping[str, int] = attrs.field(factory=dict)
     ordered: frozenset[str] = frozenset()
     startup_over: bool = False
+    cordon_set_ms: t.Mapping[str, int] = attrs.field(factory=dict)
+    cordon_waves: t.Mapping[str, int] = attrs.field(factory=dict)
+    ordered_workers: frozenset[str] = frozenset()
+    epoch: int = 0
+    listed_at_ms: int | None = None
+    written_at_ms: int | None = None
+
+    def omit_times(self) -> "FleetRow":
+        """Return the row without the times that change although nothing else does."""
+        return attrs.evolve(self, listed_at_ms=None, written_at_ms=None)
 
 
 def encode_fleet_row(row: FleetRow) -> bytes:
@@ -206,6 +225,12 @@
         "base": dict(row.base),
         "ordered": sorted(row.ordered),
         "startup_over": row.startup_over,
+        "cordon_set_ms": dict(sorted(row.cordon_set_ms.items())),
+        "cordon_waves": dict(sorted(row.cordon_waves.items())),
+        "ordered_workers": sorted(row.ordered_workers),
+        "epoch": row.epoch,
+        "listed_at_ms": row.listed_at_ms,
+        "written_at_ms": row.written_at_ms,
     }
     return orjson.dumps(value)
 
@@ -224,8 +249,14 @@
             frozenset(raw["due"]),
             dict(raw["base"]),
             frozenset(raw["ordered"]),
-            # rows of earlier versions don't have it
+            # rows of earlier versions don't have these
             bool(raw.get("startup_over", False)),
+            dict(raw.get("cordon_set_ms", {})),
+            dict(raw.get("cordon_waves", {})),
+            frozenset(raw.get("ordered_workers", ())),
+            raw.get("epoch", 0),
+            raw.get("listed_at_ms"),
+            raw.get("written_at_ms"),
         )
     except MALFORMED_ERRORS as error:
         raise DocumentError([Fault("$", f"invalid fleet row: {error!r}")]) from None
--- a/src/onyxgap/pools/planner.py
+++ b/src/onyxgap/pools/planner.py
@@ -10,8 +10,8 @@
 import attrs
 import structlog
 
-from .fleet_state import MOVE_REASON
-from .fleet_state import UPKEEP_REASON
+from .cordons import CordonReason
+from .cordons import Moment
 from .messages import Vm
 from .messages import VmActionKind
 from .messages import VmOrder
@@ -50,11 +50,13 @@
 class FleetPlanner(WavePlanner):
     """Plans maintenance and moves of VMs."""
 
-    def plan(self, now: float) -> list[VmOrder]:
+    def plan(self, now: float, store_ms: int | None = None) -> list[VmOrder]:
         """Return the orders to send now, and cordon workers to be drained.
 
         :param now: monotonic seconds.
+        :param store_ms: milliseconds of the store's clock, if known.
         """
+        self._pass_moment = Moment(now, store_ms)
         orders = [
             pending.order
             for pending in self.pending_orders.values()
@@ -67,6 +69,7 @@
         orders += self._plan_moves(now)
         for order in orders:
             self._last_ordered_at[order.vm] = now
+            self.pending_orders[order.vm].sent_at = now
         return orders
 
     def _plan_moves(self, now: float) -> t.Iterator[VmOrder]:
@@ -89,6 +92,7 @@
                 pool=pool,
                 wanted=self.sizes.get(pool, 0),
                 open=self._count_schedulable(pool),
+                vm_list_age_s=self._get_list_age_in_pass_s(),
             )
             yield self._add_pending(vm, order)
 
@@ -141,7 +145,7 @@
             vm.pool == pool
             and (
                 vm.state in (VmState.UPKEEP, VmState.MOVING)
-                or self._is_cordoned(vm, UPKEEP_REASON)
+                or self._is_cordoned(vm, CordonReason.UPKEEP)
             )
             and not self._has_pending_move(vm)
             for vm in self.vms.values()
@@ -174,7 +178,7 @@
                 vm
                 for vm in self.vms.values()
                 if vm.pool == pool
-                and self._is_cordoned(vm, MOVE_REASON)
+                and self._is_cordoned(vm, CordonReason.MOVE)
                 and vm.name not in self.pending_orders
             ]
             if shortfall.vms > 0:
@@ -187,7 +191,12 @@
             del self.cordons[vm.worker_id]
         if vms:
             workers = [vm.worker_id for vm in vms]
-            _LOG.info("cordons of surplus VMs lifted", pool=pool, workers=workers)
+            _LOG.info(
+                "cordons of surplus VMs lifted",
+                pool=pool,
+                workers=workers,
+                vm_list_age_s=self._get_list_age_in_pass_s(),
+            )
 
     def _cordon_least_loaded(self, pool: str, count: int) -> None:
         report = self.reports.get(pool)
@@ -205,10 +214,15 @@
         candidates.sort(key=lambda item: item[:3])
         surplus = [vm for *_, vm in candidates[:count]]
         for vm in surplus:
-            self._cordon(vm, MOVE_REASON)
+            self._cordon(vm, CordonReason.MOVE)
         if surplus:
             workers = [vm.worker_id for vm in surplus]
-            _LOG.info("surplus VMs cordoned", pool=pool, workers=workers)
+            _LOG.info(
+                "surplus VMs cordoned",
+                pool=pool,
+                workers=workers,
+                vm_list_age_s=self._get_list_age_in_pass_s(),
+            )
 
     def _list_movable(self, now: float) -> list[Vm]:
         """List VMs that can be moved now, VMs of the spare pool first."""
@@ -217,7 +231,7 @@
             for vm in self.vms.values()
             if self._is_available(vm.name, now)
             and self._is_drained(vm)
-            and (vm.pool == self.spare_pool or self._is_cordoned(vm, MOVE_REASON))
+            and (vm.pool == self.spare_pool or self._is_cordoned(vm, CordonReason.MOVE))
         ]
         return sorted(movable, key=lambda vm: (vm.pool != self.spare_pool, vm.name))
 
--- a/src/onyxgap/pools/waves.py
+++ b/src/onyxgap/pools/waves.py
@@ -6,7 +6,7 @@
 import attrs
 import structlog
 
-from .fleet_state import UPKEEP_REASON
+from .cordons import CordonReason
 from .fleet_state import FleetControllerState
 from .fleet_state import WaveProgress
 from .messages import Vm
@@ -76,7 +76,7 @@
                 return
             if draining >= forced and self._count_drainable(vm.pool) < 1:
                 continue
-            self._cordon(vm, UPKEEP_REASON)
+            self._cordon(vm, CordonReason.UPKEEP, progress.wave.number)
             draining += 1
             _LOG.info(
                 "worker cordoned",
@@ -85,6 +85,7 @@
                 pool=vm.pool,
                 wave=progress.wave.number,
                 forced=draining <= forced,
+                vm_list_age_s=self._get_list_age_in_pass_s(),
             )
 
     def _count_forced(self, progress: WaveProgress, remaining: int, now: float) -> int:
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -192,7 +192,7 @@
 def report_drained(planner: FleetPlanner) -> None:
     for pool in "ab":
         planner.reports[pool] = build_report(
-            planner, pool, emptied=dict(planner.cordons)
+            planner, pool, emptied=dict(planner.get_row().cordons)
         )
 
 
