Keep a VM closed while an unanswered order about it may be carried out

What callers saw: runs that are ended by a late order ("stopped"), once their VM was open again. An order that got no answer may be carried out up to 12 s later. The fleet controller opened the VM as soon as the order was sent again and refused, and a successor did so at once: neither remembered that a copy may be in flight.

Now such a VM keeps its cordon for 13 s after the last unanswered order. A later refusal tells nothing of it, and an order without any answer is removed only then, so that the VM is not closed for good either. An order that was not sent is withdrawn, not refused.

--- a/src/onyxgap/daemons/fleet_controller.py
+++ b/src/onyxgap/daemons/fleet_controller.py
@@ -258,7 +258,7 @@
             # the same row would be refused again, and hold up the renewal
             _LOG.error("fleet row refused by the store", reason=str(error))
             for order in orders:
-                self.planner.apply_reply(order, VmReply.RETRY, self._now())
+                self.planner.withdraw_order(order, self._now())
             return
         assert self._group is not None
         for order in orders:
@@ -276,7 +276,7 @@
 
     async def _send_order(self, order: VmOrder, permitted_at: float) -> None:
         if self.clocks.read_boot() - permitted_at > MAX_SEND_DELAY_S:
-            self.planner.apply_reply(order, VmReply.RETRY, self._now())
+            self.planner.withdraw_order(order, self._now())
             return
         owner = self.writer.owner
         reply = await self.cloud.send(order, owner.boot, owner.epoch)
--- a/src/onyxgap/pools/fleet_state.py
+++ b/src/onyxgap/pools/fleet_state.py
@@ -113,6 +113,7 @@
     listed: Moment | None = None
     _pass_moment: Moment = Moment(0.0)
     _last_ordered_at: dict[str, float] = attrs.field(factory=dict)
+    _unanswered_at: dict[str, float] = attrs.field(factory=dict)
     _cordon_count: int = 0
     _startup_complete: bool = False
     _first_plan_at: float | None = None
@@ -142,6 +143,7 @@
         for name in row.ordered:
             self._last_ordered_at[name] = now
             self._paused_until[name] = now + pause_s
+            self._unanswered_at[name] = now
         self.restore_maintained_vms(row)
 
     def forget_orders(self, before: float) -> None:
@@ -152,7 +154,9 @@
         self._last_ordered_at = {
             name: at
             for name, at in self._last_ordered_at.items()
-            if at >= before or name in self.pending_orders
+            if at >= before
+            or name in self.pending_orders
+            or name in self._unanswered_at
         }
 
     def restore_maintained_vms(self, row: FleetRow) -> None:
@@ -307,6 +311,12 @@
             reply=reply.value,
         )
         if reply is VmReply.UNKNOWN:
+            self._unanswered_at[order.vm] = now
+        elif reply is VmReply.DONE:
+            self._unanswered_at.pop(order.vm, None)
+        # a refusal tells nothing of an earlier order that was not answered
+        refused_later = reply is VmReply.RETRY and order.vm in self._unanswered_at
+        if reply is VmReply.UNKNOWN or refused_later:
             pending.resend_at = now + RESEND_S
             return
         if order.kind is VmActionKind.UPKEEP and reply in (
@@ -324,6 +334,21 @@
             self._refused_moves.add((order.vm, order.pool))
             self._paused_until[order.vm] = now + REFUSED_PAUSE_S
 
+    def withdraw_order(self, order: VmOrder, now: float) -> None:
+        """Remove a pending order that was not sent.
+
+        :param order: the order.
+        :param now: monotonic seconds.
+        """
+        pending = self.pending_orders.get(order.vm)
+        if pending is None or pending.order != order:
+            return
+        if order.vm in self._unanswered_at:
+            pending.resend_at = now + RESEND_S
+            return
+        del self.pending_orders[order.vm]
+        self._paused_until[order.vm] = now + RESEND_S
+
     def list_complete_waves(self) -> list[int]:
         """List maintenance waves whose VMs have all started maintenance or are gone."""
         return [
--- a/src/onyxgap/pools/planner.py
+++ b/src/onyxgap/pools/planner.py
@@ -57,13 +57,8 @@
         :param store_ms: milliseconds of the store's clock, if known.
         """
         self._pass_moment = Moment(now, store_ms)
-        orders = [
-            pending.order
-            for pending in self.pending_orders.values()
-            if pending.resend_at is not None and now >= pending.resend_at
-        ]
-        for order in orders:
-            self.pending_orders[order.vm].resend_at = None
+        self._remove_void_orders(now)
+        orders = self._list_resends(now)
         for progress in self.waves.values():
             orders += self._plan_wave(progress, now)
         orders += self._plan_moves(now)
@@ -77,7 +72,7 @@
             return
         self._note_reported_workers(now)
         shortfalls = self._count_shortfalls(now)
-        self._cordon_surplus(shortfalls)
+        self._cordon_surplus(shortfalls, now)
         for vm in self._list_movable(now):
             pool = self._choose_pool(vm, shortfalls)
             if pool == vm.pool:
@@ -131,7 +126,7 @@
         # VMs in maintenance return only once their tasks have found other workers
         needed = min(wanted, self._get_serving_vms(pool))
         serving = needed - usable + self._count_out_of_reach(pool, now)
-        vms = max(wanted - usable - self._count_returning(pool), serving)
+        vms = max(wanted - usable - self._count_returning(pool, now), serving)
         return Shortfall(vms, max(0, serving))
 
     def _count_incoming(self, pool: str) -> int:
@@ -140,17 +135,20 @@
             for pending in self.pending_orders.values()
         )
 
-    def _count_returning(self, pool: str) -> int:
+    def _count_returning(self, pool: str, now: float) -> int:
+        """Count VMs that are about to be in use again without a new order."""
         return sum(
             vm.pool == pool
-            and (
-                vm.state in (VmState.UPKEEP, VmState.MOVING)
-                or self._is_cordoned(vm, CordonReason.UPKEEP)
-            )
+            and self._is_returning(vm, now)
             and not self._has_pending_move(vm)
             for vm in self.vms.values()
         )
 
+    def _is_returning(self, vm: Vm, now: float) -> bool:
+        if vm.state in (VmState.UPKEEP, VmState.MOVING):
+            return True
+        return self._is_cordoned(vm, CordonReason.UPKEEP)
+
     def _get_serving_vms(self, pool: str) -> int:
         report = self.reports.get(pool)
         return report.serving_vms if report is not None else 0
@@ -172,19 +170,21 @@
         pending = self.pending_orders.get(vm.name)
         return pending is not None and pending.order.kind is VmActionKind.MOVE
 
-    def _cordon_surplus(self, shortfalls: t.Mapping[str, Shortfall]) -> None:
+    def _cordon_surplus(
+        self, shortfalls: t.Mapping[str, Shortfall], now: float
+    ) -> None:
         for pool, shortfall in shortfalls.items():
             cordoned = [
                 vm
                 for vm in self.vms.values()
                 if vm.pool == pool
                 and self._is_cordoned(vm, CordonReason.MOVE)
-                and vm.name not in self.pending_orders
+                and not self._may_be_carried_out(vm.name)
             ]
             if shortfall.vms > 0:
                 self._lift_cordons(pool, cordoned[: shortfall.vms])
             elif shortfall.vms < 0:
-                self._cordon_least_loaded(pool, -shortfall.vms)
+                self._cordon_least_loaded(pool, -shortfall.vms, now)
 
     def _lift_cordons(self, pool: str, vms: t.Sequence[Vm]) -> None:
         for vm in vms:
@@ -198,7 +198,7 @@
                 vm_list_age_s=self._get_list_age_in_pass_s(),
             )
 
-    def _cordon_least_loaded(self, pool: str, count: int) -> None:
+    def _cordon_least_loaded(self, pool: str, count: int, now: float) -> None:
         report = self.reports.get(pool)
         if report is None:
             return
@@ -207,7 +207,7 @@
             load = report.workers.get(vm.worker_id)
             if vm.pool != pool or vm.state is not VmState.UP or load is None:
                 continue
-            if vm.worker_id in self.cordons or vm.name in self.pending_orders:
+            if vm.worker_id in self.cordons or self._may_be_carried_out(vm.name):
                 continue
             if not load.serving:
                 candidates.append((load.runs, load.cpu_used, vm.name, vm))
--- a/src/onyxgap/pools/waves.py
+++ b/src/onyxgap/pools/waves.py
@@ -6,8 +6,8 @@
 import attrs
 import structlog
 
+from .cordon_review import CordonReview
 from .cordons import CordonReason
-from .fleet_state import FleetControllerState
 from .fleet_state import WaveProgress
 from .messages import Vm
 from .messages import VmActionKind
@@ -28,7 +28,7 @@
 
 
 @attrs.define
-class WavePlanner(FleetControllerState):
+class WavePlanner(CordonReview):
     """Plans maintenance waves."""
 
     def _plan_wave(self, progress: WaveProgress, now: float) -> t.Iterator[VmOrder]:
--- a/tests/test_lifted_cordons.py
+++ b/tests/test_lifted_cordons.py
@@ -22,7 +22,9 @@
 
 def build_vms(states: t.Mapping[str, VmState]) -> list[Vm]:
     return [
-        Vm(name, POOL, states.get(name, VmState.UP), worker_id=f"w-{name}")
+        Vm(name, POOL, states[name])
+        if name in states
+        else Vm(name, POOL, VmState.UP, worker_id=f"w-{name}")
         for name in NAMES
     ]
 
