Lift cordons for maintenance that is not due, hangs or is not ordered in time

What callers saw: jobs wait beside cordoned, drained workers. `_lift_cordons` knew surplus VMs only. A VM that the platform calls "not due" left its wave and kept its cordon for good; a wave whose maintenance hung at its cap kept the next VMs closed; and a worker that could not be drained stayed closed however much work waited.

Each pass now reviews the cordons with no order out: one for maintenance ends once its VM is in no wave, or when the VMs that hang leave no room under the cap; and any ends after 8 s without an order while its pool has waiting work. That VM is not cordoned again for 4 s.

--- a/src/onyxgap/pools/cordon_review.py
+++ b/src/onyxgap/pools/cordon_review.py
@@ -1,18 +1,51 @@
-"""Tells about which VMs an order may still be carried out.
+"""Decides which cordons are lifted before their VMs were moved or maintained.
 
-Such an order would end the runs that are placed on the VM meanwhile.
+A cordon ends with the worker, once its VM is moved or maintained. One whose order does
+not come to an end would keep a VM closed for as long as the platform is silent. It is
+lifted, unless an order about the VM may still be carried out: that order would end the
+runs that were placed meanwhile.
 """
 
+import typing as t
+
 import attrs
+import structlog
 
+from .cordons import Cordon
+from .cordons import CordonReason
 from .fleet_state import LATE_ORDER_S
 from .fleet_state import FleetControllerState
+from .fleet_state import WaveProgress
+from .messages import PoolReport
+from .messages import Vm
 from .messages import VmOrder
+from .messages import VmState
+
+OVERDUE_S = 2.0
+"""Time beyond the duration of a move or maintenance from which a VM hangs."""
+MAX_DRAIN_S = 8.0
+"""Time within which a worker is drained; serving tasks leave it one by one."""
+REOPEN_S = 4.0
+"""Time for which a VM is not cordoned again after it was not drained in time."""
+
+_LOG = structlog.get_logger()
+
+
+@attrs.frozen(slots=True)
+class CordonedVm:
+    """A cordoned VM.
+
+    :param vm: the VM.
+    :param cordon: its cordon.
+    """
+
+    vm: Vm
+    cordon: Cordon
 
 
 @attrs.define
 class CordonReview(FleetControllerState):
-    """Knows which VMs must stay cordoned."""
+    """Lifts cordons that would not come to an end."""
 
     def _remove_void_orders(self, now: float) -> None:
         """Remove orders without an answer that are not carried out any more."""
@@ -39,3 +72,89 @@
     def _may_be_carried_out(self, name: str) -> bool:
         """Tell whether an order about a VM is in flight, or may be carried out late."""
         return name in self.pending_orders or name in self._unanswered_at
+
+    def _lift_idle_cordons(self, now: float) -> None:
+        """Lift the cordons whose orders would not come to an end."""
+        cordoned = self._list_liftable()
+        lifted = self._list_undue(cordoned)
+        for progress in self.waves.values():
+            lifted |= self._list_behind_hanging(progress, cordoned, now)
+        lifted |= self._list_not_drained(cordoned, now)
+        for item in cordoned:
+            reason = lifted.get(item.vm.name)
+            if reason is not None:
+                self._lift(item, reason, now)
+
+    def _list_liftable(self) -> list[CordonedVm]:
+        return [
+            CordonedVm(vm, self.cordons[vm.worker_id])
+            for vm in self.vms.values()
+            if vm.worker_id in self.cordons and not self._may_be_carried_out(vm.name)
+        ]
+
+    def _list_undue(self, cordoned: t.Sequence[CordonedVm]) -> dict[str, str]:
+        due = {
+            name
+            for progress in self.waves.values()
+            for name in self._list_remaining(progress)
+        }
+        return {
+            item.vm.name: "maintenance not due"
+            for item in cordoned
+            if item.cordon.reason is CordonReason.UPKEEP and item.vm.name not in due
+        }
+
+    def _list_behind_hanging(
+        self, progress: WaveProgress, cordoned: t.Sequence[CordonedVm], now: float
+    ) -> dict[str, str]:
+        """List VMs of a wave that wait for others whose maintenance hangs."""
+        room = self._count_wave_room(progress, now)
+        names = [
+            item.vm.name
+            for item in cordoned
+            if item.cordon.reason is CordonReason.UPKEEP
+            and item.vm.name in progress.wave.vms
+        ]
+        return dict.fromkeys(names[room:], "maintenance of others hangs")
+
+    def _count_wave_room(self, progress: WaveProgress, now: float) -> int:
+        """Count the VMs that may be down for a wave beside those that hang."""
+        hanging = sum(
+            self.vms[name].state is VmState.UPKEEP and self._hangs(name, now)
+            for name in progress.wave.vms
+            if name in self.vms
+        )
+        return max(0, progress.wave.cap - hanging)
+
+    def _hangs(self, name: str, now: float) -> bool:
+        since = self._not_up_since.get(name, now)
+        return now - since > self.upkeep_s + OVERDUE_S
+
+    def _list_not_drained(
+        self, cordoned: t.Sequence[CordonedVm], now: float
+    ) -> dict[str, str]:
+        return {
+            item.vm.name: "not ordered in time"
+            for item in cordoned
+            if now - (item.cordon.set_at or 0.0) > MAX_DRAIN_S
+            and _has_waiting_work(self.reports.get(item.vm.pool))
+        }
+
+    def _lift(self, item: CordonedVm, reason: str, now: float) -> None:
+        del self.cordons[item.vm.worker_id]
+        if reason == "not ordered in time":
+            self._paused_until[item.vm.name] = now + REOPEN_S
+        _LOG.info(
+            "cordon lifted",
+            worker=item.vm.worker_id,
+            vm=item.vm.name,
+            pool=item.vm.pool,
+            cordon=item.cordon.cordon_id,
+            since_s=item.cordon.get_age_s(now),
+            reason=reason,
+            vm_list_age_s=self._get_list_age_in_pass_s(),
+        )
+
+
+def _has_waiting_work(report: PoolReport | None) -> bool:
+    return report is not None and (report.queued > 0 or report.serving_vms > 0)
--- a/src/onyxgap/pools/fleet_state.py
+++ b/src/onyxgap/pools/fleet_state.py
@@ -114,6 +114,7 @@
     _pass_moment: Moment = Moment(0.0)
     _last_ordered_at: dict[str, float] = attrs.field(factory=dict)
     _unanswered_at: dict[str, float] = attrs.field(factory=dict)
+    _not_up_since: dict[str, float] = attrs.field(factory=dict)
     _cordon_count: int = 0
     _startup_complete: bool = False
     _first_plan_at: float | None = None
@@ -267,6 +268,11 @@
         """
         self.listed = Moment(sent_at, sent_at_ms)
         self.vms = {vm.name: vm for vm in vms}
+        self._not_up_since = {
+            vm.name: self._not_up_since.get(vm.name, sent_at)
+            for vm in self.vms.values()
+            if vm.state is not VmState.UP
+        }
         if not self.base:
             for vm in self.vms.values():
                 self.base[vm.pool] = self.base.get(vm.pool, 0) + 1
--- a/src/onyxgap/pools/planner.py
+++ b/src/onyxgap/pools/planner.py
@@ -58,6 +58,7 @@
         """
         self._pass_moment = Moment(now, store_ms)
         self._remove_void_orders(now)
+        self._lift_idle_cordons(now)
         orders = self._list_resends(now)
         for progress in self.waves.values():
             orders += self._plan_wave(progress, now)
@@ -209,6 +210,8 @@
                 continue
             if vm.worker_id in self.cordons or self._may_be_carried_out(vm.name):
                 continue
+            if now < self._paused_until.get(vm.name, 0.0):
+                continue
             if not load.serving:
                 candidates.append((load.runs, load.cpu_used, vm.name, vm))
         candidates.sort(key=lambda item: item[:3])
--- a/src/onyxgap/pools/waves.py
+++ b/src/onyxgap/pools/waves.py
@@ -70,9 +70,10 @@
             if self.vms[name].worker_id not in self.cordons
         ]
         uncordoned.sort(key=self._get_drain_key)
+        room = self._count_wave_room(progress, now)
         forced = self._count_forced(progress, len(names), now)
         for vm in uncordoned:
-            if draining >= progress.wave.cap:
+            if draining >= room:
                 return
             if draining >= forced and self._count_drainable(vm.pool) < 1:
                 continue
