Count a VM as returning from maintenance for a limited time only

What callers saw: a pool gets no VM in place of one that is cordoned for maintenance, or down for it, however long that takes: `_count_returning` took it for one that is about to be back. It counts now for 5 s after its cordon, and for 2 s beyond the duration of the maintenance; then a spare VM may be moved to the pool.

--- a/src/onyxgap/pools/planner.py
+++ b/src/onyxgap/pools/planner.py
@@ -26,6 +26,10 @@
 STARTUP_TIMEOUT_S = 8.0
 """All VMs start within seconds of each other. One that is not up by then is down."""
 
+MAX_UPKEEP_CORDON_S = 5.0
+"""Age from which a cordon for maintenance no longer counts as a VM that returns soon:
+it takes 2.5 s to drain a worker, and 2 s to maintain its VM."""
+
 _LOG = structlog.get_logger()
 
 
@@ -147,8 +151,11 @@
 
     def _is_returning(self, vm: Vm, now: float) -> bool:
         if vm.state in (VmState.UPKEEP, VmState.MOVING):
-            return True
-        return self._is_cordoned(vm, CordonReason.UPKEEP)
+            return not self._hangs(vm.name, now)
+        if not self._is_cordoned(vm, CordonReason.UPKEEP):
+            return False
+        age_s = self.cordons[vm.worker_id].get_age_s(now)
+        return age_s is not None and age_s < MAX_UPKEEP_CORDON_S
 
     def _get_serving_vms(self, pool: str) -> int:
         report = self.reports.get(pool)
