--- a/src/onyxgap/pools/fleet_state.py
+++ b/src/onyxgap/pools/fleet_state.py
@@ -19,6 +19,7 @@
 from .messages import VmReply
 from .messages import VmState
 from .messages import Wave
+from .vm_interface import VmInterface
 
 RESEND_S = 0.5
 """Delay before an order is sent again; about the interval at which VMs are listed."""
@@ -111,8 +112,11 @@
     busy: frozenset[str] = frozenset()
     base: dict[str, int] = attrs.field(factory=dict)
     listed: Moment | None = None
+    interface: VmInterface = attrs.field(factory=VmInterface)
     _pass_moment: Moment = Moment(0.0)
     _last_ordered_at: dict[str, float] = attrs.field(factory=dict)
+    _unanswered_at: dict[str, float] = attrs.field(factory=dict)
+    _not_up_since: dict[str, float] = attrs.field(factory=dict)
     _cordon_count: int = 0
     _startup_complete: bool = False
     _first_plan_at: float | None = None
@@ -142,6 +146,7 @@
         for name in row.ordered:
             self._last_ordered_at[name] = now
             self._paused_until[name] = now + pause_s
+            self._unanswered_at[name] = now
         self.restore_maintained_vms(row)
 
     def forget_orders(self, before: float) -> None:
@@ -152,7 +157,9 @@
         self._last_ordered_at = {
             name: at
             for name, at in self._last_ordered_at.items()
-            if at >= before or name in self.pending_orders
+            if at >= before
+            or name in self.pending_orders
+            or name in self._unanswered_at
         }
 
     def restore_maintained_vms(self, row: FleetRow) -> None:
@@ -262,7 +269,13 @@
         :param sent_at_ms: the same time on the store's clock, if known.
         """
         self.listed = Moment(sent_at, sent_at_ms)
+        self.interface.note_list(sent_at)
         self.vms = {vm.name: vm for vm in vms}
+        self._not_up_since = {
+            vm.name: self._not_up_since.get(vm.name, sent_at)
+            for vm in self.vms.values()
+            if vm.state is not VmState.UP
+        }
         if not self.base:
             for vm in self.vms.values():
                 self.base[vm.pool] = self.base.get(vm.pool, 0) + 1
@@ -306,7 +319,14 @@
             pool=order.pool,
             reply=reply.value,
         )
+        self.interface.note_reply(reply, now)
         if reply is VmReply.UNKNOWN:
+            self._unanswered_at[order.vm] = now
+        elif reply is VmReply.DONE:
+            self._unanswered_at.pop(order.vm, None)
+        # a refusal tells nothing of an earlier order that was not answered
+        refused_later = reply is VmReply.RETRY and order.vm in self._unanswered_at
+        if reply is VmReply.UNKNOWN or refused_later:
             pending.resend_at = now + RESEND_S
             return
         if order.kind is VmActionKind.UPKEEP and reply in (
@@ -324,6 +344,21 @@
             self._refused_moves.add((order.vm, order.pool))
             self._paused_until[order.vm] = now + REFUSED_PAUSE_S
 
+    def withdraw_order(self, order: VmOrder, now: float) -> None:
+        """Remove a pending order that was not sent.
+
+        :param order: the order.
+        :param now: monotonic seconds.
+        """
+        pending = self.pending_orders.get(order.vm)
+        if pending is None or pending.order != order:
+            return
+        if order.vm in self._unanswered_at:
+            pending.resend_at = now + RESEND_S
+            return
+        del self.pending_orders[order.vm]
+        self._paused_until[order.vm] = now + RESEND_S
+
     def list_complete_waves(self) -> list[int]:
         """List maintenance waves whose VMs have all started maintenance or are gone."""
         return [
--- a/src/onyxgap/pools/planner.py
+++ b/src/onyxgap/pools/planner.py
@@ -26,6 +26,10 @@
 STARTUP_TIMEOUT_S = 8.0
 """All VMs start within seconds of each other. One that is not up by then is down."""
 
+MAX_UPKEEP_CORDON_S = 5.0
+"""Age from which a cordon for maintenance no longer counts as a VM that returns soon:
+it takes 2.5 s to drain a worker, and 2 s to maintain its VM."""
+
 _LOG = structlog.get_logger()
 
 
@@ -57,13 +61,9 @@
         :param store_ms: milliseconds of the store's clock, if known.
         """
         self._pass_moment = Moment(now, store_ms)
-        orders = [
-            pending.order
-            for pending in self.pending_orders.values()
-            if pending.resend_at is not None and now >= pending.resend_at
-        ]
-        for order in orders:
-            self.pending_orders[order.vm].resend_at = None
+        self._remove_void_orders(now)
+        self._lift_idle_cordons(now)
+        orders = self._list_resends(now)
         for progress in self.waves.values():
             orders += self._plan_wave(progress, now)
         orders += self._plan_moves(now)
@@ -77,10 +77,10 @@
             return
         self._note_reported_workers(now)
         shortfalls = self._count_shortfalls(now)
-        self._cordon_surplus(shortfalls)
+        self._cordon_surplus(shortfalls, now)
         for vm in self._list_movable(now):
             pool = self._choose_pool(vm, shortfalls)
-            if pool == vm.pool:
+            if pool == vm.pool or not self._may_order(vm, now):
                 continue
             if pool in shortfalls:
                 shortfalls[pool].note_move()
@@ -131,7 +131,7 @@
         # VMs in maintenance return only once their tasks have found other workers
         needed = min(wanted, self._get_serving_vms(pool))
         serving = needed - usable + self._count_out_of_reach(pool, now)
-        vms = max(wanted - usable - self._count_returning(pool), serving)
+        vms = max(wanted - usable - self._count_returning(pool, now), serving)
         return Shortfall(vms, max(0, serving))
 
     def _count_incoming(self, pool: str) -> int:
@@ -140,17 +140,23 @@
             for pending in self.pending_orders.values()
         )
 
-    def _count_returning(self, pool: str) -> int:
+    def _count_returning(self, pool: str, now: float) -> int:
+        """Count VMs that are about to be in use again without a new order."""
         return sum(
             vm.pool == pool
-            and (
-                vm.state in (VmState.UPKEEP, VmState.MOVING)
-                or self._is_cordoned(vm, CordonReason.UPKEEP)
-            )
+            and self._is_returning(vm, now)
             and not self._has_pending_move(vm)
             for vm in self.vms.values()
         )
 
+    def _is_returning(self, vm: Vm, now: float) -> bool:
+        if vm.state in (VmState.UPKEEP, VmState.MOVING):
+            return not self._hangs(vm.name, now)
+        if not self._is_cordoned(vm, CordonReason.UPKEEP):
+            return False
+        age_s = self.cordons[vm.worker_id].get_age_s(now)
+        return age_s is not None and age_s < MAX_UPKEEP_CORDON_S
+
     def _get_serving_vms(self, pool: str) -> int:
         report = self.reports.get(pool)
         return report.serving_vms if report is not None else 0
@@ -172,19 +178,21 @@
         pending = self.pending_orders.get(vm.name)
         return pending is not None and pending.order.kind is VmActionKind.MOVE
 
-    def _cordon_surplus(self, shortfalls: t.Mapping[str, Shortfall]) -> None:
+    def _cordon_surplus(
+        self, shortfalls: t.Mapping[str, Shortfall], now: float
+    ) -> None:
         for pool, shortfall in shortfalls.items():
             cordoned = [
                 vm
                 for vm in self.vms.values()
                 if vm.pool == pool
                 and self._is_cordoned(vm, CordonReason.MOVE)
-                and vm.name not in self.pending_orders
+                and not self._may_be_carried_out(vm.name)
             ]
             if shortfall.vms > 0:
                 self._lift_cordons(pool, cordoned[: shortfall.vms])
             elif shortfall.vms < 0:
-                self._cordon_least_loaded(pool, -shortfall.vms)
+                self._cordon_least_loaded(pool, -shortfall.vms, now)
 
     def _lift_cordons(self, pool: str, vms: t.Sequence[Vm]) -> None:
         for vm in vms:
@@ -198,7 +206,7 @@
                 vm_list_age_s=self._get_list_age_in_pass_s(),
             )
 
-    def _cordon_least_loaded(self, pool: str, count: int) -> None:
+    def _cordon_least_loaded(self, pool: str, count: int, now: float) -> None:
         report = self.reports.get(pool)
         if report is None:
             return
@@ -207,14 +215,18 @@
             load = report.workers.get(vm.worker_id)
             if vm.pool != pool or vm.state is not VmState.UP or load is None:
                 continue
-            if vm.worker_id in self.cordons or vm.name in self.pending_orders:
+            if vm.worker_id in self.cordons or self._may_be_carried_out(vm.name):
+                continue
+            if now < self._paused_until.get(vm.name, 0.0):
                 continue
             if not load.serving:
                 candidates.append((load.runs, load.cpu_used, vm.name, vm))
         candidates.sort(key=lambda item: item[:3])
-        surplus = [vm for *_, vm in candidates[:count]]
-        for vm in surplus:
-            self._cordon(vm, CordonReason.MOVE)
+        surplus = []
+        for *_, vm in candidates[:count]:
+            if self._may_cordon(now):
+                self._cordon(vm, CordonReason.MOVE)
+                surplus.append(vm)
         if surplus:
             workers = [vm.worker_id for vm in surplus]
             _LOG.info(
