Give spare VMs to late tasks that no worker of their pool has room for

Reports name the VMs with which late tasks go on: those of the pool and a quarter of what the tasks fill, at least one. They are counted from the VMs present, as sums of fractions do not show that the free part of each VM is too small. Only tasks count that no open worker has room for and that fit on one of the pool. The sizer gives VMs for them after the needs and reserves of all pools, and keeps them for the scale-down window. As with `serving_vms`, the field is left out where it is 0, so that nodes of earlier versions read the report.

--- a/src/onyxgap/jobs/shard_demand.py
+++ b/src/onyxgap/jobs/shard_demand.py
@@ -10,6 +10,7 @@
 from .job import Job
 from .job import Occurrence
 from .job import TaskPhase
+from .late_demand import LateDemand
 from .load import estimate_vm_seconds
 from .load import get_load_kind
 from .load import get_worker_fraction
@@ -53,6 +54,7 @@
                 [*self._list_wide_steps(), *self._list_steps_beside_unreached()],
                 self.workers.values(),
             ),
+            late_vms=self._count_late_vms(capacity, now),
             arrived_jobs=self.arrived_jobs,
             offered=round(self.offered, 3),
             epoch=self.epoch,
@@ -79,6 +81,20 @@
                     sums[kind] += fraction
         return {kind: round(total, 3) for kind, total in sums.items()}
 
+    def _count_late_vms(self, capacity: tuple[int, int], now: float) -> int:
+        demand = LateDemand(self.workers.values(), now)
+        for job, occurrence, number in self._list_ready_steps():
+            step, tasks = job.submission.steps[number], occurrence.steps[number]
+            if not rate_urgency(job, number, now, self.forecast).late:
+                continue
+            fraction = get_worker_fraction(step, capacity)
+            waiting = sum(
+                task.phase is TaskPhase.WAITING and now >= task.not_before
+                for task in tasks
+            )
+            demand.add_step(step, get_step_key(tasks[0]), waiting * fraction)
+        return demand.count_vms()
+
     def _measure_worker_loads(self) -> dict[str, WorkerLoad]:
         serving = collections.Counter(
             task.worker_id
--- a/src/onyxgap/pools/allocation.py
+++ b/src/onyxgap/pools/allocation.py
@@ -3,7 +3,7 @@
 Pools are not sized one by one: a pool may be late for lack of VMs that another pool
 only keeps in reserve. VMs for current work are therefore allocated before reserves,
 and before all others those for serving tasks that have no worker: such a task can't
-make up for the time in which it is away.
+make up for the time in which it is away. Late tasks get the VMs that nobody claims.
 """
 
 import math
@@ -20,11 +20,14 @@
     :param wanted: VMs including its reserve; at least ``needed``.
     :param serving: VMs for its serving tasks if some of these have no worker, at most
         ``needed``; else 0.
+    :param late: VMs with which its late tasks go on, including all others; 0 if none of
+        these tasks waits for a VM.
     """
 
     needed: int
     wanted: int
     serving: int = 0
+    late: int = 0
 
 
 def allocate_vms(claims: t.Mapping[str, PoolClaim], total: int) -> dict[str, int]:
@@ -38,7 +41,10 @@
         return _allocate_needed(claims, total)
     reserves = {pool: claim.wanted - claim.needed for pool, claim in claims.items()}
     allocated = _allocate_proportionally(reserves, total - sum(needed.values()))
-    return {pool: needed[pool] + allocated[pool] for pool in claims}
+    sizes = {pool: needed[pool] + allocated[pool] for pool in claims}
+    late = {pool: max(0, claim.late - claim.wanted) for pool, claim in claims.items()}
+    unclaimed = _allocate_proportionally(late, total - sum(sizes.values()))
+    return {pool: sizes[pool] + unclaimed[pool] for pool in claims}
 
 
 def _allocate_needed(claims: t.Mapping[str, PoolClaim], total: int) -> dict[str, int]:
--- a/src/onyxgap/pools/messages.py
+++ b/src/onyxgap/pools/messages.py
@@ -88,6 +88,9 @@
     :param serving_vms: VMs that these tasks and gangs need side by side, 0 if each task
         has a worker to run on; see
         :func:`onyxgap.jobs.shortage.count_needed_workers`.
+    :param late_vms: VMs that the pool needs so that its late tasks go on, including
+        those that it has, 0 if none of these tasks lacks room; see
+        :class:`onyxgap.jobs.late_demand.LateDemand`.
     :param arrived_jobs: jobs accepted since the owner claimed the shard.
     :param offered: work of the tasks of these jobs that end by themselves, in VM
         seconds.
@@ -101,23 +104,27 @@
     batch: float = 0.0
     serving: float = 0.0
     serving_vms: int = 0
+    late_vms: int = 0
     arrived_jobs: int = 0
     offered: float = 0.0
     epoch: int = 0
 
 
+LATER_FIELDS = ("serving_vms", "late_vms")
+"""Fields of reports that earlier versions do not know."""
 _REPORT_FIELDS = frozenset(field.name for field in attrs.fields(PoolReport))
 
 
 def encode_report(report: PoolReport) -> bytes:
     """Encode a report for the store.
 
-    Nodes of different versions share a deployment. A version that does not know
-    ``serving_vms`` skips reports that have it, so it is left out where it is 0.
+    Nodes of different versions share a deployment. A version that does not know one of
+    :data:`LATER_FIELDS` skips reports that have it, so it is left out where it is 0.
     """
     value = attrs.asdict(report, recurse=False)
-    if not report.serving_vms:
-        del value["serving_vms"]
+    for name in LATER_FIELDS:
+        if not value[name]:
+            del value[name]
     value["workers"] = {
         worker_id: [load.runs, load.serving, load.cpu_used]
         for worker_id, load in report.workers.items()
--- a/src/onyxgap/pools/sizing.py
+++ b/src/onyxgap/pools/sizing.py
@@ -37,6 +37,9 @@
 """A pool is not scaled below the largest size that it needed within this window.
 Releasing a VM and requesting it again costs two moves and 1.5 s without the VM."""
 
+RecentCounts = dict[str, list[tuple[float, int]]]
+"""Counts of VMs by shard, each with the monotonic seconds at which it was observed."""
+
 
 class Sizer(t.Protocol):
     """Policy that chooses the sizes of pools from the reports of shards."""
@@ -77,7 +80,8 @@
     forecast: BurstForecast = attrs.field(factory=BurstForecast)
     load: OfferedLoad = attrs.field(factory=OfferedLoad)
     _job_counters: dict[str, tuple[int, int]] = attrs.field(factory=dict)
-    _recent_needed: dict[str, list[tuple[float, int]]] = attrs.field(factory=dict)
+    _recent_needed: RecentCounts = attrs.field(factory=dict)
+    _recent_late: RecentCounts = attrs.field(factory=dict)
 
     def observe(self, report: PoolReport, now: float) -> None:
         """Record the report of a shard.
@@ -148,9 +152,10 @@
         needed = max(
             lower_bound, min(expected, math.ceil(base * EXPECTED_LOAD_GROWTH)), MIN_VMS
         )
-        recent_max = self._update_recent_max(report.shard, needed, now)
+        recent_max = _update_recent_max(self._recent_needed, report.shard, needed, now)
         wanted = max(recent_max, self._get_min_size(report.shard, base, now))
-        return PoolClaim(needed, wanted, report.serving_vms)
+        late = _update_recent_max(self._recent_late, report.shard, report.late_vms, now)
+        return PoolClaim(needed, wanted, report.serving_vms, late)
 
     def _get_min_size(self, shard: str, base: int, now: float) -> int:
         """Return the minimum size of a pool, regardless of its current demand."""
@@ -160,16 +165,6 @@
             return max(MIN_VMS, math.ceil(base * BEFORE_FIRST_BURST_SHARE))
         return base
 
-    def _update_recent_max(self, shard: str, needed: int, now: float) -> int:
-        """Record what a pool needs; return the maximum within the scale-down window."""
-        recent = [
-            (at, earlier)
-            for at, earlier in self._recent_needed.get(shard, ())
-            if at > now - SCALE_DOWN_WINDOW_S and earlier > needed
-        ]
-        self._recent_needed[shard] = [*recent, (now, needed)]
-        return max(earlier for _, earlier in self._recent_needed[shard])
-
     def _is_between_bursts(self, shard: str, now: float) -> bool:
         """Tell whether a shard's burst is over and the next one is not imminent."""
         arrivals = self.forecast.shards.get(shard)
@@ -179,6 +174,19 @@
         return start is not None and now < start - SCALE_UP_LEAD_S
 
 
+def _update_recent_max(
+    counts: RecentCounts, shard: str, needed: int, now: float
+) -> int:
+    """Record what a pool needs; return the maximum within the scale-down window."""
+    recent = [
+        (at, earlier)
+        for at, earlier in counts.get(shard, ())
+        if at > now - SCALE_DOWN_WINDOW_S and earlier > needed
+    ]
+    counts[shard] = [*recent, (now, needed)]
+    return max(earlier for _, earlier in counts[shard])
+
+
 def get_vm_demand(report: PoolReport, offered_load: float = 0.0) -> float:
     """Return the VMs that a shard can fill with its current and arriving work.
 
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -127,6 +127,21 @@
     ) == {"a": 2}
 
 
+def test_vms_for_late_tasks_are_kept_for_the_scale_down_window() -> None:
+    sizer = PoolSizer()
+    sizes = [
+        sizer.choose_sizes(
+            {"a": report("a", serving=3.7, late_vms=late_vms)}, {"a": 4}, TOTAL, now
+        )["a"]
+        for late_vms, now in (
+            (7, 1.0),
+            (0, 1.0 + SCALE_DOWN_WINDOW_S / 2),
+            (0, 1.1 + SCALE_DOWN_WINDOW_S),
+        )
+    ]
+    assert sizes == [7, 7, 5]
+
+
 def test_encoding_of_rows_round_trips() -> None:
     sent = report("a", workers={"w": WorkerLoad(2, 1, 900)}, emptied={"w": "move#1"})
     assert decode_report(encode_report(sent)) == sent
@@ -152,13 +167,14 @@
     assert decode_fleet_row(orjson.dumps(value)) == FleetRow({"w": "move#1"})
 
 
-def test_reports_are_read_by_nodes_of_other_versions() -> None:
-    sent = report("a", workers={"w": WorkerLoad(2, 1, 900)}, serving_vms=3)
+@pytest.mark.parametrize("name", ["serving_vms", "late_vms"])
+def test_reports_are_read_by_nodes_of_other_versions(name: str) -> None:
+    sent = attrs.evolve(report("a", workers={"w": WorkerLoad(2, 1, 900)}), **{name: 3})
     value = orjson.loads(encode_report(sent))
     assert decode_report(orjson.dumps({**value, "later": 1})) == sent
-    del value["serving_vms"]
-    assert decode_report(orjson.dumps(value)).serving_vms == 0
-    without = attrs.evolve(sent, serving_vms=0)
+    del value[name]
+    assert getattr(decode_report(orjson.dumps(value)), name) == 0
+    without = attrs.evolve(sent, **{name: 0})
     assert value == orjson.loads(encode_report(without))
 
 
--- a/tests/test_sharing_vms.py
+++ b/tests/test_sharing_vms.py
@@ -2,6 +2,7 @@
 
 import typing as t
 
+import attrs
 from hypothesis import given
 from hypothesis import strategies
 
@@ -50,6 +51,27 @@
     assert all_needed or not reserve_allocated
 
 
+@given(draw_claims(), strategies.integers(0, 600), strategies.integers(1, 200))
+def test_late_tasks_take_no_vm_that_a_pool_claims(
+    claims: dict[str, PoolClaim], total: int, late: int
+) -> None:
+    sizes = allocate_vms(claims, total)
+    late_claims = {
+        pool: attrs.evolve(claim, late=late) for pool, claim in claims.items()
+    }
+    with_late = allocate_vms(late_claims, total)
+    assert sum(with_late.values()) <= total
+    for pool, claim in claims.items():
+        assert sizes[pool] <= with_late[pool] <= max(claim.wanted, late)
+
+
+def test_late_tasks_get_the_vms_that_no_pool_claims() -> None:
+    claims = {"late": PoolClaim(3, 4, late=9), "other": PoolClaim(2, 6)}
+    assert allocate_vms(claims, 20) == {"late": 9, "other": 6}
+    assert allocate_vms(claims, 12) == {"late": 6, "other": 6}
+    assert allocate_vms(claims, 10) == {"late": 4, "other": 6}
+
+
 def test_pool_under_load_gets_the_reserves_of_other_pools() -> None:
     """Guards against a cap at twice the base size of the pool.
 
