Ask for VMs for serving tasks of a pool whose workers are all cordoned

Such a pool reported that its serving tasks need no VM: the number of tasks that fit on one was taken from the workers that are not cordoned, and without any it was 0, as if no worker had the label or size. The new test answered 0 instead of 2. The size is now taken from all registered workers; a cordoned one is as large as it was before.

--- a/src/onyxgap/jobs/shortage.py
+++ b/src/onyxgap/jobs/shortage.py
@@ -48,27 +48,28 @@
     :param records: workers of the shard.
     :returns: number of workers, 0 if all tasks have a worker to run on.
     """
-    present = [item for item in records if item.registered and not item.cordoned]
+    registered = [item for item in records if item.registered]
     cordoned = {item.entry.worker_id for item in records if item.cordoned}
     return max(
-        (_count_for_step(item, present, cordoned) for item in steps),
+        (_count_for_step(item, registered, cordoned) for item in steps),
         default=0,
     )
 
 
 def _count_for_step(
-    wide: WideStep, present: t.Sequence[WorkerRecord], cordoned: set[str]
+    wide: WideStep, registered: t.Sequence[WorkerRecord], cordoned: set[str]
 ) -> int:
     displaced = _count_displaced(wide, cordoned)
     if not displaced:
         return 0
     step, step_key = wide.step, wide.step_key
+    present = [item for item in registered if not item.cordoned]
     places = [_count_open_places(item, step, step_key) for item in present]
     lacking = displaced - sum(places)
     if lacking <= 0:
         return 0
     per_worker = max(
-        (count_places(item, step, ZERO_AMOUNT, 0) for item in present), default=0
+        (count_places(item, step, ZERO_AMOUNT, 0) for item in registered), default=0
     )
     if not per_worker:
         return 0
--- a/tests/test_shortage.py
+++ b/tests/test_shortage.py
@@ -108,6 +108,17 @@
     assert count_needed_workers([serving], records) == 3
 
 
+def test_pool_whose_workers_are_all_cordoned_needs_workers_for_its_serving_tasks(
+    records: list[WorkerRecord],
+) -> None:
+    waiting = place_tasks(attrs.evolve(APART, count=2), ())
+    serving = place_tasks(attrs.evolve(APART, count=3, may_miss=2), records)
+    for record in records:
+        record.cordoned = True
+    assert count_needed_workers([waiting], records) == 2
+    assert count_needed_workers([serving], records) == 2
+
+
 def test_no_more_workers_are_needed_for_a_label_that_none_has(
     records: list[WorkerRecord],
 ) -> None:
