Teach the emulator faults of the platform's interface for VMs

Change: statements "down cloud", "refuse cloud", "down vm-orders", "refuse vm-orders", "late vm-orders", "hang upkeep", "disown upkeep", "cut holder" ("list", "vm-orders"), "deaf holder" and "deaf owner". Only the deaf ones count as disturbances, as "deaf node" does. A fault of "cloud", "vm-orders" or "upkeep" affects all unless the script gives a share. They are drawn apart, by draw_interface_faults.

A record of an order tells its effect: one that is carried out late counts toward the cap of its wave when that happens, and one whose VM hangs in maintenance for as long as it hangs, which is stricter than before. The check of two holders looks at orders when they are given, as before.

--- a/src/onyxgap/standins/emulator/checks.py
+++ b/src/onyxgap/standins/emulator/checks.py
@@ -17,7 +17,7 @@
 from ...pools.messages import Wave
 from .breach import Breach
 from .callers import Callers
-from .cloud import UPKEEP_S
+from .cloud import OrderEffect
 from .cloud import OrderRecord
 from .count_callers import CountAnswer
 from .disturbances import DisturbanceLog
@@ -49,6 +49,9 @@
 """Workers that may crash under a task before its starts are counted."""
 STARTS_AFTER_CRASHES = 3
 """Start after these crashes that breaks the rule."""
+_BEGINNINGS = frozenset({OrderEffect.AT_ONCE, OrderEffect.LATE})
+"""Effects of orders that begin maintenance; one that is repeated for want of an answer
+begins nothing."""
 
 
 @attrs.frozen
@@ -250,14 +253,13 @@
             for record in evidence.orders
             if record.order.kind is VmActionKind.UPKEEP
             and record.order.wave == wave.number
-            # one that is repeated for want of an answer begins nothing
-            and not record.repeated
+            and record.effect in _BEGINNINGS
         ]
         for record in begun:
             down = {
                 other.order.vm
                 for other in begun
-                if record.at - UPKEEP_S < other.at <= record.at
+                if other.at <= record.at < other.at + other.down_s
             }
             if len(down) > wave.cap:
                 yield Breach(
@@ -278,7 +280,8 @@
     """Check that orders for one VM come from one holder, with rising numbers."""
     by_vm: dict[str, list[OrderRecord]] = {}
     holders: dict[tuple[str, int], str] = {}
-    for record in evidence.orders:
+    given = [item for item in evidence.orders if item.effect is not OrderEffect.LATE]
+    for record in given:
         by_vm.setdefault(record.order.vm, []).append(record)
         key = (record.order.vm, record.token)
         if holders.setdefault(key, record.holder) != record.holder:
--- a/src/onyxgap/standins/emulator/cloud.py
+++ b/src/onyxgap/standins/emulator/cloud.py
@@ -1,7 +1,9 @@
 """VMs with pools, moves and maintenance; each life of a worker is registered."""
 
+import enum
 import functools
 import random
+import typing as t
 
 import anyio
 import anyio.abc
@@ -18,10 +20,13 @@
 from ...pools.messages import VmReply
 from ...pools.messages import VmState
 from .gate import NodeGate
+from .gate import run_late
 from .nature import FindNature
 from .store import EmulatedStore
 from .vm_list import ANSWER_TIMEOUT_S
 from .vm_list import VmList
+from .vm_orders import OrderHandling
+from .vm_orders import VmOrderFaults
 from .workers import EmulatedWorker
 from .workers import EmulatedWorkers
 
@@ -37,6 +42,21 @@
 """Time after which a worker that a task crashed is back, as recorded."""
 WORKER_TABLE = "workers"
 ORDER_DELAY_S = 0.005
+WHOLE_CLOUD = "cloud"
+LIST_ONLY = "list"
+ORDERS_ONLY = "vm-orders"
+
+
+class OrderEffect(enum.Enum):
+    """Effect of an order about a VM at the time of its record."""
+
+    AT_ONCE = "at once"
+    NONE = "none"
+    """It was refused, is carried out later, or had been carried out before."""
+    DISOWNED = "disowned"
+    """The platform answered that the VM is not due for maintenance."""
+    LATE = "late"
+    """An order that was recorded before is carried out now."""
 
 
 @attrs.frozen(slots=True)
@@ -48,7 +68,8 @@
     :param holder: who gave it.
     :param token: fencing token.
     :param node: node that sent it.
-    :param repeated: whether it had been carried out before, so that it did nothing.
+    :param effect: what it did.
+    :param down_s: seconds for which the VM is down if it is maintained.
     """
 
     at: float
@@ -56,7 +77,8 @@
     holder: str
     token: int
     node: str
-    repeated: bool = False
+    effect: OrderEffect = OrderEffect.AT_ONCE
+    down_s: float = UPKEEP_S
 
 
 @attrs.define(eq=False)
@@ -70,6 +92,8 @@
     :param rng: draws clocks.
     :param spare_pool: pool whose VMs are off.
     :param unguarded: pools whose workers start whatever they are told to.
+    :param upkeep_hangs_until: monotonic seconds until which no VM returns from
+        maintenance that begins before.
     """
 
     store: EmulatedStore
@@ -83,12 +107,15 @@
     orders: list[OrderRecord] = attrs.field(factory=list)
     maintained: dict[str, set[int]] = attrs.field(factory=dict)
     paid_s: float = 0.0
+    upkeep_hangs_until: float = 0.0
     vm_list: VmList = attrs.field(init=False)
+    vm_orders: VmOrderFaults = attrs.field(init=False)
     _paid_at: float = 0.0
     _lives: int = 0
 
     def __attrs_post_init__(self) -> None:
         self.vm_list = VmList(self.vms)
+        self.vm_orders = VmOrderFaults(self.rng)
 
     def add(self, vm: Vm) -> None:
         """Add a VM that is up."""
@@ -254,6 +281,56 @@
         await anyio.sleep(for_s)
         self._boot(name)
 
+    def receive(self, sent: OrderRecord) -> VmReply:
+        """Handle an order as the present faults have it.
+
+        :param sent: the order as it arrives.
+        :returns: the reply, ``UNKNOWN`` for none.
+        """
+        return _HANDLERS[self.vm_orders.choose_handling(sent.order)](self, sent)
+
+    def _ignore(self, sent: OrderRecord) -> VmReply:
+        return VmReply.UNKNOWN
+
+    def _refuse(self, sent: OrderRecord) -> VmReply:
+        self._record(sent, OrderEffect.NONE)
+        return VmReply.RETRY
+
+    def _disown(self, sent: OrderRecord) -> VmReply:
+        self._record(sent, OrderEffect.DISOWNED)
+        return VmReply.NOT_DUE
+
+    def _defer(self, sent: OrderRecord) -> VmReply:
+        self._record(sent, OrderEffect.NONE)
+        delay_s = self.vm_orders.draw_delay()
+        self.group.start_soon(run_late, delay_s, self._carry_out_late, sent)
+        return VmReply.UNKNOWN
+
+    def _carry_out_late(self, sent: OrderRecord) -> None:
+        repeated = self._is_repeated(sent.order)
+        if self.carry_out(sent.order) is VmReply.DONE and not repeated:
+            late = attrs.evolve(sent, at=anyio.current_time())
+            self._record(late, OrderEffect.LATE, self._get_upkeep_s())
+
+    def _carry_out_at_once(self, sent: OrderRecord) -> VmReply:
+        repeated = self._is_repeated(sent.order)
+        reply = self.carry_out(sent.order)
+        effect = OrderEffect.NONE if repeated else OrderEffect.AT_ONCE
+        begun = reply is VmReply.DONE
+        self._record(sent, effect, self._get_upkeep_s() if begun else UPKEEP_S)
+        return reply
+
+    def _is_repeated(self, order: VmOrder) -> bool:
+        return order.wave in self.maintained.get(order.vm, set())
+
+    def _record(
+        self, sent: OrderRecord, effect: OrderEffect, down_s: float = UPKEEP_S
+    ) -> None:
+        self.orders.append(attrs.evolve(sent, effect=effect, down_s=down_s))
+
+    def _get_upkeep_s(self) -> float:
+        return max(UPKEEP_S, self.upkeep_hangs_until - anyio.current_time())
+
     def carry_out(self, order: VmOrder) -> VmReply:
         """Carry out an order."""
         vm = self.vms.get(order.vm)
@@ -270,7 +347,7 @@
         if order.kind is VmActionKind.UPKEEP:
             self.maintained.setdefault(order.vm, set()).add(order.wave)
             self._end_life(order.vm, VmState.UPKEEP)
-            self.group.start_soon(self._return_after, order.vm, UPKEEP_S)
+            self.group.start_soon(self._return_after, order.vm, self._get_upkeep_s())
         else:
             self._end_life(order.vm, VmState.MOVING)
             moved = attrs.evolve(self.vms[order.vm], pool=order.pool)
@@ -279,6 +356,17 @@
         return VmReply.DONE
 
 
+_HANDLERS: t.Mapping[
+    OrderHandling, t.Callable[[EmulatedCloud, OrderRecord], VmReply]
+] = {
+    OrderHandling.SILENT: EmulatedCloud._ignore,
+    OrderHandling.REFUSED: EmulatedCloud._refuse,
+    OrderHandling.LATE: EmulatedCloud._defer,
+    OrderHandling.DISOWNED: EmulatedCloud._disown,
+    OrderHandling.AT_ONCE: EmulatedCloud._carry_out_at_once,
+}
+
+
 @attrs.define(eq=False)
 class EmulatedCloudClient:
     """VMs as one node reaches them.
@@ -294,7 +382,7 @@
         """List all VMs."""
         await self.gate.pass_through()
         await anyio.sleep(ORDER_DELAY_S)
-        if "cloud" in self.gate.cut_from:
+        if self._is_cut_from(LIST_ONLY):
             await anyio.sleep(ANSWER_TIMEOUT_S)
             raise PlatformUnavailableError("no answer")
         vms = await self.cloud.vm_list.answer()
@@ -305,15 +393,17 @@
         """Send an order; repeating one that was done does nothing more."""
         await self.gate.pass_through()
         await anyio.sleep(ORDER_DELAY_S)
-        if "cloud" in self.gate.cut_from:
+        reply = VmReply.UNKNOWN
+        if not self._is_cut_from(ORDERS_ONLY):
+            now = anyio.current_time()
+            sent = OrderRecord(now, order, holder, token, self.gate.node)
+            reply = self.cloud.receive(sent)
+        if reply is VmReply.UNKNOWN:
             await anyio.sleep(ANSWER_TIMEOUT_S)
-            return VmReply.UNKNOWN
-        now = anyio.current_time()
-        repeated = order.wave in self.cloud.maintained.get(order.vm, set())
-        self.cloud.orders.append(
-            OrderRecord(now, order, holder, token, self.gate.node, repeated)
-        )
-        reply = self.cloud.carry_out(order)
+            return reply
         await anyio.sleep(ORDER_DELAY_S)
         await self.gate.pass_through()
         return reply
+
+    def _is_cut_from(self, part: str) -> bool:
+        return not self.gate.cut_from.isdisjoint((WHOLE_CLOUD, part))
--- a/src/onyxgap/standins/emulator/faults.py
+++ b/src/onyxgap/standins/emulator/faults.py
@@ -12,6 +12,9 @@
 from ...pools.messages import VmState
 from ...pools.sizing import PoolSizer
 from ...pools.sizing import Sizer
+from .cloud import LIST_ONLY
+from .cloud import ORDERS_ONLY
+from .cloud import WHOLE_CLOUD
 from .cloud import WORKER_TABLE
 from .day import Day
 from .day import DayResult
@@ -19,12 +22,15 @@
 from .malformed import list_malformed_registrations
 from .route_history import build_prefix
 from .route_history import build_route
+from .script import INTERFACE_FAULTS
 from .script import ROUTE_FAULTS
 from .script import FaultLine
 from .script import LoadLine
 from .script import Script
 from .slots import NodeSlot
 from .vm_list import ListState
+from .vm_orders import OrderHandling
+from .vm_orders import VmOrderFault
 from .workers import Mood
 
 WHOLE = 1.0
@@ -187,6 +193,33 @@
         await anyio.sleep(fault.seconds)
         self.cloud.vm_list.set_state(ListState.TRUE)
 
+    async def disturb_vm_orders(self, fault: FaultLine) -> None:
+        """Have the platform not carry out orders about VMs, or late and unanswered."""
+        item = VmOrderFault(_ORDER_HANDLINGS[fault.verb], fault.strength)
+        self.cloud.vm_orders.present.append(item)
+        await anyio.sleep(fault.seconds)
+        self.cloud.vm_orders.present.remove(item)
+
+    async def disturb_cloud(self, fault: FaultLine) -> None:
+        """Have the platform answer neither requests for lists of VMs nor orders."""
+        state = _LIST_STATES[fault.verb]
+        self.cloud.vm_list.outages.append(state)
+        await self.disturb_vm_orders(fault)
+        self.cloud.vm_list.outages.remove(state)
+
+    async def hang_upkeep(self, fault: FaultLine) -> None:
+        """Have VMs that are maintained not return before the fault ends."""
+        until = anyio.current_time() + fault.seconds
+        self.cloud.upkeep_hangs_until = max(self.cloud.upkeep_hangs_until, until)
+
+    async def cut_holder(self, fault: FaultLine) -> None:
+        """Cut the fleet controller's node off from the interface for VMs only."""
+        gate = self._find_slot(fault.target, fault.name).gate
+        part = _CLOUD_PARTS[fault.name]
+        gate.cut_from.add(part)
+        await anyio.sleep(fault.seconds)
+        gate.cut_from.discard(part)
+
     async def rebear_vm(self, fault: FaultLine) -> None:
         """Have a worker crash and start again under its id."""
         name = self._find_vm(fault.name)
@@ -306,9 +339,15 @@
 
     async def deafen_nodes(self, fault: FaultLine) -> None:
         """Have the feeds of a share of the nodes hear nothing for a while."""
+        await self._deafen(self._draw_nodes(fault.strength), fault)
+
+    async def deafen_one(self, fault: FaultLine) -> None:
+        """Have the feeds of the node with a role hear nothing for a while."""
+        await self._deafen({self._find_slot(fault.target, fault.name).name}, fault)
+
+    async def _deafen(self, names: set[str], fault: FaultLine) -> None:
         now = anyio.current_time()
         self.tenancy.deaf.append((now, now + fault.seconds))
-        names = self._draw_nodes(fault.strength)
         for name in names:
             self._record_disturbance(name, fault.seconds)
         self.store.deaf_nodes |= names
@@ -404,6 +443,14 @@
     "old": ListState.OLD,
 }
 
+_ORDER_HANDLINGS = {
+    "down": OrderHandling.SILENT,
+    "refuse": OrderHandling.REFUSED,
+    "late": OrderHandling.LATE,
+    "disown": OrderHandling.DISOWNED,
+}
+_CLOUD_PARTS = {"": WHOLE_CLOUD, "list": LIST_ONLY, "vm-orders": ORDERS_ONLY}
+
 _FAULTS: t.Mapping[
     tuple[str, str], t.Callable[[FaultyDay, FaultLine], t.Coroutine[t.Any, t.Any, None]]
 ] = {
@@ -439,6 +486,16 @@
     ("down", "list"): FaultyDay.disturb_list,
     ("refuse", "list"): FaultyDay.disturb_list,
     ("old", "list"): FaultyDay.disturb_list,
+    ("down", "cloud"): FaultyDay.disturb_cloud,
+    ("refuse", "cloud"): FaultyDay.disturb_cloud,
+    ("down", "vm-orders"): FaultyDay.disturb_vm_orders,
+    ("refuse", "vm-orders"): FaultyDay.disturb_vm_orders,
+    ("late", "vm-orders"): FaultyDay.disturb_vm_orders,
+    ("disown", "upkeep"): FaultyDay.disturb_vm_orders,
+    ("hang", "upkeep"): FaultyDay.hang_upkeep,
+    ("cut", "holder"): FaultyDay.cut_holder,
+    ("deaf", "holder"): FaultyDay.deafen_one,
+    ("deaf", "owner"): FaultyDay.deafen_one,
     ("split", "workers"): FaultyDay.split_workers,
     ("refuse", "writes"): FaultyDay.refuse_writes,
     ("malform", "rows"): FaultyDay.malform_rows,
@@ -459,6 +516,7 @@
         ("split", "workers"),
         ("refuse", "writes"),
         *_LIST_FAULTS,
+        *INTERFACE_FAULTS,
     }
 )
 """Not drawn with the other faults, so that the draws of a seed stay the same."""
@@ -537,3 +595,49 @@
         at += rng.uniform(0.0, 1.0)
         faults.append(FaultLine(at, verb, target, pool, rng.uniform(4.0, 20.0)))
     return attrs.evolve(script, faults=[*script.faults, *faults])
+
+
+def draw_interface_faults(script: Script, seed: int, count: int) -> Script:
+    """Add faults of the platform's interface for VMs.
+
+    They are drawn apart from the other faults, which stay the same. Every other one
+    begins about when a wave or a turn does, if the day has any; all end with the day,
+    so that what they held up can be made up for.
+
+    :param script: the day.
+    :param seed: seed of the draw.
+    :param count: number of faults.
+    """
+    rng = random.Random(f"interface/{seed}")
+    kinds = sorted(INTERFACE_FAULTS)
+    starts = _list_starts(script)
+    last_s = script.end_s - 8.0
+    faults = []
+    for number in range(count):
+        verb, target = rng.choice(kinds)
+        at = rng.uniform(4.0, last_s)
+        if starts and number % 2 == 0:
+            at = rng.choice(starts) + rng.uniform(-1.0, 2.0)
+        at = min(max(4.0, at), last_s)
+        seconds = min(rng.uniform(4.0, 32.0), script.end_s - at)
+        name = rng.choice(_list_names(script, verb, target))
+        share = rng.choice((1.0, 0.5))
+        faults.append(FaultLine(at, verb, target, name, seconds, share))
+    return attrs.evolve(script, faults=[*script.faults, *faults])
+
+
+def _list_starts(script: Script) -> list[float]:
+    """List when waves and turns begin."""
+    turns = int(script.end_s // script.turn_s) if script.turn_s else 0
+    starts = [script.turn_s * (number + 1) for number in range(turns)]
+    starts += [wave.at for wave in script.waves]
+    return [at for at in starts if at < script.end_s - 8.0]
+
+
+def _list_names(script: Script, verb: str, target: str) -> list[str]:
+    """List what the name of a fault may be."""
+    names = {
+        ("cut", "holder"): sorted(_CLOUD_PARTS),
+        ("deaf", "owner"): [line.name for line in script.pools],
+    }
+    return names.get((verb, target), [""])
--- a/src/onyxgap/standins/emulator/gate.py
+++ b/src/onyxgap/standins/emulator/gate.py
@@ -13,7 +13,8 @@
 
     :param node: name of the node.
     :param cut_from: services that it does not reach: ``store``, ``workers``,
-        ``cloud``, and addresses of workers.
+        ``cloud``, of the latter only ``list`` or ``vm-orders``, and addresses of
+        workers.
     :param call_cost_s: processor time that a call to a worker takes the node, which
         makes one at a time.
     """
--- a/src/onyxgap/standins/emulator/script.py
+++ b/src/onyxgap/standins/emulator/script.py
@@ -13,7 +13,33 @@
     public ring
     wave at 3 of 5 cap 2 within 15
     at 5 kill owner ring for 2
+    at 6 late vm-orders for 8 by 0.5
     end 40
+
+Faults of the platform's interface for VMs do not concern nodes, the store or orders to
+workers, and excuse no job that stands still:
+
+``down cloud``
+    Neither lists of VMs nor orders about them get an answer; no order is carried out.
+``refuse cloud``
+    Lists and orders are refused at once.
+``down vm-orders``
+    Orders, or a share of them (``by``), get no answer and are not carried out.
+``refuse vm-orders``
+    Orders, or a share of them, are refused at once.
+``late vm-orders``
+    Orders, or a share of them, get no answer and are carried out 1 to 12 s later if
+    they are valid by then.
+``disown upkeep``
+    Orders of maintenance are answered with "not due".
+``hang upkeep``
+    VMs whose maintenance begins meanwhile do not return before the fault ends.
+``cut holder``
+    The node with the fleet controller role does not reach the interface, or with
+    ``cut holder list`` and ``cut holder vm-orders`` not that part of it.
+
+With ``deaf holder`` and ``deaf owner POOL`` one node hears nothing of changed rows; it
+counts as disturbed, as with ``deaf node``.
 """
 
 import pathlib
@@ -156,6 +182,14 @@
     within: float
 
 
+ALL = 1.0
+"""Strength of a fault that affects everything."""
+SHARE = 0.3
+"""Strength of a fault of which the script gives none."""
+_WHOLE_TARGETS = frozenset({"cloud", "vm-orders", "upkeep"})
+"""Targets that a fault affects wholly where the script gives no strength."""
+
+
 @attrs.frozen
 class FaultLine:
     """Something that happens.
@@ -173,7 +207,11 @@
     target: str
     name: str = ""
     seconds: float = 4.0
-    strength: float = 0.3
+    strength: float = attrs.field()
+
+    @strength.default
+    def _choose_strength(self) -> float:
+        return ALL if self.target in _WHOLE_TARGETS else SHARE
 
 
 @attrs.define
@@ -218,8 +256,26 @@
 """Faults that change the routes: ``seconds`` versions, each ``strength`` seconds after
 the one before."""
 
+INTERFACE_FAULTS = frozenset(
+    {
+        ("down", "cloud"),
+        ("refuse", "cloud"),
+        ("down", "vm-orders"),
+        ("refuse", "vm-orders"),
+        ("late", "vm-orders"),
+        ("cut", "holder"),
+        ("hang", "upkeep"),
+        ("disown", "upkeep"),
+        ("deaf", "holder"),
+        ("deaf", "owner"),
+    }
+)
+"""Faults of the platform's interface for VMs, and of the rows by which the fleet
+controller and owners act on VMs."""
+
 FAULTS = ROUTE_FAULTS | frozenset(
     {
+        *INTERFACE_FAULTS,
         ("kill", "owner"),
         ("kill", "holder"),
         ("kill", "node"),
--- a/src/onyxgap/standins/emulator/vm_list.py
+++ b/src/onyxgap/standins/emulator/vm_list.py
@@ -29,10 +29,12 @@
 
     :param vms: all VMs by name, as they are.
     :param state: how requests are answered.
+    :param outages: how they are answered instead during faults of the whole interface.
     """
 
     vms: t.Mapping[str, Vm]
     state: ListState = ListState.TRUE
+    outages: list[ListState] = attrs.field(factory=list)
     _snapshot: tuple[Vm, ...] = ()
 
     def set_state(self, state: ListState) -> None:
@@ -45,11 +47,12 @@
 
         :raises PlatformUnavailableError: when there is no answer, or a refusal.
         """
-        if self.state is ListState.SILENT:
+        state = self.outages[-1] if self.outages else self.state
+        if state is ListState.SILENT:
             await anyio.sleep(ANSWER_TIMEOUT_S)
             raise PlatformUnavailableError("no answer")
-        if self.state is ListState.REFUSED:
+        if state is ListState.REFUSED:
             raise PlatformUnavailableError("refused")
-        if self.state is ListState.OLD:
+        if state is ListState.OLD:
             return self._snapshot
         return tuple(self.vms.values())
