Do not ask for the maintenance of VMs that cannot be maintained

Cause: the check of waves reported VMs that were down for good. A VM of which the platform says that it is not due for a wave was asked for as well.

All others are asked for as before, also those that went down later, or were back in the meantime.

--- a/src/onyxgap/standins/emulator/checks.py
+++ b/src/onyxgap/standins/emulator/checks.py
@@ -73,6 +73,8 @@
     :param refused_writes: calls that the store refused as over a limit.
     :param stranger_answers: answers about jobs of other queues.
     :param retention_s: time for which the state of an ended job must stay readable.
+    :param asked_at: monotonic seconds at which each wave was asked for.
+    :param down_since: monotonic seconds of the crash of each VM that is down by then.
     """
 
     callers: Callers
@@ -90,6 +92,8 @@
     refused_writes: t.Sequence[RefusedWrite] = ()
     stranger_answers: t.Sequence[StrangerAnswer] = ()
     retention_s: float = math.inf
+    asked_at: t.Mapping[int, float] = attrs.field(factory=dict)
+    down_since: t.Mapping[str, float] = attrs.field(factory=dict)
 
     def measure_run(self, record: RunRecord) -> tuple[str, Amount]:
         """Give the tenant of a run, and what it has in use."""
@@ -245,6 +249,23 @@
             yield Breach("lost", 0.0, f"{job_id} never ended")
 
 
+def _is_excused(evidence: Evidence, wave: Wave, name: str) -> bool:
+    """Return whether a VM could not be maintained, or was not due by the platform.
+
+    One that is down for good could be maintained until it crashed: it is excused only
+    if that was within the time in which the wave had to begin.
+    """
+    deadline = evidence.asked_at.get(wave.number, 0.0) + wave.duration_s
+    if evidence.down_since.get(name, math.inf) <= deadline:
+        return True
+    return any(
+        record.effect is OrderEffect.DISOWNED
+        and record.order.vm == name
+        and record.order.wave == wave.number
+        for record in evidence.orders
+    )
+
+
 def check_waves(evidence: Evidence) -> t.Iterator[Breach]:
     """Check that waves keep their cap and that every VM is maintained."""
     for wave in evidence.waves:
@@ -266,7 +287,8 @@
                     "limit", record.at, f"{len(down)} VMs down, cap {wave.cap}"
                 )
         for name in wave.vms:
-            if wave.number not in evidence.maintained.get(name, set()):
+            maintained = wave.number in evidence.maintained.get(name, set())
+            if not maintained and not _is_excused(evidence, wave, name):
                 yield Breach("wave", 0.0, f"{name} was not maintained")
 
 
--- a/src/onyxgap/standins/emulator/cloud.py
+++ b/src/onyxgap/standins/emulator/cloud.py
@@ -92,6 +92,7 @@
     :param rng: draws clocks.
     :param spare_pool: pool whose VMs are off.
     :param unguarded: pools whose workers start whatever they are told to.
+    :param down_since: monotonic seconds of the crash of each VM that is down.
     :param upkeep_hangs_until: monotonic seconds until which no VM returns from
         maintenance that begins before.
     """
@@ -107,6 +108,7 @@
     orders: list[OrderRecord] = attrs.field(factory=list)
     maintained: dict[str, set[int]] = attrs.field(factory=dict)
     paid_s: float = 0.0
+    down_since: dict[str, float] = attrs.field(factory=dict)
     upkeep_hangs_until: float = 0.0
     vm_list: VmList = attrs.field(init=False)
     vm_orders: VmOrderFaults = attrs.field(init=False)
@@ -135,6 +137,7 @@
 
     def _boot(self, name: str, worker_id: str = "") -> None:
         vm = self.vms[name]
+        self.down_since.pop(name, None)
         if vm.pool != self.spare_pool:
             self._lives += 1
             worker_id = worker_id or f"w{self._lives}-{name}"
@@ -176,6 +179,7 @@
     def crash(self, name: str, for_s: float) -> None:
         """Crash a VM; it comes back with another worker."""
         self._end_life(name, VmState.DOWN)
+        self.down_since[name] = anyio.current_time()
         self.group.start_soon(self._return_after, name, for_s)
 
     def halt(self, name: str, for_s: float) -> None:
--- a/src/onyxgap/standins/emulator/day.py
+++ b/src/onyxgap/standins/emulator/day.py
@@ -74,6 +74,7 @@
     :param seed: seed of everything that is drawn.
     :param build_sizer: builds what chooses the sizes of pools.
     :param finish_s: time after the end in which accepted jobs must end.
+    :param asked_at: monotonic seconds at which each wave was asked for.
     """
 
     script: Script
@@ -94,6 +95,7 @@
     strangers: Strangers = attrs.field(init=False)
     slots: list[NodeSlot] = attrs.field(factory=list)
     waves: list[Wave] = attrs.field(factory=list)
+    asked_at: dict[int, float] = attrs.field(factory=dict)
     _version: int = 0
     _group: anyio.abc.TaskGroup | None = None
 
@@ -246,6 +248,7 @@
         vms = tuple(self.rng.sample(names, min(line.of, len(names))))
         wave = Wave(len(self.waves) + 1, vms, line.within, line.cap)
         self.waves.append(wave)
+        self.asked_at[wave.number] = anyio.current_time()
         value = orjson.dumps(attrs.asdict(wave))
         self.store.put(RowId(OPERATOR_TABLE, "", f"wave/{wave.number}"), value)
 
@@ -271,6 +274,8 @@
             self.store.refused,
             self.strangers.answers,
             self.script.retention_s,
+            self.asked_at,
+            self.cloud.down_since,
         )
         breaches = list_breaches(evidence, anyio.current_time())
         account = settle_account(evidence, self.cloud.paid_s, self.store.calls)
