--- a/src/onyxgap/pools/cordon_review.py
+++ b/src/onyxgap/pools/cordon_review.py
@@ -209,4 +209,6 @@
 
 
 def _has_waiting_work(report: PoolReport | None) -> bool:
-    return report is not None and (report.queued > 0 or report.serving_vms > 0)
+    return report is not None and bool(
+        report.queued or report.serving_vms or report.late_vms
+    )
