--- a/src/onyxgap/jobs/placing.py
+++ b/src/onyxgap/jobs/placing.py
@@ -188,7 +188,7 @@
         :param step: step of the run.
         :param step_key: job, occurrence and number of the step.
         """
-        amount = _get_reserved_amount(step)
+        amount = get_reserved_amount(step)
         self.cpu_used += amount.cpu
         self.memory_used += amount.memory_mb
         self.accelerators_used += amount.accelerators
@@ -200,7 +200,7 @@
 
     def free(self, step: Step, step_key: StepKey) -> None:
         """Free the resources of a run; the reverse of :meth:`reserve`."""
-        amount = _get_reserved_amount(step)
+        amount = get_reserved_amount(step)
         self.cpu_used -= amount.cpu
         self.memory_used -= amount.memory_mb
         self.accelerators_used -= amount.accelerators
@@ -258,7 +258,8 @@
         return self.entry.labels[-1] if self.entry.labels else ""
 
 
-def _get_reserved_amount(step: Step) -> Amount:
+def get_reserved_amount(step: Step) -> Amount:
+    """Return the resources that a run of a step takes from its worker."""
     cpu = 0 if step.fills else step.cpu
     return Amount(cpu, step.memory_mb, step.accelerators)
 
--- a/tests/test_shortage.py
+++ b/tests/test_shortage.py
@@ -19,9 +19,9 @@
 from tests.test_shard import ShardHarness
 
 JOB_ID = "a" * 16
-STEP_KEY = (JOB_ID, 0, 0)
 APART = Step(4, cpu=1000, memory_mb=1000, long_running=True, anti_affinity=1)
 LARGE = Step(4, cpu=1000, memory_mb=150_000, long_running=True)
+HALF = Step(3, cpu=1000, memory_mb=ENTRY.memory_mb // 2, long_running=True)
 FINITE = Step(1, cpu=64_000, memory_mb=1000)
 
 
@@ -33,13 +33,16 @@
     ]
 
 
-def place_tasks(step: Step, records: t.Iterable[WorkerRecord]) -> WideStep:
+def place_tasks(
+    step: Step, records: t.Iterable[WorkerRecord], job_id: str = JOB_ID
+) -> WideStep:
     """Place a task on each of the workers; the other tasks wait."""
-    tasks = [Task(TaskId(JOB_ID, 0, 0, number)) for number in range(step.count)]
+    step_key = (job_id, 0, 0)
+    tasks = [Task(TaskId(job_id, 0, 0, number)) for number in range(step.count)]
     for task, record in zip(tasks, records, strict=False):
         task.place(record.entry.worker_id, 1.0, 0.0, 1)
-        record.reserve(step, STEP_KEY)
-    return WideStep(step, STEP_KEY, tasks)
+        record.reserve(step, step_key)
+    return WideStep(step, step_key, tasks)
 
 
 @pytest.mark.parametrize("step", [APART, LARGE])
@@ -119,6 +122,52 @@
     assert count_needed_workers([serving], records) == 2
 
 
+def test_serving_jobs_that_each_fit_alone_need_workers_for_all_their_tasks(
+    records: list[WorkerRecord],
+) -> None:
+    jobs = [
+        place_tasks(attrs.evolve(HALF, anti_affinity=1), (), job_id)
+        for job_id in ("a" * 16, "b" * 16, "c" * 16)
+    ]
+    assert count_needed_workers(jobs[:2], records) == 0
+    assert count_needed_workers(jobs, records) == 6
+
+
+def test_serving_tasks_share_the_workers_that_they_lack(
+    records: list[WorkerRecord],
+) -> None:
+    third = attrs.evolve(HALF, memory_mb=ENTRY.memory_mb // 3)
+    for record in records:
+        record.reserve(HALF, ("d" * 16, 0, 0))
+        record.reserve(third, ("e" * 16, 0, 0))
+    jobs = [
+        place_tasks(attrs.evolve(third, count=2), (), "a" * 16),
+        place_tasks(attrs.evolve(HALF, count=1), (), "b" * 16),
+        place_tasks(attrs.evolve(HALF, count=1), (), "c" * 16),
+    ]
+    assert count_needed_workers(jobs[:1], records) == 4
+    assert count_needed_workers(jobs, records) == 5
+
+
+@pytest.mark.parametrize("gang", [True, False])
+def test_finite_steps_that_can_take_turns_share_one_place(
+    records: list[WorkerRecord], gang: bool
+) -> None:
+    whole = Step(1, memory_mb=ENTRY.memory_mb, gang=gang)
+    waiting = [place_tasks(whole, (), job_id) for job_id in ("a" * 16, "b" * 16)]
+    assert count_needed_workers(waiting, records[:1]) == 0
+    serving = place_tasks(attrs.evolve(HALF, count=1), (), "c" * 16)
+    assert count_needed_workers([serving, *waiting], records[:1]) == 2
+
+
+def test_gang_and_serving_tasks_need_workers_side_by_side(
+    records: list[WorkerRecord],
+) -> None:
+    gang = place_tasks(Step(3, memory_mb=ENTRY.memory_mb, gang=True), (), "a" * 16)
+    serving = place_tasks(attrs.evolve(HALF, count=2), (), "b" * 16)
+    assert count_needed_workers([serving, gang], records) == 4
+
+
 def test_no_more_workers_are_needed_for_a_label_that_none_has(
     records: list[WorkerRecord],
 ) -> None:
