Read the fleet row again while it keeps workers closed

An owner learned of lifted cordons from the change feed alone; one that delivers nothing kept its workers closed for as long. While a worker is cordoned, the owner now reads the row each second; a row older than the delivered one is left out.

--- a/src/onyxgap/daemons/owner.py
+++ b/src/onyxgap/daemons/owner.py
@@ -89,7 +89,8 @@
             self._start_hold_loop(worker_id)
         group.start_soon(self._follow_workers(self._workers_version).run)
         group.start_soon(self._job_follower.run)
-        group.start_soon(self._follow_fleet().run)
+        group.start_soon(self._fleet_follower.run)
+        group.start_soon(self._build_fleet_refresher().run)
         if self.share_synchronizer is not None:
             group.start_soon(self.share_synchronizer.build_follower().run)
         if self.context.policy_client is not None:
--- a/src/onyxgap/daemons/owner_jobs.py
+++ b/src/onyxgap/daemons/owner_jobs.py
@@ -22,6 +22,7 @@
 from .expiry import JobRemover
 from .expiry import PointerRemover
 from .fence import RENEWAL_INTERVAL_S
+from .fleet_row_refresh import FleetRowRefresher
 from .follower import Follower
 from .job_versions import JobVersions
 from .owner_workers import OwnerWorkers
@@ -46,6 +47,7 @@
     _remover: JobRemover = attrs.field(init=False)
     _pointer_remover: PointerRemover = attrs.field(init=False)
     _job_follower: Follower = attrs.field(init=False)
+    _fleet_follower: Follower = attrs.field(init=False)
     _versions: JobVersions = attrs.field(factory=JobVersions)
 
     def __attrs_post_init__(self) -> None:
@@ -53,6 +55,7 @@
         self._remover = JobRemover(self.shard, self.context.store)
         self._pointer_remover = PointerRemover(self.shard, self.context.store)
         self._job_follower = self._follow_jobs()
+        self._fleet_follower = self._follow_fleet()
 
     def _follow_jobs(self) -> Follower:
         return Follower(
@@ -72,6 +75,17 @@
             self.context.rng,
         )
 
+    def _build_fleet_refresher(self) -> FleetRowRefresher:
+        return FleetRowRefresher(
+            self.context.store,
+            self._fleet_follower,
+            self._apply_fleet_rows,
+            self._has_cordoned_workers,
+        )
+
+    def _has_cordoned_workers(self) -> bool:
+        return any(record.cordoned for record in self.state.workers.values())
+
     async def _load(self) -> None:
         """Load the shard; other nodes would claim it if its row did not change."""
         read = anyio.Event()
