Let no older fleet row replace a newer one at an owner

Found by review of the refresh: the change feed may deliver a row after a newer one was read. An owner that had reported a worker as drained would open it again while the fleet controller has that word, and its order ends the runs placed meanwhile. The owner keeps the version of the newest row and leaves older ones out.

--- a/src/onyxgap/daemons/owner_jobs.py
+++ b/src/onyxgap/daemons/owner_jobs.py
@@ -48,6 +48,7 @@
     _pointer_remover: PointerRemover = attrs.field(init=False)
     _job_follower: Follower = attrs.field(init=False)
     _fleet_follower: Follower = attrs.field(init=False)
+    _fleet_version: int = 0
     _versions: JobVersions = attrs.field(factory=JobVersions)
 
     def __attrs_post_init__(self) -> None:
@@ -227,14 +228,17 @@
         return True
 
     def _apply_fleet_rows(self, rows: t.Sequence[StoredRow], snapshot: bool) -> None:
-        for _, fleet in decode_rows(
-            rows,
+        # the feed may deliver a row that was read before, or an older one
+        newer = [row for row in rows if row.version >= self._fleet_version]
+        for row, fleet in decode_rows(
+            newer,
             lambda row: decode_fleet_row(row.value),
             self.context.skipped,
             "fleet row skipped",
         ):
             if fleet is None:
                 continue
+            self._fleet_version = row.version
             self.state.set_cordons(fleet.cordons, fleet.due)
             self.state.received_cordons = receive_cordons(fleet, self._get_moment())
             self.state.fleet_vms = sum(fleet.base.values())
