--- a/src/onyxgap/jobs/shard_demand.py
+++ b/src/onyxgap/jobs/shard_demand.py
@@ -87,6 +87,9 @@
         demand = LateDemand(self.workers.values(), now)
         for job, occurrence, number in self._list_ready_steps():
             step, tasks = job.submission.steps[number], occurrence.steps[number]
+            # a VM does not help a job that its tenant's cap holds back
+            if job.capped_at is not None:
+                continue
             if not rate_urgency(job, number, now, self.forecast).late:
                 continue
             fraction = get_worker_fraction(step, capacity)
