Bound what unanswered orders close, and send one probe at a time

A wave now awaits a reply before the next order in the pool. - One refusal counted as an outage for good, and lists that take 1.2 s counted as away. - A wave never ended beside waiting work if its workers took over 8 s to drain.

--- a/src/onyxgap/pools/cordon_review.py
+++ b/src/onyxgap/pools/cordon_review.py
@@ -71,11 +71,18 @@
             if pending.resend_at is not None and now >= pending.resend_at
         ]
         if due and self.interface.are_orders_away(now):
-            due = [self._choose_probe()] if self.interface.is_probe_due(now) else []
+            may_probe = self.interface.is_probe_due(now) and not self._awaits_reply()
+            due = [self._choose_probe()] if may_probe else []
         for pending in due:
             pending.resend_at = None
         return [pending.order for pending in due]
 
+    def _awaits_reply(self) -> bool:
+        return any(
+            pending.answered_at is None and pending.resend_at is None
+            for pending in self.pending_orders.values()
+        )
+
     def _choose_probe(self) -> PendingOrder:
         unanswered = [
             pending
@@ -188,10 +195,18 @@
         return {
             item.vm.name: "not ordered in time"
             for item in cordoned
-            if now - (item.cordon.set_at or 0.0) > MAX_DRAIN_S
+            if self._waits_for_long(item, now)
             and _has_waiting_work(self.reports.get(item.vm.pool))
         }
 
+    def _waits_for_long(self, item: CordonedVm, now: float) -> bool:
+        age_s = item.cordon.get_age_s(now)
+        if age_s is None or age_s <= MAX_DRAIN_S:
+            return False
+        # a wave must end, however long its workers take to drain
+        refused = now < self._paused_until.get(item.vm.name, 0.0)
+        return item.cordon.reason is CordonReason.MOVE or refused
+
     def _lift(self, item: CordonedVm, reason: str, now: float) -> None:
         del self.cordons[item.vm.worker_id]
         if reason == "not ordered in time":
--- a/src/onyxgap/pools/fleet_state.py
+++ b/src/onyxgap/pools/fleet_state.py
@@ -322,7 +322,8 @@
         self.interface.note_reply(reply, now)
         if reply is VmReply.UNKNOWN:
             self._unanswered_at[order.vm] = now
-        elif reply is VmReply.DONE:
+        elif reply is VmReply.DONE and order.kind is VmActionKind.UPKEEP:
+            # maintenance is carried out once for each wave, a move once more each time
             self._unanswered_at.pop(order.vm, None)
         # a refusal tells nothing of an earlier order that was not answered
         refused_later = reply is VmReply.RETRY and order.vm in self._unanswered_at
@@ -380,6 +381,7 @@
             vm.state is VmState.UP
             and name not in self.pending_orders
             and now >= self._paused_until.get(name, 0.0)
+            and (name not in self._unanswered_at or vm.pool not in self.shards)
         )
 
     def _is_drained(self, vm: Vm) -> bool:
--- a/src/onyxgap/pools/planner.py
+++ b/src/onyxgap/pools/planner.py
@@ -242,6 +242,7 @@
             vm
             for vm in self.vms.values()
             if self._is_available(vm.name, now)
+            and not self._may_be_carried_out(vm.name)
             and self._is_drained(vm)
             and (vm.pool == self.spare_pool or self._is_cordoned(vm, CordonReason.MOVE))
         ]
--- a/src/onyxgap/pools/vm_interface.py
+++ b/src/onyxgap/pools/vm_interface.py
@@ -11,14 +11,19 @@
 
 from .messages import VmReply
 
-LIST_TIMEOUT_S = 2.5
+LIST_TIMEOUT_S = 4.0
 """Age of the newest VM list from which on lists count as away. The list is requested
-every 0.5 s, and one lost answer is no outage."""
+every 0.5 s, and its pages may take 1.5 s in all."""
 ORDER_TIMEOUT_S = 0.6
 """Time without a conclusive reply after a failed order from which on orders count as
 away. A rate limit refuses single orders among others that are carried out."""
+MIN_FAILURES = 2
+"""Failed orders from which on orders count as away."""
 PROBE_INTERVAL_S = 3.0
 """Time between two probes while orders are away."""
+FAILURE_VALID_S = 7.0
+"""Time after which a failure says nothing any more; twice the time between two probes,
+and the time-out of one."""
 
 _INCONCLUSIVE = frozenset({VmReply.UNKNOWN, VmReply.RETRY})
 
@@ -31,11 +36,13 @@
     :param failing_since: monotonic seconds of the first failed order since the last
         conclusive reply, or ``None``.
     :param failed_at: monotonic seconds of the newest failed order.
+    :param failures: failed orders since the last conclusive reply.
     """
 
     listed_at: float = -math.inf
     failing_since: float | None = None
     failed_at: float = -math.inf
+    failures: int = 0
 
     def note_list(self, sent_at: float) -> None:
         """Record that a list was received.
@@ -48,10 +55,13 @@
         """Record the reply to an order, or that there was none."""
         if reply not in _INCONCLUSIVE:
             self.failing_since = None
+            self.failures = 0
             return
-        self.failed_at = now
-        if self.failing_since is None:
+        if self.failing_since is None or self._is_outdated(now):
             self.failing_since = now
+            self.failures = 0
+        self.failed_at = now
+        self.failures += 1
 
     def are_lists_away(self, now: float) -> bool:
         """Tell whether lists are not answered."""
@@ -60,7 +70,12 @@
     def are_orders_away(self, now: float) -> bool:
         """Tell whether orders are not answered, or all refused."""
         since = self.failing_since
-        return since is not None and now - since > ORDER_TIMEOUT_S
+        if since is None or self._is_outdated(now):
+            return False
+        return self.failures >= MIN_FAILURES and now - since > ORDER_TIMEOUT_S
+
+    def _is_outdated(self, now: float) -> bool:
+        return now - self.failed_at > FAILURE_VALID_S
 
     def is_away(self, now: float) -> bool:
         """Tell whether nothing that is planned now would come to an end."""
--- a/src/onyxgap/pools/waves.py
+++ b/src/onyxgap/pools/waves.py
@@ -13,7 +13,6 @@
 from .messages import VmActionKind
 from .messages import VmOrder
 from .messages import VmState
-from .messages import Wave
 from .sizing import count_needed_vms
 
 WAVE_MARGIN_S = 4.0
@@ -38,18 +37,33 @@
             for name in self._list_remaining(progress)
             if self._is_available(name, now)
         ]
-        slots = wave.cap - self._count_vms_down(wave)
+        down = self._list_vms_down(progress)
         ready = [name for name in remaining if self._is_drained(self.vms[name])]
-        for name in ready[: max(0, slots)]:
-            if not self._may_order(self.vms[name], now):
-                break
+        for name in ready:
+            vm = self.vms[name]
+            if len(down | {name}) > wave.cap or not self._may_order(vm, now):
+                continue
+            # without replies, one VM of a pool is closed and not all
+            if self._awaits_reply_in(vm.pool):
+                continue
+            down.add(name)
             order = VmOrder(name, VmActionKind.UPKEEP, wave=wave.number)
-            yield self._add_pending(self.vms[name], order)
+            yield self._add_pending(vm, order)
         self._cordon_wave(
             progress, [name for name in remaining if name not in ready], now
         )
 
-    def _count_vms_down(self, wave: Wave) -> int:
+    def _awaits_reply_in(self, pool: str) -> bool:
+        return pool in self.shards and any(
+            pending.answered_at is None
+            and name in self.vms
+            and self.vms[name].pool == pool
+            for name, pending in self.pending_orders.items()
+        )
+
+    def _list_vms_down(self, progress: WaveProgress) -> set[str]:
+        """List the VMs that are down for a wave, or may be."""
+        wave = progress.wave
         down = {
             name
             for name, pending in self.pending_orders.items()
@@ -60,7 +74,9 @@
             for name in wave.vms
             if name in self.vms and self.vms[name].state is VmState.UPKEEP
         }
-        return len(down)
+        unanswered = self._unanswered_at.keys() - progress.done
+        down |= unanswered & set(wave.vms)
+        return down
 
     def _cordon_wave(
         self, progress: WaveProgress, names: t.Sequence[str], now: float
--- a/tests/test_lifted_cordons.py
+++ b/tests/test_lifted_cordons.py
@@ -2,6 +2,7 @@
 
 import typing as t
 
+import attrs
 import pytest
 
 from onyxgap.pools.fleet_state import LATE_ORDER_S
@@ -33,16 +34,22 @@
     """Four VMs of one pool, whose owner reports cordoned workers as drained at once.
 
     :param answer: reply of the platform to an order at a time.
+    :param latency_s: time after which the replies come.
     """
 
-    def __init__(self, answer: Answer) -> None:
+    def __init__(self, answer: Answer, latency_s: float = 0.0) -> None:
         self.answer = answer
+        self.latency_s = latency_s
+        self.replies: list[tuple[float, VmOrder, VmReply]] = []
         self.planner = FleetPlanner(
             2.0, epoch=1, spare_pool="spare", shards=frozenset({POOL})
         )
         self.planner.sizes = {POOL: 4}
         self.states: dict[str, VmState] = {}
         self.spare: list[Vm] = []
+        self.moved: dict[str, str] = {}
+        self.drain_s = 0.0
+        self.seen_cordons: dict[str, float] = {}
         self.orders: list[tuple[float, VmOrder]] = []
         self.lists_away_from = float("inf")
         self.report: dict[str, t.Any] = {}
@@ -54,26 +61,47 @@
         while self.now < until:
             self.now += TICK_S
             if self.now < self.lists_away_from:
-                self.planner.apply_vm_list(
-                    [*build_vms(self.states), *self.spare], self.now
-                )
+                self.planner.apply_vm_list([*self.build_vms(), *self.spare], self.now)
             self.planner.reports[POOL] = self.build_report()
             for order in self.planner.plan(self.now):
                 self.orders.append((self.now, order))
                 reply = self.answer(order, self.now)
-                self.planner.apply_reply(order, reply, self.now)
+                self.replies.append((self.now + self.latency_s, order, reply))
+            self.deliver_replies()
+
+    def deliver_replies(self) -> None:
+        for item in [item for item in self.replies if item[0] <= self.now]:
+            self.replies.remove(item)
+            self.planner.apply_reply(item[1], item[2], self.now)
+
+    def build_vms(self) -> list[Vm]:
+        return [
+            attrs.evolve(vm, pool=self.moved[vm.name], worker_id="")
+            if vm.name in self.moved
+            else vm
+            for vm in build_vms(self.states)
+        ]
 
     def build_report(self) -> PoolReport:
-        row = self.planner.get_row()
+        cordons = self.planner.get_row().cordons
+        self.seen_cordons = {
+            cordon_id: self.seen_cordons.get(cordon_id, self.now)
+            for cordon_id in cordons.values()
+        }
+        drained = {
+            worker_id: cordon_id
+            for worker_id, cordon_id in cordons.items()
+            if self.now - self.seen_cordons[cordon_id] >= self.drain_s
+        }
         workers = {f"w-{name}": WorkerLoad(0, 0, 0) for name in NAMES}
-        return PoolReport(POOL, workers, dict(row.cordons), epoch=1, **self.report)
+        return PoolReport(POOL, workers, drained, epoch=1, **self.report)
 
     def list_cordoned(self) -> list[str]:
         return sorted(self.planner.cordons)
 
 
-def build_fleet(reply: VmReply) -> Fleet:
-    return Fleet(lambda order, now: reply)
+def build_fleet(reply: VmReply, latency_s: float = 0.0) -> Fleet:
+    return Fleet(lambda order, now: reply, latency_s)
 
 
 def test_cordons_of_vms_that_are_not_due_are_lifted() -> None:
@@ -98,9 +126,12 @@
     assert not [name for name in NAMES if f"w-{name}" in fleet.planner.cordons]
 
 
+@pytest.mark.parametrize("latency_s", [0.0, 0.3, 1.0, 2.0])
 @pytest.mark.parametrize("reply", [VmReply.UNKNOWN, VmReply.RETRY])
-def test_upkeep_that_gets_no_answer_closes_one_vm_at_most(reply: VmReply) -> None:
-    fleet = build_fleet(reply)
+def test_upkeep_that_gets_no_answer_closes_one_vm_at_most(
+    reply: VmReply, latency_s: float
+) -> None:
+    fleet = build_fleet(reply, latency_s)
     fleet.planner.add_wave(Wave(1, NAMES, 8.0, 3), 0.0)
     fleet.play(30)
     assert fleet.orders
@@ -189,3 +220,72 @@
     fleet.play(20)
     moves = [order.vm for _, order in fleet.orders if order.pool == POOL]
     assert fleet.list_cordoned() == [] or "z0" in moves
+
+
+def test_vm_with_a_move_in_flight_is_not_opened_by_a_move_back() -> None:
+    sent: list[float] = []
+
+    def answer(order: VmOrder, now: float) -> VmReply:
+        sent.append(now)
+        return VmReply.UNKNOWN if len(sent) == 1 else VmReply.DONE
+
+    fleet = Fleet(answer)
+    fleet.planner.sizes = {POOL: 3}
+    fleet.play(3)
+    (moved,) = {order.vm for _, order in fleet.orders}
+    fleet.states[moved] = VmState.MOVING
+    fleet.play(2)
+    del fleet.states[moved]
+    fleet.moved = {moved: "spare"}
+    fleet.planner.sizes = {POOL: 4}
+    while fleet.now < sent[0] + LATE_ORDER_S - TICK_S:
+        fleet.play(TICK_S)
+        assert [order for _, order in fleet.orders if order.pool == POOL] == []
+
+
+def test_successor_sends_no_other_order_about_a_vm_whose_order_may_be_in_flight() -> (
+    None
+):
+    fleet = build_fleet(VmReply.UNKNOWN)
+    fleet.planner.sizes = {POOL: 3}
+    fleet.play(0.75)
+    row = fleet.planner.get_row()
+    (name,) = row.ordered
+    successor = build_fleet(VmReply.DONE)
+    successor.planner.epoch = 2
+    successor.planner.restore(row, 0.0, 3.7)
+    successor.planner.sizes = {POOL: 3}
+    successor.planner.add_wave(Wave(1, (name,), 8.0, 1), 0.0)
+    successor.play(LATE_ORDER_S - 1)
+    assert name not in {order.vm for _, order in successor.orders}
+
+
+def test_wave_keeps_its_cap_beside_an_order_that_may_be_carried_out_late() -> None:
+    replies = iter([VmReply.UNKNOWN, VmReply.BUSY])
+    fleet = Fleet(lambda order, now: next(replies, VmReply.DONE))
+    fleet.planner.add_wave(Wave(1, NAMES, 8.0, 1), 0.0)
+    fleet.play(10)
+    assert len({order.vm for _, order in fleet.orders}) == 1
+
+
+@pytest.mark.parametrize("drain_s", [7.0, 10.0])
+def test_wave_ends_beside_waiting_work_though_workers_take_long_to_drain(
+    drain_s: float,
+) -> None:
+    fleet = build_fleet(VmReply.DONE)
+    fleet.report = {"queued": 1.0}
+    fleet.drain_s = drain_s
+    fleet.planner.add_wave(Wave(1, NAMES, 20.0, 2), 0.0)
+    fleet.play(60)
+    assert fleet.planner.list_complete_waves() == [1]
+
+
+def test_single_refusal_does_not_stop_maintenance_for_long() -> None:
+    replies = iter([VmReply.RETRY])
+    fleet = Fleet(lambda order, now: next(replies, VmReply.DONE))
+    fleet.planner.sizes = {POOL: 3}
+    fleet.play(1)
+    fleet.planner.sizes = {POOL: 4}
+    fleet.planner.add_wave(Wave(1, NAMES[1:2], 8.0, 1), 1.0)
+    fleet.play(12)
+    assert fleet.planner.list_complete_waves() == [1]
