Answer refused orders about VMs with 503 and 429 in the soak

An order that the emulator refuses (RETRY) had no form over HTTP and was held open, so that nodes took it for one that may have been carried out.

--- a/bench/soak/platform.py
+++ b/bench/soak/platform.py
@@ -1,5 +1,6 @@
 """The emulated store, workers and VMs behind one HTTP interface for each node."""
 
+import itertools
 import typing as t
 import urllib.parse
 
@@ -46,6 +47,9 @@
     VmReply.NOT_DUE: (409, "wave"),
     VmReply.INVALID: (400, ""),
 }
+"""Status and reason of a reply to an order; ``UNKNOWN`` has none."""
+REFUSALS = (503, 429)
+"""Statuses of refused orders in turn: out of service, and too many calls."""
 Answer = tuple[int, wire.Json] | None
 
 
@@ -72,6 +76,7 @@
     workers: EmulatedWorkers
     address: str
     connections: PlatformConnections
+    _refusals: t.Iterator[int] = attrs.field(factory=lambda: itertools.cycle(REFUSALS))
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one call, or hold it open without an answer."""
@@ -118,13 +123,7 @@
         if path == "/machines":
             return await self._list_vms()
         if path.startswith("/machine-"):
-            holder, token = headers["lease-holder"], int(headers["fencing-token"])
-            order = wire.read_vm_order(path, raw)
-            reply = await self.cloud.send(order, holder, token)
-            if reply not in VM_REPLIES:
-                return None
-            status, reason = VM_REPLIES[reply]
-            return status, {"reason": reason}
+            return await self._answer_vm_order(path, raw, headers)
         return await self._answer_worker(path, raw, headers["expected-instance"])
 
     async def _list_vms(self) -> Answer:
@@ -134,6 +133,19 @@
             return _answer_failed_call(error, "refused")
         return 200, {"machines": [wire.write_vm(vm) for vm in vms]}
 
+    async def _answer_vm_order(
+        self, path: str, raw: wire.Json, headers: wire.Json
+    ) -> Answer:
+        holder, token = headers["lease-holder"], int(headers["fencing-token"])
+        order = wire.read_vm_order(path, raw)
+        reply = await self.cloud.send(order, holder, token)
+        if reply is VmReply.RETRY:
+            return next(self._refusals), {}
+        if reply not in VM_REPLIES:
+            return None
+        status, reason = VM_REPLIES[reply]
+        return status, {"reason": reason}
+
     async def _answer_store(
         self, path: str, raw: wire.Json, query: wire.Json
     ) -> Answer:
