--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -11,6 +11,7 @@
 import structlog
 
 from onyxgap.standins.emulator.faults import draw_faults
+from onyxgap.standins.emulator.faults import draw_interface_faults
 from onyxgap.standins.emulator.faults import draw_worker_deaths
 from onyxgap.standins.emulator.script import load_script
 
@@ -38,6 +39,12 @@
         default=0,
         help="deaths of workers that the list of VMs does not tell of, drawn apart",
     )
+    parser.add_argument(
+        "--interface-faults",
+        type=int,
+        default=0,
+        help="faults of the platform's interface for VMs, drawn apart",
+    )
     parser.add_argument("--day", type=pathlib.Path, default=DAY, help="day file")
     parser.add_argument("--keep", type=pathlib.Path, help="folder for logs")
     parser.add_argument("--json", action="store_true", help="one JSON object a seed")
@@ -54,6 +61,7 @@
         script = draw_faults(day, seed, arguments.faults, include_scripted=True)
         script = draw_connection_faults(script, seed, arguments.connection_faults)
         script = draw_worker_deaths(script, seed, arguments.deaths)
+        script = draw_interface_faults(script, seed, arguments.interface_faults)
         with tempfile.TemporaryDirectory(prefix="soak-") as scratch:
             folder = pathlib.Path(scratch)
             if arguments.keep:
