--- a/src/onyxgap/jobs/shard_demand.py
+++ b/src/onyxgap/jobs/shard_demand.py
@@ -5,11 +5,14 @@
 
 import attrs
 
+from ..pools.cordons import CordonSummary
+from ..pools.cordons import summarize_cordons
 from ..pools.messages import PoolReport
 from ..pools.messages import WorkerLoad
 from .job import Job
 from .job import Occurrence
 from .job import TaskPhase
+from .late_demand import LateDemand
 from .load import estimate_vm_seconds
 from .load import get_load_kind
 from .load import get_worker_fraction
@@ -53,6 +56,7 @@
                 [*self._list_wide_steps(), *self._list_steps_beside_unreached()],
                 self.workers.values(),
             ),
+            late_vms=self._count_late_vms(capacity, now),
             arrived_jobs=self.arrived_jobs,
             offered=round(self.offered, 3),
             epoch=self.epoch,
@@ -79,6 +83,20 @@
                     sums[kind] += fraction
         return {kind: round(total, 3) for kind, total in sums.items()}
 
+    def _count_late_vms(self, capacity: tuple[int, int], now: float) -> int:
+        demand = LateDemand(self.workers.values(), now)
+        for job, occurrence, number in self._list_ready_steps():
+            step, tasks = job.submission.steps[number], occurrence.steps[number]
+            if not rate_urgency(job, number, now, self.forecast).late:
+                continue
+            fraction = get_worker_fraction(step, capacity)
+            waiting = sum(
+                task.phase is TaskPhase.WAITING and now >= task.not_before
+                for task in tasks
+            )
+            demand.add_step(step, get_step_key(tasks[0]), waiting * fraction)
+        return demand.count_vms()
+
     def _measure_worker_loads(self) -> dict[str, WorkerLoad]:
         serving = collections.Counter(
             task.worker_id
@@ -142,6 +160,21 @@
             and record.unstored_jobs <= set(stored_jobs)
         }
 
+    def summarize_cordons(self, now: float) -> CordonSummary | None:
+        """Summarize the cordons for the log, ``None`` if no worker is cordoned.
+
+        :param now: monotonic seconds.
+        """
+        cordoned = {
+            worker_id: self.cordons[worker_id]
+            for worker_id, record in self.workers.items()
+            if record.cordoned and worker_id in self.cordons
+        }
+        if not cordoned:
+            return None
+        drained = self.list_drained_workers()
+        return summarize_cordons(cordoned, drained, self.received_cordons, now)
+
     def _justifies_more_vms(self, job: Job, step: int, now: float) -> bool:
         """Return whether a waiting step justifies more VMs for the pool."""
         urgency = rate_urgency(job, step, now, self.forecast)
--- a/src/onyxgap/pools/messages.py
+++ b/src/onyxgap/pools/messages.py
@@ -88,6 +88,9 @@
     :param serving_vms: VMs that these tasks and gangs need side by side, 0 if each task
         has a worker to run on; see
         :func:`onyxgap.jobs.shortage.count_needed_workers`.
+    :param late_vms: VMs that the pool needs so that its late tasks go on, including
+        those that it has, 0 if none of these tasks lacks room; see
+        :class:`onyxgap.jobs.late_demand.LateDemand`.
     :param arrived_jobs: jobs accepted since the owner claimed the shard.
     :param offered: work of the tasks of these jobs that end by themselves, in VM
         seconds.
@@ -101,23 +104,27 @@
     batch: float = 0.0
     serving: float = 0.0
     serving_vms: int = 0
+    late_vms: int = 0
     arrived_jobs: int = 0
     offered: float = 0.0
     epoch: int = 0
 
 
+LATER_FIELDS = ("serving_vms", "late_vms")
+"""Fields of reports that earlier versions do not know."""
 _REPORT_FIELDS = frozenset(field.name for field in attrs.fields(PoolReport))
 
 
 def encode_report(report: PoolReport) -> bytes:
     """Encode a report for the store.
 
-    Nodes of different versions share a deployment. A version that does not know
-    ``serving_vms`` skips reports that have it, so it is left out where it is 0.
+    Nodes of different versions share a deployment. A version that does not know one of
+    :data:`LATER_FIELDS` skips reports that have it, so it is left out where it is 0.
     """
     value = attrs.asdict(report, recurse=False)
-    if not report.serving_vms:
-        del value["serving_vms"]
+    for name in LATER_FIELDS:
+        if not value[name]:
+            del value[name]
     value["workers"] = {
         worker_id: [load.runs, load.serving, load.cpu_used]
         for worker_id, load in report.workers.items()
@@ -186,6 +193,15 @@
     :param base: base size by pool: its VMs when the first fleet controller started.
     :param ordered: VMs about which an order may still be in flight.
     :param startup_over: whether the start-up of the deployment is over.
+    :param cordon_set_ms: milliseconds of the store's clock when each cordon was set, by
+        worker, if that is known.
+    :param cordon_waves: maintenance wave by worker that is cordoned for one.
+    :param ordered_workers: cordoned workers of the VMs in ``ordered``.
+    :param epoch: fencing token of the fleet controller, 0 if it is not known.
+    :param listed_at_ms: milliseconds of the store's clock when the VM list that the
+        controller acted on was requested, ``None`` if that is not known.
+    :param written_at_ms: milliseconds of the store's clock when the row was written,
+        ``None`` if that is not known.
     """
 
     cordons: t.Mapping[str, str] = attrs.field(factory=dict)
@@ -194,6 +210,16 @@
     base: t.Mapping[str, int] = attrs.field(factory=dict)
     ordered: frozenset[str] = frozenset()
     startup_over: bool = False
+    cordon_set_ms: t.Mapping[str, int] = attrs.field(factory=dict)
+    cordon_waves: t.Mapping[str, int] = attrs.field(factory=dict)
+    ordered_workers: frozenset[str] = frozenset()
+    epoch: int = 0
+    listed_at_ms: int | None = None
+    written_at_ms: int | None = None
+
+    def omit_times(self) -> "FleetRow":
+        """Return the row without the times that change although nothing else does."""
+        return attrs.evolve(self, listed_at_ms=None, written_at_ms=None)
 
 
 def encode_fleet_row(row: FleetRow) -> bytes:
@@ -206,6 +232,12 @@
         "base": dict(row.base),
         "ordered": sorted(row.ordered),
         "startup_over": row.startup_over,
+        "cordon_set_ms": dict(sorted(row.cordon_set_ms.items())),
+        "cordon_waves": dict(sorted(row.cordon_waves.items())),
+        "ordered_workers": sorted(row.ordered_workers),
+        "epoch": row.epoch,
+        "listed_at_ms": row.listed_at_ms,
+        "written_at_ms": row.written_at_ms,
     }
     return orjson.dumps(value)
 
@@ -224,8 +256,14 @@
             frozenset(raw["due"]),
             dict(raw["base"]),
             frozenset(raw["ordered"]),
-            # rows of earlier versions don't have it
+            # rows of earlier versions don't have these
             bool(raw.get("startup_over", False)),
+            dict(raw.get("cordon_set_ms", {})),
+            dict(raw.get("cordon_waves", {})),
+            frozenset(raw.get("ordered_workers", ())),
+            raw.get("epoch", 0),
+            raw.get("listed_at_ms"),
+            raw.get("written_at_ms"),
         )
     except MALFORMED_ERRORS as error:
         raise DocumentError([Fault("$", f"invalid fleet row: {error!r}")]) from None
--- a/src/onyxgap/pools/planner.py
+++ b/src/onyxgap/pools/planner.py
@@ -10,8 +10,8 @@
 import attrs
 import structlog
 
-from .fleet_state import MOVE_REASON
-from .fleet_state import UPKEEP_REASON
+from .cordons import CordonReason
+from .cordons import Moment
 from .messages import Vm
 from .messages import VmActionKind
 from .messages import VmOrder
@@ -26,6 +26,10 @@
 STARTUP_TIMEOUT_S = 8.0
 """All VMs start within seconds of each other. One that is not up by then is down."""
 
+MAX_UPKEEP_CORDON_S = 5.0
+"""Age from which a cordon for maintenance no longer counts as a VM that returns soon:
+it takes 2.5 s to drain a worker, and 2 s to maintain its VM."""
+
 _LOG = structlog.get_logger()
 
 
@@ -50,23 +54,22 @@
 class FleetPlanner(WavePlanner):
     """Plans maintenance and moves of VMs."""
 
-    def plan(self, now: float) -> list[VmOrder]:
+    def plan(self, now: float, store_ms: int | None = None) -> list[VmOrder]:
         """Return the orders to send now, and cordon workers to be drained.
 
         :param now: monotonic seconds.
+        :param store_ms: milliseconds of the store's clock, if known.
         """
-        orders = [
-            pending.order
-            for pending in self.pending_orders.values()
-            if pending.resend_at is not None and now >= pending.resend_at
-        ]
-        for order in orders:
-            self.pending_orders[order.vm].resend_at = None
+        self._pass_moment = Moment(now, store_ms)
+        self._remove_void_orders(now)
+        self._lift_idle_cordons(now)
+        orders = self._list_resends(now)
         for progress in self.waves.values():
             orders += self._plan_wave(progress, now)
         orders += self._plan_moves(now)
         for order in orders:
             self._last_ordered_at[order.vm] = now
+            self.pending_orders[order.vm].sent_at = now
         return orders
 
     def _plan_moves(self, now: float) -> t.Iterator[VmOrder]:
@@ -74,10 +77,10 @@
             return
         self._note_reported_workers(now)
         shortfalls = self._count_shortfalls(now)
-        self._cordon_surplus(shortfalls)
+        self._cordon_surplus(shortfalls, now)
         for vm in self._list_movable(now):
             pool = self._choose_pool(vm, shortfalls)
-            if pool == vm.pool:
+            if pool == vm.pool or not self._may_order(vm, now):
                 continue
             if pool in shortfalls:
                 shortfalls[pool].note_move()
@@ -89,6 +92,7 @@
                 pool=pool,
                 wanted=self.sizes.get(pool, 0),
                 open=self._count_schedulable(pool),
+                vm_list_age_s=self._get_list_age_in_pass_s(),
             )
             yield self._add_pending(vm, order)
 
@@ -127,7 +131,7 @@
         # VMs in maintenance return only once their tasks have found other workers
         needed = min(wanted, self._get_serving_vms(pool))
         serving = needed - usable + self._count_out_of_reach(pool, now)
-        vms = max(wanted - usable - self._count_returning(pool), serving)
+        vms = max(wanted - usable - self._count_returning(pool, now), serving)
         return Shortfall(vms, max(0, serving))
 
     def _count_incoming(self, pool: str) -> int:
@@ -136,17 +140,23 @@
             for pending in self.pending_orders.values()
         )
 
-    def _count_returning(self, pool: str) -> int:
+    def _count_returning(self, pool: str, now: float) -> int:
+        """Count VMs that are about to be in use again without a new order."""
         return sum(
             vm.pool == pool
-            and (
-                vm.state in (VmState.UPKEEP, VmState.MOVING)
-                or self._is_cordoned(vm, UPKEEP_REASON)
-            )
+            and self._is_returning(vm, now)
             and not self._has_pending_move(vm)
             for vm in self.vms.values()
         )
 
+    def _is_returning(self, vm: Vm, now: float) -> bool:
+        if vm.state in (VmState.UPKEEP, VmState.MOVING):
+            return not self._hangs(vm.name, now)
+        if not self._is_cordoned(vm, CordonReason.UPKEEP):
+            return False
+        age_s = self.cordons[vm.worker_id].get_age_s(now)
+        return age_s is not None and age_s < MAX_UPKEEP_CORDON_S
+
     def _get_serving_vms(self, pool: str) -> int:
         report = self.reports.get(pool)
         return report.serving_vms if report is not None else 0
@@ -168,28 +178,35 @@
         pending = self.pending_orders.get(vm.name)
         return pending is not None and pending.order.kind is VmActionKind.MOVE
 
-    def _cordon_surplus(self, shortfalls: t.Mapping[str, Shortfall]) -> None:
+    def _cordon_surplus(
+        self, shortfalls: t.Mapping[str, Shortfall], now: float
+    ) -> None:
         for pool, shortfall in shortfalls.items():
             cordoned = [
                 vm
                 for vm in self.vms.values()
                 if vm.pool == pool
-                and self._is_cordoned(vm, MOVE_REASON)
-                and vm.name not in self.pending_orders
+                and self._is_cordoned(vm, CordonReason.MOVE)
+                and not self._may_be_carried_out(vm.name)
             ]
             if shortfall.vms > 0:
                 self._lift_cordons(pool, cordoned[: shortfall.vms])
             elif shortfall.vms < 0:
-                self._cordon_least_loaded(pool, -shortfall.vms)
+                self._cordon_least_loaded(pool, -shortfall.vms, now)
 
     def _lift_cordons(self, pool: str, vms: t.Sequence[Vm]) -> None:
         for vm in vms:
             del self.cordons[vm.worker_id]
         if vms:
             workers = [vm.worker_id for vm in vms]
-            _LOG.info("cordons of surplus VMs lifted", pool=pool, workers=workers)
+            _LOG.info(
+                "cordons of surplus VMs lifted",
+                pool=pool,
+                workers=workers,
+                vm_list_age_s=self._get_list_age_in_pass_s(),
+            )
 
-    def _cordon_least_loaded(self, pool: str, count: int) -> None:
+    def _cordon_least_loaded(self, pool: str, count: int, now: float) -> None:
         report = self.reports.get(pool)
         if report is None:
             return
@@ -198,17 +215,26 @@
             load = report.workers.get(vm.worker_id)
             if vm.pool != pool or vm.state is not VmState.UP or load is None:
                 continue
-            if vm.worker_id in self.cordons or vm.name in self.pending_orders:
+            if vm.worker_id in self.cordons or self._may_be_carried_out(vm.name):
+                continue
+            if now < self._paused_until.get(vm.name, 0.0):
                 continue
             if not load.serving:
                 candidates.append((load.runs, load.cpu_used, vm.name, vm))
         candidates.sort(key=lambda item: item[:3])
-        surplus = [vm for *_, vm in candidates[:count]]
-        for vm in surplus:
-            self._cordon(vm, MOVE_REASON)
+        surplus = []
+        for *_, vm in candidates[:count]:
+            if self._may_cordon(now):
+                self._cordon(vm, CordonReason.MOVE)
+                surplus.append(vm)
         if surplus:
             workers = [vm.worker_id for vm in surplus]
-            _LOG.info("surplus VMs cordoned", pool=pool, workers=workers)
+            _LOG.info(
+                "surplus VMs cordoned",
+                pool=pool,
+                workers=workers,
+                vm_list_age_s=self._get_list_age_in_pass_s(),
+            )
 
     def _list_movable(self, now: float) -> list[Vm]:
         """List VMs that can be moved now, VMs of the spare pool first."""
@@ -217,7 +243,7 @@
             for vm in self.vms.values()
             if self._is_available(vm.name, now)
             and self._is_drained(vm)
-            and (vm.pool == self.spare_pool or self._is_cordoned(vm, MOVE_REASON))
+            and (vm.pool == self.spare_pool or self._is_cordoned(vm, CordonReason.MOVE))
         ]
         return sorted(movable, key=lambda vm: (vm.pool != self.spare_pool, vm.name))
 
--- a/src/onyxgap/pools/waves.py
+++ b/src/onyxgap/pools/waves.py
@@ -6,8 +6,8 @@
 import attrs
 import structlog
 
-from .fleet_state import UPKEEP_REASON
-from .fleet_state import FleetControllerState
+from .cordon_review import CordonReview
+from .cordons import CordonReason
 from .fleet_state import WaveProgress
 from .messages import Vm
 from .messages import VmActionKind
@@ -28,7 +28,7 @@
 
 
 @attrs.define
-class WavePlanner(FleetControllerState):
+class WavePlanner(CordonReview):
     """Plans maintenance waves."""
 
     def _plan_wave(self, progress: WaveProgress, now: float) -> t.Iterator[VmOrder]:
@@ -41,6 +41,8 @@
         slots = wave.cap - self._count_vms_down(wave)
         ready = [name for name in remaining if self._is_drained(self.vms[name])]
         for name in ready[: max(0, slots)]:
+            if not self._may_order(self.vms[name], now):
+                break
             order = VmOrder(name, VmActionKind.UPKEEP, wave=wave.number)
             yield self._add_pending(self.vms[name], order)
         self._cordon_wave(
@@ -70,13 +72,14 @@
             if self.vms[name].worker_id not in self.cordons
         ]
         uncordoned.sort(key=self._get_drain_key)
+        room = self._count_wave_room(progress, now)
         forced = self._count_forced(progress, len(names), now)
         for vm in uncordoned:
-            if draining >= progress.wave.cap:
+            if draining >= room or not self._may_cordon(now):
                 return
             if draining >= forced and self._count_drainable(vm.pool) < 1:
                 continue
-            self._cordon(vm, UPKEEP_REASON)
+            self._cordon(vm, CordonReason.UPKEEP, progress.wave.number)
             draining += 1
             _LOG.info(
                 "worker cordoned",
@@ -85,6 +88,7 @@
                 pool=vm.pool,
                 wave=progress.wave.number,
                 forced=draining <= forced,
+                vm_list_age_s=self._get_list_age_in_pass_s(),
             )
 
     def _count_forced(self, progress: WaveProgress, remaining: int, now: float) -> int:
