--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -143,6 +143,10 @@
             job.capped_at = now
         return False
 
+    def _is_within_cap(self, job: Job, step: Step) -> bool:
+        tenant = job.submission.tenant
+        return self.shares is None or self.shares.admits(tenant, get_task_amount(step))
+
     def _log_placing(
         self, ready: ReadyStep, placed: t.Sequence[StartOrder], now: float
     ) -> None:
--- a/src/onyxgap/jobs/shard_demand.py
+++ b/src/onyxgap/jobs/shard_demand.py
@@ -16,6 +16,7 @@
 from .load import estimate_vm_seconds
 from .load import get_load_kind
 from .load import get_worker_fraction
+from .messages import Step
 from .priorities import rate_urgency
 from .shard_jobs import get_step_key
 from .shard_stops import ShardStops
@@ -87,11 +88,11 @@
         demand = LateDemand(self.workers.values(), now)
         for job, occurrence, number in self._list_ready_steps():
             step, tasks = job.submission.steps[number], occurrence.steps[number]
-            # a VM does not help a job that its tenant's cap holds back
-            if job.capped_at is not None:
-                continue
             if not rate_urgency(job, number, now, self.forecast).late:
                 continue
+            # a VM does not help a job that its tenant's cap holds back
+            if not self._is_within_cap(job, step):
+                continue
             fraction = get_worker_fraction(step, capacity)
             waiting = sum(
                 task.phase is TaskPhase.WAITING and now >= task.not_before
@@ -163,6 +164,10 @@
             and record.unstored_jobs <= set(stored_jobs)
         }
 
+    def _is_within_cap(self, job: Job, step: Step) -> bool:
+        """Return whether the cap of a job's tenant allows another task of a step."""
+        return True
+
     def summarize_cordons(self, now: float) -> CordonSummary | None:
         """Summarize the cordons for the log, ``None`` if no worker is cordoned.
 
--- a/src/onyxgap/pools/cordon_review.py
+++ b/src/onyxgap/pools/cordon_review.py
@@ -6,6 +6,7 @@
 runs that were placed meanwhile.
 """
 
+import enum
 import typing as t
 
 import attrs
@@ -32,6 +33,15 @@
 _LOG = structlog.get_logger()
 
 
+class LiftReason(enum.Enum):
+    """Why a cordon is lifted."""
+
+    NOT_DUE = "maintenance not due"
+    INTERFACE_AWAY = "VM interface away"
+    OTHERS_HANG = "maintenance of others hangs"
+    NOT_ORDERED = "not ordered in time"
+
+
 @attrs.frozen(slots=True)
 class CordonedVm:
     """A cordoned VM.
@@ -141,31 +151,32 @@
             if vm.worker_id in self.cordons and not self._may_be_carried_out(vm.name)
         ]
 
-    def _list_undue(self, cordoned: t.Sequence[CordonedVm]) -> dict[str, str]:
+    def _list_undue(self, cordoned: t.Sequence[CordonedVm]) -> dict[str, LiftReason]:
         due = {
             name
             for progress in self.waves.values()
             for name in self._list_remaining(progress)
         }
         return {
-            item.vm.name: "maintenance not due"
+            item.vm.name: LiftReason.NOT_DUE
             for item in cordoned
             if item.cordon.reason is CordonReason.UPKEEP and item.vm.name not in due
         }
 
     def _list_unavailable(
         self, cordoned: t.Sequence[CordonedVm], now: float
-    ) -> dict[str, str]:
+    ) -> dict[str, LiftReason]:
         if not self.interface.is_away(now):
             return {}
         kept = not self.interface.are_lists_away(now) and self._may_probe(now)
         return {
-            item.vm.name: "VM interface away" for item in cordoned[1 if kept else 0 :]
+            item.vm.name: LiftReason.INTERFACE_AWAY
+            for item in cordoned[1 if kept else 0 :]
         }
 
     def _list_behind_hanging(
         self, progress: WaveProgress, cordoned: t.Sequence[CordonedVm], now: float
-    ) -> dict[str, str]:
+    ) -> dict[str, LiftReason]:
         """List VMs of a wave that wait for others whose maintenance hangs."""
         room = self._count_wave_room(progress, now)
         names = [
@@ -174,7 +185,7 @@
             if item.cordon.reason is CordonReason.UPKEEP
             and item.vm.name in progress.wave.vms
         ]
-        return dict.fromkeys(names[room:], "maintenance of others hangs")
+        return dict.fromkeys(names[room:], LiftReason.OTHERS_HANG)
 
     def _count_wave_room(self, progress: WaveProgress, now: float) -> int:
         """Count the VMs that may be down for a wave beside those that hang."""
@@ -191,9 +202,9 @@
 
     def _list_not_drained(
         self, cordoned: t.Sequence[CordonedVm], now: float
-    ) -> dict[str, str]:
+    ) -> dict[str, LiftReason]:
         return {
-            item.vm.name: "not ordered in time"
+            item.vm.name: LiftReason.NOT_ORDERED
             for item in cordoned
             if self._waits_for_long(item, now)
             and _has_waiting_work(self.reports.get(item.vm.pool))
@@ -207,9 +218,9 @@
         refused = now < self._paused_until.get(item.vm.name, 0.0)
         return item.cordon.reason is CordonReason.MOVE or refused
 
-    def _lift(self, item: CordonedVm, reason: str, now: float) -> None:
+    def _lift(self, item: CordonedVm, reason: LiftReason, now: float) -> None:
         del self.cordons[item.vm.worker_id]
-        if reason == "not ordered in time":
+        if reason is LiftReason.NOT_ORDERED:
             self._paused_until[item.vm.name] = now + REOPEN_S
         _LOG.info(
             "cordon lifted",
@@ -218,7 +229,7 @@
             pool=item.vm.pool,
             cordon=item.cordon.cordon_id,
             since_s=item.cordon.get_age_s(now),
-            reason=reason,
+            reason=reason.value,
             vm_list_age_s=self._get_list_age_in_pass_s(),
         )
 
--- a/src/onyxgap/pools/planner.py
+++ b/src/onyxgap/pools/planner.py
@@ -25,7 +25,6 @@
 report of its shard."""
 STARTUP_TIMEOUT_S = 8.0
 """All VMs start within seconds of each other. One that is not up by then is down."""
-
 MAX_UPKEEP_CORDON_S = 5.0
 """Age from which a cordon for maintenance no longer counts as a VM that returns soon:
 it takes 2.5 s to drain a worker, and 2 s to maintain its VM."""
--- a/tests/test_late_demand.py
+++ b/tests/test_late_demand.py
@@ -5,6 +5,7 @@
 import attrs
 import pytest
 
+from onyxgap.jobs.amounts import Amount
 from onyxgap.jobs.late_demand import LateDemand
 from onyxgap.jobs.messages import Step
 from onyxgap.jobs.placing import WorkerRecord
@@ -92,3 +93,32 @@
     assert harness.start_all() == []
     assert harness.shard.build_report(harness.now).late_vms == 0
     assert harness.shard.build_report(harness.now + 1000.0).late_vms == 2
+
+
+class FixedShares:
+    """Shares that allow each start, or none.
+
+    :param within: whether they do.
+    """
+
+    def __init__(self, within: bool) -> None:
+        self.within = within
+
+    def admits(self, tenant: str, amount: Amount) -> bool:
+        return self.within
+
+
+@pytest.mark.parametrize(("within", "late_vms"), [(True, 2), (False, 0)])
+def test_vm_is_requested_for_a_late_job_once_its_cap_holds_it_back_no_longer(
+    within: bool, late_vms: int
+) -> None:
+    harness = ShardHarness(Shard("s", epoch=3, claimed_at=50.0))
+    harness.add_worker("w1")
+    harness.add_job(SERVING, job_id="b" * 16)
+    harness.start_all()
+    job = harness.add_job(LATE)
+    assert harness.plan() == []
+    job.capped_at = harness.now
+    shares: t.Any = FixedShares(within)
+    harness.shard.shares = shares
+    assert harness.shard.build_report(harness.now + 1000.0).late_vms == late_vms
