Let a successor go on with maintenance that its predecessor ordered

Maintenance is carried out once for each wave, so that the same order does no harm; other orders are still left out. That this was the reason for the late wave is not shown.

The test of the wave's cap answers the first VM with busy throughout: sent again and done, it would rightly let the next one begin.

--- a/src/onyxgap/pools/fleet_state.py
+++ b/src/onyxgap/pools/fleet_state.py
@@ -381,9 +381,18 @@
             vm.state is VmState.UP
             and name not in self.pending_orders
             and now >= self._paused_until.get(name, 0.0)
-            and (name not in self._unanswered_at or vm.pool not in self.shards)
+            and (name not in self._unanswered_at or self._may_be_ordered_again(vm))
         )
 
+    def _may_be_ordered_again(self, vm: Vm) -> bool:
+        """Tell whether an earlier order about a VM, carried out late, would do no harm.
+
+        Nothing runs on the VM, or the orders are for maintenance, which is carried out
+        once for each wave.
+        """
+        is_idle = vm.pool not in self.shards
+        return is_idle or self._is_cordoned(vm, CordonReason.UPKEEP)
+
     def _is_drained(self, vm: Vm) -> bool:
         if vm.pool not in self.shards:
             return True
