Pass the time on the store's clock in the mutation without a pause

With the argument passed on, the missing pause is noticed again (run alone: failed before, passes now).

--- a/tests/test_mutations.py
+++ b/tests/test_mutations.py
@@ -83,9 +83,13 @@
     restore = FleetPlanner.restore
 
     def start_at_once(
-        self: FleetPlanner, row: FleetRow, now: float, pause_s: float
+        self: FleetPlanner,
+        row: FleetRow,
+        now: float,
+        pause_s: float,
+        store_ms: int | None = None,
     ) -> None:
-        restore(self, row, now, 0.0)
+        restore(self, row, now, 0.0, store_ms)
 
     patch.setattr(FleetPlanner, "restore", start_at_once)
 
