Log when an event loop is late, and play the soak beside busy processes

What a late process does could not be told from what others do to it: the lag was used for pauses between hold requests alone.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -16,6 +16,7 @@
 from onyxgap.standins.emulator.script import load_script
 
 from .connection_faults import draw_connection_faults
+from .cores import choose_core_share
 from .day import play_soak
 
 DAY = pathlib.Path(__file__).parent / "soak.day"
@@ -45,6 +46,15 @@
         default=0,
         help="faults of the platform's interface for VMs, drawn apart",
     )
+    parser.add_argument(
+        "--node-cores",
+        type=int,
+        default=0,
+        help="cores for the nodes, the others for the platform; 0: all share all",
+    )
+    parser.add_argument(
+        "--busy", type=int, default=0, help="busy processes on the cores of the nodes"
+    )
     parser.add_argument("--day", type=pathlib.Path, default=DAY, help="day file")
     parser.add_argument("--keep", type=pathlib.Path, help="folder for logs")
     parser.add_argument("--json", action="store_true", help="one JSON object a seed")
@@ -55,6 +65,7 @@
     structlog.configure(
         wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR)
     )
+    cores = choose_core_share(arguments.node_cores, arguments.busy)
     red = 0
     for seed in range(arguments.seed, arguments.seed + arguments.seeds):
         day = load_script(arguments.day)
@@ -67,13 +78,15 @@
             if arguments.keep:
                 folder = arguments.keep / str(seed)
                 folder.mkdir(parents=True, exist_ok=True)
-            result = play_soak(script, seed, folder)
+            result = play_soak(script, seed, folder, cores=cores)
         red += bool(result.breaches)
         faults = [f"{item.at:.1f} {item.verb} {item.target}" for item in script.faults]
         found = {
             "seed": seed,
             "accepted": result.account.accepted,
             "in_time": result.account.in_time,
+            "platform_lag_s": round(result.platform_lag_s, 3),
+            "node_lag_s": round(result.node_lag_s, 3),
             "faults": faults,
             "breaches": [f"{item.rule}: {item.detail}" for item in result.breaches],
         }
--- a/bench/soak/day.py
+++ b/bench/soak/day.py
@@ -10,6 +10,10 @@
 import anyio.abc
 import attrs
 
+from onyxgap.cli.tracing import EVENT_FIELD
+from onyxgap.cli.tracing import parse_lines
+from onyxgap.clocks import SystemClocks
+from onyxgap.daemons.lag import LoopLag
 from onyxgap.standins.emulator.breach import Breach
 from onyxgap.standins.emulator.day import DayResult
 from onyxgap.standins.emulator.faults import FaultyDay
@@ -18,6 +22,7 @@
 
 from .connection_faults import KINDS
 from .connection_faults import ConnectionFaults
+from .cores import CoreShare
 from .malformed import list_malformed_registrations
 from .processes import ProcessSlot
 
@@ -25,6 +30,36 @@
 """Time after the end of a day in which accepted jobs must end: days are short."""
 
 
+LAG_EVENT = "event loop late"
+"""Event of the log lines of nodes whose event loop is late."""
+
+
+@attrs.frozen
+class SoakResult(DayResult):
+    """How a day with processes ended.
+
+    :param platform_lag_s: highest lag of the event loop of the platform's process.
+    :param node_lag_s: highest lag of a node's event loop that the nodes have logged.
+    """
+
+    platform_lag_s: float = 0.0
+    node_lag_s: float = 0.0
+
+
+def read_node_lag(folder: pathlib.Path) -> float:
+    """Read the highest lag that the nodes have logged, 0 if none was late.
+
+    :param folder: folder with their logs.
+    """
+    lags = [
+        line.fields["lag_s"]
+        for path in folder.glob("*.log")
+        for line in parse_lines(path.name, path.read_text(errors="replace"))
+        if line.fields[EVENT_FIELD] == LAG_EVENT
+    ]
+    return max(lags, default=0.0)
+
+
 class LoopFromZero(asyncio.SelectorEventLoop):
     """An event loop whose clock begins at nought, as that of an emulated day."""
 
@@ -42,17 +77,22 @@
     """One day with processes for nodes.
 
     :param folder: where they write.
+    :param cores: processors of the nodes.
+    :param lag: lag of this process, in which the platform and the callers run.
     """
 
     folder: pathlib.Path = pathlib.Path()
     finish_s: float = FINISH_S
+    cores: CoreShare = CoreShare()
+    lag: LoopLag = attrs.field(factory=lambda: LoopLag(SystemClocks()))
     _connection_faults: ConnectionFaults = attrs.field(init=False)
 
     def _build(self, group: anyio.abc.TaskGroup) -> None:
         super()._build(group)
         self.callers.wall_start_s = time.time() - anyio.current_time()
         slots = [
-            ProcessSlot(slot.name, self, folder=self.folder) for slot in self.slots
+            ProcessSlot(slot.name, self, folder=self.folder, cores=self.cores)
+            for slot in self.slots
         ]
         self.slots = [*slots]
         self._connection_faults = ConnectionFaults(
@@ -71,12 +111,13 @@
             await super()._play_fault(fault)
 
     async def _start_nodes(self, group: anyio.abc.TaskGroup) -> None:
+        group.start_soon(self.lag.watch)
         for slot in self.slots:
             assert isinstance(slot, ProcessSlot)
             await slot.listen(group)
         await super()._start_nodes(group)
 
-    def _judge(self) -> DayResult:
+    def _judge(self) -> SoakResult:
         result = super()._judge()
         breaches = list(result.breaches)
         for slot in self.slots:
@@ -93,19 +134,34 @@
                     f"{slot.name} stopped, {call.what} unanswered {call.waited_s:.2f} s"
                 )
                 breaches.append(Breach("lost", call.at, detail))
-        return attrs.evolve(result, breaches=breaches)
+        return SoakResult(
+            breaches,
+            result.account,
+            result.hindsight,
+            self.lag.highest_s,
+            read_node_lag(self.folder),
+        )
 
 
 def play_soak(
-    script: Script, seed: int, folder: pathlib.Path, finish_s: float = FINISH_S
-) -> DayResult:
+    script: Script,
+    seed: int,
+    folder: pathlib.Path,
+    finish_s: float = FINISH_S,
+    cores: CoreShare | None = None,
+) -> SoakResult:
     """Play a day in real time.
 
     :param script: the day.
     :param seed: seed of everything that is drawn.
     :param folder: where the processes write.
     :param finish_s: seconds after the end of the day by which accepted jobs must end.
+    :param cores: processors of the nodes; without it all, beside nothing else.
     """
-    day = SoakDay(script, seed, folder=folder, finish_s=finish_s)
+    cores = cores or CoreShare()
+    day = SoakDay(script, seed, folder=folder, finish_s=finish_s, cores=cores)
     run = functools.partial(anyio.run, day.play, backend="asyncio")
-    return run(backend_options={"loop_factory": LoopFromZero})
+    with cores.confine_soak(), cores.keep_busy():
+        result = run(backend_options={"loop_factory": LoopFromZero})
+    assert isinstance(result, SoakResult)
+    return result
--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -36,6 +36,7 @@
 
 from . import wire
 from .connections import PlatformConnections
+from .cores import CoreShare
 from .lost_calls import CallTrace
 from .lost_calls import LostCalls
 from .platform import PlatformApp
@@ -143,6 +144,7 @@
     """A place where a node runs as a process.
 
     :param folder: where its settings and log are written.
+    :param cores: processors of the nodes.
     :param outlived: processes that were still there at the end of their grace.
     :param ended: exit codes of processes that nobody ended.
     :param connections: connections of its nodes to the platform.
@@ -150,6 +152,7 @@
     """
 
     folder: pathlib.Path = pathlib.Path()
+    cores: CoreShare = CoreShare()
     outlived: int = 0
     ended: list[int] = attrs.field(factory=list)
     lost_calls: LostCalls = attrs.field(factory=LostCalls)
@@ -215,6 +218,7 @@
             process = await anyio.open_process(
                 command, stdin=None, stdout=log, stderr=log
             )
+        self.cores.confine_node(process.pid)
         if self.node is node:
             self.day.routes.record_start(self.name)
             t.cast(PausedGate, self.gate).process = process
--- a/src/onyxgap/daemons/node_process.py
+++ b/src/onyxgap/daemons/node_process.py
@@ -148,6 +148,8 @@
             "configuration_version": node.routes.get_version,
             "configuration_known": node.exchange.versions.get_newest,
             "ready": node.job_api.is_ready,
+            "event_loop_lag_seconds": lambda: node.lag.seconds,
+            "event_loop_lag_highest_seconds": lambda: node.lag.highest_s,
             "store_down": lambda: node.health.is_down(node.clocks.read_monotonic()),
             "log_lines_dropped": lambda: lines.dropped_total,
         }
