Leave shards without an owner to nodes that are ready a second later

The first claim of a shard waits 0.7 s longer for each shard that a node owns already, so that 1 s lies between two claims of one node. The claim of one whose owner failed waits as before. A small VM counts as two owned shards in both delays, as before in one.

The new test fails on the parent: the node claims its third shard 1.1 s after its start. 200 and more tests of test_node_parts, test_relief, test_members and test_emulated_days pass.

--- a/src/onyxgap/jobs/ownership.py
+++ b/src/onyxgap/jobs/ownership.py
@@ -29,10 +29,14 @@
 sends one every 0.3 s, so two of them may be lost."""
 OWNED_DELAY_S = 0.3
 """Additional delay for each shard that a node owns, which distributes the shards."""
-SMALL_VM_DELAY_S = 0.6
-"""Additional delay of a node on a small VM, equal to that of two owned shards. Without
-it, a small VM may own a large shard and schedule from reports that are seconds old,
-while large VMs own nothing."""
+FIRST_CLAIM_DELAY_S = 0.7
+"""Additional delay for each owned shard before the claim of one that never had an
+owner. Nodes that start together are ready seconds apart where they share cores; the
+first one would own all shards."""
+SMALL_VM_LOAD = 2
+"""Owned shards as which a small VM counts in the delays. Without it, a small VM may own
+a large shard and schedule from reports that are seconds old, while large VMs own
+nothing."""
 
 LOAD_REPORT_VALID_S = 2.0
 """Maximum age of a load report. Owners renew their row every 0.7 s, and other nodes
@@ -174,10 +178,12 @@
         store without a gap. Missing renewals before that prove nothing.
     :param now: monotonic seconds.
     """
-    delay = get_claim_jitter(claimant.boot, shard) + OWNED_DELAY_S * claimant.owned
-    delay += SMALL_VM_DELAY_S * claimant.small_vm
+    load = claimant.owned + SMALL_VM_LOAD * claimant.small_vm
+    delay = get_claim_jitter(claimant.boot, shard) + OWNED_DELAY_S * load
     row = view.row
-    if row is None or row.released:
+    if row is None:
+        return view.changed_at + delay + FIRST_CLAIM_DELAY_S * load
+    if row.released:
         return view.changed_at + delay
     if view.is_handed_over(store_reachable_since, now):
         assert view.handed_over_at is not None
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -106,6 +106,16 @@
     assert is_claimable(view, 10.0 + OWNER_TIMEOUT_S + CLAIM_JITTER_S)
 
 
+def test_node_that_starts_first_leaves_shards_to_nodes_that_start_a_second_later() -> (
+    None
+):
+    view = OwnerView(None, 0, changed_at=10.0)
+    owner_of_two = attrs.evolve(CLAIMANT, owned=2)
+    assert not is_claimable(view, 11.5 + CLAIM_JITTER_S, owner_of_two)
+    assert is_claimable(view, 12.0 + CLAIM_JITTER_S, owner_of_two)
+    assert is_claimable(view, 10.0 + CLAIM_JITTER_S)
+
+
 def test_owner_timeout_is_longer_while_the_store_is_slow() -> None:
     view = OwnerView(OWNER_ROW, 7, changed_at=10.0)
     slow = attrs.evolve(CLAIMANT, latency_s=0.24)
