Let jobs that stand still use surplus workers not reported drained

The controller moves a VM only once the owner has reported its worker drained under the ID of the cordon. Until then the owner may place tasks there: the worker is not drained, and the move waits. A job that has had nothing running for 1 s now does, if no open worker has room. Not under the cordons of the first row that an owner reads (a former owner may have reported them), nor where the worker is about to be reported drained, nor for maintenance.

test_surplus_workers.py: without the choice of a surplus worker the first test fails ([] == ['w2']); all five pass.

--- a/src/onyxgap/jobs/placing.py
+++ b/src/onyxgap/jobs/placing.py
@@ -138,10 +138,13 @@
 
         Refusals, ejections and reservations are left out.
         """
+        return not self.cordoned and self.is_present(now)
+
+    def is_present(self, now: float) -> bool:
+        """Return whether the worker is present and answers, cordoned or not."""
         return (
             self.held
             and self.registered
-            and not self.cordoned
             and not self.gone
             and self.failing_since is None
             and self.entry.state is WorkerState.READY
@@ -150,8 +153,12 @@
 
     def is_open(self, now: float) -> bool:
         """Return whether new tasks may be placed on the worker at all."""
+        return not self.cordoned and self.takes_tasks(now)
+
+    def takes_tasks(self, now: float) -> bool:
+        """Return whether the worker takes new tasks, cordoned or not."""
         return (
-            self.is_usable(now)
+            self.is_present(now)
             and not self.reserved
             and now >= self.blocked_until
             and not self.is_ejected(now)
--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -44,6 +44,7 @@
 from .shard_demand import ShardDemand
 from .shard_jobs import get_step_key
 from .share_book import ShardShares
+from .surplus import STANDING_S
 from .usage import sum_usage_by_tenant
 from .workers import StartOrder
 
@@ -68,6 +69,8 @@
         kept only where run times are learned.
     :param fleet_vms: initial number of VMs of all pools, 0 if unknown.
     :param probeable: ejected workers that may be probed in this scheduling pass.
+    :param surplus: cordoned workers that jobs which stand still may use in this
+        scheduling pass.
     """
 
     shares: ShardShares | None = None
@@ -77,6 +80,7 @@
     fleet_vms: int = 0
     wait_reporter: WaitReporter = attrs.field(factory=WaitReporter)
     probeable: t.Sequence[WorkerRecord] = ()
+    surplus: t.Sequence[WorkerRecord] = ()
 
     def plan(self, now: float, wall_ms: float) -> list[StartOrder]:
         """Run a scheduling pass: choose tasks to start, and their workers.
@@ -98,6 +102,7 @@
             record for record in self.workers.values() if record.is_open(now)
         ]
         self.probeable = list_probeable(self.workers.values(), now)
+        self.surplus = self._list_surplus_workers(now)
         free_capacity = PassCapacity(open_workers, now)
         usage: t.Mapping[str, Amount] = {}
         if self.shares is not None:
@@ -238,8 +243,8 @@
     ) -> t.Iterator[StartOrder]:
         step = ready.job.submission.steps[ready.step]
         advised = ready.job.submission.policy.advised
-        may_probe = self._may_probe(ready, now)
-        needs_check = advised or step.long_running or may_probe
+        has_waited = self._may_probe(ready, now) or self._may_use_surplus(ready, now)
+        needs_check = advised or step.long_running or has_waited
         if not needs_check and free_capacity.is_unplaceable(step):
             return
         step_key = get_step_key(ready.tasks[0])
@@ -263,6 +268,9 @@
                 record = self._choose_probe(ready, task, allowed, now)
                 if record is not None:
                     record.probed_at = now
+                else:
+                    record = self._choose_surplus(ready, task, allowed, now)
+                if record is not None:
                     yield self._place(ready.job, step, task, record, task.run + 1, now)
                     return
                 if step.long_running:
@@ -282,10 +290,42 @@
             return False
         since = max(ready.job.accepted_at, ready.job.active_at)
         if ready.job.submission.steps[ready.step].long_running:
-            step_key = get_step_key(ready.tasks[0])
-            since = self.wait_reporter.waiting_since.get(step_key, now)
+            since = self._get_waiting_since(ready, now)
         return now - since >= PROBE_PATIENCE_S
 
+    def _get_waiting_since(self, ready: ReadyStep, now: float) -> float:
+        step_key = get_step_key(ready.tasks[0])
+        return self.wait_reporter.waiting_since.get(step_key, now)
+
+    def _list_surplus_workers(self, now: float) -> list[WorkerRecord]:
+        """List the surplus workers that tasks may use; see :mod:`.surplus`."""
+        return [
+            record
+            for worker_id in self.surplus_cordons.cordons
+            if (record := self.workers.get(worker_id)) is not None
+            and record.cordoned
+            and record.takes_tasks(now)
+        ]
+
+    def _may_use_surplus(self, ready: ReadyStep, now: float) -> bool:
+        """Return whether a job stands still, so that it may use a surplus worker."""
+        if not self.surplus or ready.job.submission.steps[ready.step].long_running:
+            return False
+        since = max(ready.job.active_at, self._get_waiting_since(ready, now))
+        return now - since >= STANDING_S
+
+    def _choose_surplus(
+        self,
+        ready: ReadyStep,
+        task: Task,
+        allowed: t.Collection[str] | None,
+        now: float,
+    ) -> WorkerRecord | None:
+        """Choose a surplus worker for a task that no open worker can take."""
+        if not self._may_use_surplus(ready, now):
+            return None
+        return self._choose_from(self.surplus, ready, task, allowed)
+
     def _choose_probe(
         self,
         ready: ReadyStep,
@@ -296,13 +336,27 @@
         """Choose an ejected worker for a task that no open worker can take."""
         if not self._may_probe(ready, now):
             return None
+        due = [
+            record
+            for record in self.probeable
+            if now >= record.probed_at + PROBE_INTERVAL_S
+        ]
+        return self._choose_from(due, ready, task, allowed)
+
+    @staticmethod
+    def _choose_from(
+        records: t.Iterable[WorkerRecord],
+        ready: ReadyStep,
+        task: Task,
+        allowed: t.Collection[str] | None,
+    ) -> WorkerRecord | None:
+        """Choose one of the workers that are not open for a task."""
         step, step_key = ready.job.submission.steps[ready.step], get_step_key(task)
         fitting = [
             record
-            for record in self.probeable
+            for record in records
             if (allowed is None or record.entry.worker_id in allowed)
             and not record.reserved
-            and now >= record.probed_at + PROBE_INTERVAL_S
             and record.has_capacity(step)
             and record.meets_isolation(step_key[0], task.loss_history.isolation)
             and step_key[0] not in record.failing_jobs
--- a/src/onyxgap/jobs/shard_demand.py
+++ b/src/onyxgap/jobs/shard_demand.py
@@ -48,10 +48,12 @@
         """
         capacity = self.get_largest_worker_capacity()
         self._measure_arrivals(capacity)
+        drained = self.list_drained_workers(stored_jobs)
+        self.surplus_cordons.note_reported(drained)
         return PoolReport(
             self.service,
             self._measure_worker_loads(),
-            self.list_drained_workers(stored_jobs),
+            drained,
             **self._sum_load(capacity, now),
             serving_vms=count_needed_workers(
                 [*self._list_wide_steps(), *self._list_steps_beside_unreached()],
