--- a/src/onyxgap/standins/emulator/faults.py
+++ b/src/onyxgap/standins/emulator/faults.py
@@ -23,6 +23,7 @@
 from .route_history import build_prefix
 from .route_history import build_route
 from .script import INTERFACE_FAULTS
+from .script import RACK_FAULTS
 from .script import ROUTE_FAULTS
 from .script import FaultLine
 from .script import LoadLine
@@ -102,7 +103,7 @@
         now = anyio.current_time()
         if fault.target == "orders":
             self.disturbances.order_spans.append((now, now + fault.seconds))
-        if (fault.verb, fault.target) == ("cut", "vm"):
+        if fault.verb == "cut" and fault.target in ("vm", "rack"):
             # a run on a worker out of reach is given up once its lease has ended
             self.disturbances.cut_spans.append((now, now + fault.seconds))
         await self._play_fault(fault)
@@ -171,6 +172,32 @@
         if name is not None:
             self.cloud.halt(name, fault.seconds)
 
+    def _find_rack(self, pool: str) -> list[str]:
+        """Draw a rack with VMs of a pool, and list all of its VMs that are up."""
+        up = {
+            name: vm
+            for name, vm in sorted(self.cloud.vms.items())
+            if vm.state is VmState.UP
+        }
+        racks = sorted({vm.rack for vm in up.values() if pool in ("", vm.pool)})
+        rack = self.rng.choice(racks) if racks else None
+        return [name for name, vm in up.items() if vm.rack == rack]
+
+    async def crash_rack(self, fault: FaultLine) -> None:
+        """Crash all VMs of a rack."""
+        for name in self._find_rack(fault.name):
+            self.cloud.crash(name, fault.seconds)
+
+    async def halt_rack(self, fault: FaultLine) -> None:
+        """Take the power from all VMs of a rack."""
+        for name in self._find_rack(fault.name):
+            self.cloud.halt(name, fault.seconds)
+
+    async def cut_rack(self, fault: FaultLine) -> None:
+        """Cut all VMs of a rack off from everything; they run on."""
+        for name in self._find_rack(fault.name):
+            self.cloud.cut(name, fault.seconds)
+
     async def end_worker(self, fault: FaultLine) -> None:
         """End the process of a worker whose VM stays up."""
         name = self._find_vm(fault.name)
@@ -481,6 +508,9 @@
     ("configure", "routes"): FaultyDay.configure,
     ("rebear", "vm"): FaultyDay.rebear_vm,
     ("halt", "vm"): FaultyDay.halt_vm,
+    ("crash", "rack"): FaultyDay.crash_rack,
+    ("halt", "rack"): FaultyDay.halt_rack,
+    ("cut", "rack"): FaultyDay.cut_rack,
     ("end", "worker"): FaultyDay.end_worker,
     ("refuse", "vm"): FaultyDay.refuse_orders,
     ("down", "list"): FaultyDay.disturb_list,
@@ -517,6 +547,7 @@
         ("refuse", "writes"),
         *_LIST_FAULTS,
         *INTERFACE_FAULTS,
+        *RACK_FAULTS,
     }
 )
 """Not drawn with the other faults, so that the draws of a seed stay the same."""
@@ -626,6 +657,28 @@
     return attrs.evolve(script, faults=[*script.faults, *faults])
 
 
+def draw_rack_faults(script: Script, seed: int, count: int) -> Script:
+    """Add faults of whole racks.
+
+    They are drawn apart from the other faults, which stay the same, and end with the
+    day.
+
+    :param script: the day.
+    :param seed: seed of the draw.
+    :param count: number of faults.
+    """
+    rng = random.Random(f"racks/{seed}")
+    kinds = sorted(RACK_FAULTS)
+    faults = []
+    for _ in range(count):
+        verb, target = rng.choice(kinds)
+        at = rng.uniform(4.0, script.end_s - 8.0)
+        seconds = min(rng.uniform(2.0, 16.0), script.end_s - at)
+        pool = rng.choice(script.pools).name
+        faults.append(FaultLine(at, verb, target, pool, seconds))
+    return attrs.evolve(script, faults=[*script.faults, *faults])
+
+
 def _list_starts(script: Script) -> list[float]:
     """List when waves and turns begin."""
     turns = int(script.end_s // script.turn_s) if script.turn_s else 0
--- a/src/onyxgap/standins/emulator/script.py
+++ b/src/onyxgap/standins/emulator/script.py
@@ -38,6 +38,16 @@
     The node with the fleet controller role does not reach the interface, or with
     ``cut holder list`` and ``cut holder vm-orders`` not that part of it.
 
+Faults of a rack affect all of its VMs that are up; VMs keep their rack when they move
+between pools, and one of the racks is drawn that have VMs of the pool:
+
+``crash rack POOL``
+    The VMs refuse connections until they return with other workers.
+``halt rack POOL``
+    They do not answer at all until then.
+``cut rack POOL``
+    They cannot be reached; their tasks run on.
+
 With ``deaf holder`` and ``deaf owner POOL`` one node hears nothing of changed rows; it
 counts as disturbed, as with ``deaf node``.
 """
@@ -273,9 +283,13 @@
 """Faults of the platform's interface for VMs, and of the rows by which the fleet
 controller and owners act on VMs."""
 
+RACK_FAULTS = frozenset({("crash", "rack"), ("halt", "rack"), ("cut", "rack")})
+"""Faults of all VMs of a rack."""
+
 FAULTS = ROUTE_FAULTS | frozenset(
     {
         *INTERFACE_FAULTS,
+        *RACK_FAULTS,
         ("kill", "owner"),
         ("kill", "holder"),
         ("kill", "node"),
