--- a/src/onyxgap/standins/emulator/day.py
+++ b/src/onyxgap/standins/emulator/day.py
@@ -257,8 +257,9 @@
             if notes.accepted_at is not None and notes.find_final_at() is None:
                 await self.callers.ask(notes)
 
-    def _judge(self) -> DayResult:
-        evidence = Evidence(
+    def collect_evidence(self) -> Evidence:
+        """Collect what the checks look at."""
+        return Evidence(
             self.callers,
             self.workers.records,
             self.cloud.orders,
@@ -277,6 +278,9 @@
             self.asked_at,
             self.cloud.down_since,
         )
+
+    def _judge(self) -> DayResult:
+        evidence = self.collect_evidence()
         breaches = list_breaches(evidence, anyio.current_time())
         account = settle_account(evidence, self.cloud.paid_s, self.store.calls)
         return DayResult(breaches, account, self._plan_in_hindsight(evidence))
--- a/src/onyxgap/standins/emulator/serving_checks.py
+++ b/src/onyxgap/standins/emulator/serving_checks.py
@@ -25,7 +25,7 @@
     :param end_s: when the day ended.
     """
     running = {record.task for record in records if record.ended is None}
-    for task in _list_serving_tasks(jobs):
+    for task in list_serving_tasks(jobs):
         if task not in running:
             detail = f"{task.job_id} lacks serving task {task.position}"
             yield Breach("lost", end_s, detail)
@@ -46,7 +46,7 @@
     runs: dict[TaskId, list[RunRecord]] = collections.defaultdict(list)
     for record in records:
         runs[record.task].append(record)
-    for task in _list_serving_tasks(jobs):
+    for task in list_serving_tasks(jobs):
         ordered = sorted(runs[task], key=lambda run: run.began)
         for earlier, later in itertools.pairwise(ordered):
             if earlier.ended is None:
@@ -61,7 +61,11 @@
                 yield Breach("lost", later.began, detail)
 
 
-def _list_serving_tasks(jobs: t.Mapping[str, JobNotes]) -> t.Iterator[TaskId]:
+def list_serving_tasks(jobs: t.Mapping[str, JobNotes]) -> t.Iterator[TaskId]:
+    """List the serving tasks of accepted jobs.
+
+    :param jobs: what callers were told, by job.
+    """
     for job_id, notes in jobs.items():
         step = notes.submission.steps[0]
         if step.long_running and notes.accepted_at is not None:
--- a/src/onyxgap/standins/emulator/standstill_checks.py
+++ b/src/onyxgap/standins/emulator/standstill_checks.py
@@ -77,7 +77,7 @@
 
 
 @attrs.define
-class _Standstills:
+class Standstills:
     """Searches a day for jobs that stood still.
 
     :param jobs: what callers were told, by job.
@@ -104,6 +104,37 @@
             for task, since in self._list_waiting_tasks(notes, begin, end):
                 yield from self._find_in_span(task, (since, end))
 
+    def list_waits(
+        self, notes: JobNotes, begin_s: float, end_s: float
+    ) -> t.Iterator[tuple[TaskId, Span]]:
+        """Yield the times in which a job had nothing running and a task could run.
+
+        :param notes: what its caller was told.
+        :param begin_s: monotonic seconds from which they count.
+        :param end_s: when the day ended.
+        """
+        for begin, end in self._list_idle_spans(notes, end_s):
+            if end <= begin_s:
+                continue
+            for task, since in self._list_waiting_tasks(notes, begin, end):
+                for span in self._list_open_spans(task, (max(since, begin_s), end)):
+                    yield task, span
+
+    def _list_open_spans(self, task: TaskId, span: Span) -> t.Iterator[Span]:
+        """Yield the parts of a span in which a task could run."""
+        pool = self._get_pool(task)
+        since: float | None = None
+        for at, following in itertools.pairwise(pool.list_changes(span)):
+            could_run = self._could_run(task, pool, at)
+            if could_run:
+                since = at if since is None else since
+                end = following
+            elif since is not None:
+                yield since, end
+                since = None
+        if since is not None:
+            yield since, end
+
     def _list_idle_spans(self, notes: JobNotes, end_s: float) -> t.Iterator[Span]:
         """Yield the times in which nothing of a job ran, from its acceptance on."""
         assert notes.accepted_at is not None
@@ -226,7 +257,7 @@
         stand still.
     :param end_s: when the day ended.
     """
-    search = _Standstills(jobs, services, records, workers, tenancy, disturbances)
+    search = Standstills(jobs, services, records, workers, tenancy, disturbances)
     for job_id, notes in jobs.items():
         excused = notes.poison or notes.crashing or notes.cancel_requested
         if notes.accepted_at is None or excused:
