Split the emulator's faults by subject

Faults of nodes, of VMs and workers, of the store, of the VM interface and of the configuration are modules of functions now, what they hit is found by fault_targets.py, and fault_draws.py draws them. Two hooks that other modules use (find_slot, list_malformed_registrations) lose their underscore.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -10,9 +10,9 @@
 
 import structlog
 
-from onyxgap.standins.emulator.faults import draw_faults
-from onyxgap.standins.emulator.faults import draw_interface_faults
-from onyxgap.standins.emulator.faults import draw_worker_deaths
+from onyxgap.standins.emulator.fault_draws import draw_faults
+from onyxgap.standins.emulator.fault_draws import draw_interface_faults
+from onyxgap.standins.emulator.fault_draws import draw_worker_deaths
 from onyxgap.standins.emulator.script import load_script
 
 from .connection_faults import draw_connection_faults
--- a/bench/soak/day.py
+++ b/bench/soak/day.py
@@ -101,7 +101,8 @@
             random.Random(f"connections/{self.seed}"),
         )
 
-    def _list_malformed_registrations(self, service: str) -> tuple[bytes, ...]:
+    def list_malformed_registrations(self, service: str) -> tuple[bytes, ...]:
+        """List registrations of a service that the nodes' decoders cannot read."""
         return list_malformed_registrations(service)
 
     async def _play_fault(self, fault: FaultLine) -> None:
--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -26,7 +26,7 @@
 from onyxgap.jobs.tenants import KeyRejection
 from onyxgap.settings import Address
 from onyxgap.standins.emulator.cloud import EmulatedCloudClient
-from onyxgap.standins.emulator.faults import FaultedNode
+from onyxgap.standins.emulator.fault_targets import FaultedNode
 from onyxgap.standins.emulator.gate import NodeGate
 from onyxgap.standins.emulator.job_notes import NoQueue
 from onyxgap.standins.emulator.job_notes import SubmitAnswer
--- a/src/onyxgap/standins/emulator/experiment.py
+++ b/src/onyxgap/standins/emulator/experiment.py
@@ -10,7 +10,7 @@
 from ..virtual import run_virtually
 from .account import Account
 from .day import DayResult
-from .faults import draw_faults
+from .fault_draws import draw_faults
 from .faults import play_day
 from .hindsight import Plan
 from .policies import POLICIES
--- a/tests/emulated.py
+++ b/tests/emulated.py
@@ -5,7 +5,7 @@
 import pytest
 
 from onyxgap.standins.emulator.day import DayResult
-from onyxgap.standins.emulator.faults import draw_faults
+from onyxgap.standins.emulator.fault_draws import draw_faults
 from onyxgap.standins.emulator.faults import play_day
 from onyxgap.standins.emulator.script import Script
 from onyxgap.standins.emulator.script import load_script
--- a/tests/test_rack_faults.py
+++ b/tests/test_rack_faults.py
@@ -6,9 +6,9 @@
 import pytest
 
 from onyxgap.pools.messages import VmState
+from onyxgap.standins.emulator.fault_draws import draw_faults
+from onyxgap.standins.emulator.fault_draws import draw_rack_faults
 from onyxgap.standins.emulator.faults import FaultyDay
-from onyxgap.standins.emulator.faults import draw_faults
-from onyxgap.standins.emulator.faults import draw_rack_faults
 from onyxgap.standins.emulator.script import FaultLine
 from onyxgap.standins.emulator.script import parse_script
 from onyxgap.standins.virtual import run_virtually
--- a/tests/test_soak_connections.py
+++ b/tests/test_soak_connections.py
@@ -21,7 +21,7 @@
 from onyxgap.jobs.store import Batch
 from onyxgap.settings import Address
 from onyxgap.standins.emulator.disturbances import DisturbanceLog
-from onyxgap.standins.emulator.faults import draw_faults
+from onyxgap.standins.emulator.fault_draws import draw_faults
 from onyxgap.standins.emulator.script import FaultLine
 from onyxgap.standins.emulator.script import load_script
 
--- a/tests/test_soak_faults.py
+++ b/tests/test_soak_faults.py
@@ -10,8 +10,8 @@
 from onyxgap.jobs import tables
 from onyxgap.jobs.store import RowId
 from onyxgap.jobs.store import StoredRow
-from onyxgap.standins.emulator.faults import draw_faults
-from onyxgap.standins.emulator.faults import draw_worker_deaths
+from onyxgap.standins.emulator.fault_draws import draw_faults
+from onyxgap.standins.emulator.fault_draws import draw_worker_deaths
 from onyxgap.standins.emulator.script import load_script
 
 
@@ -39,7 +39,7 @@
     day = SoakDay(load_script(DAY), 1)
     slots = [build_slot(f"node-{number}", rows) for number in range(3)]
     day.slots = slots  # type: ignore[assignment]
-    assert day._find_slot(target, "ring") is slots[1]
+    assert day.find_slot(target, "ring") is slots[1]
 
 
 def test_deaths_leave_the_other_faults_of_a_seed_as_they_are() -> None:
--- a/tests/test_soak_interface.py
+++ b/tests/test_soak_interface.py
@@ -24,8 +24,8 @@
 from onyxgap.pools.messages import VmOrder
 from onyxgap.pools.messages import VmReply
 from onyxgap.pools.messages import VmState
-from onyxgap.standins.emulator.faults import draw_faults
-from onyxgap.standins.emulator.faults import draw_interface_faults
+from onyxgap.standins.emulator.fault_draws import draw_faults
+from onyxgap.standins.emulator.fault_draws import draw_interface_faults
 from onyxgap.standins.emulator.gate import NodeGate
 from onyxgap.standins.emulator.script import INTERFACE_FAULTS
 from onyxgap.standins.emulator.script import load_script
--- a/tests/test_vm_interface_faults.py
+++ b/tests/test_vm_interface_faults.py
@@ -15,9 +15,9 @@
 from onyxgap.standins.emulator.cloud import EmulatedCloudClient
 from onyxgap.standins.emulator.cloud import OrderEffect
 from onyxgap.standins.emulator.day import Day
+from onyxgap.standins.emulator.fault_draws import draw_faults
+from onyxgap.standins.emulator.fault_draws import draw_interface_faults
 from onyxgap.standins.emulator.faults import FaultyDay
-from onyxgap.standins.emulator.faults import draw_faults
-from onyxgap.standins.emulator.faults import draw_interface_faults
 from onyxgap.standins.emulator.gate import NodeGate
 from onyxgap.standins.emulator.script import INTERFACE_FAULTS
 from onyxgap.standins.emulator.script import parse_script
