Count an owner's time-out from its renewal, not from when that was read

An owner row tells when its load was counted, on the store's clock. A node that knows that clock counts the time-out from there, at most 0.7 s before its read: an older renewal reached the node late, which proves nothing. A claim expects the version that it knows, so that one beside a newer renewal is refused. The bound of the former owner's leases still counts from the read, as a renewal may have been sent after it was made.

--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -137,7 +137,8 @@
         self, shard: str, owner: OwnerRow, version: int, now: float
     ) -> None:
         view = self.views.get(shard) or OwnerView(None, 0, now)
-        self.views[shard] = view.replace_row(owner, version, now)
+        store_ms = self.health.store_clock.get_earliest_ms(self.clocks.read_boot())
+        self.views[shard] = view.replace_row(owner, version, now, store_ms)
 
     def _get_known_version(self, row: StoredRow) -> int:
         view = self.views.get(row.row_id.part)
@@ -337,8 +338,9 @@
                 self.fleet_controller = None
             else:
                 self.owners.pop(shard, None)
+        now = self.clocks.read_monotonic()
         view = self.views[shard]
-        self.views[shard] = attrs.evolve(view, changed_at=self.clocks.read_monotonic())
+        self.views[shard] = attrs.evolve(view, changed_at=now, renewed_at=None)
 
     async def release(self) -> None:
         """Release all owned shards, and return once that is done; claim none again."""
--- a/src/onyxgap/jobs/ownership.py
+++ b/src/onyxgap/jobs/ownership.py
@@ -19,6 +19,9 @@
 """Extension of :data:`OWNER_TIMEOUT_S`, in multiples of the store's latency. In a slow
 store, a renewal takes several attempts of the owner, one after the other in the shard's
 partition, and a read by the other nodes. Claims would queue in that partition, too."""
+MAX_RENEWAL_AGE_S = 0.7
+"""Largest age of a renewal when a node reads it: nodes read the rows at this interval.
+An older one reached the node late, which proves nothing about the owner."""
 CLAIM_BACKOFF_S = 0.8
 """Delay before a node retries a failed claim. A slow store takes 0.3 s for each
 transaction of a partition and rejects transactions that wait for more than 1 s."""
@@ -69,6 +72,8 @@
         notices in the current series, ``None`` if there was none.
     :param last_notice_at: monotonic seconds of the latest hand-over notice.
     :param load_report: newest owner row with a load report, ``None`` if there was none.
+    :param renewed_at: monotonic seconds of the renewal that wrote the row, ``None`` if
+        not known. The owner may have sent it later.
     """
 
     row: OwnerRow | None
@@ -77,12 +82,15 @@
     handed_over_at: float | None = None
     last_notice_at: float = 0.0
     load_report: OwnerRow | None = None
+    renewed_at: float | None = None
 
     def __attrs_post_init__(self) -> None:
         if self.row is not None and self.row.waiting is not None:
             self.load_report = self.row
 
-    def replace_row(self, row: OwnerRow, version: int, now: float) -> "OwnerView":
+    def replace_row(
+        self, row: OwnerRow, version: int, now: float, store_ms: int | None = None
+    ) -> "OwnerView":
         """Return the view with a newer owner row.
 
         A claim contains no load report, so the previous one is kept until it expires.
@@ -90,8 +98,19 @@
         :param row: the new row.
         :param version: its version.
         :param now: monotonic seconds.
+        :param store_ms: lower bound of the store's clock, ``None`` if not known.
         """
-        return OwnerView(row, version, now, load_report=self.load_report)
+        return OwnerView(
+            row,
+            version,
+            now,
+            load_report=self.load_report,
+            renewed_at=_estimate_renewal_time(row, store_ms, now),
+        )
+
+    def get_last_sign(self) -> float:
+        """Return the monotonic second of the owner's last sign of life."""
+        return self.changed_at if self.renewed_at is None else self.renewed_at
 
     def get_load_report(self, store_ms: int | None) -> LoadReport | None:
         """Return the newest load report unless it has expired or its age is unknown.
@@ -130,6 +149,15 @@
         )
 
 
+def _estimate_renewal_time(
+    row: OwnerRow, store_ms: int | None, now: float
+) -> float | None:
+    if row.counted_at_ms is None or store_ms is None:
+        return None
+    age_s = (store_ms - row.counted_at_ms) / MS_PER_S
+    return now - min(max(age_s, 0.0), MAX_RENEWAL_AGE_S)
+
+
 def get_claim_jitter(boot: str, shard: str) -> float:
     """Return the claim delay of a process for a shard, in seconds.
 
@@ -192,7 +220,7 @@
         # the owner was a previous process of this node, which no longer exists
         return view.changed_at + PREVIOUS_SHARD_DELAY_S * claimant.yields
     timeout_s = OWNER_TIMEOUT_S + LATENCY_FACTOR * claimant.latency_s
-    return max(view.changed_at, store_reachable_since) + timeout_s + delay
+    return max(view.get_last_sign(), store_reachable_since) + timeout_s + delay
 
 
 def list_claimable(
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -44,6 +44,7 @@
 from onyxgap.jobs.notices import JobNotice
 from onyxgap.jobs.ownership import CLAIM_JITTER_S
 from onyxgap.jobs.ownership import HAND_OVER_VALID_S
+from onyxgap.jobs.ownership import MAX_RENEWAL_AGE_S
 from onyxgap.jobs.ownership import OWNED_DELAY_S
 from onyxgap.jobs.ownership import OWNER_TIMEOUT_S
 from onyxgap.jobs.ownership import Claimant
@@ -106,6 +107,22 @@
     assert is_claimable(view, 10.0 + OWNER_TIMEOUT_S + CLAIM_JITTER_S)
 
 
+@pytest.mark.parametrize(
+    ("age_s", "counted_s"), [(0.0, 0.0), (0.5, 0.5), (2.0, MAX_RENEWAL_AGE_S)]
+)
+def test_failed_owner_is_not_kept_for_the_time_until_its_renewal_was_read(
+    age_s: float, counted_s: float
+) -> None:
+    view = OwnerView(OWNER_ROW, 7, changed_at=8.0)
+    renewed = attrs.evolve(OWNER_ROW, counted_at_ms=int(50_000 - age_s * 1000))
+    view = view.replace_row(renewed, 8, 10.0, store_ms=50_000)
+    timeout_at = 10.0 - counted_s + OWNER_TIMEOUT_S
+    assert not is_claimable(view, timeout_at - 0.01)
+    assert is_claimable(view, timeout_at + CLAIM_JITTER_S)
+    # leases may have been granted until later: the renewal was sent after it was made
+    assert view.changed_at == 10.0
+
+
 def test_node_that_starts_first_leaves_shards_to_nodes_that_start_a_second_later() -> (
     None
 ):
