Stretch the timeouts of calls to workers while the calls are late

Callers saw workers go silent by TimeoutError and answer again: a hold request was given up 0.3 s after its wait and a start order after 0.6 s, however late the owner's own loop or the answers of all workers were. Such a worker got no tasks, and its lease was not extended.

The time allowed now follows the response times of the worker (smoothed time and four deviations, doubled after each call without an answer) and the median over the shard's workers, plus the lag of the loop; 0.3 and 0.6 s stay the least, 1.5 and 1.1 s are the most. A dark worker does not stretch the timeouts of others, as the median ignores it. A timeout that fired while the loop was late, or while no worker of at least three answered, proves nothing: the worker is asked again, twice at most, before it counts as silent. A punctual owner judges as before. The orders carry the timeout; clients report how late it fired.

--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -11,6 +11,7 @@
 from ..clocks import Clocks
 from ..exceptions import OwnershipLostError
 from ..jobs.advice import PolicyClient
+from ..jobs.call_timeouts import CallTimeouts
 from ..jobs.crashes import CRASH_WINDOW_MS
 from ..jobs.crashes import START_CRASH_WINDOW_MS
 from ..jobs.health import StoreHealth
@@ -157,6 +158,7 @@
             self._now(),
             max_lease_s=context.limits.max_lease_s,
             former_grants=self.former_grants,
+            call_timeouts=CallTimeouts(lambda: context.lag.seconds),
         )
         if context.contended:
             self.state.run_times = RunTimes()
@@ -293,6 +295,7 @@
             record.acknowledged,
             deadline_ms,
             int(wait_s * 1000),
+            self.state.call_timeouts.get_hold_margin(worker_id),
         )
 
     async def _run_hold_loop(self, worker_id: str) -> None:
@@ -301,6 +304,7 @@
         finally:
             self._hold_loops.discard(worker_id)
             self._start_limiter.forget(worker_id)
+            self.state.call_timeouts.forget(worker_id)
             # also at the end of the ownership: workers accept few connections
             with anyio.CancelScope(shield=True):
                 await self.context.workers.forget(worker_id)
@@ -341,15 +345,30 @@
         """
         sent_at = self._now()
         report = await self.context.workers.hold(order)
+        self._note_response_time(order, report, sent_at)
         if isinstance(report, HoldReport):
             return await self._apply_report(order.worker_id, report, sent_at)
         if report.kind is ReplyKind.STALE_OWNER:
             raise OwnershipLostError(
                 f"worker {order.worker_id} was called by a newer owner"
             )
-        self.state.apply_failure(order.worker_id, report, self._now())
+        now = self._now()
+        undecided = self.state.apply_failure(order.worker_id, report, now, sent_at)
         self.wake()
-        return False
+        return undecided
+
+    def _note_response_time(
+        self, order: HoldOrder, report: HoldReport | Reply, sent_at: float
+    ) -> None:
+        """Record how late an answer to a hold request is.
+
+        An answer within the requested wait reports the end of a run. It does not tell
+        how late it is.
+        """
+        now = self._now()
+        late_s = now - sent_at - order.wait_ms / MS_PER_S
+        if isinstance(report, HoldReport) and late_s >= 0.0:
+            self.state.call_timeouts.note_answer(order.worker_id, late_s, now)
 
     async def _apply_report(
         self, worker_id: str, report: HoldReport, sent_at: float
--- a/src/onyxgap/jobs/holds.py
+++ b/src/onyxgap/jobs/holds.py
@@ -40,9 +40,9 @@
     """Choose how long a worker may wait for a run to end before it answers.
 
     :param record: the worker.
-    :returns: seconds; 0 for a worker whose runs are not known at present, so that it
-        reports them at once.
+    :returns: seconds; 0 for a worker whose runs are not known at present, or whose last
+        answer did not arrive in time, so that it reports at once.
     """
-    if not record.held or record.failing_since is not None:
+    if not record.held or record.failing_since is not None or record.inconclusive:
         return 0.0
     return BUSY_WAIT_S if record.finite_runs else IDLE_WAIT_S
--- a/src/onyxgap/jobs/placing.py
+++ b/src/onyxgap/jobs/placing.py
@@ -41,6 +41,9 @@
         incarnation was ordered to start may be on the worker.
     :param failing_since: monotonic seconds of the first failed call since the last
         answer, or ``None``.
+    :param timed_out: whether the latest failed call was one without an answer in time.
+    :param inconclusive: calls in a row without an answer that prove nothing about the
+        worker.
     :param cpu_used: thousandths of a core of the runs that may be on the worker.
     :param memory_used: MB of these runs.
     :param accelerators_used: number of accelerators of these runs.
@@ -94,6 +97,8 @@
     lease_ms: float = 0.0
     former_runs_until: float = 0.0
     failing_since: float | None = None
+    timed_out: bool = False
+    inconclusive: int = 0
     cpu_used: int = 0
     memory_used: int = 0
     accelerators_used: int = 0
--- a/src/onyxgap/jobs/shard_leases.py
+++ b/src/onyxgap/jobs/shard_leases.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from .call_timeouts import CallTimeouts
 from .doubts import DoubtfulRuns
 from .doubts import DoubtReporter
 from .doubts import LeaseSource
@@ -33,11 +34,13 @@
 
     :param former_grants: until when former owners may have granted leases, ``None`` if
         nothing but the claim is known.
+    :param call_timeouts: timeouts of the calls to the workers.
     :param listed_at: monotonic seconds when the newest list of VMs that this owner has
         seen was requested, ``None`` if it has seen none.
     """
 
     former_grants: FormerGrants | None = None
+    call_timeouts: CallTimeouts = attrs.field(factory=CallTimeouts)
     listed_at: float | None = None
     doubt_reporter: DoubtReporter = attrs.field(init=False)
 
--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -5,6 +5,7 @@
 import attrs
 import structlog
 
+from .call_timeouts import MAX_INCONCLUSIVE
 from .crashes import CRASH_WINDOW_MS
 from .crashes import NO_LOSSES
 from .crashes import START_CRASH_WINDOW_MS
@@ -93,6 +94,7 @@
             self._inherit_lease(record, report.clock_ms, now)
         record.held = True
         record.failing_since = None
+        record.inconclusive = 0
         record.answered_at = max(record.answered_at, sent_at)
         for end in report.ended:
             if end.sequence > record.processed_sequence:
@@ -367,19 +369,31 @@
         )
         self.unlogged_done.clear()
 
-    def apply_failure(self, worker_id: str, reply: Reply, now: float) -> None:
+    def apply_failure(
+        self, worker_id: str, reply: Reply, now: float, sent_at: float | None = None
+    ) -> bool:
         """Handle a hold request that got no report.
 
         :param worker_id: the worker.
         :param reply: the outcome of the request.
         :param now: monotonic seconds.
+        :param sent_at: monotonic seconds when the request was sent, ``None`` for now.
+        :returns: whether the failure proves nothing, so that the worker is to be asked
+            again at once.
         """
         record = self.workers.get(worker_id)
         if record is None:
-            return
+            return False
         if reply.kind is ReplyKind.OTHER_WORKER:
             self.remove_worker(worker_id, "another incarnation at its address", now)
-            return
+            return False
+        record.timed_out = reply.overdue_s is not None
+        if reply.overdue_s is not None:
+            self.call_timeouts.note_timeout(worker_id)
+            sent_at = now if sent_at is None else sent_at
+            if self._is_inconclusive(record, reply.overdue_s, sent_at):
+                record.inconclusive += 1
+                return True
         if record.failing_since is None:
             record.failing_since = now
             _LOG.info(
@@ -390,7 +404,18 @@
                 registered=record.registered,
                 cordoned=record.cordoned,
                 placed=record.count_present(),
+                inconclusive=record.inconclusive,
             )
+        return False
+
+    def _is_inconclusive(
+        self, record: WorkerRecord, overdue_s: float, sent_at: float
+    ) -> bool:
+        return (
+            record.failing_since is None
+            and record.inconclusive < MAX_INCONCLUSIVE
+            and self.call_timeouts.is_inconclusive(sent_at, overdue_s)
+        )
 
     def apply_start_reply(self, order: StartOrder, reply: Reply, now: float) -> None:
         """Apply the reply to a start order.
@@ -404,10 +429,15 @@
         record = self.workers.get(order.worker_id)
         if record is not None:
             note_delivery(record, reply.kind, now)
+        if reply.overdue_s is not None:
+            self.call_timeouts.note_timeout(order.worker_id)
         if job is None or task is None or not task.placed:
             return
         if (task.run, task.worker_id) != (order.run, order.worker_id):
             return
+        if reply.clock_ms is not None:
+            took_s = now - task.started_at
+            self.call_timeouts.note_answer(order.worker_id, took_s, now)
         # a reply to an order for a previous incarnation may be on that one's clock
         clock_ms = reply.clock_ms if task.start_ruled_out_at is None else None
         if record is not None and record.clock and clock_ms is not None:
--- a/src/onyxgap/jobs/workers.py
+++ b/src/onyxgap/jobs/workers.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from .call_timeouts import HOLD_MARGIN_S
+from .call_timeouts import START_TIMEOUT_S
 from .messages import EndedTask
 from .messages import RunningTask
 from .messages import TaskId
@@ -43,11 +45,14 @@
     :param kind: outcome of the order.
     :param clock_ms: milliseconds on the worker's clock, if the reply has them.
     :param detail: details for the log.
+    :param overdue_s: seconds by which the timeout of the call has fired late; ``None``
+        if it did not fire.
     """
 
     kind: ReplyKind
     clock_ms: float | None = None
     detail: str = ""
+    overdue_s: float | None = None
 
 
 @attrs.frozen(slots=True)
@@ -64,6 +69,7 @@
     :param epoch: epoch of the owner, used as fencing token.
     :param checkpoint: checkpoint to resume from, or empty.
     :param ticket: ticket of the policy service, or empty.
+    :param timeout_s: seconds allowed for the reply.
     """
 
     worker_id: str
@@ -75,6 +81,7 @@
     epoch: int
     checkpoint: str = ""
     ticket: str = ""
+    timeout_s: float = START_TIMEOUT_S
 
 
 @attrs.frozen(slots=True)
@@ -106,6 +113,7 @@
     :param deadline_ms: new lease deadline in milliseconds on the worker's clock, or
         ``None`` to leave the leases as they are.
     :param wait_ms: how long the worker may wait for a run to end before it answers.
+    :param margin_s: seconds allowed for the answer beyond that wait.
     """
 
     worker_id: str
@@ -114,6 +122,7 @@
     acknowledged: int
     deadline_ms: float | None
     wait_ms: int
+    margin_s: float = HOLD_MARGIN_S
 
 
 @attrs.frozen(slots=True)
--- a/src/onyxgap/platform/connections.py
+++ b/src/onyxgap/platform/connections.py
@@ -142,6 +142,7 @@
     ) -> Answer:
         """Make one call, without retries; see :meth:`HttpCalls.call`."""
         stream: anyio.abc.SocketStream | None = None
+        give_up_at = anyio.current_time() + timeout_s
         try:
             request = encode_request(self.address, method, path, body, headers)
             with anyio.fail_after(timeout_s):
@@ -157,7 +158,10 @@
         ) as error:
             failure = CallFailure.NO_ANSWER if stream else CallFailure.NOT_SENT
             await self.close()
-            return Answer(0, b"", failure, _name_error(error))
+            overdue_s = None
+            if isinstance(error, TimeoutError):
+                overdue_s = max(0.0, anyio.current_time() - give_up_at)
+            return Answer(0, b"", failure, _name_error(error), overdue_s)
         return answer
 
     async def _acquire(self) -> anyio.abc.SocketStream:
--- a/src/onyxgap/platform/http.py
+++ b/src/onyxgap/platform/http.py
@@ -44,12 +44,15 @@
     :param body: body of the answer.
     :param failure: how far the call got if there is no answer, else ``None``.
     :param reason: name of the error, for logs.
+    :param overdue_s: seconds by which the timeout of the call has fired late; ``None``
+        if there is no answer for another reason, or if that was not measured.
     """
 
     status: int
     body: bytes = b""
     failure: CallFailure | None = None
     reason: str = ""
+    overdue_s: float | None = None
 
     def parse(self) -> t.Any:
         """Decode the JSON body; an empty object if it is not JSON."""
--- a/src/onyxgap/platform/workers.py
+++ b/src/onyxgap/platform/workers.py
@@ -21,13 +21,7 @@
 from .registry import decode_start_time
 
 ORDER_TIMEOUT_S = 0.6
-"""Longer than a start order stays valid; a worker answers within milliseconds."""
-HOLD_MARGIN_S = 0.3
-"""Time allowed beyond the requested wait.
-
-A busy worker that stops answering is detected within 0.6 s. A hold request that was
-given up too early is repeated at once.
-"""
+"""Timeout of orders other than start orders; a worker answers within milliseconds."""
 WORKER_CONNECTIONS = 48
 """Maximum connections to one address; must be below the 64 that a worker accepts."""
 
@@ -53,9 +47,9 @@
     :param answer: the worker's answer, or the failure of the call.
     """
     if answer.failure is CallFailure.NOT_SENT:
-        return Reply(ReplyKind.NOT_SENT, detail=answer.reason)
+        return Reply(ReplyKind.NOT_SENT, None, answer.reason, answer.overdue_s)
     if answer.failure is not None:
-        return Reply(ReplyKind.NO_ANSWER, detail=answer.reason)
+        return Reply(ReplyKind.NO_ANSWER, None, answer.reason, answer.overdue_s)
     body = answer.read_object()
     reason = str(body.get("reason", ""))
     clock = body.get("clock_ms")
@@ -148,7 +142,7 @@
         if order.ticket:
             body["ticket"] = order.ticket
         answer = await self._send_order(
-            order.worker_id, order.address, "/run-start", body
+            order.worker_id, order.address, "/run-start", body, order.timeout_s
         )
         return decode_reply(answer)
 
@@ -194,7 +188,7 @@
             order.address,
             "/hold",
             body,
-            order.wait_ms / 1000 + HOLD_MARGIN_S,
+            order.wait_ms / 1000 + order.margin_s,
         )
         return decode_report(answer)
 
--- a/src/onyxgap/standins/emulator/workers.py
+++ b/src/onyxgap/standins/emulator/workers.py
@@ -34,6 +34,7 @@
 """Time after which a serving task is at work."""
 CHECKPOINT_S = 0.5
 CALL_TIMEOUT_S = 0.8
+"""Least time after which a call without an answer is given up."""
 SHRINK_GRACE_S = 4.5
 """Time in which an owner must know of a smaller capacity: the time after which a node
 counts as reaching the store again, and a heartbeat of the worker."""
@@ -349,48 +350,50 @@
     workers: EmulatedWorkers
     gate: NodeGate
 
-    async def _reach(self, worker_id: str, address: str) -> EmulatedWorker | Reply:
+    async def _reach(
+        self, worker_id: str, address: str, timeout_s: float
+    ) -> EmulatedWorker | Reply:
         await self.gate.pass_through()
         await self.gate.take_processor()
         await anyio.sleep(self.workers.link.delay_s)
         worker = self.workers.find_present(address)
         is_dark = worker.dark if worker else address in self.workers.halted
         if is_dark or not self.gate.cut_from.isdisjoint({"workers", address}):
-            await anyio.sleep(CALL_TIMEOUT_S)
-            return Reply(ReplyKind.NO_ANSWER, detail="no answer")
+            return await _give_up(timeout_s, "no answer")
         if worker is None:
             return Reply(ReplyKind.NOT_SENT, detail="refused")
         if worker.entry.worker_id != worker_id:
             return Reply(ReplyKind.OTHER_WORKER, worker.read_clock())
         return worker
 
-    async def _connect(self, worker_id: str, address: str) -> EmulatedWorker | Reply:
-        worker = await self._reach(worker_id, address)
+    async def _connect(
+        self, worker_id: str, address: str, timeout_s: float = CALL_TIMEOUT_S
+    ) -> EmulatedWorker | Reply:
+        worker = await self._reach(worker_id, address, timeout_s)
         if isinstance(worker, EmulatedWorker) and worker.refusing:
             return Reply(ReplyKind.NOT_SENT, detail="refused")
         return worker
 
-    async def _answer(self, reply: Reply) -> Reply:
+    async def _answer(self, reply: Reply, timeout_s: float = CALL_TIMEOUT_S) -> Reply:
         if self.workers.link.draw_loss():
-            await anyio.sleep(CALL_TIMEOUT_S)
-            reply = Reply(ReplyKind.NO_ANSWER, detail="answer lost")
+            reply = await _give_up(timeout_s, "answer lost")
         await anyio.sleep(self.workers.link.delay_s)
         await self.gate.pass_through()
         return reply
 
     async def start(self, order: StartOrder) -> Reply:
         """Order a run to start."""
-        worker = await self._connect(order.worker_id, order.address)
+        timeout_s = order.timeout_s
+        worker = await self._connect(order.worker_id, order.address, timeout_s)
         if isinstance(worker, Reply):
-            return await self._answer(worker)
+            return await self._answer(worker, timeout_s)
         late_s = self.workers.link.draw_late()
         if late_s:
             self.workers.group.start_soon(
                 run_late, late_s, _start_if_alive, worker, order, self.gate.node
             )
-            await anyio.sleep(CALL_TIMEOUT_S)
-            return Reply(ReplyKind.NO_ANSWER, detail="carried out late")
-        return await self._answer(worker.start(order, self.gate.node))
+            return await _give_up(timeout_s, "carried out late")
+        return await self._answer(worker.start(order, self.gate.node), timeout_s)
 
     async def stop(self, order: StopOrder) -> Reply:
         """Order a run to stop; it never starts afterwards."""
@@ -405,12 +408,12 @@
 
     async def hold(self, order: HoldOrder) -> HoldReport | Reply:
         """Extend the lease of everything on a worker and read its lists."""
-        worker = await self._reach(order.worker_id, order.address)
+        worker = await self._reach(order.worker_id, order.address, order.margin_s)
         if isinstance(worker, Reply):
-            return await self._answer(worker)
+            return await self._answer(worker, order.margin_s)
         report = await worker.hold(order)
         if isinstance(report, Reply):
-            return await self._answer(report)
+            return await self._answer(report, order.margin_s)
         if not worker.alive or worker.dark:
             return Reply(ReplyKind.NO_ANSWER, detail="connection lost")
         await anyio.sleep(self.workers.link.delay_s)
@@ -421,6 +424,12 @@
         """Close the connections to a worker that is gone."""
 
 
+async def _give_up(timeout_s: float, detail: str) -> Reply:
+    """Wait for the end of the time allowed for a call that gets no answer."""
+    await anyio.sleep(max(CALL_TIMEOUT_S, timeout_s))
+    return Reply(ReplyKind.NO_ANSWER, None, detail, overdue_s=0.0)
+
+
 def _start_if_alive(worker: EmulatedWorker, order: StartOrder, node: str) -> None:
     # what a worker has left undone is gone with its life
     if worker.alive:
