Extend the lease of a worker whose answers a late owner misses

Callers saw healthy runs lapse after 5 s and start again: an owner that took a worker for silent sent hold requests that extended no lease, so that a worker which got each of them ended its runs, only because the answers came after the timeout.

While the loop is late, or the answers of most workers are (dark ones give none), a lease goes on to be extended for 2 s after the worker was taken for silent by a timeout; not after a reset or refused connection. A deadline is absolute and lease_ms covers each that was sent, also one that is carried out late, so the end of the lease stays certain and that of a dark worker moves by 2 s at most, and not at all for a punctual owner. A reading of the worker's clock older than 15 s grants nothing, which the bound of leases for the next owner assumes.

tests/test_late_owners.py: without the extension, the lease is not extended and the two tests of it fail.

--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -280,13 +280,9 @@
         wait_s = choose_hold_wait(record) if wait_s is None else wait_s
         now = self._now()
         deadline_ms: float | None = None
-        # a request to a silent worker may be carried out late, so it does not extend
-        # the lease; otherwise the end of the lease would not be certain
-        answering = record.failing_since is None
-        if record.clock and answering and self.writer.grants.is_open():
+        if self.writer.grants.is_open():
             lease_s = min(LEASE_S, self.context.limits.max_lease_s - LEASE_MARGIN_S)
-            deadline_ms = record.clock.estimate(now) + lease_s * 1000
-            record.lease_ms = max(record.lease_ms, deadline_ms)
+            deadline_ms = self.state.grant_lease(record, lease_s, now)
         entry = record.entry
         return HoldOrder(
             worker_id,
--- a/src/onyxgap/jobs/call_timeouts.py
+++ b/src/onyxgap/jobs/call_timeouts.py
@@ -7,6 +7,7 @@
 event loop is added.
 """
 
+import statistics
 import typing as t
 
 import attrs
@@ -29,7 +30,7 @@
 """Timeouts in a row of one worker that may prove nothing. After them, it counts as
 silent however late the caller is."""
 MIN_WORKERS = 3
-"""Least number of workers from which timeouts of all of them point to the caller."""
+"""Least number of workers from which the lateness of most points to the caller."""
 SMOOTHING = 1 / 8
 """Weight of the latest response in the smoothed time, as in RFC 6298."""
 DEVIATION_SMOOTHING = 1 / 4
@@ -57,8 +58,12 @@
 
     def get_timeout(self) -> float:
         """Return the time allowed for the next answer, in seconds."""
-        expected_s = (self.smoothed_s or 0.0) + DEVIATIONS * self.deviation_s
-        return min(max(HOLD_MARGIN_S, expected_s) * self.factor, MAX_HOLD_MARGIN_S)
+        least_s = max(HOLD_MARGIN_S, self.get_expected())
+        return min(least_s * self.factor, MAX_HOLD_MARGIN_S)
+
+    def get_expected(self) -> float:
+        """Return the response time that is rarely exceeded, in seconds."""
+        return (self.smoothed_s or 0.0) + DEVIATIONS * self.deviation_s
 
     def note_answer(self, took_s: float) -> None:
         """Record a response time, in seconds."""
@@ -137,13 +142,21 @@
             self._median_s = self._find_median()
 
     def _find_median(self) -> float:
+        timeouts = [times.get_timeout() for times in self._times.values()]
         # the lower one of two, so that one worker of two does not count as most
-        timeouts = sorted(times.get_timeout() for times in self._times.values())
-        return timeouts[(len(timeouts) - 1) // 2] if timeouts else HOLD_MARGIN_S
+        return statistics.median_low(timeouts) if timeouts else HOLD_MARGIN_S
 
     def is_late(self) -> bool:
-        """Tell whether this process, or its path to most workers, is late."""
-        return self.read_lag() >= LATE_S or self._median_s > HOLD_MARGIN_S
+        """Tell whether this process, or its path to most workers, is late.
+
+        Only answers show that the path is late. Workers that do not answer may be dark.
+        """
+        if self.read_lag() >= LATE_S:
+            return True
+        if len(self._times) < MIN_WORKERS:
+            return False
+        expected = [times.get_expected() for times in self._times.values()]
+        return statistics.median_low(expected) > HOLD_MARGIN_S
 
     def is_inconclusive(self, sent_at: float, overdue_s: float) -> bool:
         """Tell whether a call without an answer proves nothing about the worker.
--- a/src/onyxgap/jobs/shard_leases.py
+++ b/src/onyxgap/jobs/shard_leases.py
@@ -18,11 +18,16 @@
 LEASE_S = 5.0
 """Length of a lease. It covers a change of the owner: the owner time-out of 2.2 s, the
 claim and the first hold request."""
+LATE_RENEWAL_S = 2.0
+"""Time for which a late owner extends the lease of a worker that it takes for silent.
+The end of the lease of a worker that is dark moves by this at most."""
+MAX_GRANT_READING_AGE_S = 15.0
+"""Age of the reading of a worker's clock from which no lease is granted by it."""
 FORMER_LEASE_S = LEASE_S + 0.3
 """Longest lease of the previous owner that may be left when a worker first answers this
 one, which fences off the previous owner. That owner's estimate of a clock that is 2%
 slow runs ahead by less than 0.3 s, as it uses no reading for longer than 15 s; see
-``MAX_READING_AGE_S``."""
+:data:`MAX_GRANT_READING_AGE_S`."""
 UNHEARD_LEASE_S = FORMER_LEASE_S / (1 - MAX_CLOCK_DRIFT)
 """Longest time for which a worker that this owner has not heard of keeps a lease after
 the last grant, on a clock that is 2% slow."""
@@ -47,6 +52,40 @@
     def __attrs_post_init__(self) -> None:
         self.doubt_reporter = DoubtReporter(self.service, self.epoch)
 
+    def grant_lease(
+        self, record: WorkerRecord, lease_s: float, now: float
+    ) -> float | None:
+        """Return the lease deadline to send with a hold request.
+
+        A deadline is absolute, and :attr:`WorkerRecord.lease_ms` covers each that was
+        sent, also one that is carried out late. So the end of a lease stays certain as
+        long as a worker that may be dark gets no more of them. A worker whose answers
+        do not arrive in time may be well where this process is late itself.
+
+        :param record: the worker.
+        :param lease_s: length of the lease in seconds.
+        :param now: monotonic seconds.
+        :returns: milliseconds on the worker's clock, ``None`` to leave the lease as it
+            is.
+        """
+        clock = record.clock
+        if clock is None or now - clock.recent_at > MAX_GRANT_READING_AGE_S:
+            return None
+        if record.failing_since is not None and not self._may_be_late(record, now):
+            return None
+        deadline_ms = clock.estimate(now) + lease_s * MS_PER_S
+        record.lease_ms = max(record.lease_ms, deadline_ms)
+        return deadline_ms
+
+    def _may_be_late(self, record: WorkerRecord, now: float) -> bool:
+        """Tell whether a silent worker may be well, and only its answers late."""
+        assert record.failing_since is not None
+        return (
+            record.timed_out
+            and now - record.failing_since < LATE_RENEWAL_S
+            and self.call_timeouts.is_late()
+        )
+
     def list_silent(self) -> list[WorkerRecord]:
         """List the workers that do not answer, or are no longer registered."""
         return [record for record in self.workers.values() if record.is_silent()]
--- a/tests/test_late_owners.py
+++ b/tests/test_late_owners.py
@@ -11,6 +11,9 @@
 from onyxgap.jobs.messages import WorkerEntry
 from onyxgap.jobs.messages import WorkerState
 from onyxgap.jobs.placing import WorkerRecord
+from onyxgap.jobs.shard_leases import LATE_RENEWAL_S
+from onyxgap.jobs.shard_leases import LEASE_S
+from onyxgap.jobs.shard_leases import MAX_GRANT_READING_AGE_S
 from onyxgap.jobs.workers import HoldOrder
 from onyxgap.jobs.workers import HoldReport
 from onyxgap.jobs.workers import Reply
@@ -184,3 +187,63 @@
     reply = run_virtually(PlatformWorkerClient().hold, order)
     assert allowed == [pytest.approx(1.2)]
     assert reply.overdue_s == LATE_S
+
+
+def read_deadlines(workers: ScriptedWorkers) -> list[float]:
+    """Return the lease deadlines that were sent, in ms on the worker's clock."""
+    return [
+        order.deadline_ms for order in workers.orders if order.deadline_ms is not None
+    ]
+
+
+def test_late_owner_extends_the_lease_of_a_worker_whose_answers_are_late(
+    owner: ShardOwner, workers: ScriptedWorkers
+) -> None:
+    """Guards against healthy runs that lapse, and are started again."""
+    owner.context.lag.seconds = LATE_S
+    workers.took_s = None
+    while get_record(owner).failing_since is None:
+        ask(owner)
+    sent = len(workers.orders)
+    ask(owner)
+    deadline_ms = workers.orders[sent].deadline_ms
+    assert deadline_ms is not None and deadline_ms == get_record(owner).lease_ms
+
+
+@pytest.mark.parametrize("lag_s", [0.0, LATE_S])
+def test_lease_of_a_dark_worker_ends_for_certain(
+    owner: ShardOwner, workers: ScriptedWorkers, lag_s: float
+) -> None:
+    owner.context.lag.seconds = lag_s
+    record = get_record(owner)
+    workers.took_s = None
+    while record.failing_since is None:
+        ask(owner)
+    failing_since, lease_ms = record.failing_since, record.lease_ms
+    while workers.clocks.now < failing_since + 2 * LEASE_S:
+        owner.state.expire_workers(owner._now())
+        ask(owner)
+        # the bound covers every deadline that was sent
+        assert record.lease_ms >= max(read_deadlines(workers))
+    assert (record.lease_ms > lease_ms) == bool(lag_s)
+    assert record.clock is not None
+    end_ms = record.clock.estimate(failing_since + LATE_RENEWAL_S) + LEASE_S * 1000
+    assert record.lease_ms <= end_ms
+    assert owner.state._has_lease_expired(record, owner._now())
+
+
+def test_lease_is_not_extended_for_a_worker_that_resets_calls(
+    owner: ShardOwner,
+) -> None:
+    owner.context.lag.seconds = LATE_S
+    reply = Reply(ReplyKind.NO_ANSWER, detail="ConnectionResetError")
+    owner.state.apply_failure("w1", reply, owner._now())
+    assert owner._build_hold("w1").deadline_ms is None
+
+
+def test_no_lease_is_granted_by_an_old_reading_of_the_clock(
+    owner: ShardOwner, workers: ScriptedWorkers
+) -> None:
+    # the estimate of a slow clock runs ahead of it by 2% of the age
+    workers.clocks.now += MAX_GRANT_READING_AGE_S + 0.1
+    assert owner._build_hold("w1").deadline_ms is None
