Keep start orders valid for longer while the calls are late

Callers saw starts not confirmed (TimeoutError, too-late) and sent again beside late processes: an order was valid for 0.5 s from when it was sent, and given up after 0.6 s. Each lost one cost a report after its deadline, another write to the store and another run.

The validity now grows with the timeout of the worker's calls, from 0.5 to 1.0 s, so that an order that workers carry out late (from 2 s on) stays invalid. The deadline that rules out a lost start is that of the order as it was sent, and the bound of the lease covers it. A start that came too late is placed again without a pause. A connection that a late process did not open in time does not count against the worker, two times at most.

--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -71,7 +71,7 @@
 registration may be relied on. After it, a worker that does not reject tasks that do not
 fit gets no tasks until it writes its registration again. When a capacity shrinks,
 starts may exceed it for 3 s and a heartbeat interval; an order is stored, sent and
-carried out within 1.5 s."""
+carried out within 2 s, of which it is valid for 1 s at most."""
 RETRY_MIN_S = 0.03
 """First delay after a failed hold request."""
 RETRY_MAX_S = 0.4
--- a/src/onyxgap/jobs/deliveries.py
+++ b/src/onyxgap/jobs/deliveries.py
@@ -8,6 +8,7 @@
 
 import structlog
 
+from .call_timeouts import MAX_INCONCLUSIVE
 from .placing import WorkerRecord
 from .workers import ReplyKind
 
@@ -21,24 +22,31 @@
 _LOG = structlog.get_logger()
 
 
-def note_delivery(record: WorkerRecord, kind: ReplyKind, now: float) -> None:
+def note_delivery(
+    record: WorkerRecord, kind: ReplyKind, now: float, proves: bool = True
+) -> None:
     """Record whether a start order has reached its worker.
 
     :param record: the worker.
     :param kind: outcome of the order.
     :param now: monotonic seconds.
+    :param proves: whether the outcome says something of the worker. A connection that
+        a late process has not opened in time does not, for a few orders.
     """
     if kind in (ReplyKind.NO_ANSWER, ReplyKind.WITHHELD):
         # the order may have reached it, or nothing was sent
         return
     if kind is not ReplyKind.NOT_SENT:
-        record.undelivered_starts = 0
+        record.undelivered_starts = record.inconclusive_starts = 0
         record.undelivered_until = 0.0
         record.takes_starts = True
         return
     if now < record.blocked_until:
         # sent along with an order that has been counted
         return
+    if not proves and record.inconclusive_starts < MAX_INCONCLUSIVE:
+        record.inconclusive_starts += 1
+        return
     record.undelivered_starts += 1
     doublings = record.undelivered_starts - UNDELIVERED_TO_EJECT
     if doublings < 0:
--- a/src/onyxgap/jobs/placing.py
+++ b/src/onyxgap/jobs/placing.py
@@ -68,6 +68,8 @@
         the worker seems faulty or slow; see :mod:`.outliers`.
     :param undelivered_starts: start orders since the last one that reached the worker,
         those sent together counted as one.
+    :param inconclusive_starts: start orders since the last one that reached the worker
+        whose failure proves nothing about it.
     :param undelivered_until: monotonic seconds before which no task is placed there,
         since orders do not reach it; see :mod:`.deliveries`.
     :param takes_starts: whether start orders reach it, as far as known.
@@ -118,6 +120,7 @@
     blocked_until: float = 0.0
     ejected_until: float = 0.0
     undelivered_starts: int = 0
+    inconclusive_starts: int = 0
     undelivered_until: float = 0.0
     takes_starts: bool = True
     readmitted: bool = False
--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -45,12 +45,16 @@
 from .shard_jobs import get_step_key
 from .share_book import ShardShares
 from .usage import sum_usage_by_tenant
+from .workers import MS_PER_S
 from .workers import StartOrder
 
 START_WINDOW_MS = 500.0
-"""How long a start order stays valid. Whether a lost order has started its run is
-known from the first report requested after that. Orders that workers carry out late
+"""How long a start order stays valid at least. Whether a lost order has started its run
+is known from the first report requested after that. Orders that workers carry out late
 come at least 2 s late."""
+REPLY_MS = 100.0
+"""Time by which the timeout of a start order exceeds its validity, so that a reply that
+it was too late still arrives."""
 
 _LOG = structlog.get_logger()
 
@@ -398,7 +402,7 @@
         assert record.clock is not None
         if job.placed_at is None:
             job.placed_at = now
-        deadline_ms = record.clock.estimate(now) + START_WINDOW_MS
+        deadline_ms = record.clock.estimate(now) + self._get_start_window(record)
         task.place(record.entry.worker_id, now, deadline_ms, run)
         record.reserve(step, get_step_key(task))
         if self.shares is not None:
@@ -442,14 +446,20 @@
             # the order was never sent, so there is no run to stop
             self._release(job, task)
             return None
-        deadline_ms = record.clock.estimate(now) + START_WINDOW_MS
+        deadline_ms = record.clock.estimate(now) + self._get_start_window(record)
         if self.run_times is not None:
             self.run_times.note_start(now - task.started_at)
         task.started_at = now
         task.sent = True
         task.start_deadline_ms = deadline_ms
         record.lease_ms = max(record.lease_ms, deadline_ms)
-        return attrs.evolve(order, deadline_ms=deadline_ms)
+        timeout_s = self.call_timeouts.get_start_timeout(order.worker_id)
+        return attrs.evolve(order, deadline_ms=deadline_ms, timeout_s=timeout_s)
+
+    def _get_start_window(self, record: WorkerRecord) -> float:
+        """Return how long a start order to a worker is valid, in milliseconds."""
+        timeout_s = self.call_timeouts.get_start_timeout(record.entry.worker_id)
+        return max(START_WINDOW_MS, timeout_s * MS_PER_S - REPLY_MS)
 
     def withdraw_start(self, order: StartOrder, retry_at: float) -> None:
         """Give up an order that was not sent, since it cannot be stored.
--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -428,7 +428,8 @@
         task = job.find_task(order.task) if job else None
         record = self.workers.get(order.worker_id)
         if record is not None:
-            note_delivery(record, reply.kind, now)
+            proves = self._proves_delivery(task, reply, now)
+            note_delivery(record, reply.kind, now, proves)
         if reply.overdue_s is not None:
             self.call_timeouts.note_timeout(order.worker_id)
         if job is None or task is None or not task.placed:
@@ -461,4 +462,12 @@
         if record is not None and reply.kind in _BLOCKING:
             record.blocked_until = max(record.blocked_until, now + REFUSAL_BLOCK_S)
         self._release(job, task)
-        task.not_before = now + RETRY_PAUSE_S
+        if reply.kind is not ReplyKind.TOO_LATE:
+            task.not_before = now + RETRY_PAUSE_S
+
+    def _proves_delivery(self, task: Task | None, reply: Reply, now: float) -> bool:
+        """Tell whether the outcome of a start order says something of its worker."""
+        if reply.overdue_s is None:
+            return True
+        sent_at = now if task is None else task.started_at
+        return not self.call_timeouts.is_inconclusive(sent_at, reply.overdue_s)
