Renew ownership beside late writes, and let late nodes claim later

Callers saw shards claimed from owners that live, one twice within seconds: the owner row was renewed with the owner's other writes, so that a write that was refused or unanswered for 2.2 s looked like the failure of the owner; and a node that had not looked for renewals, since its loop or its reads were late, counted that time as silence of the owner. Each change of owner makes runs doubtful and more work.

An owner (and the fleet controller) whose last confirmed renewal is 1.4 s old renews the owner row apart, on the version of that row, so that it goes beside a write that waits and never replaces a claim. A claimant adds its loop lag and the delay of its reads to the owner time-out; a claim goes on to expect the version of the row it was decided on, so one that misses a renewal is refused by the store. Each takeover of a shard within 5 s adds 0.7 s before the next one, by three at most; releases and restarts are none. Without lateness, a dead owner is replaced as before, unless its shard was taken over within the last 5 s.

--- a/src/onyxgap/daemons/fence.py
+++ b/src/onyxgap/daemons/fence.py
@@ -8,6 +8,7 @@
 import attrs
 import structlog
 
+from ..exceptions import DocumentError
 from ..exceptions import OwnershipLostError
 from ..exceptions import WriteRefusedError
 from ..jobs import tables
@@ -18,6 +19,7 @@
 from ..jobs.store import Invalid
 from ..jobs.store import RowId
 from ..jobs.store import Store
+from ..jobs.store import StoredRow
 from ..jobs.store import StoreLimits
 from ..jobs.tables import NO_LOAD
 from ..jobs.tables import UNKNOWN_LOAD
@@ -27,6 +29,9 @@
 RENEWAL_INTERVAL_S = 0.7
 """Time between two renewals of the owner row. Three of them fit into the owner
 time-out, after which other nodes claim the shard."""
+OVERDUE_S = 2 * RENEWAL_INTERVAL_S
+"""Age of the last confirmed renewal from which the owner row is renewed apart from the
+other writes. A renewal that is sent then arrives within the owner time-out."""
 RETRY_MIN_S = 0.03
 """First delay before a write is repeated: about twice the time of a transaction."""
 RETRY_MAX_S = 0.4
@@ -48,6 +53,7 @@
     :param rng: source of the jitter of retries.
     :param grants: when the owner may grant leases.
     :param row_bytes: largest row of the store.
+    :param owner_version: highest version of the owner row that is known to be ours.
     """
 
     shard: str
@@ -58,9 +64,14 @@
     rng: random.Random
     grants: GrantPeriod
     row_bytes: int = StoreLimits().row_bytes
+    owner_version: int = attrs.field(init=False)
     _renewed_at: float = -math.inf
     _sequence: int = 0
 
+    def __attrs_post_init__(self) -> None:
+        # a claim writes both rows
+        self.owner_version = self.version
+
     def is_renewal_due(self, now: float) -> bool:
         """Tell whether the owner row must be renewed."""
         return now - self._renewed_at >= RENEWAL_INTERVAL_S
@@ -136,7 +147,49 @@
     ) -> None:
         self.version, self.nonce = version, nonce
         if confirmed_at is not None:
-            self.grants.confirm(confirmed_at)
+            self._note_renewed(version, confirmed_at)
+
+    def _note_renewed(self, version: int, confirmed_at: float) -> None:
+        self.owner_version = max(self.owner_version, version)
+        self.grants.confirm(confirmed_at)
+
+    async def renew_if_overdue(self) -> None:
+        """Renew the owner row if the other writes have not done so in time.
+
+        A write that the store refuses or answers late, and the rows that wait behind
+        it, must not look like the failure of the owner. The renewal expects the version
+        of the owner row in place of that of the fence row, so that it goes beside such
+        a write. It is tried once.
+
+        :raises OwnershipLostError: when another node has claimed the shard.
+        """
+        sent_at = self.grants.read_boot()
+        if self.grants.closed or sent_at - self.grants.confirmed_at < OVERDUE_S:
+            return
+        self.owner = attrs.evolve(self.owner, beat=self.owner.beat + 1)
+        row_id = tables.get_owner_row(self.shard)
+        value = tables.encode_owner(self.owner)
+        batch = Batch({row_id: self.owner_version}, {row_id: value})
+        outcome = await self.store.write(batch)
+        if isinstance(outcome, Applied):
+            self._note_renewed(outcome.version, sent_at)
+        elif isinstance(outcome, Conflict):
+            self._learn_owner_version(outcome.find(row_id))
+
+    def _learn_owner_version(self, row: StoredRow | None) -> None:
+        """Use the version of an owner row that another of our writes has renewed."""
+        if row is None or self.grants.closed:
+            return
+        try:
+            found = tables.decode_owner(row.value)
+        except DocumentError:
+            # the next write of the owner replaces it
+            return
+        if (found.boot, found.epoch) != (self.owner.boot, self.owner.epoch):
+            raise OwnershipLostError(
+                f"shard {self.shard} was claimed by {found.node} with {found.epoch}"
+            )
+        self.owner_version = max(self.owner_version, row.version)
 
     async def release(self) -> None:
         """Release the shard, so that another node can claim it at once.
--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -32,6 +32,8 @@
 
 OWNER_POLL_S = 0.7
 """Interval of polling the owner rows; owners renew their rows at the same interval."""
+READ_SLACK_S = 0.1
+"""Delay of a read of the owner rows that counts as none."""
 MAX_ANSWER_GAP_S = 2.0
 """After a longer gap between two answers of the store, owner time-outs start again: a
 renewal that was not seen during the gap proves nothing about the owner."""
@@ -102,6 +104,8 @@
             self.rng,
             wait_s=0.0,
             pause_s=OWNER_POLL_S,
+            on_caught_up=self._note_owners_read,
+            read_boot=self.clocks.read_monotonic,
         )
         assert self._group is not None
         self._group.start_soon(follower.run)
@@ -110,6 +114,15 @@
             if self.routes.configuration is not None and not self._stopping:
                 self._claim_next_shard(follower)
 
+    def _note_owners_read(self, sent_at: float) -> None:
+        self._owners_read_at = sent_at
+
+    def _measure_unseen(self, now: float) -> float:
+        """Return by how many seconds this node may see a renewal late."""
+        read_age_s = now - self._owners_read_at
+        delay_s = max(0.0, read_age_s - OWNER_POLL_S - READ_SLACK_S)
+        return self.lag.seconds + delay_s
+
     def _list_shards(self) -> t.Sequence[str]:
         if self.routes.configuration is None:
             return ()
@@ -166,6 +179,7 @@
             self.health.latency_s,
             small_vm,
             yields=small_vm and self.settings.contended,
+            unseen_s=self._measure_unseen(now),
         )
         assert self._group is not None
         for shard in list_claimable(views, claimant, reachable_since, now)[:1]:
@@ -179,6 +193,8 @@
                 version=view.version,
                 unchanged_s=round(now - view.changed_at, 2),
                 heard_s=round(now - reachable_since, 2),
+                unseen_s=round(claimant.unseen_s, 2),
+                takeovers=len(view.takeovers),
             )
             self._group.start_soon(self._claim, shard, view)
 
--- a/src/onyxgap/daemons/node_base.py
+++ b/src/onyxgap/daemons/node_base.py
@@ -1,5 +1,6 @@
 """Base class of a node: builds its components and applies the operator's rows."""
 
+import math
 import random
 import typing as t
 import uuid
@@ -145,6 +146,7 @@
     former_owners: FormerOwners = attrs.field(init=False)
     _store_reachable_since: float | None = None
     _store_answered_at: float = 0.0
+    _owners_read_at: float = math.inf
     _claiming: set[str] = attrs.field(factory=set)
     _claim_after: dict[str, float] = attrs.field(factory=dict)
     _group: anyio.abc.TaskGroup | None = None
--- a/src/onyxgap/daemons/owned.py
+++ b/src/onyxgap/daemons/owned.py
@@ -9,6 +9,9 @@
 from ..exceptions import OwnershipLostError
 from .fence import FencedWriter
 
+RENEWAL_CHECK_S = 0.2
+"""Interval of checking whether the owner row has to be renewed apart."""
+
 
 @attrs.define(eq=False)
 class OwnedShard:
@@ -60,6 +63,7 @@
             await load()
             async with anyio.create_task_group() as group:
                 self._group = group
+                group.start_soon(self._renew_if_overdue_forever)
                 await work(group)
                 group.cancel_scope.cancel()
         except* OwnershipLostError as errors:
@@ -67,3 +71,8 @@
         finally:
             self._group = None
             self.released.set()
+
+    async def _renew_if_overdue_forever(self) -> None:
+        while True:
+            await anyio.sleep(RENEWAL_CHECK_S)
+            await self.writer.renew_if_overdue()
--- a/src/onyxgap/jobs/ownership.py
+++ b/src/onyxgap/jobs/ownership.py
@@ -19,6 +19,14 @@
 """Extension of :data:`OWNER_TIMEOUT_S`, in multiples of the store's latency. In a slow
 store, a renewal takes several attempts of the owner, one after the other in the shard's
 partition, and a read by the other nodes. Claims would queue in that partition, too."""
+TAKEOVER_BACKOFF_S = 0.7
+"""Extension of the time before a claim, for each recent takeover of the shard: one
+renewal. A shard that changes its owner again at once mostly does so because the nodes
+or the store are late, and each change makes more work."""
+RECENT_TAKEOVER_S = 5.0
+"""Age up to which a takeover counts as recent."""
+MAX_TAKEOVERS = 3
+"""Most recent takeovers that are counted."""
 CLAIM_BACKOFF_S = 0.8
 """Delay before a node retries a failed claim. A slow store takes 0.3 s for each
 transaction of a partition and rejects transactions that wait for more than 1 s."""
@@ -65,6 +73,8 @@
         notices in the current series, ``None`` if there was none.
     :param last_notice_at: monotonic seconds of the latest hand-over notice.
     :param load_report: newest owner row with a load report, ``None`` if there was none.
+    :param takeovers: monotonic seconds of the last claims by a node that the owner
+        before had not released the shard to.
     """
 
     row: OwnerRow | None
@@ -73,6 +83,7 @@
     handed_over_at: float | None = None
     last_notice_at: float = 0.0
     load_report: OwnerRow | None = None
+    takeovers: tuple[float, ...] = ()
 
     def __attrs_post_init__(self) -> None:
         if self.row is not None and self.row.waiting is not None:
@@ -87,7 +98,25 @@
         :param version: its version.
         :param now: monotonic seconds.
         """
-        return OwnerView(row, version, now, load_report=self.load_report)
+        takeovers = self.takeovers
+        if self._is_taken_over(row):
+            takeovers = (*takeovers, now)[-MAX_TAKEOVERS:]
+        return OwnerView(
+            row, version, now, load_report=self.load_report, takeovers=takeovers
+        )
+
+    def _is_taken_over(self, row: OwnerRow) -> bool:
+        if self.row is None or self.row.released:
+            return False
+        return row.epoch != self.row.epoch and row.node != self.row.node
+
+    def get_takeover_backoff(self, now: float) -> float:
+        """Return the extension of the time before a claim, in seconds.
+
+        :param now: monotonic seconds.
+        """
+        recent = [at for at in self.takeovers if now - at < RECENT_TAKEOVER_S]
+        return TAKEOVER_BACKOFF_S * len(recent)
 
     def get_load_report(self, store_ms: int | None) -> LoadReport | None:
         """Return the newest load report unless it has expired or its age is unknown.
@@ -148,6 +177,8 @@
     :param small_vm: whether its VM is much smaller than the largest one.
     :param yields: whether it waits before it claims shards of its own previous process,
         so that other nodes can claim them first.
+    :param unseen_s: seconds by which it may see a renewal late: lag of its event loop,
+        and delay of its reads of the owner rows.
     """
 
     node: str
@@ -156,6 +187,7 @@
     latency_s: float = 0.0
     small_vm: bool = False
     yields: bool = False
+    unseen_s: float = 0.0
 
 
 def get_claim_time(
@@ -179,13 +211,16 @@
     row = view.row
     if row is None or row.released:
         return view.changed_at + delay
+    delay += view.get_takeover_backoff(now)
     if view.is_handed_over(store_reachable_since, now):
         assert view.handed_over_at is not None
         return view.handed_over_at + delay
     if row.node == claimant.node and row.boot != claimant.boot:
         # the owner was a previous process of this node, which no longer exists
         return view.changed_at + PREVIOUS_SHARD_DELAY_S * claimant.yields
+    # a claimant that is late has not seen the renewals of that time
     timeout_s = OWNER_TIMEOUT_S + LATENCY_FACTOR * claimant.latency_s
+    timeout_s += claimant.unseen_s
     return max(view.changed_at, store_reachable_since) + timeout_s + delay
 
 
