Add the lag of the process to the timeouts of its store calls

Callers saw store calls fail and hand-over notices by nodes that were late themselves, followed by claims of their shards: reads were given up after 1 s, feeds 0.7 s after their wait and writes after 1 s at most, however late the node's own loop was, and each such failure started the time after which the store counts as down.

The lag of the loop, from 0.1 s on and 1 s at most, is added to these timeouts. A failure that a late process notices does not count while the last answer of the store is less than 2 s old.

--- a/src/onyxgap/daemons/node_base.py
+++ b/src/onyxgap/daemons/node_base.py
@@ -154,6 +154,7 @@
 
     def __attrs_post_init__(self) -> None:
         self.lag = LoopLag(self.clocks)
+        self.health.read_lag = lambda: self.lag.seconds
         self.routes.keyed = self.settings.keyed
         self.exchange = ConfigurationExchange(
             self.routes,
--- a/src/onyxgap/daemons/node_process.py
+++ b/src/onyxgap/daemons/node_process.py
@@ -87,7 +87,8 @@
     """
     clocks = SystemClocks()
     health = StoreHealth()
-    store = PlatformStore(HttpClient(settings.store, MAX_STORE_CONNECTIONS))
+    store_client = HttpClient(settings.store, MAX_STORE_CONNECTIONS)
+    store = PlatformStore(store_client, get_lag=health.get_lag)
     policy_client = None
     if settings.advice != "-":
         policy_client = PlatformPolicyClient(HttpClient(settings.advice))
--- a/src/onyxgap/jobs/health.py
+++ b/src/onyxgap/jobs/health.py
@@ -1,10 +1,13 @@
 """Health of the store, so that calls can fail fast while it does not answer."""
 
+import typing as t
+
 import attrs
 import structlog
 
 from ..clocks import Clocks
 from ..exceptions import PlatformUnavailableError
+from .call_timeouts import LATE_S
 from .store import WRITE_TIMEOUT_S
 from .store import Applied
 from .store import Batch
@@ -24,6 +27,12 @@
 SUSPECT_S = 0.1
 """Failures for this long make the store suspect, and a call may be forwarded to another
 node. A normal call takes about 5 ms."""
+MAX_LAG_S = 1.0
+"""Most seconds by which the timeouts of calls grow with the lag of the event loop."""
+MAX_IGNORED_S = 2.0
+"""Time since the last answer of the store for which a failure that a late process
+noticed counts as none. After it, the store counts as failing however late the process
+is."""
 LATENCY_WEIGHT = 0.5
 """Weight of the newest call; two calls are enough to notice that the store is slow."""
 
@@ -39,12 +48,19 @@
         or ``None``.
     :param latency_s: smoothed latency of calls that do not wait for changes.
     :param store_clock: estimate of the store's clock.
+    :param read_lag: returns the lag of the process's event loop in seconds.
     """
 
     answered_at: float = 0.0
     failing_since: float | None = None
     latency_s: float = 0.0
     store_clock: StoreClock = attrs.field(factory=StoreClock)
+    read_lag: t.Callable[[], float] = float
+
+    def get_lag(self) -> float:
+        """Return the seconds to add to the timeout of a call, 0 without lag."""
+        lag_s = self.read_lag()
+        return min(lag_s, MAX_LAG_S) if lag_s >= LATE_S else 0.0
 
     def note_latency(self, took_s: float) -> None:
         """Record the duration of a call that did not wait for changes."""
@@ -60,9 +76,15 @@
     def note_failure(self, now: float, reason: str) -> None:
         """Record a call that got no answer or was refused.
 
+        A late process may have missed the answer, so that its failures do not count for
+        some time.
+
         :param now: monotonic seconds.
         :param reason: reason of the failure, for the log.
         """
+        is_late = self.read_lag() >= LATE_S
+        if is_late and now - self.answered_at < MAX_IGNORED_S:
+            return
         if self.failing_since is None:
             self.failing_since = now
             _LOG.info("store call failed", reason=reason)
@@ -101,7 +123,7 @@
         :returns: the outcome; a failed call does not raise.
         """
         started = self.clocks.read_monotonic()
-        timeout_s = min(timeout_s, self.timeout.get())
+        timeout_s = min(timeout_s, self.timeout.get()) + self.health.get_lag()
         outcome = await self.store.write(batch, timeout_s)
         now = self.clocks.read_monotonic()
         if isinstance(outcome, OutcomeUnknown):
--- a/src/onyxgap/platform/store.py
+++ b/src/onyxgap/platform/store.py
@@ -115,10 +115,13 @@
 
     :param http: HTTP client of the store.
     :param calls: number of calls made so far, by kind.
+    :param get_lag: returns the seconds to add to the timeouts of reads, as the process
+        is late.
     """
 
     http: HttpClient
     calls: dict[str, int] = attrs.field(factory=dict)
+    get_lag: t.Callable[[], float] = float
 
     def _count(self, kind: str) -> None:
         self.calls[kind] = self.calls.get(kind, 0) + 1
@@ -137,6 +140,7 @@
         self, path: str, timeout_s: float, **query: str | int
     ) -> tuple[Page, bool]:
         target = f"{path}?{urllib.parse.urlencode(query)}"
+        timeout_s += self.get_lag()
         return _decode_page(await self.http.call("GET", target, timeout_s=timeout_s))
 
     async def read(self, table: str, part: str, key: str = "") -> Page:
@@ -176,8 +180,9 @@
             query = urllib.parse.urlencode(
                 {"table": table, **({"after": parts[-1]} if parts else {})}
             )
+            timeout_s = READ_TIMEOUT_S + self.get_lag()
             answer = await self.http.call(
-                "GET", f"/rows-parts?{query}", timeout_s=READ_TIMEOUT_S
+                "GET", f"/rows-parts?{query}", timeout_s=timeout_s
             )
             if answer.status != 200:
                 raise PlatformUnavailableError(answer.reason or str(answer.status))
