Keep a VM for the loss of one whose serving tasks fit nowhere else

What callers saw: a pool is cut to the VMs on which tasks serve. If these tasks must be apart, or fill a VM, the task of a VM that fails fits on no other one. It waits for a move, beside idle spare VMs: for as long as the VM interface refuses orders or does not answer.

Change: owners report how many VMs leave room for the serving tasks of any one of their workers (redundant_vms). The count is 0 if the workers with serving tasks have the room themselves, and does not depend on what else the pool has. The fleet controller keeps this many if VMs are left that no pool claims, be it as a reserve or for late tasks; so it costs no other pool its demand.

--- a/src/onyxgap/jobs/shard_demand.py
+++ b/src/onyxgap/jobs/shard_demand.py
@@ -18,6 +18,7 @@
 from .load import get_worker_fraction
 from .messages import Step
 from .priorities import rate_urgency
+from .redundancy import count_redundant_workers
 from .shard_jobs import get_step_key
 from .shard_stops import ShardStops
 from .shortage import WideStep
@@ -58,6 +59,7 @@
                 self.workers.values(),
             ),
             late_vms=self._count_late_vms(capacity, now),
+            redundant_vms=self._count_redundant_vms(),
             arrived_jobs=self.arrived_jobs,
             offered=round(self.offered, 3),
             epoch=self.epoch,
@@ -101,6 +103,14 @@
             demand.add_step(step, get_step_key(tasks[0]), waiting * fraction)
         return demand.count_vms()
 
+    def _count_redundant_vms(self) -> int:
+        steps = {
+            item.step_key: item.step
+            for item in self._list_wide_steps()
+            if item.step.long_running
+        }
+        return count_redundant_workers(steps, self.workers.values())
+
     def _measure_worker_loads(self) -> dict[str, WorkerLoad]:
         serving = collections.Counter(
             task.worker_id
--- a/src/onyxgap/jobs/shortage.py
+++ b/src/onyxgap/jobs/shortage.py
@@ -37,7 +37,7 @@
 
 
 @attrs.define(slots=True)
-class _Space:
+class WorkerSpace:
     """A worker with what serving tasks use there, those to be placed included.
 
     :param record: the worker, or one of the same size for a worker that is lacking.
@@ -89,12 +89,14 @@
     ]
     if not displaced or not registered:
         return 0
-    spaces = [_Space(item, item.serving) for item in registered if not item.cordoned]
+    spaces = [
+        WorkerSpace(item, item.serving) for item in registered if not item.cordoned
+    ]
     capacity = max((item.entry.cpu, item.entry.memory_mb) for item in registered)
     displaced.sort(key=lambda item: -get_worker_fraction(item[0].step, capacity))
     for wide, count in displaced:
         if wide.step.long_running:
-            _place_together(wide, count, spaces, registered)
+            place_together(wide.step, wide.step_key, count, spaces, registered)
     needed = 0
     if any(space.added for space in spaces):
         needed = sum(space.in_use for space in spaces)
@@ -104,17 +106,24 @@
     return needed
 
 
-def _place_together(
-    wide: WideStep,
+def place_together(
+    step: Step,
+    step_key: StepKey,
     count: int,
-    spaces: list[_Space],
+    spaces: list[WorkerSpace],
     registered: t.Sequence[WorkerRecord],
 ) -> None:
-    """Place the tasks of a step, and add the workers that they lack."""
-    step = wide.step
+    """Place the tasks of a step, and add the workers that they lack.
+
+    :param step: the step.
+    :param step_key: job, occurrence and number of the step.
+    :param count: number of its tasks to place.
+    :param spaces: workers of the pool; those that are lacking are appended.
+    :param registered: workers that show of which size those lacking would be.
+    """
     amount = get_reserved_amount(step)
     for space in spaces:
-        taken = min(count, space.count_open_places(step, wide.step_key))
+        taken = min(count, space.count_open_places(step, step_key))
         if taken:
             space.used += amount * taken
             count -= taken
@@ -123,14 +132,14 @@
     largest, per_worker = _find_largest(step, registered)
     while per_worker and count:
         taken = min(count, per_worker)
-        spaces.append(_Space(largest, amount * taken, added=True))
+        spaces.append(WorkerSpace(largest, amount * taken, added=True))
         count -= taken
 
 
 def _count_for_step(
     wide: WideStep,
     count: int,
-    spaces: t.Sequence[_Space],
+    spaces: t.Sequence[WorkerSpace],
     registered: t.Sequence[WorkerRecord],
 ) -> int:
     """Count the workers with which the tasks of a step fit beside serving tasks."""
--- a/src/onyxgap/pools/allocation.py
+++ b/src/onyxgap/pools/allocation.py
@@ -3,7 +3,8 @@
 Pools are not sized one by one: a pool may be late for lack of VMs that another pool
 only keeps in reserve. VMs for current work are therefore allocated before reserves,
 and before all others those for serving tasks that have no worker: such a task can't
-make up for the time in which it is away. Late tasks get the VMs that nobody claims.
+make up for the time in which it is away. Late tasks get the VMs that nobody claims, and
+what they leave is kept for the loss of a VM.
 """
 
 import math
@@ -22,12 +23,15 @@
         ``needed``; else 0.
     :param late: VMs with which its late tasks go on, including all others; 0 if none of
         these tasks waits for a VM.
+    :param redundant: VMs with which the loss of one leaves room for its serving tasks,
+        including all others; 0 if that is so anyway.
     """
 
     needed: int
     wanted: int
     serving: int = 0
     late: int = 0
+    redundant: int = 0
 
 
 def allocate_vms(claims: t.Mapping[str, PoolClaim], total: int) -> dict[str, int]:
@@ -42,9 +46,21 @@
     reserves = {pool: claim.wanted - claim.needed for pool, claim in claims.items()}
     allocated = _allocate_proportionally(reserves, total - sum(needed.values()))
     sizes = {pool: needed[pool] + allocated[pool] for pool in claims}
-    late = {pool: max(0, claim.late - claim.wanted) for pool, claim in claims.items()}
-    unclaimed = _allocate_proportionally(late, total - sum(sizes.values()))
-    return {pool: sizes[pool] + unclaimed[pool] for pool in claims}
+    for requested in (
+        {pool: claim.late for pool, claim in claims.items()},
+        {pool: claim.redundant for pool, claim in claims.items()},
+    ):
+        sizes = _allocate_unclaimed(sizes, requested, total)
+    return sizes
+
+
+def _allocate_unclaimed(
+    sizes: t.Mapping[str, int], requested: t.Mapping[str, int], total: int
+) -> dict[str, int]:
+    """Enlarge pools up to the requested sizes by VMs that no other pool claims."""
+    lacking = {pool: max(0, requested[pool] - size) for pool, size in sizes.items()}
+    allocated = _allocate_proportionally(lacking, total - sum(sizes.values()))
+    return {pool: size + allocated[pool] for pool, size in sizes.items()}
 
 
 def _allocate_needed(claims: t.Mapping[str, PoolClaim], total: int) -> dict[str, int]:
--- a/src/onyxgap/pools/messages.py
+++ b/src/onyxgap/pools/messages.py
@@ -91,6 +91,9 @@
     :param late_vms: VMs that the pool needs so that its late tasks go on, including
         those that it has, 0 if none of these tasks lacks room; see
         :class:`onyxgap.jobs.late_demand.LateDemand`.
+    :param redundant_vms: VMs with which the loss of one leaves room for its serving
+        tasks, 0 if those on which tasks serve have it; see
+        :func:`onyxgap.jobs.redundancy.count_redundant_workers`.
     :param arrived_jobs: jobs accepted since the owner claimed the shard.
     :param offered: work of the tasks of these jobs that end by themselves, in VM
         seconds.
@@ -105,12 +108,13 @@
     serving: float = 0.0
     serving_vms: int = 0
     late_vms: int = 0
+    redundant_vms: int = 0
     arrived_jobs: int = 0
     offered: float = 0.0
     epoch: int = 0
 
 
-LATER_FIELDS = ("serving_vms", "late_vms")
+LATER_FIELDS = ("serving_vms", "late_vms", "redundant_vms")
 """Fields of reports that earlier versions do not know."""
 _REPORT_FIELDS = frozenset(field.name for field in attrs.fields(PoolReport))
 
--- a/src/onyxgap/pools/sizing.py
+++ b/src/onyxgap/pools/sizing.py
@@ -82,6 +82,7 @@
     _job_counters: dict[str, tuple[int, int]] = attrs.field(factory=dict)
     _recent_needed: RecentCounts = attrs.field(factory=dict)
     _recent_late: RecentCounts = attrs.field(factory=dict)
+    _recent_redundant: RecentCounts = attrs.field(factory=dict)
 
     def observe(self, report: PoolReport, now: float) -> None:
         """Record the report of a shard.
@@ -155,7 +156,10 @@
         recent_max = _update_recent_max(self._recent_needed, report.shard, needed, now)
         wanted = max(recent_max, self._get_min_size(report.shard, base, now))
         late = _update_recent_max(self._recent_late, report.shard, report.late_vms, now)
-        return PoolClaim(needed, wanted, report.serving_vms, late)
+        redundant = _update_recent_max(
+            self._recent_redundant, report.shard, report.redundant_vms, now
+        )
+        return PoolClaim(needed, wanted, report.serving_vms, late, redundant)
 
     def _get_min_size(self, shard: str, base: int, now: float) -> int:
         """Return the minimum size of a pool, regardless of its current demand."""
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -167,7 +167,7 @@
     assert decode_fleet_row(orjson.dumps(value)) == FleetRow({"w": "move#1"})
 
 
-@pytest.mark.parametrize("name", ["serving_vms", "late_vms"])
+@pytest.mark.parametrize("name", ["serving_vms", "late_vms", "redundant_vms"])
 def test_reports_are_read_by_nodes_of_other_versions(name: str) -> None:
     sent = attrs.evolve(report("a", workers={"w": WorkerLoad(2, 1, 900)}), **{name: 3})
     value = orjson.loads(encode_report(sent))
