Report how late and how busy the platform's process of a soak was

The store, workers, VMs and callers of a soak are one process. Where it is late, calls of nodes time out that say nothing about the nodes. Beside its highest lag the output now has the seconds for which it was late (0.1 s or more), the cores that it used, the time for which it waited for a processor, and whether its lag exceeded the 0.3 s that nodes allow. It excuses no breach: the exit code and the list of breaches are as before.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -66,7 +66,7 @@
         wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR)
     )
     cores = choose_core_share(arguments.node_cores, arguments.busy)
-    red = 0
+    red = late = 0
     for seed in range(arguments.seed, arguments.seed + arguments.seeds):
         day = load_script(arguments.day)
         script = draw_faults(day, seed, arguments.faults, include_scripted=True)
@@ -80,18 +80,24 @@
                 folder.mkdir(parents=True, exist_ok=True)
             result = play_soak(script, seed, folder, cores=cores)
         red += bool(result.breaches)
+        late += result.platform.is_excessive()
         faults = [f"{item.at:.1f} {item.verb} {item.target}" for item in script.faults]
         found = {
             "seed": seed,
             "accepted": result.account.accepted,
             "in_time": result.account.in_time,
-            "platform_lag_s": round(result.platform_lag_s, 3),
+            "platform_lag_s": round(result.platform.highest_lag_s, 3),
+            "platform_late_s": round(result.platform.late_s, 3),
+            "platform_was_late": result.platform.is_excessive(),
+            "platform_cpu_share": round(result.platform.cpu_share, 3),
+            "platform_wait_s": round(result.platform.wait_s, 3),
             "node_lag_s": round(result.node_lag_s, 3),
             "faults": faults,
             "breaches": [f"{item.rule}: {item.detail}" for item in result.breaches],
         }
         print(json.dumps(found) if arguments.json else found, flush=True)
-    print(f"{arguments.seeds} seeds, {red} with broken rules", file=sys.stderr)
+    summary = f"{red} with broken rules, {late} with a late platform"
+    print(f"{arguments.seeds} seeds, {summary}", file=sys.stderr)
     return 1 if red else 0
 
 
--- a/bench/soak/day.py
+++ b/bench/soak/day.py
@@ -10,10 +10,7 @@
 import anyio.abc
 import attrs
 
-from onyxgap.cli.tracing import EVENT_FIELD
-from onyxgap.cli.tracing import parse_lines
 from onyxgap.clocks import SystemClocks
-from onyxgap.daemons.lag import LoopLag
 from onyxgap.standins.emulator.breach import Breach
 from onyxgap.standins.emulator.day import DayResult
 from onyxgap.standins.emulator.faults import FaultyDay
@@ -23,6 +20,10 @@
 from .connection_faults import KINDS
 from .connection_faults import ConnectionFaults
 from .cores import CoreShare
+from .lags import LoadMeter
+from .lags import PlatformLag
+from .lags import PlatformLoad
+from .lags import read_node_lag
 from .malformed import list_malformed_registrations
 from .processes import ProcessSlot
 
@@ -30,36 +31,18 @@
 """Time after the end of a day in which accepted jobs must end: days are short."""
 
 
-LAG_EVENT = "event loop late"
-"""Event of the log lines of nodes whose event loop is late."""
-
-
 @attrs.frozen
 class SoakResult(DayResult):
     """How a day with processes ended.
 
-    :param platform_lag_s: highest lag of the event loop of the platform's process.
+    :param platform: how late and how busy the platform's process was.
     :param node_lag_s: highest lag of a node's event loop that the nodes have logged.
     """
 
-    platform_lag_s: float = 0.0
+    platform: PlatformLoad = PlatformLoad()
     node_lag_s: float = 0.0
 
 
-def read_node_lag(folder: pathlib.Path) -> float:
-    """Read the highest lag that the nodes have logged, 0 if none was late.
-
-    :param folder: folder with their logs.
-    """
-    lags = [
-        line.fields["lag_s"]
-        for path in folder.glob("*.log")
-        for line in parse_lines(path.name, path.read_text(errors="replace"))
-        if line.fields[EVENT_FIELD] == LAG_EVENT
-    ]
-    return max(lags, default=0.0)
-
-
 class LoopFromZero(asyncio.SelectorEventLoop):
     """An event loop whose clock begins at nought, as that of an emulated day."""
 
@@ -84,7 +67,8 @@
     folder: pathlib.Path = pathlib.Path()
     finish_s: float = FINISH_S
     cores: CoreShare = CoreShare()
-    lag: LoopLag = attrs.field(factory=lambda: LoopLag(SystemClocks()))
+    lag: PlatformLag = attrs.field(factory=lambda: PlatformLag(SystemClocks()))
+    _load: LoadMeter = attrs.field(factory=LoadMeter)
     _connection_faults: ConnectionFaults = attrs.field(init=False)
 
     def _build(self, group: anyio.abc.TaskGroup) -> None:
@@ -118,6 +102,7 @@
         await super()._start_nodes(group)
 
     def _judge(self) -> SoakResult:
+        load = self._load.measure(self.lag)
         result = super()._judge()
         breaches = list(result.breaches)
         for slot in self.slots:
@@ -138,7 +123,7 @@
             breaches,
             result.account,
             result.hindsight,
-            self.lag.highest_s,
+            load,
             read_node_lag(self.folder),
         )
 
--- a/tests/test_loop_lag.py
+++ b/tests/test_loop_lag.py
@@ -8,7 +8,7 @@
 
 from bench.soak.cores import CoreShare
 from bench.soak.cores import choose_core_share
-from bench.soak.day import read_node_lag
+from bench.soak.lags import read_node_lag
 from onyxgap.clocks import SystemClocks
 from onyxgap.daemons.lag import REPORT_INTERVAL_S
 from onyxgap.daemons.lag import REPORTED_LAG_S
--- /dev/null
+++ b/tests/test_soak_lags.py
@@ -0,0 +1,41 @@
+"""The lateness of the platform's process that a soak reports."""
+
+import pytest
+
+from bench.soak.lags import ALLOWED_LAG_S
+from bench.soak.lags import LoadMeter
+from bench.soak.lags import PlatformLag
+from bench.soak.lags import PlatformLoad
+from onyxgap.clocks import SystemClocks
+from onyxgap.daemons.lag import REPORTED_LAG_S
+
+
+@pytest.fixture
+def lag() -> PlatformLag:
+    return PlatformLag(SystemClocks())
+
+
+def test_lags_of_the_platform_add_up_and_small_ones_do_not(lag: PlatformLag) -> None:
+    for lag_s in (REPORTED_LAG_S / 2, REPORTED_LAG_S, 0.0, 3 * REPORTED_LAG_S):
+        lag.record(lag_s, 0.0, 10.0)
+    assert lag.late_s == pytest.approx(4 * REPORTED_LAG_S)
+    assert lag.highest_s == pytest.approx(3 * REPORTED_LAG_S)
+
+
+@pytest.mark.parametrize(
+    ("lag_s", "excessive"), [(ALLOWED_LAG_S, False), (ALLOWED_LAG_S + 0.01, True)]
+)
+def test_platform_that_was_later_than_nodes_allow_is_reported(
+    lag: PlatformLag, lag_s: float, excessive: bool
+) -> None:
+    lag.record(lag_s, 0.0, 10.0)
+    assert LoadMeter().measure(lag).is_excessive() is excessive
+    assert not PlatformLoad().is_excessive()
+
+
+def test_wait_for_a_processor_counts_from_the_start_of_the_day(
+    lag: PlatformLag,
+) -> None:
+    waits = iter([5.0, 7.5])
+    meter = LoadMeter(lambda: next(waits))
+    assert meter.measure(lag).wait_s == 2.5
