Look up changes and workers of the emulator by table and by address

The history is now kept by table and searched by version, workers are looked up by address, and the soak's answers are encoded with orjson. The order of events is meant to stay the same: feeds wake as before, and lists keep their order.

--- a/bench/soak/platform.py
+++ b/bench/soak/platform.py
@@ -12,7 +12,7 @@
 from onyxgap.adapters.asgi import Scope
 from onyxgap.adapters.asgi import Send
 from onyxgap.adapters.asgi import read_body
-from onyxgap.adapters.asgi import send_json
+from onyxgap.adapters.asgi import send_answer
 from onyxgap.exceptions import HistoryTruncatedError
 from onyxgap.exceptions import PlatformUnavailableError
 from onyxgap.jobs.store import Applied
@@ -50,6 +50,7 @@
 """Status and reason of a reply to an order; ``UNKNOWN`` has none."""
 REFUSALS = (503, 429)
 """Statuses of refused orders in turn: out of service, and too many calls."""
+JSON_HEADERS = (("Content-Type", "application/json"),)
 Answer = tuple[int, wire.Json] | None
 
 
@@ -113,7 +114,7 @@
         if self.connections.draw(Break.CUT_ANSWER):
             await send_cut_json(send, status, value)
         else:
-            await send_json(send, status, value)
+            await send_answer(send, status, orjson.dumps(value), JSON_HEADERS)
 
     async def _answer(
         self, path: str, raw: wire.Json, query: wire.Json, headers: wire.Json
--- a/src/onyxgap/standins/emulator/store.py
+++ b/src/onyxgap/standins/emulator/store.py
@@ -1,5 +1,7 @@
 """The platform's store: rows, conditions, feeds, rates and outages."""
 
+import bisect
+import operator
 import random
 import typing as t
 
@@ -32,6 +34,9 @@
 CALL_TIMEOUT_S = 1.0
 
 
+_get_version = operator.attrgetter("version")
+
+
 @attrs.frozen
 class RefusedWrite:
     """A call that was over a limit.
@@ -93,7 +98,7 @@
     version: int = 0
     calls: int = 0
     rows: dict[RowId, StoredRow] = attrs.field(factory=dict)
-    _history: list[StoredRow] = attrs.field(factory=list)
+    _history: dict[str, list[StoredRow]] = attrs.field(factory=dict)
     _forgotten: int = 0
     _changed: anyio.Event = attrs.field(factory=anyio.Event)
     _busy_until: dict[str, float] = attrs.field(factory=dict)
@@ -134,7 +139,8 @@
             del self.rows[row.row_id]
         else:
             self.rows[row.row_id] = row
-        self._history.append(row)
+        # by table and in the order of versions: most feeds look for the newest few
+        self._history.setdefault(row.row_id.table, []).append(row)
 
     async def deafen(self, seconds: float) -> None:
         """Have feeds hear nothing for a while, then drop what changed meanwhile.
@@ -166,11 +172,8 @@
             raise HistoryTruncatedError
         if self.is_deaf(node):
             return []
-        return [
-            row
-            for row in self._history
-            if row.version > after and row.row_id.table == table
-        ]
+        changes = self._history.get(table, [])
+        return changes[bisect.bisect_right(changes, after, key=_get_version) :]
 
     async def wait_for_change(self, timeout_s: float) -> None:
         """Wait until something is written, or for a time."""
--- a/src/onyxgap/standins/emulator/workers.py
+++ b/src/onyxgap/standins/emulator/workers.py
@@ -321,6 +321,7 @@
     records: list[RunRecord] = attrs.field(factory=list)
     halted: set[str] = attrs.field(factory=set)
     link: Link = attrs.field(init=False)
+    _by_address: dict[str, list[EmulatedWorker]] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self.link = Link(0.0015, self.rng)
@@ -329,11 +330,12 @@
         """Add a worker that has started."""
         self.lives[worker.entry.worker_id] = worker
         self.history.append(worker)
+        self._by_address.setdefault(worker.entry.address, []).append(worker)
 
     def find_present(self, address: str) -> EmulatedWorker | None:
         """Find the live worker at an address."""
-        for worker in self.lives.values():
-            if worker.entry.address == address and worker.alive:
+        for worker in self._by_address.get(address, []):
+            if worker.alive:
                 return worker
         return None
 
