--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -12,6 +12,7 @@
 
 from onyxgap.standins.emulator.faults import draw_faults
 from onyxgap.standins.emulator.faults import draw_interface_faults
+from onyxgap.standins.emulator.faults import draw_rack_faults
 from onyxgap.standins.emulator.faults import draw_worker_deaths
 from onyxgap.standins.emulator.script import load_script
 
@@ -46,6 +47,9 @@
         default=0,
         help="faults of the platform's interface for VMs, drawn apart",
     )
+    parser.add_argument(
+        "--rack-faults", type=int, default=0, help="faults of racks, drawn apart"
+    )
     parser.add_argument(
         "--node-cores",
         type=int,
@@ -73,6 +77,7 @@
         script = draw_connection_faults(script, seed, arguments.connection_faults)
         script = draw_worker_deaths(script, seed, arguments.deaths)
         script = draw_interface_faults(script, seed, arguments.interface_faults)
+        script = draw_rack_faults(script, seed, arguments.rack_faults)
         with tempfile.TemporaryDirectory(prefix="soak-") as scratch:
             folder = pathlib.Path(scratch)
             if arguments.keep:
