--- /dev/null
+++ b/tests/test_soak_cores.py
@@ -0,0 +1,41 @@
+"""A short soak whose nodes share two cores with busy processes."""
+
+import logging
+import pathlib
+
+import pytest
+
+from bench.soak.cores import choose_core_share
+from bench.soak.day import play_soak
+from onyxgap.standins.emulator.script import parse_script
+
+NODE_CORES = 2
+BUSY = 2
+DAY = """
+nodes 5
+pool ring vms 6
+pool herd vms 6
+spare 4
+serve ring tasks 4 cpu 5 memory 35 per-vm 1 may-miss 1
+serve herd tasks 4 cpu 5 memory 35 per-vm 1 may-miss 1
+load ring every 0.4 from 4 to 17 width 6 work 0.64 cpu 3.5 memory 3
+load herd every 0.8 from 4 to 17 width 8 work 1.2 cpu 7.7 memory 6
+wave at 7 of 6 cap 3 within 12
+at 11 stop owner ring for 1
+end 18
+"""
+
+
+@pytest.fixture(autouse=True)
+def quiet_servers() -> None:
+    """Keep what servers say of calls that the end of the day cuts off out of sight."""
+    logging.disable(logging.CRITICAL)
+
+
+def test_jobs_do_not_stand_still_while_nodes_share_their_cores_with_busy_processes(
+    tmp_path: pathlib.Path,
+) -> None:
+    cores = choose_core_share(NODE_CORES, BUSY)
+    result = play_soak(parse_script("cores", DAY), 1, tmp_path, cores=cores)
+    assert result.breaches == []
+    assert result.account.in_time
