--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -97,6 +97,7 @@
             "platform_cpu_share": round(result.platform.cpu_share, 3),
             "platform_wait_s": round(result.platform.wait_s, 3),
             "node_lag_s": round(result.node_lag_s, 3),
+            "nodes_started_s": round(result.nodes_started_s, 3),
             "faults": faults,
             "breaches": [f"{item.rule}: {item.detail}" for item in result.breaches],
         }
--- a/bench/soak/day.py
+++ b/bench/soak/day.py
@@ -23,6 +23,7 @@
 from .lags import LoadMeter
 from .lags import PlatformLag
 from .lags import PlatformLoad
+from .lags import read_last_start
 from .lags import read_node_lag
 from .malformed import list_malformed_registrations
 from .processes import ProcessSlot
@@ -37,10 +38,12 @@
 
     :param platform: how late and how busy the platform's process was.
     :param node_lag_s: highest lag of a node's event loop that the nodes have logged.
+    :param nodes_started_s: when the last node had started.
     """
 
     platform: PlatformLoad = PlatformLoad()
     node_lag_s: float = 0.0
+    nodes_started_s: float = 0.0
 
 
 class LoopFromZero(asyncio.SelectorEventLoop):
@@ -125,6 +128,7 @@
             result.hindsight,
             load,
             read_node_lag(self.folder),
+            read_last_start(self.folder, self.callers.wall_start_s),
         )
 
 
