Log each job of which nothing runs, and why, within 3 s

Callers saw jobs with nothing running for 3 s and more, and no line of any node named them. 'step waits' names at most five waiting steps a second, those that wait longest, and says nothing of a job whose tasks are placed but not confirmed, wait for their retry or a stored order, or are kept on a silent worker; 'runs in doubt' names tasks of one worker at a time. While a write to the store lasts, no pass runs and neither line is written.

A task of the owner beside its passes now looks each second for the jobs of which nothing runs although a task is due. From their second second on it writes 'job stands' with the task, a typed reason, the run and its lease or the time of the retry, and the workers by obstacle, again each 2 s; four jobs that stand longest and four that had no line yet a second, the others by reason in one line that names 30 of them, those named least recently first. 'job runs again' ends it.

--- a/src/onyxgap/daemons/job_batches.py
+++ b/src/onyxgap/daemons/job_batches.py
@@ -71,6 +71,15 @@
         """
         return now < self._refused_until.get(job_id, now)
 
+    def list_refused(self, now: float) -> list[str]:
+        """List the jobs whose progress was refused and is not tried again yet.
+
+        :param now: monotonic seconds.
+        """
+        return [
+            job_id for job_id in self._refused_until if self.is_refused(job_id, now)
+        ]
+
     def choose(
         self,
         job_ids: t.Iterable[str],
--- a/src/onyxgap/daemons/owner.py
+++ b/src/onyxgap/daemons/owner.py
@@ -14,6 +14,9 @@
 from ..jobs.placing import WorkerRecord
 from ..jobs.progress_rows import build_part_key
 from ..jobs.progress_rows import encode_progress_rows
+from ..jobs.standstill_causes import OwnerProgress
+from ..jobs.standstills import CHECK_INTERVAL_S
+from ..jobs.standstills import StandstillReporter
 from ..jobs.store import RowId
 from ..jobs.tables import ShardLoad
 from ..jobs.workers import StartOrder
@@ -72,9 +75,14 @@
     """Runs one shard, from its claim to its loss or release."""
 
     _batches: JobBatches = attrs.field(init=False)
+    _standstills: StandstillReporter = attrs.field(init=False)
+    _orders_to_store: t.Sequence[StartOrder] = ()
+    _pass_began_at: float | None = None
+    _write_began_at: float | None = None
 
     def __attrs_post_init__(self) -> None:
         super().__attrs_post_init__()
+        self._standstills = StandstillReporter(self.state)
         self._batches = JobBatches(self.shard, self.context.store_limits)
 
     async def run(self) -> None:
@@ -95,11 +103,13 @@
             group.start_soon(self.share_synchronizer.build_follower().run)
         if self.context.policy_client is not None:
             group.start_soon(self._request_tickets_forever, self.context.policy_client)
+        group.start_soon(self._report_standstills)
         await self._schedule_until_released()
 
     async def _schedule_until_released(self) -> None:
         while not self.releasing:
             await self._wait_for_wake(self._get_max_wait_s())
+            self._pass_began_at = self._now()
             self._update_capacity_validity()
             self.state.expire_workers(self._now())
             self.state.report_doubtful_runs(self._now())
@@ -112,6 +122,24 @@
             await self._commit(orders)
         await self._release()
 
+    async def _report_standstills(self) -> None:
+        """Report the jobs of which nothing runs, also while a write lasts."""
+        while True:
+            await anyio.sleep(CHECK_INTERVAL_S)
+            now = self._now()
+            self._standstills.check(self._measure_progress(now), now, self._wall_ms())
+
+    def _measure_progress(self, now: float) -> OwnerProgress:
+        def measure(began_at: float | None) -> float | None:
+            return None if began_at is None else now - began_at
+
+        return OwnerProgress(
+            measure(self._pass_began_at),
+            measure(self._write_began_at),
+            frozenset(order.task for order in self._orders_to_store),
+            self._batches.list_refused(now),
+        )
+
     def _get_max_wait_s(self) -> float:
         due_s = self.state.get_next_due_wait_ms(self._wall_ms()) / 1000
         return max(0.0, min(MAX_PASS_INTERVAL_S, due_s))
@@ -119,18 +147,23 @@
     async def _commit(self, orders: t.Sequence[StartOrder]) -> None:
         while True:
             orders = self._withdraw_refused(orders)
+            self._orders_to_store = orders
             commit = self._build_commit(orders)
             if commit is None:
                 self._acknowledge_results(self._read_processed(frozenset()))
                 return
+            self._write_began_at = self._now()
             try:
                 await self.writer.write(commit.puts, commit.removals)
             except WriteRefusedError as error:
                 await self._revert_commit(commit, str(error))
                 continue
+            finally:
+                self._write_began_at = None
             self._apply_commit(commit)
             sent = set(commit.orders)
             orders = [order for order in orders if order not in sent]
+            self._orders_to_store = orders
             if not orders and not self._batches.has_suspects():
                 return
 
--- a/src/onyxgap/jobs/job.py
+++ b/src/onyxgap/jobs/job.py
@@ -225,6 +225,8 @@
         tasks. An order that is only placed or sent may never reach its worker.
     :param accepted_at: monotonic seconds of the acceptance, by the owner's clock.
     :param active_at: monotonic seconds of the last report that listed a run of the job.
+    :param ran_at: monotonic seconds when a run of the job was last known to be on its
+        worker, or to have come to its end there.
     :param placed_at: monotonic seconds when this owner placed the first task of the
         job, or ``None``.
     :param beyond: whether the tenant was over its rate when the job was accepted.
@@ -246,6 +248,7 @@
     started: bool = False
     accepted_at: float = 0.0
     active_at: float = 0.0
+    ran_at: float = 0.0
     placed_at: float | None = None
     beyond: bool = False
     capped_at: float | None = None
--- a/src/onyxgap/jobs/obstacles.py
+++ b/src/onyxgap/jobs/obstacles.py
@@ -44,6 +44,18 @@
 """Conditions under which a worker takes no task of any step, the first that holds."""
 
 
+def find_general_obstacle(record: WorkerRecord, now: float) -> str | None:
+    """Name what keeps a worker from running any task, ``None`` if nothing does.
+
+    :param record: the worker.
+    :param now: monotonic seconds.
+    """
+    for name, holds in _OBSTACLES.items():
+        if holds(record, now):
+            return name
+    return None
+
+
 def find_obstacle(
     record: WorkerRecord,
     step: Step,
@@ -60,9 +72,9 @@
     :param isolation: isolation that the task needs.
     :returns: the obstacle, ``free`` if there is none.
     """
-    for name, holds in _OBSTACLES.items():
-        if holds(record, now):
-            return name
+    general = find_general_obstacle(record, now)
+    if general is not None:
+        return general
     if not is_allowed(record, step, step_key):
         return "placement constraint"
     if not record.has_capacity(step):
--- a/src/onyxgap/jobs/shard_leases.py
+++ b/src/onyxgap/jobs/shard_leases.py
@@ -62,12 +62,17 @@
         reporter.keep_only([record.entry.worker_id for record in silent])
         list_age_s = None if self.listed_at is None else now - self.listed_at
         for record in silent:
-            silent_s = self._get_silent_s(record, now)
+            silent_s = self.get_silent_s(record, now)
             if reporter.is_due(record.entry.worker_id, silent_s, now):
                 doubt = self._describe_doubt(record, silent_s, now)
                 reporter.report(doubt, list_age_s, now)
 
-    def _get_silent_s(self, record: WorkerRecord, now: float) -> float:
+    def get_silent_s(self, record: WorkerRecord, now: float) -> float:
+        """Return for how many seconds a silent worker has been so for this owner.
+
+        :param record: the worker.
+        :param now: monotonic seconds.
+        """
         silent_since = record.failing_since or record.heard_at
         return now - max(silent_since, self.claimed_at)
 
@@ -78,7 +83,7 @@
             record.entry.worker_id,
             [task.task_id for _, task in self._list_runs_on(record)],
             silent_s,
-            self._get_lease_left_s(record, now),
+            self.get_lease_left_s(record, now),
             LeaseSource.OWN if record.held else LeaseSource.FORMER_OWNER,
             record.registered,
         )
@@ -91,7 +96,12 @@
             if task.worker_id == record.entry.worker_id
         ]
 
-    def _get_lease_left_s(self, record: WorkerRecord, now: float) -> float:
+    def get_lease_left_s(self, record: WorkerRecord, now: float) -> float:
+        """Return the seconds until a worker's lease has certainly expired.
+
+        :param record: the worker.
+        :param now: monotonic seconds.
+        """
         if not record.held:
             return self._get_former_leases_end() - now
         if record.clock is None:
--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -135,7 +135,7 @@
             )
             return
         job.started = True
-        job.active_at = now
+        job.active_at = job.ran_at = now
         task.note_listed(now, report.clock_ms, report.born)
         self._update_crash_windows(record, task)
         self._record_progress(job, task, item, report.clock_ms / MS_PER_S)
@@ -222,6 +222,9 @@
             return False
         if (task.run, task.worker_id) != (end.run, worker_id):
             return False
+        if end.kind is not EndKind.LAPSED:
+            # a lapsed run ended some time before
+            job.ran_at = now
         self._update_failure_count(record, task, end.kind, now)
         self._record_run_time(job, task, end.kind, now)
         if end.kind is not EndKind.DONE:
@@ -415,6 +418,7 @@
             record.last_clock_ms = max(record.last_clock_ms, clock_ms)
         if reply.kind is ReplyKind.DONE:
             job.started = True
+            job.ran_at = now
             task.confirm(now, clock_ms)
             return
         _LOG.info(
