Log shards without a live owner, and how long a new owner takes

While a shard has no owner its jobs stand, and no process says so: a node writes 'claiming shard' once it claims, and nothing before. Whether the time went to the time-out, the delays of the claim, the store, the registration or the loading can't be told from the log.

Each node now writes 'shard without owner' for a shard whose owner row it has not seen change for 2 s, again each 2 s, five a second and the others in one line: last owner and epoch, how long the row is unchanged, the lag of its own event loop and what keeps it from claiming. A node that does not reach the store sees no row change, and writes that at level info. 'shard loaded' tells the time of the claim and of the loading, 'shard is being loaded' that it still goes on, 'first task started' the time since.

--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -28,6 +28,7 @@
 from .owner import ShardOwner
 from .owner_workers import OwnerContext
 from .rows import decode_rows
+from .unowned_shards import ClaimProgress
 from .vm_watch import VmWatch
 
 OWNER_POLL_S = 0.7
@@ -109,6 +110,27 @@
             await anyio.sleep(CLAIM_CHECK_S)
             if self.routes.configuration is not None and not self._stopping:
                 self._claim_next_shard(follower)
+            self._report_unowned_shards(follower)
+
+    def _report_unowned_shards(self, follower: Follower) -> None:
+        now = self.clocks.read_monotonic()
+        if not self.unowned_shards.is_due(now):
+            return
+        views = {
+            shard: self.views.get(shard)
+            for shard in self._list_shards()
+            if not self._owns(shard)
+        }
+        progress = ClaimProgress(
+            self._build_claimant(),
+            self._store_reachable_since,
+            bool(follower.after),
+            self._may_claim(),
+            self._stopping,
+            self._claiming,
+            self._claim_after,
+        )
+        self.unowned_shards.check(views, progress, self.lag.seconds, now)
 
     def _list_shards(self) -> t.Sequence[str]:
         if self.routes.configuration is None:
@@ -158,15 +180,7 @@
             and now >= self._claim_after.get(shard, 0.0)
             and shard in self._list_shards()
         }
-        small_vm = is_small_vm(self.memory_mb, self.members.values())
-        claimant = Claimant(
-            self.settings.node,
-            self.boot,
-            self._count_owned(),
-            self.health.latency_s,
-            small_vm,
-            yields=small_vm and self.settings.contended,
-        )
+        claimant = self._build_claimant()
         assert self._group is not None
         for shard in list_claimable(views, claimant, reachable_since, now)[:1]:
             self._claiming.add(shard)
@@ -182,6 +196,17 @@
             )
             self._group.start_soon(self._claim, shard, view)
 
+    def _build_claimant(self) -> Claimant:
+        small_vm = is_small_vm(self.memory_mb, self.members.values())
+        return Claimant(
+            self.settings.node,
+            self.boot,
+            self._count_owned(),
+            self.health.latency_s,
+            small_vm,
+            yields=small_vm and self.settings.contended,
+        )
+
     def _may_claim(self) -> bool:
         # other nodes take an owner of another process for ended once a later one of
         # its node has registered
--- a/src/onyxgap/daemons/node_base.py
+++ b/src/onyxgap/daemons/node_base.py
@@ -46,6 +46,7 @@
 from .queue_moves import QueueMoves
 from .rows import SkippedRows
 from .rows import decode_rows
+from .unowned_shards import UnownedShardReporter
 
 _LOG = structlog.get_logger()
 
@@ -111,6 +112,7 @@
     :param lag: lag of the event loop.
     :param registration: registration of this node as a member.
     :param former_owners: knows which former owners of its shards have ended.
+    :param unowned_shards: logs the shards without a live owner.
     """
 
     settings: NodeSettings
@@ -143,6 +145,7 @@
     lag: LoopLag = attrs.field(init=False)
     registration: MemberRegistration = attrs.field(init=False)
     former_owners: FormerOwners = attrs.field(init=False)
+    unowned_shards: UnownedShardReporter = attrs.field(factory=UnownedShardReporter)
     _store_reachable_since: float | None = None
     _store_answered_at: float = 0.0
     _claiming: set[str] = attrs.field(factory=set)
--- a/src/onyxgap/daemons/owner_jobs.py
+++ b/src/onyxgap/daemons/owner_jobs.py
@@ -107,6 +107,12 @@
             with anyio.move_on_after(RENEWAL_INTERVAL_S):
                 await read.wait()
             if not read.is_set():
+                _LOG.info(
+                    "shard is being loaded",
+                    shard=self.shard,
+                    epoch=self.epoch,
+                    since_claim_s=round(self._now() - self.state.claimed_at, 3),
+                )
                 puts: dict[RowId, bytes] = {}
                 self.writer.add_renewal(puts, self._now(), UNKNOWN_LOAD)
                 await self.writer.write(puts)
@@ -143,6 +149,8 @@
             jobs=len(self.state.jobs),
             ended=len(self.state.final),
             version=min(versions),
+            claim_s=round(self.claim_s, 3),
+            load_s=round(self.loaded_at - self.state.claimed_at, 3),
         )
 
     def _list_job_parts(self) -> t.Sequence[str]:
--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -134,6 +134,7 @@
     :param share_synchronizer: reads and writes shares; ``None`` without tenants.
     :param loaded: whether the rows of the shard were read.
     :param loaded_at: monotonic seconds when they had been read.
+    :param claim_s: seconds that the claim took.
     """
 
     context: OwnerContext
@@ -142,6 +143,8 @@
     share_synchronizer: ShareSynchronizer | None = attrs.field(default=None, init=False)
     loaded: bool = False
     loaded_at: float | None = None
+    claim_s: float = attrs.field(init=False)
+    _first_start_logged: bool = False
     _tickets_needed: anyio.Event = attrs.field(factory=anyio.Event)
     _progress_stored: anyio.Event = attrs.field(factory=anyio.Event)
     _hold_loops: set[str] = attrs.field(factory=set)
@@ -151,6 +154,9 @@
 
     def __attrs_post_init__(self) -> None:
         context = self.context
+        # the claim is the first write that confirms the ownership
+        sent_at = self.writer.grants.confirmed_at
+        self.claim_s = max(0.0, context.clocks.read_boot() - sent_at)
         self.state = Shard(
             self.shard,
             self.epoch,
@@ -413,11 +419,25 @@
                 f"worker {order.worker_id} was called by a newer owner"
             )
         self.state.apply_start_reply(ready, reply, self._now())
+        self._log_first_start(reply)
         if reply.kind is not ReplyKind.DONE:
             self.wake()
         elif self.state.is_isolated(order):
             self._spawn(self._check_isolated_run, order)
 
+    def _log_first_start(self, reply: Reply) -> None:
+        if self._first_start_logged or reply.kind is not ReplyKind.DONE:
+            return
+        self._first_start_logged = True
+        now = self._now()
+        _LOG.info(
+            "first task started",
+            shard=self.shard,
+            epoch=self.epoch,
+            since_claim_s=round(now - self.state.claimed_at, 3),
+            since_load_s=round(now - (self.loaded_at or now), 3),
+        )
+
     def _send_stops(self, orders: t.Iterable[StopOrder]) -> None:
         for order in orders:
             self._spawn(self._send_stop, order)
