Name a full pool, not a late pass, as the reason why a job stands

A free worker is the reason only if the last pass is older than 0.5 s, or if no open worker has another obstacle.

--- a/src/onyxgap/jobs/standstill_causes.py
+++ b/src/onyxgap/jobs/standstill_causes.py
@@ -25,6 +25,9 @@
 
 FREE = "free"
 """Obstacle of a worker that could run a task at once."""
+PASS_OVERDUE_S = 0.5
+"""Age of the last scheduling pass from which the next one is late; passes are 0.2 s
+apart at most while the owner keeps up."""
 
 
 class StandstillReason(enum.Enum):
@@ -259,8 +262,16 @@
             return StandstillReason.NO_TICKET
         if all(task.waits_for_another_worker(item, self.now) for item in free):
             return StandstillReason.OTHER_WORKER
+        if len(obstacles) > 1 and self._is_pass_recent():
+            # what has become free since then goes to jobs ahead of this one
+            del obstacles[FREE]
+            return _choose_most_frequent(obstacles)
         return StandstillReason.NO_PASS
 
+    def _is_pass_recent(self) -> bool:
+        age_s = self.progress.pass_age_s
+        return age_s is not None and age_s < PASS_OVERDUE_S
+
 
 def _choose_most_frequent(obstacles: collections.Counter[str]) -> StandstillReason:
     if not obstacles:
--- a/tests/test_standing_jobs.py
+++ b/tests/test_standing_jobs.py
@@ -134,6 +134,21 @@
     assert watch.lines[-1]["pass_age_s"] == 2.5
 
 
+@pytest.mark.parametrize(
+    ("pass_age_s", "reason"),
+    [(0.01, StandstillReason.FULL), (2.0, StandstillReason.NO_PASS)],
+)
+def test_worker_that_is_free_since_the_last_pass_is_no_reason_in_a_full_pool(
+    watch: Watch, pass_age_s: float, reason: StandstillReason
+) -> None:
+    close_workers(watch, cpu_used=ENTRY.cpu)
+    watch.harness.add_worker("w2")
+    job = watch.harness.add_job(Step(1, cpu=1000))
+    job.open_due_occurrences(WALL_MS)
+    assert watch.read_reason(OwnerProgress(pass_age_s)) is reason
+    assert watch.lines[-1]["workers"] == {"full": 1, "free": 1}
+
+
 def test_job_beyond_the_cap_of_its_tenant_is_logged(watch: Watch) -> None:
     watch.shard.shares = ShardShares("s", 3, lambda tenant: Amount(100, 100, 0))
     policy = QueuePolicy("q", "s")
