Log workers that leave as ordered in one line, and losses as warnings

Each VM that a pool gives back, or that goes into maintenance, wrote 'worker silent' and 'worker removed' like a crashed one. Readers of a record that is cut short saw these lines and nothing else.

The owner knows which workers a stored report of it told to be drained, and under which cordon. While that cordon is in force and nothing is placed there, both lines are of level debug, and 'workers left as ordered' names these workers, one line a second at most. A worker that was not reported keeps its lines; the loss of one that is not cordoned, or on which runs are placed, is a warning. No reader in cli/ matches these events but 'explain', by their worker.

--- a/src/onyxgap/daemons/owner.py
+++ b/src/onyxgap/daemons/owner.py
@@ -103,7 +103,7 @@
             group.start_soon(self.share_synchronizer.build_follower().run)
         if self.context.policy_client is not None:
             group.start_soon(self._request_tickets_forever, self.context.policy_client)
-        group.start_soon(self._report_standstills)
+        group.start_soon(self._report_changes)
         await self._schedule_until_released()
 
     async def _schedule_until_released(self) -> None:
@@ -122,12 +122,13 @@
             await self._commit(orders)
         await self._release()
 
-    async def _report_standstills(self) -> None:
-        """Report the jobs of which nothing runs, also while a write lasts."""
+    async def _report_changes(self) -> None:
+        """Report standing jobs and workers that left, also while a write lasts."""
         while True:
             await anyio.sleep(CHECK_INTERVAL_S)
             now = self._now()
             self._standstills.check(self._measure_progress(now), now, self._wall_ms())
+            self.state.departures.log()
 
     def _measure_progress(self, now: float) -> OwnerProgress:
         def measure(began_at: float | None) -> float | None:
@@ -323,6 +324,8 @@
     def _apply_commit(self, commit: _Commit) -> None:
         now = self._now()
         self._batches.note_stored(commit.jobs)
+        if self._reported is not None:
+            self.state.departures.note_drained(self._reported.emptied)
         for job_id, encoded in commit.jobs.items():
             job = self.state.jobs.get(job_id)
             if job is not None:
@@ -346,5 +349,6 @@
         self._progress_stored = anyio.Event()
 
     async def _release(self) -> None:
+        self.state.departures.log()
         await self.writer.release()
         _LOG.info("shard released", shard=self.shard, epoch=self.epoch)
--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -9,6 +9,7 @@
 from .crashes import NO_LOSSES
 from .crashes import START_CRASH_WINDOW_MS
 from .deliveries import note_delivery
+from .departures import choose_log
 from .job import Job
 from .job import Task
 from .lives import IncarnationMatch
@@ -93,6 +94,7 @@
             self._inherit_lease(record, report.clock_ms, now)
         record.held = True
         record.failing_since = None
+        self.departures.note_answer(worker_id)
         record.answered_at = max(record.answered_at, sent_at)
         for end in report.ended:
             if end.sequence > record.processed_sequence:
@@ -385,7 +387,11 @@
             return
         if record.failing_since is None:
             record.failing_since = now
-            _LOG.info(
+            ordered = self.departures.is_ordered(record, self.cordons.get(worker_id))
+            if ordered:
+                self.departures.note_left(worker_id)
+            log = choose_log(record, ordered)
+            log(
                 "worker silent",
                 worker=worker_id,
                 service=self.service,
--- a/src/onyxgap/jobs/shard_workers.py
+++ b/src/onyxgap/jobs/shard_workers.py
@@ -11,6 +11,8 @@
 from .crashes import LostRun
 from .crashes import assign_blame
 from .crashes import find_suspects
+from .departures import Departures
+from .departures import choose_log
 from .job import Job
 from .job import Task
 from .lives import IncarnationMatch
@@ -88,10 +90,16 @@
 
     :param listed_workers: workers that a list of VMs has shown as up.
     :param last_live: workers of all VMs that were up in the last list, ``None`` before.
+    :param departures: workers that leave as ordered.
     """
 
     listed_workers: set[str] = attrs.field(factory=set)
     last_live: frozenset[str] | None = None
+    departures: Departures = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        super().__attrs_post_init__()
+        self.departures = Departures(self.service)
 
     def observe_worker(self, entry: WorkerEntry, now: float) -> WorkerRecord:
         """Record a registration.
@@ -252,8 +260,13 @@
             return
         record.gone = True
         self.listed_workers.discard(worker_id)
+        ordered = self.departures.is_ordered(record, self.cordons.get(worker_id))
+        log = choose_log(record, ordered)
         freed = self._release_runs(record, crashed, now)
-        _LOG.info(
+        if ordered:
+            self.departures.note_left(worker_id)
+        self.departures.forget(worker_id)
+        log(
             "worker removed",
             worker=worker_id,
             service=self.service,
--- a/tests/test_standing_jobs.py
+++ b/tests/test_standing_jobs.py
@@ -406,7 +406,7 @@
     with structlog.testing.capture_logs() as lines:
         async with anyio.create_task_group() as group:
             owner._group = group
-            group.start_soon(owner._report_standstills)
+            group.start_soon(owner._report_changes)
             group.start_soon(owner._schedule_until_released)
             await anyio.sleep(LIMIT_S)
             group.cancel_scope.cancel()
