Measure the processor time of a node by kind of work

'event loop late' tells how late a node is, and not which of its works made it late: the scheduling pass, the pool report, the encoding of progress, the applying of rows or the reports of workers. So a pass that grew can't be told from a burst of rows.

Each of these is now measured in processor time, nested parts once, in the metric onyxgap_work_seconds_total by kind. 'event loop late' names the kind that took most since the last sample (slowest, slowest_s) and the sum of all kinds (measured_s); what cpu_s exceeds it by is work that no kind covers, such as requests.

--- a/src/onyxgap/daemons/fleet_controller.py
+++ b/src/onyxgap/daemons/fleet_controller.py
@@ -42,6 +42,8 @@
 from .reading import read_partitions
 from .rows import SkippedRows
 from .rows import decode_rows
+from .work_times import WorkKind
+from .work_times import WorkTimes
 
 MAX_PASS_INTERVAL_S = 0.2
 """Longest wait for the next planning pass; pool reports start one earlier."""
@@ -73,6 +75,7 @@
     :param sizer: chooses the sizes of the pools.
     :param skipped: number of rows that could not be decoded, by table.
     :param health: health of the store, with the estimate of its clock.
+    :param work: processor time of the process by kind of work.
     """
 
     cloud: CloudClient
@@ -86,6 +89,7 @@
     sizer: Sizer
     skipped: SkippedRows = attrs.field(factory=SkippedRows)
     health: StoreHealth = attrs.field(factory=StoreHealth)
+    work: WorkTimes = attrs.field(factory=WorkTimes)
     planner: FleetPlanner = attrs.field(init=False)
     _previous_row: FleetRow = attrs.field(factory=FleetRow)
     _stored_row: bytes = b""
@@ -202,16 +206,21 @@
     async def _plan_until_released(self) -> None:
         while not self.releasing:
             await self._wait_for_wake(MAX_PASS_INTERVAL_S)
-            self._update_inputs()
-            now = self._now()
-            self.sizer.advance(now)
-            self._choose_sizes(now)
-            await self._store_and_send(self.planner.plan(now, self._get_store_ms()))
+            with self.work.measure(WorkKind.FLEET):
+                orders = self._plan()
+            await self._store_and_send(orders)
             await self._write_wave_statuses()
             self._report_cordons()
         await self.writer.release()
         _LOG.info("fleet controller role released", epoch=self.epoch)
 
+    def _plan(self) -> list[VmOrder]:
+        self._update_inputs()
+        now = self._now()
+        self.sizer.advance(now)
+        self._choose_sizes(now)
+        return self.planner.plan(now, self._get_store_ms())
+
     def _report_cordons(self) -> None:
         now = self._now()
         self._cordon_reporter.report(
--- a/src/onyxgap/daemons/lag.py
+++ b/src/onyxgap/daemons/lag.py
@@ -9,6 +9,7 @@
 import structlog
 
 from ..clocks import Clocks
+from .work_times import WorkTimes
 
 SAMPLE_INTERVAL_S = 0.1
 """Time between two samples: a fifth of the time for which a start order is valid."""
@@ -28,6 +29,7 @@
 
     :param clocks: the process's clocks.
     :param read_cpu: returns the processor time of the process in seconds.
+    :param work: processor time by kind of work.
     :param seconds: lag; the newest sample, or the decayed value of an earlier one if
         that is larger.
     :param highest_s: highest sample.
@@ -35,6 +37,7 @@
 
     clocks: Clocks
     read_cpu: t.Callable[[], float] = time.process_time
+    work: WorkTimes = attrs.field(factory=WorkTimes)
     seconds: float = 0.0
     highest_s: float = 0.0
     _reported_at: float = -math.inf
@@ -58,6 +61,7 @@
             than the lag, the process waited for a processor.
         :param now: monotonic seconds.
         """
+        work = self.work.take_sample()
         self.seconds = max(lag_s, self.seconds * DECAY)
         self.highest_s = max(self.highest_s, lag_s)
         if lag_s < REPORTED_LAG_S:
@@ -69,6 +73,9 @@
             "event loop late",
             lag_s=round(lag_s, 3),
             cpu_s=round(cpu_s, 3),
+            measured_s=round(work.total_s, 3),
+            slowest=work.slowest.value if work.slowest is not None else None,
+            slowest_s=round(work.slowest_s, 3),
             unreported=self._unreported,
         )
         self._reported_at = now
--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -311,6 +311,7 @@
                 sizer=self.build_sizer(),
                 skipped=self.skipped,
                 health=self.health,
+                work=self.lag.work,
             )
             self.fleet_controller = fleet_controller
             self._group.start_soon(
--- a/src/onyxgap/daemons/node_process.py
+++ b/src/onyxgap/daemons/node_process.py
@@ -152,7 +152,8 @@
             "event_loop_lag_highest_seconds": lambda: node.lag.highest_s,
             "store_down": lambda: node.health.is_down(node.clocks.read_monotonic()),
             "log_lines_dropped": lambda: lines.dropped_total,
-        }
+        },
+        read_work=node.lag.work.list_seconds,
     )
 
     def count_answer(kind: str, outcome: str, took_s: float) -> None:
--- a/src/onyxgap/daemons/owner.py
+++ b/src/onyxgap/daemons/owner.py
@@ -26,6 +26,7 @@
 from .job_batches import EncodedJob
 from .job_batches import JobBatches
 from .owner_jobs import OwnerJobs
+from .work_times import WorkKind
 
 MAX_PASS_INTERVAL_S = 0.2
 """Longest time between two scheduling passes; occurrences may start 250 ms early."""
@@ -110,10 +111,11 @@
         while not self.releasing:
             await self._wait_for_wake(self._get_max_wait_s())
             self._pass_began_at = self._now()
-            self._update_capacity_validity()
-            self.state.expire_workers(self._now())
-            self.state.report_doubtful_runs(self._now())
-            orders = self.state.plan(self._now(), self._wall_ms())
+            with self.work.measure(WorkKind.PASS):
+                self._update_capacity_validity()
+                self.state.expire_workers(self._now())
+                self.state.report_doubtful_runs(self._now())
+                orders = self.state.plan(self._now(), self._wall_ms())
             if self.state.ticket_cache.wanted:
                 self._tickets_needed.set()
             if self.share_synchronizer is not None and self._group is not None:
@@ -127,7 +129,9 @@
         while True:
             await anyio.sleep(CHECK_INTERVAL_S)
             now = self._now()
-            self._standstills.check(self._measure_progress(now), now, self._wall_ms())
+            with self.work.measure(WorkKind.STANDSTILLS):
+                progress = self._measure_progress(now)
+                self._standstills.check(progress, now, self._wall_ms())
             self.state.departures.log()
 
     def _measure_progress(self, now: float) -> OwnerProgress:
@@ -149,7 +153,8 @@
         while True:
             orders = self._withdraw_refused(orders)
             self._orders_to_store = orders
-            commit = self._build_commit(orders)
+            with self.work.measure(WorkKind.ENCODING):
+                commit = self._build_commit(orders)
             if commit is None:
                 self._acknowledge_results(self._read_processed(frozenset()))
                 return
@@ -287,7 +292,8 @@
         counted_at_ms = self.context.health.store_clock.get_earliest_ms(
             self.context.clocks.read_boot()
         )
-        outlook = encode_delay_estimate(self.state.build_delay_estimate(now))
+        with self.work.measure(WorkKind.LOAD):
+            outlook = encode_delay_estimate(self.state.build_delay_estimate(now))
         return ShardLoad(self.state.count_waiting(), outlook, counted_at_ms)
 
     def _build_due_report(
@@ -305,7 +311,8 @@
         drained = self.state.list_drained_workers(stored_jobs)
         if age_s < REPORT_INTERVAL_S and drained == emptied:
             return None
-        report = self.state.build_report(now, stored_jobs)
+        with self.work.measure(WorkKind.REPORT):
+            report = self.state.build_report(now, stored_jobs)
         return None if report == self._reported else report
 
     def _remove_expired_submissions(self, now: float) -> None:
--- a/src/onyxgap/daemons/owner_jobs.py
+++ b/src/onyxgap/daemons/owner_jobs.py
@@ -29,6 +29,7 @@
 from .reading import read_partitions
 from .rows import decode_rows
 from .version_observer import VersionSource
+from .work_times import WorkKind
 
 LOADED_ROWS = 200
 """Rows of submissions that are decoded at a time while a shard is loaded."""
@@ -161,6 +162,14 @@
         rows: t.Sequence[StoredRow],
         snapshot: bool,
         progress: t.Mapping[str, StoredProgress] | None = None,
+    ) -> None:
+        with self.work.measure(WorkKind.ROWS):
+            self._apply_submissions(rows, progress)
+
+    def _apply_submissions(
+        self,
+        rows: t.Sequence[StoredRow],
+        progress: t.Mapping[str, StoredProgress] | None,
     ) -> None:
         now, wall_ms = self._now(), self._wall_ms()
         parts = frozenset(self._list_job_parts())
--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -46,6 +46,8 @@
 from .rows import decode_rows
 from .share_keeper import ShareSynchronizer
 from .submission_decoder import SubmissionDecoder
+from .work_times import WorkKind
+from .work_times import WorkTimes
 
 LEASE_MARGIN_S = 0.3
 """Leases are shorter by this than the longest lease that a worker grants."""
@@ -194,6 +196,11 @@
     def _now(self) -> float:
         return self.context.clocks.read_monotonic()
 
+    @property
+    def work(self) -> WorkTimes:
+        """Processor time of the process by kind of work."""
+        return self.context.lag.work
+
     def _wall_ms(self) -> float:
         return self.context.clocks.read_wall() * 1000
 
@@ -211,6 +218,10 @@
         )
 
     def _apply_worker_rows(self, rows: t.Sequence[StoredRow], snapshot: bool) -> None:
+        with self.work.measure(WorkKind.ROWS):
+            self._apply_registrations(rows, snapshot)
+
+    def _apply_registrations(self, rows: t.Sequence[StoredRow], snapshot: bool) -> None:
         present = set()
         decode = self.context.decode_worker
         for row, entry in decode_rows(
@@ -364,7 +375,8 @@
         if record is None:
             return False
         was_held = record.held and record.failing_since is None
-        accepted = self.state.apply_report(worker_id, report, sent_at, self._now())
+        with self.work.measure(WorkKind.WORKER_REPORTS):
+            accepted = self.state.apply_report(worker_id, report, sent_at, self._now())
         if report.ended or not was_held:
             self.wake()
         # before the results of these runs are acknowledged, the worker would answer the
--- a/src/onyxgap/metrics.py
+++ b/src/onyxgap/metrics.py
@@ -30,9 +30,11 @@
     """Counts finished requests and records their response times.
 
     :param gauges: functions that return current values, by metric name.
+    :param read_work: returns the processor seconds by kind of work.
     """
 
     gauges: dict[str, t.Callable[[], float]] = attrs.field(factory=dict)
+    read_work: t.Callable[[], t.Mapping[str, float]] = dict
     answers: collections.Counter[tuple[str, str]] = attrs.field(
         factory=collections.Counter
     )
@@ -73,6 +75,12 @@
             delays.add_metric((service,), count, total)
         yield delays
         yield from self._collect_histograms()
+        work = CounterMetricFamily(
+            "onyxgap_work_seconds", "Processor time by kind of work", labels=("kind",)
+        )
+        for kind, seconds in sorted(self.read_work().items()):
+            work.add_metric((kind,), seconds)
+        yield work
         for name, read in sorted(self.gauges.items()):
             yield GaugeMetricFamily(f"onyxgap_{name}", name, value=read())
 
