Show the lines about its shard and its standing for a job

'explain JOB' showed the lines that name the job and those of its workers. What holds a whole shard up names no job: a shard without an owner, its claim and loading, lists of VMs in doubt, jobs that stand in one line. These are now shown from the first line about the job to its end, or to the end of the log if it has none, and so is the line about workers of it that left as ordered.

--- a/src/onyxgap/cli/tracing.py
+++ b/src/onyxgap/cli/tracing.py
@@ -13,6 +13,28 @@
 EVENT_FIELD = "event"
 WORKER_FIELD = "worker"
 QUEUE_FIELD = "queue"
+JOB_FIELD = "job"
+SERVICE_FIELD = "service"
+END_EVENT = "job ended"
+DEPARTURE_EVENT = "workers left as ordered"
+SHARD_EVENTS = frozenset(
+    {
+        "claiming shard",
+        "first task started",
+        "list of VMs in doubt",
+        "more jobs stand",
+        "more shards without owner",
+        "shard claimed",
+        "shard failed",
+        "shard is being loaded",
+        "shard loaded",
+        "shard lost",
+        "shard not loaded",
+        "shard released",
+        "shard without owner",
+    }
+)
+"""Events of a shard that tell why its jobs stand."""
 HIDDEN_FIELDS = frozenset({TIME_FIELD, EVENT_FIELD, "level"})
 EXIT_FAILURE = 1
 MAX_LIST_ITEMS = 4
@@ -81,7 +103,8 @@
     """Select the lines about a subject, in order of time.
 
     Lines about the workers that ran it are included if they were written between its
-    first and its last line and name no task.
+    first and its last line and name no task. So are lines about the shard of a job, up
+    to the end of the log if the job has not ended.
 
     :param lines: log lines of all nodes.
     :param subject: id of a job, task, worker, VM or shard.
@@ -99,12 +122,45 @@
     worker_lines = [
         line
         for line in lines
-        if line.fields.get(WORKER_FIELD) in workers
+        if _is_of_workers(line, workers)
         and first <= line.at <= last
         and not line.fields.keys() & {"task", "tasks"}
         and not line.mentions(subject)
     ]
-    return sorted([*matching, *worker_lines], key=lambda line: line.at)
+    shard_lines = [
+        line
+        for line in _list_shard_lines(lines, matching, subject)
+        if not line.mentions(subject)
+    ]
+    selected = [*matching, *worker_lines, *shard_lines]
+    return sorted(selected, key=lambda line: line.at)
+
+
+def _is_of_workers(line: LogLine, workers: t.Collection[t.Any]) -> bool:
+    if line.fields[EVENT_FIELD] == DEPARTURE_EVENT:
+        return any(worker in workers for worker in line.fields["workers"])
+    return line.fields.get(WORKER_FIELD) in workers
+
+
+def _list_shard_lines(
+    lines: t.Sequence[LogLine], matching: t.Sequence[LogLine], subject: str
+) -> t.Iterator[LogLine]:
+    """Yield the lines about the shard of a job from the first line about the job on.
+
+    :param lines: log lines of all nodes.
+    :param matching: lines about the subject, in order of time.
+    :param subject: id of a job; for other subjects, no line is yielded.
+    """
+    own = [line for line in matching if line.fields.get(JOB_FIELD) == subject]
+    shards = {line.fields.get(SERVICE_FIELD) for line in own} - {None}
+    ended = [line.at for line in own if line.fields[EVENT_FIELD] == END_EVENT]
+    for line in lines:
+        is_within = matching[0].at <= line.at and not (ended and line.at > ended[-1])
+        if is_within and line.fields[EVENT_FIELD] in SHARD_EVENTS:
+            fields = line.fields
+            named = [fields.get("shard"), fields.get(SERVICE_FIELD)]
+            if shards & {*named, *fields.get("shards", ())}:
+                yield line
 
 
 def _shorten(value: t.Any, subject: str) -> t.Any:
--- a/tests/test_tracing.py
+++ b/tests/test_tracing.py
@@ -72,3 +72,54 @@
     rendered = render_line(line, "aa11")
     assert '"aa11.0.0.2", "and 9 others"' in rendered
     assert "bb22.0.0.8" in render_line(line)
+
+
+STANDING_LOG = """\
+{"event":"shard without owner","shard":"ring","timestamp":"T0"}
+{"event":"submission answered","job":"aa11","service":"ring","timestamp":"T1"}
+{"event":"shard without owner","shard":"ring","timestamp":"T2"}
+{"event":"shard without owner","shard":"herd","timestamp":"T2"}
+{"event":"more shards without owner","shards":["herd","ring"],"timestamp":"T3"}
+{"event":"shard loaded","shard":"ring","timestamp":"T4"}
+{"event":"more jobs stand","service":"ring","jobs":["bb22","aa11"],"timestamp":"T5"}
+{"event":"more jobs stand","service":"ring","jobs":["bb22"],"timestamp":"T6"}
+{"event":"more jobs stand","service":"herd","jobs":["cc33"],"timestamp":"T6"}
+{"event":"job stands","job":"aa11","service":"ring","worker":"w1","timestamp":"T7"}
+{"event":"workers left as ordered","workers":["w1","w2"],"timestamp":"T7"}
+{"event":"workers left as ordered","workers":["w3"],"timestamp":"T7"}
+{"event":"shard without owner","shard":"ring","timestamp":"T8"}
+"""
+
+
+def test_lines_of_a_job_that_stands_include_those_of_its_shard() -> None:
+    lines = list(parse_lines("a", STANDING_LOG))
+    selected = select_lines(lines, "aa11")
+    assert [(line.fields["event"], line.at) for line in selected] == [
+        ("submission answered", "T1"),
+        ("shard without owner", "T2"),
+        ("more shards without owner", "T3"),
+        ("shard loaded", "T4"),
+        ("more jobs stand", "T5"),
+        ("more jobs stand", "T6"),
+        ("job stands", "T7"),
+        ("workers left as ordered", "T7"),
+        ("shard without owner", "T8"),
+    ]
+
+
+def test_lines_of_a_job_do_not_include_those_of_its_shard_after_its_end() -> None:
+    text = (
+        STANDING_LOG
+        + """\
+{"event":"job ended","job":"aa11","service":"ring","timestamp":"U0"}
+{"event":"shard without owner","shard":"ring","timestamp":"U1"}
+"""
+    )
+    selected = select_lines(list(parse_lines("a", text)), "aa11")
+    assert selected[-1].fields["event"] == "job ended"
+
+
+def test_lines_of_a_worker_do_not_include_those_of_shards() -> None:
+    lines = list(parse_lines("a", STANDING_LOG))
+    events = [line.fields["event"] for line in select_lines(lines, "w1")]
+    assert events == ["job stands", "workers left as ordered"]
