--- a/src/onyxgap/daemons/owner_jobs.py
+++ b/src/onyxgap/daemons/owner_jobs.py
@@ -29,6 +29,7 @@
 from .reading import read_partitions
 from .rows import decode_rows
 from .version_observer import VersionSource
+from .work_times import WorkKind
 
 LOADED_ROWS = 200
 """Rows of submissions that are decoded at a time while a shard is loaded."""
@@ -107,6 +108,12 @@
             with anyio.move_on_after(RENEWAL_INTERVAL_S):
                 await read.wait()
             if not read.is_set():
+                _LOG.info(
+                    "shard is being loaded",
+                    shard=self.shard,
+                    epoch=self.epoch,
+                    since_claim_s=round(self._now() - self.state.claimed_at, 3),
+                )
                 puts: dict[RowId, bytes] = {}
                 self.writer.add_renewal(puts, self._now(), UNKNOWN_LOAD)
                 await self.writer.write(puts)
@@ -143,6 +150,8 @@
             jobs=len(self.state.jobs),
             ended=len(self.state.final),
             version=min(versions),
+            claim_s=round(self.claim_s, 3),
+            load_s=round(self.loaded_at - self.state.claimed_at, 3),
         )
 
     def _list_job_parts(self) -> t.Sequence[str]:
@@ -153,6 +162,14 @@
         rows: t.Sequence[StoredRow],
         snapshot: bool,
         progress: t.Mapping[str, StoredProgress] | None = None,
+    ) -> None:
+        with self.work.measure(WorkKind.ROWS):
+            self._apply_submissions(rows, progress)
+
+    def _apply_submissions(
+        self,
+        rows: t.Sequence[StoredRow],
+        progress: t.Mapping[str, StoredProgress] | None,
     ) -> None:
         now, wall_ms = self._now(), self._wall_ms()
         parts = frozenset(self._list_job_parts())
--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -47,6 +47,8 @@
 from .rows import decode_rows
 from .share_keeper import ShareSynchronizer
 from .submission_decoder import SubmissionDecoder
+from .work_times import WorkKind
+from .work_times import WorkTimes
 
 LEASE_MARGIN_S = 0.3
 """Leases are shorter by this than the longest lease that a worker grants."""
@@ -135,6 +137,7 @@
     :param share_synchronizer: reads and writes shares; ``None`` without tenants.
     :param loaded: whether the rows of the shard were read.
     :param loaded_at: monotonic seconds when they had been read.
+    :param claim_s: seconds that the claim took.
     """
 
     context: OwnerContext
@@ -143,6 +146,8 @@
     share_synchronizer: ShareSynchronizer | None = attrs.field(default=None, init=False)
     loaded: bool = False
     loaded_at: float | None = None
+    claim_s: float = attrs.field(init=False)
+    _first_start_logged: bool = False
     _tickets_needed: anyio.Event = attrs.field(factory=anyio.Event)
     _progress_stored: anyio.Event = attrs.field(factory=anyio.Event)
     _hold_loops: set[str] = attrs.field(factory=set)
@@ -152,6 +157,9 @@
 
     def __attrs_post_init__(self) -> None:
         context = self.context
+        # the claim is the first write that confirms the ownership
+        sent_at = self.writer.grants.confirmed_at
+        self.claim_s = max(0.0, context.clocks.read_boot() - sent_at)
         self.state = Shard(
             self.shard,
             self.epoch,
@@ -190,6 +198,11 @@
     def _now(self) -> float:
         return self.context.clocks.read_monotonic()
 
+    @property
+    def work(self) -> WorkTimes:
+        """Processor time of the process by kind of work."""
+        return self.context.lag.work
+
     def _wall_ms(self) -> float:
         return self.context.clocks.read_wall() * 1000
 
@@ -207,6 +220,10 @@
         )
 
     def _apply_worker_rows(self, rows: t.Sequence[StoredRow], snapshot: bool) -> None:
+        with self.work.measure(WorkKind.ROWS):
+            self._apply_registrations(rows, snapshot)
+
+    def _apply_registrations(self, rows: t.Sequence[StoredRow], snapshot: bool) -> None:
         present = set()
         decode = self.context.decode_worker
         for row, entry in decode_rows(
@@ -373,7 +390,8 @@
         if record is None:
             return False
         was_held = record.held and record.failing_since is None
-        accepted = self.state.apply_report(worker_id, report, sent_at, self._now())
+        with self.work.measure(WorkKind.WORKER_REPORTS):
+            accepted = self.state.apply_report(worker_id, report, sent_at, self._now())
         if report.ended or not was_held:
             self.wake()
         # before the results of these runs are acknowledged, the worker would answer the
@@ -428,11 +446,25 @@
                 f"worker {order.worker_id} was called by a newer owner"
             )
         self.state.apply_start_reply(ready, reply, self._now())
+        self._log_first_start(reply)
         if reply.kind is not ReplyKind.DONE:
             self.wake()
         elif self.state.is_isolated(order):
             self._spawn(self._check_isolated_run, order)
 
+    def _log_first_start(self, reply: Reply) -> None:
+        if self._first_start_logged or reply.kind is not ReplyKind.DONE:
+            return
+        self._first_start_logged = True
+        now = self._now()
+        _LOG.info(
+            "first task started",
+            shard=self.shard,
+            epoch=self.epoch,
+            since_claim_s=round(now - self.state.claimed_at, 3),
+            since_load_s=round(now - (self.loaded_at or now), 3),
+        )
+
     def _send_stops(self, orders: t.Iterable[StopOrder]) -> None:
         for order in orders:
             self._spawn(self._send_stop, order)
--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -10,6 +10,7 @@
 from .crashes import NO_LOSSES
 from .crashes import START_CRASH_WINDOW_MS
 from .deliveries import note_delivery
+from .departures import choose_log
 from .job import Job
 from .job import Task
 from .lives import IncarnationMatch
@@ -95,6 +96,7 @@
         record.held = True
         record.failing_since = None
         record.inconclusive = 0
+        self.departures.note_answer(worker_id)
         record.answered_at = max(record.answered_at, sent_at)
         for end in report.ended:
             if end.sequence > record.processed_sequence:
@@ -137,7 +139,7 @@
             )
             return
         job.started = True
-        job.active_at = now
+        job.active_at = job.ran_at = now
         task.note_listed(now, report.clock_ms, report.born)
         self._update_crash_windows(record, task)
         self._record_progress(job, task, item, report.clock_ms / MS_PER_S)
@@ -224,6 +226,9 @@
             return False
         if (task.run, task.worker_id) != (end.run, worker_id):
             return False
+        if end.kind is not EndKind.LAPSED:
+            # a lapsed run ended some time before
+            job.ran_at = now
         self._update_failure_count(record, task, end.kind, now)
         self._record_run_time(job, task, end.kind, now)
         if end.kind is not EndKind.DONE:
@@ -396,7 +401,11 @@
                 return True
         if record.failing_since is None:
             record.failing_since = now
-            _LOG.info(
+            ordered = self.departures.is_ordered(record, self.cordons.get(worker_id))
+            if ordered:
+                self.departures.note_left(worker_id)
+            log = choose_log(record, ordered)
+            log(
                 "worker silent",
                 worker=worker_id,
                 service=self.service,
@@ -446,6 +455,7 @@
             record.last_clock_ms = max(record.last_clock_ms, clock_ms)
         if reply.kind is ReplyKind.DONE:
             job.started = True
+            job.ran_at = now
             task.confirm(now, clock_ms)
             return
         _LOG.info(
