Keep half of a pool open while work waits there, also for a late wave

Where work waits, at least half of the pool's VMs now stay schedulable, be the wave late or not; VMs whose maintenance hangs do not count, and the only VM of a pool is maintained, too.

The planner alone, four VMs and a wave of all that is late: all four were cordoned beside queued work, two now; every VM is maintained whether work waits or not.

--- a/src/onyxgap/pools/cordon_review.py
+++ b/src/onyxgap/pools/cordon_review.py
@@ -207,7 +207,7 @@
             item.vm.name: LiftReason.NOT_ORDERED
             for item in cordoned
             if self._waits_for_long(item, now)
-            and _has_waiting_work(self.reports.get(item.vm.pool))
+            and has_waiting_work(self.reports.get(item.vm.pool))
         }
 
     def _waits_for_long(self, item: CordonedVm, now: float) -> bool:
@@ -234,7 +234,11 @@
         )
 
 
-def _has_waiting_work(report: PoolReport | None) -> bool:
+def has_waiting_work(report: PoolReport | None) -> bool:
+    """Return whether tasks of a pool wait for a worker.
+
+    :param report: report of its shard, ``None`` if there is none.
+    """
     return report is not None and bool(
         report.queued or report.serving_vms or report.late_vms
     )
--- a/src/onyxgap/pools/waves.py
+++ b/src/onyxgap/pools/waves.py
@@ -7,6 +7,7 @@
 import structlog
 
 from .cordon_review import CordonReview
+from .cordon_review import has_waiting_work
 from .cordons import CordonReason
 from .fleet_state import WaveProgress
 from .messages import Vm
@@ -20,6 +21,9 @@
 IDLE_SHARE = 0.5
 """Fraction of an idle pool that stays schedulable while its VMs are maintained, which
 takes 2 s."""
+BUSY_SHARE = 0.5
+"""Fraction of a pool that stays schedulable while work waits there, also where its wave
+is late: the VMs of a pool that drain at once take nothing for seconds."""
 DRAIN_S = 2.5
 """Time that a cordoned worker takes to drain: most tasks end within 2 s."""
 
@@ -95,6 +99,8 @@
                 return
             if draining >= forced and self._count_drainable(vm.pool) < 1:
                 continue
+            if not self._may_drain_beside_work(vm.pool, now):
+                continue
             self._cordon(vm, CordonReason.UPKEEP, progress.wave.number)
             draining += 1
             _LOG.info(
@@ -107,6 +113,20 @@
                 vm_list_age_s=self._get_list_age_in_pass_s(),
             )
 
+    def _may_drain_beside_work(self, pool: str, now: float) -> bool:
+        """Tell whether a pool keeps enough VMs for its waiting work without another."""
+        if not has_waiting_work(self.reports.get(pool)):
+            return True
+        vms = sum(
+            vm.pool == pool
+            and vm.state is not VmState.DOWN
+            and not self._hangs(vm.name, now)
+            for vm in self.vms.values()
+        )
+        # the only VM of a pool is maintained, too
+        kept = min(math.ceil(vms * BUSY_SHARE), vms - 1)
+        return self._count_schedulable(pool) > kept
+
     def _count_forced(self, progress: WaveProgress, remaining: int, now: float) -> int:
         """Count VMs that must be drained now for the wave to meet its deadline."""
         deadline = progress.seen_at + progress.wave.duration_s - WAVE_MARGIN_S
--- a/tests/test_lifted_cordons.py
+++ b/tests/test_lifted_cordons.py
@@ -312,3 +312,23 @@
     successor.planner.add_wave(Wave(1, NAMES[:2], 8.0, 2), 0.0)
     successor.play(5)
     assert successor.planner.list_complete_waves() == [1]
+
+
+def test_late_wave_does_not_close_most_of_a_pool_beside_waiting_work() -> None:
+    fleet = build_fleet(VmReply.DONE)
+    fleet.drain_s = 2.0
+    fleet.report = {"queued": 3.0}
+    fleet.planner.add_wave(Wave(1, NAMES, 4.0, 4), 0.0)
+    fleet.play(1)
+    assert len(fleet.list_cordoned()) == 2
+
+
+@pytest.mark.parametrize("report", [{}, {"queued": 3.0}])
+def test_wave_maintains_every_vm_of_a_pool_whether_work_waits_or_not(
+    report: dict[str, float],
+) -> None:
+    fleet = build_fleet(VmReply.DONE)
+    fleet.report = report
+    fleet.planner.add_wave(Wave(1, NAMES, 4.0, 4), 0.0)
+    fleet.play(20)
+    assert {order.vm for _, order in fleet.orders} == set(NAMES)
