Count no VM as surplus for others that return from maintenance later

While work waits in a pool, VMs in maintenance, or cordoned for it, make no VM in use a surplus. VMs on the move count as before.

The planner alone: two VMs in a wave, the two others were cordoned as surplus beside queued work; none is now.

--- a/src/onyxgap/pools/planner.py
+++ b/src/onyxgap/pools/planner.py
@@ -10,6 +10,7 @@
 import attrs
 import structlog
 
+from .cordon_review import has_waiting_work
 from .cordons import CordonReason
 from .cordons import Moment
 from .messages import Vm
@@ -130,8 +131,13 @@
         # VMs in maintenance return only once their tasks have found other workers
         needed = min(wanted, self._get_serving_vms(pool))
         serving = needed - usable + self._count_out_of_reach(pool, now)
-        vms = max(wanted - usable - self._count_returning(pool, now), serving)
-        return Shortfall(vms, max(0, serving))
+        returning = self._list_returning(pool, now)
+        lacking = wanted - usable - len(returning)
+        if lacking < 0 and has_waiting_work(self.reports.get(pool)):
+            # VMs that return from maintenance later make no VM in use a surplus
+            maintained = sum(vm.state is not VmState.MOVING for vm in returning)
+            lacking = min(0, lacking + maintained)
+        return Shortfall(max(lacking, serving), max(0, serving))
 
     def _count_incoming(self, pool: str) -> int:
         return sum(
@@ -139,14 +145,15 @@
             for pending in self.pending_orders.values()
         )
 
-    def _count_returning(self, pool: str, now: float) -> int:
-        """Count VMs that are about to be in use again without a new order."""
-        return sum(
-            vm.pool == pool
+    def _list_returning(self, pool: str, now: float) -> list[Vm]:
+        """List VMs that are about to be in use again without a new order."""
+        return [
+            vm
+            for vm in self.vms.values()
+            if vm.pool == pool
             and self._is_returning(vm, now)
             and not self._has_pending_move(vm)
-            for vm in self.vms.values()
-        )
+        ]
 
     def _is_returning(self, vm: Vm, now: float) -> bool:
         if vm.state in (VmState.UPKEEP, VmState.MOVING):
--- a/tests/test_lifted_cordons.py
+++ b/tests/test_lifted_cordons.py
@@ -332,3 +332,13 @@
     fleet.planner.add_wave(Wave(1, NAMES, 4.0, 4), 0.0)
     fleet.play(20)
     assert {order.vm for _, order in fleet.orders} == set(NAMES)
+
+
+def test_vms_that_return_from_maintenance_later_make_no_other_vm_a_surplus() -> None:
+    fleet = build_fleet(VmReply.DONE)
+    fleet.planner.sizes = {POOL: 2}
+    fleet.drain_s = 2.0
+    fleet.report = {"queued": 3.0}
+    fleet.planner.add_wave(Wave(1, NAMES[:2], 4.0, 2), 0.0)
+    fleet.play(1)
+    assert fleet.list_cordoned() == ["w-a0", "w-a1"]
