Let jobs that stand still use workers that serving tasks cannot leave

Such a worker is not drained before its serving tasks have left, so tasks of jobs that have had nothing running for 1 s may use it, as those cordoned as surplus. The order waits until the owner reports it drained.

--- a/src/onyxgap/jobs/placing.py
+++ b/src/onyxgap/jobs/placing.py
@@ -172,6 +172,10 @@
             and not self.is_ejected(now)
         )
 
+    def is_serving(self) -> bool:
+        """Return whether runs that serve may be on the worker."""
+        return self.serving != ZERO_AMOUNT
+
     def is_ejected(self, now: float) -> bool:
         """Return whether the worker gets no tasks since it is an outlier."""
         return now < self.get_ejection_end() and not self.readmitted
--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -44,7 +44,7 @@
 from .shard_demand import ShardDemand
 from .shard_jobs import get_step_key
 from .share_book import ShardShares
-from .surplus import STANDING_S
+from .undrained import STANDING_S
 from .usage import sum_usage_by_tenant
 from .workers import MS_PER_S
 from .workers import StartOrder
@@ -73,7 +73,7 @@
         kept only where run times are learned.
     :param fleet_vms: initial number of VMs of all pools, 0 if unknown.
     :param probeable: ejected workers that may be probed in this scheduling pass.
-    :param surplus: cordoned workers that jobs which stand still may use in this
+    :param undrained: cordoned workers that jobs which stand still may use in this
         scheduling pass.
     """
 
@@ -84,7 +84,7 @@
     fleet_vms: int = 0
     wait_reporter: WaitReporter = attrs.field(factory=WaitReporter)
     probeable: t.Sequence[WorkerRecord] = ()
-    surplus: t.Sequence[WorkerRecord] = ()
+    undrained: t.Sequence[WorkerRecord] = ()
 
     def plan(self, now: float, wall_ms: float) -> list[StartOrder]:
         """Run a scheduling pass: choose tasks to start, and their workers.
@@ -106,7 +106,7 @@
             record for record in self.workers.values() if record.is_open(now)
         ]
         self.probeable = list_probeable(self.workers.values(), now)
-        self.surplus = self._list_surplus_workers(now)
+        self.undrained = self._list_undrained_workers(now)
         free_capacity = PassCapacity(open_workers, now)
         usage: t.Mapping[str, Amount] = {}
         if self.shares is not None:
@@ -247,7 +247,7 @@
     ) -> t.Iterator[StartOrder]:
         step = ready.job.submission.steps[ready.step]
         advised = ready.job.submission.policy.advised
-        has_waited = self._may_probe(ready, now) or self._may_use_surplus(ready, now)
+        has_waited = self._may_probe(ready, now) or self._may_use_undrained(ready, now)
         needs_check = advised or step.long_running or has_waited
         if not needs_check and free_capacity.is_unplaceable(step):
             return
@@ -273,7 +273,7 @@
                 if record is not None:
                     record.probed_at = now
                 else:
-                    record = self._choose_surplus(ready, task, allowed, now)
+                    record = self._choose_undrained(ready, task, allowed, now)
                 if record is not None:
                     yield self._place(ready.job, step, task, record, task.run + 1, now)
                     return
@@ -301,34 +301,35 @@
         step_key = get_step_key(ready.tasks[0])
         return self.wait_reporter.waiting_since.get(step_key, now)
 
-    def _list_surplus_workers(self, now: float) -> list[WorkerRecord]:
-        """List the surplus workers that tasks may use; see :mod:`.surplus`."""
-        return [
-            record
-            for worker_id in self.surplus_cordons.cordons
-            if (record := self.workers.get(worker_id)) is not None
-            and record.cordoned
-            and record.takes_tasks(now)
-        ]
+    def _list_undrained_workers(self, now: float) -> list[WorkerRecord]:
+        """List the cordoned workers that jobs may use; see :mod:`.undrained`."""
+        records = []
+        for worker_id in self.undrained_cordons.cordons:
+            record = self.workers.get(worker_id)
+            if record is None or not record.cordoned or not record.takes_tasks(now):
+                continue
+            if record.is_serving() or self.undrained_cordons.is_surplus(worker_id):
+                records.append(record)
+        return records
 
-    def _may_use_surplus(self, ready: ReadyStep, now: float) -> bool:
-        """Return whether a job stands still, so that it may use a surplus worker."""
-        if not self.surplus or ready.job.submission.steps[ready.step].long_running:
+    def _may_use_undrained(self, ready: ReadyStep, now: float) -> bool:
+        """Return whether a job stands still, so that it may use a cordoned worker."""
+        if not self.undrained or ready.job.submission.steps[ready.step].long_running:
             return False
         since = max(ready.job.active_at, self._get_waiting_since(ready, now))
         return now - since >= STANDING_S
 
-    def _choose_surplus(
+    def _choose_undrained(
         self,
         ready: ReadyStep,
         task: Task,
         allowed: t.Collection[str] | None,
         now: float,
     ) -> WorkerRecord | None:
-        """Choose a surplus worker for a task that no open worker can take."""
-        if not self._may_use_surplus(ready, now):
+        """Choose a cordoned worker for a task that no open worker can take."""
+        if not self._may_use_undrained(ready, now):
             return None
-        return self._choose_from(self.surplus, ready, task, allowed)
+        return self._choose_from(self.undrained, ready, task, allowed)
 
     def _choose_probe(
         self,
--- a/src/onyxgap/jobs/shard_demand.py
+++ b/src/onyxgap/jobs/shard_demand.py
@@ -50,7 +50,7 @@
         capacity = self.get_largest_worker_capacity()
         self._measure_arrivals(capacity)
         drained = self.list_drained_workers(stored_jobs)
-        self.surplus_cordons.note_reported(drained)
+        self.undrained_cordons.note_reported(drained)
         return PoolReport(
             self.service,
             self._measure_worker_loads(),
--- a/src/onyxgap/jobs/shard_jobs.py
+++ b/src/onyxgap/jobs/shard_jobs.py
@@ -24,7 +24,7 @@
 from .priorities import get_slo_deadline
 from .rates import TenantRates
 from .run_times import RunTimes
-from .surplus import SurplusCordons
+from .undrained import UndrainedCordons
 from .workers import MS_PER_S
 from .workers import StopOrder
 
@@ -66,7 +66,7 @@
     :param forecast: predicts whether jobs can still end in time or be of use.
     :param received_cordons: what the latest row of the fleet controller tells about
         cordons, for the log.
-    :param surplus_cordons: cordons that this owner may still refuse.
+    :param undrained_cordons: cordons that this owner may still refuse.
     """
 
     service: str
@@ -83,7 +83,7 @@
     early_cancels: set[str] = attrs.field(factory=set)
     cordons: t.Mapping[str, str] = attrs.field(factory=dict)
     received_cordons: ReceivedCordons | None = None
-    surplus_cordons: SurplusCordons = attrs.field(factory=SurplusCordons)
+    undrained_cordons: UndrainedCordons = attrs.field(factory=UndrainedCordons)
     due: frozenset[str] = frozenset()
     arrived_jobs: int = 0
     unmeasured_jobs: list[Job] = attrs.field(factory=list)
--- a/src/onyxgap/jobs/shard_workers.py
+++ b/src/onyxgap/jobs/shard_workers.py
@@ -233,7 +233,7 @@
             no new tasks, and its serving tasks are moved.
         :param due: ids of workers whose VMs are due for maintenance.
         """
-        self.surplus_cordons.update(cordons)
+        self.undrained_cordons.update(cordons)
         self.cordons, self.due = cordons, due
         for worker_id, record in self.workers.items():
             record.cordoned = worker_id in cordons
--- a/tests/test_undrained_workers.py
+++ b/tests/test_undrained_workers.py
@@ -1,11 +1,11 @@
-"""Jobs that stand still beside workers cordoned as surplus."""
+"""Jobs that stand still beside cordoned workers that are not reported drained."""
 
 import pytest
 
 from onyxgap.jobs.messages import EndKind
 from onyxgap.jobs.messages import Step
 from onyxgap.jobs.shard import Shard
-from onyxgap.jobs.surplus import STANDING_S
+from onyxgap.jobs.undrained import STANDING_S
 from onyxgap.jobs.workers import StartOrder
 from tests.test_shard import ShardHarness
 
@@ -20,7 +20,8 @@
 def fill_workers(harness: ShardHarness) -> list[StartOrder]:
     """Fill two workers; return the orders of the two tasks on w2."""
     harness.add_worker("w1", cpu=1000)
-    harness.add_worker("w2", cpu=2000)
+    if "w2" not in harness.shard.workers:
+        harness.add_worker("w2", cpu=2000)
     harness.add_job(Step(3, cpu=1000), job_id="a" * 16)
     orders = harness.start_all()
     return [order for order in orders if order.worker_id == "w2"]
@@ -78,6 +79,19 @@
     assert list_starts_after_standing(harness) == []
 
 
+def test_job_does_not_stand_still_beside_a_worker_that_serving_tasks_cannot_leave(
+    harness: ShardHarness,
+) -> None:
+    harness.shard.set_cordons({})
+    harness.add_worker("w2", cpu=3000)
+    harness.add_job(Step(1, cpu=1000, long_running=True), job_id="c" * 16)
+    harness.start_all()
+    order, _ = fill_workers(harness)
+    harness.shard.set_cordons({"w2": "upkeep#1.7"})
+    harness.report("w2", (order, EndKind.DONE))
+    assert list_starts_after_standing(harness) == ["w2"]
+
+
 def test_job_that_has_a_task_running_does_not_use_a_surplus_worker(
     harness: ShardHarness,
 ) -> None:
