Take back the losses of runs whose worker was only silent

From the first such loss on its task needed a worker apart, and after five, on workers that answered again each time, its job failed: 'job failed ... failures=0 losses=5 blame=0'.

A worker that answers again in the same incarnation was not crashed: the losses of its lapsed runs are taken back. A worker that is found dead, or comes back as another incarnation, keeps them.

test_lost_runs.py: the two first new tests fail without it (one and two losses kept), all pass; test_crashes, test_shard_liveness and test_lives pass.

--- a/src/onyxgap/jobs/crashes.py
+++ b/src/onyxgap/jobs/crashes.py
@@ -121,6 +121,20 @@
             last_run=run,
         )
 
+    def remove_loss(self, young: bool) -> "LossHistory":
+        """Return a copy without a run that did not crash its worker.
+
+        :param young: whether the loss counts among the young ones.
+        """
+        if self.losses <= 1:
+            # with blame, it is the loss of another run since this one was cleared
+            return self if self.blame else NO_LOSSES
+        return attrs.evolve(
+            self,
+            losses=self.losses - 1,
+            young_losses=max(0, self.young_losses - young),
+        )
+
     @property
     def isolation(self) -> IsolationLevel:
         """Isolation that the task needs on its next worker."""
--- a/src/onyxgap/jobs/placing.py
+++ b/src/onyxgap/jobs/placing.py
@@ -28,6 +28,18 @@
 """Sort key of a worker for a task, unique by its last item; see :func:`rank_worker`."""
 
 
+@attrs.frozen(slots=True)
+class Lapse:
+    """Loss of a run whose lease has expired.
+
+    :param task: its task.
+    :param young: whether the start of the run may have crashed the worker.
+    """
+
+    task: Task
+    young: bool
+
+
 @attrs.define(slots=True, eq=False)
 class WorkerRecord:
     """What the owner of a shard knows of a worker.
@@ -90,6 +102,7 @@
     :param answered_at: monotonic seconds when the last call that it answered was sent.
     :param missed_at: monotonic seconds when the first list of VMs that lacked it,
         although it answered, was requested.
+    :param lapses: losses of runs whose lease has expired while it was silent.
     """
 
     entry: WorkerEntry
@@ -136,6 +149,7 @@
     former_entry: WorkerEntry | None = None
     answered_at: float = -math.inf
     missed_at: float = math.inf
+    lapses: list[Lapse] = attrs.field(factory=list)
 
     def is_silent(self) -> bool:
         """Return whether the worker does not answer, or is no longer registered."""
--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -96,6 +96,7 @@
         record.held = True
         record.failing_since = None
         record.inconclusive = 0
+        self._forget_lapses(record)
         self.departures.note_answer(worker_id)
         record.answered_at = max(record.answered_at, sent_at)
         for end in report.ended:
--- a/src/onyxgap/jobs/shard_workers.py
+++ b/src/onyxgap/jobs/shard_workers.py
@@ -20,6 +20,7 @@
 from .messages import JobState
 from .messages import WorkerEntry
 from .messages import WorkerState
+from .placing import Lapse
 from .placing import WorkerRecord
 from .shard_jobs import get_step_key
 from .shard_leases import ShardLeases
@@ -368,6 +369,10 @@
         blames = {}
         if record.entry.state is not WorkerState.DRAINING:
             blames = self._record_losses(sent, runs, crashed)
+            if not crashed:
+                record.lapses += [
+                    Lapse(task, run.young) for task, run in zip(sent, runs, strict=True)
+                ]
         if tasks:
             self._log_lost_runs(record, tasks, blames)
         if crashed and tasks:
@@ -389,6 +394,14 @@
                 self._log_extra_crashes(task, extra_crashes)
         return len(lost)
 
+    def _forget_lapses(self, record: WorkerRecord) -> None:
+        """Take back the losses of lapsed runs: the worker answers, none crashed it."""
+        for lapse in record.lapses:
+            task = lapse.task
+            task.loss_history = task.loss_history.remove_loss(lapse.young)
+            self.dirty.add(task.task_id.job_id)
+        record.lapses.clear()
+
     def _get_extra_crashes(self, job: Job, task: Task) -> int:
         extra_crashes = self.crashes.get_extra_crashes(job.submission.job_id)
         if job.get_step(task).long_running:
--- a/tests/test_lost_runs.py
+++ b/tests/test_lost_runs.py
@@ -3,10 +3,16 @@
 import pytest
 import structlog.testing
 
+from onyxgap.jobs.crashes import MAX_YOUNG_LOSSES
+from onyxgap.jobs.crashes import NO_LOSSES
 from onyxgap.jobs.crashes import START_CRASH_BLAME
 from onyxgap.jobs.crashes import UNRELATED_CRASHES_PER_EXTRA
+from onyxgap.jobs.crashes import IsolationLevel
 from onyxgap.jobs.messages import Step
 from onyxgap.jobs.shard import Shard
+from onyxgap.jobs.shard_leases import LEASE_S
+from onyxgap.jobs.workers import Reply
+from onyxgap.jobs.workers import ReplyKind
 from tests.test_shard import ShardHarness
 
 
@@ -62,3 +68,56 @@
     assert required["event"] == "more crashes required"
     assert failed["event"] == "job failed"
     assert required["extra_crashes"] == failed["extra_crashes"] == 1
+
+
+def lose_lease(harness: ShardHarness, worker_id: str = "w1") -> None:
+    """Let the lease of a silent worker expire, so that its runs are given up."""
+    harness.shard.apply_failure(worker_id, Reply(ReplyKind.NO_ANSWER), harness.now)
+    harness.now += 2 * LEASE_S
+    harness.shard.expire_workers(harness.now)
+
+
+def test_task_of_a_worker_that_was_only_silent_is_no_suspect_of_a_crash(
+    harness: ShardHarness,
+) -> None:
+    job = harness.add_job(Step(1, cpu=1000), job_id="a" * 16)
+    for _ in range(MAX_YOUNG_LOSSES + 1):
+        (order,) = harness.start_all()
+        lose_lease(harness)
+        task = job.find_task(order.task)
+        assert task is not None
+        assert task.loss_history.isolation is not IsolationLevel.NONE
+        harness.report("w1")
+        assert task.loss_history is NO_LOSSES
+    assert not job.state.final
+
+
+def test_each_of_two_silent_workers_takes_back_its_own_loss(
+    harness: ShardHarness,
+) -> None:
+    harness.add_worker("w2")
+    job = harness.add_job(Step(1, cpu=1000), job_id="a" * 16)
+    silent = []
+    for _ in range(2):
+        (order,) = harness.start_all()
+        silent.append(order.worker_id)
+        lose_lease(harness, order.worker_id)
+    task = job.find_task(order.task)
+    assert task is not None
+    assert task.loss_history.losses == len(set(silent)) == 2
+    for worker_id in silent:
+        harness.report(worker_id)
+    assert task.loss_history is NO_LOSSES
+
+
+def test_task_of_a_worker_that_crashed_after_its_lease_stays_suspected(
+    harness: ShardHarness,
+) -> None:
+    job = harness.add_job(Step(1, cpu=1000), job_id="a" * 16)
+    (order,) = harness.start_all()
+    lose_lease(harness)
+    harness.shard.remove_worker("w1", "its VM is down", harness.now)
+    harness.add_worker("w1")
+    task = job.find_task(order.task)
+    assert task is not None
+    assert task.loss_history.isolation is not IsolationLevel.NONE
