Keep the lines that tell why jobs stand in a flood of others

Events that their writers bound to a few lines a second now pass beyond the rate; what a reader has not taken yet still bounds all lines. The new test fails before, as nothing admits such lines.

--- a/src/onyxgap/logs.py
+++ b/src/onyxgap/logs.py
@@ -61,6 +61,20 @@
     }
 )
 """Events that a busy node logs hundreds of times a second."""
+BOUNDED_EVENTS = frozenset(
+    {
+        "event loop late",
+        "job ended while it stood",
+        "job runs again",
+        "job stands",
+        "more jobs run again",
+        "more jobs stand",
+        "more shards without owner",
+        "shard without owner",
+    }
+)
+"""Events whose writers limit them to a few lines a second. They tell why jobs stand,
+which a flood of other lines must not hide."""
 MAX_PENDING_BYTES = 65_536
 """While more than this waits for a slow reader, lines are dropped and counted."""
 
@@ -131,6 +145,19 @@
             self._routine_tokens -= 1
         return event
 
+    def admit_bounded_events(
+        self, logger: t.Any, method: str, event: structlog.typing.EventDict
+    ) -> structlog.typing.EventDict:
+        """Have the line of a bounded event written also beyond the rate.
+
+        :param logger: not used.
+        :param method: not used.
+        :param event: the line's fields.
+        """
+        if event.get("event") in BOUNDED_EVENTS:
+            self._tokens = max(self._tokens, 1.0)
+        return event
+
     def _build_dropped_line(self) -> bytes:
         # built without structlog: the line being written has already passed the
         # processors
@@ -166,6 +193,7 @@
     structlog.configure(
         processors=[
             lines.limit_routine_events,
+            lines.admit_bounded_events,
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -67,6 +67,7 @@
 from onyxgap.jobs.timeouts import MAX_TIMEOUT_S
 from onyxgap.jobs.timeouts import MIN_TIMEOUT_S
 from onyxgap.jobs.timeouts import WriteTimeout
+from onyxgap.logs import BOUNDED_EVENTS
 from onyxgap.logs import BURST_LINES
 from onyxgap.logs import ROUTINE_SHARE
 from onyxgap.logs import BoundedLogWriter
@@ -639,6 +640,23 @@
     os.close(writer)
 
 
+def test_flood_of_log_lines_does_not_hide_that_a_job_stands() -> None:
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    lines = BoundedLogWriter(writer, read_clock=lambda: 0.0)
+    for _ in range(int(BURST_LINES) + 50):
+        lines.msg(b"{}")
+    for event in sorted(BOUNDED_EVENTS):
+        lines.admit_bounded_events(None, "info", {"event": event})
+        lines.msg(b"{}")
+    assert lines.dropped_total == 50
+    lines.admit_bounded_events(None, "info", {"event": "start not confirmed"})
+    lines.msg(b"{}")
+    assert lines.dropped_total == 51
+    os.close(reader)
+    os.close(writer)
+
+
 def test_log_lines_are_bounded_counted_and_never_block() -> None:
     reader, writer = os.pipe()
     os.set_blocking(writer, False)
