Name standing jobs as soon as a shard is loaded, and closed workers first

In the soak beside busy processes a new owner took 3.4 s to load its shard and named the jobs that stood since its claim 1.3 s later, at its first check. It now checks as soon as the shard is loaded.

Jobs were said to stand for their tenant's cap while no worker was held yet. Where no worker takes any task, that is the reason now; capped_s tells since when the cap holds the job back.

Both new tests fail before.

--- a/src/onyxgap/daemons/owner.py
+++ b/src/onyxgap/daemons/owner.py
@@ -127,12 +127,12 @@
     async def _report_changes(self) -> None:
         """Report standing jobs and workers that left, also while a write lasts."""
         while True:
-            await anyio.sleep(CHECK_INTERVAL_S)
             now = self._now()
             with self.work.measure(WorkKind.STANDSTILLS):
                 progress = self._measure_progress(now)
                 self._standstills.check(progress, now, self._wall_ms())
             self.state.departures.log()
+            await anyio.sleep(CHECK_INTERVAL_S)
 
     def _measure_progress(self, now: float) -> OwnerProgress:
         def measure(began_at: float | None) -> float | None:
--- a/src/onyxgap/jobs/standstill_causes.py
+++ b/src/onyxgap/jobs/standstill_causes.py
@@ -219,10 +219,10 @@
             return StandstillReason.WRITE_REFUSED
         if self.now < task.not_before:
             return StandstillReason.RETRY_DELAY
-        if self._exceeds_cap(job, step):
-            return StandstillReason.TENANT_CAP
         if not self._open:
             return self._general
+        if self._exceeds_cap(job, step):
+            return StandstillReason.TENANT_CAP
         if self._exceeds_free(step):
             return StandstillReason.FULL
         return self._find_open_reason(job, step, task)
--- a/src/onyxgap/jobs/standstills.py
+++ b/src/onyxgap/jobs/standstills.py
@@ -166,6 +166,7 @@
             accepted_s=round(now - job.accepted_at, 3),
             task=str(cause.task.task_id) if cause.task is not None else None,
             reason=cause.reason.value,
+            capped_s=_round(None if job.capped_at is None else now - job.capped_at),
             **self._describe_run(cause, now),
             **_count_tasks(job, now),
             pass_age_s=_round(survey.progress.pass_age_s),
--- a/tests/test_standing_jobs.py
+++ b/tests/test_standing_jobs.py
@@ -149,16 +149,36 @@
     assert watch.lines[-1]["workers"] == {"full": 1, "free": 1}
 
 
-def test_job_beyond_the_cap_of_its_tenant_is_logged(watch: Watch) -> None:
+def add_capped_job(watch: Watch) -> None:
+    """Add a job that exceeds the cap of its tenant, and run a pass."""
     watch.shard.shares = ShardShares("s", 3, lambda tenant: Amount(100, 100, 0))
-    policy = QueuePolicy("q", "s")
-    submission = Submission(JOB, policy, "", (Step(1, cpu=1000),), tenant="t1")
+    submission = Submission(
+        JOB,
+        QueuePolicy("q", "s"),
+        "",
+        (Step(1, cpu=1000),),
+        accepted_ms=int(WALL_MS),
+        tenant="t1",
+    )
     watch.shard.add_job(Job(submission), watch.harness.now, WALL_MS)
     watch.harness.plan()
+
+
+def test_job_beyond_the_cap_of_its_tenant_is_logged(watch: Watch) -> None:
+    add_capped_job(watch)
     assert watch.read_reason() is StandstillReason.TENANT_CAP
     assert watch.lines[-1]["tenant"] == "t1"
 
 
+def test_workers_out_of_use_are_named_rather_than_the_cap_of_a_tenant(
+    watch: Watch,
+) -> None:
+    add_capped_job(watch)
+    close_workers(watch, held=False)
+    assert watch.read_reason() is StandstillReason.NOT_HELD
+    assert watch.lines[-1]["capped_s"] == pytest.approx(2.0)
+
+
 def test_job_that_is_not_tried_again_yet_is_logged(watch: Watch) -> None:
     job = watch.harness.add_job(Step(1, cpu=1000))
     (order,) = watch.harness.start_all()
@@ -391,8 +411,13 @@
         await anyio.sleep_forever()
 
 
-async def schedule_without_store() -> list[t.Any]:
-    """Run an owner with a job for the time within which it has to say why."""
+async def schedule_without_store(seconds: float, loading_s: float = 0.0) -> t.Any:
+    """Run an owner with a job whose store does not answer.
+
+    :param seconds: time from the claim.
+    :param loading_s: time for which the shard is loaded.
+    :returns: the lines about the job.
+    """
     store: t.Any = StoreWithoutAnswers()
     owner = build_owner(NOTHING, EmulatedClocks(), store)
     owner.context.is_guarded = lambda shard: True
@@ -401,6 +426,7 @@
     owner.state.observe_worker(entry, now)
     owner.state.workers["w1"].clock = WorkerClock(0.0, now)
     owner.state.workers["w1"].held = True
+    await anyio.sleep(loading_s)
     job = Job(Submission(JOB, QueuePolicy("q", "shard"), "", (Step(1, cpu=100),)))
     owner.state.add_job(job, now, owner._wall_ms())
     with structlog.testing.capture_logs() as lines:
@@ -408,12 +434,17 @@
             owner._group = group
             group.start_soon(owner._report_changes)
             group.start_soon(owner._schedule_until_released)
-            await anyio.sleep(LIMIT_S)
+            await anyio.sleep(seconds - loading_s)
             group.cancel_scope.cancel()
     return [line for line in lines if line["event"] == "job stands"]
 
 
 def test_owner_that_waits_for_the_store_says_so_of_its_jobs() -> None:
-    lines = run_virtually(schedule_without_store)
+    lines = run_virtually(schedule_without_store, LIMIT_S)
     assert [line["reason"] for line in lines] == ["start order not stored"]
     assert lines[0]["write_s"] > 0.0
+
+
+def test_owner_that_took_long_to_load_names_its_standing_jobs_at_once() -> None:
+    lines = run_virtually(schedule_without_store, LIMIT_S, 2.8)
+    assert [line["since_s"] for line in lines] == [2.8]
