--- a/src/onyxgap/jobs/ownership.py
+++ b/src/onyxgap/jobs/ownership.py
@@ -19,6 +19,17 @@
 """Extension of :data:`OWNER_TIMEOUT_S`, in multiples of the store's latency. In a slow
 store, a renewal takes several attempts of the owner, one after the other in the shard's
 partition, and a read by the other nodes. Claims would queue in that partition, too."""
+MAX_RENEWAL_AGE_S = 0.7
+"""Largest age of a renewal when a node reads it: nodes read the rows at this interval.
+An older one reached the node late, which proves nothing about the owner."""
+TAKEOVER_BACKOFF_S = 0.7
+"""Extension of the time before a claim, for each recent takeover of the shard: one
+renewal. A shard that changes its owner again at once mostly does so because the nodes
+or the store are late, and each change makes more work."""
+RECENT_TAKEOVER_S = 5.0
+"""Age up to which a takeover counts as recent."""
+MAX_TAKEOVERS = 3
+"""Most recent takeovers that are counted."""
 CLAIM_BACKOFF_S = 0.8
 """Delay before a node retries a failed claim. A slow store takes 0.3 s for each
 transaction of a partition and rejects transactions that wait for more than 1 s."""
@@ -29,10 +40,14 @@
 sends one every 0.3 s, so two of them may be lost."""
 OWNED_DELAY_S = 0.3
 """Additional delay for each shard that a node owns, which distributes the shards."""
-SMALL_VM_DELAY_S = 0.6
-"""Additional delay of a node on a small VM, equal to that of two owned shards. Without
-it, a small VM may own a large shard and schedule from reports that are seconds old,
-while large VMs own nothing."""
+FIRST_CLAIM_DELAY_S = 0.7
+"""Additional delay for each owned shard before the claim of one that never had an
+owner. Nodes that start together are ready seconds apart where they share cores; the
+first one would own all shards."""
+SMALL_VM_LOAD = 2
+"""Owned shards as which a small VM counts in the delays. Without it, a small VM may own
+a large shard and schedule from reports that are seconds old, while large VMs own
+nothing."""
 
 LOAD_REPORT_VALID_S = 2.0
 """Maximum age of a load report. Owners renew their row every 0.7 s, and other nodes
@@ -65,6 +80,10 @@
         notices in the current series, ``None`` if there was none.
     :param last_notice_at: monotonic seconds of the latest hand-over notice.
     :param load_report: newest owner row with a load report, ``None`` if there was none.
+    :param renewed_at: monotonic seconds of the renewal that wrote the row, ``None`` if
+        not known. The owner may have sent it later.
+    :param takeovers: monotonic seconds of the last claims by a node that the owner
+        before had not released the shard to.
     """
 
     row: OwnerRow | None
@@ -73,12 +92,16 @@
     handed_over_at: float | None = None
     last_notice_at: float = 0.0
     load_report: OwnerRow | None = None
+    renewed_at: float | None = None
+    takeovers: tuple[float, ...] = ()
 
     def __attrs_post_init__(self) -> None:
         if self.row is not None and self.row.waiting is not None:
             self.load_report = self.row
 
-    def replace_row(self, row: OwnerRow, version: int, now: float) -> "OwnerView":
+    def replace_row(
+        self, row: OwnerRow, version: int, now: float, store_ms: int | None = None
+    ) -> "OwnerView":
         """Return the view with a newer owner row.
 
         A claim contains no load report, so the previous one is kept until it expires.
@@ -86,8 +109,36 @@
         :param row: the new row.
         :param version: its version.
         :param now: monotonic seconds.
+        :param store_ms: lower bound of the store's clock, ``None`` if not known.
         """
-        return OwnerView(row, version, now, load_report=self.load_report)
+        takeovers = self.takeovers
+        if self._is_taken_over(row):
+            takeovers = (*takeovers, now)[-MAX_TAKEOVERS:]
+        return OwnerView(
+            row,
+            version,
+            now,
+            load_report=self.load_report,
+            renewed_at=_estimate_renewal_time(row, store_ms, now),
+            takeovers=takeovers,
+        )
+
+    def get_last_sign(self) -> float:
+        """Return the monotonic second of the owner's last sign of life."""
+        return self.changed_at if self.renewed_at is None else self.renewed_at
+
+    def _is_taken_over(self, row: OwnerRow) -> bool:
+        if self.row is None or self.row.released:
+            return False
+        return row.epoch != self.row.epoch and row.node != self.row.node
+
+    def get_takeover_backoff(self, now: float) -> float:
+        """Return the extension of the time before a claim, in seconds.
+
+        :param now: monotonic seconds.
+        """
+        recent = [at for at in self.takeovers if now - at < RECENT_TAKEOVER_S]
+        return TAKEOVER_BACKOFF_S * len(recent)
 
     def get_load_report(self, store_ms: int | None) -> LoadReport | None:
         """Return the newest load report unless it has expired or its age is unknown.
@@ -126,6 +177,15 @@
         )
 
 
+def _estimate_renewal_time(
+    row: OwnerRow, store_ms: int | None, now: float
+) -> float | None:
+    if row.counted_at_ms is None or store_ms is None:
+        return None
+    age_s = (store_ms - row.counted_at_ms) / MS_PER_S
+    return now - min(max(age_s, 0.0), MAX_RENEWAL_AGE_S)
+
+
 def get_claim_jitter(boot: str, shard: str) -> float:
     """Return the claim delay of a process for a shard, in seconds.
 
@@ -148,6 +208,8 @@
     :param small_vm: whether its VM is much smaller than the largest one.
     :param yields: whether it waits before it claims shards of its own previous process,
         so that other nodes can claim them first.
+    :param unseen_s: seconds by which it may see a renewal late: lag of its event loop,
+        and delay of its reads of the owner rows.
     """
 
     node: str
@@ -156,6 +218,7 @@
     latency_s: float = 0.0
     small_vm: bool = False
     yields: bool = False
+    unseen_s: float = 0.0
 
 
 def get_claim_time(
@@ -174,19 +237,24 @@
         store without a gap. Missing renewals before that prove nothing.
     :param now: monotonic seconds.
     """
-    delay = get_claim_jitter(claimant.boot, shard) + OWNED_DELAY_S * claimant.owned
-    delay += SMALL_VM_DELAY_S * claimant.small_vm
+    load = claimant.owned + SMALL_VM_LOAD * claimant.small_vm
+    delay = get_claim_jitter(claimant.boot, shard) + OWNED_DELAY_S * load
     row = view.row
-    if row is None or row.released:
+    if row is None:
+        return view.changed_at + delay + FIRST_CLAIM_DELAY_S * load
+    if row.released:
         return view.changed_at + delay
+    delay += view.get_takeover_backoff(now)
     if view.is_handed_over(store_reachable_since, now):
         assert view.handed_over_at is not None
         return view.handed_over_at + delay
     if row.node == claimant.node and row.boot != claimant.boot:
         # the owner was a previous process of this node, which no longer exists
         return view.changed_at + PREVIOUS_SHARD_DELAY_S * claimant.yields
+    # a claimant that is late has not seen the renewals of that time
     timeout_s = OWNER_TIMEOUT_S + LATENCY_FACTOR * claimant.latency_s
-    return max(view.changed_at, store_reachable_since) + timeout_s + delay
+    timeout_s += claimant.unseen_s
+    return max(view.get_last_sign(), store_reachable_since) + timeout_s + delay
 
 
 def list_claimable(
