Tell by how much a node may see renewals late beside a shard without owner

The delay is part of the claim time since late nodes claim later; without it, claim_in_s can't be explained from the line. The test fails before.

--- a/src/onyxgap/daemons/unowned_shards.py
+++ b/src/onyxgap/daemons/unowned_shards.py
@@ -186,5 +186,6 @@
             owned=claimant.owned,
             small_vm=claimant.small_vm,
             latency_s=round(claimant.latency_s, 3),
+            unseen_s=round(claimant.unseen_s, 2),
             lag_s=round(lag_s, 3),
         )
--- a/tests/test_unowned_shards.py
+++ b/tests/test_unowned_shards.py
@@ -71,13 +71,14 @@
 
 
 def test_released_shard_is_logged_with_the_delay_of_the_claim() -> None:
-    claimant = Claimant("node-2", "boot-2", owned=9, small_vm=True)
+    claimant = Claimant("node-2", "boot-2", owned=9, small_vm=True, unseen_s=0.5)
     progress = attrs.evolve(PROGRESS, claimant=claimant)
     released = attrs.evolve(ROW, released=True)
     views = {"s": OwnerView(released, 3, NOW - REPORT_AFTER_S)}
     (line,) = check(UnownedShardReporter(), views, NOW, progress)
     assert line["reason"] == UnclaimedReason.CLAIM_DELAY.value
     assert (line["owned"], line["small_vm"]) == (9, True)
+    assert line["unseen_s"] == 0.5
     assert line["claim_in_s"] > 0.0
 
 
