Log owners that hear no changes of their jobs

An owner whose change feed does not answer does not know the jobs handed in meanwhile, so that none of its lines names them, though it owns the shard and renews its row.

It now writes 'job changes not heard' once the feed has not answered for 2 s, again each 2 s, and 'job changes heard again'; 'explain' shows both for a job of the shard.

--- a/src/onyxgap/cli/tracing.py
+++ b/src/onyxgap/cli/tracing.py
@@ -21,6 +21,8 @@
     {
         "claiming shard",
         "first task started",
+        "job changes heard again",
+        "job changes not heard",
         "list of VMs in doubt",
         "more jobs stand",
         "more shards without owner",
--- a/src/onyxgap/daemons/owner.py
+++ b/src/onyxgap/daemons/owner.py
@@ -132,6 +132,7 @@
                 progress = self._measure_progress(now)
                 self._standstills.check(progress, now, self._wall_ms())
             self.state.departures.log()
+            self._feed_watch.check(now)
             await anyio.sleep(CHECK_INTERVAL_S)
 
     def _measure_progress(self, now: float) -> OwnerProgress:
--- a/src/onyxgap/daemons/owner_jobs.py
+++ b/src/onyxgap/daemons/owner_jobs.py
@@ -21,6 +21,7 @@
 from ..pools.messages import decode_fleet_row
 from .expiry import JobRemover
 from .expiry import PointerRemover
+from .feed_watch import FeedWatch
 from .fence import RENEWAL_INTERVAL_S
 from .fleet_row_refresh import FleetRowRefresher
 from .follower import Follower
@@ -47,6 +48,7 @@
     _workers_version: int = 0
     _remover: JobRemover = attrs.field(init=False)
     _pointer_remover: PointerRemover = attrs.field(init=False)
+    _feed_watch: FeedWatch = attrs.field(init=False)
     _job_follower: Follower = attrs.field(init=False)
     _fleet_follower: Follower = attrs.field(init=False)
     _fleet_version: int = 0
@@ -56,6 +58,7 @@
         super().__attrs_post_init__()
         self._remover = JobRemover(self.shard, self.context.store)
         self._pointer_remover = PointerRemover(self.shard, self.context.store)
+        self._feed_watch = FeedWatch(self.shard, self.epoch, self._now())
         self._job_follower = self._follow_jobs()
         self._fleet_follower = self._follow_fleet()
 
@@ -66,6 +69,8 @@
             self._list_job_parts,
             self._apply_job_rows,
             self.context.rng,
+            on_caught_up=self._feed_watch.note_heard,
+            read_boot=self._now,
         )
 
     def _follow_fleet(self) -> Follower:
@@ -143,6 +148,7 @@
         )
         self.loaded = True
         self.loaded_at = self._now()
+        self._feed_watch.note_heard(self.loaded_at)
         _LOG.info(
             "shard loaded",
             shard=self.shard,
--- a/src/onyxgap/logs.py
+++ b/src/onyxgap/logs.py
@@ -64,6 +64,8 @@
 BOUNDED_EVENTS = frozenset(
     {
         "event loop late",
+        "job changes heard again",
+        "job changes not heard",
         "job ended while it stood",
         "job runs again",
         "job stands",
