--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -126,7 +126,7 @@
             if not self._owns(shard)
         }
         progress = ClaimProgress(
-            self._build_claimant(now),
+            self._build_claimant(),
             self._store_reachable_since,
             bool(follower.after),
             self._may_claim(),
@@ -194,7 +194,7 @@
             and now >= self._claim_after.get(shard, 0.0)
             and shard in self._list_shards()
         }
-        claimant = self._build_claimant(now)
+        claimant = self._build_claimant()
         assert self._group is not None
         for shard in list_claimable(views, claimant, reachable_since, now)[:1]:
             self._claiming.add(shard)
@@ -212,7 +212,7 @@
             )
             self._group.start_soon(self._claim, shard, view)
 
-    def _build_claimant(self, now: float) -> Claimant:
+    def _build_claimant(self) -> Claimant:
         small_vm = is_small_vm(self.memory_mb, self.members.values())
         return Claimant(
             self.settings.node,
@@ -221,7 +221,7 @@
             self.health.latency_s,
             small_vm,
             yields=small_vm and self.settings.contended,
-            unseen_s=self._measure_unseen(now),
+            unseen_s=self._measure_unseen(self.clocks.read_monotonic()),
         )
 
     def _may_claim(self) -> bool:
