--- a/bench/soak/day.py
+++ b/bench/soak/day.py
@@ -99,11 +99,20 @@
 
     async def _start_nodes(self, group: anyio.abc.TaskGroup) -> None:
         group.start_soon(self.lag.watch)
+        group.start_soon(self._keep_cores_busy)
         for slot in self.slots:
             assert isinstance(slot, ProcessSlot)
             await slot.listen(group)
         await super()._start_nodes(group)
 
+    async def _keep_cores_busy(self) -> None:
+        """Run the busy processes once all nodes listen: beside them that takes long."""
+        for slot in self.slots:
+            assert isinstance(slot, ProcessSlot)
+            await slot.wait_until_listening()
+        with self.cores.keep_busy():
+            await anyio.sleep_forever()
+
     def _judge(self) -> SoakResult:
         load = self._load.measure(self.lag)
         result = super()._judge()
@@ -150,7 +159,7 @@
     cores = cores or CoreShare()
     day = SoakDay(script, seed, folder=folder, finish_s=finish_s, cores=cores)
     run = functools.partial(anyio.run, day.play, backend="asyncio")
-    with cores.confine_soak(), cores.keep_busy():
+    with cores.confine_soak():
         result = run(backend_options={"loop_factory": LoopFromZero})
     assert isinstance(result, SoakResult)
     return result
--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -47,6 +47,7 @@
 """Consecutive ports that each node needs: platform, callers, probes and peers."""
 PORT_RANGE_START = 15_000
 PORT_RANGE_END = 32_000
+START_POLL_S = 0.1
 GRACE_S = 6.0
 """Time between the request to stop a process and its end."""
 _OUTCOMES = {
@@ -235,6 +236,17 @@
             if self.node is node:
                 self.node = None
 
+    async def wait_until_listening(self) -> None:
+        """Wait until a process of the node accepts connections of callers."""
+        while True:
+            try:
+                stream = await anyio.connect_tcp("127.0.0.1", self._ports + 1)
+            except OSError:
+                await anyio.sleep(START_POLL_S)
+                continue
+            await stream.aclose()
+            return
+
     def _open_pool(self) -> None:
         self._pool = httpcore.AsyncConnectionPool(max_connections=64)
 
