--- a/tests/test_soak_cores.py
+++ b/tests/test_soak_cores.py
@@ -2,11 +2,17 @@
 
 import logging
 import pathlib
+import socket
+import types
+import typing as t
 
+import anyio
 import pytest
 
 from bench.soak.cores import choose_core_share
 from bench.soak.day import play_soak
+from bench.soak.processes import ProcessSlot
+from onyxgap.standins.emulator.script import Script
 from onyxgap.standins.emulator.script import parse_script
 
 NODE_CORES = 2
@@ -39,3 +45,16 @@
     result = play_soak(parse_script("cores", DAY), 1, tmp_path, cores=cores)
     assert result.breaches == []
     assert result.account.in_time
+
+
+def test_busy_processes_wait_for_nodes_that_do_not_listen_yet() -> None:
+    async def wait(slot: ProcessSlot) -> bool:
+        with anyio.move_on_after(0.5) as scope:
+            await slot.wait_until_listening()
+        return not scope.cancelled_caught
+
+    day: t.Any = types.SimpleNamespace(script=Script("day"))
+    slot = ProcessSlot("node-0", day, folder=pathlib.Path())
+    assert not anyio.run(wait, slot)
+    with socket.create_server(("127.0.0.1", slot._ports + 1)):
+        assert anyio.run(wait, slot)
