Charge nodes of the emulator for their passes, and let them run late

Owners count the steps of each pass and report through a meter (daemons/work.py), which does nothing by default. A call under way goes on at the other end; its answer is seen once the node goes on, and a time-out that has expired by then wins. On a shared core each wake-up of the node waits as well.

--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -309,6 +309,7 @@
             self.skipped,
             self.job_api.decoder,
             self.settings.store_limits,
+            self.work_meter,
         )
         former_grants = self.former_owners.bound(shard, claim.previous)
         owner = ShardOwner(writer, context, former_grants)
--- a/src/onyxgap/daemons/node_base.py
+++ b/src/onyxgap/daemons/node_base.py
@@ -46,6 +46,8 @@
 from .queue_moves import QueueMoves
 from .rows import SkippedRows
 from .rows import decode_rows
+from .work import NoWorkMeter
+from .work import WorkMeter
 
 _LOG = structlog.get_logger()
 
@@ -93,6 +95,7 @@
     :param build_sizer: builds the policy that chooses the sizes of pools.
     :param memory_mb: memory of the VM in MB, 0 if it is not known.
     :param boot: unique ID of the process.
+    :param work_meter: counts the work of scheduling passes and reports.
     :param routes: the configuration in force.
     :param views: newest owner row of each shard, as seen by this node.
     :param owners: owned shards by name.
@@ -127,6 +130,7 @@
     build_sizer: t.Callable[[], Sizer] = PoolSizer
     memory_mb: int = 0
     boot: str = attrs.field(factory=lambda: uuid.uuid4().hex[:12])
+    work_meter: WorkMeter = attrs.field(factory=NoWorkMeter)
     routes: RouteTable = attrs.field(factory=RouteTable)
     views: dict[str, OwnerView] = attrs.field(factory=dict)
     owners: dict[str, ShardOwner] = attrs.field(factory=dict)
--- a/src/onyxgap/daemons/owner.py
+++ b/src/onyxgap/daemons/owner.py
@@ -104,6 +104,7 @@
             self.state.expire_workers(self._now())
             self.state.report_doubtful_runs(self._now())
             orders = self.state.plan(self._now(), self._wall_ms())
+            self.context.work_meter.count_steps(self.state.ready_steps)
             if self.state.ticket_cache.wanted:
                 self._tickets_needed.set()
             if self.share_synchronizer is not None and self._group is not None:
@@ -272,6 +273,7 @@
         if age_s < REPORT_INTERVAL_S and drained == emptied:
             return None
         report = self.state.build_report(now, stored_jobs)
+        self.context.work_meter.count_steps(self.state.ready_steps)
         return None if report == self._reported else report
 
     def _remove_expired_submissions(self, now: float) -> None:
--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -46,6 +46,8 @@
 from .rows import decode_rows
 from .share_keeper import ShareSynchronizer
 from .submission_decoder import SubmissionDecoder
+from .work import NoWorkMeter
+from .work import WorkMeter
 
 LEASE_MARGIN_S = 0.3
 """Leases are shorter by this than the longest lease that a worker grants."""
@@ -103,6 +105,7 @@
     :param skipped: number of rows that could not be decoded, by table.
     :param submission_decoder: decodes stored submissions.
     :param store_limits: limits of the store on a write.
+    :param work_meter: counts the work of scheduling passes and reports.
     """
 
     store: Store
@@ -121,6 +124,7 @@
     skipped: SkippedRows = attrs.field(factory=SkippedRows)
     submission_decoder: SubmissionDecoder = attrs.field(factory=SubmissionDecoder)
     store_limits: StoreLimits = StoreLimits()
+    work_meter: WorkMeter = attrs.field(factory=NoWorkMeter)
 
 
 @attrs.define(eq=False)
--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -66,6 +66,7 @@
         pass.
     :param backlog: steps that were ready in the last scheduling pass, in its order;
         kept only where run times are learned.
+    :param ready_steps: number of steps that were ready in the last scheduling pass.
     :param fleet_vms: initial number of VMs of all pools, 0 if unknown.
     :param probeable: ejected workers that may be probed in this scheduling pass.
     """
@@ -74,6 +75,7 @@
     find_weight: t.Callable[[str], float] | None = None
     beyond: int = 0
     backlog: t.Sequence[ReadyStep] = ()
+    ready_steps: int = 0
     fleet_vms: int = 0
     wait_reporter: WaitReporter = attrs.field(factory=WaitReporter)
     probeable: t.Sequence[WorkerRecord] = ()
@@ -176,6 +178,7 @@
     ) -> list[ReadyStep]:
         """List the ready steps in the order in which they are placed."""
         ready = self._list_ready(now, wall_ms)
+        self.ready_steps = len(ready)
         ready.sort(key=ReadyStep.get_sort_key)
         self.beyond = 0
         if self.find_weight is not None and self.shares is not None:
--- a/src/onyxgap/standins/emulator/cloud.py
+++ b/src/onyxgap/standins/emulator/cloud.py
@@ -20,6 +20,7 @@
 from ...pools.messages import VmReply
 from ...pools.messages import VmState
 from .gate import NodeGate
+from .gate import carry_out_elsewhere
 from .gate import run_late
 from .nature import FindNature
 from .store import EmulatedStore
@@ -382,6 +383,7 @@
     cloud: EmulatedCloud
     gate: NodeGate
 
+    @carry_out_elsewhere
     async def list_vms(self) -> tuple[Vm, ...]:
         """List all VMs."""
         await self.gate.pass_through()
@@ -393,6 +395,7 @@
         await self.gate.pass_through()
         return vms
 
+    @carry_out_elsewhere
     async def send(self, order: VmOrder, holder: str, token: int) -> VmReply:
         """Send an order; repeating one that was done does nothing more."""
         await self.gate.pass_through()
--- a/src/onyxgap/standins/emulator/day.py
+++ b/src/onyxgap/standins/emulator/day.py
@@ -1,5 +1,6 @@
 """Plays a day: nodes, workers, VMs, callers and faults in virtual time."""
 
+import contextlib
 import random
 import typing as t
 
@@ -31,6 +32,7 @@
 from .hindsight import plan_in_hindsight
 from .job_notes import JobNotes
 from .peers import EmulatedNetwork
+from .processor import hold_busy_nodes
 from .route_history import RouteHistory
 from .route_history import build_prefix
 from .route_history import build_public_prefix
@@ -104,6 +106,12 @@
 
     async def play(self) -> DayResult:
         """Play the day."""
+        with contextlib.ExitStack() as stack:
+            if self.script.has_costs():
+                stack.enter_context(hold_busy_nodes())
+            return await self._play()
+
+    async def _play(self) -> DayResult:
         async with anyio.create_task_group() as group:
             self._group = group
             self._build(group)
--- a/src/onyxgap/standins/emulator/fault_draws.py
+++ b/src/onyxgap/standins/emulator/fault_draws.py
@@ -9,6 +9,7 @@
 from .script import INTERFACE_FAULTS
 from .script import RACK_FAULTS
 from .script import ROUTE_FAULTS
+from .script import SLOW_NODE
 from .script import FaultLine
 from .script import Script
 
@@ -24,6 +25,7 @@
         *_LIST_FAULTS,
         *INTERFACE_FAULTS,
         *RACK_FAULTS,
+        SLOW_NODE,
     }
 )
 """Not drawn with the other faults, so that the draws of a seed stay the same."""
--- a/src/onyxgap/standins/emulator/gate.py
+++ b/src/onyxgap/standins/emulator/gate.py
@@ -1,11 +1,18 @@
 """What stands between a node and the services that it calls."""
 
+import contextlib
+import functools
 import random
 import typing as t
 
 import anyio
 import attrs
 
+from .processor import Processor
+
+_T = t.TypeVar("_T")
+_P = t.ParamSpec("_P")
+
 
 @attrs.define(eq=False)
 class NodeGate:
@@ -17,11 +24,13 @@
         workers.
     :param call_cost_s: processor time that a call to a worker takes the node, which
         makes one at a time.
+    :param processor: the node's processor, ``None`` if its work takes no time.
     """
 
     node: str
     cut_from: set[str] = attrs.field(factory=set)
     call_cost_s: float = 0.0
+    processor: Processor | None = None
     _busy_until: float = 0.0
     _freezes: int = 0
     _open: anyio.Event = attrs.field(factory=anyio.Event)
@@ -49,10 +58,39 @@
         """Wait for the processor, and for as long as a call takes it."""
         if not self.call_cost_s:
             return
+        if self.processor is not None:
+            self.processor.charge(self.call_cost_s)
+            return
         start = max(self._busy_until, anyio.current_time())
         self._busy_until = start + self.call_cost_s
         await anyio.sleep_until(self._busy_until)
 
+    def occupy(self) -> t.ContextManager[None]:
+        """Have this task need the node's processor in the meantime."""
+        if self.processor is None:
+            return contextlib.nullcontext()
+        return self.processor.occupy()
+
+
+def carry_out_elsewhere(
+    method: t.Callable[t.Concatenate[t.Any, _P], t.Coroutine[t.Any, t.Any, _T]],
+) -> t.Callable[t.Concatenate[t.Any, _P], t.Coroutine[t.Any, t.Any, _T]]:
+    """Let a call of a client go on while the processor of its node is busy.
+
+    :param method: method of a client with a gate.
+    """
+
+    async def call(client: t.Any, /, *args: _P.args, **kwargs: _P.kwargs) -> _T:
+        processor: Processor | None = client.gate.processor
+        if processor is None:
+            return await method(client, *args, **kwargs)
+        return await processor.run_elsewhere(
+            functools.partial(method, client, *args, **kwargs)
+        )
+
+    functools.update_wrapper(call, method)
+    return call
+
 
 @attrs.define
 class Link:
--- a/src/onyxgap/standins/emulator/node_faults.py
+++ b/src/onyxgap/standins/emulator/node_faults.py
@@ -94,7 +94,21 @@
         gate.cut_from -= cut
 
 
+async def slow_nodes(day: FaultTargets, fault: FaultLine) -> None:
+    """Have the cores of nodes be shared with busy processes."""
+    slots = [slot for slot in day.slots if fault.name in (slot.name, "all")]
+    for slot in slots:
+        day.record_disturbance(slot.name, fault.seconds)
+    processors = [slot.gate.processor for slot in slots if slot.gate.processor]
+    for processor in processors:
+        processor.slowness *= fault.strength
+    await anyio.sleep(fault.seconds)
+    for processor in processors:
+        processor.slowness /= fault.strength
+
+
 NODE_FAULTS: FaultPlayers = {
+    ("slow", "node"): slow_nodes,
     ("kill", "owner"): kill_one,
     ("kill", "holder"): kill_one,
     ("kill", "node"): kill_one,
--- a/src/onyxgap/standins/emulator/peers.py
+++ b/src/onyxgap/standins/emulator/peers.py
@@ -13,6 +13,7 @@
 from ...jobs.passing import PassedAnswer
 from ...jobs.passing import PassedCall
 from .gate import NodeGate
+from .gate import carry_out_elsewhere
 
 DELAY_S = 0.002
 Answer = t.Callable[[PassedCall], t.Awaitable[PassedAnswer]]
@@ -41,9 +42,10 @@
         if address not in self.receivers:
             return
         gate, on_notice = self.receivers[address]
-        await gate.pass_through()
-        if self.receivers.get(address) == (gate, on_notice):
-            on_notice(notice)
+        with gate.occupy():
+            await gate.pass_through()
+            if self.receivers.get(address) == (gate, on_notice):
+                on_notice(notice)
 
 
 @attrs.define(eq=False)
@@ -91,6 +93,7 @@
         """Give the address under which others pass calls on."""
         return self.node
 
+    @carry_out_elsewhere
     async def ask(
         self, address: str, call: PassedCall, timeout_s: float
     ) -> PassedAnswer | ForwardFailure:
@@ -103,9 +106,10 @@
         lose_share = self.network.lose_share
         with anyio.move_on_after(timeout_s):
             await anyio.sleep(2 * DELAY_S)
-            await gate.pass_through()
-            answered = await answer(call)
-            await gate.pass_through()
+            with gate.occupy():
+                await gate.pass_through()
+                answered = await answer(call)
+                await gate.pass_through()
             await anyio.sleep(DELAY_S)
             lost = bool(lose_share) and self.network.rng.random() < lose_share
             if self.network.answering.get(address) == found and not lost:
--- a/src/onyxgap/standins/emulator/script.py
+++ b/src/onyxgap/standins/emulator/script.py
@@ -48,6 +48,15 @@
 ``cut rack POOL``
     They cannot be reached; their tasks run on.
 
+The work of nodes takes no time but with ``pass-cost``, the time of a core for each step
+of a scheduling pass and of a report; with ``cores`` a node has that much of a core.
+While a node computes, nothing of it goes on: it neither sends nor answers, and its
+timers fire late.
+
+``slow node NAME``
+    A node, or with ``all`` each one, shares its core with busy processes: its work
+    takes longer by the factor (``by``), and whenever it wakes up it waits for them.
+
 With ``deaf holder`` and ``deaf owner POOL`` one node hears nothing of changed rows; it
 counts as disturbed, as with ``deaf node``.
 """
@@ -231,6 +240,9 @@
     :param name: its name.
     :param nodes: number of nodes.
     :param call_cost_s: processor time that a call to a worker takes a node.
+    :param cores: share of a core that each node has.
+    :param pass_cost_s: time of a core that each step of a scheduling pass or a report
+        takes a node.
     :param contended: whether nodes weigh callers against each other.
     :param small: number of nodes on small VMs, the first ones.
     :param retention_s: time for which the state of an ended job must stay readable.
@@ -241,6 +253,8 @@
     name: str
     nodes: int = 3
     call_cost_s: float = 0.0
+    cores: float = 1.0
+    pass_cost_s: float = 0.0
     contended: bool = False
     small: int = 0
     retention_s: float = 120.0
@@ -257,11 +271,19 @@
     faults: list[FaultLine] = attrs.field(factory=list)
     public: list[str] = attrs.field(factory=list)
 
+    def has_costs(self) -> bool:
+        """Return whether the work of nodes takes time."""
+        slowed = any((item.verb, item.target) == SLOW_NODE for item in self.faults)
+        return self.pass_cost_s > 0.0 or slowed
+
     def changes_routes(self) -> bool:
         """Return whether a fault adds, drops or moves routes."""
         return any((item.verb, item.target) in ROUTE_FAULTS for item in self.faults)
 
 
+SLOW_NODE = ("slow", "node")
+"""Fault of nodes whose work takes time."""
+
 ROUTE_FAULTS = frozenset({("add", "route"), ("drop", "route"), ("move", "route")})
 """Faults that change the routes: ``seconds`` versions, each ``strength`` seconds after
 the one before."""
@@ -290,6 +312,7 @@
     {
         *INTERFACE_FAULTS,
         *RACK_FAULTS,
+        SLOW_NODE,
         ("kill", "owner"),
         ("kill", "holder"),
         ("kill", "node"),
@@ -409,6 +432,8 @@
 _STATEMENTS: t.Mapping[str, t.Callable[[Script, list[str]], None]] = {
     "nodes": _read_number("nodes", int),
     "call-cost": _read_number("call_cost_s", float),
+    "cores": _read_number("cores", float),
+    "pass-cost": _read_number("pass_cost_s", float),
     "contended": _contend,
     "small": _read_number("small", int),
     "retention": _read_number("retention_s", float),
--- a/src/onyxgap/standins/emulator/slots.py
+++ b/src/onyxgap/standins/emulator/slots.py
@@ -32,6 +32,7 @@
 from .peers import EmulatedCallLink
 from .peers import EmulatedNetwork
 from .peers import EmulatedPeers
+from .processor import Processor
 from .route_history import RouteHistory
 from .rows import DECODERS
 from .script import Script
@@ -91,7 +92,11 @@
         self.gate = self._build_gate()
 
     def _build_gate(self) -> NodeGate:
-        return NodeGate(self.name, call_cost_s=self.day.script.call_cost_s)
+        script = self.day.script
+        processor = None
+        if script.has_costs():
+            processor = Processor(script.cores, script.pass_cost_s)
+        return NodeGate(self.name, call_cost_s=script.call_cost_s, processor=processor)
 
     async def run(self) -> None:
         """Run one process of the node until it is killed; none beside another."""
@@ -132,9 +137,16 @@
         day.routes.record_start(self.name)
         with anyio.CancelScope() as scope:
             self.scope = scope
-            await self.node.run()
+            await self._run_node(self.node)
         self.node = None
 
+    async def _run_node(self, node: Node) -> None:
+        if self.gate.processor is None:
+            await node.run()
+            return
+        node.work_meter = self.gate.processor
+        await self.gate.processor.host(node.run)
+
     def _get_memory_mb(self) -> int:
         """Give the memory of the VM, 0 on days whose VMs are all alike."""
         script = self.day.script
@@ -146,6 +158,8 @@
     def kill(self) -> None:
         """End the process at once."""
         self.gate.freeze()
+        if self.gate.processor is not None:
+            self.gate.processor.end()
         if self.scope is not None:
             self.scope.cancel()
         self.node = None
@@ -154,6 +168,12 @@
         self, route: Route, submission: Submission, key: str
     ) -> SubmitAnswer:
         """Hand a job in; ``None`` when the connection broke."""
+        with self.gate.occupy():
+            return await self._submit(route, submission, key)
+
+    async def _submit(
+        self, route: Route, submission: Submission, key: str
+    ) -> SubmitAnswer:
         node = self.node
         if node is None:
             return None
@@ -206,6 +226,16 @@
         route: Route,
         job_id: str,
         key: str,
+    ) -> t.Any:
+        with self.gate.occupy():
+            return await self._call_node(call, route, job_id, key)
+
+    async def _call_node(
+        self,
+        call: t.Callable[[JobApi, Route, Caller], t.Awaitable[t.Any]],
+        route: Route,
+        job_id: str,
+        key: str,
     ) -> t.Any:
         node = self.node
         if node is None or node.routes.configuration is None:
@@ -224,6 +254,10 @@
 
     async def count_waiting(self, route: Route, key: str) -> int | NoQueue | None:
         """Request the number of waiting jobs of a queue."""
+        with self.gate.occupy():
+            return await self._count_waiting(route, key)
+
+    async def _count_waiting(self, route: Route, key: str) -> int | NoQueue | None:
         node = self.node
         if node is None or node.routes.configuration is None:
             return None
--- a/src/onyxgap/standins/emulator/store.py
+++ b/src/onyxgap/standins/emulator/store.py
@@ -23,6 +23,7 @@
 from ...jobs.store import WriteOutcome
 from .gate import Link
 from .gate import NodeGate
+from .gate import carry_out_elsewhere
 from .gate import run_late
 
 NAME_BYTES = 40
@@ -217,6 +218,7 @@
         if self.gate.node in self.store.refusing:
             raise PlatformUnavailableError("turned away")
 
+    @carry_out_elsewhere
     async def write(
         self, batch: Batch, timeout_s: float = WRITE_TIMEOUT_S
     ) -> WriteOutcome:
@@ -256,6 +258,7 @@
         await self.gate.pass_through()
         return outcome
 
+    @carry_out_elsewhere
     async def read(self, table: str, part: str, key: str = "") -> Page:
         """Read a partition, or one row of it."""
         await self._enter()
@@ -273,6 +276,7 @@
         await self.gate.pass_through()
         return page
 
+    @carry_out_elsewhere
     async def list_parts(self, table: str) -> tuple[str, ...]:
         """List the partitions of a table."""
         await self._enter()
@@ -280,6 +284,7 @@
             sorted({row.part for row in self.store.rows if row.table == table})
         )
 
+    @carry_out_elsewhere
     async def follow(self, table: str, after: int, wait_s: float) -> Page:
         """Wait for changes of a table after a version."""
         await self._enter()
--- a/src/onyxgap/standins/emulator/workers.py
+++ b/src/onyxgap/standins/emulator/workers.py
@@ -23,6 +23,7 @@
 from ...jobs.workers import StopOrder
 from .gate import Link
 from .gate import NodeGate
+from .gate import carry_out_elsewhere
 from .gate import run_late
 from .nature import FindNature
 from .nature import TaskNature
@@ -378,6 +379,7 @@
         await self.gate.pass_through()
         return reply
 
+    @carry_out_elsewhere
     async def start(self, order: StartOrder) -> Reply:
         """Order a run to start."""
         worker = await self._connect(order.worker_id, order.address)
@@ -392,6 +394,7 @@
             return Reply(ReplyKind.NO_ANSWER, detail="carried out late")
         return await self._answer(worker.start(order, self.gate.node))
 
+    @carry_out_elsewhere
     async def stop(self, order: StopOrder) -> Reply:
         """Order a run to stop; it never starts afterwards."""
         worker = await self._connect(order.worker_id, order.address)
@@ -399,10 +402,12 @@
             return await self._answer(worker)
         return await self._answer(worker.stop(order))
 
+    @carry_out_elsewhere
     async def set_pace(self, order: StopOrder, percent: int) -> Reply:
         """Order a run to work at a share of its speed; not emulated."""
         return Reply(ReplyKind.DONE)
 
+    @carry_out_elsewhere
     async def hold(self, order: HoldOrder) -> HoldReport | Reply:
         """Extend the lease of everything on a worker and read its lists."""
         worker = await self._reach(order.worker_id, order.address)
