Play the budget beside steady work on late nodes

Adds jobs with an occurrence each second, on nodes whose work takes no time, on nodes with half a core, and on cores shared with 25 busy processes for 10 s, with a rack cut off, the owner killed, and the owner killed with the fleet controller.

--- a/tests/test_time_to_next_start.py
+++ b/tests/test_time_to_next_start.py
@@ -44,6 +44,20 @@
     "orders-refused-and-vms-crashed": (REFUSED, *VMS_CRASHED),
     "orders-unanswered-and-vms-crashed": (UNANSWERED, *VMS_CRASHED),
 }
+STEADY_WORK = """
+schedule ring times 22 every 1 from 3 width 3 work 0.4 cpu 2 memory 2
+schedule herd times 22 every 1 from 3 width 3 work 0.4 cpu 2 memory 2
+"""
+NODES = {
+    "on-time": "",
+    "cores-shared": "at 12 slow node all for 10 by 26",
+    "half-a-core": "cores 0.5\npass-cost 0.0075",
+}
+LOSSES_BESIDE_STEADY_WORK = (
+    "rack-cut",
+    "owner-killed",
+    "owner-and-holder-killed",
+)
 STORE_AWAY = "at 12 down store for 3"
 """An outage of the store; nothing starts before its end, which counts as the loss."""
 
@@ -69,6 +83,16 @@
     assert list_late_starts(*LOSSES[loss], seed=seed) == []
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("loss", LOSSES_BESIDE_STEADY_WORK)
+@pytest.mark.parametrize("nodes", NODES)
+def test_next_start_of_steady_work_comes_soon_after_a_loss(
+    nodes: str, loss: str, seed: int
+) -> None:
+    statements = (STEADY_WORK, NODES[nodes], *LOSSES[loss])
+    assert list_late_starts(*statements, seed=seed) == []
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_next_start_comes_soon_after_an_outage_of_the_store(seed: int) -> None:
     assert list_late_starts(STORE_AWAY, seed=seed) == []
