--- a/src/onyxgap/standins/emulator/store.py
+++ b/src/onyxgap/standins/emulator/store.py
@@ -25,6 +25,7 @@
 from ...jobs.store import WriteOutcome
 from .gate import Link
 from .gate import NodeGate
+from .gate import carry_out_elsewhere
 from .gate import run_late
 
 NAME_BYTES = 40
@@ -220,6 +221,7 @@
         if self.gate.node in self.store.refusing:
             raise PlatformUnavailableError("turned away")
 
+    @carry_out_elsewhere
     async def write(
         self, batch: Batch, timeout_s: float = WRITE_TIMEOUT_S
     ) -> WriteOutcome:
@@ -259,6 +261,7 @@
         await self.gate.pass_through()
         return outcome
 
+    @carry_out_elsewhere
     async def read(self, table: str, part: str, key: str = "") -> Page:
         """Read a partition, or one row of it."""
         await self._enter()
@@ -276,6 +279,7 @@
         await self.gate.pass_through()
         return page
 
+    @carry_out_elsewhere
     async def list_parts(self, table: str) -> tuple[str, ...]:
         """List the partitions of a table."""
         await self._enter()
@@ -283,6 +287,7 @@
             sorted({row.part for row in self.store.rows if row.table == table})
         )
 
+    @carry_out_elsewhere
     async def follow(self, table: str, after: int, wait_s: float) -> Page:
         """Wait for changes of a table after a version."""
         await self._enter()
