Ask for VMs for the tasks of a worker that is out of reach

What callers saw: a rack is cut off for 8 s, and two of its serving tasks are away for 3.6 and 3.7 s after their leases there have ended, beside four spare VMs.

Cause: a worker that is out of reach counts as present, as its VM does. Nothing is asked for while its lease lasts (4.3 s from the first missed answer). Once the lease has ended the tasks wait, but the list of VMs still shows six of six VMs as up, and the fleet controller counts those without a registration as lacking only after 2 s: a VM was ordered at 21.53 s and its worker registered at 23.20 s, after the rack itself was back; the leases had ended at 19.3 to 19.5 s.

Change: while a worker has not answered for 2 s and others do, its owner counts the places that its gangs and serving tasks lack in the VMs for a loss (redundant_vms), which are allocated from VMs that no pool claims. The VM is there when the lease ends. No run starts earlier than before, and nothing is ordered about the VM of the silent worker.

Finite tasks that wait are not counted: not measured, and thousands may wait.

--- a/src/onyxgap/jobs/shard_demand.py
+++ b/src/onyxgap/jobs/shard_demand.py
@@ -23,6 +23,7 @@
 from .shard_stops import ShardStops
 from .shortage import WideStep
 from .shortage import count_needed_workers
+from .shortage import list_unreached_workers
 
 
 @attrs.define
@@ -59,7 +60,7 @@
                 self.workers.values(),
             ),
             late_vms=self._count_late_vms(capacity, now),
-            redundant_vms=self._count_redundant_vms(),
+            redundant_vms=self._count_redundant_vms(now),
             arrived_jobs=self.arrived_jobs,
             offered=round(self.offered, 3),
             epoch=self.epoch,
@@ -103,13 +104,15 @@
             demand.add_step(step, get_step_key(tasks[0]), waiting * fraction)
         return demand.count_vms()
 
-    def _count_redundant_vms(self) -> int:
-        steps = {
-            item.step_key: item.step
-            for item in self._list_wide_steps()
-            if item.step.long_running
-        }
-        return count_redundant_workers(steps, self.workers.values())
+    def _count_redundant_vms(self, now: float) -> int:
+        records = self.workers.values()
+        wide = list(self._list_wide_steps())
+        serving = {item.step_key: item.step for item in wide if item.step.long_running}
+        count = count_redundant_workers(serving, records)
+        unreached = list_unreached_workers(records, now)
+        if not unreached:
+            return count
+        return max(count, count_needed_workers(wide, records, unreached))
 
     def _measure_worker_loads(self) -> dict[str, WorkerLoad]:
         serving = collections.Counter(
--- a/src/onyxgap/jobs/shortage.py
+++ b/src/onyxgap/jobs/shortage.py
@@ -21,6 +21,10 @@
 from .placing import count_places
 from .placing import get_reserved_amount
 
+UNREACHED_S = 2.0
+"""Time for which a worker has not answered until VMs are requested for its tasks. Their
+lease lasts 5 s, and a VM that is requested serves after 3 s."""
+
 
 @attrs.frozen(slots=True)
 class WideStep:
@@ -64,8 +68,32 @@
         return count_places(self.record, step, self.used, present)
 
 
+def list_unreached_workers(
+    records: t.Collection[WorkerRecord], now: float
+) -> frozenset[str]:
+    """List the workers whose tasks are likely to need another worker soon.
+
+    The tasks of a worker that is out of reach are not started elsewhere before its
+    lease has ended, or it is known to be gone. A VM that is requested meanwhile is
+    there by then. If no worker answers, the owner of the shard is likely out of reach
+    itself, and none is listed.
+
+    :param records: workers of the shard.
+    :param now: monotonic seconds.
+    """
+    if not any(item.registered and item.is_answering() for item in records):
+        return frozenset()
+    return frozenset(
+        item.entry.worker_id
+        for item in records
+        if item.failing_since is not None and now - item.failing_since > UNREACHED_S
+    )
+
+
 def count_needed_workers(
-    steps: t.Iterable[WideStep], records: t.Collection[WorkerRecord]
+    steps: t.Iterable[WideStep],
+    records: t.Collection[WorkerRecord],
+    unreached: t.Collection[str] = (),
 ) -> int:
     """Count the workers that a pool needs for wide steps whose tasks have none.
 
@@ -80,12 +108,15 @@
 
     :param steps: unfinished wide steps of the shard.
     :param records: workers of the shard.
+    :param unreached: IDs of workers whose tasks are to find other workers.
     :returns: number of workers, 0 if all tasks have a worker to run on.
     """
     registered = [item for item in records if item.registered]
     cordoned = {item.entry.worker_id for item in records if item.cordoned}
     displaced = [
-        (wide, count) for wide in steps if (count := _count_displaced(wide, cordoned))
+        (wide, count)
+        for wide in steps
+        if (count := _count_displaced(wide, cordoned, unreached))
     ]
     if not displaced or not registered:
         return 0
@@ -163,11 +194,18 @@
     return registered[places.index(per_worker)], per_worker
 
 
-def _count_displaced(wide: WideStep, cordoned: set[str]) -> int:
+def _count_displaced(
+    wide: WideStep, cordoned: t.Collection[str], unreached: t.Collection[str]
+) -> int:
     """Count the tasks that wait, or that are to leave their workers next."""
-    waiting = sum(not task.placed for task in wide.tasks)
-    to_leave = sum(task.placed and task.worker_id in cordoned for task in wide.tasks)
-    return waiting + min(to_leave, max(1, wide.step.may_miss))
+    placed = [task for task in wide.tasks if task.placed]
+    cut_off = sum(task.worker_id in unreached for task in placed)
+    to_leave = sum(
+        task.worker_id in cordoned and task.worker_id not in unreached
+        for task in placed
+    )
+    waiting = len(wide.tasks) - len(placed)
+    return waiting + cut_off + min(to_leave, max(1, wide.step.may_miss))
 
 
 def _is_reachable(record: WorkerRecord) -> bool:
--- a/src/onyxgap/pools/messages.py
+++ b/src/onyxgap/pools/messages.py
@@ -93,7 +93,8 @@
         :class:`onyxgap.jobs.late_demand.LateDemand`.
     :param redundant_vms: VMs with which the loss of one leaves room for its serving
         tasks, 0 if those on which tasks serve have it; see
-        :func:`onyxgap.jobs.redundancy.count_redundant_workers`.
+        :func:`onyxgap.jobs.redundancy.count_redundant_workers`. While a worker is out
+        of reach, also the VMs that its tasks need if it stays so.
     :param arrived_jobs: jobs accepted since the owner claimed the shard.
     :param offered: work of the tasks of these jobs that end by themselves, in VM
         seconds.
--- a/tests/test_shortage.py
+++ b/tests/test_shortage.py
@@ -11,8 +11,10 @@
 from onyxgap.jobs.messages import TaskId
 from onyxgap.jobs.placing import WorkerRecord
 from onyxgap.jobs.shard import Shard
+from onyxgap.jobs.shortage import UNREACHED_S
 from onyxgap.jobs.shortage import WideStep
 from onyxgap.jobs.shortage import count_needed_workers
+from onyxgap.jobs.shortage import list_unreached_workers
 from onyxgap.jobs.workers import Reply
 from onyxgap.jobs.workers import ReplyKind
 from tests.test_shard import ENTRY
@@ -219,3 +221,28 @@
     assert harness.shard.build_report(harness.now).serving_vms == 0
     unreached.takes_starts = False
     assert harness.shard.build_report(harness.now).serving_vms == needed
+
+
+def test_tasks_of_a_worker_that_is_out_of_reach_need_another_one(
+    records: list[WorkerRecord],
+) -> None:
+    serving = place_tasks(attrs.evolve(APART, count=3), records)
+    records[0].failing_since = 10.0
+    unreached = list_unreached_workers(records, 10.1 + UNREACHED_S)
+    assert unreached == {"w0"}
+    assert count_needed_workers([serving], records, unreached) == 4
+    fitting = place_tasks(attrs.evolve(APART, count=2), records[:2])
+    records[2].present.clear()
+    assert count_needed_workers([fitting], records, unreached) == 0
+
+
+def test_worker_counts_as_out_of_reach_after_some_time_if_others_answer(
+    records: list[WorkerRecord],
+) -> None:
+    records[0].failing_since = 10.0
+    assert list_unreached_workers(records, 9.9 + UNREACHED_S) == frozenset()
+    later = 10.1 + UNREACHED_S
+    assert list_unreached_workers(records, later) == {"w0"}
+    for record in records:
+        record.failing_since = 10.0
+    assert list_unreached_workers(records, later) == frozenset()
