--- a/src/onyxgap/pools/cordon_review.py
+++ b/src/onyxgap/pools/cordon_review.py
@@ -14,14 +14,14 @@
 
 from .cordons import Cordon
 from .cordons import CordonReason
-from .fleet_state import LATE_ORDER_S
-from .fleet_state import FleetControllerState
-from .fleet_state import PendingOrder
 from .fleet_state import WaveProgress
 from .messages import PoolReport
 from .messages import Vm
 from .messages import VmOrder
 from .messages import VmState
+from .order_outcomes import LATE_ORDER_S
+from .pending_orders import PendingOrder
+from .stored_state import StoredState
 
 OVERDUE_S = 2.0
 """Time beyond the duration of a move or maintenance from which a VM hangs."""
@@ -55,7 +55,7 @@
 
 
 @attrs.define
-class CordonReview(FleetControllerState):
+class CordonReview(StoredState):
     """Lifts cordons that would not come to an end."""
 
     def _remove_void_orders(self, now: float) -> None:
--- a/tests/test_lifted_cordons.py
+++ b/tests/test_lifted_cordons.py
@@ -5,7 +5,6 @@
 import attrs
 import pytest
 
-from onyxgap.pools.fleet_state import LATE_ORDER_S
 from onyxgap.pools.messages import PoolReport
 from onyxgap.pools.messages import Vm
 from onyxgap.pools.messages import VmOrder
@@ -13,6 +12,7 @@
 from onyxgap.pools.messages import VmState
 from onyxgap.pools.messages import Wave
 from onyxgap.pools.messages import WorkerLoad
+from onyxgap.pools.order_outcomes import LATE_ORDER_S
 from onyxgap.pools.planner import FleetPlanner
 
 TICK_S = 0.25
