--- a/src/onyxgap/daemons/fence.py
+++ b/src/onyxgap/daemons/fence.py
@@ -153,6 +153,10 @@
         self.owner_version = max(self.owner_version, version)
         self.grants.confirm(confirmed_at)
 
+    def get_overdue_wait(self) -> float:
+        """Return the seconds until the last confirmed renewal is overdue."""
+        return self.grants.confirmed_at + OVERDUE_S - self.grants.read_boot()
+
     async def renew_if_overdue(self) -> None:
         """Renew the owner row if the other writes have not done so in time.
 
@@ -164,7 +168,7 @@
         :raises OwnershipLostError: when another node has claimed the shard.
         """
         sent_at = self.grants.read_boot()
-        if self.grants.closed or sent_at - self.grants.confirmed_at < OVERDUE_S:
+        if self.grants.closed or self.get_overdue_wait() > 0.0:
             return
         self.owner = attrs.evolve(self.owner, beat=self.owner.beat + 1)
         row_id = tables.get_owner_row(self.shard)
--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -121,7 +121,7 @@
         """Return by how many seconds this node may see a renewal late."""
         read_age_s = now - self._owners_read_at
         delay_s = max(0.0, read_age_s - OWNER_POLL_S - READ_SLACK_S)
-        return self.lag.seconds + delay_s
+        return self.health.get_lag() + delay_s
 
     def _list_shards(self) -> t.Sequence[str]:
         if self.routes.configuration is None:
