Count no maintenance as begun that the emulator's platform refused as busy

The check of a wave's cap took each order that was answered at once for a beginning, also one for a VM that is down, which the platform answers with "busy". Such an order is recorded without an effect, as refused ones are.

The check that each VM of a wave is maintained does not use the record.

--- a/src/onyxgap/standins/emulator/cloud.py
+++ b/src/onyxgap/standins/emulator/cloud.py
@@ -320,8 +320,8 @@
     def _carry_out_at_once(self, sent: OrderRecord) -> VmReply:
         repeated = self._is_repeated(sent.order)
         reply = self.carry_out(sent.order)
-        effect = OrderEffect.NONE if repeated else OrderEffect.AT_ONCE
-        begun = reply is VmReply.DONE
+        begun = reply is VmReply.DONE and not repeated
+        effect = OrderEffect.AT_ONCE if begun else OrderEffect.NONE
         self._record(sent, effect, self._get_upkeep_s() if begun else UPKEEP_S)
         return reply
 
--- a/tests/test_rack_faults.py
+++ b/tests/test_rack_faults.py
@@ -5,7 +5,12 @@
 import anyio
 import pytest
 
+from onyxgap.pools.messages import VmActionKind
+from onyxgap.pools.messages import VmOrder
+from onyxgap.pools.messages import VmReply
 from onyxgap.pools.messages import VmState
+from onyxgap.standins.emulator.cloud import OrderEffect
+from onyxgap.standins.emulator.cloud import OrderRecord
 from onyxgap.standins.emulator.fault_draws import draw_faults
 from onyxgap.standins.emulator.fault_draws import draw_rack_faults
 from onyxgap.standins.emulator.faults import FaultyDay
@@ -80,3 +85,22 @@
     assert both.faults[:-2] == script.faults
     assert {item.target for item in both.faults[-2:]} == {"rack"}
     assert not {item.target for item in script.faults} & {"rack"}
+
+
+def test_maintenance_ordered_for_a_vm_that_is_down_has_not_begun() -> None:
+    def order_maintenance(day: FaultyDay, vm: str) -> tuple[VmReply, OrderEffect]:
+        order = VmOrder(vm, VmActionKind.UPKEEP, wave=1)
+        reply = day.cloud.receive(OrderRecord(2.0, order, "holder", 1, "node-0"))
+        return reply, day.cloud.orders[-1].effect
+
+    fault = FaultLine(1.0, "halt", "rack", "ring", 3.0)
+    # one of the two is in the rack
+    found = play_fault(
+        fault,
+        2.0,
+        lambda day: {order_maintenance(day, vm) for vm in ("ring-0", "ring-4")},
+    )
+    assert found == {
+        (VmReply.DONE, OrderEffect.AT_ONCE),
+        (VmReply.BUSY, OrderEffect.NONE),
+    }
