--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -28,10 +28,13 @@
 from .owner import ShardOwner
 from .owner_workers import OwnerContext
 from .rows import decode_rows
+from .unowned_shards import ClaimProgress
 from .vm_watch import VmWatch
 
 OWNER_POLL_S = 0.7
 """Interval of polling the owner rows; owners renew their rows at the same interval."""
+READ_SLACK_S = 0.1
+"""Delay of a read of the owner rows that counts as none."""
 MAX_ANSWER_GAP_S = 2.0
 """After a longer gap between two answers of the store, owner time-outs start again: a
 renewal that was not seen during the gap proves nothing about the owner."""
@@ -102,6 +105,8 @@
             self.rng,
             wait_s=0.0,
             pause_s=OWNER_POLL_S,
+            on_caught_up=self._note_owners_read,
+            read_boot=self.clocks.read_monotonic,
         )
         assert self._group is not None
         self._group.start_soon(follower.run)
@@ -109,6 +114,36 @@
             await anyio.sleep(CLAIM_CHECK_S)
             if self.routes.configuration is not None and not self._stopping:
                 self._claim_next_shard(follower)
+            self._report_unowned_shards(follower)
+
+    def _report_unowned_shards(self, follower: Follower) -> None:
+        now = self.clocks.read_monotonic()
+        if not self.unowned_shards.is_due(now):
+            return
+        views = {
+            shard: self.views.get(shard)
+            for shard in self._list_shards()
+            if not self._owns(shard)
+        }
+        progress = ClaimProgress(
+            self._build_claimant(),
+            self._store_reachable_since,
+            bool(follower.after),
+            self._may_claim(),
+            self._stopping,
+            self._claiming,
+            self._claim_after,
+        )
+        self.unowned_shards.check(views, progress, self.lag.seconds, now)
+
+    def _note_owners_read(self, sent_at: float) -> None:
+        self._owners_read_at = sent_at
+
+    def _measure_unseen(self, now: float) -> float:
+        """Return by how many seconds this node may see a renewal late."""
+        read_age_s = now - self._owners_read_at
+        delay_s = max(0.0, read_age_s - OWNER_POLL_S - READ_SLACK_S)
+        return self.lag.seconds + delay_s
 
     def _list_shards(self) -> t.Sequence[str]:
         if self.routes.configuration is None:
@@ -137,7 +172,8 @@
         self, shard: str, owner: OwnerRow, version: int, now: float
     ) -> None:
         view = self.views.get(shard) or OwnerView(None, 0, now)
-        self.views[shard] = view.replace_row(owner, version, now)
+        store_ms = self.health.store_clock.get_earliest_ms(self.clocks.read_boot())
+        self.views[shard] = view.replace_row(owner, version, now, store_ms)
 
     def _get_known_version(self, row: StoredRow) -> int:
         view = self.views.get(row.row_id.part)
@@ -158,15 +194,7 @@
             and now >= self._claim_after.get(shard, 0.0)
             and shard in self._list_shards()
         }
-        small_vm = is_small_vm(self.memory_mb, self.members.values())
-        claimant = Claimant(
-            self.settings.node,
-            self.boot,
-            self._count_owned(),
-            self.health.latency_s,
-            small_vm,
-            yields=small_vm and self.settings.contended,
-        )
+        claimant = self._build_claimant()
         assert self._group is not None
         for shard in list_claimable(views, claimant, reachable_since, now)[:1]:
             self._claiming.add(shard)
@@ -179,9 +207,23 @@
                 version=view.version,
                 unchanged_s=round(now - view.changed_at, 2),
                 heard_s=round(now - reachable_since, 2),
+                unseen_s=round(claimant.unseen_s, 2),
+                takeovers=len(view.takeovers),
             )
             self._group.start_soon(self._claim, shard, view)
 
+    def _build_claimant(self) -> Claimant:
+        small_vm = is_small_vm(self.memory_mb, self.members.values())
+        return Claimant(
+            self.settings.node,
+            self.boot,
+            self._count_owned(),
+            self.health.latency_s,
+            small_vm,
+            yields=small_vm and self.settings.contended,
+            unseen_s=self._measure_unseen(self.clocks.read_monotonic()),
+        )
+
     def _may_claim(self) -> bool:
         # other nodes take an owner of another process for ended once a later one of
         # its node has registered
@@ -286,6 +328,7 @@
                 sizer=self.build_sizer(),
                 skipped=self.skipped,
                 health=self.health,
+                work=self.lag.work,
             )
             self.fleet_controller = fleet_controller
             self._group.start_soon(
@@ -337,8 +380,9 @@
                 self.fleet_controller = None
             else:
                 self.owners.pop(shard, None)
+        now = self.clocks.read_monotonic()
         view = self.views[shard]
-        self.views[shard] = attrs.evolve(view, changed_at=self.clocks.read_monotonic())
+        self.views[shard] = attrs.evolve(view, changed_at=now, renewed_at=None)
 
     async def release(self) -> None:
         """Release all owned shards, and return once that is done; claim none again."""
--- a/src/onyxgap/daemons/node_base.py
+++ b/src/onyxgap/daemons/node_base.py
@@ -1,5 +1,6 @@
 """Base class of a node: builds its components and applies the operator's rows."""
 
+import math
 import random
 import typing as t
 import uuid
@@ -46,6 +47,7 @@
 from .queue_moves import QueueMoves
 from .rows import SkippedRows
 from .rows import decode_rows
+from .unowned_shards import UnownedShardReporter
 
 _LOG = structlog.get_logger()
 
@@ -111,6 +113,7 @@
     :param lag: lag of the event loop.
     :param registration: registration of this node as a member.
     :param former_owners: knows which former owners of its shards have ended.
+    :param unowned_shards: logs the shards without a live owner.
     """
 
     settings: NodeSettings
@@ -143,8 +146,10 @@
     lag: LoopLag = attrs.field(init=False)
     registration: MemberRegistration = attrs.field(init=False)
     former_owners: FormerOwners = attrs.field(init=False)
+    unowned_shards: UnownedShardReporter = attrs.field(factory=UnownedShardReporter)
     _store_reachable_since: float | None = None
     _store_answered_at: float = 0.0
+    _owners_read_at: float = math.inf
     _claiming: set[str] = attrs.field(factory=set)
     _claim_after: dict[str, float] = attrs.field(factory=dict)
     _group: anyio.abc.TaskGroup | None = None
@@ -152,6 +157,7 @@
 
     def __attrs_post_init__(self) -> None:
         self.lag = LoopLag(self.clocks)
+        self.health.read_lag = lambda: self.lag.seconds
         self.routes.keyed = self.settings.keyed
         self.exchange = ConfigurationExchange(
             self.routes,
--- a/src/onyxgap/daemons/node_process.py
+++ b/src/onyxgap/daemons/node_process.py
@@ -87,7 +87,8 @@
     """
     clocks = SystemClocks()
     health = StoreHealth()
-    store = PlatformStore(HttpClient(settings.store, MAX_STORE_CONNECTIONS))
+    store_client = HttpClient(settings.store, MAX_STORE_CONNECTIONS)
+    store = PlatformStore(store_client, get_lag=health.get_lag)
     policy_client = None
     if settings.advice != "-":
         policy_client = PlatformPolicyClient(HttpClient(settings.advice))
@@ -152,7 +153,8 @@
             "event_loop_lag_highest_seconds": lambda: node.lag.highest_s,
             "store_down": lambda: node.health.is_down(node.clocks.read_monotonic()),
             "log_lines_dropped": lambda: lines.dropped_total,
-        }
+        },
+        read_work=node.lag.work.list_seconds,
     )
 
     def count_answer(kind: str, outcome: str, took_s: float) -> None:
--- a/src/onyxgap/daemons/owner.py
+++ b/src/onyxgap/daemons/owner.py
@@ -14,6 +14,9 @@
 from ..jobs.placing import WorkerRecord
 from ..jobs.progress_rows import build_part_key
 from ..jobs.progress_rows import encode_progress_rows
+from ..jobs.standstill_causes import OwnerProgress
+from ..jobs.standstills import CHECK_INTERVAL_S
+from ..jobs.standstills import StandstillReporter
 from ..jobs.store import RowId
 from ..jobs.tables import ShardLoad
 from ..jobs.workers import StartOrder
@@ -23,6 +26,7 @@
 from .job_batches import EncodedJob
 from .job_batches import JobBatches
 from .owner_jobs import OwnerJobs
+from .work_times import WorkKind
 
 MAX_PASS_INTERVAL_S = 0.2
 """Longest time between two scheduling passes; occurrences may start 250 ms early."""
@@ -72,9 +76,14 @@
     """Runs one shard, from its claim to its loss or release."""
 
     _batches: JobBatches = attrs.field(init=False)
+    _standstills: StandstillReporter = attrs.field(init=False)
+    _orders_to_store: t.Sequence[StartOrder] = ()
+    _pass_began_at: float | None = None
+    _write_began_at: float | None = None
 
     def __attrs_post_init__(self) -> None:
         super().__attrs_post_init__()
+        self._standstills = StandstillReporter(self.state)
         self._batches = JobBatches(self.shard, self.context.store_limits)
 
     async def run(self) -> None:
@@ -95,15 +104,18 @@
             group.start_soon(self.share_synchronizer.build_follower().run)
         if self.context.policy_client is not None:
             group.start_soon(self._request_tickets_forever, self.context.policy_client)
+        group.start_soon(self._report_changes)
         await self._schedule_until_released()
 
     async def _schedule_until_released(self) -> None:
         while not self.releasing:
             await self._wait_for_wake(self._get_max_wait_s())
-            self._update_capacity_validity()
-            self.state.expire_workers(self._now())
-            self.state.report_doubtful_runs(self._now())
-            orders = self.state.plan(self._now(), self._wall_ms())
+            self._pass_began_at = self._now()
+            with self.work.measure(WorkKind.PASS):
+                self._update_capacity_validity()
+                self.state.expire_workers(self._now())
+                self.state.report_doubtful_runs(self._now())
+                orders = self.state.plan(self._now(), self._wall_ms())
             if self.state.ticket_cache.wanted:
                 self._tickets_needed.set()
             if self.share_synchronizer is not None and self._group is not None:
@@ -112,6 +124,27 @@
             await self._commit(orders)
         await self._release()
 
+    async def _report_changes(self) -> None:
+        """Report standing jobs and workers that left, also while a write lasts."""
+        while True:
+            await anyio.sleep(CHECK_INTERVAL_S)
+            now = self._now()
+            with self.work.measure(WorkKind.STANDSTILLS):
+                progress = self._measure_progress(now)
+                self._standstills.check(progress, now, self._wall_ms())
+            self.state.departures.log()
+
+    def _measure_progress(self, now: float) -> OwnerProgress:
+        def measure(began_at: float | None) -> float | None:
+            return None if began_at is None else now - began_at
+
+        return OwnerProgress(
+            measure(self._pass_began_at),
+            measure(self._write_began_at),
+            frozenset(order.task for order in self._orders_to_store),
+            self._batches.list_refused(now),
+        )
+
     def _get_max_wait_s(self) -> float:
         due_s = self.state.get_next_due_wait_ms(self._wall_ms()) / 1000
         return max(0.0, min(MAX_PASS_INTERVAL_S, due_s))
@@ -119,18 +152,24 @@
     async def _commit(self, orders: t.Sequence[StartOrder]) -> None:
         while True:
             orders = self._withdraw_refused(orders)
-            commit = self._build_commit(orders)
+            self._orders_to_store = orders
+            with self.work.measure(WorkKind.ENCODING):
+                commit = self._build_commit(orders)
             if commit is None:
                 self._acknowledge_results(self._read_processed(frozenset()))
                 return
+            self._write_began_at = self._now()
             try:
                 await self.writer.write(commit.puts, commit.removals)
             except WriteRefusedError as error:
                 await self._revert_commit(commit, str(error))
                 continue
+            finally:
+                self._write_began_at = None
             self._apply_commit(commit)
             sent = set(commit.orders)
             orders = [order for order in orders if order not in sent]
+            self._orders_to_store = orders
             if not orders and not self._batches.has_suspects():
                 return
 
@@ -253,7 +292,8 @@
         counted_at_ms = self.context.health.store_clock.get_earliest_ms(
             self.context.clocks.read_boot()
         )
-        outlook = encode_delay_estimate(self.state.build_delay_estimate(now))
+        with self.work.measure(WorkKind.LOAD):
+            outlook = encode_delay_estimate(self.state.build_delay_estimate(now))
         return ShardLoad(self.state.count_waiting(), outlook, counted_at_ms)
 
     def _build_due_report(
@@ -271,7 +311,8 @@
         drained = self.state.list_drained_workers(stored_jobs)
         if age_s < REPORT_INTERVAL_S and drained == emptied:
             return None
-        report = self.state.build_report(now, stored_jobs)
+        with self.work.measure(WorkKind.REPORT):
+            report = self.state.build_report(now, stored_jobs)
         return None if report == self._reported else report
 
     def _remove_expired_submissions(self, now: float) -> None:
@@ -290,6 +331,8 @@
     def _apply_commit(self, commit: _Commit) -> None:
         now = self._now()
         self._batches.note_stored(commit.jobs)
+        if self._reported is not None:
+            self.state.departures.note_drained(self._reported.emptied)
         for job_id, encoded in commit.jobs.items():
             job = self.state.jobs.get(job_id)
             if job is not None:
@@ -313,5 +356,6 @@
         self._progress_stored = anyio.Event()
 
     async def _release(self) -> None:
+        self.state.departures.log()
         await self.writer.release()
         _LOG.info("shard released", shard=self.shard, epoch=self.epoch)
--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -11,6 +11,7 @@
 from ..clocks import Clocks
 from ..exceptions import OwnershipLostError
 from ..jobs.advice import PolicyClient
+from ..jobs.call_timeouts import CallTimeouts
 from ..jobs.crashes import CRASH_WINDOW_MS
 from ..jobs.crashes import START_CRASH_WINDOW_MS
 from ..jobs.health import StoreHealth
@@ -46,6 +47,8 @@
 from .rows import decode_rows
 from .share_keeper import ShareSynchronizer
 from .submission_decoder import SubmissionDecoder
+from .work_times import WorkKind
+from .work_times import WorkTimes
 
 LEASE_MARGIN_S = 0.3
 """Leases are shorter by this than the longest lease that a worker grants."""
@@ -70,7 +73,7 @@
 registration may be relied on. After it, a worker that does not reject tasks that do not
 fit gets no tasks until it writes its registration again. When a capacity shrinks,
 starts may exceed it for 3 s and a heartbeat interval; an order is stored, sent and
-carried out within 1.5 s."""
+carried out within 2 s, of which it is valid for 1 s at most."""
 RETRY_MIN_S = 0.03
 """First delay after a failed hold request."""
 RETRY_MAX_S = 0.4
@@ -134,6 +137,7 @@
     :param share_synchronizer: reads and writes shares; ``None`` without tenants.
     :param loaded: whether the rows of the shard were read.
     :param loaded_at: monotonic seconds when they had been read.
+    :param claim_s: seconds that the claim took.
     """
 
     context: OwnerContext
@@ -142,6 +146,8 @@
     share_synchronizer: ShareSynchronizer | None = attrs.field(default=None, init=False)
     loaded: bool = False
     loaded_at: float | None = None
+    claim_s: float = attrs.field(init=False)
+    _first_start_logged: bool = False
     _tickets_needed: anyio.Event = attrs.field(factory=anyio.Event)
     _progress_stored: anyio.Event = attrs.field(factory=anyio.Event)
     _hold_loops: set[str] = attrs.field(factory=set)
@@ -151,12 +157,16 @@
 
     def __attrs_post_init__(self) -> None:
         context = self.context
+        # the claim is the first write that confirms the ownership
+        sent_at = self.writer.grants.confirmed_at
+        self.claim_s = max(0.0, context.clocks.read_boot() - sent_at)
         self.state = Shard(
             self.shard,
             self.epoch,
             self._now(),
             max_lease_s=context.limits.max_lease_s,
             former_grants=self.former_grants,
+            call_timeouts=CallTimeouts(lambda: context.lag.seconds),
         )
         if context.contended:
             self.state.run_times = RunTimes()
@@ -188,6 +198,11 @@
     def _now(self) -> float:
         return self.context.clocks.read_monotonic()
 
+    @property
+    def work(self) -> WorkTimes:
+        """Processor time of the process by kind of work."""
+        return self.context.lag.work
+
     def _wall_ms(self) -> float:
         return self.context.clocks.read_wall() * 1000
 
@@ -205,6 +220,10 @@
         )
 
     def _apply_worker_rows(self, rows: t.Sequence[StoredRow], snapshot: bool) -> None:
+        with self.work.measure(WorkKind.ROWS):
+            self._apply_registrations(rows, snapshot)
+
+    def _apply_registrations(self, rows: t.Sequence[StoredRow], snapshot: bool) -> None:
         present = set()
         decode = self.context.decode_worker
         for row, entry in decode_rows(
@@ -278,13 +297,9 @@
         wait_s = choose_hold_wait(record) if wait_s is None else wait_s
         now = self._now()
         deadline_ms: float | None = None
-        # a request to a silent worker may be carried out late, so it does not extend
-        # the lease; otherwise the end of the lease would not be certain
-        answering = record.failing_since is None
-        if record.clock and answering and self.writer.grants.is_open():
+        if self.writer.grants.is_open():
             lease_s = min(LEASE_S, self.context.limits.max_lease_s - LEASE_MARGIN_S)
-            deadline_ms = record.clock.estimate(now) + lease_s * 1000
-            record.lease_ms = max(record.lease_ms, deadline_ms)
+            deadline_ms = self.state.grant_lease(record, lease_s, now)
         entry = record.entry
         return HoldOrder(
             worker_id,
@@ -293,6 +308,7 @@
             record.acknowledged,
             deadline_ms,
             int(wait_s * 1000),
+            self.state.call_timeouts.get_hold_margin(worker_id),
         )
 
     async def _run_hold_loop(self, worker_id: str) -> None:
@@ -301,6 +317,7 @@
         finally:
             self._hold_loops.discard(worker_id)
             self._start_limiter.forget(worker_id)
+            self.state.call_timeouts.forget(worker_id)
             # also at the end of the ownership: workers accept few connections
             with anyio.CancelScope(shield=True):
                 await self.context.workers.forget(worker_id)
@@ -341,15 +358,30 @@
         """
         sent_at = self._now()
         report = await self.context.workers.hold(order)
+        self._note_response_time(order, report, sent_at)
         if isinstance(report, HoldReport):
             return await self._apply_report(order.worker_id, report, sent_at)
         if report.kind is ReplyKind.STALE_OWNER:
             raise OwnershipLostError(
                 f"worker {order.worker_id} was called by a newer owner"
             )
-        self.state.apply_failure(order.worker_id, report, self._now())
+        now = self._now()
+        undecided = self.state.apply_failure(order.worker_id, report, now, sent_at)
         self.wake()
-        return False
+        return undecided
+
+    def _note_response_time(
+        self, order: HoldOrder, report: HoldReport | Reply, sent_at: float
+    ) -> None:
+        """Record how late an answer to a hold request is.
+
+        An answer within the requested wait reports the end of a run. It does not tell
+        how late it is.
+        """
+        now = self._now()
+        late_s = now - sent_at - order.wait_ms / MS_PER_S
+        if isinstance(report, HoldReport) and late_s >= 0.0:
+            self.state.call_timeouts.note_answer(order.worker_id, late_s, now)
 
     async def _apply_report(
         self, worker_id: str, report: HoldReport, sent_at: float
@@ -358,7 +390,8 @@
         if record is None:
             return False
         was_held = record.held and record.failing_since is None
-        accepted = self.state.apply_report(worker_id, report, sent_at, self._now())
+        with self.work.measure(WorkKind.WORKER_REPORTS):
+            accepted = self.state.apply_report(worker_id, report, sent_at, self._now())
         if report.ended or not was_held:
             self.wake()
         # before the results of these runs are acknowledged, the worker would answer the
@@ -413,11 +446,25 @@
                 f"worker {order.worker_id} was called by a newer owner"
             )
         self.state.apply_start_reply(ready, reply, self._now())
+        self._log_first_start(reply)
         if reply.kind is not ReplyKind.DONE:
             self.wake()
         elif self.state.is_isolated(order):
             self._spawn(self._check_isolated_run, order)
 
+    def _log_first_start(self, reply: Reply) -> None:
+        if self._first_start_logged or reply.kind is not ReplyKind.DONE:
+            return
+        self._first_start_logged = True
+        now = self._now()
+        _LOG.info(
+            "first task started",
+            shard=self.shard,
+            epoch=self.epoch,
+            since_claim_s=round(now - self.state.claimed_at, 3),
+            since_load_s=round(now - (self.loaded_at or now), 3),
+        )
+
     def _send_stops(self, orders: t.Iterable[StopOrder]) -> None:
         for order in orders:
             self._spawn(self._send_stop, order)
--- a/src/onyxgap/jobs/placing.py
+++ b/src/onyxgap/jobs/placing.py
@@ -41,6 +41,9 @@
         incarnation was ordered to start may be on the worker.
     :param failing_since: monotonic seconds of the first failed call since the last
         answer, or ``None``.
+    :param timed_out: whether the latest failed call was one without an answer in time.
+    :param inconclusive: calls in a row without an answer that prove nothing about the
+        worker.
     :param cpu_used: thousandths of a core of the runs that may be on the worker.
     :param memory_used: MB of these runs.
     :param accelerators_used: number of accelerators of these runs.
@@ -65,6 +68,8 @@
         the worker seems faulty or slow; see :mod:`.outliers`.
     :param undelivered_starts: start orders since the last one that reached the worker,
         those sent together counted as one.
+    :param inconclusive_starts: start orders since the last one that reached the worker
+        whose failure proves nothing about it.
     :param undelivered_until: monotonic seconds before which no task is placed there,
         since orders do not reach it; see :mod:`.deliveries`.
     :param takes_starts: whether start orders reach it, as far as known.
@@ -94,6 +99,8 @@
     lease_ms: float = 0.0
     former_runs_until: float = 0.0
     failing_since: float | None = None
+    timed_out: bool = False
+    inconclusive: int = 0
     cpu_used: int = 0
     memory_used: int = 0
     accelerators_used: int = 0
@@ -113,6 +120,7 @@
     blocked_until: float = 0.0
     ejected_until: float = 0.0
     undelivered_starts: int = 0
+    inconclusive_starts: int = 0
     undelivered_until: float = 0.0
     takes_starts: bool = True
     readmitted: bool = False
@@ -138,10 +146,13 @@
 
         Refusals, ejections and reservations are left out.
         """
+        return not self.cordoned and self.is_present(now)
+
+    def is_present(self, now: float) -> bool:
+        """Return whether the worker is present and answers, cordoned or not."""
         return (
             self.held
             and self.registered
-            and not self.cordoned
             and not self.gone
             and self.failing_since is None
             and self.entry.state is WorkerState.READY
@@ -150,13 +161,21 @@
 
     def is_open(self, now: float) -> bool:
         """Return whether new tasks may be placed on the worker at all."""
+        return not self.cordoned and self.takes_tasks(now)
+
+    def takes_tasks(self, now: float) -> bool:
+        """Return whether the worker takes new tasks, cordoned or not."""
         return (
-            self.is_usable(now)
+            self.is_present(now)
             and not self.reserved
             and now >= self.blocked_until
             and not self.is_ejected(now)
         )
 
+    def is_serving(self) -> bool:
+        """Return whether runs that serve may be on the worker."""
+        return self.serving != ZERO_AMOUNT
+
     def is_ejected(self, now: float) -> bool:
         """Return whether the worker gets no tasks since it is an outlier."""
         return now < self.get_ejection_end() and not self.readmitted
--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -44,13 +44,18 @@
 from .shard_demand import ShardDemand
 from .shard_jobs import get_step_key
 from .share_book import ShardShares
+from .undrained import STANDING_S
 from .usage import sum_usage_by_tenant
+from .workers import MS_PER_S
 from .workers import StartOrder
 
 START_WINDOW_MS = 500.0
-"""How long a start order stays valid. Whether a lost order has started its run is
-known from the first report requested after that. Orders that workers carry out late
+"""How long a start order stays valid at least. Whether a lost order has started its run
+is known from the first report requested after that. Orders that workers carry out late
 come at least 2 s late."""
+REPLY_MS = 100.0
+"""Time by which the timeout of a start order exceeds its validity, so that a reply that
+it was too late still arrives."""
 
 _LOG = structlog.get_logger()
 
@@ -68,6 +73,8 @@
         kept only where run times are learned.
     :param fleet_vms: initial number of VMs of all pools, 0 if unknown.
     :param probeable: ejected workers that may be probed in this scheduling pass.
+    :param undrained: cordoned workers that jobs which stand still may use in this
+        scheduling pass.
     """
 
     shares: ShardShares | None = None
@@ -77,6 +84,7 @@
     fleet_vms: int = 0
     wait_reporter: WaitReporter = attrs.field(factory=WaitReporter)
     probeable: t.Sequence[WorkerRecord] = ()
+    undrained: t.Sequence[WorkerRecord] = ()
 
     def plan(self, now: float, wall_ms: float) -> list[StartOrder]:
         """Run a scheduling pass: choose tasks to start, and their workers.
@@ -98,6 +106,7 @@
             record for record in self.workers.values() if record.is_open(now)
         ]
         self.probeable = list_probeable(self.workers.values(), now)
+        self.undrained = self._list_undrained_workers(now)
         free_capacity = PassCapacity(open_workers, now)
         usage: t.Mapping[str, Amount] = {}
         if self.shares is not None:
@@ -238,8 +247,8 @@
     ) -> t.Iterator[StartOrder]:
         step = ready.job.submission.steps[ready.step]
         advised = ready.job.submission.policy.advised
-        may_probe = self._may_probe(ready, now)
-        needs_check = advised or step.long_running or may_probe
+        has_waited = self._may_probe(ready, now) or self._may_use_undrained(ready, now)
+        needs_check = advised or step.long_running or has_waited
         if not needs_check and free_capacity.is_unplaceable(step):
             return
         step_key = get_step_key(ready.tasks[0])
@@ -263,6 +272,9 @@
                 record = self._choose_probe(ready, task, allowed, now)
                 if record is not None:
                     record.probed_at = now
+                else:
+                    record = self._choose_undrained(ready, task, allowed, now)
+                if record is not None:
                     yield self._place(ready.job, step, task, record, task.run + 1, now)
                     return
                 if step.long_running:
@@ -282,10 +294,43 @@
             return False
         since = max(ready.job.accepted_at, ready.job.active_at)
         if ready.job.submission.steps[ready.step].long_running:
-            step_key = get_step_key(ready.tasks[0])
-            since = self.wait_reporter.waiting_since.get(step_key, now)
+            since = self._get_waiting_since(ready, now)
         return now - since >= PROBE_PATIENCE_S
 
+    def _get_waiting_since(self, ready: ReadyStep, now: float) -> float:
+        step_key = get_step_key(ready.tasks[0])
+        return self.wait_reporter.waiting_since.get(step_key, now)
+
+    def _list_undrained_workers(self, now: float) -> list[WorkerRecord]:
+        """List the cordoned workers that jobs may use; see :mod:`.undrained`."""
+        records = []
+        for worker_id in self.undrained_cordons.cordons:
+            record = self.workers.get(worker_id)
+            if record is None or not record.cordoned or not record.takes_tasks(now):
+                continue
+            if record.is_serving() or self.undrained_cordons.is_surplus(worker_id):
+                records.append(record)
+        return records
+
+    def _may_use_undrained(self, ready: ReadyStep, now: float) -> bool:
+        """Return whether a job stands still, so that it may use a cordoned worker."""
+        if not self.undrained or ready.job.submission.steps[ready.step].long_running:
+            return False
+        since = max(ready.job.active_at, self._get_waiting_since(ready, now))
+        return now - since >= STANDING_S
+
+    def _choose_undrained(
+        self,
+        ready: ReadyStep,
+        task: Task,
+        allowed: t.Collection[str] | None,
+        now: float,
+    ) -> WorkerRecord | None:
+        """Choose a cordoned worker for a task that no open worker can take."""
+        if not self._may_use_undrained(ready, now):
+            return None
+        return self._choose_from(self.undrained, ready, task, allowed)
+
     def _choose_probe(
         self,
         ready: ReadyStep,
@@ -296,13 +341,27 @@
         """Choose an ejected worker for a task that no open worker can take."""
         if not self._may_probe(ready, now):
             return None
+        due = [
+            record
+            for record in self.probeable
+            if now >= record.probed_at + PROBE_INTERVAL_S
+        ]
+        return self._choose_from(due, ready, task, allowed)
+
+    @staticmethod
+    def _choose_from(
+        records: t.Iterable[WorkerRecord],
+        ready: ReadyStep,
+        task: Task,
+        allowed: t.Collection[str] | None,
+    ) -> WorkerRecord | None:
+        """Choose one of the workers that are not open for a task."""
         step, step_key = ready.job.submission.steps[ready.step], get_step_key(task)
         fitting = [
             record
-            for record in self.probeable
+            for record in records
             if (allowed is None or record.entry.worker_id in allowed)
             and not record.reserved
-            and now >= record.probed_at + PROBE_INTERVAL_S
             and record.has_capacity(step)
             and record.meets_isolation(step_key[0], task.loss_history.isolation)
             and step_key[0] not in record.failing_jobs
@@ -398,7 +457,7 @@
         assert record.clock is not None
         if job.placed_at is None:
             job.placed_at = now
-        deadline_ms = record.clock.estimate(now) + START_WINDOW_MS
+        deadline_ms = record.clock.estimate(now) + self._get_start_window(record)
         task.place(record.entry.worker_id, now, deadline_ms, run)
         record.reserve(step, get_step_key(task))
         if self.shares is not None:
@@ -442,14 +501,20 @@
             # the order was never sent, so there is no run to stop
             self._release(job, task)
             return None
-        deadline_ms = record.clock.estimate(now) + START_WINDOW_MS
+        deadline_ms = record.clock.estimate(now) + self._get_start_window(record)
         if self.run_times is not None:
             self.run_times.note_start(now - task.started_at)
         task.started_at = now
         task.sent = True
         task.start_deadline_ms = deadline_ms
         record.lease_ms = max(record.lease_ms, deadline_ms)
-        return attrs.evolve(order, deadline_ms=deadline_ms)
+        timeout_s = self.call_timeouts.get_start_timeout(order.worker_id)
+        return attrs.evolve(order, deadline_ms=deadline_ms, timeout_s=timeout_s)
+
+    def _get_start_window(self, record: WorkerRecord) -> float:
+        """Return how long a start order to a worker is valid, in milliseconds."""
+        timeout_s = self.call_timeouts.get_start_timeout(record.entry.worker_id)
+        return max(START_WINDOW_MS, timeout_s * MS_PER_S - REPLY_MS)
 
     def withdraw_start(self, order: StartOrder, retry_at: float) -> None:
         """Give up an order that was not sent, since it cannot be stored.
