--- a/src/onyxgap/daemons/node_base.py
+++ b/src/onyxgap/daemons/node_base.py
@@ -48,8 +48,8 @@
 from .rows import SkippedRows
 from .rows import decode_rows
 from .unowned_shards import UnownedShardReporter
-from .work import NoWorkMeter
-from .work import WorkMeter
+from .work_meter import NoWorkMeter
+from .work_meter import WorkMeter
 
 _LOG = structlog.get_logger()
 
--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -47,8 +47,8 @@
 from .rows import decode_rows
 from .share_keeper import ShareSynchronizer
 from .submission_decoder import SubmissionDecoder
-from .work import NoWorkMeter
-from .work import WorkMeter
+from .work_meter import NoWorkMeter
+from .work_meter import WorkMeter
 from .work_times import WorkKind
 from .work_times import WorkTimes
 
