--- a/src/onyxgap/daemons/owned.py
+++ b/src/onyxgap/daemons/owned.py
@@ -7,11 +7,10 @@
 import attrs
 
 from ..exceptions import OwnershipLostError
-from .fence import OVERDUE_S
 from .fence import FencedWriter
 
 RENEWAL_CHECK_S = 0.2
-"""Least interval of checking whether the owner row has to be renewed apart."""
+"""Interval of checking whether the owner row has to be renewed apart."""
 
 
 @attrs.define(eq=False)
@@ -75,6 +74,5 @@
 
     async def _renew_if_overdue_forever(self) -> None:
         while True:
-            due_s = min(self.writer.get_overdue_wait(), OVERDUE_S)
-            await anyio.sleep(max(RENEWAL_CHECK_S, due_s))
+            await anyio.sleep(RENEWAL_CHECK_S)
             await self.writer.renew_if_overdue()
--- a/src/onyxgap/jobs/ownership.py
+++ b/src/onyxgap/jobs/ownership.py
@@ -20,12 +20,13 @@
 store, a renewal takes several attempts of the owner, one after the other in the shard's
 partition, and a read by the other nodes. Claims would queue in that partition, too."""
 TAKEOVER_BACKOFF_S = 0.7
-"""Extension of the time before a claim, for each recent takeover of the shard: one
-renewal. A shard that changes its owner again at once mostly does so because the nodes
-or the store are late, and each change makes more work."""
+"""Extension of the time before a claim, for each recent takeover of the shard but the
+first, as two owners may fail in turn: one renewal. A shard that goes on to change its
+owner does so because the nodes or the store are late, and each change makes more
+work."""
 RECENT_TAKEOVER_S = 5.0
 """Age up to which a takeover counts as recent."""
-MAX_TAKEOVERS = 3
+MAX_TAKEOVERS = 4
 """Most recent takeovers that are counted."""
 CLAIM_BACKOFF_S = 0.8
 """Delay before a node retries a failed claim. A slow store takes 0.3 s for each
@@ -116,7 +117,7 @@
         :param now: monotonic seconds.
         """
         recent = [at for at in self.takeovers if now - at < RECENT_TAKEOVER_S]
-        return TAKEOVER_BACKOFF_S * len(recent)
+        return TAKEOVER_BACKOFF_S * max(0, len(recent) - 1)
 
     def get_load_report(self, store_ms: int | None) -> LoadReport | None:
         """Return the newest load report unless it has expired or its age is unknown.
