Drain workers whose runs ended while a final state was being stored

Callers see workers that are cordoned and never drained, so that their VMs are not maintained and take nothing until the owner changes; and results of such a worker that come 2 s late.

The end of a run of a cancelled or failed job that is reported while the job's final state is being written makes the job one to be stored again before that worker's results are acknowledged. The write then moves the job to the ended ones, and it is never stored again: the results of the worker are never acknowledged, each report waits 2 s for that, and the worker never counts as drained. A write takes milliseconds as a rule; while the store or the node is late, the end of a stopped run comes within it more often than not.

A job that has ended for good is taken off what its workers wait for. test_drained_workers.py: the new test fails without it ({} == {'w1': ...}).

--- a/src/onyxgap/jobs/shard_jobs.py
+++ b/src/onyxgap/jobs/shard_jobs.py
@@ -158,6 +158,9 @@
         self.final[job_id] = _build_status(job, state)
         self.ended_at[job_id] = now
         self.jobs.pop(job_id, None)
+        for record in self.workers.values():
+            # an end reported while the final state was being stored
+            record.unstored_jobs.discard(job_id)
         self.ticket_cache.forget_job(job_id)
 
     def mark_stored(self, job_id: str, state: JobState, now: float) -> None:
--- a/tests/test_drained_workers.py
+++ b/tests/test_drained_workers.py
@@ -11,12 +11,14 @@
 from onyxgap.jobs.job import Job
 from onyxgap.jobs.messages import EndedTask
 from onyxgap.jobs.messages import EndKind
+from onyxgap.jobs.messages import JobState
 from onyxgap.jobs.messages import QueuePolicy
 from onyxgap.jobs.messages import Step
 from onyxgap.jobs.messages import Submission
 from onyxgap.jobs.messages import TaskId
 from onyxgap.jobs.messages import WorkerEntry
 from onyxgap.jobs.messages import WorkerState
+from onyxgap.jobs.shard import Shard
 from onyxgap.jobs.store import StoreLimits
 from onyxgap.jobs.workers import HoldReport
 from onyxgap.jobs.workers import Reply
@@ -24,6 +26,7 @@
 from onyxgap.jobs.workers import StartOrder
 from onyxgap.pools.messages import decode_report
 from tests.owners import build_owner
+from tests.test_shard import ShardHarness
 
 CLOCK_MS = 1000.0
 WORKER = WorkerEntry(
@@ -107,3 +110,19 @@
 
 def test_worker_is_reported_drained_although_other_jobs_change_all_the_time() -> None:
     assert anyio.run(commit_beside_changes) == {"w1": "move#1"}
+
+
+def test_worker_is_drained_if_a_run_ends_while_its_cancelled_job_is_being_stored() -> (
+    None
+):
+    harness = ShardHarness(Shard("s", epoch=3, claimed_at=50.0))
+    harness.add_worker("w1")
+    job = harness.add_job(Step(1, cpu=1000))
+    (order,) = harness.start_all()
+    harness.shard.cancel(job.submission.job_id)
+    harness.shard.set_cordons({"w1": "upkeep#1"})
+    harness.report("w1", (order, EndKind.STOPPED))
+    assert harness.shard.list_drained_workers() == {}
+    harness.shard.mark_stored(job.submission.job_id, JobState.CANCELLED, harness.now)
+    assert harness.shard.list_drained_workers() == {"w1": "upkeep#1"}
+    assert not harness.shard.workers["w1"].unstored_jobs
