Bound the delay before the first claims of a node that is alone

Found by a review: a node that is alone, as the others start seconds later, claimed the last of five shards after 4.2 to 4.5 s, since each shard that it owned added 0.7 s; jobs of that shard had no owner for over 3 s.

--- a/src/onyxgap/jobs/ownership.py
+++ b/src/onyxgap/jobs/ownership.py
@@ -45,6 +45,8 @@
 """Additional delay for each owned shard before the claim of one that never had an
 owner. Nodes that start together are ready seconds apart where they share cores; the
 first one would own all shards."""
+MAX_FIRST_CLAIM_DELAY_S = 1.0
+"""Longest such delay: a node that is alone claims all shards in time for their jobs."""
 SMALL_VM_LOAD = 2
 """Owned shards as which a small VM counts in the delays. Without it, a small VM may own
 a large shard and schedule from reports that are seconds old, while large VMs own
@@ -242,7 +244,8 @@
     delay = get_claim_jitter(claimant.boot, shard) + OWNED_DELAY_S * load
     row = view.row
     if row is None:
-        return view.changed_at + delay + FIRST_CLAIM_DELAY_S * load
+        first_delay = min(FIRST_CLAIM_DELAY_S * load, MAX_FIRST_CLAIM_DELAY_S)
+        return view.changed_at + delay + first_delay
     if row.released:
         return view.changed_at + delay
     delay += view.get_takeover_backoff(now)
