Take a renewal without a new count of the load as no older than its read

Found by a review: a renewal apart from the owner's other writes keeps the time at which the load was counted, 1.4 s before, so that other nodes took it for 0.7 s old and could claim the shard of a late owner 0.7 s too early.

--- a/src/onyxgap/jobs/ownership.py
+++ b/src/onyxgap/jobs/ownership.py
@@ -122,7 +122,7 @@
             version,
             now,
             load_report=self.load_report,
-            renewed_at=_estimate_renewal_time(row, store_ms, now),
+            renewed_at=self._estimate_renewal_time(row, store_ms, now),
             takeovers=takeovers,
         )
 
@@ -130,6 +130,17 @@
         """Return the monotonic second of the owner's last sign of life."""
         return self.changed_at if self.renewed_at is None else self.renewed_at
 
+    def _estimate_renewal_time(
+        self, row: OwnerRow, store_ms: int | None, now: float
+    ) -> float | None:
+        if row.counted_at_ms is None or store_ms is None:
+            return None
+        if self.row is not None and row.counted_at_ms == self.row.counted_at_ms:
+            # renewed without a new count
+            return None
+        age_s = (store_ms - row.counted_at_ms) / MS_PER_S
+        return now - min(max(age_s, 0.0), MAX_RENEWAL_AGE_S)
+
     def _is_taken_over(self, row: OwnerRow) -> bool:
         if self.row is None or self.row.released:
             return False
@@ -180,15 +191,6 @@
         )
 
 
-def _estimate_renewal_time(
-    row: OwnerRow, store_ms: int | None, now: float
-) -> float | None:
-    if row.counted_at_ms is None or store_ms is None:
-        return None
-    age_s = (store_ms - row.counted_at_ms) / MS_PER_S
-    return now - min(max(age_s, 0.0), MAX_RENEWAL_AGE_S)
-
-
 def get_claim_jitter(boot: str, shard: str) -> float:
     """Return the claim delay of a process for a shard, in seconds.
 
