Leave a shard to others if its owner has stored nothing for 12 s

Found by a review, shown with the real writer and a scripted store: renewals apart from other writes went on for 60 s without one fenced write, so that nobody claimed the shard of an owner that could store nothing.

They end 12 s after the last fenced write; outages of the store last up to 9 s. The new test of test_late_claims.py fails before: the row is renewed.

--- a/src/onyxgap/daemons/fence.py
+++ b/src/onyxgap/daemons/fence.py
@@ -32,6 +32,9 @@
 OVERDUE_S = 2 * RENEWAL_INTERVAL_S
 """Age of the last confirmed renewal from which the owner row is renewed apart from the
 other writes. A renewal that is sent then arrives within the owner time-out."""
+MAX_UNWRITTEN_S = 12.0
+"""Time without a fenced write after which the owner row is not renewed apart any more:
+an owner that stores nothing for longer leaves the shard to another node."""
 RETRY_MIN_S = 0.03
 """First delay before a write is repeated: about twice the time of a transaction."""
 RETRY_MAX_S = 0.4
@@ -67,8 +70,10 @@
     owner_version: int = attrs.field(init=False)
     _renewed_at: float = -math.inf
     _sequence: int = 0
+    _written_at: float = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        self._written_at = self.grants.confirmed_at
         # a claim writes both rows
         self.owner_version = self.version
 
@@ -146,6 +151,7 @@
         self, version: int, nonce: str, confirmed_at: float | None
     ) -> None:
         self.version, self.nonce = version, nonce
+        self._written_at = self.grants.read_boot()
         if confirmed_at is not None:
             self._note_renewed(version, confirmed_at)
 
@@ -170,6 +176,8 @@
         sent_at = self.grants.read_boot()
         if self.grants.closed or self.get_overdue_wait() > 0.0:
             return
+        if sent_at - self._written_at > MAX_UNWRITTEN_S:
+            return
         self.owner = attrs.evolve(self.owner, beat=self.owner.beat + 1)
         row_id = tables.get_owner_row(self.shard)
         value = tables.encode_owner(self.owner)
--- a/tests/test_late_claims.py
+++ b/tests/test_late_claims.py
@@ -7,6 +7,7 @@
 import attrs
 import pytest
 
+from onyxgap.daemons.fence import MAX_UNWRITTEN_S
 from onyxgap.daemons.fence import OVERDUE_S
 from onyxgap.daemons.fence import RENEWAL_INTERVAL_S
 from onyxgap.daemons.fence import FencedWriter
@@ -110,6 +111,18 @@
     run_virtually(run)
 
 
+def test_owner_that_stores_nothing_for_long_leaves_its_shard_to_others() -> None:
+    async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
+        writer = build_claimed_writer(store, scripted)
+        await anyio.sleep(MAX_UNWRITTEN_S + 0.1)
+        row_id = tables.get_owner_row(writer.shard)
+        version = store.rows[row_id].version
+        await writer.renew_if_overdue()
+        assert store.rows[row_id].version == version
+
+    run_with_store(test)
+
+
 def test_renewal_apart_does_not_disturb_the_write_that_it_overtakes() -> None:
     async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
         writer = build_claimed_writer(store, scripted)
