End a wave whose deadline has passed also beside waiting work

Found by a review with the planner alone: two workers of a pool of four that never drain kept the other two from maintenance for as long as work waited.

Half of a pool stays open until the deadline of the wave, not after it. test_lifted_cordons.py: the new test fails before (orders about none of them).

--- a/src/onyxgap/pools/waves.py
+++ b/src/onyxgap/pools/waves.py
@@ -22,8 +22,8 @@
 """Fraction of an idle pool that stays schedulable while its VMs are maintained, which
 takes 2 s."""
 BUSY_SHARE = 0.5
-"""Fraction of a pool that stays schedulable while work waits there, also where its wave
-is late: the VMs of a pool that drain at once take nothing for seconds."""
+"""Fraction of a pool that stays schedulable while work waits there, until the deadline
+of its wave has passed: VMs of a pool that drain at once take nothing for seconds."""
 DRAIN_S = 2.5
 """Time that a cordoned worker takes to drain: most tasks end within 2 s."""
 
@@ -99,7 +99,8 @@
                 return
             if draining >= forced and self._count_drainable(vm.pool) < 1:
                 continue
-            if not self._may_drain_beside_work(vm.pool, now):
+            overdue = now >= progress.seen_at + progress.wave.duration_s
+            if not overdue and not self._may_drain_beside_work(vm.pool, now):
                 continue
             self._cordon(vm, CordonReason.UPKEEP, progress.wave.number)
             draining += 1
--- a/tests/test_lifted_cordons.py
+++ b/tests/test_lifted_cordons.py
@@ -49,6 +49,7 @@
         self.spare: list[Vm] = []
         self.moved: dict[str, str] = {}
         self.drain_s = 0.0
+        self.never_drained: set[str] = set()
         self.seen_cordons: dict[str, float] = {}
         self.orders: list[tuple[float, VmOrder]] = []
         self.lists_away_from = float("inf")
@@ -92,6 +93,7 @@
             worker_id: cordon_id
             for worker_id, cordon_id in cordons.items()
             if self.now - self.seen_cordons[cordon_id] >= self.drain_s
+            and worker_id not in self.never_drained
         }
         workers = {f"w-{name}": WorkerLoad(0, 0, 0) for name in NAMES}
         return PoolReport(POOL, workers, drained, epoch=1, **self.report)
@@ -342,3 +344,12 @@
     fleet.planner.add_wave(Wave(1, NAMES[:2], 4.0, 2), 0.0)
     fleet.play(1)
     assert fleet.list_cordoned() == ["w-a0", "w-a1"]
+
+
+def test_wave_ends_although_two_workers_of_a_busy_pool_never_drain() -> None:
+    fleet = build_fleet(VmReply.DONE)
+    fleet.report = {"queued": 3.0}
+    fleet.never_drained = {"w-a0", "w-a1"}
+    fleet.planner.add_wave(Wave(1, NAMES, 4.0, 4), 0.0)
+    fleet.play(20)
+    assert {order.vm for _, order in fleet.orders} >= {"a2", "a3"}
