Ask the list of VMs about a worker from its first call without an answer

Found by a review: an owner whose calls time out while it is late asks a dead worker up to twice more before the worker counts as silent, 4 to 8 s, and only then looked at the list of VMs, which tells of a crashed VM at once. Losses of lapsed runs were not taken back for a worker that had been removed meanwhile as unregistered.

The list is read from the first call without an answer on; it proves a death as before. The lapses of a worker that is removed without proof are kept until it registers again. test_lost_runs.py: both new tests fail before.

--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -271,8 +271,8 @@
             self.state.mark_unregistered(worker_id)
 
     def has_silent_workers(self) -> bool:
-        """Tell whether any worker is silent."""
-        return self.loaded and bool(self.state.list_silent())
+        """Tell whether any worker is silent or has not answered the last call."""
+        return self.loaded and bool(self.state.list_unanswered())
 
     def apply_live_workers(self, live: t.Collection[str], sent_at: float) -> None:
         """Remove silent workers that the platform's list of VMs does not show as up.
--- a/src/onyxgap/jobs/placing.py
+++ b/src/onyxgap/jobs/placing.py
@@ -40,6 +40,18 @@
     young: bool
 
 
+@attrs.frozen(slots=True)
+class RemovedLapses:
+    """Lapses of a worker that was removed without proof that it had crashed.
+
+    :param born: Unix milliseconds of the start of the worker, 0 if not known.
+    :param lapses: the lapses.
+    """
+
+    born: int
+    lapses: list[Lapse]
+
+
 @attrs.define(slots=True, eq=False)
 class WorkerRecord:
     """What the owner of a shard knows of a worker.
@@ -53,6 +65,8 @@
         incarnation was ordered to start may be on the worker.
     :param failing_since: monotonic seconds of the first failed call since the last
         answer, or ``None``.
+    :param unanswered_since: monotonic seconds of the first call without an answer in
+        time since the last answer, ``None`` without one or if it was refused.
     :param timed_out: whether the latest failed call was one without an answer in time.
     :param inconclusive: calls in a row without an answer that prove nothing about the
         worker.
@@ -112,6 +126,7 @@
     lease_ms: float = 0.0
     former_runs_until: float = 0.0
     failing_since: float | None = None
+    unanswered_since: float | None = None
     timed_out: bool = False
     inconclusive: int = 0
     cpu_used: int = 0
--- a/src/onyxgap/jobs/shard_leases.py
+++ b/src/onyxgap/jobs/shard_leases.py
@@ -20,7 +20,8 @@
 claim and the first hold request."""
 LATE_RENEWAL_S = 2.0
 """Time for which a late owner extends the lease of a worker that it takes for silent.
-The end of the lease of a worker that is dark moves by this at most."""
+The end of the lease of a worker that is dark moves by this and by the time until it
+counts as silent."""
 MAX_GRANT_READING_AGE_S = 15.0
 """Age of the reading of a worker's clock from which no lease is granted by it."""
 FORMER_LEASE_S = LEASE_S + 0.3
@@ -90,6 +91,17 @@
         """List the workers that do not answer, or are no longer registered."""
         return [record for record in self.workers.values() if record.is_silent()]
 
+    def list_unanswered(self) -> list[WorkerRecord]:
+        """List the silent workers, and those whose last call got no answer in time.
+
+        The latter may be dead, too: the list of VMs tells before the calls do.
+        """
+        return [
+            record
+            for record in self.workers.values()
+            if record.is_silent() or record.unanswered_since is not None
+        ]
+
     def count_doubtful_runs(self) -> int:
         """Return the number of runs that are kept on silent workers."""
         return sum(record.count_present() for record in self.list_silent())
--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -96,6 +96,7 @@
         record.held = True
         record.failing_since = None
         record.inconclusive = 0
+        record.unanswered_since = None
         self._forget_lapses(record)
         self.departures.note_answer(worker_id)
         record.answered_at = max(record.answered_at, sent_at)
@@ -396,6 +397,8 @@
         record.timed_out = reply.overdue_s is not None
         if reply.overdue_s is not None:
             self.call_timeouts.note_timeout(worker_id)
+            if record.unanswered_since is None:
+                record.unanswered_since = now
             sent_at = now if sent_at is None else sent_at
             if self._is_inconclusive(record, reply.overdue_s, sent_at):
                 record.inconclusive += 1
--- a/src/onyxgap/jobs/shard_workers.py
+++ b/src/onyxgap/jobs/shard_workers.py
@@ -21,6 +21,7 @@
 from .messages import WorkerEntry
 from .messages import WorkerState
 from .placing import Lapse
+from .placing import RemovedLapses
 from .placing import WorkerRecord
 from .shard_jobs import get_step_key
 from .shard_leases import ShardLeases
@@ -91,10 +92,12 @@
 
     :param listed_workers: workers that a list of VMs has shown as up.
     :param last_live: workers of all VMs that were up in the last list, ``None`` before.
+    :param removed_lapses: lapses of workers that were removed while they were silent.
     :param departures: workers that leave as ordered.
     """
 
     listed_workers: set[str] = attrs.field(factory=set)
+    removed_lapses: dict[str, RemovedLapses] = attrs.field(factory=dict)
     last_live: frozenset[str] | None = None
     departures: Departures = attrs.field(init=False)
 
@@ -113,6 +116,9 @@
         if record is None:
             record = WorkerRecord(entry, born=entry.born, heard_at=now)
             self.workers[entry.worker_id] = record
+            removed = self.removed_lapses.pop(entry.worker_id, None)
+            if removed is not None and removed.born == entry.born:
+                record.lapses = removed.lapses
         match = self._update_incarnation(record, entry.born, now)
         if match is IncarnationMatch.FORMER:
             record.former_entry = entry
@@ -276,6 +282,8 @@
             freed=freed,
         )
         del self.workers[worker_id]
+        if record.lapses and not crashed:
+            self.removed_lapses[worker_id] = RemovedLapses(record.born, record.lapses)
 
     def is_isolated(self, order: StartOrder) -> bool:
         """Return whether a run still keeps runs of other jobs off its worker.
@@ -326,9 +334,11 @@
             record = self.workers[worker_id]
             record.missed_at = min(record.missed_at, sent_at)
         self.listed_at = sent_at
-        for record in self.list_silent():
+        for record in self.list_unanswered():
             worker_id = record.entry.worker_id
-            silent_since = record.failing_since or self.claimed_at
+            silent_since = (
+                record.unanswered_since or record.failing_since or self.claimed_at
+            )
             is_known = is_current and record.answered_at <= record.missed_at
             is_proof = is_known or worker_id in self.listed_workers
             if worker_id not in live and is_proof and sent_at > silent_since:
--- a/tests/test_lost_runs.py
+++ b/tests/test_lost_runs.py
@@ -3,6 +3,7 @@
 import pytest
 import structlog.testing
 
+from onyxgap.jobs.call_timeouts import LATE_S
 from onyxgap.jobs.crashes import MAX_YOUNG_LOSSES
 from onyxgap.jobs.crashes import NO_LOSSES
 from onyxgap.jobs.crashes import START_CRASH_BLAME
@@ -110,6 +111,34 @@
     assert task.loss_history is NO_LOSSES
 
 
+def test_worker_that_was_unregistered_while_it_was_silent_takes_back_its_losses(
+    harness: ShardHarness,
+) -> None:
+    harness.add_worker("w3", born=7)
+    job = harness.add_job(Step(1, cpu=1000), job_id="a" * 16)
+    (order,) = harness.start_all()
+    harness.shard.mark_unregistered(order.worker_id)
+    lose_lease(harness, order.worker_id)
+    assert order.worker_id not in harness.shard.workers
+    task = job.find_task(order.task)
+    assert task is not None and task.loss_history is not NO_LOSSES
+    born = 7 if order.worker_id == "w3" else 0
+    harness.add_worker(order.worker_id, born=born)
+    assert task.loss_history is NO_LOSSES
+
+
+def test_list_of_vms_tells_of_a_dead_worker_before_a_late_owner_takes_it_for_silent(
+    harness: ShardHarness,
+) -> None:
+    harness.shard.apply_live_workers(["w1"], harness.now)
+    reply = Reply(ReplyKind.NO_ANSWER, overdue_s=LATE_S)
+    assert harness.shard.apply_failure("w1", reply, harness.now)
+    assert harness.shard.list_silent() == []
+    harness.now += 0.1
+    harness.shard.apply_live_workers([], harness.now)
+    assert "w1" not in harness.shard.workers
+
+
 def test_task_of_a_worker_that_crashed_after_its_lease_stays_suspected(
     harness: ShardHarness,
 ) -> None:
