Read no clock when an owner is built

Five tests of registrations build owners outside of an event loop and failed since the time of the claim was measured there; two of order lanes lack the state that the first start was logged by.

--- a/src/onyxgap/daemons/owner_jobs.py
+++ b/src/onyxgap/daemons/owner_jobs.py
@@ -95,6 +95,9 @@
 
     async def _load(self) -> None:
         """Load the shard; other nodes would claim it if its row did not change."""
+        # the claim is the first write that confirms the ownership
+        claim_sent_at = self.writer.grants.confirmed_at
+        self.claim_s = max(0.0, self.context.clocks.read_boot() - claim_sent_at)
         read = anyio.Event()
         failure: PlatformUnavailableError | None = None
         async with anyio.create_task_group() as group:
--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -150,7 +150,7 @@
     share_synchronizer: ShareSynchronizer | None = attrs.field(default=None, init=False)
     loaded: bool = False
     loaded_at: float | None = None
-    claim_s: float = attrs.field(init=False)
+    claim_s: float = attrs.field(default=0.0, init=False)
     _first_start_logged: bool = False
     _tickets_needed: anyio.Event = attrs.field(factory=anyio.Event)
     _progress_stored: anyio.Event = attrs.field(factory=anyio.Event)
@@ -158,16 +158,15 @@
     _start_limiter: StartLimiter = attrs.field(factory=StartLimiter)
     _reported_at: float = -math.inf
     _reported: PoolReport | None = None
+    _claimed_at: float = attrs.field(default=0.0, init=False)
 
     def __attrs_post_init__(self) -> None:
         context = self.context
-        # the claim is the first write that confirms the ownership
-        sent_at = self.writer.grants.confirmed_at
-        self.claim_s = max(0.0, context.clocks.read_boot() - sent_at)
+        self._claimed_at = self._now()
         self.state = Shard(
             self.shard,
             self.epoch,
-            self._now(),
+            self._claimed_at,
             max_lease_s=context.limits.max_lease_s,
             former_grants=self.former_grants,
             call_timeouts=CallTimeouts(lambda: context.lag.seconds),
@@ -465,7 +464,7 @@
             "first task started",
             shard=self.shard,
             epoch=self.epoch,
-            since_claim_s=round(now - self.state.claimed_at, 3),
+            since_claim_s=round(now - self._claimed_at, 3),
             since_load_s=round(now - (self.loaded_at or now), 3),
         )
 
