--- a/src/onyxgap/jobs/shard_demand.py
+++ b/src/onyxgap/jobs/shard_demand.py
@@ -9,10 +9,8 @@
 from ..pools.cordons import summarize_cordons
 from ..pools.messages import PoolReport
 from ..pools.messages import WorkerLoad
-from .crashes import IsolationLevel
 from .job import Job
 from .job import Occurrence
-from .job import Task
 from .job import TaskPhase
 from .late_demand import LateDemand
 from .load import estimate_vm_seconds
@@ -89,8 +87,6 @@
                 kind = get_load_kind(step, task, "queued" if justified else "")
                 if kind:
                     sums[kind] += fraction
-            if justified and not step.long_running:
-                sums["queued"] += _measure_isolation(occurrence.steps[number], fraction)
         return {kind: round(total, 3) for kind, total in sums.items()}
 
     def _count_late_vms(self, capacity: tuple[int, int], now: float) -> int:
@@ -206,16 +202,3 @@
         """Return whether a waiting step justifies more VMs for the pool."""
         urgency = rate_urgency(job, step, now, self.forecast)
         return self.forecast.justifies_more_vms(urgency, now)
-
-
-def _measure_isolation(tasks: t.Iterable[Task], fraction: float) -> float:
-    """Return the part of a VM that suspected tasks keep free of the tasks of others.
-
-    They wait for a worker of their own, and the tasks of one job may share it.
-    """
-    suspected = sum(
-        task.phase is TaskPhase.WAITING
-        and task.loss_history.isolation is not IsolationLevel.NONE
-        for task in tasks
-    )
-    return max(0.0, 1.0 - suspected * fraction) if suspected else 0.0
