--- a/src/onyxgap/pools/bursts.py
+++ b/src/onyxgap/pools/bursts.py
@@ -10,6 +10,7 @@
 import typing as t
 
 import attrs
+import structlog
 
 WINDOW_S = 1.5
 """Window over which arrivals are counted; bursts last some seconds."""
@@ -37,6 +38,8 @@
 MAX_BURSTS_KEPT = 6
 """Bursts remembered for each shard; older ones say little about the present."""
 
+_LOG = structlog.get_logger()
+
 
 @attrs.define(slots=True)
 class ArrivalHistory:
@@ -109,9 +112,23 @@
             long_enough = now - arrivals.starts[-1] > MIN_BURST_S
             if long_enough and count <= BURST_END_SHARE * arrivals.peak_jobs:
                 arrivals.end_burst(now)
+                self._log_burst("burst over", shard, now)
         elif count >= max(MIN_BURST_JOBS, BURST_START_SHARE * arrivals.peak_jobs):
             arrivals.begin_burst()
             arrivals.peak_jobs = max(arrivals.peak_jobs, count)
+            self._log_burst("burst begun", shard, now)
+
+    def _log_burst(self, event: str, shard: str, now: float) -> None:
+        arrivals, period = self.shards[shard], self.get_period()
+        _LOG.info(
+            event,
+            service=shard,
+            jobs=arrivals.count_recent(now),
+            peak_jobs=arrivals.peak_jobs,
+            peak_vms=round(arrivals.peak_demand, 1),
+            began_s=[round(now - start, 1) for start in arrivals.starts],
+            period_s=None if period is None else round(period, 1),
+        )
 
     def record_demand(self, shard: str, vms: float) -> None:
         """Record the most VMs that a shard demanded during its bursts."""
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -559,3 +559,21 @@
     planner.sizes = {"a": 14, "b": 5}
     planner.reports["b"] = build_report(planner, "b", serving_vms=5)
     assert sorted(order.pool for order in planner.plan(1.0)) == ["a", "b"]
+
+
+def test_log_tells_why_a_burst_was_assumed_and_which_period_follows() -> None:
+    forecast = BurstForecast()
+    with structlog.testing.capture_logs() as lines:
+        observe_bursts(forecast, [("a", 5.0), ("b", 5.0), ("a", 0.5)])
+    shown = [
+        (line["event"], line["service"], line["jobs"], line["period_s"])
+        for line in lines
+    ]
+    assert shown[0] == ("burst begun", "a", 4, None)
+    assert [item[:2] for item in shown[1:]] == [
+        ("burst begun", "b"),
+        ("burst over", "a"),
+        ("burst begun", "a"),
+    ]
+    assert shown[-1][3] == pytest.approx(9.5, abs=0.5)
+    assert lines[-1]["began_s"][-1] < 1.0
