Count arrivals as a burst only if their work is a quarter of the pool's base

Cause: three jobs within 1.5 s began a burst, whatever they needed. A pool of large jobs gets three hardly ever by chance, one of small jobs does. The burst that seemed to have begun and ended took from the pool what it kept for its first burst, and the next one gave all pools a period that is far too short, so that idle pools took the spare VMs.

Change: the work that arrives has to be a quarter of the pool's base size, less its random error. A burst asks for several times the mean, and small jobs that bring that much are too many to come by chance.

--- a/src/onyxgap/pools/bursts.py
+++ b/src/onyxgap/pools/bursts.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import math
 import typing as t
 
 import attrs
@@ -21,6 +22,9 @@
 """Fraction of the jobs in the busiest window so far that starts a burst. It is well
 above the demand between bursts (a twentieth) and well below that of a burst, which is
 five times the mean."""
+MIN_BURST_LOAD = 0.25
+"""Least load that starts a burst, as a fraction of the pool's base size. Small jobs
+that arrive by chance between bursts are enough in number, but not in work."""
 BURST_END_SHARE = 0.12
 """Fraction of the busiest window at or below which a burst has ended."""
 MIN_BURST_S = 2.5
@@ -68,6 +72,10 @@
             self.recent.popleft()
         return sum(jobs for _, jobs in self.recent)
 
+    def has_burst_rate(self, count: int) -> bool:
+        """Tell whether so many jobs within the window are enough to start a burst."""
+        return count >= max(MIN_BURST_JOBS, BURST_START_SHARE * self.peak_jobs)
+
     def begin_burst(self) -> None:
         """Start a burst, or continue one that only seemed to have ended."""
         start = self.recent[0][0]
@@ -96,12 +104,16 @@
 
     shards: dict[str, ArrivalHistory] = attrs.field(factory=dict)
 
-    def observe(self, shard: str, now: float, jobs: int) -> None:
+    def observe(
+        self, shard: str, now: float, jobs: int, load: float = math.inf
+    ) -> None:
         """Record the jobs that arrived since the previous observation.
 
         :param shard: the shard.
         :param now: monotonic seconds.
         :param jobs: number of jobs.
+        :param load: load that the arriving work offers, as a fraction of the pool's
+            base size; infinite if it is not known.
         """
         arrivals = self.shards.setdefault(shard, ArrivalHistory())
         if jobs:
@@ -113,7 +125,7 @@
             if long_enough and count <= BURST_END_SHARE * arrivals.peak_jobs:
                 arrivals.end_burst(now)
                 self._log_burst("burst over", shard, now)
-        elif count >= max(MIN_BURST_JOBS, BURST_START_SHARE * arrivals.peak_jobs):
+        elif load >= MIN_BURST_LOAD and arrivals.has_burst_rate(count):
             arrivals.begin_burst()
             arrivals.peak_jobs = max(arrivals.peak_jobs, count)
             self._log_burst("burst begun", shard, now)
--- a/src/onyxgap/pools/sizing.py
+++ b/src/onyxgap/pools/sizing.py
@@ -79,6 +79,7 @@
 
     forecast: BurstForecast = attrs.field(factory=BurstForecast)
     load: OfferedLoad = attrs.field(factory=OfferedLoad)
+    _base: t.Mapping[str, int] = attrs.field(factory=dict)
     _job_counters: dict[str, tuple[int, int]] = attrs.field(factory=dict)
     _recent_needed: RecentCounts = attrs.field(factory=dict)
     _recent_late: RecentCounts = attrs.field(factory=dict)
@@ -96,14 +97,21 @@
         if epoch != report.epoch:
             jobs = 0
         self._job_counters[report.shard] = (report.epoch, report.arrived_jobs)
-        self.forecast.observe(report.shard, now, max(0, report.arrived_jobs - jobs))
         self.load.observe(report, now)
+        self._observe_arrivals(report.shard, max(0, report.arrived_jobs - jobs), now)
         self.forecast.record_demand(report.shard, get_vm_demand(report))
 
     def advance(self, now: float) -> None:
         """Advance the clock for shards without a new report."""
         for shard in self._job_counters:
-            self.forecast.observe(shard, now, 0)
+            self._observe_arrivals(shard, 0, now)
+
+    def _observe_arrivals(self, shard: str, jobs: int, now: float) -> None:
+        load = self.load.get_load_lower_bound(shard, now)
+        self.forecast.observe(shard, now, jobs, load / self._get_base_size(shard))
+
+    def _get_base_size(self, shard: str) -> int:
+        return max(self._base.get(shard, MIN_VMS), 1)
 
     def list_busy(self) -> frozenset[str]:
         """List the pools that are in a burst."""
@@ -139,6 +147,7 @@
         :param total: VMs of the fleet, including those of the spare pool.
         :param now: monotonic seconds.
         """
+        self._base = base
         claims = {
             shard: self._build_claim(report, base.get(shard, MIN_VMS), now)
             for shard, report in reports.items()
