Read an array only from an array

What could be seen: a worker whose labels are the text "nan" counted as one with three labels, a wave whose VMs are the text "m-1" as one of three VMs; a map gave its keys.

Cause: cattrs iterates over whatever is given for a tuple or a list. The hooks of the converter were exact about scalars and objects only.

Change: hooks for lists and for tuples of one type take arrays alone; faults of items keep their paths.

--- a/src/onyxgap/documents.py
+++ b/src/onyxgap/documents.py
@@ -4,12 +4,15 @@
 """
 
 import enum
+import functools
 import json
 import typing as t
 
 import attrs
 import cattrs
 import orjson
+from cattrs.cols import homogenous_tuple_structure_factory
+from cattrs.cols import list_structure_factory
 from cattrs.gen import make_dict_structure_fn
 
 from .exceptions import DocumentError
@@ -18,10 +21,22 @@
 T = t.TypeVar("T")
 
 
+MAX_SHOWN = 40
+"""Most characters of a value that a fault shows."""
+
+
+def _show(value: object) -> str:
+    """Format a value for a fault; one that is nested too deeply by its type only."""
+    try:
+        return json.dumps(value)[:MAX_SHOWN]
+    except RecursionError:
+        return f"a deeply nested {type(value).__name__}"
+
+
 def _build_exact_type_hook(kind: type) -> t.Callable[[object, type], object]:
     def structure(value: object, _: type) -> object:
         if type(value) is not kind:
-            raise ValueError(f"expected {kind.__name__}, not {json.dumps(value)[:40]}")
+            raise ValueError(f"expected {kind.__name__}, not {_show(value)}")
         return value
 
     return structure
@@ -29,10 +44,24 @@
 
 def _structure_float(value: object, _: type) -> float:
     if isinstance(value, bool) or not isinstance(value, int | float):
-        raise ValueError(f"expected number, not {json.dumps(value)[:40]}")
+        raise ValueError(f"expected number, not {_show(value)}")
     return float(value)
 
 
+def _is_list(kind: object) -> bool:
+    return t.get_origin(kind) is list
+
+
+def _is_uniform_tuple(kind: object) -> bool:
+    return t.get_origin(kind) is tuple and t.get_args(kind)[1:] == (...,)
+
+
+_ARRAY_FACTORIES: t.Sequence[tuple[t.Callable[[object], bool], t.Any]] = (
+    (_is_list, list_structure_factory),
+    (_is_uniform_tuple, homogenous_tuple_structure_factory),
+)
+
+
 def _structure_enum(value: object, kind: type[enum.Enum]) -> enum.Enum:
     members = {member.value: member for member in kind}
     try:
@@ -68,12 +97,29 @@
         def structure_object(value: object, _: type) -> object:
             # cattrs would accept a string for a class whose fields all have defaults
             if not isinstance(value, dict):
-                raise ValueError(f"expected an object, not {json.dumps(value)[:40]}")
+                raise ValueError(f"expected an object, not {_show(value)}")
             return structure_fields(value, kind)
 
         return structure_object
 
+    def build_array_hook(
+        factory: t.Any, kind: type
+    ) -> t.Callable[[object, type], object]:
+        structure_items: t.Any = factory(kind, converter)
+
+        def structure_array(value: object, _: type) -> object:
+            # cattrs would take the letters of a string, or the keys of an object
+            if not isinstance(value, list | tuple):
+                raise ValueError(f"expected an array, not {_show(value)}")
+            return structure_items(value, kind)
+
+        return structure_array
+
     converter.register_structure_hook_factory(attrs.has, build_object_hook)
+    for is_array, factory in _ARRAY_FACTORIES:
+        converter.register_structure_hook_factory(
+            is_array, functools.partial(build_array_hook, factory)
+        )
     return converter
 
 
