Refuse numbers of other writers that can't be stored or sent on

What callers would see: another writer leaves one entry among the workers' whose clock_ms is 1e300. Its owner sends the clock plus a lease back in a hold request; encoding it raises, the shard's task group ends, and so does each next owner's: no job of the service is started any more. The same with a sum of two capacities of 2^64 - 1, with a worker's report, a version of the configuration or a wave.

Cause: JSON has numbers beyond 64 bits, orjson reads them as floats or as unsigned integers, and none of its writers checks what it is given; the decoders checked types, not ranges.

Such an entry names no worker, such a report is no answer, such a VM list is not used. The emulator decodes its registrations as strictly, and both lists of malformed entries, its own and the soak's, have such numbers.

--- a/bench/soak/malformed.py
+++ b/bench/soak/malformed.py
@@ -2,7 +2,9 @@
 
 import typing as t
 
-import orjson
+from onyxgap.standins.odd_values import TOO_LARGE
+from onyxgap.standins.odd_values import encode_with
+from onyxgap.standins.odd_values import nest
 
 
 def list_malformed_registrations(service: str) -> tuple[bytes, ...]:
@@ -25,17 +27,36 @@
         {"capacity": "64 cores"},
         {"capacity": {"cpu": "many"}},
         {"address": "127.0.0.1:99999"},
+        {"address": "127.0.0.1:65536"},
+        {"address": "127.0.0.1:0"},
+        {"address": "127.0.0.1:-9"},
+        {"address": "127.0.0.1:" + "9" * 5_000},
+        {"address": nest(1_000)},
         {"address": ["127.0.0.1", 9]},
         {"service": [service]},
         {"state": "resting"},
         {"state": {}},
         {"labels": 5},
+        {"labels": "rack"},
+        {"labels": {"a": "rack"}},
+        {"labels": nest(1_000)},
+        {"zone": nest(1_000)},
+        {"state": nest(1_000)},
+        {"capacity": nest(1_000)},
+        {"more": nest(2_000)},
+        {"capacity": {"cpu": TOO_LARGE}},
+        {"capacity": {"mem_mb": 1e300}},
+        {"clock_ms": 1e300},
+        {"clock_ms": -1e300},
+        {"clock_ms": TOO_LARGE},
         {"born": "today"},
+        {"born": TOO_LARGE},
+        {"born": -(2**63)},
     )
-    documents = [without_address, *({**valid, **change} for change in changes)]
     return (
         b"\xff\xfe\x00",
         b"",
         b"[]",
-        *map(orjson.dumps, documents),
+        encode_with(without_address, {}),
+        *(encode_with(valid, change) for change in changes),
     )
--- a/src/onyxgap/platform/cloud.py
+++ b/src/onyxgap/platform/cloud.py
@@ -8,6 +8,8 @@
 
 import attrs
 
+from ..bounds import MAX_AMOUNT
+from ..bounds import read_count
 from ..exceptions import MALFORMED_ERRORS
 from ..exceptions import PlatformUnavailableError
 from ..pools.messages import Vm
@@ -50,8 +52,8 @@
         state=VmState(raw.get("state", "down")),
         zone=str(raw.get("zone", "")),
         rack=str(labels[-1]) if labels else "",
-        cpu=int(capacity.get("cpu", 0)),
-        memory_mb=int(capacity.get("mem_mb", 0)),
+        cpu=read_count(capacity.get("cpu", 0), MAX_AMOUNT),
+        memory_mb=read_count(capacity.get("mem_mb", 0), MAX_AMOUNT),
         worker_id=str(raw.get("id") or ""),
     )
 
--- a/src/onyxgap/platform/registry.py
+++ b/src/onyxgap/platform/registry.py
@@ -9,7 +9,11 @@
 import attrs
 import orjson
 
+from ..bounds import MAX_AMOUNT
+from ..bounds import MAX_COUNT
+from ..bounds import read_count
 from ..documents import decode_document
+from ..documents import in_range
 from ..exceptions import MALFORMED_ERRORS
 from ..exceptions import DocumentError
 from ..exceptions import Fault
@@ -46,9 +50,9 @@
 class _Capacity:
     """Capacity of a worker; the field names are those of the platform."""
 
-    cpu: int = attrs.field(default=0, validator=attrs.validators.ge(0))
-    mem_mb: int = attrs.field(default=0, validator=attrs.validators.ge(0))
-    gpu: int = attrs.field(default=0, validator=attrs.validators.ge(0))
+    cpu: int = attrs.field(default=0, validator=in_range(0, MAX_AMOUNT))
+    mem_mb: int = attrs.field(default=0, validator=in_range(0, MAX_AMOUNT))
+    gpu: int = attrs.field(default=0, validator=in_range(0, MAX_AMOUNT))
 
 
 @attrs.frozen(slots=True)
@@ -61,18 +65,24 @@
     state: WorkerState = WorkerState.READY
     capacity: _Capacity = _Capacity()
     labels: tuple[str, ...] = ()
-    clock_ms: float = 0.0
-    born: int = 0
+    clock_ms: float = attrs.field(
+        default=0.0, validator=in_range(-MAX_COUNT, MAX_COUNT)
+    )
+    born: int = attrs.field(default=0, validator=in_range(-MAX_COUNT, MAX_COUNT))
 
 
 @attrs.frozen(slots=True)
 class _WaveRequest:
     """Row of a maintenance wave; the field names are those of the platform."""
 
-    wave: int | None = None
+    wave: int | None = attrs.field(
+        default=None, validator=in_range(-MAX_COUNT, MAX_COUNT)
+    )
     machines: tuple[str, ...] = ()
-    duration_s: float = 0.0
-    cap: int = 1
+    duration_s: float = attrs.field(
+        default=0.0, validator=in_range(-MAX_COUNT, MAX_COUNT)
+    )
+    cap: int = attrs.field(default=1, validator=in_range(-MAX_COUNT, MAX_COUNT))
 
 
 def _parse(value: bytes) -> dict[str, t.Any]:
@@ -91,10 +101,11 @@
     :param value: start time in Unix milliseconds; 0 where the worker sends none.
     :returns: the same value.
     :raises TypeError: when it is not an integer.
+    :raises ValueError: when it is out of bounds.
     """
     if isinstance(value, bool) or not isinstance(value, int):
-        raise TypeError(f"worker start time is not an integer: {value!r}")
-    return value
+        raise TypeError(f"worker start time is no integer but {type(value).__name__}")
+    return read_count(value)
 
 
 def decode_worker(key: str, value: bytes) -> WorkerEntry:
@@ -124,17 +135,17 @@
     policy = QueuePolicy(
         queue=str(raw["name"]),
         service=str(raw["service"]),
-        priority=int(raw.get("priority", 0)),
-        max_attempts=int(raw.get("max_attempts", 1)),
+        priority=read_count(raw.get("priority", 0)),
+        max_attempts=read_count(raw.get("max_attempts", 1)),
         stretch=float(raw.get("stretch", 1.0)),
-        slo_ms=int(raw.get("slo_ms", 0)),
+        slo_ms=read_count(raw.get("slo_ms", 0)),
         advised=bool(raw.get("advice")),
     )
     return Route(
         host=str(raw["host"]),
         prefix=str(raw["path_prefix"]),
         policy=policy,
-        timeout_ms=int(raw.get("timeout_ms", 3_000)),
+        timeout_ms=read_count(raw.get("timeout_ms", 3_000)),
         public=bool(raw.get("public", False)),
     )
 
@@ -147,9 +158,13 @@
     )
 
 
+def _decode_limit(value: t.Any) -> int:
+    return read_count(value) if value else NO_LIMIT
+
+
 def _decode_cap(raw: t.Mapping[str, t.Any]) -> Amount:
     # 0 means no limit, as does a missing field
-    return Amount(*(int(raw.get(name) or NO_LIMIT) for name in _CAP_FIELDS))
+    return Amount(*(_decode_limit(raw.get(name)) for name in _CAP_FIELDS))
 
 
 def _decode_tenant(raw: t.Mapping[str, t.Any]) -> Tenant:
@@ -174,10 +189,10 @@
         services = [_decode_service(item) for item in raw.get("services", ())]
         limits = raw.get("limits") or {}
         return Configuration(
-            version=int(raw["version"]),
+            version=read_count(raw["version"]),
             routes=tuple(map(_decode_route, raw.get("routes", ()))),
             services={service.name: service for service in services},
-            max_body_bytes=int(limits.get("max_body_bytes", DEFAULT_BODY_BYTES)),
+            max_body_bytes=read_count(limits.get("max_body_bytes", DEFAULT_BODY_BYTES)),
             tenants=tuple(map(_decode_tenant, raw.get("tenants") or ())),
         )
     except MALFORMED_ERRORS as error:
@@ -197,7 +212,9 @@
     request = decode_document(value, _WaveRequest)
     try:
         number = (
-            int(key.removeprefix(WAVE_PREFIX)) if request.wave is None else request.wave
+            read_count(key.removeprefix(WAVE_PREFIX))
+            if request.wave is None
+            else request.wave
         )
     except ValueError as error:
         raise DocumentError(
--- a/src/onyxgap/platform/workers.py
+++ b/src/onyxgap/platform/workers.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from ..bounds import read_count
+from ..bounds import read_time_ms
 from ..exceptions import MALFORMED_ERRORS
 from ..jobs.messages import EndedTask
 from ..jobs.messages import EndKind
@@ -41,6 +43,15 @@
 }
 
 
+def _decode_clock(value: t.Any) -> float | None:
+    if not isinstance(value, int | float):
+        return None
+    try:
+        return read_time_ms(value)
+    except ValueError:
+        return None
+
+
 def decode_reply(answer: Answer) -> Reply:
     """Decode a worker's reply to an order.
 
@@ -52,8 +63,7 @@
         return Reply(ReplyKind.NO_ANSWER, None, answer.reason, answer.overdue_s)
     body = answer.read_object()
     reason = str(body.get("reason", ""))
-    clock = body.get("clock_ms")
-    clock_ms = float(clock) if isinstance(clock, int | float) else None
+    clock_ms = _decode_clock(body.get("clock_ms"))
     if answer.status == 409:
         kind = _BY_REASON.get(reason, ReplyKind.NO_ANSWER)
     else:
@@ -64,15 +74,19 @@
 def _decode_running(raw: t.Sequence[t.Any]) -> RunningTask:
     measurement = float(raw[4]) if len(raw) > 4 else 0.0
     return RunningTask(
-        parse_task_id(raw[0]), int(raw[1]), str(raw[2] or ""), int(raw[3]), measurement
+        parse_task_id(raw[0]),
+        read_count(raw[1]),
+        str(raw[2] or ""),
+        read_count(raw[3]),
+        measurement,
     )
 
 
 def _decode_ended(raw: t.Sequence[t.Any]) -> EndedTask:
     return EndedTask(
-        int(raw[0]),
+        read_count(raw[0]),
         parse_task_id(raw[1]),
-        int(raw[2]),
+        read_count(raw[2]),
         EndKind(raw[3]),
         str(raw[4] or ""),
     )
@@ -88,7 +102,7 @@
     body = answer.read_object()
     try:
         return HoldReport(
-            float(body["clock_ms"]),
+            read_time_ms(body["clock_ms"]),
             tuple(map(_decode_running, body.get("running") or ())),
             tuple(map(_decode_ended, body.get("ended") or ())),
             decode_start_time(body.get("born", 0)),
--- a/src/onyxgap/standins/emulator/rows.py
+++ b/src/onyxgap/standins/emulator/rows.py
@@ -1,8 +1,13 @@
 """Rows that the emulated operator and workers write."""
 
+import attrs
 import orjson
 
+from ...bounds import MAX_AMOUNT
+from ...bounds import MAX_COUNT
 from ...daemons.node_base import Decoders
+from ...documents import decode_document
+from ...documents import in_range
 from ...jobs.amounts import Amount
 from ...jobs.messages import WorkerEntry
 from ...jobs.messages import WorkerState
@@ -20,11 +25,26 @@
 SPARE_POOL = "spare"
 
 
+@attrs.frozen(slots=True)
+class _Registration:
+    """Registration row of an emulated worker, with the fields of its entry."""
+
+    worker_id: str
+    service: str
+    address: str
+    zone: str
+    state: WorkerState
+    cpu: int = attrs.field(validator=in_range(0, MAX_AMOUNT))
+    memory_mb: int = attrs.field(validator=in_range(0, MAX_AMOUNT))
+    accelerators: int = attrs.field(validator=in_range(0, MAX_AMOUNT))
+    labels: tuple[str, ...]
+    clock_ms: float = attrs.field(validator=in_range(-MAX_COUNT, MAX_COUNT))
+    born: int = attrs.field(default=0, validator=in_range(-MAX_COUNT, MAX_COUNT))
+
+
 def _decode_worker(key: str, value: bytes) -> WorkerEntry:
-    raw = orjson.loads(value)
-    raw["state"] = WorkerState(raw["state"])
-    raw["labels"] = tuple(raw["labels"])
-    return WorkerEntry(**raw)
+    registration = decode_document(value, _Registration)
+    return WorkerEntry(**attrs.asdict(registration))
 
 
 def _decode_configuration(value: bytes) -> Configuration:
--- a/tests/test_malformed_rows.py
+++ b/tests/test_malformed_rows.py
@@ -11,10 +11,13 @@
 from onyxgap.exceptions import DocumentError
 from onyxgap.jobs.messages import WorkerEntry
 from onyxgap.platform.registry import decode_worker
+from onyxgap.standins.emulator import malformed as emulated
+from onyxgap.standins.emulator.rows import DECODERS
 from tests.emulated import extend_day
 from tests.emulated import play
 
 MALFORMED = list_malformed_registrations("ring")
+EMULATED = emulated.list_malformed_registrations("ring")
 FIELDS = (
     "service",
     "address",
@@ -46,6 +49,12 @@
         decode_worker("w", MALFORMED[number])
 
 
+@pytest.mark.parametrize("number", range(len(EMULATED)))
+def test_malformed_registration_is_not_decoded_by_the_emulator(number: int) -> None:
+    with pytest.raises(DocumentError):
+        DECODERS.decode_worker("w", EMULATED[number])
+
+
 @settings(max_examples=2_000, deadline=None, derandomize=True)
 @given(st.dictionaries(st.sampled_from(FIELDS), VALUES))
 def test_registration_of_any_form_gives_a_worker_or_a_fault(
