Take only an IPv4 address and a port as the address of a worker

What could be seen: entries of another writer with hosts that can't be one (user@host:80, a line break, 70,000 letters) counted as workers. The owner called them without end, each time with a name lookup in a thread of the resolver.

Cause: any text before the last colon was a host. The platform's addresses are IPv4 addresses, and no names are looked up there. A port of over five digits is refused before it is converted, since int() raises for thousands of digits.

The entries of tests/test_malformed_rows.py with such hosts fail without it.

--- a/src/onyxgap/platform/registry.py
+++ b/src/onyxgap/platform/registry.py
@@ -4,6 +4,7 @@
 the operator.
 """
 
+import ipaddress
 import typing as t
 
 import attrs
@@ -40,10 +41,29 @@
 _CAP_FIELDS = ("cpu", "mem_mb", "gpu")
 
 
+MAX_PORT = 65_535
+_MAX_PORT_DIGITS = len(str(MAX_PORT))
+
+
+def _is_port(text: str) -> bool:
+    # digits are counted first: int() accepts no text of thousands of digits
+    return (
+        0 < len(text) <= _MAX_PORT_DIGITS
+        and text.isascii()
+        and text.isdigit()
+        and 0 < int(text) <= MAX_PORT
+    )
+
+
 def _check_address(_: object, attribute: t.Any, value: str) -> None:
     host, _separator, port = value.rpartition(":")
-    if not (host and port.isascii() and port.isdigit() and 0 < int(port) < 65_536):
-        raise ValueError(f"{attribute.name} must be host:port, not {value[:40]!r}")
+    try:
+        # names are not looked up
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        host = ""
+    if not (host and _is_port(port)):
+        raise ValueError(f"{attribute.name} must be IP:port, not {value[:40]!r}")
 
 
 @attrs.frozen(slots=True)
