Treat a value that is nested too deeply as malformed

What could be seen: a list of VMs, advice or a reply with arrays nested 1,000 levels deep ended the process's task that reads it, and again after each restart.

Cause: orjson decodes 1,024 levels, and formatting such a value by str() or repr() raises RecursionError, which was not among the errors that a malformed document raises; somewhat shallower ones became names.

--- a/src/onyxgap/exceptions.py
+++ b/src/onyxgap/exceptions.py
@@ -4,8 +4,16 @@
 
 import attrs
 
-MALFORMED_ERRORS = (LookupError, TypeError, ValueError, AttributeError, ArithmeticError)
-"""Errors that can be raised when a decoded document has an unexpected structure."""
+MALFORMED_ERRORS = (
+    LookupError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    ArithmeticError,
+    RecursionError,
+)
+"""Errors that can be raised when a decoded document has an unexpected structure.
+Formatting a deeply nested value raises ``RecursionError``."""
 
 
 class OnyxgapError(Exception):
--- a/src/onyxgap/platform/advice.py
+++ b/src/onyxgap/platform/advice.py
@@ -17,6 +17,13 @@
 """The service needs time to decide, and answers one call per node at a time."""
 
 
+def _decode_ticket(row: t.Sequence[t.Any]) -> tuple[str, str]:
+    worker_id, ticket = row[0], row[1]
+    if not isinstance(worker_id, str) or not isinstance(ticket, str | int):
+        raise TypeError("expected a worker ID and a ticket")
+    return worker_id, str(ticket)
+
+
 def decode_advice(answer: Answer) -> Advice | None:
     """Decode the tickets for the workers that may run a step.
 
@@ -27,7 +34,7 @@
     if answer.status != 200:
         return None
     try:
-        tickets = {str(row[0]): str(row[1]) for row in answer.read_list("good")}
+        tickets = dict(map(_decode_ticket, answer.read_list("good")))
         return Advice(tickets, float(answer.read_object()["valid_ms"]) / 1000)
     except MALFORMED_ERRORS:
         return None
--- a/src/onyxgap/platform/cloud.py
+++ b/src/onyxgap/platform/cloud.py
@@ -39,22 +39,30 @@
 }
 
 
+def _read_text(value: t.Any) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"expected a text, not {type(value).__name__}")
+    return value
+
+
 def decode_vm(raw: t.Mapping[str, t.Any]) -> Vm:
     """Decode a VM.
 
     :param raw: its entry in the platform's VM list.
+    :raises TypeError: if a field has another type.
+    :raises ValueError: if its state is not known, or a number out of bounds.
     """
     capacity = raw.get("capacity") or {}
     labels = raw.get("labels") or ()
     return Vm(
-        name=str(raw["machine"]),
-        pool=str(raw.get("pool", "")),
+        name=_read_text(raw["machine"]),
+        pool=_read_text(raw.get("pool", "")),
         state=VmState(raw.get("state", "down")),
-        zone=str(raw.get("zone", "")),
-        rack=str(labels[-1]) if labels else "",
+        zone=_read_text(raw.get("zone", "")),
+        rack=_read_text(labels[-1]) if labels else "",
         cpu=read_count(capacity.get("cpu", 0), MAX_AMOUNT),
         memory_mb=read_count(capacity.get("mem_mb", 0), MAX_AMOUNT),
-        worker_id=str(raw.get("id") or ""),
+        worker_id=_read_text(raw.get("id") or ""),
     )
 
 
@@ -69,8 +77,7 @@
     if answer.failure is not None:
         return VmReply.UNKNOWN
     if answer.status == 409:
-        reason = str(answer.read_object().get("reason", ""))
-        return _BY_REASON.get(reason, VmReply.UNKNOWN)
+        return _BY_REASON.get(answer.read_text("reason"), VmReply.UNKNOWN)
     return _BY_STATUS.get(answer.status, VmReply.UNKNOWN)
 
 
--- a/src/onyxgap/platform/http.py
+++ b/src/onyxgap/platform/http.py
@@ -66,6 +66,14 @@
         value = self.parse()
         return value if isinstance(value, dict) else {}
 
+    def read_text(self, name: str) -> str:
+        """Decode the JSON body and return a text; empty if the body has none.
+
+        :param name: key of the text.
+        """
+        value = self.read_object().get(name)
+        return value if isinstance(value, str) else ""
+
     def read_list(self, name: str) -> list[t.Any]:
         """Decode the JSON body and return a list that it must have.
 
--- a/src/onyxgap/platform/workers.py
+++ b/src/onyxgap/platform/workers.py
@@ -61,9 +61,8 @@
         return Reply(ReplyKind.NOT_SENT, None, answer.reason, answer.overdue_s)
     if answer.failure is not None:
         return Reply(ReplyKind.NO_ANSWER, None, answer.reason, answer.overdue_s)
-    body = answer.read_object()
-    reason = str(body.get("reason", ""))
-    clock_ms = _decode_clock(body.get("clock_ms"))
+    reason = answer.read_text("reason")
+    clock_ms = _decode_clock(answer.read_object().get("clock_ms"))
     if answer.status == 409:
         kind = _BY_REASON.get(reason, ReplyKind.NO_ANSWER)
     else:
