Let a successor use the VMs whose orders were answered

Cause: a controller stores the VMs that it has ordered about lately; since its successor takes each of them for one whose order got no answer and may be carried out up to 13 s late, and neither moves nor cordons it. In a burst these are a third of the fleet, nearly all with their answer.

Change: the row says which orders have no definite answer. It is stored with each order and, for answers alone, with the next renewal, so that it errs for those of the last 0.7 s only. The pause between two controllers stays. An order that was repeated after no answer, and rows of earlier versions, count as before.

--- a/src/onyxgap/daemons/fleet_controller.py
+++ b/src/onyxgap/daemons/fleet_controller.py
@@ -92,7 +92,7 @@
     work: WorkTimes = attrs.field(factory=WorkTimes)
     planner: FleetPlanner = attrs.field(init=False)
     _previous_row: FleetRow = attrs.field(factory=FleetRow)
-    _stored_row: bytes = b""
+    _stored_row: FleetRow | None = None
     _stored_forecast: bytes = b""
     _cordon_reporter: CordonReporter = attrs.field(factory=CordonReporter)
     _written_statuses: dict[int, bool] = attrs.field(factory=dict)
@@ -252,15 +252,15 @@
             # ended orders are removed with the renewal, which saves a write
             self.planner.forget_orders(self._now() - self._get_order_pause_s())
         row = self.planner.get_row(self._get_store_ms())
-        value = encode_fleet_row(row.omit_times())
         # every order, also a repeated one, is sent after a fenced write: a controller
         # that was suspended and has a successor must not send orders
-        changed = bool(orders) or value != self._stored_row
+        changed = bool(orders) or self._has_changed(row.omit_times())
         puts = {tables.get_fleet_row(): encode_fleet_row(row)} if changed else {}
         if not puts and not self.writer.is_renewal_due(self._now()):
             return
         started = self.clocks.read_boot()
-        self._stored_row = value
+        if changed:
+            self._stored_row = row.omit_times()
         try:
             await self._write_rows(puts)
         except WriteRefusedError as error:
@@ -273,6 +273,13 @@
         for order in orders:
             self._group.start_soon(self._send_order, order, started)
 
+    def _has_changed(self, row: FleetRow) -> bool:
+        """Tell whether the row has to be stored, with answers only at each renewal."""
+        stored = self._stored_row
+        if stored is None or self.writer.is_renewal_due(self._now()):
+            return row != stored
+        return row.omit_answers() != stored.omit_answers()
+
     async def _write_rows(self, puts: dict[RowId, bytes]) -> None:
         now = self._now()
         if self.writer.is_renewal_due(now):
--- a/src/onyxgap/pools/messages.py
+++ b/src/onyxgap/pools/messages.py
@@ -196,7 +196,10 @@
     :param done: VMs whose maintenance has started, by maintenance wave.
     :param due: workers of VMs whose maintenance is due but has not started.
     :param base: base size by pool: its VMs when the first fleet controller started.
-    :param ordered: VMs about which an order may still be in flight.
+    :param ordered: VMs that received an order lately.
+    :param unanswered: those about which an order may still be carried out, as no answer
+        has told its outcome; ``None`` in rows of earlier versions, where it may be any
+        VM in ``ordered``.
     :param startup_over: whether the start-up of the deployment is over.
     :param cordon_set_ms: milliseconds of the store's clock when each cordon was set, by
         worker, if that is known.
@@ -221,11 +224,20 @@
     epoch: int = 0
     listed_at_ms: int | None = None
     written_at_ms: int | None = None
+    unanswered: frozenset[str] | None = None
 
     def omit_times(self) -> "FleetRow":
         """Return the row without the times that change although nothing else does."""
         return attrs.evolve(self, listed_at_ms=None, written_at_ms=None)
 
+    def omit_answers(self) -> "FleetRow":
+        """Return the row without what changes with each answer to an order."""
+        return attrs.evolve(self, unanswered=None)
+
+    def list_late_orders(self) -> frozenset[str]:
+        """List the VMs about which an order may still be carried out."""
+        return self.ordered if self.unanswered is None else self.unanswered
+
 
 def encode_fleet_row(row: FleetRow) -> bytes:
     """Encode the state of the fleet controller for the store."""
@@ -244,6 +256,8 @@
         "listed_at_ms": row.listed_at_ms,
         "written_at_ms": row.written_at_ms,
     }
+    if row.unanswered is not None:
+        value["unanswered"] = sorted(row.unanswered)
     return orjson.dumps(value)
 
 
@@ -269,6 +283,7 @@
             raw.get("epoch", 0),
             raw.get("listed_at_ms"),
             raw.get("written_at_ms"),
+            frozenset(raw["unanswered"]) if "unanswered" in raw else None,
         )
     except MALFORMED_ERRORS as error:
         raise DocumentError([Fault("$", f"invalid fleet row: {error!r}")]) from None
--- a/src/onyxgap/pools/stored_state.py
+++ b/src/onyxgap/pools/stored_state.py
@@ -23,7 +23,8 @@
         The previous controller stored the name of each VM before it sent an order
         about that VM. Orders of two controllers about one VM must be at least
         ``pause_s`` apart, so these VMs receive no orders for that time. For all other
-        VMs, no previous order can be in flight.
+        VMs, no previous order can be in flight. An order whose outcome is known is not
+        carried out late.
 
         :param row: the stored state.
         :param now: monotonic seconds of the claim.
@@ -37,6 +38,7 @@
         for name in row.ordered:
             self._last_ordered_at[name] = now
             self._paused_until[name] = now + pause_s
+        for name in row.list_late_orders():
             self._unanswered_at[name] = now
         self.restore_maintained_vms(row)
 
@@ -77,8 +79,17 @@
             self.epoch,
             self.listed.store_ms if self.listed is not None else None,
             written_at_ms,
+            self._list_unanswered(),
         )
 
+    def _list_unanswered(self) -> frozenset[str]:
+        without_reply = {
+            name
+            for name, pending in self.pending_orders.items()
+            if pending.answered_at is None
+        }
+        return frozenset(without_reply | self._unanswered_at.keys())
+
     def _list_ordered_workers(self) -> frozenset[str]:
         return frozenset(
             vm.worker_id
--- a/tests/test_cordons.py
+++ b/tests/test_cordons.py
@@ -46,6 +46,7 @@
     "epoch",
     "listed_at_ms",
     "written_at_ms",
+    "unanswered",
 )
 ROW = FleetRow(
     {"w1": "upkeep#3.8", "w2": "move#3.7"},
@@ -56,6 +57,7 @@
     epoch=3,
     listed_at_ms=STORE_MS - 1500,
     written_at_ms=STORE_MS - 1000,
+    unanswered=frozenset({"vm-1"}),
 )
 
 
