--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -91,6 +91,7 @@
             "seed": seed,
             "accepted": result.account.accepted,
             "in_time": result.account.in_time,
+            "lowest_share_in_time": round(result.account.lowest_share, 3),
             "platform_lag_s": round(result.platform.highest_lag_s, 3),
             "platform_late_s": round(result.platform.late_s, 3),
             "platform_was_late": result.platform.is_excessive(),
--- a/src/onyxgap/standins/emulator/account.py
+++ b/src/onyxgap/standins/emulator/account.py
@@ -1,6 +1,7 @@
 """What callers got on a finished day, and what it took."""
 
 import collections
+import typing as t
 
 import attrs
 
@@ -10,6 +11,23 @@
 from .checks import group_runs
 
 
+@attrs.frozen
+class QueueAccount:
+    """What the callers of one queue got.
+
+    :param in_time: jobs that ended within their objective.
+    :param owed: jobs that were accepted and not cancelled.
+    """
+
+    in_time: int = 0
+    owed: int = 0
+
+    @property
+    def share(self) -> float:
+        """Share of the jobs owed that ended in time, 1 if none were owed."""
+        return self.in_time / self.owed if self.owed else 1.0
+
+
 @attrs.frozen
 class Account:
     """What callers got.
@@ -27,6 +45,7 @@
     :param moves: moves of VMs.
     :param store_calls: calls to the store.
     :param crash_starts: most starts of a task that crashes its workers.
+    :param queues: what callers got, by queue.
     """
 
     accepted: int
@@ -42,6 +61,12 @@
     moves: int
     store_calls: int
     crash_starts: int = 0
+    queues: t.Mapping[str, QueueAccount] = attrs.field(factory=dict)
+
+    @property
+    def lowest_share(self) -> float:
+        """Share of jobs in time of the queue that was served worst."""
+        return min((queue.share for queue in self.queues.values()), default=1.0)
 
 
 def settle_account(evidence: Evidence, vm_s: float, store_calls: int) -> Account:
@@ -86,9 +111,30 @@
         moves=moves,
         store_calls=store_calls,
         crash_starts=count_crash_starts(evidence),
+        queues=settle_queues(evidence),
     )
 
 
+def settle_queues(evidence: Evidence) -> dict[str, QueueAccount]:
+    """Sum up what callers got by queue; serving and scheduled jobs do not count.
+
+    :param evidence: what happened.
+    """
+    owed: collections.Counter[str] = collections.Counter()
+    in_time: collections.Counter[str] = collections.Counter()
+    for notes in evidence.callers.jobs.values():
+        if notes.submission.steps[0].long_running or notes.is_scheduled():
+            continue
+        if notes.accepted_at is None or notes.cancelled_at is not None:
+            continue
+        queue = notes.submission.policy.queue
+        final_at = notes.find_final_at()
+        owed[queue] += 1
+        if final_at is not None:
+            in_time[queue] += final_at - notes.sent_at <= notes.objective_s
+    return {queue: QueueAccount(in_time[queue], owed[queue]) for queue in owed}
+
+
 def count_crash_starts(evidence: Evidence) -> int:
     """Count the starts of the task that crashed its workers most often."""
     return max(
--- a/tests/test_chance_arrivals.py
+++ b/tests/test_chance_arrivals.py
@@ -63,8 +63,10 @@
         script, loads=[load for load in script.loads if not is_short(load)]
     )
     assert len(steady.loads) == len(script.loads) - 1
-    late = play(script, seed).account.late
-    assert late <= 1.25 * play(steady, seed).account.late
+    account = play(script, seed).account
+    assert account.late <= 1.25 * play(steady, seed).account.late
+    assert sum(queue.owed for queue in account.queues.values()) == account.accepted
+    assert account.lowest_share == account.queues["queue-ring"].share
 
 
 def is_short(load: LoadLine) -> bool:
