Let a pool outgrow its base as soon as its burst begins

Cause: a burst is noticed 0.4 s after its first job, but asks for VMs only by the load of the last whole second, which is below the pool's base size for two seconds more. The VMs that other pools gave up at 0.4 s went to the spare pool and were moved again at 2.3 s; none served before 4.5 s.

Change: while a burst begins, for 2 s, its pool wants twice its base size, of VMs that nobody needs; its measured load decides from then on. A burst is not assumed before the base sizes are known.

--- a/src/onyxgap/pools/sizing.py
+++ b/src/onyxgap/pools/sizing.py
@@ -26,6 +26,12 @@
 """Fraction of its base size that a pool keeps while other pools have had a burst and it
 has not. The start of its first burst is unknown, and a smaller pool would be full
 before more VMs arrive."""
+BURST_SIZE = 2.0
+"""Multiple of its base size that a pool keeps or gets, if nobody needs the VMs, while
+a burst begins: a burst asks for more than its pool holds."""
+BURST_RISE_S = 2.0
+"""Time from the start of a burst until the load of its first second is measured and the
+VMs that follow from it are on their way."""
 EXPECTED_LOAD_GROWTH = 1.5
 """Multiple of its base size up to which a pool grows with the expected offered load.
 Beyond that, it grows only with the lower bound of the offered load and with queued and
@@ -107,11 +113,10 @@
             self._observe_arrivals(shard, 0, now)
 
     def _observe_arrivals(self, shard: str, jobs: int, now: float) -> None:
-        load = self.load.get_load_lower_bound(shard, now)
-        self.forecast.observe(shard, now, jobs, load / self._get_base_size(shard))
-
-    def _get_base_size(self, shard: str) -> int:
-        return max(self._base.get(shard, MIN_VMS), 1)
+        base = self._base.get(shard, 0)
+        # without a base size there is nothing that a burst could be compared with
+        load = self.load.get_load_lower_bound(shard, now) / base if base else 0.0
+        self.forecast.observe(shard, now, jobs, load)
 
     def list_busy(self) -> frozenset[str]:
         """List the pools that are in a burst."""
@@ -176,8 +181,17 @@
             return MIN_VMS
         if self.forecast.awaits_first_burst(shard):
             return max(MIN_VMS, math.ceil(base * BEFORE_FIRST_BURST_SHARE))
+        if self._is_burst_rising(shard, now):
+            return math.ceil(base * BURST_SIZE)
         return base
 
+    def _is_burst_rising(self, shard: str, now: float) -> bool:
+        """Tell whether a burst of a shard has begun, but is not measured yet."""
+        arrivals = self.forecast.shards.get(shard)
+        if arrivals is None or not arrivals.busy:
+            return False
+        return now - arrivals.starts[-1] < BURST_RISE_S
+
     def _is_between_bursts(self, shard: str, now: float) -> bool:
         """Tell whether a shard's burst is over and the next one is not imminent."""
         arrivals = self.forecast.shards.get(shard)
