--- a/tests/test_lives.py
+++ b/tests/test_lives.py
@@ -326,7 +326,7 @@
 
 @pytest.mark.parametrize("born", ["17", 1.5, True, None, [], {}])
 def test_start_time_of_another_type_is_rejected(born: object) -> None:
-    value = {"service": "s", "address": "w:1", "clock_ms": 1, "born": born}
+    value = {"service": "s", "address": "10.0.0.1:1", "clock_ms": 1, "born": born}
     with pytest.raises(DocumentError):
         registry.decode_worker("w1", orjson.dumps(value))
     body = orjson.dumps({"clock_ms": 1, "born": born})
@@ -334,7 +334,12 @@
 
 
 def test_start_time_is_decoded() -> None:
-    value = {"service": "s", "address": "w:1", "clock_ms": 1, "born": FIRST_START_MS}
+    value = {
+        "service": "s",
+        "address": "10.0.0.1:1",
+        "clock_ms": 1,
+        "born": FIRST_START_MS,
+    }
     assert registry.decode_worker("w1", orjson.dumps(value)).born == FIRST_START_MS
     read = decode_report(
         Answer(200, orjson.dumps({"clock_ms": 1, "born": FIRST_START_MS}))
