Outgrow the base size only by a load that will exceed it

A burst that begins now gets the VMs only if the work so far, over the time since its start, comes to three quarters of the base size.

--- a/src/onyxgap/pools/sizing.py
+++ b/src/onyxgap/pools/sizing.py
@@ -13,6 +13,7 @@
 from .allocation import allocate_vms
 from .bursts import BurstForecast
 from .messages import PoolReport
+from .offered import WINDOW_S
 from .offered import OfferedLoad
 
 HEADROOM = 1.1
@@ -27,8 +28,14 @@
 has not. The start of its first burst is unknown, and a smaller pool would be full
 before more VMs arrive."""
 BURST_SIZE = 2.0
-"""Multiple of its base size that a pool keeps or gets, if nobody needs the VMs, while
-a burst begins: a burst asks for more than its pool holds."""
+"""Multiple of its base size that a pool gets, of VMs that nobody needs, while a burst
+begins that will outgrow it."""
+OUTGROWN_LOAD = 0.75
+"""Least load, as a fraction of the base size, by which a burst that begins will outgrow
+its pool: the rate of arrivals still rises then."""
+MIN_RISE_S = 0.3
+"""Least time over which the work of a burst that begins is averaged; about the interval
+of reports."""
 BURST_RISE_S = 2.0
 """Time from the start of a burst until the load of its first second is measured and the
 VMs that follow from it are on their way."""
@@ -90,6 +97,7 @@
     _recent_needed: RecentCounts = attrs.field(factory=dict)
     _recent_late: RecentCounts = attrs.field(factory=dict)
     _recent_redundant: RecentCounts = attrs.field(factory=dict)
+    _outgrown_until: dict[str, float] = attrs.field(factory=dict)
 
     def observe(self, report: PoolReport, now: float) -> None:
         """Record the report of a shard.
@@ -181,16 +189,27 @@
             return MIN_VMS
         if self.forecast.awaits_first_burst(shard):
             return max(MIN_VMS, math.ceil(base * BEFORE_FIRST_BURST_SHARE))
-        if self._is_burst_rising(shard, now):
+        if self._outgrows_base(shard, base, now):
             return math.ceil(base * BURST_SIZE)
         return base
 
-    def _is_burst_rising(self, shard: str, now: float) -> bool:
-        """Tell whether a burst of a shard has begun, but is not measured yet."""
+    def _outgrows_base(self, shard: str, base: int, now: float) -> bool:
+        """Tell whether a burst has begun that will outgrow its pool's base size.
+
+        The load of a whole second shows that too late. Once told, it is told until the
+        load is measured, so that VMs do not come and go.
+        """
         arrivals = self.forecast.shards.get(shard)
         if arrivals is None or not arrivals.busy:
             return False
-        return now - arrivals.starts[-1] < BURST_RISE_S
+        rising_s = now - arrivals.starts[-1]
+        if rising_s >= BURST_RISE_S:
+            return False
+        work = self.load.get_load_lower_bound(shard, now)
+        load = work / min(max(rising_s, MIN_RISE_S), WINDOW_S)
+        if load >= OUTGROWN_LOAD * base:
+            self._outgrown_until[shard] = arrivals.starts[-1] + BURST_RISE_S
+        return now < self._outgrown_until.get(shard, 0.0)
 
     def _is_between_bursts(self, shard: str, now: float) -> bool:
         """Tell whether a shard's burst is over and the next one is not imminent."""
