Test that answers alone are stored with the next renewal; read finite jobs once

The account of the emulator listed the jobs that have one end in two places. Names of the port's bounds are private. No change of what a node does.

--- a/src/onyxgap/platform/registry.py
+++ b/src/onyxgap/platform/registry.py
@@ -41,8 +41,8 @@
 _CAP_FIELDS = ("cpu", "mem_mb", "gpu")
 
 
-MAX_PORT = 65_535
-_MAX_PORT_DIGITS = len(str(MAX_PORT))
+_MAX_PORT = 65_535
+_MAX_PORT_DIGITS = len(str(_MAX_PORT))
 
 
 def _is_port(text: str) -> bool:
@@ -51,7 +51,7 @@
         0 < len(text) <= _MAX_PORT_DIGITS
         and text.isascii()
         and text.isdigit()
-        and 0 < int(text) <= MAX_PORT
+        and 0 < int(text) <= _MAX_PORT
     )
 
 
--- a/src/onyxgap/standins/emulator/account.py
+++ b/src/onyxgap/standins/emulator/account.py
@@ -9,6 +9,7 @@
 from ...pools.messages import VmActionKind
 from .checks import Evidence
 from .checks import group_runs
+from .job_notes import JobNotes
 
 
 @attrs.frozen
@@ -69,6 +70,15 @@
         return min((queue.share for queue in self.queues.values()), default=1.0)
 
 
+def _list_finite_jobs(evidence: Evidence) -> list[JobNotes]:
+    """List the jobs that have one end: neither serving nor scheduled ones."""
+    return [
+        notes
+        for notes in evidence.callers.jobs.values()
+        if not notes.submission.steps[0].long_running and not notes.is_scheduled()
+    ]
+
+
 def settle_account(evidence: Evidence, vm_s: float, store_calls: int) -> Account:
     """Sum up what callers got and what it took.
 
@@ -77,9 +87,7 @@
     :param store_calls: calls to the store.
     """
     counts: collections.Counter[str] = collections.Counter()
-    for notes in evidence.callers.jobs.values():
-        if notes.submission.steps[0].long_running or notes.is_scheduled():
-            continue
+    for notes in _list_finite_jobs(evidence):
         counts["accepted" if notes.accepted_at is not None else "refused"] += 1
         counts["tries"] += len(notes.outcomes)
         accepted = notes.outcomes.count(SubmitOutcome.ACCEPTED)
@@ -122,9 +130,7 @@
     """
     owed: collections.Counter[str] = collections.Counter()
     in_time: collections.Counter[str] = collections.Counter()
-    for notes in evidence.callers.jobs.values():
-        if notes.submission.steps[0].long_running or notes.is_scheduled():
-            continue
+    for notes in _list_finite_jobs(evidence):
         if notes.accepted_at is None or notes.cancelled_at is not None:
             continue
         queue = notes.submission.policy.queue
--- a/tests/test_fleet_takeover.py
+++ b/tests/test_fleet_takeover.py
@@ -1,8 +1,15 @@
 """What a fleet controller may do with the VMs that its predecessor ordered about."""
 
+import typing as t
+
 import attrs
 import pytest
 
+from onyxgap.daemons.fence import FencedWriter
+from onyxgap.daemons.fleet_controller import FleetController
+from onyxgap.jobs import tables
+from onyxgap.jobs.store import RowId
+from onyxgap.pools.messages import FleetRow
 from onyxgap.pools.messages import Vm
 from onyxgap.pools.messages import VmActionKind
 from onyxgap.pools.messages import VmReply
@@ -11,6 +18,10 @@
 from onyxgap.pools.messages import encode_fleet_row
 from onyxgap.pools.order_outcomes import LATE_ORDER_S
 from onyxgap.pools.planner import FleetPlanner
+from onyxgap.standins.emulator.store import EmulatedStore
+from tests.test_node_parts import ScriptedStore
+from tests.test_node_parts import build_fleet_controller
+from tests.test_node_parts import run_with_store
 from tests.test_pools import build_report
 
 PAUSE_S = 3.7
@@ -99,3 +110,33 @@
     answer_order(planner, VmReply.DONE)
     waited_s = find_cordon_time(take_over(planner))
     assert waited_s == pytest.approx(LATE_ORDER_S, abs=0.15)
+
+
+def test_answers_alone_are_stored_with_the_next_renewal(
+    planner: FleetPlanner, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    written: list[FleetRow] = []
+    due = False
+
+    async def write_rows(self: FleetController, puts: dict[RowId, bytes]) -> None:
+        if tables.get_fleet_row() in puts:
+            written.append(decode_fleet_row(puts[tables.get_fleet_row()]))
+
+    monkeypatch.setattr(FleetController, "_write_rows", write_rows)
+    monkeypatch.setattr(FencedWriter, "is_renewal_due", lambda self, now: due)
+
+    async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
+        nonlocal due
+        controller = build_fleet_controller(scripted, store)
+        controller.planner = planner
+        controller._group = t.cast(t.Any, object())
+        await controller._store_and_send([])
+        answer_order(planner, VmReply.DONE)
+        await controller._store_and_send([])
+        assert [row.unanswered for row in written] == [{"z0"}]
+        due = True
+        await controller._store_and_send([])
+        await controller._store_and_send([])
+        assert [row.unanswered for row in written] == [{"z0"}, frozenset()]
+
+    run_with_store(test)
