Log when a process reaches each step of its start

Nothing told how long a node takes from the start of its process to its first claim, its first pass and its first task: the first line of the log comes once all modules are imported.

Each step is logged once, with seconds and processor time since the start of the process, is a metric, and the soak prints the slowest.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -99,6 +99,7 @@
             "platform_wait_s": round(result.platform.wait_s, 3),
             "node_lag_s": round(result.node_lag_s, 3),
             "nodes_started_s": round(result.nodes_started_s, 3),
+            "slowest_steps_s": result.slowest_steps,
             "faults": faults,
             "breaches": [f"{item.rule}: {item.detail}" for item in result.breaches],
         }
--- a/bench/soak/day.py
+++ b/bench/soak/day.py
@@ -5,6 +5,7 @@
 import pathlib
 import random
 import time
+import typing as t
 
 import anyio
 import anyio.abc
@@ -25,6 +26,7 @@
 from .lags import PlatformLoad
 from .lags import read_last_start
 from .lags import read_node_lag
+from .lags import read_slowest_steps
 from .malformed import list_malformed_registrations
 from .processes import ProcessSlot
 
@@ -39,11 +41,14 @@
     :param platform: how late and how busy the platform's process was.
     :param node_lag_s: highest lag of a node's event loop that the nodes have logged.
     :param nodes_started_s: when the last node had started.
+    :param slowest_steps: longest time from the start of a process to each step of its
+        start, in seconds.
     """
 
     platform: PlatformLoad = PlatformLoad()
     node_lag_s: float = 0.0
     nodes_started_s: float = 0.0
+    slowest_steps: t.Mapping[str, float] = attrs.field(factory=dict)
 
 
 class LoopFromZero(asyncio.SelectorEventLoop):
@@ -139,6 +144,7 @@
             load,
             read_node_lag(self.folder),
             read_last_start(self.folder, self.callers.wall_start_s),
+            read_slowest_steps(self.folder),
         )
 
 
--- a/bench/soak/lags.py
+++ b/bench/soak/lags.py
@@ -17,6 +17,8 @@
 """Event of the log lines of nodes whose event loop is late."""
 START_EVENT = "start"
 """Event of the log line that a node writes first."""
+STEP_EVENT = "start step reached"
+"""Event of the log lines of what a process reaches after its start."""
 ALLOWED_LAG_S = 0.3
 """Lag of the platform from which nodes give up calls that it would have answered."""
 SCHEDULER_STATISTICS = pathlib.Path("/proc/self/schedstat")
@@ -122,6 +124,19 @@
     return max((line.fields["lag_s"] for line in lines), default=0.0)
 
 
+def read_slowest_steps(folder: pathlib.Path) -> dict[str, float]:
+    """Read the longest time from the start of a process to each step of its start.
+
+    :param folder: folder with the logs of the nodes.
+    :returns: seconds by step.
+    """
+    slowest: dict[str, float] = {}
+    for line in _read_lines(folder, STEP_EVENT):
+        step, seconds = line.fields["step"], line.fields["since_start_s"]
+        slowest[step] = max(seconds, slowest.get(step, 0.0))
+    return slowest
+
+
 def read_last_start(folder: pathlib.Path, wall_start_s: float) -> float:
     """Read when the last of the nodes had started, each for the first time.
 
--- a/src/onyxgap/clocks.py
+++ b/src/onyxgap/clocks.py
@@ -1,5 +1,7 @@
 """Monotonic, wall and boot clocks of a process, as an object that tests can replace."""
 
+import os
+import pathlib
 import time
 import typing as t
 
@@ -22,6 +24,13 @@
         """Read monotonic seconds that also count while the VM is suspended."""
 
 
+PROCESS_STATUS = pathlib.Path("/proc/self/stat")
+"""What the operating system knows of this process, on Linux."""
+START_FIELD = 19
+"""Position of the start of the process, in clock ticks of the boot clock, among the
+fields after its name."""
+
+
 class SystemClocks:
     """Reads the clocks of the event loop and the operating system."""
 
@@ -36,3 +45,15 @@
     def read_boot(self) -> float:
         """Read monotonic seconds that also count while the VM is suspended."""
         return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def read_process_start() -> float:
+    """Read when this process started, before it imported anything.
+
+    :returns: seconds of the boot clock; the current ones if the system does not tell.
+    """
+    try:
+        fields = PROCESS_STATUS.read_text().rpartition(")")[2].split()
+        return int(fields[START_FIELD]) / os.sysconf("SC_CLK_TCK")
+    except (OSError, LookupError, ValueError):
+        return SystemClocks().read_boot()
--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -28,6 +28,7 @@
 from .owner import ShardOwner
 from .owner_workers import OwnerContext
 from .rows import decode_rows
+from .start_times import StartStep
 from .unowned_shards import ClaimProgress
 from .vm_watch import VmWatch
 
@@ -112,10 +113,17 @@
         self._group.start_soon(follower.run)
         while True:
             await anyio.sleep(CLAIM_CHECK_S)
+            self._note_start_steps(follower)
             if self.routes.configuration is not None and not self._stopping:
                 self._claim_next_shard(follower)
             self._report_unowned_shards(follower)
 
+    def _note_start_steps(self, follower: Follower) -> None:
+        if self.registration.registered:
+            self.start_times.note(StartStep.REGISTERED)
+        if follower.after:
+            self.start_times.note(StartStep.OWNERS)
+
     def _report_unowned_shards(self, follower: Follower) -> None:
         now = self.clocks.read_monotonic()
         if not self.unowned_shards.is_due(now):
@@ -303,6 +311,7 @@
         assert self._group is not None
         shard, row = claim.shard, claim.row
         _LOG.info("shard claimed", shard=shard, epoch=row.epoch, version=claim.version)
+        self.start_times.note(StartStep.CLAIM)
         writer = FencedWriter(
             shard,
             row,
@@ -353,6 +362,7 @@
             self.job_api.decoder,
             self.settings.store_limits,
             self.work_meter,
+            self.start_times,
         )
         former_grants = self.former_owners.bound(shard, claim.previous)
         owner = ShardOwner(writer, context, former_grants)
--- a/src/onyxgap/daemons/node_base.py
+++ b/src/onyxgap/daemons/node_base.py
@@ -47,6 +47,8 @@
 from .queue_moves import QueueMoves
 from .rows import SkippedRows
 from .rows import decode_rows
+from .start_times import StartStep
+from .start_times import StartTimes
 from .unowned_shards import UnownedShardReporter
 from .work_meter import NoWorkMeter
 from .work_meter import WorkMeter
@@ -117,6 +119,7 @@
     :param registration: registration of this node as a member.
     :param former_owners: knows which former owners of its shards have ended.
     :param unowned_shards: logs the shards without a live owner.
+    :param start_times: times from the start of the process to its first decisions.
     """
 
     settings: NodeSettings
@@ -151,6 +154,7 @@
     registration: MemberRegistration = attrs.field(init=False)
     former_owners: FormerOwners = attrs.field(init=False)
     unowned_shards: UnownedShardReporter = attrs.field(factory=UnownedShardReporter)
+    start_times: StartTimes = attrs.field()
     _store_reachable_since: float | None = None
     _store_answered_at: float = 0.0
     _owners_read_at: float = math.inf
@@ -159,6 +163,10 @@
     _group: anyio.abc.TaskGroup | None = None
     _stopping: bool = False
 
+    @start_times.default
+    def _build_start_times(self) -> StartTimes:
+        return StartTimes(self.clocks)
+
     def __attrs_post_init__(self) -> None:
         self.lag = LoopLag(self.clocks)
         self.health.read_lag = lambda: self.lag.seconds
@@ -252,6 +260,7 @@
     def _apply_configuration(
         self, row: StoredRow, configuration: Configuration
     ) -> None:
+        self.start_times.note(StartStep.CONFIGURATION)
         if self.routes.adopt(configuration):
             _LOG.info(
                 "configuration in force",
--- a/src/onyxgap/daemons/node_process.py
+++ b/src/onyxgap/daemons/node_process.py
@@ -1,8 +1,10 @@
 """Process of a node on the users' platform: listeners, signals, metrics, shutdown."""
 
+import functools
 import os
 import random
 import signal
+import typing as t
 
 import anyio
 import structlog
@@ -11,6 +13,7 @@
 from ..adapters.http_server import HttpServer
 from ..adapters.notice_link import DatagramPeers
 from ..clocks import SystemClocks
+from ..clocks import read_process_start
 from ..exceptions import DocumentError
 from ..jobs.health import MonitoredStore
 from ..jobs.health import StoreHealth
@@ -33,6 +36,8 @@
 from ..settings import Address
 from .node import Node
 from .node_base import Decoders
+from .start_times import StartStep
+from .start_times import StartTimes
 
 BALANCER_DRAIN_S = 2.5
 """Time from the release of the shards to the closing of the callers' listener. The load
@@ -107,9 +112,18 @@
         peers=_build_peers(settings),
         calls=_build_call_link(settings),
         memory_mb=_read_memory_mb(),
+        start_times=StartTimes(clocks, read_process_start()),
     )
 
 
+def _list_start_gauges(times: StartTimes) -> dict[str, t.Callable[[], float]]:
+    """List the seconds from the start of the process to each step, -1 before it."""
+    return {
+        f"start_{step.name.lower()}_seconds": functools.partial(times.get_seconds, step)
+        for step in StartStep
+    }
+
+
 def build_metrics(node: Node, lines: BoundedLogWriter) -> Metrics:
     """Build the metrics of a node, and have its job API count answers in them.
 
@@ -118,6 +132,7 @@
     """
     metrics = Metrics(
         gauges={
+            **_list_start_gauges(node.start_times),
             "shards_owned": lambda: len(node.owners),
             "shards_failed": lambda: node.shards_failed,
             "rows_skipped": node.skipped.total,
@@ -184,6 +199,7 @@
     node = build_node(settings)
     render_metrics = build_metrics(node, lines).render
     _LOG.info("start", boot=node.boot, zone=settings.zone, store=settings.store)
+    node.start_times.note(StartStep.MODULES)
     caller_app = JobApiApp(node.served_api)
     caller_server = HttpServer(caller_app, settings.front, CLOSE_TIMEOUT_S)
     probe_app = ProbeApp(node.served_api, render_metrics)
@@ -193,7 +209,7 @@
     ) as signals:
         async with anyio.create_task_group() as group:
             group.start_soon(probe_server.run)
-            group.start_soon(caller_server.run)
+            group.start_soon(_serve_callers, caller_server, node.start_times)
             if metrics_port:
                 address = Address(settings.ready.host, metrics_port)
                 group.start_soon(HttpServer(probe_app, address, CLOSE_TIMEOUT_S).run)
@@ -208,6 +224,12 @@
     return 0
 
 
+async def _serve_callers(server: HttpServer, times: StartTimes) -> None:
+    async with anyio.create_task_group() as group:
+        await group.start(server.run)
+        times.note(StartStep.LISTENING)
+
+
 def check_settings_file(path: str, settings: NodeSettings) -> None:
     """Read the settings file again; log whether it differs from the settings in use.
 
--- a/src/onyxgap/daemons/owner.py
+++ b/src/onyxgap/daemons/owner.py
@@ -26,6 +26,7 @@
 from .job_batches import EncodedJob
 from .job_batches import JobBatches
 from .owner_jobs import OwnerJobs
+from .start_times import StartStep
 from .work_times import WorkKind
 
 MAX_PASS_INTERVAL_S = 0.2
@@ -116,6 +117,7 @@
                 self.state.expire_workers(self._now())
                 self.state.report_doubtful_runs(self._now())
                 orders = self.state.plan(self._now(), self._wall_ms())
+            self.context.start_times.note(StartStep.PASS)
             self.context.work_meter.count_steps(self.state.ready_steps)
             if self.state.ticket_cache.wanted:
                 self._tickets_needed.set()
--- a/src/onyxgap/daemons/owner_jobs.py
+++ b/src/onyxgap/daemons/owner_jobs.py
@@ -29,6 +29,7 @@
 from .owner_workers import OwnerWorkers
 from .reading import read_partitions
 from .rows import decode_rows
+from .start_times import StartStep
 from .version_observer import VersionSource
 from .work_times import WorkKind
 
@@ -151,6 +152,7 @@
         )
         self.loaded = True
         self.loaded_at = self._now()
+        self.context.start_times.note(StartStep.LOADED)
         self._feed_watch.note_heard(self.loaded_at)
         _LOG.info(
             "shard loaded",
--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -46,6 +46,8 @@
 from .rows import SkippedRows
 from .rows import decode_rows
 from .share_keeper import ShareSynchronizer
+from .start_times import StartStep
+from .start_times import StartTimes
 from .submission_decoder import SubmissionDecoder
 from .work_meter import NoWorkMeter
 from .work_meter import WorkMeter
@@ -109,6 +111,7 @@
     :param submission_decoder: decodes stored submissions.
     :param store_limits: limits of the store on a write.
     :param work_meter: counts the work of scheduling passes and reports.
+    :param start_times: times from the start of the process to its first decisions.
     """
 
     store: Store
@@ -128,6 +131,11 @@
     submission_decoder: SubmissionDecoder = attrs.field(factory=SubmissionDecoder)
     store_limits: StoreLimits = StoreLimits()
     work_meter: WorkMeter = attrs.field(factory=NoWorkMeter)
+    start_times: StartTimes = attrs.field()
+
+    @start_times.default
+    def _build_start_times(self) -> StartTimes:
+        return StartTimes(self.clocks)
 
 
 @attrs.define(eq=False)
@@ -459,6 +467,7 @@
         if self._first_start_logged or reply.kind is not ReplyKind.DONE:
             return
         self._first_start_logged = True
+        self.context.start_times.note(StartStep.TASK)
         now = self._now()
         _LOG.info(
             "first task started",
