--- a/src/onyxgap/standins/emulator/day.py
+++ b/src/onyxgap/standins/emulator/day.py
@@ -43,6 +43,7 @@
 from .script import LoadLine
 from .script import Script
 from .slots import NodeSlot
+from .starting import StartHost
 from .store import EmulatedStore
 from .strangers import Strangers
 from .tenancy import Tenancy
@@ -95,6 +96,7 @@
     routes: RouteHistory = attrs.field(factory=RouteHistory)
     route_probes: RouteProbes = attrs.field(init=False)
     strangers: Strangers = attrs.field(init=False)
+    host: StartHost = attrs.field(init=False)
     slots: list[NodeSlot] = attrs.field(factory=list)
     waves: list[Wave] = attrs.field(factory=list)
     asked_at: dict[int, float] = attrs.field(factory=dict)
@@ -153,6 +155,11 @@
         self.network = EmulatedNetwork(group, random.Random(self.seed))
         tenants_rng = random.Random(f"tenants/{self.seed}")
         self.tenancy = Tenancy(self.script.tenants, tenants_rng)
+        self.host = StartHost(
+            self.script.start_cost_s,
+            self.script.host_cores,
+            random.Random(f"starts/{self.seed}"),
+        )
         self.callers = Callers(self._list_nodes, self.rng, self.tenancy, self.seed)
         self.count_callers = CountCallers(
             self._list_nodes, self.tenancy, random.Random(f"counts/{self.seed}")
--- a/src/onyxgap/standins/emulator/script.py
+++ b/src/onyxgap/standins/emulator/script.py
@@ -57,6 +57,9 @@
     A node, or with ``all`` each one, shares its core with busy processes: its work
     takes longer by the factor (``by``), and whenever it wakes up it waits for them.
 
+The start of a process takes no time but with ``start-cost``, the processor time that it
+takes; processes that start at once share ``host-cores`` processors.
+
 With ``deaf holder`` and ``deaf owner POOL`` one node hears nothing of changed rows; it
 counts as disturbed, as with ``deaf node``.
 """
@@ -244,6 +247,8 @@
     :param pass_cost_s: time of a core that each step of a scheduling pass or a report
         takes a node.
     :param contended: whether nodes weigh callers against each other.
+    :param start_cost_s: processor time that the start of a node's process takes.
+    :param host_cores: processors that all starting processes share.
     :param small: number of nodes on small VMs, the first ones.
     :param retention_s: time for which the state of an ended job must stay readable.
     :param row_bytes: largest row of the store.
@@ -255,6 +260,8 @@
     call_cost_s: float = 0.0
     cores: float = 1.0
     pass_cost_s: float = 0.0
+    start_cost_s: float = 0.0
+    host_cores: float = 8.0
     contended: bool = False
     small: int = 0
     retention_s: float = 120.0
@@ -434,6 +441,8 @@
     "call-cost": _read_number("call_cost_s", float),
     "cores": _read_number("cores", float),
     "pass-cost": _read_number("pass_cost_s", float),
+    "start-cost": _read_number("start_cost_s", float),
+    "host-cores": _read_number("host_cores", float),
     "contended": _contend,
     "small": _read_number("small", int),
     "retention": _read_number("retention_s", float),
--- a/src/onyxgap/standins/emulator/slots.py
+++ b/src/onyxgap/standins/emulator/slots.py
@@ -36,6 +36,7 @@
 from .route_history import RouteHistory
 from .rows import DECODERS
 from .script import Script
+from .starting import StartHost
 from .store import EmulatedStore
 from .store import EmulatedStoreClient
 from .workers import EmulatedWorkers
@@ -55,6 +56,7 @@
     cloud: EmulatedCloud
     network: EmulatedNetwork
     routes: RouteHistory
+    host: StartHost
     build_sizer: t.Callable[[], Sizer]
 
 
@@ -100,9 +102,19 @@
 
     async def run(self) -> None:
         """Run one process of the node until it is killed; none beside another."""
-        if self.node is not None:
+        if self.scope is not None:
             return
-        self.gate = self._build_gate()
+        with anyio.CancelScope() as scope:
+            self.scope = scope
+            await self.day.host.start()
+            self.gate = self._build_gate()
+            self.node = self._build_node()
+            self.day.routes.record_start(self.name)
+            await self._run_node(self.node)
+        if self.scope is scope:
+            self.scope = self.node = None
+
+    def _build_node(self) -> Node:
         day = self.day
         clocks: Clocks = EmulatedClocks()
         health = StoreHealth()
@@ -119,7 +131,7 @@
             limits=TimeLimits(status_s=day.script.retention_s),
             store_limits=StoreLimits(row_bytes=day.script.row_bytes),
         )
-        self.node = Node(
+        return Node(
             settings,
             MonitoredStore(client, health, clocks),
             health,
@@ -134,11 +146,6 @@
             memory_mb=self._get_memory_mb(),
             boot=f"{day.rng.getrandbits(48):012x}",
         )
-        day.routes.record_start(self.name)
-        with anyio.CancelScope() as scope:
-            self.scope = scope
-            await self._run_node(self.node)
-        self.node = None
 
     async def _run_node(self, node: Node) -> None:
         if self.gate.processor is None:
@@ -162,7 +169,7 @@
             self.gate.processor.end()
         if self.scope is not None:
             self.scope.cancel()
-        self.node = None
+        self.scope = self.node = None
 
     async def submit(
         self, route: Route, submission: Submission, key: str
