--- a/tests/test_start_cost.py
+++ b/tests/test_start_cost.py
@@ -31,6 +31,8 @@
 print("\\n".join(path for path in compiled if {folder!r} in path))
 """
 NODE_MODULE = "onyxgap.daemons.node_process"
+UNUSED_PACKAGES = {"prometheus_client", "wsgiref", "lark", "matplotlib", "hypothesis"}
+"""Packages that a node does not use before its first tasks have started."""
 
 
 def run_python(program: str, path: pathlib.Path, write_bytecode: bool) -> str:
@@ -72,3 +74,13 @@
         os.utime(path, (1_000_000_000, 1_000_000_000))
     program = LIST_COMPILED.format(module=module, folder=str(copy / folder))
     assert run_python(program, copy / folder, write_bytecode=False) == ""
+
+
+def test_start_of_a_node_imports_no_package_that_it_uses_later() -> None:
+    program = f"""
+import sys
+import onyxgap.cli.nodes, {NODE_MODULE}
+print("\\n".join({{name.partition(".")[0] for name in sys.modules}}))
+"""
+    imported = set(run_python(program, ROOT / "src", True).splitlines())
+    assert not imported & UNUSED_PACKAGES
