Search no imported module for garbage

While a node imports its modules, nine passes of the garbage collector in the second generation find nothing, as all that is made stays; later full passes search all of it again. The collector is off while the modules are imported, and what they made is left out of later passes.

--- a/src/onyxgap/cli/nodes.py
+++ b/src/onyxgap/cli/nodes.py
@@ -1,6 +1,7 @@
 """Commands that run a node, and experiments on the emulated platform."""
 
 import argparse
+import gc
 
 import anyio.to_thread
 
@@ -18,8 +19,12 @@
     :returns: the exit code.
     :raises DocumentError: if no settings file is given or it is invalid.
     """
+    # what is imported stays as long as the process: it is not searched for garbage
+    gc.disable()
     from ..daemons.node_process import run_node_process  # not needed by experiments
 
+    gc.freeze()
+    gc.enable()
     if not arguments.settings:
         raise DocumentError(
             [Fault("--settings", f"or {SETTINGS_PATH_VARIABLE} is required")]
