--- a/bench/soak/day.py
+++ b/bench/soak/day.py
@@ -18,6 +18,7 @@
 from onyxgap.standins.emulator.script import FaultLine
 from onyxgap.standins.emulator.script import Script
 
+from .bytecode import compile_package
 from .connection_faults import KINDS
 from .connection_faults import ConnectionFaults
 from .cores import CoreShare
@@ -164,6 +165,7 @@
     :param cores: processors of the nodes; without it all, beside nothing else.
     """
     cores = cores or CoreShare()
+    compile_package()
     day = SoakDay(script, seed, folder=folder, finish_s=finish_s, cores=cores)
     run = functools.partial(anyio.run, day.play, backend="asyncio")
     with cores.confine_soak():
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -33,6 +33,16 @@
 at 8 end worker ring for 60
 end 20
 """
+KILLED_DAY = """
+nodes 6
+pool ring vms 5
+spare 2
+serve ring tasks 4 cpu 5 memory 20 per-vm 1 may-miss 1
+load ring every 0.5 from 3 to 18 width 4 work 0.6 cpu 3.5
+at 8 kill all for 1
+at 18.5 kill all for 1
+end 22
+"""
 
 
 @pytest.fixture(autouse=True)
@@ -82,3 +92,12 @@
 ) -> None:
     result = play_soak(parse_script("deaths", DEATHS_DAY), 1, tmp_path)
     assert result.breaches == []
+
+
+def test_jobs_of_processes_go_on_after_all_processes_were_killed_at_once(
+    tmp_path: pathlib.Path,
+) -> None:
+    result = play_soak(parse_script("killed", KILLED_DAY), 1, tmp_path)
+    assert result.breaches == []
+    assert "first task started" in result.slowest_steps
+    assert result.account.in_time
--- a/tests/test_start_cost.py
+++ b/tests/test_start_cost.py
@@ -1,5 +1,6 @@
 """What the start of a node's process costs: many start at once on few processors."""
 
+import importlib.util
 import os
 import pathlib
 import re
@@ -10,6 +11,7 @@
 
 import pytest
 
+from bench.soak.bytecode import compile_package
 from tests.conftest import ROOT
 
 BUILD = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["build"]
@@ -30,6 +32,8 @@
 import onyxgap.cli.nodes, {module}
 print("\\n".join(path for path in compiled if {folder!r} in path))
 """
+CHECKED_HASH_FLAGS = bytes([3, 0, 0, 0])
+"""Flags in the header of bytecode that is checked by the hash of its source."""
 NODE_MODULE = "onyxgap.daemons.node_process"
 UNUSED_PACKAGES = {"prometheus_client", "wsgiref", "lark", "matplotlib", "hypothesis"}
 """Packages that a node does not use before its first tasks have started."""
@@ -84,3 +88,21 @@
 """
     imported = set(run_python(program, ROOT / "src", True).splitlines())
     assert not imported & UNUSED_PACKAGES
+
+
+def test_soak_leaves_bytecode_that_is_checked_by_the_hash_of_its_source(
+    tmp_path: pathlib.Path,
+) -> None:
+    source = tmp_path / "module.py"
+    source.write_text("VALUE = 1\n")
+    compile_package(tmp_path)
+    header = pathlib.Path(importlib.util.cache_from_source(str(source))).read_bytes()
+    assert header[4:8] == CHECKED_HASH_FLAGS
+
+
+def test_soak_does_not_play_a_package_that_cannot_be_compiled(
+    tmp_path: pathlib.Path,
+) -> None:
+    (tmp_path / "module.py").write_text("VALUE =\n")
+    with pytest.raises(RuntimeError):
+        compile_package(tmp_path)
--- /dev/null
+++ b/tests/test_starts_of_all_nodes.py
@@ -0,0 +1,60 @@
+"""How soon tasks start again after all nodes were killed and started at once."""
+
+import pytest
+
+from onyxgap.standins.emulator.faults import FaultyDay
+from onyxgap.standins.emulator.script import parse_script
+from onyxgap.standins.emulator.start_delays import StartDelay
+from onyxgap.standins.emulator.start_delays import measure_start_delays
+from onyxgap.standins.virtual import run_virtually
+
+CONTACT_S = 4.0
+"""Time from the start of its process until a node counts as in touch."""
+STANDSTILL_S = 3.0
+"""Time for which a job may have nothing running beside nodes in touch."""
+START_COST_S = 0.9
+"""Processor time of a start: with the bytecode of a build, processes need less."""
+FINISH_S = 8.0
+KILLED_S = 14.0
+AWAY_S = 1.0
+
+DAY = f"""
+pool ring vms 6 cores 16 memory 32
+pool herd vms 6 cores 16 memory 32
+spare 4
+serve ring tasks 4 cpu 5 memory 20 per-vm 1 may-miss 1
+serve herd tasks 4 cpu 5 memory 20 per-vm 1 may-miss 1
+load ring every 0.6 from 8 to 24 width 3 work 0.5 cpu 3 memory 4
+load herd every 0.6 from 8 to 24 width 3 work 0.5 cpu 3 memory 4
+turns 5
+start-cost {START_COST_S}
+at {KILLED_S} kill all for {AWAY_S}
+end 26
+"""
+
+
+def list_late_starts(nodes: int, cores: int, seed: int) -> list[StartDelay]:
+    """Play a day, and list the waits that end too late after the start of all nodes."""
+    text = f"nodes {nodes}\nhost-cores {cores}\n{DAY}"
+    script = parse_script("starts", text)
+
+    async def main() -> list[StartDelay]:
+        day = FaultyDay(script, seed, finish_s=FINISH_S)
+        await day.play()
+        evidence = day.collect_evidence()
+        started_s = KILLED_S + AWAY_S
+        return measure_start_delays(evidence, started_s, script.end_s + FINISH_S)
+
+    delays = run_virtually(main)
+    assert delays
+    return [item for item in delays if item.seconds >= CONTACT_S + STANDSTILL_S]
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize(
+    ("nodes", "cores"), [(4, 1), (9, 2), (20, 4), (43, 8)], ids=lambda count: str(count)
+)
+def test_jobs_run_again_soon_after_all_nodes_were_killed_and_started_at_once(
+    nodes: int, cores: int, seed: int
+) -> None:
+    assert list_late_starts(nodes, cores, seed) == []
