--- a/src/onyxgap/daemons/node.py
+++ b/src/onyxgap/daemons/node.py
@@ -26,7 +26,6 @@
 from .follower import Follower
 from .node_peers import NodePeers
 from .owner import ShardOwner
-from .owner_workers import OwnerContext
 from .rows import decode_rows
 from .start_times import StartStep
 from .unowned_shards import ClaimProgress
@@ -308,13 +307,22 @@
             await anyio.sleep(CLAIM_RETRY_S)
 
     def _start_owner(self, claim: _Claim) -> None:
-        assert self._group is not None
         shard, row = claim.shard, claim.row
         _LOG.info("shard claimed", shard=shard, epoch=row.epoch, version=claim.version)
         self.start_times.note(StartStep.CLAIM)
-        writer = FencedWriter(
-            shard,
-            row,
+        if shard == tables.FLEET_SHARD:
+            self.fleet_controller = self._build_fleet_controller(claim)
+            run = self.fleet_controller.run
+        else:
+            self.owners[shard] = self._build_shard_owner(claim)
+            run = self.owners[shard].run
+        assert self._group is not None
+        self._group.start_soon(self._run_owner, shard, row.epoch, run)
+
+    def _build_writer(self, claim: _Claim) -> FencedWriter:
+        return FencedWriter(
+            claim.shard,
+            claim.row,
             claim.version,
             claim.nonce,
             self.store,
@@ -322,53 +330,31 @@
             claim.grants,
             self.settings.store_limits.row_bytes,
         )
-        if shard == tables.FLEET_SHARD:
-            assert self.cloud is not None
-            fleet_controller = FleetController(
-                writer,
-                self.cloud,
-                self.store,
-                self.clocks,
-                self.settings.limits,
-                self.routes,
-                self.waves,
-                self.decoders.encode_wave_status,
-                self.rng,
-                sizer=self.build_sizer(),
-                skipped=self.skipped,
-                health=self.health,
-                work=self.lag.work,
-            )
-            self.fleet_controller = fleet_controller
-            self._group.start_soon(
-                self._run_owner, shard, row.epoch, fleet_controller.run
-            )
-            return
-        context = OwnerContext(
+
+    def _build_fleet_controller(self, claim: _Claim) -> FleetController:
+        assert self.cloud is not None
+        return FleetController(
+            self._build_writer(claim),
+            self.cloud,
             self.store,
-            self.workers,
             self.clocks,
-            self.health,
             self.settings.limits,
+            self.routes,
+            self.waves,
+            self.decoders.encode_wave_status,
             self.rng,
-            self.lag,
-            self.decoders.worker_table,
-            self.decoders.decode_worker,
-            self.routes.is_guarded,
-            self.routes if self.routes.keyed else None,
-            self.policy_client,
-            self.settings.contended,
-            self.skipped,
-            self.job_api.decoder,
-            self.settings.store_limits,
-            self.work_meter,
-            self.start_times,
+            sizer=self.build_sizer(),
+            skipped=self.skipped,
+            health=self.health,
+            work=self.lag.work,
         )
-        former_grants = self.former_owners.bound(shard, claim.previous)
+
+    def _build_shard_owner(self, claim: _Claim) -> ShardOwner:
+        former_grants = self.former_owners.bound(claim.shard, claim.previous)
+        writer, context = self._build_writer(claim), self._build_owner_context()
         owner = ShardOwner(writer, context, former_grants)
         owner.set_former_grants_end(self.former_owners.get_end_ms(former_grants))
-        self.owners[shard] = owner
-        self._group.start_soon(self._run_owner, shard, row.epoch, owner.run)
+        return owner
 
     async def _run_owner(
         self, shard: str, epoch: int, run: t.Callable[[], t.Awaitable[None]]
--- a/src/onyxgap/daemons/node_base.py
+++ b/src/onyxgap/daemons/node_base.py
@@ -43,6 +43,7 @@
 from .member_registration import MemberRegistration
 from .owner import ShardOwner
 from .owner_workers import DecodeWorker
+from .owner_workers import OwnerContext
 from .passing_desk import ForwardingJobApi
 from .queue_moves import QueueMoves
 from .rows import SkippedRows
@@ -224,6 +225,28 @@
             self.clocks, self.health, self.members, self.registration
         )
 
+    def _build_owner_context(self) -> OwnerContext:
+        return OwnerContext(
+            self.store,
+            self.workers,
+            self.clocks,
+            self.health,
+            self.settings.limits,
+            self.rng,
+            self.lag,
+            self.decoders.worker_table,
+            self.decoders.decode_worker,
+            self.routes.is_guarded,
+            self.routes if self.routes.keyed else None,
+            self.policy_client,
+            self.settings.contended,
+            self.skipped,
+            self.job_api.decoder,
+            self.settings.store_limits,
+            self.work_meter,
+            self.start_times,
+        )
+
     def _follow_operator(self) -> Follower:
         return Follower(
             self.store,
--- a/tests/test_work_times.py
+++ b/tests/test_work_times.py
@@ -9,7 +9,7 @@
 from onyxgap.clocks import SystemClocks
 from onyxgap.daemons.lag import REPORTED_LAG_S
 from onyxgap.daemons.lag import LoopLag
-from onyxgap.daemons.node_process import build_metrics
+from onyxgap.daemons.node_metrics import build_metrics
 from onyxgap.daemons.work_times import WorkKind
 from onyxgap.daemons.work_times import WorkSample
 from onyxgap.daemons.work_times import WorkTimes
