--- a/src/onyxgap/daemons/node_base.py
+++ b/src/onyxgap/daemons/node_base.py
@@ -166,7 +166,7 @@
 
     @start_times.default
     def _build_start_times(self) -> StartTimes:
-        return StartTimes(self.clocks)
+        return StartTimes(self.clocks, self.clocks.read_boot())
 
     def __attrs_post_init__(self) -> None:
         self.lag = LoopLag(self.clocks)
--- a/src/onyxgap/daemons/start_times.py
+++ b/src/onyxgap/daemons/start_times.py
@@ -37,14 +37,10 @@
     """
 
     clocks: Clocks
-    started_at: float = attrs.field()
+    started_at: float = 0.0
     read_processor: t.Callable[[], float] = time.process_time
     reached: dict[StartStep, float] = attrs.field(factory=dict)
 
-    @started_at.default
-    def _read_now(self) -> float:
-        return self.clocks.read_boot()
-
     def note(self, step: StartStep) -> None:
         """Record that a step was reached; only the first time counts.
 
