--- a/review/standin2/nodes.py
+++ b/review/standin2/nodes.py
@@ -87,6 +87,7 @@
     def __init__(self, name, host, zone, folder, record, bounds=()):
         self.name, self.host, self.zone = name, host, zone
         self.folder, self.record, self.bounds = folder, record, dict(bounds)
+        self.extra = {}
         self.process = None
         self.store_link = self.cloud_link = None
 
@@ -126,6 +127,7 @@
             **self.bounds,
         }
         values |= {f"bounds.{key}": value for key, value in bounds.items()}
+        values |= self.extra
         path = self.folder / f"{self.name}.conf"
         path.write_text("".join(f"{k}={v}\n" for k, v in values.items()))
         return path
--- a/review/standin2/platform_standin.py
+++ b/review/standin2/platform_standin.py
@@ -297,6 +297,8 @@
         used = sum(self.world.get_cpu(run.task) for run in self.runs.values())
         if used + self.world.get_cpu(key[0]) > self.machine.cpu:
             return 409, {"reason": "room"}
+        if not self.world.has_ticket(self, key[0], raw.get("ticket")):
+            return 409, {"reason": "ticket"}
         run = Run(*key, raw["spec"], int(raw["spec"].split()[0]) / 1000)
         self.runs[key] = run
         loop = asyncio.get_running_loop()
@@ -335,6 +337,9 @@
     def get_cpu(self, task):
         return self.jobs_cpu.get(task.split(".")[0], 1000)
 
+    def has_ticket(self, worker, task, ticket):
+        return True
+
     def note_start(self, worker, run):
         pass
 
