Log restarts of workers with what calls for the former incarnation carry

The logs did not tell the hypotheses on restarted workers apart: which lease and which number of ends a call for the former incarnation could bring to the next one, which incarnation a missing run was listed by, and whether a worker forgot ends that its owner has not seen. The last is counted, too (ends_unseen).

--- a/src/onyxgap/daemons/node_metrics.py
+++ b/src/onyxgap/daemons/node_metrics.py
@@ -40,6 +40,9 @@
             "runs_in_doubt": lambda: sum(
                 owner.state.count_doubtful_runs() for owner in node.owners.values()
             ),
+            "ends_unseen": lambda: sum(
+                owner.state.unseen_ends for owner in node.owners.values()
+            ),
             "cordons_in_force": lambda: (
                 len(node.fleet_controller.planner.cordons)
                 if node.fleet_controller is not None
--- a/src/onyxgap/jobs/placing.py
+++ b/src/onyxgap/jobs/placing.py
@@ -113,6 +113,7 @@
     :param heard_at: monotonic seconds of the last registration or report of this
         incarnation.
     :param former_entry: last registration with an earlier start time, or ``None``.
+    :param replaces_incarnation: whether this owner knew an earlier incarnation.
     :param answered_at: monotonic seconds when the last call that it answered was sent.
     :param missed_at: monotonic seconds when the first list of VMs that lacked it,
         although it answered, was requested.
@@ -162,6 +163,7 @@
     born: int = 0
     heard_at: float = 0.0
     former_entry: WorkerEntry | None = None
+    replaces_incarnation: bool = False
     answered_at: float = -math.inf
     missed_at: float = math.inf
     lapses: list[Lapse] = attrs.field(factory=list)
--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -65,7 +65,12 @@
 
 @attrs.define
 class ShardReports(ShardWorkers):
-    """Applies the reports and replies of one shard's workers."""
+    """Applies the reports and replies of one shard's workers.
+
+    :param unseen_ends: ends that workers forgot before they had reported them.
+    """
+
+    unseen_ends: int = 0
 
     def apply_report(
         self, worker_id: str, report: HoldReport, sent_at: float, now: float
@@ -100,6 +105,7 @@
         self._forget_lapses(record)
         self.departures.note_answer(worker_id)
         record.answered_at = max(record.answered_at, sent_at)
+        self._log_unseen_ends(record, report.ended)
         for end in report.ended:
             if end.sequence > record.processed_sequence:
                 record.processed_sequence = end.sequence
@@ -115,6 +121,30 @@
             self._release_missing_runs(record, listed | ended, sent_at)
         return True
 
+    def _log_unseen_ends(
+        self, record: WorkerRecord, ended: t.Sequence[EndedTask]
+    ) -> None:
+        """Log a gap in the sequence numbers of the ends that a worker reports.
+
+        A worker forgets the ends that are acknowledged, also if that was meant for its
+        former incarnation.
+        """
+        newest = record.processed_sequence
+        if not newest and not record.replaces_incarnation:
+            # former owners have acknowledged ends
+            return
+        unseen = [end.sequence for end in ended if end.sequence > newest]
+        if unseen and unseen[0] > newest + 1:
+            self.unseen_ends += unseen[0] - newest - 1
+            _LOG.warning(
+                "ends never reported",
+                worker=record.entry.worker_id,
+                service=self.service,
+                born=record.born,
+                after=newest,
+                before=unseen[0],
+            )
+
     def _apply_running(
         self, record: WorkerRecord, item: RunningTask, report: HoldReport, now: float
     ) -> None:
@@ -342,6 +372,8 @@
                         run=task.run,
                         worker=record.entry.worker_id,
                         phase=task.phase.name,
+                        born=record.born,
+                        listed_by=task.listed_by,
                     )
                     self._release(job, task)
 
--- a/src/onyxgap/jobs/shard_workers.py
+++ b/src/onyxgap/jobs/shard_workers.py
@@ -25,6 +25,7 @@
 from .placing import WorkerRecord
 from .shard_jobs import get_step_key
 from .shard_leases import ShardLeases
+from .workers import MS_PER_S
 from .workers import Reply
 from .workers import ReplyKind
 from .workers import StartOrder
@@ -200,11 +201,38 @@
         record = WorkerRecord(entry, previous.registered, WorkerClock(0.0, now))
         record.born = born
         record.heard_at = now
+        record.replaces_incarnation = True
         record.former_runs_until = now + FORMER_RUN_S
         self.workers[worker_id] = record
         for job, task, run in ordered:
             if not job.state.final:
                 self._bar(record, job, task, run)
+        self._log_restart(previous, record, now)
+
+    def _log_restart(
+        self, previous: WorkerRecord, record: WorkerRecord, now: float
+    ) -> None:
+        """Log a restart with what the calls for the former incarnation may tell.
+
+        Calls that are still under way carry its lease deadline and its sequence number
+        of ends.
+        """
+        lease_s = None
+        if previous.clock is not None:
+            lease_ms = previous.lease_ms - previous.clock.get_lower_bound(now)
+            lease_s = round(lease_ms / MS_PER_S, 3)
+        _LOG.info(
+            "worker restarted",
+            worker=record.entry.worker_id,
+            service=self.service,
+            epoch=self.epoch,
+            former_born=previous.born,
+            born=record.born,
+            former_lease_s=lease_s,
+            former_acknowledged=previous.acknowledged,
+            former_ended=previous.processed_sequence,
+            runs_ruled_out=record.count_present(),
+        )
 
     def _bar(self, record: WorkerRecord, job: Job, task: Task, run: int) -> None:
         # the deadline of the order is on the clock of the previous incarnation
