--- /dev/null
+++ b/tests/test_former_incarnation_calls.py
@@ -0,0 +1,180 @@
+"""Calls that were meant for the former incarnation of a worker and reach the next one.
+
+Deadlines and sequence numbers of ends belong to one incarnation. On the next one, an
+old deadline grants the longest lease, and an old number acknowledges ends unseen.
+"""
+
+import typing as t
+
+import anyio
+import anyio.abc
+import attrs
+import orjson
+import pytest
+
+from onyxgap.jobs.job import Job
+from onyxgap.jobs.job import TaskPhase
+from onyxgap.jobs.leases import FormerGrants
+from onyxgap.jobs.messages import Step
+from onyxgap.jobs.messages import WorkerState
+from onyxgap.jobs.ownership import OwnerView
+from onyxgap.jobs.shard import Shard
+from onyxgap.jobs.shard_leases import UNHEARD_LEASE_S
+from onyxgap.jobs.workers import MAX_CLOCK_DRIFT
+from onyxgap.jobs.workers import HoldOrder
+from onyxgap.jobs.workers import HoldReport
+from onyxgap.jobs.workers import Reply
+from onyxgap.jobs.workers import ReplyKind
+from onyxgap.platform.workers import PlatformWorkerClient
+from tests.test_shard import ENTRY
+from tests.test_shard import WALL_MS
+from tests.test_shard import ShardHarness
+
+FIRST_START_MS, SECOND_START_MS = 1_700_000_000_000, 1_700_000_007_000
+LATEST_CALL_S = 12.0
+"""Delay of the latest call that a worker carries out, as published by the platform."""
+LONGEST_LEASE_S = 10.0
+LONG = Step(1, cpu=1000, memory_mb=100, estimate_ms=6_000)
+
+
+@pytest.fixture
+def harness() -> ShardHarness:
+    shard = Shard("s", epoch=3, claimed_at=50.0, max_lease_s=LONGEST_LEASE_S)
+    harness = ShardHarness(shard)
+    harness.add_worker("w1", born=FIRST_START_MS)
+    harness.add_worker("w2", born=FIRST_START_MS, state=WorkerState.DRAINING)
+    return harness
+
+
+def restart(harness: ShardHarness) -> None:
+    """Have the owner learn of the next incarnation, and hold it."""
+    entry = attrs.evolve(ENTRY, born=SECOND_START_MS, clock_ms=10.0)
+    harness.shard.observe_worker(entry, harness.now)
+    harness.now += 0.01
+    report = HoldReport(20.0, (), (), SECOND_START_MS)
+    harness.shard.apply_report("w1", report, harness.now, harness.now)
+
+
+def cut_off(harness: ShardHarness, for_s: float) -> None:
+    silent = Reply(ReplyKind.NO_ANSWER)
+    harness.shard.apply_failure("w1", silent, harness.now)
+    harness.now += for_s
+    harness.shard.expire_workers(harness.now)
+
+
+def is_running(job: Job) -> bool:
+    (task,) = job.occurrences[0].steps[0]
+    return task.phase is TaskPhase.RUNNING
+
+
+def test_run_is_not_started_twice_while_a_former_deadline_keeps_it_on_a_cut_worker(
+    harness: ShardHarness,
+) -> None:
+    restart(harness)
+    learned_at = harness.now
+    job = harness.add_job(LONG)
+    harness.start_all()
+    harness.now += 2.0
+    cut_off(harness, 9.0)
+    assert is_running(job)
+    longest_s = LATEST_CALL_S + LONGEST_LEASE_S / (1 - MAX_CLOCK_DRIFT)
+    cut_off(harness, learned_at + longest_s - 0.1 - harness.now)
+    assert is_running(job)
+    cut_off(harness, 0.2)
+    assert not is_running(job)
+
+
+def test_run_is_not_started_twice_after_its_worker_came_back_to_the_registry(
+    harness: ShardHarness,
+) -> None:
+    harness.shard.remove_worker("w1", "unregistered", harness.now, crashed=False)
+    restart(harness)
+    job = harness.add_job(LONG)
+    harness.start_all()
+    cut_off(harness, 9.0)
+    assert is_running(job)
+
+
+def test_new_owner_reckons_with_leases_by_calls_for_the_former_incarnation() -> None:
+    grants = FormerGrants(OwnerView(None, 0, 0.0), 100.0, 100.0)
+    shard = Shard("s", 4, 100.0, max_lease_s=LONGEST_LEASE_S, former_grants=grants)
+    entry = attrs.evolve(ENTRY, born=int(WALL_MS) - 2_000)
+    record = shard.observe_worker(entry, 100.0, WALL_MS)
+    longest_s = LATEST_CALL_S + LONGEST_LEASE_S / (1 - MAX_CLOCK_DRIFT)
+    assert shard.get_lease_left_s(record, 100.0) == pytest.approx(longest_s)
+
+
+def test_new_owner_reckons_with_no_former_incarnation_of_a_worker_up_for_long() -> None:
+    grants = FormerGrants(OwnerView(None, 0, 0.0), 100.0, 100.0)
+    shard = Shard("s", 4, 100.0, max_lease_s=LONGEST_LEASE_S, former_grants=grants)
+    entry = attrs.evolve(ENTRY, born=int(WALL_MS) - 60_000)
+    record = shard.observe_worker(entry, 100.0, WALL_MS)
+    assert shard.get_lease_left_s(record, 100.0) == UNHEARD_LEASE_S
+
+
+@attrs.define(eq=False)
+class RestartingWorker:
+    """Worker of one incarnation, which records the calls that it carries out.
+
+    :param born: Unix milliseconds of its start.
+    :param calls: path and body of each call.
+    """
+
+    born: int = SECOND_START_MS
+    calls: list[tuple[str, dict[str, t.Any]]] = attrs.field(factory=list)
+
+    async def serve(self, stream: anyio.abc.SocketStream) -> None:
+        try:
+            async with stream:
+                while True:
+                    await self._answer(stream, await stream.receive())
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            pass
+
+    async def _answer(self, stream: anyio.abc.SocketStream, request: bytes) -> None:
+        head, _, body = request.partition(b"\r\n\r\n")
+        self.calls.append((head.split()[1].decode(), orjson.loads(body)))
+        answer = orjson.dumps(
+            {"clock_ms": 20.0, "running": [], "ended": [], "born": self.born}
+        )
+        length = str(len(answer)).encode()
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: " + length + b"\r\n\r\n"
+        await stream.send(head + answer)
+
+    def list_bound_calls(self) -> list[tuple[str, dict[str, t.Any]]]:
+        """List the calls that mean something to one incarnation only."""
+        return [
+            (path, body)
+            for path, body in self.calls
+            if path != "/hold" or body.get("acked_upto") or "deadline_ms" in body
+        ]
+
+
+Outcome = t.TypeVar("Outcome")
+Call = t.Callable[[PlatformWorkerClient, str], t.Awaitable[Outcome]]
+
+
+def call_worker(worker: RestartingWorker, call: Call[Outcome]) -> Outcome:
+    async def main() -> Outcome:
+        async with anyio.create_task_group() as group:
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            host, port = listener.extra(anyio.abc.SocketAttribute.local_address)
+            group.start_soon(listener.serve, worker.serve)
+            outcome = await call(PlatformWorkerClient(), f"{host}:{port}")
+            group.cancel_scope.cancel()
+        return outcome
+
+    return anyio.run(main)
+
+
+def test_next_incarnation_forgets_no_end_by_a_number_of_the_former_one() -> None:
+    worker = RestartingWorker()
+
+    async def hold(client: PlatformWorkerClient, address: str) -> HoldReport | Reply:
+        order = HoldOrder("w1", address, 3, 40, 900_000.0, 0, margin_s=5.0)
+        return await client.hold(order)
+
+    report = call_worker(worker, hold)
+    assert isinstance(report, HoldReport)
+    assert report.born == SECOND_START_MS
+    assert worker.list_bound_calls() == []
