Reckon with leases that calls for a worker's former incarnation have granted

Callers saw tasks run twice after workers had restarted under their IDs and were cut off 2 s later: on another worker while the first run went on, or again after it had ended done behind the cut.

Cause: a hold request or a start order that was built for the former incarnation can be carried out by the next one, since the header that names the expected instance is the same. Its deadline is on the former clock, far ahead on the next one's, so that it grants the longest lease (10 s), and a worker never shortens a lease. The owner counted only its own leases of 5 s and released runs that went on.

Change: after a restart, also where the record was removed meanwhile or the owner changed, the runs of a silent worker are kept until the latest call for a former incarnation (12 s, the longest delay of a call that is carried out late) and the longest lease by it are over. A list of VMs that shows the worker as down releases them at once, as before. A new owner tells a restart by the start time in the registration.

test_lease_on_a_new_incarnation_ends_by_its_own_clock asserted that the lease ends by the deadlines of the new clock alone, which is wrong for such calls; its successor checks both bounds: the run is kept for that time, and released after it whatever the former clock showed. The fixed 20 s of a run that was ordered before the restart are now this bound as well, 22.2 s for leases of 10 s.

--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -267,7 +267,7 @@
                 address=entry.address,
                 state=entry.state.value,
             )
-        self.state.observe_worker(entry, self._now())
+        self.state.observe_worker(entry, self._now(), self._wall_ms())
         self._start_hold_loop(entry.worker_id)
         self.wake()
 
--- a/src/onyxgap/jobs/doubts.py
+++ b/src/onyxgap/jobs/doubts.py
@@ -29,6 +29,7 @@
 
     OWN = "own"
     FORMER_OWNER = "former owner"
+    FORMER_INCARNATION = "call for a former incarnation"
 
 
 @attrs.frozen(slots=True)
--- a/src/onyxgap/jobs/shard_jobs.py
+++ b/src/onyxgap/jobs/shard_jobs.py
@@ -73,7 +73,7 @@
     epoch: int
     claimed_at: float
     capacity_valid_s: float = math.inf
-    max_lease_s: float = math.inf
+    max_lease_s: float = 10.0
     jobs: dict[str, Job] = attrs.field(factory=dict)
     final: dict[str, JobStatus] = attrs.field(factory=dict)
     ended_at: dict[str, float] = attrs.field(factory=dict)
--- a/src/onyxgap/jobs/shard_leases.py
+++ b/src/onyxgap/jobs/shard_leases.py
@@ -32,12 +32,19 @@
 UNHEARD_LEASE_S = FORMER_LEASE_S / (1 - MAX_CLOCK_DRIFT)
 """Longest time for which a worker that this owner has not heard of keeps a lease after
 the last grant, on a clock that is 2% slow."""
+LATE_CALL_S = 12.0
+"""Longest time after which a worker carries out a call that got no answer, also one
+that was sent to its former incarnation."""
 
 
 @attrs.define
 class ShardLeases(ShardJobs):
     """Leases of the workers of one shard.
 
+    A call that was meant for the former incarnation of a worker has a deadline on that
+    one's clock. On the next one's clock, which starts anew, it is far ahead: it grants
+    the longest lease, which the worker never shortens again.
+
     :param former_grants: until when former owners may have granted leases, ``None`` if
         nothing but the claim is known.
     :param call_timeouts: timeouts of the calls to the workers.
@@ -138,10 +145,16 @@
             [task.task_id for _, task in self._list_runs_on(record)],
             silent_s,
             self.get_lease_left_s(record, now),
-            LeaseSource.OWN if record.held else LeaseSource.FORMER_OWNER,
+            self._get_lease_source(record, now),
             record.registered,
         )
 
+    def _get_lease_source(self, record: WorkerRecord, now: float) -> LeaseSource:
+        granted_left_s = self._get_granted_lease_left_s(record, now)
+        if self.get_former_calls_leases_end(record) - now > granted_left_s:
+            return LeaseSource.FORMER_INCARNATION
+        return LeaseSource.OWN if record.held else LeaseSource.FORMER_OWNER
+
     def _list_runs_on(self, record: WorkerRecord) -> list[tuple[Job, Task]]:
         return [
             (job, task)
@@ -156,31 +169,49 @@
         :param record: the worker.
         :param now: monotonic seconds.
         """
+        former_calls_left_s = self.get_former_calls_leases_end(record) - now
+        return max(self._get_granted_lease_left_s(record, now), former_calls_left_s)
+
+    def _get_granted_lease_left_s(self, record: WorkerRecord, now: float) -> float:
+        """Return the seconds left of the leases granted to the known incarnation."""
         if not record.held:
             return self._get_former_leases_end() - now
         if record.clock is None:
             return 0.0
         return (record.lease_ms - record.clock.get_lower_bound(now)) / MS_PER_S
 
+    def get_former_calls_leases_end(self, record: WorkerRecord) -> float:
+        """Return when leases by calls for a former incarnation have certainly ended.
+
+        :param record: the worker.
+        :returns: monotonic seconds, minus infinity if there are no such calls.
+        """
+        return record.former_calls_until + self.max_lease_s / (1 - MAX_CLOCK_DRIFT)
+
+    def get_former_grants_end(self) -> float:
+        """Return until when former owners may have granted leases.
+
+        :returns: monotonic seconds.
+        """
+        if self.former_grants is None:
+            return self.claimed_at + GRANT_WITHOUT_STORE_S
+        return self.former_grants.until
+
     def _get_former_leases_end(self) -> float:
         """Return the monotonic second at which all leases of former owners have ended.
 
         That holds for the workers that this owner has not heard of.
         """
-        if self.former_grants is None:
-            granted_until = self.claimed_at + GRANT_WITHOUT_STORE_S
-        else:
-            granted_until = self.former_grants.until
-        return granted_until + UNHEARD_LEASE_S
+        return self.get_former_grants_end() + UNHEARD_LEASE_S
 
     def _has_lease_expired(self, record: WorkerRecord, now: float) -> bool:
+        if now < self.get_former_calls_leases_end(record):
+            return False
         if not record.held and now < self._get_former_leases_end():
             return False
         if record.clock is None:
             return True
-        if record.clock.get_lower_bound(now) <= record.lease_ms:
-            return False
-        return now >= record.former_runs_until or not self._has_former_runs(record)
+        return record.clock.get_lower_bound(now) > record.lease_ms
 
     def _inherit_lease(self, record: WorkerRecord, clock_ms: float, now: float) -> None:
         """Take into account the lease that the previous owner may have granted.
@@ -192,9 +223,3 @@
         valid_s = self._get_former_leases_end() - now
         lease_s = min(FORMER_LEASE_S, self.max_lease_s, valid_s)
         record.lease_ms = max(record.lease_ms, clock_ms + lease_s * MS_PER_S)
-
-    def _has_former_runs(self, record: WorkerRecord) -> bool:
-        return any(
-            task.start_ruled_out_at is not None
-            for _, task in self._list_runs_on(record)
-        )
--- a/src/onyxgap/jobs/shard_workers.py
+++ b/src/onyxgap/jobs/shard_workers.py
@@ -24,6 +24,7 @@
 from .placing import RemovedLapses
 from .placing import WorkerRecord
 from .shard_jobs import get_step_key
+from .shard_leases import LATE_CALL_S
 from .shard_leases import ShardLeases
 from .workers import MS_PER_S
 from .workers import Reply
@@ -32,10 +33,8 @@
 from .workers import StopOrder
 from .workers import WorkerClock
 
-FORMER_RUN_S = 20.0
-"""Time after a worker's restart is known for which a run that its former incarnation
-was ordered to start may be on the new one without the owner's knowledge: the order
-arrives seconds late, and the longest lease that a worker grants lasts 10 s."""
+WALL_CLOCK_ERROR_S = 5.0
+"""Most by which the wall clocks of a node and a worker differ, jumps included."""
 FORMER_MESSAGE_S = 5.0
 """Time after the last message of a worker's known incarnation from which a report of
 one with an earlier start time is that of a later one, whose wall clock was set back. A
@@ -94,11 +93,14 @@
     :param listed_workers: workers that a list of VMs has shown as up.
     :param last_live: workers of all VMs that were up in the last list, ``None`` before.
     :param removed_lapses: lapses of workers that were removed while they were silent.
+    :param former_calls_until: monotonic seconds until which workers that were removed
+        may carry out calls, should they start again under their IDs.
     :param departures: workers that leave as ordered.
     """
 
     listed_workers: set[str] = attrs.field(factory=set)
     removed_lapses: dict[str, RemovedLapses] = attrs.field(factory=dict)
+    former_calls_until: dict[str, float] = attrs.field(factory=dict)
     last_live: frozenset[str] | None = None
     departures: Departures = attrs.field(init=False)
 
@@ -106,20 +108,19 @@
         super().__attrs_post_init__()
         self.departures = Departures(self.service)
 
-    def observe_worker(self, entry: WorkerEntry, now: float) -> WorkerRecord:
+    def observe_worker(
+        self, entry: WorkerEntry, now: float, wall_ms: float | None = None
+    ) -> WorkerRecord:
         """Record a registration.
 
         :param entry: the registration.
         :param now: monotonic seconds.
+        :param wall_ms: Unix milliseconds, ``None`` if not known.
         :returns: the worker's record.
         """
         record = self.workers.get(entry.worker_id)
         if record is None:
-            record = WorkerRecord(entry, born=entry.born, heard_at=now)
-            self.workers[entry.worker_id] = record
-            removed = self.removed_lapses.pop(entry.worker_id, None)
-            if removed is not None and removed.born == entry.born:
-                record.lapses = removed.lapses
+            record = self._add_worker(entry, now, wall_ms)
         match = self._update_incarnation(record, entry.born, now)
         if match is IncarnationMatch.FORMER:
             record.former_entry = entry
@@ -136,6 +137,40 @@
             record.clock = WorkerClock(entry.clock_ms, now)
         return record
 
+    def _add_worker(
+        self, entry: WorkerEntry, now: float, wall_ms: float | None
+    ) -> WorkerRecord:
+        record = WorkerRecord(entry, born=entry.born, heard_at=now)
+        self.workers[entry.worker_id] = record
+        removed = self.removed_lapses.pop(entry.worker_id, None)
+        if removed is not None and removed.born == entry.born:
+            record.lapses = removed.lapses
+        own_calls_until = self.former_calls_until.pop(entry.worker_id, -math.inf)
+        record.former_calls_until = max(
+            own_calls_until, self._bound_former_owners_calls(entry, now, wall_ms)
+        )
+        return record
+
+    def _bound_former_owners_calls(
+        self, entry: WorkerEntry, now: float, wall_ms: float | None
+    ) -> float:
+        """Return until when calls of former owners may reach a worker by mistake.
+
+        That takes a former incarnation which they called, so the known one must have
+        started while they granted leases, or little earlier.
+
+        :param entry: its registration.
+        :param now: monotonic seconds.
+        :param wall_ms: Unix milliseconds, ``None`` if not known.
+        :returns: monotonic seconds, minus infinity if there are no such calls.
+        """
+        if not entry.born or wall_ms is None:
+            return -math.inf
+        started_at = now - (wall_ms - entry.born) / MS_PER_S
+        until = started_at + WALL_CLOCK_ERROR_S + LATE_CALL_S
+        until = min(until, self.get_former_grants_end() + LATE_CALL_S)
+        return until if until > now else -math.inf
+
     def _update_incarnation(
         self, record: WorkerRecord, born: int, now: float
     ) -> IncarnationMatch:
@@ -186,7 +221,8 @@
         whose order may have been sent, and that the previous incarnation did not list,
         stays placed until the new incarnation has confirmed a stop order for it, and a
         report requested after that does not list the run. If the new incarnation is
-        silent, the run is released after :data:`FORMER_RUN_S`.
+        silent, its runs are released once each lease that a call for the previous one
+        may have granted has ended.
         """
         worker_id = previous.entry.worker_id
         ordered = [
@@ -202,7 +238,7 @@
         record.born = born
         record.heard_at = now
         record.replaces_incarnation = True
-        record.former_runs_until = now + FORMER_RUN_S
+        record.former_calls_until = self.former_calls_until.pop(worker_id)
         self.workers[worker_id] = record
         for job, task, run in ordered:
             if not job.state.final:
@@ -310,9 +346,17 @@
             freed=freed,
         )
         del self.workers[worker_id]
+        self._forget_former_calls(now)
+        self.former_calls_until[worker_id] = now + LATE_CALL_S
         if record.lapses and not crashed:
             self.removed_lapses[worker_id] = RemovedLapses(record.born, record.lapses)
 
+    def _forget_former_calls(self, now: float) -> None:
+        """Forget the removed workers that carry out no calls any more."""
+        for worker_id, until in list(self.former_calls_until.items()):
+            if until <= now:
+                del self.former_calls_until[worker_id]
+
     def is_isolated(self, order: StartOrder) -> bool:
         """Return whether a run still keeps runs of other jobs off its worker.
 
--- a/tests/test_former_incarnation_calls.py
+++ b/tests/test_former_incarnation_calls.py
@@ -109,7 +109,7 @@
     shard = Shard("s", 4, 100.0, max_lease_s=LONGEST_LEASE_S, former_grants=grants)
     entry = attrs.evolve(ENTRY, born=int(WALL_MS) - 60_000)
     record = shard.observe_worker(entry, 100.0, WALL_MS)
-    assert shard.get_lease_left_s(record, 100.0) == UNHEARD_LEASE_S
+    assert shard.get_lease_left_s(record, 100.0) == pytest.approx(UNHEARD_LEASE_S)
 
 
 @attrs.define(eq=False)
--- a/tests/test_lives.py
+++ b/tests/test_lives.py
@@ -18,8 +18,9 @@
 from onyxgap.jobs.messages import Step
 from onyxgap.jobs.shard import START_WINDOW_MS
 from onyxgap.jobs.shard import Shard
+from onyxgap.jobs.shard_leases import LATE_CALL_S
 from onyxgap.jobs.shard_workers import FORMER_MESSAGE_S
-from onyxgap.jobs.shard_workers import FORMER_RUN_S
+from onyxgap.jobs.workers import MAX_CLOCK_DRIFT
 from onyxgap.jobs.workers import HoldReport
 from onyxgap.jobs.workers import Reply
 from onyxgap.jobs.workers import ReplyKind
@@ -34,6 +35,8 @@
 from tests.test_shard import ShardHarness
 
 FIRST_START_MS, SECOND_START_MS = 1_700_000_000_000, 1_700_000_007_000
+FORMER_CALLS_S = LATE_CALL_S + 10.0 / (1 - MAX_CLOCK_DRIFT)
+"""Time until a call for a former incarnation, and its lease of 10 s, are over."""
 SHORT = Step(1, cpu=1000, memory_mb=100, estimate_ms=500)
 
 
@@ -222,7 +225,7 @@
     harness.shard.expire_workers(harness.now)
 
 
-def test_lease_on_a_new_incarnation_ends_by_its_own_clock(
+def test_lease_on_a_new_incarnation_ends_soon_whatever_the_former_clock_showed(
     harness: ShardHarness,
 ) -> None:
     # the deadline of the former clock kept later runs on a silent worker for minutes
@@ -235,7 +238,9 @@
     harness.start_all()
     (task,) = job.occurrences[0].steps[0]
     assert task.placed
-    fall_silent(harness, START_WINDOW_MS / 1000 * 1.05)
+    fall_silent(harness, FORMER_CALLS_S - 1)
+    assert task.placed
+    fall_silent(harness, 1 + START_WINDOW_MS / 1000 * 1.05)
     assert not task.placed
 
 
@@ -250,7 +255,7 @@
     register(harness, SECOND_START_MS, 50_000.0)
     report(harness, SECOND_START_MS, 50_010.0)
     (task,) = job.occurrences[0].steps[0]
-    fall_silent(harness, FORMER_RUN_S - 1)
+    fall_silent(harness, FORMER_CALLS_S - 1)
     assert task.placed
     fall_silent(harness, 1)
     assert not task.placed
--- a/tests/test_shard_liveness.py
+++ b/tests/test_shard_liveness.py
@@ -30,8 +30,9 @@
 from onyxgap.jobs.messages import WorkerState
 from onyxgap.jobs.placing import WorkerRecord
 from onyxgap.jobs.shard import Shard
+from onyxgap.jobs.shard_leases import LATE_CALL_S
 from onyxgap.jobs.shard_leases import LEASE_S
-from onyxgap.jobs.shard_workers import FORMER_RUN_S
+from onyxgap.jobs.workers import MAX_CLOCK_DRIFT
 from onyxgap.jobs.workers import HoldOrder
 from onyxgap.jobs.workers import HoldReport
 from onyxgap.jobs.workers import Reply
@@ -50,6 +51,7 @@
 STOP_S = 0.2
 GANG_WAIT_S = 3.0
 MAX_LEASE_MS = 10_000.0
+FORMER_CALLS_S = LATE_CALL_S + MAX_LEASE_MS / 1000 / (1 - MAX_CLOCK_DRIFT)
 PASS_INTERVAL_S = 0.05
 VM_LIST_INTERVAL_S = 0.4
 WALL_MS = 1.8e12
@@ -586,7 +588,7 @@
     simulation = simulate(seed)
     vm = simulation.rng.choice(list(simulation.workers))
     simulation.cut(vm, math.inf, keeps_row=simulation.rng.random() < 0.5)
-    simulation.run_until(simulation.now + RECOVERY_S + FORMER_RUN_S)
+    simulation.run_until(simulation.now + RECOVERY_S + FORMER_CALLS_S)
     assert simulation.list_missing() == []
 
 
