Send calls that belong to one incarnation of a worker over its own connections only

Cause: the client put every call on any connection to the worker's address. After a restart under the same ID the first call on a new connection was built for the former incarnation: it acknowledged ends by the former numbers, which the next one forgets unseen (its tasks are then missing and start again), granted a lease by the former clock, or started a run that the owner looks for elsewhere. The header that names the expected instance has only the ID.

Change: a process that starts again inherits no connection. Each new connection begins with a hold request that carries neither deadline nor acknowledgement; its answer tells the incarnation, which the connection keeps. An order says which incarnation it is meant for, and is not sent over a connection to another one (reply other-incarnation). For a hold request, the answer to that first request is the report. An order that fails before that is certainly not sent, so that its task is placed again at once.

test_stop_order_to_a_removed_worker_leaves_no_connection counts two requests now: the one that tells the incarnation comes before the order.

--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -320,6 +320,7 @@
             deadline_ms,
             int(wait_s * 1000),
             self.state.call_timeouts.get_hold_margin(worker_id),
+            record.born,
         )
 
     async def _run_hold_loop(self, worker_id: str) -> None:
--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -512,7 +512,12 @@
         task.start_deadline_ms = deadline_ms
         record.lease_ms = max(record.lease_ms, deadline_ms)
         timeout_s = self.call_timeouts.get_start_timeout(order.worker_id)
-        return attrs.evolve(order, deadline_ms=deadline_ms, timeout_s=timeout_s)
+        return attrs.evolve(
+            order,
+            deadline_ms=deadline_ms,
+            timeout_s=timeout_s,
+            incarnation=record.born,
+        )
 
     def _get_start_window(self, record: WorkerRecord) -> float:
         """Return how long a start order to a worker is valid, in milliseconds."""
--- a/src/onyxgap/jobs/shard_jobs.py
+++ b/src/onyxgap/jobs/shard_jobs.py
@@ -280,4 +280,6 @@
         self, record: WorkerRecord, task: TaskId, run: int
     ) -> StopOrder:
         entry = record.entry
-        return StopOrder(entry.worker_id, entry.address, task, run, self.epoch)
+        return StopOrder(
+            entry.worker_id, entry.address, task, run, self.epoch, record.born
+        )
--- a/src/onyxgap/jobs/workers.py
+++ b/src/onyxgap/jobs/workers.py
@@ -33,6 +33,8 @@
     INVALID = "invalid"
     OTHER_WORKER = "other-life"
     NOT_SENT = "not-sent"
+    OTHER_INCARNATION = "other-incarnation"
+    """The order was not sent: another incarnation answers at the worker's address."""
     WITHHELD = "withheld"
     """The owner did not send the order, since its ownership was not confirmed."""
     NO_ANSWER = "no-answer"
@@ -70,6 +72,8 @@
     :param checkpoint: checkpoint to resume from, or empty.
     :param ticket: ticket of the policy service, or empty.
     :param timeout_s: seconds allowed for the reply.
+    :param incarnation: start of the incarnation of the worker that it is meant for,
+        Unix milliseconds, 0 if not known.
     """
 
     worker_id: str
@@ -82,6 +86,7 @@
     checkpoint: str = ""
     ticket: str = ""
     timeout_s: float = START_TIMEOUT_S
+    incarnation: int = 0
 
 
 @attrs.frozen(slots=True)
@@ -93,6 +98,8 @@
     :param task: the task.
     :param run: number of the run.
     :param epoch: epoch of the owner, used as fencing token.
+    :param incarnation: start of the incarnation of the worker that it is meant for,
+        Unix milliseconds, 0 if not known.
     """
 
     worker_id: str
@@ -100,6 +107,7 @@
     task: TaskId
     run: int
     epoch: int
+    incarnation: int = 0
 
 
 @attrs.frozen(slots=True)
@@ -114,6 +122,8 @@
         ``None`` to leave the leases as they are.
     :param wait_ms: how long the worker may wait for a run to end before it answers.
     :param margin_s: seconds allowed for the answer beyond that wait.
+    :param incarnation: start of the incarnation of the worker that it is meant for,
+        Unix milliseconds, 0 if not known.
     """
 
     worker_id: str
@@ -123,6 +133,7 @@
     deadline_ms: float | None
     wait_ms: int
     margin_s: float = HOLD_MARGIN_S
+    incarnation: int = 0
 
 
 @attrs.frozen(slots=True)
@@ -142,7 +153,11 @@
 
 
 class WorkerClient(t.Protocol):
-    """Client for calls to workers; no method raises for a failed call."""
+    """Client for calls to workers; no method raises for a failed call.
+
+    An order goes only to the incarnation that it is meant for, unless the worker itself
+    carries it out late.
+    """
 
     async def start(self, order: StartOrder) -> Reply:
         """Start a run."""
@@ -158,7 +173,11 @@
         """
 
     async def hold(self, order: HoldOrder) -> HoldReport | Reply:
-        """Renew the leases of all runs on a worker and get its report."""
+        """Renew the leases of all runs on a worker and get its report.
+
+        If it is not known that the intended incarnation answers, the request neither
+        renews a lease nor acknowledges ends.
+        """
 
     async def forget(self, worker_id: str) -> None:
         """Close the connections to a worker that this node no longer calls."""
--- a/src/onyxgap/platform/connections.py
+++ b/src/onyxgap/platform/connections.py
@@ -22,6 +22,7 @@
 
 READ_BYTES = 65_536
 """Largest single read; a worker's report is a few kilobytes."""
+HTTP_OK = 200
 
 
 class _BadAnswerError(Exception):
@@ -97,18 +98,73 @@
     return bool(poll.poll(0))
 
 
-async def _exchange(
-    stream: anyio.abc.SocketStream, request: bytes
-) -> tuple[Answer, bool]:
-    """Send a request; return its answer and whether the connection stays open."""
-    reader = _AnswerReader()
-    await stream.send(request)
-    while reader.answer is None:
+@attrs.frozen(slots=True)
+class IncarnationCheck:
+    """Restricts a call to connections that lead to one incarnation of a worker.
+
+    A process that starts again under its ID inherits no connection, and nothing else
+    tells its incarnations apart before a call is carried out.
+
+    :param incarnation: Unix milliseconds of the start of the incarnation that the call
+        is meant for, 0 for any.
+    :param path: path of a call that tells the incarnation and changes nothing.
+    :param body: body of that call.
+    :param read: reads the incarnation from its answer, 0 if the worker does not tell;
+        ``None`` if the answer is no success.
+    :param replaces_call: whether that answer replaces the one to the call if the
+        connection was not known to lead to the incarnation.
+    """
+
+    incarnation: int
+    path: str
+    body: t.Mapping[str, t.Any]
+    read: t.Callable[[Answer], int | None]
+    replaces_call: bool = False
+
+    def admits(self, found: int) -> bool:
+        """Tell whether the call may go to an incarnation.
+
+        :param found: its start, Unix milliseconds, 0 if the worker does not tell.
+        """
+        return not self.incarnation or not found or self.incarnation == found
+
+
+@attrs.define(eq=False)
+class _Connection:
+    """Open connection to a worker.
+
+    :param stream: its socket.
+    :param incarnation: start of the incarnation that it leads to, Unix milliseconds,
+        0 if the worker does not tell; ``None`` if it has not been asked.
+    :param call_sent: whether any of the present call may have been sent.
+    :param stays_open: whether the worker takes another request.
+    """
+
+    stream: anyio.abc.SocketStream
+    incarnation: int | None = None
+    call_sent: bool = False
+    stays_open: bool = True
+
+    async def exchange(self, request: bytes) -> Answer:
+        """Send a request and return its answer; close the connection on an error."""
+        reader = _AnswerReader()
         try:
-            reader.feed(await stream.receive(READ_BYTES))
+            await self.stream.send(request)
+            while reader.answer is None:
+                reader.feed(await self.stream.receive(READ_BYTES))
         except (anyio.EndOfStream, httptools.HttpParserError) as error:
+            await self.close()
             raise _BadAnswerError(type(error).__name__) from None
-    return reader.answer, reader.stays_open
+        except BaseException:
+            # a late answer would be taken for the answer to the next call
+            await self.close()
+            raise
+        self.stays_open = reader.stays_open
+        return reader.answer
+
+    async def close(self) -> None:
+        """Close the socket."""
+        await anyio.aclose_forcefully(self.stream)
 
 
 @attrs.define(eq=False)
@@ -124,7 +180,7 @@
 
     address: str
     max_connections: int
-    _idle: list[anyio.abc.SocketStream] = attrs.field(factory=list)
+    _idle: list[_Connection] = attrs.field(factory=list)
     _retired: bool = False
     _permits: anyio.Semaphore = attrs.field(init=False)
 
@@ -139,24 +195,29 @@
         *,
         timeout_s: float,
         headers: Headers = (),
+        check: IncarnationCheck | None = None,
     ) -> Answer:
-        """Make one call, without retries; see :meth:`HttpCalls.call`."""
-        stream: anyio.abc.SocketStream | None = None
+        """Make one call, without retries; see :meth:`HttpCalls.call`.
+
+        :param check: restricts the call to one incarnation of the worker.
+        """
+        connection: _Connection | None = None
         give_up_at = anyio.current_time() + timeout_s
         try:
             request = encode_request(self.address, method, path, body, headers)
             with anyio.fail_after(timeout_s):
                 async with self._permits:
-                    stream = await self._acquire()
-                    answer, stays_open = await self._exchange_or_close(stream, request)
-                    await self._release(stream, stays_open)
+                    connection = await self._acquire()
+                    answer = await self._converse(connection, request, headers, check)
+                    await self._release(connection)
         except (
             OSError,
             ValueError,
             _BadAnswerError,
             anyio.BrokenResourceError,
         ) as error:
-            failure = CallFailure.NO_ANSWER if stream else CallFailure.NOT_SENT
+            was_sent = connection is not None and connection.call_sent
+            failure = CallFailure.NO_ANSWER if was_sent else CallFailure.NOT_SENT
             await self.close()
             overdue_s = None
             if isinstance(error, TimeoutError):
@@ -164,39 +225,70 @@
             return Answer(0, b"", failure, _name_error(error), overdue_s)
         return answer
 
-    async def _acquire(self) -> anyio.abc.SocketStream:
+    async def _acquire(self) -> _Connection:
         while self._idle:
             # the most recently used one, so that the others can become idle
-            stream = self._idle.pop()
-            if not _is_readable(stream):
-                return stream
-            await anyio.aclose_forcefully(stream)
+            connection = self._idle.pop()
+            if not _is_readable(connection.stream):
+                connection.call_sent = False
+                return connection
+            await connection.close()
         host, _, port = self.address.rpartition(":")
-        return await anyio.connect_tcp(host, int(port))
+        return _Connection(await anyio.connect_tcp(host, int(port)))
 
-    @staticmethod
-    async def _exchange_or_close(
-        stream: anyio.abc.SocketStream, request: bytes
-    ) -> tuple[Answer, bool]:
-        try:
-            return await _exchange(stream, request)
-        except BaseException:
-            # a late answer would be taken for the answer to the next call
-            await anyio.aclose_forcefully(stream)
-            raise
-
-    async def _release(self, stream: anyio.abc.SocketStream, stays_open: bool) -> None:
-        keeps = stays_open and not self._retired
+    async def _converse(
+        self,
+        connection: _Connection,
+        request: bytes,
+        headers: Headers,
+        check: IncarnationCheck | None,
+    ) -> Answer:
+        if check is not None:
+            outcome = await self._check(connection, headers, check)
+            if outcome is not None:
+                return outcome
+        connection.call_sent = True
+        return await connection.exchange(request)
+
+    async def _check(
+        self, connection: _Connection, headers: Headers, check: IncarnationCheck
+    ) -> Answer | None:
+        """Check that a connection leads to the incarnation that a call is meant for.
+
+        :returns: the outcome of the call if it is not to be sent, else ``None``.
+        """
+        found = connection.incarnation
+        if found is not None and check.admits(found):
+            return None
+        if found is None or check.replaces_call:
+            request = encode_request(
+                self.address, "POST", check.path, check.body, headers
+            )
+            answer = await connection.exchange(request)
+            connection.incarnation = found = check.read(answer)
+            if check.replaces_call:
+                return answer
+            if found is None and answer.status != HTTP_OK:
+                return answer
+            if found is None or not connection.stays_open:
+                raise _BadAnswerError("incarnation not known")
+            if check.admits(found):
+                return None
+        reason = f"meant for {check.incarnation}, found {found}"
+        return Answer(0, b"", CallFailure.OTHER_INCARNATION, reason)
+
+    async def _release(self, connection: _Connection) -> None:
+        keeps = connection.stays_open and not self._retired
         if keeps and len(self._idle) < IDLE_CONNECTIONS:
-            self._idle.append(stream)
+            self._idle.append(connection)
         else:
-            await anyio.aclose_forcefully(stream)
+            await connection.close()
 
     async def close(self) -> None:
         """Close every idle connection."""
         idle, self._idle = self._idle, []
-        for stream in idle:
-            await anyio.aclose_forcefully(stream)
+        for connection in idle:
+            await connection.close()
 
     async def retire(self) -> None:
         """Close every idle connection, and those in use once their calls end."""
--- a/src/onyxgap/platform/http.py
+++ b/src/onyxgap/platform/http.py
@@ -34,6 +34,8 @@
 
     NOT_SENT = "not-sent"
     NO_ANSWER = "no-answer"
+    OTHER_INCARNATION = "other-incarnation"
+    """It was not sent, as the connection leads to another incarnation of the worker."""
 
 
 @attrs.frozen(slots=True)
--- a/src/onyxgap/platform/workers.py
+++ b/src/onyxgap/platform/workers.py
@@ -17,16 +17,24 @@
 from ..jobs.workers import ReplyKind
 from ..jobs.workers import StartOrder
 from ..jobs.workers import StopOrder
+from .connections import HTTP_OK
+from .connections import IncarnationCheck
 from .connections import WorkerConnections
 from .http import Answer
 from .http import CallFailure
 from .registry import decode_start_time
 
+HOLD_PATH = "/hold"
 ORDER_TIMEOUT_S = 0.6
 """Timeout of orders other than start orders; a worker answers within milliseconds."""
 WORKER_CONNECTIONS = 48
 """Maximum connections to one address; must be below the 64 that a worker accepts."""
 
+_BY_FAILURE: t.Mapping[CallFailure, ReplyKind] = {
+    CallFailure.NOT_SENT: ReplyKind.NOT_SENT,
+    CallFailure.NO_ANSWER: ReplyKind.NO_ANSWER,
+    CallFailure.OTHER_INCARNATION: ReplyKind.OTHER_INCARNATION,
+}
 _BY_STATUS: t.Mapping[int, ReplyKind] = {
     200: ReplyKind.DONE,
     400: ReplyKind.INVALID,
@@ -57,10 +65,9 @@
 
     :param answer: the worker's answer, or the failure of the call.
     """
-    if answer.failure is CallFailure.NOT_SENT:
-        return Reply(ReplyKind.NOT_SENT, None, answer.reason, answer.overdue_s)
     if answer.failure is not None:
-        return Reply(ReplyKind.NO_ANSWER, None, answer.reason, answer.overdue_s)
+        kind = _BY_FAILURE[answer.failure]
+        return Reply(kind, None, answer.reason, answer.overdue_s)
     reason = answer.read_text("reason")
     clock_ms = _decode_clock(answer.read_object().get("clock_ms"))
     if answer.status == 409:
@@ -70,6 +77,25 @@
     return Reply(kind, clock_ms, reason or f"status {answer.status}")
 
 
+def _read_incarnation(answer: Answer) -> int | None:
+    if answer.status != HTTP_OK:
+        return None
+    try:
+        return decode_start_time(answer.read_object().get("born", 0))
+    except MALFORMED_ERRORS:
+        return None
+
+
+def _build_check(
+    epoch: int, incarnation: int, replaces_call: bool = False
+) -> IncarnationCheck:
+    # without a deadline and an acknowledgement, a hold request changes nothing
+    body = {"fencing_token": epoch, "acked_upto": 0}
+    return IncarnationCheck(
+        incarnation, HOLD_PATH, body, _read_incarnation, replaces_call
+    )
+
+
 def _decode_running(raw: t.Sequence[t.Any]) -> RunningTask:
     measurement = float(raw[4]) if len(raw) > 4 else 0.0
     return RunningTask(
@@ -127,18 +153,19 @@
 
     async def _send_order(
         self,
-        worker_id: str,
-        address: str,
+        order: StartOrder | StopOrder | HoldOrder,
         path: str,
         body: t.Mapping[str, t.Any],
         timeout_s: float = ORDER_TIMEOUT_S,
     ) -> Answer:
-        return await self._get_connections(worker_id, address).call(
+        replaces_call = isinstance(order, HoldOrder)
+        return await self._get_connections(order.worker_id, order.address).call(
             "POST",
             path,
             body,
             timeout_s=timeout_s,
-            headers=[("Expected-Instance", worker_id)],
+            headers=[("Expected-Instance", order.worker_id)],
+            check=_build_check(order.epoch, order.incarnation, replaces_call),
         )
 
     async def start(self, order: StartOrder) -> Reply:
@@ -154,9 +181,7 @@
             body["checkpoint"] = order.checkpoint
         if order.ticket:
             body["ticket"] = order.ticket
-        answer = await self._send_order(
-            order.worker_id, order.address, "/run-start", body, order.timeout_s
-        )
+        answer = await self._send_order(order, "/run-start", body, order.timeout_s)
         return decode_reply(answer)
 
     async def stop(self, order: StopOrder) -> Reply:
@@ -166,9 +191,7 @@
             "run": order.run,
             "fencing_token": order.epoch,
         }
-        answer = await self._send_order(
-            order.worker_id, order.address, "/run-stop", body
-        )
+        answer = await self._send_order(order, "/run-stop", body)
         return decode_reply(answer)
 
     async def set_pace(self, order: StopOrder, percent: int) -> Reply:
@@ -183,7 +206,7 @@
             "percent": percent,
             "fencing_token": order.epoch,
         }
-        answer = await self._send_order(order.worker_id, order.address, "/pace", body)
+        answer = await self._send_order(order, "/pace", body)
         return decode_reply(answer)
 
     async def hold(self, order: HoldOrder) -> HoldReport | Reply:
@@ -196,13 +219,8 @@
             body["deadline_ms"] = int(order.deadline_ms)
         if order.wait_ms:
             body["wait_ms"] = order.wait_ms
-        answer = await self._send_order(
-            order.worker_id,
-            order.address,
-            "/hold",
-            body,
-            order.wait_ms / 1000 + order.margin_s,
-        )
+        timeout_s = order.wait_ms / 1000 + order.margin_s
+        answer = await self._send_order(order, HOLD_PATH, body, timeout_s)
         return decode_report(answer)
 
     async def forget(self, worker_id: str) -> None:
--- a/tests/test_former_incarnation_calls.py
+++ b/tests/test_former_incarnation_calls.py
@@ -16,6 +16,7 @@
 from onyxgap.jobs.job import TaskPhase
 from onyxgap.jobs.leases import FormerGrants
 from onyxgap.jobs.messages import Step
+from onyxgap.jobs.messages import TaskId
 from onyxgap.jobs.messages import WorkerState
 from onyxgap.jobs.ownership import OwnerView
 from onyxgap.jobs.shard import Shard
@@ -25,6 +26,8 @@
 from onyxgap.jobs.workers import HoldReport
 from onyxgap.jobs.workers import Reply
 from onyxgap.jobs.workers import ReplyKind
+from onyxgap.jobs.workers import StartOrder
+from onyxgap.jobs.workers import StopOrder
 from onyxgap.platform.workers import PlatformWorkerClient
 from tests.test_shard import ENTRY
 from tests.test_shard import WALL_MS
@@ -150,6 +153,7 @@
         ]
 
 
+TASK = TaskId("a" * 16, 0, 0, 0)
 Outcome = t.TypeVar("Outcome")
 Call = t.Callable[[PlatformWorkerClient, str], t.Awaitable[Outcome]]
 
@@ -178,3 +182,65 @@
     assert isinstance(report, HoldReport)
     assert report.born == SECOND_START_MS
     assert worker.list_bound_calls() == []
+
+
+def build_hold(address: str, incarnation: int) -> HoldOrder:
+    return HoldOrder(
+        "w1", address, 3, 40, 900_000.0, 0, margin_s=5.0, incarnation=incarnation
+    )
+
+
+def test_hold_request_is_sent_whole_to_the_incarnation_that_it_is_meant_for() -> None:
+    worker = RestartingWorker()
+
+    async def hold_twice(client: PlatformWorkerClient, address: str) -> None:
+        for _ in range(2):
+            await client.hold(build_hold(address, SECOND_START_MS))
+
+    call_worker(worker, hold_twice)
+    ((path, body),) = worker.list_bound_calls()
+    assert (path, body["acked_upto"], body["deadline_ms"]) == ("/hold", 40, 900_000)
+
+
+def test_next_incarnation_gets_no_start_order_of_the_former_one() -> None:
+    worker = RestartingWorker()
+
+    async def start(client: PlatformWorkerClient, address: str) -> Reply:
+        order = StartOrder(
+            "w1",
+            address,
+            TASK,
+            1,
+            "spec",
+            900_000.0,
+            3,
+            timeout_s=5.0,
+            incarnation=FIRST_START_MS,
+        )
+        return await client.start(order)
+
+    assert call_worker(worker, start).kind is ReplyKind.OTHER_INCARNATION
+    assert worker.list_bound_calls() == []
+
+
+def test_stop_order_is_confirmed_by_no_other_incarnation() -> None:
+    worker = RestartingWorker()
+
+    async def stop(client: PlatformWorkerClient, address: str) -> Reply:
+        order = StopOrder("w1", address, TASK, 1, 3, incarnation=FIRST_START_MS)
+        return await client.stop(order)
+
+    assert call_worker(worker, stop).kind is ReplyKind.OTHER_INCARNATION
+    assert worker.list_bound_calls() == []
+
+
+@pytest.mark.parametrize("incarnation", [0, SECOND_START_MS])
+def test_orders_reach_the_incarnation_that_they_are_meant_for(incarnation: int) -> None:
+    worker = RestartingWorker()
+
+    async def stop(client: PlatformWorkerClient, address: str) -> Reply:
+        order = StopOrder("w1", address, TASK, 1, 3, incarnation=incarnation)
+        return await client.stop(order)
+
+    assert call_worker(worker, stop).kind is ReplyKind.DONE
+    assert [path for path, _ in worker.list_bound_calls()] == ["/run-stop"]
--- a/tests/test_order_lanes.py
+++ b/tests/test_order_lanes.py
@@ -53,6 +53,9 @@
     def read_boot(self) -> float:
         return anyio.current_time()
 
+    def read_wall(self) -> float:
+        return 1.8e9
+
 
 class PermissiveShard:
     """Shard state that permits every order and sets its deadline when it is sent."""
--- a/tests/test_worker_connections.py
+++ b/tests/test_worker_connections.py
@@ -132,7 +132,8 @@
             owner.state.remove_worker("w1", "gone", 0.0)
             task = TaskId("job", 0, 0, 0)
             await owner._send_stop(StopOrder("w1", entry.address, task, 1, 1))
-            assert worker.requests == 1
+            # the call that tells the incarnation, and the order
+            assert worker.requests == 2
             await wait_until(lambda: worker.open == 0)
             group.cancel_scope.cancel()
 
