Fence off calls for a worker's former incarnation once the next one has answered

Cause: the owner's fencing token is the same for all incarnations of a worker, and a new incarnation has seen none. Nothing distinguishes a call for the former one.

Change: the token has the number of restarts that the owner knows below its epoch. Once an incarnation has answered a call with its token, it rejects late calls for former ones: no acknowledgement, start or lease by them can come any more, so that the runs of a silent worker are kept for one longest lease (10.2 s) from its first answer. Before the first answer the bound stays 22.2 s. A rejected call with an outdated token does not end the ownership.

--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -315,7 +315,7 @@
         return HoldOrder(
             worker_id,
             entry.address,
-            self.epoch,
+            self.state.get_token(record),
             record.acknowledged,
             deadline_ms,
             int(wait_s * 1000),
@@ -373,15 +373,28 @@
         self._note_response_time(order, report, sent_at)
         if isinstance(report, HoldReport):
             return await self._apply_report(order.worker_id, report, sent_at)
-        if report.kind is ReplyKind.STALE_OWNER:
-            raise OwnershipLostError(
-                f"worker {order.worker_id} was called by a newer owner"
-            )
+        self._check_fence(order, report)
         now = self._now()
         undecided = self.state.apply_failure(order.worker_id, report, now, sent_at)
         self.wake()
         return undecided
 
+    def _check_fence(self, order: HoldOrder | StartOrder, reply: Reply) -> None:
+        """Check that no newer owner has called a worker.
+
+        A call for its former incarnation is rejected, too, once this owner has called
+        the next one.
+
+        :raises OwnershipLostError: when the worker rejects the newest token as stale.
+        """
+        if reply.kind is not ReplyKind.STALE_OWNER:
+            return
+        record = self.state.workers.get(order.worker_id)
+        if record is not None and order.epoch >= self.state.get_token(record):
+            raise OwnershipLostError(
+                f"worker {order.worker_id} was called by a newer owner"
+            )
+
     def _note_response_time(
         self, order: HoldOrder, report: HoldReport | Reply, sent_at: float
     ) -> None:
@@ -453,10 +466,7 @@
             else:
                 # a start grants a lease, too
                 reply = Reply(ReplyKind.WITHHELD, detail="ownership not confirmed")
-        if reply.kind is ReplyKind.STALE_OWNER:
-            raise OwnershipLostError(
-                f"worker {order.worker_id} was called by a newer owner"
-            )
+        self._check_fence(ready, reply)
         self.state.apply_start_reply(ready, reply, self._now())
         self._log_first_start(reply)
         if reply.kind is not ReplyKind.DONE:
--- a/src/onyxgap/jobs/deliveries.py
+++ b/src/onyxgap/jobs/deliveries.py
@@ -19,6 +19,8 @@
 MAX_EJECTION_S = 2.4
 """Longest time of an ejection, so that a worker that is well again is soon in use."""
 
+_UNDECIDED = (ReplyKind.NO_ANSWER, ReplyKind.WITHHELD, ReplyKind.OTHER_INCARNATION)
+
 _LOG = structlog.get_logger()
 
 
@@ -33,7 +35,7 @@
     :param proves: whether the outcome says something of the worker. A connection that
         a late process has not opened in time does not, for a few orders.
     """
-    if kind in (ReplyKind.NO_ANSWER, ReplyKind.WITHHELD):
+    if kind in _UNDECIDED:
         # the order may have reached it, or nothing was sent
         return
     if kind is not ReplyKind.NOT_SENT:
--- a/src/onyxgap/jobs/lives.py
+++ b/src/onyxgap/jobs/lives.py
@@ -2,10 +2,16 @@
 
 Messages of a worker may carry the time of its start. Its runs, the sequence numbers of
 its ended runs, its clock and the highest fencing token that it has seen belong to one
-incarnation.
+incarnation. The owner raises its fencing token with each incarnation: once the new one
+has been called, it rejects calls for the former one that come late.
 """
 
 import enum
+import math
+
+import attrs
+
+from .messages import TaskId
 
 
 class IncarnationMatch(enum.Enum):
@@ -16,6 +22,48 @@
     FORMER = "former"
 
 
+@attrs.frozen(slots=True)
+class OrderedRun:
+    """A run that an incarnation was ordered to start and has never listed.
+
+    :param task: its task.
+    :param run: its number.
+    """
+
+    task: TaskId
+    run: int
+
+
+@attrs.frozen(slots=True)
+class FormerCalls:
+    """Calls to a former incarnation of a worker that the next one may carry out.
+
+    :param born: Unix milliseconds of the start of the former one, 0 if not known.
+    :param until: monotonic seconds until which they may be carried out.
+    :param starts: the start orders among them.
+    :param restarts: restarts of the worker that the owner knows, the next included.
+    """
+
+    born: int = 0
+    until: float = -math.inf
+    starts: tuple[OrderedRun, ...] = ()
+    restarts: int = 0
+
+
+NO_FORMER_CALLS = FormerCalls()
+TOKENS_PER_EPOCH = 10_000
+"""Fencing tokens of one owner; those of its successor are higher."""
+
+
+def get_fencing_token(epoch: int, restarts: int) -> int:
+    """Return the fencing token of an owner's calls to an incarnation of a worker.
+
+    :param epoch: epoch of the owner.
+    :param restarts: restarts of the worker that the owner knows.
+    """
+    return epoch * TOKENS_PER_EPOCH + min(restarts, TOKENS_PER_EPOCH - 1)
+
+
 def compare_incarnations(known: int, told: int) -> IncarnationMatch:
     """Compare the start time in a message with the known start time of the worker.
 
--- a/src/onyxgap/jobs/placing.py
+++ b/src/onyxgap/jobs/placing.py
@@ -61,8 +61,9 @@
     :param clock: estimate of the worker's clock, or ``None`` before the first reading.
     :param held: whether the worker has answered a hold request of the owner's epoch.
     :param lease_ms: latest lease deadline that was sent, on the worker's clock.
-    :param former_calls_until: monotonic seconds until which the worker may carry out
-        calls that were meant for a former incarnation.
+    :param former_lease_until: monotonic seconds until which a lease may last that a
+        call for a former incarnation has granted.
+    :param restarts: restarts that this owner knows.
     :param failing_since: monotonic seconds of the first failed call since the last
         answer, or ``None``.
     :param unanswered_since: monotonic seconds of the first call without an answer in
@@ -125,7 +126,8 @@
     clock: WorkerClock | None = None
     held: bool = False
     lease_ms: float = 0.0
-    former_calls_until: float = -math.inf
+    former_lease_until: float = -math.inf
+    restarts: int = 0
     failing_since: float | None = None
     unanswered_since: float | None = None
     timed_out: bool = False
--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -477,7 +477,7 @@
             run,
             job.submission.spec,
             deadline_ms,
-            self.epoch,
+            self.get_token(record),
             task.checkpoint if step.checkpointing else "",
             self._get_ticket(job, task, now),
         )
@@ -514,6 +514,7 @@
         timeout_s = self.call_timeouts.get_start_timeout(order.worker_id)
         return attrs.evolve(
             order,
+            epoch=self.get_token(record),
             deadline_ms=deadline_ms,
             timeout_s=timeout_s,
             incarnation=record.born,
--- a/src/onyxgap/jobs/shard_jobs.py
+++ b/src/onyxgap/jobs/shard_jobs.py
@@ -12,6 +12,7 @@
 from .job import Job
 from .job import Task
 from .job import TaskPhase
+from .lives import get_fencing_token
 from .messages import JobState
 from .messages import JobStatus
 from .messages import TaskId
@@ -280,6 +281,9 @@
         self, record: WorkerRecord, task: TaskId, run: int
     ) -> StopOrder:
         entry = record.entry
-        return StopOrder(
-            entry.worker_id, entry.address, task, run, self.epoch, record.born
-        )
+        token = self.get_token(record)
+        return StopOrder(entry.worker_id, entry.address, task, run, token, record.born)
+
+    def get_token(self, record: WorkerRecord) -> int:
+        """Return the fencing token of calls to the known incarnation of a worker."""
+        return get_fencing_token(self.epoch, record.restarts)
--- a/src/onyxgap/jobs/shard_leases.py
+++ b/src/onyxgap/jobs/shard_leases.py
@@ -151,7 +151,7 @@
 
     def _get_lease_source(self, record: WorkerRecord, now: float) -> LeaseSource:
         granted_left_s = self._get_granted_lease_left_s(record, now)
-        if self.get_former_calls_leases_end(record) - now > granted_left_s:
+        if record.former_lease_until - now > granted_left_s:
             return LeaseSource.FORMER_INCARNATION
         return LeaseSource.OWN if record.held else LeaseSource.FORMER_OWNER
 
@@ -169,8 +169,8 @@
         :param record: the worker.
         :param now: monotonic seconds.
         """
-        former_calls_left_s = self.get_former_calls_leases_end(record) - now
-        return max(self._get_granted_lease_left_s(record, now), former_calls_left_s)
+        granted_left_s = self._get_granted_lease_left_s(record, now)
+        return max(granted_left_s, record.former_lease_until - now)
 
     def _get_granted_lease_left_s(self, record: WorkerRecord, now: float) -> float:
         """Return the seconds left of the leases granted to the known incarnation."""
@@ -180,13 +180,20 @@
             return 0.0
         return (record.lease_ms - record.clock.get_lower_bound(now)) / MS_PER_S
 
-    def get_former_calls_leases_end(self, record: WorkerRecord) -> float:
-        """Return when leases by calls for a former incarnation have certainly ended.
+    @property
+    def longest_lease_s(self) -> float:
+        """Longest time that a lease lasts, on a clock that is 2% slow."""
+        return self.max_lease_s / (1 - MAX_CLOCK_DRIFT)
 
-        :param record: the worker.
-        :returns: monotonic seconds, minus infinity if there are no such calls.
+    def _fence_off_former_calls(self, record: WorkerRecord, now: float) -> None:
+        """Bound the leases by calls for a former incarnation of a worker.
+
+        :param record: a worker that has answered a call with this owner's token, and
+            rejects those calls from then on.
+        :param now: monotonic seconds.
         """
-        return record.former_calls_until + self.max_lease_s / (1 - MAX_CLOCK_DRIFT)
+        until = now + self.longest_lease_s
+        record.former_lease_until = min(record.former_lease_until, until)
 
     def get_former_grants_end(self) -> float:
         """Return until when former owners may have granted leases.
@@ -205,7 +212,7 @@
         return self.get_former_grants_end() + UNHEARD_LEASE_S
 
     def _has_lease_expired(self, record: WorkerRecord, now: float) -> bool:
-        if now < self.get_former_calls_leases_end(record):
+        if now < record.former_lease_until:
             return False
         if not record.held and now < self._get_former_leases_end():
             return False
--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -60,7 +60,12 @@
 _LOG = structlog.get_logger()
 
 
-_BLOCKING = (ReplyKind.NO_ROOM, ReplyKind.UNHEALTHY, ReplyKind.NOT_SENT)
+_BLOCKING = (
+    ReplyKind.NO_ROOM,
+    ReplyKind.UNHEALTHY,
+    ReplyKind.NOT_SENT,
+    ReplyKind.OTHER_INCARNATION,
+)
 
 
 @attrs.define
@@ -98,6 +103,7 @@
         record.last_clock_ms = max(record.last_clock_ms, report.clock_ms)
         if not record.held:
             self._inherit_lease(record, report.clock_ms, now)
+            self._fence_off_former_calls(record, now)
         record.held = True
         record.failing_since = None
         record.inconclusive = 0
--- a/src/onyxgap/jobs/shard_workers.py
+++ b/src/onyxgap/jobs/shard_workers.py
@@ -15,7 +15,11 @@
 from .departures import choose_log
 from .job import Job
 from .job import Task
+from .job import TaskPhase
+from .lives import NO_FORMER_CALLS
+from .lives import FormerCalls
 from .lives import IncarnationMatch
+from .lives import OrderedRun
 from .lives import compare_incarnations
 from .messages import JobState
 from .messages import WorkerEntry
@@ -93,14 +97,14 @@
     :param listed_workers: workers that a list of VMs has shown as up.
     :param last_live: workers of all VMs that were up in the last list, ``None`` before.
     :param removed_lapses: lapses of workers that were removed while they were silent.
-    :param former_calls_until: monotonic seconds until which workers that were removed
-        may carry out calls, should they start again under their IDs.
+    :param former_calls: calls to workers that were removed, which they may carry out
+        if they start again under their IDs.
     :param departures: workers that leave as ordered.
     """
 
     listed_workers: set[str] = attrs.field(factory=set)
     removed_lapses: dict[str, RemovedLapses] = attrs.field(factory=dict)
-    former_calls_until: dict[str, float] = attrs.field(factory=dict)
+    former_calls: dict[str, FormerCalls] = attrs.field(factory=dict)
     last_live: frozenset[str] | None = None
     departures: Departures = attrs.field(init=False)
 
@@ -145,19 +149,22 @@
         removed = self.removed_lapses.pop(entry.worker_id, None)
         if removed is not None and removed.born == entry.born:
             record.lapses = removed.lapses
-        own_calls_until = self.former_calls_until.pop(entry.worker_id, -math.inf)
-        record.former_calls_until = max(
-            own_calls_until, self._bound_former_owners_calls(entry, now, wall_ms)
+        own = self.former_calls.pop(entry.worker_id, NO_FORMER_CALLS)
+        if compare_incarnations(own.born, entry.born) is not IncarnationMatch.SAME:
+            self._expect_former_calls(record, own)
+        until = self._bound_former_owners_calls(entry, now, wall_ms)
+        record.former_lease_until = max(
+            record.former_lease_until, until + self.longest_lease_s
         )
         return record
 
     def _bound_former_owners_calls(
         self, entry: WorkerEntry, now: float, wall_ms: float | None
     ) -> float:
-        """Return until when calls of former owners may reach a worker by mistake.
+        """Return until when a worker may carry out calls for a former incarnation.
 
-        That takes a former incarnation which they called, so the known one must have
-        started while they granted leases, or little earlier.
+        This is about calls of former owners. They granted leases until a known time,
+        and called the former incarnation until the known one started.
 
         :param entry: its registration.
         :param now: monotonic seconds.
@@ -167,9 +174,25 @@
         if not entry.born or wall_ms is None:
             return -math.inf
         started_at = now - (wall_ms - entry.born) / MS_PER_S
-        until = started_at + WALL_CLOCK_ERROR_S + LATE_CALL_S
-        until = min(until, self.get_former_grants_end() + LATE_CALL_S)
-        return until if until > now else -math.inf
+        latest_at = min(started_at + WALL_CLOCK_ERROR_S, self.get_former_grants_end())
+        return latest_at + LATE_CALL_S
+
+    def _expect_former_calls(self, record: WorkerRecord, calls: FormerCalls) -> None:
+        """Reckon with calls to the former incarnation of a worker.
+
+        A task that it was ordered to start stays placed on the new incarnation until
+        that one confirms that it will not start it, unless the task has been placed
+        elsewhere.
+        """
+        record.former_lease_until = calls.until + self.longest_lease_s
+        record.restarts = calls.restarts
+        for ordered in calls.starts:
+            job = self.jobs.get(ordered.task.job_id)
+            task = job.find_task(ordered.task) if job else None
+            if job is None or task is None or job.state.final:
+                continue
+            if task.phase is TaskPhase.WAITING and task.run == ordered.run:
+                self._bar(record, job, task, ordered.run)
 
     def _update_incarnation(
         self, record: WorkerRecord, born: int, now: float
@@ -225,11 +248,6 @@
         may have granted has ended.
         """
         worker_id = previous.entry.worker_id
-        ordered = [
-            (job, task, task.run)
-            for job, task in self._list_runs_on(previous)
-            if _may_reach_next_incarnation(task)
-        ]
         self.remove_worker(worker_id, "worker restarted under the same id", now)
         entry = attrs.evolve(
             previous.entry, cpu=0, memory_mb=0, accelerators=0, clock_ms=0.0, born=born
@@ -238,11 +256,8 @@
         record.born = born
         record.heard_at = now
         record.replaces_incarnation = True
-        record.former_calls_until = self.former_calls_until.pop(worker_id)
         self.workers[worker_id] = record
-        for job, task, run in ordered:
-            if not job.state.final:
-                self._bar(record, job, task, run)
+        self._expect_former_calls(record, self.former_calls.pop(worker_id))
         self._log_restart(previous, record, now)
 
     def _log_restart(
@@ -334,6 +349,7 @@
         self.listed_workers.discard(worker_id)
         ordered = self.departures.is_ordered(record, self.cordons.get(worker_id))
         log = choose_log(record, ordered)
+        self._keep_former_calls(record, now)
         freed = self._release_runs(record, crashed, now)
         if ordered:
             self.departures.note_left(worker_id)
@@ -346,16 +362,22 @@
             freed=freed,
         )
         del self.workers[worker_id]
-        self._forget_former_calls(now)
-        self.former_calls_until[worker_id] = now + LATE_CALL_S
         if record.lapses and not crashed:
             self.removed_lapses[worker_id] = RemovedLapses(record.born, record.lapses)
 
-    def _forget_former_calls(self, now: float) -> None:
-        """Forget the removed workers that carry out no calls any more."""
-        for worker_id, until in list(self.former_calls_until.items()):
-            if until <= now:
-                del self.former_calls_until[worker_id]
+    def _keep_former_calls(self, record: WorkerRecord, now: float) -> None:
+        """Keep what a removed worker was told, and forget what is over."""
+        for worker_id, calls in list(self.former_calls.items()):
+            if calls.until <= now:
+                del self.former_calls[worker_id]
+        starts = tuple(
+            OrderedRun(task.task_id, task.run)
+            for _, task in self._list_runs_on(record)
+            if _may_reach_next_incarnation(task)
+        )
+        self.former_calls[record.entry.worker_id] = FormerCalls(
+            record.born, now + LATE_CALL_S, starts, record.restarts + 1
+        )
 
     def is_isolated(self, order: StartOrder) -> bool:
         """Return whether a run still keeps runs of other jobs off its worker.
--- a/src/onyxgap/jobs/workers.py
+++ b/src/onyxgap/jobs/workers.py
@@ -68,7 +68,8 @@
     :param spec: opaque specification from the job.
     :param deadline_ms: milliseconds on the worker's clock after which the run must not
         start.
-    :param epoch: epoch of the owner, used as fencing token.
+    :param epoch: fencing token, from the epoch of the owner and the restarts of the
+        worker that it knows.
     :param checkpoint: checkpoint to resume from, or empty.
     :param ticket: ticket of the policy service, or empty.
     :param timeout_s: seconds allowed for the reply.
@@ -97,7 +98,8 @@
     :param address: address of the worker.
     :param task: the task.
     :param run: number of the run.
-    :param epoch: epoch of the owner, used as fencing token.
+    :param epoch: fencing token, from the epoch of the owner and the restarts of the
+        worker that it knows.
     :param incarnation: start of the incarnation of the worker that it is meant for,
         Unix milliseconds, 0 if not known.
     """
@@ -116,7 +118,8 @@
 
     :param worker_id: id of the intended worker; another one at the address refuses.
     :param address: address of the worker.
-    :param epoch: epoch of the owner, used as fencing token.
+    :param epoch: fencing token, from the epoch of the owner and the restarts of the
+        worker that it knows.
     :param acknowledged: sequence number up to which the ended runs are stored.
     :param deadline_ms: new lease deadline in milliseconds on the worker's clock, or
         ``None`` to leave the leases as they are.
--- a/src/onyxgap/platform/connections.py
+++ b/src/onyxgap/platform/connections.py
@@ -271,6 +271,7 @@
             if found is None and answer.status != HTTP_OK:
                 return answer
             if found is None or not connection.stays_open:
+                await connection.close()
                 raise _BadAnswerError("incarnation not known")
             if check.admits(found):
                 return None
