Emulator: let calls for a former incarnation reach the next one

The emulator could not show the fault of workers that restart under their IDs and are cut off: a worker that restarts refused calls at once, late orders ended with the life they were sent to, and a rejected start left the lease as it was.

* "restart vm" restarts a worker under its ID without power in between: calls time out, or reach the next incarnation if it starts within their timeouts.
A hold request that waits on a VM that loses power times out, too, in place of failing at once.
* Late starts, and with "late holds" hold requests, are carried out by the incarnation that then has the ID at that address.
* The deadline of a start that is repeated, old or has no room becomes the lease; the longest lease limits that of an accepted start.
* The name in a fault of a VM may be that of the VM.
* EmulatedWorkersClient._reaches decides whether a call on a fresh connection goes to the incarnation that answers; it always does for now.
Late calls do not ask it.

Neither new fault is drawn at random. Passed: test_emulated_workers, test_emulated_days, test_rack_days, test_rack_faults, test_unknown_deaths, test_leases, test_soak_unknown_deaths, test_vm_interface_faults.

--- a/src/onyxgap/standins/emulator/cloud.py
+++ b/src/onyxgap/standins/emulator/cloud.py
@@ -263,6 +263,13 @@
             worker.crash()
             self.group.start_soon(self._start_again, name, worker, for_s)
 
+    def restart(self, name: str, for_s: float) -> None:
+        """Take the power from a VM; its worker starts again under its id."""
+        worker = self.get_worker(name)
+        if worker is not None:
+            self.workers.halted.add(worker.entry.address)
+            self.rebear(name, for_s)
+
     async def _start_again(
         self, name: str, worker: EmulatedWorker, for_s: float
     ) -> None:
--- a/src/onyxgap/standins/emulator/fault_draws.py
+++ b/src/onyxgap/standins/emulator/fault_draws.py
@@ -20,6 +20,8 @@
         ("halt", "vm"),
         ("end", "worker"),
         ("refuse", "vm"),
+        ("restart", "vm"),
+        ("late", "holds"),
         ("split", "workers"),
         ("refuse", "writes"),
         *_LIST_FAULTS,
--- a/src/onyxgap/standins/emulator/fault_targets.py
+++ b/src/onyxgap/standins/emulator/fault_targets.py
@@ -70,12 +70,14 @@
     def find_vm(self, pool: str) -> str | None:
         """Draw a VM of a pool that is up.
 
-        :param pool: its name, or empty for any.
+        :param pool: its name, that of the VM, or empty for any.
         """
         names = [
             name
             for name, vm in sorted(self.cloud.vms.items())
-            if vm.state is VmState.UP and vm.worker_id and pool in ("", vm.pool)
+            if vm.state is VmState.UP
+            and vm.worker_id
+            and pool in ("", vm.pool, vm.name)
         ]
         return self.rng.choice(names) if names else None
 
--- a/src/onyxgap/standins/emulator/faults.py
+++ b/src/onyxgap/standins/emulator/faults.py
@@ -43,7 +43,7 @@
         if fault.target == "store" or (fault.verb, fault.target) == ("refuse", "node"):
             self.record_disturbance(ALL_NODES, fault.seconds)
         now = anyio.current_time()
-        if fault.target == "orders":
+        if fault.target in ("orders", "holds"):
             self.disturbances.order_spans.append((now, now + fault.seconds))
         if fault.verb == "cut" and fault.target in ("vm", "rack"):
             # a run on a worker out of reach is given up once its lease has ended
--- a/src/onyxgap/standins/emulator/script.py
+++ b/src/onyxgap/standins/emulator/script.py
@@ -38,6 +38,18 @@
     The node with the fleet controller role does not reach the interface, or with
     ``cut holder list`` and ``cut holder vm-orders`` not that part of it.
 
+The name in a fault of a VM is that of its pool, or that of the VM:
+
+``rebear vm POOL``
+    The worker crashes, and starts again under its ID after the given time (``for``).
+    Its address refuses connections until then.
+``restart vm POOL``
+    The same, but its address does not answer at all until then: calls time out, or
+    reach the next incarnation if it starts within their timeouts.
+``late orders`` and ``late holds``
+    A share (``by``) of start orders, or of hold requests, gets no answer and is carried
+    out 1 to 6 s later by the incarnation that then has the ID.
+
 Faults of a rack affect all of its VMs that are up; VMs keep their rack when they move
 between pools, and one of the racks is drawn that have VMs of the pool:
 
@@ -343,9 +355,11 @@
         ("deaf", "node"),
         ("refuse", "node"),
         ("late", "orders"),
+        ("late", "holds"),
         ("lose", "orders"),
         ("configure", "routes"),
         ("rebear", "vm"),
+        ("restart", "vm"),
         ("halt", "vm"),
         ("end", "worker"),
         ("refuse", "vm"),
--- a/src/onyxgap/standins/emulator/store_faults.py
+++ b/src/onyxgap/standins/emulator/store_faults.py
@@ -30,8 +30,14 @@
 
 
 async def delay_calls(day: FaultTargets, fault: FaultLine) -> None:
-    """Have writes or orders be carried out seconds late."""
-    link = day.store.link if fault.target == "store" else day.workers.link
+    """Have writes, orders or hold requests be carried out seconds late."""
+    workers = day.workers
+    links = {
+        "store": day.store.link,
+        "orders": workers.link,
+        "holds": workers.hold_link,
+    }
+    link = links[fault.target]
     link.late_share = fault.strength
     await anyio.sleep(fault.seconds)
     link.late_share = 0.0
@@ -66,6 +72,7 @@
     ("forget", "store"): forget_history,
     ("deaf", "store"): deafen_feeds,
     ("late", "orders"): delay_calls,
+    ("late", "holds"): delay_calls,
     ("lose", "orders"): lose_answers,
     ("refuse", "writes"): refuse_writes,
 }
--- a/src/onyxgap/standins/emulator/worker_faults.py
+++ b/src/onyxgap/standins/emulator/worker_faults.py
@@ -63,6 +63,13 @@
         day.cloud.rebear(name, fault.seconds)
 
 
+async def restart_vm(day: FaultTargets, fault: FaultLine) -> None:
+    """Take the power from a VM; its worker starts again under its id."""
+    name = day.find_vm(fault.name)
+    if name is not None:
+        day.cloud.restart(name, fault.seconds)
+
+
 async def refuse_orders(day: FaultTargets, fault: FaultLine) -> None:
     """Have a worker refuse new connections; hold requests go over open ones."""
     name = day.find_vm(fault.name)
@@ -126,6 +133,7 @@
     ("hang", "vm"): hang_vm,
     ("shrink", "vm"): shrink_vm,
     ("rebear", "vm"): rebear_vm,
+    ("restart", "vm"): restart_vm,
     ("halt", "vm"): halt_vm,
     ("crash", "rack"): crash_rack,
     ("halt", "rack"): halt_rack,
--- a/src/onyxgap/standins/emulator/workers.py
+++ b/src/onyxgap/standins/emulator/workers.py
@@ -41,6 +41,8 @@
 counts as reaching the store again, and a heartbeat of the worker."""
 MAX_LEASE_MS = 10_000.0
 
+Order = StartOrder | StopOrder | HoldOrder
+
 
 class Mood(enum.Enum):
     """How a worker behaves."""
@@ -190,8 +192,10 @@
             return Reply(ReplyKind.STALE_OWNER, clock)
         present = self.runs.get(order.task)
         if present is not None and present.record.run == order.run:
+            self._extend_lease(order.deadline_ms)
             return Reply(ReplyKind.DONE, clock)
         if order.run <= self.highest.get(order.task, 0):
+            self._extend_lease(order.deadline_ms)
             return Reply(ReplyKind.STALE_RUN, clock)
         if clock > order.deadline_ms:
             return Reply(ReplyKind.TOO_LATE, clock)
@@ -199,11 +203,17 @@
         fits = self._has_room(nature.step, self.entry)
         if not fits:
             self.over_capacity += 1
+        self._extend_lease(order.deadline_ms)
         if not fits and self.guarded:
             return Reply(ReplyKind.NO_ROOM, clock)
         self._begin(order, node, nature)
         return Reply(ReplyKind.DONE, clock)
 
+    def _extend_lease(self, deadline_ms: float) -> None:
+        """Extend the lease of everything that runs here, at most to the longest one."""
+        limit_ms = self.read_clock() + MAX_LEASE_MS
+        self.lease_ms = max(self.lease_ms, min(deadline_ms, limit_ms))
+
     def _get_judged_entry(self) -> WorkerEntry:
         """Give the capacity that starts are judged by, the largest of late."""
         since = anyio.current_time() - SHRINK_GRACE_S
@@ -231,7 +241,6 @@
         record.overfull = not self._has_room(step, self._get_judged_entry())
         self.records.append(record)
         self.highest[order.task] = order.run
-        self.lease_ms = max(self.lease_ms, order.deadline_ms)
         doomed = self.mood is Mood.FAILING
         run = Run(
             record, step, now + left_s, left_s, restored_s=restored_s, doomed=doomed
@@ -252,8 +261,8 @@
             run.stopping_at = anyio.current_time() + STOP_S
         return Reply(ReplyKind.DONE, self.read_clock())
 
-    async def hold(self, order: HoldOrder) -> HoldReport | Reply:
-        """Carry out an order to hold; waits for an end if it may."""
+    def renew(self, order: HoldOrder) -> Reply:
+        """Extend the lease and forget the acknowledged ends, of whichever life."""
         self.advance()
         if not self._check_fence(order.epoch):
             return Reply(ReplyKind.STALE_OWNER, self.read_clock())
@@ -261,9 +270,15 @@
         if lapse_at <= anyio.current_time():
             self.lapsed_at = lapse_at
         if order.deadline_ms is not None:
-            limit = self.read_clock() + MAX_LEASE_MS
-            self.lease_ms = max(self.lease_ms, min(order.deadline_ms, limit))
+            self._extend_lease(order.deadline_ms)
         self._note_ends(order.acknowledged)
+        return Reply(ReplyKind.DONE, self.read_clock())
+
+    async def hold(self, order: HoldOrder) -> HoldReport | Reply:
+        """Carry out an order to hold; waits for an end if it may."""
+        renewed = self.renew(order)
+        if renewed.kind is not ReplyKind.DONE:
+            return renewed
         give_up = anyio.current_time() + order.wait_ms / 1000
         while not self.ended and self.alive and anyio.current_time() < give_up:
             await self._wait_for_end(give_up)
@@ -314,6 +329,8 @@
     :param group: runs late orders.
     :param history: all workers that ever started.
     :param halted: addresses of VMs without power, which do not answer at all.
+    :param link: delays and losses of orders.
+    :param hold_link: delays of hold requests.
     """
 
     rng: random.Random
@@ -323,16 +340,21 @@
     records: list[RunRecord] = attrs.field(factory=list)
     halted: set[str] = attrs.field(factory=set)
     link: Link = attrs.field(init=False)
+    hold_link: Link = attrs.field(init=False)
     _by_address: dict[str, list[EmulatedWorker]] = attrs.field(factory=dict)
+    _added: anyio.Event = attrs.field(factory=anyio.Event)
 
     def __attrs_post_init__(self) -> None:
         self.link = Link(0.0015, self.rng)
+        self.hold_link = Link(self.link.delay_s, self.rng)
 
     def add(self, worker: EmulatedWorker) -> None:
         """Add a worker that has started."""
         self.lives[worker.entry.worker_id] = worker
         self.history.append(worker)
         self._by_address.setdefault(worker.entry.address, []).append(worker)
+        self._added.set()
+        self._added = anyio.Event()
 
     def find_present(self, address: str) -> EmulatedWorker | None:
         """Find the live worker at an address."""
@@ -341,6 +363,27 @@
                 return worker
         return None
 
+    async def wait_for_present(
+        self, address: str, timeout_s: float
+    ) -> EmulatedWorker | None:
+        """Wait until a worker starts at an address, for some seconds at most."""
+        with anyio.move_on_after(timeout_s):
+            while self.find_present(address) is None:
+                await self._added.wait()
+        return self.find_present(address)
+
+    def carry_out_late(
+        self, order: Order, carry_out: t.Callable[[EmulatedWorker], Reply]
+    ) -> None:
+        """Have the incarnation that is now at the address carry out an order.
+
+        :param order: an order that its incarnation had received, or a former one.
+        :param carry_out: what the worker does.
+        """
+        worker = self.find_present(order.address)
+        if worker is not None and worker.entry.worker_id == order.worker_id:
+            carry_out(worker)
+
 
 @attrs.define(eq=False)
 class EmulatedWorkersClient:
@@ -353,30 +396,50 @@
     workers: EmulatedWorkers
     gate: NodeGate
 
-    async def _reach(
-        self, worker_id: str, address: str, timeout_s: float
-    ) -> EmulatedWorker | Reply:
+    async def _reach(self, order: Order, timeout_s: float) -> EmulatedWorker | Reply:
         await self.gate.pass_through()
         await self.gate.take_processor()
         await anyio.sleep(self.workers.link.delay_s)
-        worker = self.workers.find_present(address)
-        is_dark = worker.dark if worker else address in self.workers.halted
-        if is_dark or not self.gate.cut_from.isdisjoint({"workers", address}):
+        worker = self.workers.find_present(order.address)
+        is_dark = worker is not None and worker.dark
+        if is_dark or not self.gate.cut_from.isdisjoint({"workers", order.address}):
             return await _give_up(timeout_s, "no answer")
+        if worker is None and order.address in self.workers.halted:
+            worker = await self.workers.wait_for_present(
+                order.address, _get_allowed_s(timeout_s)
+            )
+            if worker is None:
+                return _build_timeout("no answer")
         if worker is None:
             return Reply(ReplyKind.NOT_SENT, detail="refused")
-        if worker.entry.worker_id != worker_id:
+        if worker.entry.worker_id != order.worker_id:
             return Reply(ReplyKind.OTHER_WORKER, worker.read_clock())
+        if not self._reaches(order, worker):
+            return Reply(ReplyKind.NOT_SENT, detail="another incarnation")
         return worker
 
+    def _reaches(self, order: Order, worker: EmulatedWorker) -> bool:
+        """Tell whether a call goes out to the incarnation that answers a connection."""
+        return True
+
     async def _connect(
-        self, worker_id: str, address: str, timeout_s: float = CALL_TIMEOUT_S
+        self, order: Order, timeout_s: float = CALL_TIMEOUT_S
     ) -> EmulatedWorker | Reply:
-        worker = await self._reach(worker_id, address, timeout_s)
+        worker = await self._reach(order, timeout_s)
         if isinstance(worker, EmulatedWorker) and worker.refusing:
             return Reply(ReplyKind.NOT_SENT, detail="refused")
         return worker
 
+    def _defer(
+        self,
+        late_s: float,
+        order: Order,
+        carry_out: t.Callable[[EmulatedWorker], Reply],
+    ) -> None:
+        self.workers.group.start_soon(
+            run_late, late_s, self.workers.carry_out_late, order, carry_out
+        )
+
     async def _answer(self, reply: Reply, timeout_s: float = CALL_TIMEOUT_S) -> Reply:
         if self.workers.link.draw_loss():
             reply = await _give_up(timeout_s, "answer lost")
@@ -388,21 +451,20 @@
     async def start(self, order: StartOrder) -> Reply:
         """Order a run to start."""
         timeout_s = order.timeout_s
-        worker = await self._connect(order.worker_id, order.address, timeout_s)
+        worker = await self._connect(order, timeout_s)
         if isinstance(worker, Reply):
             return await self._answer(worker, timeout_s)
         late_s = self.workers.link.draw_late()
         if late_s:
-            self.workers.group.start_soon(
-                run_late, late_s, _start_if_alive, worker, order, self.gate.node
-            )
+            node = self.gate.node
+            self._defer(late_s, order, lambda present: present.start(order, node))
             return await _give_up(timeout_s, "carried out late")
         return await self._answer(worker.start(order, self.gate.node), timeout_s)
 
     @carry_out_elsewhere
     async def stop(self, order: StopOrder) -> Reply:
         """Order a run to stop; it never starts afterwards."""
-        worker = await self._connect(order.worker_id, order.address)
+        worker = await self._connect(order)
         if isinstance(worker, Reply):
             return await self._answer(worker)
         return await self._answer(worker.stop(order))
@@ -415,12 +477,20 @@
     @carry_out_elsewhere
     async def hold(self, order: HoldOrder) -> HoldReport | Reply:
         """Extend the lease of everything on a worker and read its lists."""
-        worker = await self._reach(order.worker_id, order.address, order.margin_s)
+        worker = await self._reach(order, order.margin_s)
         if isinstance(worker, Reply):
             return await self._answer(worker, order.margin_s)
+        late_s = self.workers.hold_link.draw_late()
+        if late_s:
+            self._defer(late_s, order, lambda present: present.renew(order))
+            return await _give_up(order.margin_s, "carried out late")
+        waited_until = anyio.current_time() + order.wait_ms / 1000
         report = await worker.hold(order)
         if isinstance(report, Reply):
             return await self._answer(report, order.margin_s)
+        if not worker.alive and order.address in self.workers.halted:
+            await anyio.sleep_until(waited_until)
+            return await _give_up(order.margin_s, "no answer")
         if not worker.alive or worker.dark:
             return Reply(ReplyKind.NO_ANSWER, detail="connection lost")
         await anyio.sleep(self.workers.link.delay_s)
@@ -431,13 +501,15 @@
         """Close the connections to a worker that is gone."""
 
 
-async def _give_up(timeout_s: float, detail: str) -> Reply:
-    """Wait for the end of the time allowed for a call that gets no answer."""
-    await anyio.sleep(max(CALL_TIMEOUT_S, timeout_s))
+def _get_allowed_s(timeout_s: float) -> float:
+    return max(CALL_TIMEOUT_S, timeout_s)
+
+
+def _build_timeout(detail: str) -> Reply:
     return Reply(ReplyKind.NO_ANSWER, None, detail, overdue_s=0.0)
 
 
-def _start_if_alive(worker: EmulatedWorker, order: StartOrder, node: str) -> None:
-    # what a worker has left undone is gone with its life
-    if worker.alive:
-        worker.start(order, node)
+async def _give_up(timeout_s: float, detail: str) -> Reply:
+    """Wait for the end of the time allowed for a call that gets no answer."""
+    await anyio.sleep(_get_allowed_s(timeout_s))
+    return _build_timeout(detail)
