--- a/tests/test_former_incarnation_calls.py
+++ b/tests/test_former_incarnation_calls.py
@@ -286,12 +286,15 @@
 
 
 def test_rejected_call_for_the_former_incarnation_does_not_end_the_ownership() -> None:
-    nothing: t.Any = None
-    owner = build_owner(nothing, SystemClocks())
-    owner.state.observe_worker(attrs.evolve(ENTRY, born=FIRST_START_MS), 0.0)
-    former = owner._build_hold("w1")
-    owner.state.observe_worker(attrs.evolve(ENTRY, born=SECOND_START_MS), 0.0)
-    stale = Reply(ReplyKind.STALE_OWNER)
-    owner._check_fence(former, stale)
-    with pytest.raises(OwnershipLostError):
-        owner._check_fence(owner._build_hold("w1"), stale)
+    async def main() -> None:
+        nothing: t.Any = None
+        owner = build_owner(nothing, SystemClocks())
+        owner.state.observe_worker(attrs.evolve(ENTRY, born=FIRST_START_MS), 0.0)
+        former = owner._build_hold("w1")
+        owner.state.observe_worker(attrs.evolve(ENTRY, born=SECOND_START_MS), 0.0)
+        stale = Reply(ReplyKind.STALE_OWNER)
+        owner._check_fence(former, stale)
+        with pytest.raises(OwnershipLostError):
+            owner._check_fence(owner._build_hold("w1"), stale)
+
+    anyio.run(main)
