Call workers that close each connection after their answer

Cause: since a connection begins with the call that tells the incarnation, a worker that closes each connection got no other call: no lease was renewed and no order sent (found by a review; the test failed before).

Change: after such an answer the call goes over another connection at once. A restart between the two is left to the bound of the lease.

--- a/src/onyxgap/platform/connections.py
+++ b/src/onyxgap/platform/connections.py
@@ -208,7 +208,14 @@
             with anyio.fail_after(timeout_s):
                 async with self._permits:
                     connection = await self._acquire()
-                    answer = await self._converse(connection, request, headers, check)
+                    answer = await self._check(connection, headers, check)
+                    if answer is None and not connection.stays_open:
+                        # the worker closes each connection after an answer
+                        await connection.close()
+                        connection = await self._connect()
+                    if answer is None:
+                        connection.call_sent = True
+                        answer = await connection.exchange(request)
                     await self._release(connection)
         except (
             OSError,
@@ -233,51 +240,50 @@
                 connection.call_sent = False
                 return connection
             await connection.close()
+        return await self._connect()
+
+    async def _connect(self) -> _Connection:
         host, _, port = self.address.rpartition(":")
         return _Connection(await anyio.connect_tcp(host, int(port)))
 
-    async def _converse(
+    async def _check(
         self,
         connection: _Connection,
-        request: bytes,
         headers: Headers,
         check: IncarnationCheck | None,
-    ) -> Answer:
-        if check is not None:
-            outcome = await self._check(connection, headers, check)
-            if outcome is not None:
-                return outcome
-        connection.call_sent = True
-        return await connection.exchange(request)
-
-    async def _check(
-        self, connection: _Connection, headers: Headers, check: IncarnationCheck
     ) -> Answer | None:
         """Check that a connection leads to the incarnation that a call is meant for.
 
         :returns: the outcome of the call if it is not to be sent, else ``None``.
         """
+        if check is None:
+            return None
         found = connection.incarnation
         if found is not None and check.admits(found):
             return None
         if found is None or check.replaces_call:
-            request = encode_request(
-                self.address, "POST", check.path, check.body, headers
-            )
-            answer = await connection.exchange(request)
-            connection.incarnation = found = check.read(answer)
-            if check.replaces_call:
+            answer = await self._ask_incarnation(connection, headers, check)
+            found = connection.incarnation
+            if found is None or (check.replaces_call and connection.stays_open):
                 return answer
-            if found is None and answer.status != HTTP_OK:
-                return answer
-            if found is None or not connection.stays_open:
-                await connection.close()
-                raise _BadAnswerError("incarnation not known")
             if check.admits(found):
                 return None
         reason = f"meant for {check.incarnation}, found {found}"
         return Answer(0, b"", CallFailure.OTHER_INCARNATION, reason)
 
+    async def _ask_incarnation(
+        self, connection: _Connection, headers: Headers, check: IncarnationCheck
+    ) -> Answer:
+        request = encode_request(self.address, "POST", check.path, check.body, headers)
+        answer = await connection.exchange(request)
+        connection.incarnation = check.read(answer)
+        is_malformed = connection.incarnation is None and answer.status == HTTP_OK
+        if is_malformed and not check.replaces_call:
+            # it must not count as the answer to the call
+            await connection.close()
+            raise _BadAnswerError("incarnation not known")
+        return answer
+
     async def _release(self, connection: _Connection) -> None:
         keeps = connection.stays_open and not self._retired
         if keeps and len(self._idle) < IDLE_CONNECTIONS:
--- a/tests/test_former_incarnation_calls.py
+++ b/tests/test_former_incarnation_calls.py
@@ -161,18 +161,26 @@
 
     :param born: Unix milliseconds of its start.
     :param calls: path and body of each call.
+    :param keeps_open: whether a connection stays open after an answer.
+    :param open: number of open connections.
     """
 
-    born: int = SECOND_START_MS
+    born: t.Any = SECOND_START_MS
+    keeps_open: bool = True
+    open: int = 0
     calls: list[tuple[str, dict[str, t.Any]]] = attrs.field(factory=list)
 
     async def serve(self, stream: anyio.abc.SocketStream) -> None:
+        self.open += 1
         try:
             async with stream:
-                while True:
+                await self._answer(stream, await stream.receive())
+                while self.keeps_open:
                     await self._answer(stream, await stream.receive())
         except (anyio.EndOfStream, anyio.BrokenResourceError):
             pass
+        finally:
+            self.open -= 1
 
     async def _answer(self, stream: anyio.abc.SocketStream, request: bytes) -> None:
         head, _, body = request.partition(b"\r\n\r\n")
@@ -181,7 +189,8 @@
             {"clock_ms": 20.0, "running": [], "ended": [], "born": self.born}
         )
         length = str(len(answer)).encode()
-        head = b"HTTP/1.1 200 OK\r\nContent-Length: " + length + b"\r\n\r\n"
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: " + length + b"\r\n"
+        head += b"\r\n" if self.keeps_open else b"Connection: close\r\n\r\n"
         await stream.send(head + answer)
 
     def list_bound_calls(self) -> list[tuple[str, dict[str, t.Any]]]:
@@ -286,6 +295,33 @@
     assert [path for path, _ in worker.list_bound_calls()] == ["/run-stop"]
 
 
+def test_worker_that_closes_each_connection_gets_its_lease_and_its_orders() -> None:
+    worker = RestartingWorker(keeps_open=False)
+
+    async def call(client: PlatformWorkerClient, address: str) -> Reply:
+        await client.hold(build_hold(address, SECOND_START_MS))
+        order = StopOrder("w1", address, TASK, 1, 3, incarnation=SECOND_START_MS)
+        return await client.stop(order)
+
+    assert call_worker(worker, call).kind is ReplyKind.DONE
+    assert [path for path, _ in worker.list_bound_calls()] == ["/hold", "/run-stop"]
+
+
+def test_connection_whose_incarnation_cannot_be_read_is_closed() -> None:
+    worker = RestartingWorker(born="soon")
+
+    async def call(client: PlatformWorkerClient, address: str) -> ReplyKind:
+        order = StopOrder("w1", address, TASK, 1, 3, incarnation=SECOND_START_MS)
+        reply = await client.stop(order)
+        with anyio.fail_after(5.0):
+            while worker.open:
+                await anyio.sleep(0.01)
+        return reply.kind
+
+    assert call_worker(worker, call) is ReplyKind.NOT_SENT
+    assert worker.list_bound_calls() == []
+
+
 def test_rejected_call_for_the_former_incarnation_does_not_end_the_ownership() -> None:
     async def main() -> None:
         nothing: t.Any = None
