Bound what a connection may send, hold and leave unread

What callers saw: heads, trailers and paths without end, and requests sent ahead with their answers unread, made a process run out of memory. Empty lines and chunk extensions without end kept a connection open for ever.

Cause: the parser of the HTTP server has no limits. Heads and trailers are kept whole, a read of 256 KB is parsed before reading pauses, and no timer runs before a request is complete.

Change: a protocol on top of uvicorn's counts bytes that make no progress, refuses beyond the limit (431, 414, 400, 408, then close), drops trailers, parses one request at a time and holds back what follows, and closes callers that do not send or do not read. A guard bounds connections and buffered bytes of all listeners of a process: over a bound, the connections that have waited longest for their callers are closed, else the newest is refused. A request refused here never reached the application in full.

--- a/src/onyxgap/adapters/http_server.py
+++ b/src/onyxgap/adapters/http_server.py
@@ -1,6 +1,8 @@
 """Runs an ASGI application with uvicorn inside an anyio task group."""
 
+import asyncio
 import contextlib
+import functools
 import socket
 import typing as t
 
@@ -10,10 +12,11 @@
 import uvicorn
 
 from ..settings import Address
+from .bounded_protocol import BoundedHttpProtocol
+from .connection_guard import ConnectionGuard
 
 BACKLOG = 2048
 START_POLL_S = 0.01
-KEEP_ALIVE_S = 75
 
 
 class _UvicornServer(uvicorn.Server):
@@ -31,12 +34,14 @@
     :param listen: address to listen on; port 0 selects a free port.
     :param grace_s: seconds that open requests may take after :meth:`stop`; applied
         as whole seconds, at least one.
+    :param guard: bounds the connections, also those of other servers that share it.
     :param ended: set when the server has shut down after :meth:`stop`.
     """
 
     app: t.Any
     listen: Address
     grace_s: float = 30.0
+    guard: ConnectionGuard = attrs.field(factory=ConnectionGuard)
     ended: anyio.Event = attrs.field(factory=anyio.Event)
     _server: _UvicornServer | None = None
 
@@ -56,7 +61,10 @@
         listener.bind((self.listen.host, self.listen.port))
         config = uvicorn.Config(
             self.app,
-            http="auto",
+            http=t.cast(
+                type[asyncio.Protocol],
+                functools.partial(BoundedHttpProtocol, guard=self.guard),
+            ),
             ws="none",
             lifespan="off",
             log_config=None,
@@ -64,7 +72,6 @@
             server_header=False,
             date_header=False,
             backlog=BACKLOG,
-            timeout_keep_alive=KEEP_ALIVE_S,
             timeout_graceful_shutdown=max(1, int(self.grace_s)),
         )
         self._server = _UvicornServer(config)
