Give a node's listeners common bounds, and show what they close

Cause: connections and buffered bytes were bounded for each listener alone, with defaults that do not fit a small machine, and nothing told of them.

Change: limits.memory_mb and limits.max_fds are read from the settings (the machine's own values without them); the callers', probe and metrics listeners share one guard that is derived from them. New metrics: onyxgap_connections_closed_total by reason, onyxgap_connections_open, onyxgap_connection_bytes_held. The two log events are written once for each reason in ten seconds and pass beyond the rate of the log.

--- a/src/onyxgap/daemons/node_metrics.py
+++ b/src/onyxgap/daemons/node_metrics.py
@@ -3,6 +3,7 @@
 import functools
 import typing as t
 
+from ..adapters.connection_guard import ConnectionGuard
 from ..logs import BoundedLogWriter
 from ..metrics import Metrics
 from .node import Node
@@ -18,11 +19,14 @@
     }
 
 
-def build_metrics(node: Node, lines: BoundedLogWriter) -> Metrics:
+def build_metrics(
+    node: Node, lines: BoundedLogWriter, guard: ConnectionGuard
+) -> Metrics:
     """Build the metrics of a node, and have its job API count answers in them.
 
     :param node: the node.
     :param lines: log writer, whose dropped lines are counted.
+    :param guard: bounds the connections of callers.
     """
     metrics = Metrics(
         gauges={
@@ -62,8 +66,11 @@
             "event_loop_lag_highest_seconds": lambda: node.lag.highest_s,
             "store_down": lambda: node.health.is_down(node.clocks.read_monotonic()),
             "log_lines_dropped": lambda: lines.dropped_total,
+            "connections_open": lambda: len(guard.connections),
+            "connection_bytes_held": lambda: guard.held,
         },
         read_work=node.lag.work.list_seconds,
+        closed=guard.closed,
     )
 
     def count_answer(kind: str, outcome: str, took_s: float) -> None:
--- a/src/onyxgap/daemons/node_process.py
+++ b/src/onyxgap/daemons/node_process.py
@@ -2,12 +2,15 @@
 
 import os
 import random
+import resource
 import signal
 
 import anyio
 import structlog
 
 from ..adapters.call_link import StreamCallLink
+from ..adapters.connection_guard import ConnectionGuard
+from ..adapters.connection_limits import derive_limits
 from ..adapters.http_server import HttpServer
 from ..adapters.notice_link import DatagramPeers
 from ..clocks import SystemClocks
@@ -83,6 +86,22 @@
     return pages * page_size // 2**20
 
 
+def _read_max_fds() -> int:
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return 0 if soft == resource.RLIM_INFINITY else soft
+
+
+def build_guard(settings: NodeSettings) -> ConnectionGuard:
+    """Build the guard of a node's listeners from the limits of its machine.
+
+    :param settings: settings of the node.
+    """
+    limits = derive_limits(
+        settings.memory_mb or _read_memory_mb(), settings.max_fds or _read_max_fds()
+    )
+    return ConnectionGuard(limits)
+
+
 def build_node(settings: NodeSettings) -> Node:
     """Build a node that talks to the users' platform.
 
@@ -128,13 +147,14 @@
     """
     settings = load_settings(path)
     node = build_node(settings)
-    render_metrics = build_metrics(node, lines).render
+    guard = build_guard(settings)
+    render_metrics = build_metrics(node, lines, guard).render
     _LOG.info("start", boot=node.boot, zone=settings.zone, store=settings.store)
     node.start_times.note(StartStep.MODULES)
     caller_app = JobApiApp(node.served_api)
-    caller_server = HttpServer(caller_app, settings.front, CLOSE_TIMEOUT_S)
+    caller_server = HttpServer(caller_app, settings.front, CLOSE_TIMEOUT_S, guard)
     probe_app = ProbeApp(node.served_api, render_metrics)
-    probe_server = HttpServer(probe_app, settings.ready, CLOSE_TIMEOUT_S)
+    probe_server = HttpServer(probe_app, settings.ready, CLOSE_TIMEOUT_S, guard)
     with anyio.open_signal_receiver(
         signal.SIGTERM, signal.SIGINT, signal.SIGHUP
     ) as signals:
@@ -143,7 +163,8 @@
             group.start_soon(_serve_callers, caller_server, node.start_times)
             if metrics_port:
                 address = Address(settings.ready.host, metrics_port)
-                group.start_soon(HttpServer(probe_app, address, CLOSE_TIMEOUT_S).run)
+                metrics_server = HttpServer(probe_app, address, CLOSE_TIMEOUT_S, guard)
+                group.start_soon(metrics_server.run)
             group.start_soon(node.run)
             async for signal_number in signals:
                 if signal_number != signal.SIGHUP:
--- a/src/onyxgap/exposition.py
+++ b/src/onyxgap/exposition.py
@@ -31,6 +31,7 @@
         yield self._collect_delays()
         yield from self._collect_quantiles()
         yield self._collect_work()
+        yield self._collect_closed()
         for name, read in sorted(self.metrics.gauges.items()):
             yield GaugeMetricFamily(f"onyxgap_{name}", name, value=read())
 
@@ -74,6 +75,16 @@
             family.add_metric((kind,), seconds)
         return family
 
+    def _collect_closed(self) -> Metric:
+        family = CounterMetricFamily(
+            "onyxgap_connections_closed",
+            "Connections refused or closed by the process",
+            labels=("reason",),
+        )
+        for reason, count in sorted(self.metrics.closed.items()):
+            family.add_metric((reason,), count)
+        return family
+
 
 def render_metrics(metrics: Metrics) -> bytes:
     """Render metrics in the Prometheus text format.
--- a/src/onyxgap/jobs/settings.py
+++ b/src/onyxgap/jobs/settings.py
@@ -55,6 +55,8 @@
         applies fair sharing and admission control.
     :param limits: time limits of the deployment.
     :param store_limits: limits of the store on a write.
+    :param memory_mb: memory that the node may use, in MB, 0 if not limited.
+    :param max_fds: file descriptors that the node may use, 0 if not limited.
     """
 
     node: str
@@ -69,3 +71,5 @@
     contended: bool = False
     limits: TimeLimits = attrs.field(factory=TimeLimits)
     store_limits: StoreLimits = StoreLimits()
+    memory_mb: int = 0
+    max_fds: int = 0
--- a/src/onyxgap/logs.py
+++ b/src/onyxgap/logs.py
@@ -63,6 +63,8 @@
 """Events that a busy node logs hundreds of times a second."""
 BOUNDED_EVENTS = frozenset(
     {
+        "connection closed for what its caller sent",
+        "connection refused",
         "event loop late",
         "job changes heard again",
         "job changes not heard",
--- a/src/onyxgap/metrics.py
+++ b/src/onyxgap/metrics.py
@@ -24,12 +24,14 @@
 
     :param gauges: functions that return current values, by metric name.
     :param read_work: returns the processor seconds by kind of work.
+    :param closed: number of connections refused or closed, by reason.
     :param answers: number of finished requests, by verdict and reason.
     :param delays: response times by service, in microseconds.
     """
 
     gauges: dict[str, t.Callable[[], float]] = attrs.field(factory=dict)
     read_work: t.Callable[[], t.Mapping[str, float]] = dict
+    closed: t.Mapping[str, int] = attrs.field(factory=dict)
     answers: collections.Counter[tuple[str, str]] = attrs.field(
         factory=collections.Counter
     )
--- a/src/onyxgap/platform/settings.py
+++ b/src/onyxgap/platform/settings.py
@@ -64,6 +64,13 @@
     return int(first), int(last)
 
 
+def _parse_limit(text: str) -> int:
+    limit = int(text)
+    if limit < 0:
+        raise ValueError
+    return limit
+
+
 def _split_list(text: str) -> tuple[str, ...]:
     return tuple(text.split(","))
 
@@ -112,6 +119,8 @@
         store_limits=StoreLimits(
             row_bytes=reader.read("platform.row_bytes", int, StoreLimits().row_bytes)
         ),
+        memory_mb=reader.read("limits.memory_mb", _parse_limit, 0),
+        max_fds=reader.read("limits.max_fds", _parse_limit, 0),
     )
     for key in ("listen.front", "listen.ready"):
         if key not in reader.values:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -12,6 +12,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from onyxgap.daemons.node_process import build_guard
 from onyxgap.exceptions import DocumentError
 from onyxgap.exceptions import HistoryTruncatedError
 from onyxgap.exceptions import PlatformUnavailableError
@@ -109,6 +110,19 @@
     assert read.peer_ports == (7060, 7075)
 
 
+def test_limits_of_the_machine_bound_the_connections_of_a_node() -> None:
+    unlimited = platform_settings.read_settings(SETTINGS)
+    assert (unlimited.memory_mb, unlimited.max_fds) == (0, 0)
+    text = f"{SETTINGS}\nlimits.memory_mb=300\nlimits.max_fds=4100\n"
+    limits = build_guard(platform_settings.read_settings(text)).limits
+    assert (limits.connections, limits.buffered_bytes) == (1_950, 39_321_600)
+
+
+def test_negative_limit_of_the_machine_is_a_fault() -> None:
+    with pytest.raises(DocumentError, match=r"limits\.max_fds"):
+        platform_settings.read_settings(f"{SETTINGS}\nlimits.max_fds=-1\n")
+
+
 @pytest.mark.parametrize(
     ("old", "new", "path"),
     [
--- a/tests/test_work_times.py
+++ b/tests/test_work_times.py
@@ -6,6 +6,8 @@
 import pytest
 import structlog.testing
 
+from onyxgap.adapters.connection_guard import CloseReason
+from onyxgap.adapters.connection_guard import ConnectionGuard
 from onyxgap.clocks import SystemClocks
 from onyxgap.daemons.lag import REPORTED_LAG_S
 from onyxgap.daemons.lag import LoopLag
@@ -101,7 +103,8 @@
     async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
         node = build_node(scripted)
         node.lag.work.seconds[WorkKind.REPORT] = 1.5
-        text = build_metrics(node, BoundedLogWriter(-1)).render().decode()
+        guard = ConnectionGuard()
+        text = build_metrics(node, BoundedLogWriter(-1), guard).render().decode()
         assert 'onyxgap_work_seconds_total{kind="pool report"} 1.5' in text
         assert 'onyxgap_work_seconds_total{kind="scheduling pass"} 0.0' in text
 
@@ -121,3 +124,15 @@
     monkeypatch.setattr(WorkTimes, "measure", note)
     play(load_day("calm"), 1)
     assert measured == set(WorkKind)
+
+
+def test_metrics_have_the_closed_connections_by_reason() -> None:
+    async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
+        guard = ConnectionGuard()
+        metrics = build_metrics(build_node(scripted), BoundedLogWriter(-1), guard)
+        guard.closed[CloseReason.MALFORMED.value] += 1
+        text = metrics.render().decode()
+        assert 'onyxgap_connections_closed_total{reason="malformed"} 1.0' in text
+        assert "onyxgap_connections_open 0.0" in text
+
+    run_with_store(test)
