Accept few connections at once, so that a late loop stays below its descriptors

Cause: asyncio accepts as many waiting connections in one step as its backlog says, 2,048, each with a descriptor, before the guard can refuse one.

Change: 8 are accepted in one step; the kernel's queue keeps its 2,048 places.

--- a/src/onyxgap/adapters/http_server.py
+++ b/src/onyxgap/adapters/http_server.py
@@ -16,6 +16,10 @@
 from .connection_guard import ConnectionGuard
 
 BACKLOG = 2048
+"""Connections that may wait to be accepted."""
+ACCEPTED_AT_ONCE = 8
+"""Connections that are accepted before the guard sees them. With more, a late event
+loop would open as many sockets as callers wait, beyond the limit of descriptors."""
 START_POLL_S = 0.01
 
 
@@ -71,7 +75,7 @@
             access_log=False,
             server_header=False,
             date_header=False,
-            backlog=BACKLOG,
+            backlog=ACCEPTED_AT_ONCE,
             timeout_graceful_shutdown=max(1, int(self.grace_s)),
         )
         self._server = _UvicornServer(config)
@@ -79,6 +83,8 @@
             group.start_soon(self._serve, listener)
             while not self._server.started:
                 await anyio.sleep(START_POLL_S)
+            # asyncio accepts as many connections at once as its backlog
+            listener.listen(BACKLOG)
             port = listener.getsockname()[1]
             task_status.started(Address(self.listen.host, port))
 
--- a/tests/test_bounded_connections.py
+++ b/tests/test_bounded_connections.py
@@ -1,6 +1,9 @@
 """Connections outside the limits are refused, and others are served beside them."""
 
+import asyncio
 import contextlib
+import os
+import socket
 import typing as t
 
 import anyio
@@ -340,6 +343,35 @@
     run(check)
 
 
+def test_late_event_loop_does_not_open_a_socket_for_each_waiting_caller() -> None:
+    callers = 300
+    accepted_before_refusal = 100
+
+    async def check(served: Served) -> None:
+        most = 0
+        done = False
+
+        def sample() -> None:
+            nonlocal most
+            most = max(most, len(os.listdir("/proc/self/fd")))
+            if not done:
+                asyncio.get_running_loop().call_soon(sample)
+
+        address = (served.address.host, served.address.port)
+        with contextlib.ExitStack() as stack:
+            for _ in range(callers):
+                stack.enter_context(socket.create_connection(address))
+            before = len(os.listdir("/proc/self/fd"))
+            sample()
+            await wait_until(
+                lambda: served.guard.closed[CloseReason.CONNECTIONS.value] > 200
+            )
+            done = True
+        assert most - before <= LIMITS.connections + accepted_before_refusal
+
+    run(check)
+
+
 def test_bodies_of_many_callers_stay_within_the_bound_of_the_process() -> None:
     head = b"POST /a HTTP/1.1\r\nContent-Length: 20000\r\n\r\n"
     highest = 0
