Bound the connections of entries and control processes by their own machine

Cause: a server that was given no limits took 10,000 connections and 256 MB, also in a process of fewer descriptors or less memory.

Change: such a server derives its limits from the memory of the machine and the resource limit of the process, as a node does without settings for them.

Measured: a server in a process of 600 descriptors takes 200 connections; its test did not pass before, with 10,000.

--- a/src/onyxgap/adapters/connection_limits.py
+++ b/src/onyxgap/adapters/connection_limits.py
@@ -1,5 +1,8 @@
 """Limits of a process on what its callers may send and hold."""
 
+import os
+import resource
+
 import attrs
 
 BYTES_PER_MB = 2**20
@@ -69,3 +72,24 @@
         sockets = max(max_fds - RESERVED_DESCRIPTORS, DESCRIPTOR_DIVISOR)
         connections = min(connections, sockets // DESCRIPTOR_DIVISOR)
     return attrs.evolve(limits, connections=connections, buffered_bytes=buffered)
+
+
+def read_memory_mb() -> int:
+    """Return the memory of the machine, in MB."""
+    pages, page_size = os.sysconf("SC_PHYS_PAGES"), os.sysconf("SC_PAGE_SIZE")
+    return pages * page_size // BYTES_PER_MB
+
+
+def read_max_fds() -> int:
+    """Return the file descriptors that the process may use, 0 if not limited."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return 0 if soft == resource.RLIM_INFINITY else soft
+
+
+def derive_machine_limits(memory_mb: int = 0, max_fds: int = 0) -> ConnectionLimits:
+    """Derive the limits of this process.
+
+    :param memory_mb: memory that it may use, in MB, 0 for that of the machine.
+    :param max_fds: file descriptors that it may use, 0 for its resource limit.
+    """
+    return derive_limits(memory_mb or read_memory_mb(), max_fds or read_max_fds())
--- a/src/onyxgap/adapters/http_server.py
+++ b/src/onyxgap/adapters/http_server.py
@@ -14,6 +14,7 @@
 from ..settings import Address
 from .bounded_protocol import BoundedHttpProtocol
 from .connection_guard import ConnectionGuard
+from .connection_limits import derive_machine_limits
 
 BACKLOG = 2048
 """Connections that may wait to be accepted."""
@@ -45,7 +46,9 @@
     app: t.Any
     listen: Address
     grace_s: float = 30.0
-    guard: ConnectionGuard = attrs.field(factory=ConnectionGuard)
+    guard: ConnectionGuard = attrs.field(
+        factory=lambda: ConnectionGuard(derive_machine_limits())
+    )
     ended: anyio.Event = attrs.field(factory=anyio.Event)
     _server: _UvicornServer | None = None
 
--- a/src/onyxgap/daemons/node_process.py
+++ b/src/onyxgap/daemons/node_process.py
@@ -2,7 +2,6 @@
 
 import os
 import random
-import resource
 import signal
 
 import anyio
@@ -10,7 +9,8 @@
 
 from ..adapters.call_link import StreamCallLink
 from ..adapters.connection_guard import ConnectionGuard
-from ..adapters.connection_limits import derive_limits
+from ..adapters.connection_limits import derive_machine_limits
+from ..adapters.connection_limits import read_memory_mb
 from ..adapters.http_server import HttpServer
 from ..adapters.notice_link import DatagramPeers
 from ..clocks import SystemClocks
@@ -81,25 +81,12 @@
     return StreamCallLink(Address(settings.front.host, first + 1))
 
 
-def _read_memory_mb() -> int:
-    pages, page_size = os.sysconf("SC_PHYS_PAGES"), os.sysconf("SC_PAGE_SIZE")
-    return pages * page_size // 2**20
-
-
-def _read_max_fds() -> int:
-    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    return 0 if soft == resource.RLIM_INFINITY else soft
-
-
 def build_guard(settings: NodeSettings) -> ConnectionGuard:
     """Build the guard of a node's listeners from the limits of its machine.
 
     :param settings: settings of the node.
     """
-    limits = derive_limits(
-        settings.memory_mb or _read_memory_mb(), settings.max_fds or _read_max_fds()
-    )
-    return ConnectionGuard(limits)
+    return ConnectionGuard(derive_machine_limits(settings.memory_mb, settings.max_fds))
 
 
 def build_node(settings: NodeSettings) -> Node:
@@ -128,7 +115,7 @@
         policy_client=policy_client,
         peers=_build_peers(settings),
         calls=_build_call_link(settings),
-        memory_mb=_read_memory_mb(),
+        memory_mb=read_memory_mb(),
         start_times=StartTimes(clocks, read_process_start()),
     )
 
--- a/tests/test_bounded_connections.py
+++ b/tests/test_bounded_connections.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import os
+import resource
 import socket
 import typing as t
 
@@ -438,3 +439,13 @@
     limits = derive_limits(memory_mb, max_fds)
     assert limits.connections == connections
     assert limits.buffered_bytes == buffered_bytes
+
+
+def test_server_without_limits_of_its_own_has_those_of_its_process() -> None:
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (600, hard))
+    try:
+        guard = HttpServer(None, Address()).guard
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+    assert guard.limits.connections == 200
