Give an entry's refusals of unread requests their verdict

What callers saw: docs/callers.md promises a verdict and a request ID on every answer; the refusals by the server itself, before the application has the request, had neither, malformed requests among them.

Change: the server takes a function that lists such headers; entries give the request ID, not-run and the reason. Nothing of such a request has reached the application in full, so that not-run is true.

--- a/src/onyxgap/adapters/bounded_protocol.py
+++ b/src/onyxgap/adapters/bounded_protocol.py
@@ -10,6 +10,7 @@
 from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from .asgi import HeaderList
 from .connection_guard import CloseReason
 from .connection_guard import ConnectionGuard
 
@@ -21,6 +22,7 @@
 TAIL_BYTES = 2
 """Bytes of a blank line that an earlier read may have ended with."""
 LINE_ENDS = b"\r\n"
+RefusalHeaders = t.Callable[[int], HeaderList]
 
 
 class _Phase(enum.Enum):
@@ -74,11 +76,19 @@
     application in full, so that nothing of it has run.
 
     :param guard: bounds the connections of the process.
+    :param list_refusal_headers: lists additional headers of a refusal by its status.
     """
 
-    def __init__(self, *args: t.Any, guard: ConnectionGuard, **options: t.Any) -> None:
+    def __init__(
+        self,
+        *args: t.Any,
+        guard: ConnectionGuard,
+        list_refusal_headers: RefusalHeaders,
+        **options: t.Any,
+    ) -> None:
         super().__init__(*args, **options)
         self.guard = guard
+        self.list_refusal_headers = list_refusal_headers
         self.limits = guard.limits
         self.held = 0
         self._phase = _Phase.IDLE
@@ -324,13 +334,16 @@
     def _send_refusal(self, status: int) -> None:
         title = http.HTTPStatus(status).phrase
         body = f'{{"status":{status},"title":"{title}"}}'
-        retry = "retry-after: 1\r\n" if status == 503 else ""
-        answer = (
-            f"HTTP/1.1 {status} {title}\r\n"
-            "content-type: application/problem+json\r\n"
-            f"content-length: {len(body)}\r\n{retry}connection: close\r\n\r\n{body}"
-        )
-        self.transport.write(answer.encode())
+        headers = [
+            ("content-type", "application/problem+json"),
+            ("content-length", str(len(body))),
+            ("connection", "close"),
+            *self.list_refusal_headers(status),
+        ]
+        if status == http.HTTPStatus.SERVICE_UNAVAILABLE:
+            headers.append(("retry-after", "1"))
+        lines = [f"HTTP/1.1 {status} {title}", *map(": ".join, headers), "", body]
+        self.transport.write("\r\n".join(lines).encode())
 
     def _discard(self, size: int) -> None:
         self._discarded += size
--- a/src/onyxgap/adapters/http_front.py
+++ b/src/onyxgap/adapters/http_front.py
@@ -21,6 +21,7 @@
 from ..verdict import Verdict
 from .asgi import BodyTooLargeError
 from .asgi import CallerDisconnectedError
+from .asgi import HeaderList
 from .asgi import Receive
 from .asgi import Scope
 from .asgi import Send
@@ -35,6 +36,16 @@
 _LOG = structlog.get_logger()
 
 
+_REFUSAL_REASONS: t.Mapping[int, Reason] = {
+    400: Reason.BAD_REQUEST,
+    408: Reason.BAD_REQUEST,
+    413: Reason.TOO_LARGE,
+    414: Reason.TOO_LARGE,
+    431: Reason.TOO_LARGE,
+    503: Reason.OVERLOADED,
+}
+
+
 class Handler(t.Protocol):
     """Answers requests of callers."""
 
@@ -203,6 +214,19 @@
     )
 
 
+def list_refusal_headers(request_id: str, status: int) -> HeaderList:
+    """List the headers of the answer to a request that the server refuses unread.
+
+    :param request_id: a new unique request ID.
+    :param status: status of the answer.
+    """
+    return [
+        (REQUEST_ID_HEADER, request_id),
+        (VERDICT_HEADER, Verdict.NOT_RUN.value),
+        (REASON_HEADER, _REFUSAL_REASONS[status].value),
+    ]
+
+
 async def _send_final_answer(send: Send, request_id: str, answer: Answer) -> None:
     headers = [
         (REQUEST_ID_HEADER, request_id),
--- a/src/onyxgap/adapters/http_server.py
+++ b/src/onyxgap/adapters/http_server.py
@@ -13,6 +13,7 @@
 
 from ..settings import Address
 from .bounded_protocol import BoundedHttpProtocol
+from .bounded_protocol import RefusalHeaders
 from .connection_guard import ConnectionGuard
 from .connection_limits import derive_machine_limits
 
@@ -40,6 +41,8 @@
     :param grace_s: seconds that open requests may take after :meth:`stop`; applied
         as whole seconds, at least one.
     :param guard: bounds the connections, also those of other servers that share it.
+    :param list_refusal_headers: lists additional headers, by status, of the answer to a
+        request that the server refuses before the application has it in full.
     :param ended: set when the server has shut down after :meth:`stop`.
     """
 
@@ -49,6 +52,7 @@
     guard: ConnectionGuard = attrs.field(
         factory=lambda: ConnectionGuard(derive_machine_limits())
     )
+    list_refusal_headers: RefusalHeaders = lambda status: ()
     ended: anyio.Event = attrs.field(factory=anyio.Event)
     _server: _UvicornServer | None = None
 
@@ -70,7 +74,11 @@
             self.app,
             http=t.cast(
                 type[asyncio.Protocol],
-                functools.partial(BoundedHttpProtocol, guard=self.guard),
+                functools.partial(
+                    BoundedHttpProtocol,
+                    guard=self.guard,
+                    list_refusal_headers=self.list_refusal_headers,
+                ),
             ),
             ws="none",
             lifespan="off",
--- a/src/onyxgap/daemons/entry.py
+++ b/src/onyxgap/daemons/entry.py
@@ -10,6 +10,7 @@
 import structlog
 
 from ..adapters.http_front import HttpFront
+from ..adapters.http_front import list_refusal_headers
 from ..adapters.http_server import HttpServer
 from ..adapters.peer_link import PeerTransport
 from ..adapters.platform_client import PlatformClient
@@ -244,7 +245,18 @@
     async with anyio.create_task_group() as group:
         peer = await group.start(transport.run)
         deferred = _DeferredFront()
-        server = HttpServer(deferred, settings.http, settings.stop_grace_s)
+
+        def make_request_id() -> str:
+            return f"{rng.getrandbits(96):024x}"
+
+        server = HttpServer(
+            deferred,
+            settings.http,
+            settings.stop_grace_s,
+            list_refusal_headers=lambda status: list_refusal_headers(
+                make_request_id(), status
+            ),
+        )
         http = await group.start(server.run)
         row = build_member_row(settings, ENTRY_ROLE, peer, http, rng)
         process = EntryProcess(
@@ -261,9 +273,7 @@
             peer_bytes=lambda: transport.bytes_in + transport.bytes_out,
             platform_bytes=lambda: platform.bytes_transferred,
         )
-        deferred.front = HttpFront(
-            process.pipeline, process, lambda: f"{rng.getrandbits(96):024x}"
-        )
+        deferred.front = HttpFront(process.pipeline, process, make_request_id)
         group.start_soon(process.run)
         group.start_soon(client.prune)
         _LOG.info("started", http=str(http), peer=str(peer))
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -186,6 +186,20 @@
     wait_for(lambda: processes.call("entry-1", path)[0] == 200)
 
 
+def test_request_refused_before_its_end_says_that_it_was_not_run(
+    processes: Processes,
+) -> None:
+    address = ("127.0.0.1", processes.ports["entry-1"])
+    with socket.create_connection(address, 10) as caller:
+        caller.sendall(b"POST /v1/buyer-app/" + b"a" * 40_000)
+        answer = caller.makefile("rb").read().decode()
+    head = answer.partition("\r\n\r\n")[0].split("\r\n")
+    assert head[0].startswith("HTTP/1.1 414 ")
+    assert "Onyxgap-Verdict: not-run" in head
+    assert "Onyxgap-Reason: too-large" in head
+    assert any(line.startswith("Onyxgap-Request-Id: ") for line in head)
+
+
 def test_unavailable_platform_is_reported(processes: Processes) -> None:
     processes.running["platform"].kill()
     processes.running["platform"].wait()
