Count answers that are not read once

Cause: bytes of an answer that filled the buffers were counted as held again for each of several answers, and forgotten only when the connection was idle. A caller that sends ahead and reads slowly would have had others closed.

Change: what a full buffer adds is forgotten when the caller has read it.

--- a/src/onyxgap/adapters/bounded_protocol.py
+++ b/src/onyxgap/adapters/bounded_protocol.py
@@ -6,7 +6,6 @@
 import typing as t
 
 import httptools
-from uvicorn._types import HTTPScope
 from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
@@ -95,6 +94,7 @@
         self._since = guard.read_clock()
         self._stalled_since: float | None = None
         self._stalled_bytes = 0
+        self._stalled_held = 0
         self._closing_since: float | None = None
         self._unparsed = b""
         self._tail = b""
@@ -141,15 +141,16 @@
         super().pause_writing()
         self._stalled_since = self.guard.read_clock()
         self._stalled_bytes = self.transport.get_write_buffer_size()
-        if not self.guard.hold(self, self._stalled_bytes):
+        self._stalled_held = self._stalled_bytes
+        if not self.guard.hold(self, self._stalled_held):
             self._abort(CloseReason.MEMORY)
 
     def resume_writing(self) -> None:
         """Note that the caller has read its answer."""
         super().resume_writing()
         self._stalled_since = None
-        if self._phase is _Phase.IDLE:
-            self.guard.release(self)
+        self.guard.release(self, max(0, self.held - self._stalled_held))
+        self._stalled_held = 0
 
     # parsing
 
@@ -271,8 +272,7 @@
         """Wait for the next request, or parse the one that is held back."""
         self.server_state.total_requests += 1
         self._forget_request()
-        if self._stalled_since is None:
-            self.guard.release(self)
+        self.guard.release(self, self._stalled_held)
         if self._phase is _Phase.ANSWER:
             self._enter(_Phase.IDLE)
         if self.transport.is_closing():
@@ -287,7 +287,7 @@
         """Drop what an idle connection would otherwise keep of its last request."""
         self.headers = []
         self.url = b""
-        self.scope = self.cycle.scope = t.cast(HTTPScope, {})
+        self.scope = self.cycle.scope = t.cast(t.Any, {})
         self.cycle.body = bytearray()
 
     def _read_content_length(self) -> int:
@@ -318,7 +318,7 @@
             self.cycle.disconnected = True
             self.cycle.message_event.set()
         self._enter(_Phase.REFUSED)
-        self.guard.release(self)
+        self.guard.release(self, self._stalled_held)
         self.headers = []
         self._unparsed = self._tail = self.url = b""
         self._discarded = 0
--- a/src/onyxgap/adapters/connection_guard.py
+++ b/src/onyxgap/adapters/connection_guard.py
@@ -113,10 +113,13 @@
         self._evict(lambda other: other is not connection and other.held > 0)
         return self.held <= self.limits.buffered_bytes
 
-    def release(self, connection: GuardedConnection) -> None:
-        """Forget the bytes that a connection holds."""
-        self.held -= connection.held
-        connection.held = 0
+    def release(self, connection: GuardedConnection, kept: int = 0) -> None:
+        """Forget the bytes that a connection holds.
+
+        :param kept: bytes that it still holds.
+        """
+        self.held -= connection.held - kept
+        connection.held = kept
 
     def count(self, reason: CloseReason) -> None:
         """Count a connection that is refused or closed; the next sweep logs it."""
--- a/tests/test_bounded_connections.py
+++ b/tests/test_bounded_connections.py
@@ -209,6 +209,34 @@
     run(check)
 
 
+def test_request_for_an_upgrade_is_served_without_it() -> None:
+    upgrade = b"GET /a HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n"
+
+    async def check(served: Served) -> None:
+        async with await served.connect() as stream:
+            await stream.send(upgrade * 2 + GET)
+            answers = await receive_all(stream, 9)
+        assert answers.count(b"HTTP/1.1 200 OK") == served.begun == 3
+
+    run(check)
+
+
+def test_answers_that_fill_the_buffers_again_and_again_are_counted_once() -> None:
+    requests = 5
+
+    async def check(served: Served) -> None:
+        size = 0
+        async with await served.connect() as stream:
+            await stream.send(b"GET /large HTTP/1.1\r\n\r\n" * requests)
+            while size < len(LARGE_ANSWER) * requests:
+                size += len(await stream.receive(1_000_000))
+                assert served.guard.held < 2 * len(LARGE_ANSWER)
+        await wait_until(lambda: not served.guard.connections)
+        assert served.guard.held == 0
+
+    run(check, attrs.evolve(LIMITS, idle_s=10.0, buffered_bytes=100_000_000))
+
+
 def test_caller_that_sends_ahead_and_reads_nothing_is_closed() -> None:
     async def check(served: Served) -> None:
         async with await served.connect() as stream:
