Close a connection whose parser meets two requests in one piece

Cause: one request at a time holds only as long as the parser ends heads where the pieces are cut. Otherwise the second request would wait for ever, as the override no longer starts requests that uvicorn has queued.

Change: such a request closes the connection, unrun, without an answer of its own, which the caller could take for that of the first request.

Measured: the new test, with the cut switched off, hangs without the change (ended by its time-out of 20 s) and passes with it.

--- a/src/onyxgap/adapters/bounded_protocol.py
+++ b/src/onyxgap/adapters/bounded_protocol.py
@@ -241,6 +241,8 @@
         """Start the request, unless it is refused."""
         if self._too_many_headers:
             return
+        if self._phase is not _Phase.HEAD:
+            raise ValueError("a request in the same piece as an earlier one")
         super().on_headers_complete()
         self._without_progress = 0
         self._discarded = 0
@@ -317,6 +319,7 @@
             started = self.cycle.response_started
             self.cycle.disconnected = True
             self.cycle.message_event.set()
+        started = started or self._phase is _Phase.ANSWER
         self._enter(_Phase.REFUSED)
         self.guard.release(self, self._stalled_held)
         self.headers = []
--- a/tests/test_bounded_connections.py
+++ b/tests/test_bounded_connections.py
@@ -13,6 +13,7 @@
 import pytest
 import structlog.testing
 
+from onyxgap.adapters import bounded_protocol
 from onyxgap.adapters.asgi import CallerDisconnectedError
 from onyxgap.adapters.asgi import read_body
 from onyxgap.adapters.asgi import send_answer
@@ -209,6 +210,26 @@
     run(check)
 
 
+def test_requests_in_one_piece_close_the_connection_unanswered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # as a parser would that ends heads elsewhere than at blank lines
+    monkeypatch.setattr(
+        bounded_protocol, "find_cut", lambda tail, data, start, stop: stop
+    )
+
+    async def check(served: Served) -> None:
+        async with await served.connect() as stream:
+            await stream.send(b"GET /wait HTTP/1.1\r\n\r\n" + GET)
+            assert await receive_all(stream) == b""
+        assert served.guard.closed == {CloseReason.MALFORMED.value: 1}
+        assert served.begun <= 1
+        served.may_answer.set()
+        assert served.guard.held == 0
+
+    run(check)
+
+
 def test_request_for_an_upgrade_is_served_without_it() -> None:
     upgrade = b"GET /a HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n"
 
