--- a/tests/test_rude_callers.py
+++ b/tests/test_abusive_callers.py
@@ -11,19 +11,19 @@
 import pytest
 
 from onyxgap.jobs.routing import DEFAULT_BODY_BYTES
-from tests.rude_callers import ABUSES
-from tests.rude_callers import FILE_FDS
-from tests.rude_callers import HOST
-from tests.rude_callers import MAX_FDS
-from tests.rude_callers import MEMORY_MB
-from tests.rude_callers import OPENINGS
-from tests.rude_callers import Crowd
-from tests.rude_callers import NodeUnderTest
-from tests.rude_callers import read_usage
-from tests.rude_callers import run_node
-from tests.rude_callers import wait_until
-
-LOCK = pathlib.Path(tempfile.gettempdir()) / "onyxgap-rude-callers.lock"
+from tests.abusive_callers import ABUSES
+from tests.abusive_callers import FILE_FDS
+from tests.abusive_callers import HOST
+from tests.abusive_callers import MAX_FDS
+from tests.abusive_callers import MEMORY_MB
+from tests.abusive_callers import OPENINGS
+from tests.abusive_callers import Crowd
+from tests.abusive_callers import NodeUnderTest
+from tests.abusive_callers import read_usage
+from tests.abusive_callers import run_node
+from tests.abusive_callers import wait_until
+
+LOCK = pathlib.Path(tempfile.gettempdir()) / "onyxgap-abusive-callers.lock"
 MAX_SPEC = "s" * 4000
 HEAD_FILL = [(f"x-caller-{number}", "v" * 200) for number in range(20)]
 STEPS = [
