Soak: let calls made in the dark reach the next incarnation of a worker

A worker that started again under its ID answered calls on connections to its former incarnation, and a call made while its VM had no power never reached the next one, which a call over TCP does. Connections now belong to the incarnation that they first reach: calls on them after its end are reset.

--- a/bench/soak/connections.py
+++ b/bench/soak/connections.py
@@ -11,6 +11,7 @@
 import orjson
 
 from onyxgap.adapters.asgi import Send
+from onyxgap.standins.emulator.workers import EmulatedWorker
 
 NO_LINGER = struct.pack("ii", 1, 0)
 """Value of SO_LINGER that makes close send RST instead of FIN."""
@@ -25,6 +26,8 @@
     """Closed in the middle of the answer."""
     CLOSE_IDLE = "close"
     """Closed as a call is sent on it, which is not carried out."""
+    CLOSE_ANSWERED = "close answered"
+    """Closed after a whole answer, as the answer says."""
 
 
 def get_transport(send: Send) -> t.Any:
@@ -40,6 +43,8 @@
 
     :param transport: the transport of the connection.
     """
+    if transport.is_closing():
+        return
     raw_socket = transport.get_extra_info("socket")
     raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
     transport.abort()
@@ -71,6 +76,9 @@
     rng: random.Random
     shares: dict[Break, float] = attrs.field(factory=dict)
     _transports: weakref.WeakSet[t.Any] = attrs.field(factory=weakref.WeakSet)
+    _peers: weakref.WeakKeyDictionary[t.Any, EmulatedWorker] = attrs.field(
+        factory=weakref.WeakKeyDictionary
+    )
 
     def add(self, transport: t.Any) -> bool:
         """Add the connection of a call; return whether it was there before.
@@ -81,11 +89,19 @@
         self._transports.add(transport)
         return known
 
+    def bind(self, transport: t.Any, worker: EmulatedWorker) -> bool:
+        """Bind a connection to the first incarnation of a worker that it reaches.
+
+        :param transport: the transport of the connection.
+        :param worker: the incarnation that is alive now.
+        :returns: whether the connection is to this incarnation.
+        """
+        return self._peers.setdefault(transport, worker) is worker
+
     def reset_all(self) -> None:
         """Reset every connection, idle or with a call in progress."""
         for transport in list(self._transports):
-            if not transport.is_closing():
-                reset_transport(transport)
+            reset_transport(transport)
         self._transports.clear()
 
     def draw(self, kind: Break) -> bool:
--- a/bench/soak/day.py
+++ b/bench/soak/day.py
@@ -21,6 +21,7 @@
 from .bytecode import compile_package
 from .connection_faults import KINDS
 from .connection_faults import ConnectionFaults
+from .connections import Break
 from .cores import CoreShare
 from .lags import LoadMeter
 from .lags import PlatformLag
@@ -33,6 +34,10 @@
 
 FINISH_S = 12.0
 """Time after the end of a day in which accepted jobs must end: days are short."""
+RESTART = ("restart", "vm")
+CLOSED_SHARE = 0.5
+"""Share of the answers that close their connection on a day on which workers start
+again: only connections that are made meanwhile reach the next incarnation."""
 
 
 @attrs.frozen
@@ -88,6 +93,9 @@
             for slot in self.slots
         ]
         self.slots = [*slots]
+        if any((item.verb, item.target) == RESTART for item in self.script.faults):
+            for slot in slots:
+                slot.connections.shares[Break.CLOSE_ANSWERED] = CLOSED_SHARE
         self._connection_faults = ConnectionFaults(
             [slot.connections for slot in slots],
             self.disturbances,
