--- a/src/onyxgap/jobs/settings.py
+++ b/src/onyxgap/jobs/settings.py
@@ -24,7 +24,7 @@
     :param configuration_s: time within which a new configuration must be in force.
     """
 
-    max_lease_s: float = 6.0
+    max_lease_s: float = 10.0
     stop_s: float = 0.4
     status_s: float = 120.0
     grace_s: float = 6.0
--- a/src/onyxgap/platform/connections.py
+++ b/src/onyxgap/platform/connections.py
@@ -264,7 +264,11 @@
         if found is None or check.replaces_call:
             answer = await self._ask_incarnation(connection, headers, check)
             found = connection.incarnation
-            if found is None or (check.replaces_call and connection.stays_open):
+            if found is None:
+                return answer
+            if check.replaces_call and (
+                connection.stays_open or not check.admits(found)
+            ):
                 return answer
             if check.admits(found):
                 return None
--- a/src/onyxgap/platform/settings.py
+++ b/src/onyxgap/platform/settings.py
@@ -77,7 +77,7 @@
 
 def _read_limits(reader: _SettingsReader) -> TimeLimits:
     return TimeLimits(
-        max_lease_s=reader.read_ms("bounds.max_hold_ms", 6.0),
+        max_lease_s=reader.read_ms("bounds.max_hold_ms", 10.0),
         stop_s=reader.read_ms("bounds.stop_ms", 0.4),
         status_s=reader.read_s("bounds.status_s", 120.0),
         grace_s=reader.read_s("bounds.grace_s", 6.0),
