--- a/src/onyxgap/jobs/lives.py
+++ b/src/onyxgap/jobs/lives.py
@@ -55,7 +55,7 @@
 """Fencing tokens of one owner; those of its successor are higher."""
 
 
-def get_fencing_token(epoch: int, restarts: int) -> int:
+def compute_token(epoch: int, restarts: int) -> int:
     """Return the fencing token of an owner's calls to an incarnation of a worker.
 
     :param epoch: epoch of the owner.
--- a/src/onyxgap/jobs/shard_jobs.py
+++ b/src/onyxgap/jobs/shard_jobs.py
@@ -12,7 +12,7 @@
 from .job import Job
 from .job import Task
 from .job import TaskPhase
-from .lives import get_fencing_token
+from .lives import compute_token
 from .messages import JobState
 from .messages import JobStatus
 from .messages import TaskId
@@ -286,4 +286,4 @@
 
     def get_token(self, record: WorkerRecord) -> int:
         """Return the fencing token of calls to the known incarnation of a worker."""
-        return get_fencing_token(self.epoch, record.restarts)
+        return compute_token(self.epoch, record.restarts)
