Keep runs of a worker that an entry of another service stands in for

Change: only an entry of a later start proves that. Else the worker counts as not registered, as with an entry that cannot be read: it gets no tasks, and its runs stay until its lease has ended or its next heartbeat is there.

--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -18,6 +18,8 @@
 from ..jobs.holds import choose_hold_pause
 from ..jobs.holds import choose_hold_wait
 from ..jobs.leases import FormerGrants
+from ..jobs.lives import IncarnationMatch
+from ..jobs.lives import compare_incarnations
 from ..jobs.messages import WorkerEntry
 from ..jobs.priorities import LearnedForecast
 from ..jobs.rates import TenantRates
@@ -250,13 +252,26 @@
                 present.add(entry.worker_id)
                 self._observe_worker(entry)
             else:
-                # its runs for this service ended when it left
-                reason = "registered for another service"
-                self.state.remove_worker(entry.worker_id, reason, self._now(), False)
+                self._leave_service(entry)
         if snapshot:
             for worker_id in self.state.workers.keys() - present:
                 self._mark_unregistered(worker_id)
 
+    def _leave_service(self, entry: WorkerEntry) -> None:
+        """Apply a registration for another service.
+
+        Only a new incarnation proves that the runs for this service have ended: the
+        entry may come from another writer while the worker goes on.
+        """
+        known = self.state.workers.get(entry.worker_id)
+        if known is None:
+            return
+        if compare_incarnations(known.born, entry.born) is IncarnationMatch.LATER:
+            reason = "registered for another service"
+            self.state.remove_worker(entry.worker_id, reason, self._now(), False)
+        else:
+            self._mark_unregistered(entry.worker_id)
+
     def _observe_worker(self, entry: WorkerEntry) -> None:
         known = self.state.workers.get(entry.worker_id)
         if known is None or not known.registered or known.entry.state != entry.state:
--- a/tests/test_registrations.py
+++ b/tests/test_registrations.py
@@ -71,12 +71,37 @@
     assert list_registered(owner) == ["w3"]
 
 
-def test_worker_that_registers_for_another_service_is_removed(
+def test_worker_that_registers_for_another_service_gets_no_tasks(
     owner: OwnerWorkers,
 ) -> None:
     # it kept getting tasks of a service to which it no longer belonged
     owner._apply_worker_rows([build_row("w1", "shard")], True)
     owner._apply_worker_rows([build_row("w1", "other")], False)
+    assert list_registered(owner) == []
+
+
+def test_entry_of_another_writer_for_another_service_ends_no_runs(
+    owner: OwnerWorkers,
+) -> None:
+    owner._apply_worker_rows([build_row("w1", "shard")], True)
+    record = owner.state.workers["w1"]
+    owner._apply_worker_rows([build_row("w1", "other")], False)
+    assert owner.state.workers["w1"] is record
+    assert not record.gone
+
+
+def test_new_incarnation_of_another_service_ends_the_runs_of_the_former_one(
+    owner: OwnerWorkers,
+) -> None:
+    starts = iter((8, 9))
+    owner.context = attrs.evolve(
+        owner.context,
+        decode_worker=lambda key, value: attrs.evolve(
+            decode_worker(key, value), born=next(starts)
+        ),
+    )
+    owner._apply_worker_rows([build_row("w1", "shard")], True)
+    owner._apply_worker_rows([build_row("w1", "other")], False)
     assert not owner.state.workers
 
 
