Never lower the token of calls to a worker, and fence off only by the newest

It rejects that, and its owner would take the shard for lost. And an answer to a call that was sent with the former token shortened the bound of leases, though the worker had not seen the new one.

Change: the restarts that an owner knows are kept for as long as it owns the shard, and the bound is shortened by an answer to a call with the newest token only.

--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -387,7 +387,7 @@
         report = await self.context.workers.hold(order)
         self._note_response_time(order, report, sent_at)
         if isinstance(report, HoldReport):
-            return await self._apply_report(order.worker_id, report, sent_at)
+            return await self._apply_report(order, report, sent_at)
         self._check_fence(order, report)
         now = self._now()
         undecided = self.state.apply_failure(order.worker_id, report, now, sent_at)
@@ -424,14 +424,17 @@
             self.state.call_timeouts.note_answer(order.worker_id, late_s, now)
 
     async def _apply_report(
-        self, worker_id: str, report: HoldReport, sent_at: float
+        self, order: HoldOrder, report: HoldReport, sent_at: float
     ) -> bool:
+        worker_id = order.worker_id
         record = self.state.workers.get(worker_id)
         if record is None:
             return False
         was_held = record.held and record.failing_since is None
         with self.work.measure(WorkKind.WORKER_REPORTS):
-            accepted = self.state.apply_report(worker_id, report, sent_at, self._now())
+            accepted = self.state.apply_report(
+                worker_id, report, sent_at, self._now(), order.epoch
+            )
         if report.ended or not was_held:
             self.wake()
         # before the results of these runs are acknowledged, the worker would answer the
--- a/src/onyxgap/jobs/lives.py
+++ b/src/onyxgap/jobs/lives.py
@@ -41,13 +41,11 @@
     :param born: Unix milliseconds of the start of the former one, 0 if not known.
     :param until: monotonic seconds until which they may be carried out.
     :param starts: the start orders among them.
-    :param restarts: restarts of the worker that the owner knows, the next included.
     """
 
     born: int = 0
     until: float = -math.inf
     starts: tuple[OrderedRun, ...] = ()
-    restarts: int = 0
 
 
 NO_FORMER_CALLS = FormerCalls()
--- a/src/onyxgap/jobs/placing.py
+++ b/src/onyxgap/jobs/placing.py
@@ -63,7 +63,8 @@
     :param lease_ms: latest lease deadline that was sent, on the worker's clock.
     :param former_lease_until: monotonic seconds until which a lease may last that a
         call for a former incarnation has granted.
-    :param restarts: restarts that this owner knows.
+    :param fenced_off: whether the worker has answered a call with the newest token, so
+        that it rejects those for former incarnations.
     :param failing_since: monotonic seconds of the first failed call since the last
         answer, or ``None``.
     :param unanswered_since: monotonic seconds of the first call without an answer in
@@ -127,7 +128,7 @@
     held: bool = False
     lease_ms: float = 0.0
     former_lease_until: float = -math.inf
-    restarts: int = 0
+    fenced_off: bool = False
     failing_since: float | None = None
     unanswered_since: float | None = None
     timed_out: bool = False
--- a/src/onyxgap/jobs/shard_jobs.py
+++ b/src/onyxgap/jobs/shard_jobs.py
@@ -65,6 +65,7 @@
     :param run_times: learns how long tasks run; ``None`` where declared run times are
         used.
     :param forecast: predicts whether jobs can still end in time or be of use.
+    :param restarts: restarts of workers under their ids that this owner knows.
     :param received_cordons: what the latest row of the fleet controller tells about
         cordons, for the log.
     :param undrained_cordons: cordons that this owner may still refuse.
@@ -81,6 +82,7 @@
     workers: dict[str, WorkerRecord] = attrs.field(factory=dict)
     dirty: set[str] = attrs.field(factory=set)
     stopping: dict[TaskId, Task] = attrs.field(factory=dict)
+    restarts: dict[str, int] = attrs.field(factory=dict)
     early_cancels: set[str] = attrs.field(factory=set)
     cordons: t.Mapping[str, str] = attrs.field(factory=dict)
     received_cordons: ReceivedCordons | None = None
@@ -286,4 +288,4 @@
 
     def get_token(self, record: WorkerRecord) -> int:
         """Return the fencing token of calls to the known incarnation of a worker."""
-        return compute_token(self.epoch, record.restarts)
+        return compute_token(self.epoch, self.restarts.get(record.entry.worker_id, 0))
--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -79,7 +79,12 @@
     unseen_ends: int = 0
 
     def apply_report(
-        self, worker_id: str, report: HoldReport, sent_at: float, now: float
+        self,
+        worker_id: str,
+        report: HoldReport,
+        sent_at: float,
+        now: float,
+        token: int | None = None,
     ) -> bool:
         """Apply a worker's report of its running and ended runs.
 
@@ -87,6 +92,7 @@
         :param report: the report.
         :param sent_at: monotonic seconds when the hold request was sent.
         :param now: monotonic seconds.
+        :param token: fencing token of the hold request, ``None`` for the newest.
         :returns: whether the worker may be asked again at once.
         """
         record = self.workers.get(worker_id)
@@ -104,8 +110,11 @@
         record.last_clock_ms = max(record.last_clock_ms, report.clock_ms)
         if not record.held:
             self._inherit_lease(record, report.clock_ms, now)
-            self._fence_off_former_calls(record, now)
         record.held = True
+        is_newest = token is None or token >= self.get_token(record)
+        if is_newest and not record.fenced_off:
+            record.fenced_off = True
+            self._fence_off_former_calls(record, now)
         record.failing_since = None
         record.inconclusive = 0
         record.unanswered_since = None
--- a/src/onyxgap/jobs/shard_workers.py
+++ b/src/onyxgap/jobs/shard_workers.py
@@ -185,7 +185,8 @@
         elsewhere.
         """
         record.former_lease_until = calls.until + self.longest_lease_s
-        record.restarts = calls.restarts
+        worker_id = record.entry.worker_id
+        self.restarts[worker_id] = self.restarts.get(worker_id, 0) + 1
         for ordered in calls.starts:
             job = self.jobs.get(ordered.task.job_id)
             task = job.find_task(ordered.task) if job else None
@@ -376,7 +377,7 @@
             if _may_reach_next_incarnation(task)
         )
         self.former_calls[record.entry.worker_id] = FormerCalls(
-            record.born, now + LATE_CALL_S, starts, record.restarts + 1
+            record.born, now + LATE_CALL_S, starts
         )
 
     def is_isolated(self, order: StartOrder) -> bool:
--- a/tests/test_former_incarnation_calls.py
+++ b/tests/test_former_incarnation_calls.py
@@ -349,3 +349,33 @@
     assert job.state is JobState.SUCCEEDED
     assert harness.plan() == []
     assert harness.shard.workers["w1"].unstored_jobs == {job.submission.job_id}
+
+
+def test_token_does_not_go_down_when_the_same_incarnation_registers_again(
+    harness: ShardHarness,
+) -> None:
+    """The worker would reject it, and its owner would end its ownership."""
+    restart(harness)
+    seen = harness.shard.get_token(harness.shard.workers["w1"])
+    harness.shard.remove_worker("w1", "unregistered", harness.now, crashed=False)
+    harness.now += 60.0
+    harness.shard.remove_worker("w2", "unregistered", harness.now, crashed=False)
+    entry = attrs.evolve(ENTRY, born=SECOND_START_MS)
+    record = harness.shard.observe_worker(entry, harness.now)
+    assert harness.shard.get_token(record) == seen
+
+
+def test_answer_to_a_call_with_the_former_token_fences_nothing_off(
+    harness: ShardHarness,
+) -> None:
+    former_token = harness.shard.get_token(harness.shard.workers["w1"])
+    entry = attrs.evolve(ENTRY, born=SECOND_START_MS)
+    harness.shard.observe_worker(entry, harness.now)
+    until = harness.shard.workers["w1"].former_lease_until
+    report = HoldReport(20.0, (), (), SECOND_START_MS)
+    harness.shard.apply_report("w1", report, harness.now, harness.now, former_token)
+    record = harness.shard.workers["w1"]
+    assert (record.held, record.former_lease_until) == (True, until)
+    token = harness.shard.get_token(record)
+    harness.shard.apply_report("w1", report, harness.now, harness.now, token)
+    assert record.former_lease_until == pytest.approx(harness.now + SLOWEST_LEASE_S)
