Serve chunked bodies of blank lines, upgrades and slow readers as documented

The parser took the body of a request for an upgrade for the next request: such a request is refused with 400 and not run, one without a body is served as before. A refusal amid Expect: 100-continue raised in the application. A large answer on a connection that closes was cut off after 30 s whatever the caller had read, and the idle time began before an answer was read.

--- a/src/onyxgap/adapters/bounded_protocol.py
+++ b/src/onyxgap/adapters/bounded_protocol.py
@@ -21,6 +21,9 @@
 TAIL_BYTES = 2
 """Bytes of a blank line that an earlier read may have ended with."""
 LINE_ENDS = b"\r\n"
+BODY_CUTS = 64
+"""Blank lines in a chunked body at which it is cut in search of its end. Each costs a
+call of the parser; a request that follows behind more of them closes the connection."""
 RefusalHeaders = t.Callable[[int], HeaderList]
 
 
@@ -95,13 +98,13 @@
         self._stalled_since: float | None = None
         self._stalled_bytes = 0
         self._stalled_held = 0
-        self._closing_since: float | None = None
         self._unparsed = b""
         self._tail = b""
         self._without_progress = 0
         self._body_left = 0
         self._discarded = 0
         self._too_many_headers = False
+        self._cuts_left = BODY_CUTS
         self._flow: _HeldFlow
 
     # asyncio protocol
@@ -151,6 +154,8 @@
         self._stalled_since = None
         self.guard.release(self, max(0, self.held - self._stalled_held))
         self._stalled_held = 0
+        if self._phase is _Phase.IDLE:
+            self._enter(_Phase.IDLE)
 
     # parsing
 
@@ -177,7 +182,14 @@
         if self._body_left:
             return min(len(data), start + min(READ_BYTES, self._body_left))
         stop = min(len(data), start + min(READ_BYTES, allowed))
-        return find_cut(self._tail, data, start, stop)
+        if self._phase is not _Phase.BODY:
+            return find_cut(self._tail, data, start, stop)
+        if not self._cuts_left:
+            return stop
+        cut = find_cut(self._tail, data, start, stop)
+        if cut < stop:
+            self._cuts_left -= 1
+        return cut
 
     def _feed(self, piece: bytes) -> bool:
         if self._phase is _Phase.IDLE:
@@ -243,7 +255,10 @@
             return
         if self._phase is not _Phase.HEAD:
             raise ValueError("a request in the same piece as an earlier one")
+        if self.parser.should_upgrade() and self._announces_body():
+            raise ValueError("the parser would take the body for the next request")
         super().on_headers_complete()
+        self._cuts_left = BODY_CUTS
         self._without_progress = 0
         self._discarded = 0
         self._body_left = self._read_content_length()
@@ -292,6 +307,10 @@
         self.scope = self.cycle.scope = t.cast(t.Any, {})
         self.cycle.body = bytearray()
 
+    def _announces_body(self) -> bool:
+        chunked = any(name == b"transfer-encoding" for name, _ in self.headers)
+        return chunked or self._read_content_length() > 0
+
     def _read_content_length(self) -> int:
         for name, value in self.headers:
             if name == b"content-length":
@@ -318,6 +337,7 @@
         if self._phase is _Phase.BODY:
             started = self.cycle.response_started
             self.cycle.disconnected = True
+            self.cycle.waiting_for_100_continue = False
             self.cycle.message_event.set()
         started = started or self._phase is _Phase.ANSWER
         self._enter(_Phase.REFUSED)
@@ -368,12 +388,10 @@
 
     def check_times(self, now: float) -> None:
         """Close the connection if its caller has exceeded a time limit."""
-        if self.transport.is_closing():
-            if self._closing_since is None:
-                self._closing_since = now
-            elif now - self._closing_since > self.limits.write_s:
-                self._abort(CloseReason.UNREAD)
-        elif self._stalled_since is not None:
+        if self.transport.is_closing() and self._stalled_since is None:
+            self._stalled_since = now
+            self._stalled_bytes = self.transport.get_write_buffer_size()
+        if self._stalled_since is not None:
             self._check_stalled(now)
         else:
             self._check_phase(now)
--- a/tests/test_bounded_connections.py
+++ b/tests/test_bounded_connections.py
@@ -17,6 +17,7 @@
 from onyxgap.adapters.asgi import CallerDisconnectedError
 from onyxgap.adapters.asgi import read_body
 from onyxgap.adapters.asgi import send_answer
+from onyxgap.adapters.bounded_protocol import BODY_CUTS
 from onyxgap.adapters.bounded_protocol import BoundedHttpProtocol
 from onyxgap.adapters.bounded_protocol import find_cut
 from onyxgap.adapters.connection_guard import LOG_INTERVAL_S
@@ -518,3 +519,72 @@
     finally:
         resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
     assert guard.limits.connections == 200
+
+
+@pytest.mark.parametrize("unit", [b"\n", b"\n\na"])
+def test_blank_lines_in_a_chunked_body_do_not_cut_it_into_many_pieces(
+    monkeypatch: pytest.MonkeyPatch, unit: bytes
+) -> None:
+    pieces: list[int] = []
+    feed = BoundedHttpProtocol._feed
+
+    def count(protocol: BoundedHttpProtocol, piece: bytes) -> bool:
+        pieces.append(len(piece))
+        return feed(protocol, piece)
+
+    monkeypatch.setattr(BoundedHttpProtocol, "_feed", count)
+    body = (unit * MAX_BODY_BYTES)[: MAX_BODY_BYTES - 1]
+
+    async def check(served: Served) -> None:
+        async with await served.connect() as stream:
+            await stream.send(CHUNKED + b"%x\r\n" % len(body) + body + b"\r\n0\r\n\r\n")
+            assert (await receive_all(stream, 1)).startswith(b"HTTP/1.1 200")
+        assert served.bodies == [body]
+        assert len(pieces) < 2 * BODY_CUTS
+
+    run(check)
+
+
+def test_body_of_a_request_for_an_upgrade_is_not_taken_for_the_next_request() -> None:
+    body = b"GET /hidden HTTP/1.1\r\n\r\n"
+    head = b"POST /a HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: x\r\n"
+    head += b"Content-Length: %d\r\n\r\n" % len(body)
+
+    async def check(served: Served) -> None:
+        async with await served.connect() as stream:
+            await stream.send(head + body)
+            assert (await receive_all(stream)).startswith(b"HTTP/1.1 400")
+        assert served.begun == 0
+
+    run(check)
+
+
+def test_refusal_of_a_body_that_was_expected_raises_nothing(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    head = CHUNKED.replace(b"\r\n\r\n", b"\r\nExpect: 100-continue\r\n\r\n")
+
+    async def check(served: Served) -> None:
+        async with await served.connect() as stream:
+            await stream.send(head + b"ZZ\r\n")
+            assert (await receive_all(stream)).startswith(b"HTTP/1.1 400")
+        await anyio.sleep(0.1)
+
+    with caplog.at_level("ERROR"):
+        run(check)
+    assert not caplog.records
+
+
+def test_large_answer_that_is_read_steadily_is_whole_if_its_connection_closes() -> None:
+    limits = attrs.evolve(LIMITS, write_s=1.0, idle_s=10.0, buffered_bytes=10_000_000)
+
+    async def check(served: Served) -> None:
+        size = 0
+        async with await served.connect() as stream:
+            await stream.send(b"GET /large HTTP/1.1\r\nConnection: close\r\n\r\n")
+            while size < len(LARGE_ANSWER):
+                size += len(await stream.receive(65_536))
+                await anyio.sleep(0.08)
+        assert not served.guard.closed
+
+    run(check, limits)
