--- a/bench/soak/day.py
+++ b/bench/soak/day.py
@@ -87,7 +87,7 @@
 
     def _build(self, group: anyio.abc.TaskGroup) -> None:
         super()._build(group)
-        self.callers.wall_start_s = time.time() - anyio.current_time()
+        self.callers.wall_start_s = self._find_wall_start()
         slots = [
             ProcessSlot(slot.name, self, folder=self.folder, cores=self.cores)
             for slot in self.slots
@@ -102,6 +102,9 @@
             random.Random(f"connections/{self.seed}"),
         )
 
+    def _find_wall_start(self) -> float:
+        return time.time() - anyio.current_time()
+
     def list_malformed_registrations(self, service: str) -> tuple[bytes, ...]:
         """List registrations of a service that the nodes' decoders cannot read."""
         return list_malformed_registrations(service)
--- a/src/onyxgap/standins/emulator/cloud.py
+++ b/src/onyxgap/standins/emulator/cloud.py
@@ -19,6 +19,7 @@
 from ...pools.messages import VmOrder
 from ...pools.messages import VmReply
 from ...pools.messages import VmState
+from .callers import WALL_START_S
 from .gate import NodeGate
 from .gate import carry_out_elsewhere
 from .gate import run_late
@@ -93,6 +94,7 @@
     :param rng: draws clocks.
     :param spare_pool: pool whose VMs are off.
     :param unguarded: pools whose workers start whatever they are told to.
+    :param wall_start_s: wall-clock time at the start of the day.
     :param down_since: monotonic seconds of the crash of each VM that is down.
     :param upkeep_hangs_until: monotonic seconds until which no VM returns from
         maintenance that begins before.
@@ -105,6 +107,7 @@
     rng: random.Random
     spare_pool: str
     unguarded: frozenset[str] = frozenset()
+    wall_start_s: float = WALL_START_S
     vms: dict[str, Vm] = attrs.field(factory=dict)
     orders: list[OrderRecord] = attrs.field(factory=list)
     maintained: dict[str, set[int]] = attrs.field(factory=dict)
@@ -153,7 +156,7 @@
                 0,
                 ("a", vm.rack),
                 5e4,
-                born=1 + round(anyio.current_time() * 1000),
+                born=round((self.wall_start_s + anyio.current_time()) * 1000),
             )
             worker = EmulatedWorker(
                 entry,
--- a/src/onyxgap/standins/emulator/day.py
+++ b/src/onyxgap/standins/emulator/day.py
@@ -22,6 +22,7 @@
 from .account import Account
 from .account import settle_account
 from .breach import Breach
+from .callers import WALL_START_S
 from .callers import Callers
 from .checks import Evidence
 from .checks import list_breaches
@@ -186,6 +187,7 @@
             self.rng,
             SPARE_POOL,
             frozenset(line.name for line in self.script.pools if not line.guarded),
+            self._find_wall_start(),
         )
         for line in self.script.pools:
             self.routes.services[build_prefix(line.name)] = line.name
@@ -199,6 +201,10 @@
         self._configure()
         self.slots = [NodeSlot(f"node-{n}", self) for n in range(self.script.nodes)]
 
+    def _find_wall_start(self) -> float:
+        """Return the wall-clock time at the start of the day, in seconds."""
+        return WALL_START_S
+
     def _add_vm(self, pool: str, number: int, cores: float, memory: float) -> None:
         self.cloud.add(
             Vm(
