Reckon with former incarnations only if the former owner could have called one

Cause: a new owner kept the runs of each silent worker that had started within the last 17 s for up to 22 s, also if that was its first start.

Change: the former owner has called a former incarnation only if the known one started after its claim, which nodes note as they see it. Where the claim was not seen, the bound stays. Calls of owners before the former one are left out.

--- a/src/onyxgap/jobs/shard_leases.py
+++ b/src/onyxgap/jobs/shard_leases.py
@@ -1,5 +1,7 @@
 """Bounds of the leases of a shard's workers, and the runs that they keep."""
 
+import math
+
 import attrs
 
 from .call_timeouts import CallTimeouts
@@ -195,6 +197,17 @@
         until = now + self.longest_lease_s
         record.former_lease_until = min(record.former_lease_until, until)
 
+    def get_former_claim(self) -> float:
+        """Return when the former owner claimed the shard.
+
+        :returns: monotonic seconds, minus infinity if not known, infinity if there was
+            no former owner.
+        """
+        if self.former_grants is None:
+            return -math.inf
+        view = self.former_grants.view
+        return math.inf if view.row is None else view.claimed_at
+
     def get_former_grants_end(self) -> float:
         """Return until when former owners may have granted leases.
 
--- a/src/onyxgap/jobs/shard_workers.py
+++ b/src/onyxgap/jobs/shard_workers.py
@@ -163,8 +163,9 @@
     ) -> float:
         """Return until when a worker may carry out calls for a former incarnation.
 
-        This is about calls of former owners. They granted leases until a known time,
-        and called the former incarnation until the known one started.
+        This is about calls of the former owner. It granted leases until a known time,
+        and called the former incarnation, if there was one since its claim, until the
+        known one started.
 
         :param entry: its registration.
         :param now: monotonic seconds.
@@ -174,6 +175,8 @@
         if not entry.born or wall_ms is None:
             return -math.inf
         started_at = now - (wall_ms - entry.born) / MS_PER_S
+        if started_at <= self.get_former_claim():
+            return -math.inf
         latest_at = min(started_at + WALL_CLOCK_ERROR_S, self.get_former_grants_end())
         return latest_at + LATE_CALL_S
 
