Tell from the owner row since when the former owner alone called workers

Change: the row tells until when the owners before the former one may have granted leases; a worker that started before that has no former incarnation that the former owner called.

--- a/src/onyxgap/jobs/ownership.py
+++ b/src/onyxgap/jobs/ownership.py
@@ -4,7 +4,6 @@
 owner. The delays below only prevent shards from moving without need.
 """
 
-import math
 import typing as t
 import zlib
 
@@ -13,7 +12,6 @@
 from .tables import OwnerRow
 from .workers import MS_PER_S
 
-FIRST_EPOCH = 1
 OWNER_TIMEOUT_S = 2.2
 """Time without a renewal after which an owner counts as failed. Owners renew their row
 every 0.7 s, so three consecutive renewals must be missing."""
@@ -89,8 +87,6 @@
         not known. The owner may have sent it later.
     :param takeovers: monotonic seconds of the last claims by a node that the owner
         before had not released the shard to.
-    :param claimed_at: monotonic seconds when the owner was seen to claim the shard,
-        minus infinity if it had claimed it before that was seen.
     """
 
     row: OwnerRow | None
@@ -101,7 +97,6 @@
     load_report: OwnerRow | None = None
     renewed_at: float | None = None
     takeovers: tuple[float, ...] = ()
-    claimed_at: float = -math.inf
 
     def __attrs_post_init__(self) -> None:
         if self.row is not None and self.row.waiting is not None:
@@ -120,11 +115,6 @@
         :param store_ms: lower bound of the store's clock, ``None`` if not known.
         """
         takeovers = self.takeovers
-        claimed_at = self.claimed_at
-        if self.row is None and row.epoch > FIRST_EPOCH:
-            claimed_at = -math.inf
-        elif self.row is None or row.epoch != self.row.epoch:
-            claimed_at = now
         if self._is_taken_over(row):
             takeovers = (*takeovers, now)[-MAX_TAKEOVERS:]
         return OwnerView(
@@ -134,7 +124,6 @@
             load_report=self.load_report,
             renewed_at=self._estimate_renewal_time(row, store_ms, now),
             takeovers=takeovers,
-            claimed_at=claimed_at,
         )
 
     def get_last_sign(self) -> float:
--- a/src/onyxgap/jobs/shard_leases.py
+++ b/src/onyxgap/jobs/shard_leases.py
@@ -197,16 +197,16 @@
         until = now + self.longest_lease_s
         record.former_lease_until = min(record.former_lease_until, until)
 
-    def get_former_claim(self) -> float:
-        """Return when the former owner claimed the shard.
+    def get_former_takeover(self) -> float:
+        """Return when the former owner was the only one to call workers.
 
         :returns: monotonic seconds, minus infinity if not known, infinity if there was
             no former owner.
         """
-        if self.former_grants is None:
+        grants = self.former_grants
+        if grants is None:
             return -math.inf
-        view = self.former_grants.view
-        return math.inf if view.row is None else view.claimed_at
+        return math.inf if grants.view.row is None else grants.inherited_until
 
     def get_former_grants_end(self) -> float:
         """Return until when former owners may have granted leases.
--- a/src/onyxgap/jobs/shard_workers.py
+++ b/src/onyxgap/jobs/shard_workers.py
@@ -175,7 +175,7 @@
         if not entry.born or wall_ms is None:
             return -math.inf
         started_at = now - (wall_ms - entry.born) / MS_PER_S
-        if started_at <= self.get_former_claim():
+        if started_at <= self.get_former_takeover():
             return -math.inf
         latest_at = min(started_at + WALL_CLOCK_ERROR_S, self.get_former_grants_end())
         return latest_at + LATE_CALL_S
--- a/tests/test_former_incarnation_calls.py
+++ b/tests/test_former_incarnation_calls.py
@@ -138,7 +138,7 @@
 
 
 def test_new_owner_reckons_with_leases_by_calls_for_the_former_incarnation() -> None:
-    grants = FormerGrants(FORMER_OWNER, 100.0, 100.0)
+    grants = FormerGrants(FORMER_OWNER, 100.0, 90.0)
     shard = Shard("s", 4, 100.0, max_lease_s=LONGEST_LEASE_S, former_grants=grants)
     entry = attrs.evolve(ENTRY, born=int(WALL_MS) - 2_000)
     record = shard.observe_worker(entry, 100.0, WALL_MS)
@@ -150,8 +150,7 @@
 
 
 def test_new_owner_reckons_with_no_call_of_an_owner_that_claimed_later() -> None:
-    view = attrs.evolve(FORMER_OWNER, claimed_at=98.5)
-    grants = FormerGrants(view, 100.0, 100.0)
+    grants = FormerGrants(FORMER_OWNER, 100.0, 98.5)
     shard = Shard("s", 4, 100.0, max_lease_s=LONGEST_LEASE_S, former_grants=grants)
     entry = attrs.evolve(ENTRY, born=int(WALL_MS) - 2_000)
     record = shard.observe_worker(entry, 100.0, WALL_MS)
@@ -159,7 +158,7 @@
 
 
 def test_new_owner_reckons_with_no_former_incarnation_of_a_worker_up_for_long() -> None:
-    grants = FormerGrants(FORMER_OWNER, 100.0, 100.0)
+    grants = FormerGrants(FORMER_OWNER, 100.0, 90.0)
     shard = Shard("s", 4, 100.0, max_lease_s=LONGEST_LEASE_S, former_grants=grants)
     entry = attrs.evolve(ENTRY, born=int(WALL_MS) - 60_000)
     record = shard.observe_worker(entry, 100.0, WALL_MS)
