Soak: tell nodes the longest lease that workers grant

The settings of nodes lacked bounds.max_hold_ms, so that nodes took the longest lease for 6 s, their default, while the emulator's workers grant up to 10 s. A bound of leases that is right on the platform was broken in the soak.

--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -32,6 +32,7 @@
 from onyxgap.standins.emulator.job_notes import SubmitAnswer
 from onyxgap.standins.emulator.slots import NodeSlot
 from onyxgap.standins.emulator.store import EmulatedStoreClient
+from onyxgap.standins.emulator.workers import MAX_LEASE_MS
 from onyxgap.standins.emulator.workers import EmulatedWorkersClient
 
 from . import wire
@@ -199,6 +200,7 @@
             "port_range": f"{first + 3},{first + 5}",
             "contracts": contracts,
             "bounds.status_s": str(self.day.script.retention_s),
+            "bounds.max_hold_ms": str(int(MAX_LEASE_MS)),
             "platform.row_bytes": str(self.day.script.row_bytes),
         }
         path = self.folder / f"{self.name}.conf"
