--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import base64
+import functools
 import json
 import os
 import pathlib
@@ -383,6 +384,7 @@
         """Listen, at an address of its own for each node, and report to the store."""
         for node in self.deployment.nodes:
             listener = HttpListener(self._handle)
+            listener.note_request = functools.partial(self._note_request, node)
             port = self.port + len(self.listeners)
             await listener.listen(self.host, port)
             self.listeners[node.name] = listener
@@ -392,6 +394,10 @@
         self.deployment.spawn(self._beat())
         self.deployment.spawn(self._work())
 
+    def _note_request(self, node, method, target):
+        if target == "/run-start":
+            self.deployment.starter = node
+
     def write_entry(self, state="ready"):
         self.seq = getattr(self, "seq", 0) + 1
         value = {
@@ -730,6 +736,8 @@
         self.born = born
         self.orders = []
         self.waves = {}
+        self.starter = None
+        """Node that has last told a worker to start a subtask."""
         self.boots = 0
         capacity = {"cpu": 32000, "mem_mb": 65536, "gpu": 0}
         for service in services:
