--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -380,8 +380,11 @@
     def clock_ms(self):
         return (time.monotonic() - self.began) * 1000
 
-    async def start(self):
-        """Listen, at an address of its own for each node, and report to the store."""
+    async def start(self, first_beat_s=0.0):
+        """Listen, at an address of its own for each node, and report to the store.
+
+        :param first_beat_s: seconds until the first liveness report.
+        """
         for node in self.deployment.nodes:
             listener = HttpListener(self._handle)
             listener.note_request = functools.partial(self._note_request, node)
@@ -391,7 +394,7 @@
             self.addresses[node.name] = f"{self.host}:{port}"
             if node.is_cut:
                 listener.begin_cut()
-        self.deployment.spawn(self._beat())
+        self.deployment.later(first_beat_s, self._begin_beat)
         self.deployment.spawn(self._work())
 
     def _note_request(self, node, method, target):
@@ -417,6 +420,9 @@
             value["born"] = self.born
         self.deployment.store.put("servers", self.id, value)
 
+    def _begin_beat(self):
+        self.deployment.spawn(self._beat())
+
     async def _beat(self):
         while self.up:
             self.write_entry()
@@ -528,9 +534,10 @@
 
     async def _hold(self, raw):
         self.acked = max(self.acked, raw.get("acked_upto", 0))
+        forgotten = [end for end in self.ended if end[0] <= self.acked]
         self.ended = [end for end in self.ended if end[0] > self.acked]
+        self.deployment.note_forgotten(self, forgotten)
         self._extend(raw)
-        self.deployment.note_ack(self, self.acked)
         if raw.get("wait_ms") and not self.ended:
             news = self.news
             try:
@@ -813,7 +820,7 @@
         )
         self.record.note("config acknowledged", version=self.version)
 
-    async def boot_worker(self, machine, worker_id=None, port=None):
+    async def boot_worker(self, machine, worker_id=None, port=None, first_beat_s=0.0):
         self.boots += 1
         number = self.machines.index(machine) + 1
         host = f"127.{NETWORK}.2.{number}"
@@ -826,7 +833,7 @@
             round(time.time() * 1000) if self.born else None,
         )
         machine.worker = worker
-        await worker.start()
+        await worker.start(first_beat_s)
         self.record.note("worker boots", worker=worker.id, machine=machine.name)
         return worker
 
@@ -877,8 +884,8 @@
         self.ends.append((time.monotonic(), worker.id, task, run, how))
         self.record.note("end", worker=worker.id, task=task, run=run, how=how)
 
-    def note_ack(self, worker, upto):
-        pass
+    def note_forgotten(self, worker, ends):
+        """See ends that a node has taken note of."""
 
     async def handle_machines(self, node, path, headers, raw):
         await asyncio.sleep(READ_S)
