--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -44,18 +44,22 @@
 
 
 def choose_network():
-    """Choose a second number of loopback addresses whose metrics port is free."""
+    """Choose a second number of loopback addresses that no other script has.
+
+    :returns: the number, and a socket that keeps it until the process ends.
+    """
     for number in random.sample(range(2, 250), 200):
-        with socket.socket() as probe:
-            try:
-                probe.bind((f"127.{number}.1.1", METRICS_PORT))
-            except OSError:
-                continue
-            return number
+        lock = socket.socket()
+        try:
+            lock.bind((f"127.{number}.0.1", METRICS_PORT))
+        except OSError:
+            lock.close()
+            continue
+        return number, lock
     raise RuntimeError("no free addresses")
 
 
-NETWORK = choose_network()
+NETWORK, _NETWORK_LOCK = choose_network()
 
 
 def reserve_port(host):
@@ -155,8 +159,10 @@
         if began_in_cut:
             raise Drop
 
-    async def listen(self, host, port):
+    async def listen(self, host, port=0):
+        """Listen at an address, and return the port."""
         self.server = await asyncio.start_server(self._serve, host, port)
+        return self.server.sockets[0].getsockname()[1]
 
     async def _serve(self, reader, writer):
         self.writers.add(writer)
@@ -509,6 +515,8 @@
             return 200, self._stamp()
         if current is not None or number <= self.highest.get(task, 0):
             return 409, self._stamp(reason="old")
+        if not self.deployment.has_ticket(self, raw):
+            return 409, self._stamp(reason="ticket")
         if not self.deployment.has_room(self, task):
             return 409, self._stamp(reason="room")
         self.highest[task] = number
@@ -600,7 +608,7 @@
         self.host = f"127.{NETWORK}.1.{number}"
         self.front = reserve_port(self.host)
         self.ready = reserve_port(self.host)
-        self.store = reserve_port("127.0.0.1")
+        self.store = 0
         self.process = None
         self.is_cut = False
         self.relays = {}
@@ -648,13 +656,15 @@
             "platform.across": "false",
             "cloud.address": f"127.0.0.1:{self.store}",
         }
+        if self.deployment.advice_port:
+            lines["advice"] = f"127.0.0.1:{self.deployment.advice_port}"
         path = folder / f"{self.name}.conf"
         path.write_text("".join(f"{key}={value}\n" for key, value in lines.items()))
         return path
 
     async def listen(self):
         self.listener = HttpListener(self._handle)
-        await self.listener.listen("127.0.0.1", self.store)
+        self.store = await self.listener.listen("127.0.0.1")
         for other in self.deployment.nodes:
             self.relays[other.name] = Relay(self, other)
             await self.relays[other.name].listen()
@@ -743,6 +753,7 @@
         self.born = born
         self.orders = []
         self.waves = {}
+        self.advice_port = 0
         self.starter = None
         """Node that has last told a worker to start a subtask."""
         self.boots = 0
@@ -873,6 +884,10 @@
                 node.process.wait()
         shutil.rmtree(self.folder, ignore_errors=True)
 
+    def has_ticket(self, worker, raw):
+        """Tell whether a start has the ticket that its queue's policy asks for."""
+        return True
+
     def has_room(self, worker, task):
         return len(worker.running) < 64
 
