--- a/review/11/case.py
+++ b/review/11/case.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import os
 import pathlib
 import sys
 import time
@@ -75,4 +76,5 @@
     return breaches
 
 
-deployment.run_case(play, FOLDER)
+# with TROUBLE=0 the case is played without its disruption
+deployment.run_case(play, FOLDER, os.environ.get("TROUBLE", "1") != "0")
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import os
 import pathlib
 import sys
 import time
@@ -95,4 +96,5 @@
     return breaches
 
 
-deployment.run_case(play, FOLDER)
+# with TROUBLE=0 the case is played without its disruption
+deployment.run_case(play, FOLDER, os.environ.get("TROUBLE", "1") != "0")
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -51,4 +52,5 @@
     ]
 
 
-deployment.run_case(play, FOLDER)
+# with TROUBLE=0 the case is played without its disruption
+deployment.run_case(play, FOLDER, os.environ.get("TROUBLE", "1") != "0")
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -117,4 +118,5 @@
     return find_breaches(place)
 
 
-deployment.run_case(play, FOLDER)
+# with TROUBLE=0 the case is played without its disruption
+deployment.run_case(play, FOLDER, os.environ.get("TROUBLE", "1") != "0")
--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -1025,15 +1025,15 @@
     return f"{random.getrandbits(64):016x}"
 
 
-def run_case(play, folder):
+def run_case(play, folder, troubled):
     """Play a case, and end the process with its result.
 
     :param play: plays the case, given a record and whether the disruption is played;
         returns a text for each way in which the rule was broken.
     :param folder: folder of the case, where the record is written.
+    :param troubled: whether the disruption is played.
     """
     record = Record(pathlib.Path(folder) / "record.txt")
-    troubled = os.environ.get("TROUBLE", "1") != "0"
     record.note("case", trouble=int(troubled))
     code = 2
     try:
