Fence restarted workers before late orders of their former life reach them

Cause: an owner stopped calling a worker as soon as it was known to be gone. The next incarnation under the same ID has seen no fencing token until it registers, up to a heartbeat later, and carries out any start order that comes late.

Change: a removed worker that may carry out an order without an answer is called at its known address until it answers as a new incarnation, or 12 s have passed. A task that a running worker had left unanswered waits for that, 5 s at most. The log tells how many orders are open as a worker is removed, and when the next incarnation is fenced. Emulator: reboot vm.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -13,6 +13,7 @@
 from onyxgap.standins.emulator.fault_draws import draw_faults
 from onyxgap.standins.emulator.fault_draws import draw_interface_faults
 from onyxgap.standins.emulator.fault_draws import draw_rack_faults
+from onyxgap.standins.emulator.fault_draws import draw_reboots
 from onyxgap.standins.emulator.fault_draws import draw_worker_deaths
 from onyxgap.standins.emulator.script import load_script
 
@@ -50,6 +51,12 @@
     parser.add_argument(
         "--rack-faults", type=int, default=0, help="faults of racks, drawn apart"
     )
+    parser.add_argument(
+        "--reboots",
+        type=int,
+        default=0,
+        help="reboots of workers that leave start orders unanswered, drawn apart",
+    )
     parser.add_argument(
         "--node-cores",
         type=int,
@@ -78,6 +85,7 @@
         script = draw_worker_deaths(script, seed, arguments.deaths)
         script = draw_interface_faults(script, seed, arguments.interface_faults)
         script = draw_rack_faults(script, seed, arguments.rack_faults)
+        script = draw_reboots(script, seed, arguments.reboots)
         with tempfile.TemporaryDirectory(prefix="soak-") as scratch:
             folder = pathlib.Path(scratch)
             if arguments.keep:
--- a/src/onyxgap/daemons/owner.py
+++ b/src/onyxgap/daemons/owner.py
@@ -124,6 +124,7 @@
             if self.share_synchronizer is not None and self._group is not None:
                 self.share_synchronizer.start_due_writes(self._group)
             self._send_stops(self.state.list_stops(self._now()))
+            self._fence_restarts()
             await self._commit(orders)
         await self._release()
 
--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -45,6 +45,8 @@
 from .lag import LoopLag
 from .lanes import StartLimiter
 from .owned import OwnedShard
+from .restart_fencing import FENCING_PAUSE_S
+from .restart_fencing import RestartFencing
 from .rows import SkippedRows
 from .rows import decode_rows
 from .share_keeper import ShareSynchronizer
@@ -169,6 +171,7 @@
     _reported_at: float = -math.inf
     _reported: PoolReport | None = None
     _claimed_at: float = attrs.field(default=0.0, init=False)
+    _fencing: RestartFencing = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         context = self.context
@@ -181,6 +184,9 @@
             former_grants=self.former_grants,
             call_timeouts=CallTimeouts(lambda: context.lag.seconds),
         )
+        self._fencing = RestartFencing(
+            self.state, context.workers, self._now, self._resume_worker
+        )
         if context.contended:
             self.state.run_times = RunTimes()
             self.state.forecast = LearnedForecast(self.state.run_times)
@@ -360,7 +366,21 @@
                     await anyio.sleep(pause_s)
                 continue
             await anyio.sleep(delay * self.context.rng.uniform(0.5, 1.0))
-            delay = min(delay * 2, RETRY_MAX_S)
+            delay = min(delay * 2, self._get_longest_retry_delay(worker_id))
+
+    def _get_longest_retry_delay(self, worker_id: str) -> float:
+        """Return the longest delay in seconds, short if late orders may arrive."""
+        if self.state.has_unanswered_starts(worker_id, self._now()):
+            return FENCING_PAUSE_S
+        return RETRY_MAX_S
+
+    def _fence_restarts(self) -> None:
+        for worker_id in self._fencing.list_due():
+            self._spawn(self._fencing.fence, worker_id)
+
+    def _resume_worker(self, worker_id: str) -> None:
+        self._start_hold_loop(worker_id)
+        self.wake()
 
     async def _check_isolated_run(self, order: StartOrder) -> None:
         """Check whether a worker survives an isolated run.
--- a/src/onyxgap/jobs/lives.py
+++ b/src/onyxgap/jobs/lives.py
@@ -12,6 +12,7 @@
 import attrs
 
 from .messages import TaskId
+from .messages import WorkerEntry
 
 
 class IncarnationMatch(enum.Enum):
@@ -41,11 +42,18 @@
     :param born: Unix milliseconds of the start of the former one, 0 if not known.
     :param until: monotonic seconds until which they may be carried out.
     :param starts: the start orders among them.
+    :param entry: registration of the former one, ``None`` if its address is not known.
+    :param unanswered: those of them that got no answer.
+    :param held_back: runs whose tasks are not placed again before the next incarnation
+        has answered, or a while has passed.
     """
 
     born: int = 0
     until: float = -math.inf
     starts: tuple[OrderedRun, ...] = ()
+    entry: WorkerEntry | None = None
+    unanswered: tuple[OrderedRun, ...] = ()
+    held_back: tuple[OrderedRun, ...] = ()
 
 
 NO_FORMER_CALLS = FormerCalls()
--- a/src/onyxgap/jobs/placing.py
+++ b/src/onyxgap/jobs/placing.py
@@ -16,6 +16,7 @@
 from .amounts import Amount
 from .crashes import IsolationLevel
 from .job import Task
+from .lives import OrderedRun
 from .messages import Step
 from .messages import TaskId
 from .messages import WorkerEntry
@@ -120,6 +121,9 @@
     :param missed_at: monotonic seconds when the first list of VMs that lacked it,
         although it answered, was requested.
     :param lapses: losses of runs whose lease has expired while it was silent.
+    :param alive_at: monotonic seconds of the last sign that its process was running.
+    :param unanswered_starts: monotonic seconds when it was known that a start order had
+        got no answer, by its run.
     """
 
     entry: WorkerEntry
@@ -170,6 +174,8 @@
     answered_at: float = -math.inf
     missed_at: float = math.inf
     lapses: list[Lapse] = attrs.field(factory=list)
+    alive_at: float = -math.inf
+    unanswered_starts: dict[OrderedRun, float] = attrs.field(factory=dict)
 
     def is_silent(self) -> bool:
         """Return whether the worker does not answer, or is no longer registered."""
--- a/src/onyxgap/jobs/shard_jobs.py
+++ b/src/onyxgap/jobs/shard_jobs.py
@@ -288,4 +288,8 @@
 
     def get_token(self, record: WorkerRecord) -> int:
         """Return the fencing token of calls to the known incarnation of a worker."""
-        return compute_token(self.epoch, self.restarts.get(record.entry.worker_id, 0))
+        return self.get_worker_token(record.entry.worker_id)
+
+    def get_worker_token(self, worker_id: str) -> int:
+        """Return the fencing token of calls to a worker of which nothing is known."""
+        return compute_token(self.epoch, self.restarts.get(worker_id, 0))
--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -15,6 +15,7 @@
 from .job import Task
 from .job import TaskPhase
 from .lives import IncarnationMatch
+from .lives import OrderedRun
 from .messages import EndedTask
 from .messages import EndKind
 from .messages import JobState
@@ -32,6 +33,7 @@
 from .stragglers import get_ejection_time
 from .stragglers import get_relative_speed
 from .workers import MS_PER_S
+from .workers import HoldOrder
 from .workers import HoldReport
 from .workers import Reply
 from .workers import ReplyKind
@@ -98,6 +100,7 @@
         record = self.workers.get(worker_id)
         if record is None:
             return False
+        record.alive_at = max(record.alive_at, now)
         match = self._update_incarnation(record, report.born, now)
         if match is IncarnationMatch.FORMER:
             self._accept_earlier_start(record, report.born, sent_at, now)
@@ -137,6 +140,22 @@
             self._release_missing_runs(record, listed | ended, sent_at)
         return True
 
+    def apply_fencing_report(
+        self, call: HoldOrder, report: HoldReport, sent_at: float, now: float
+    ) -> bool:
+        """Apply the answer of a removed worker to a fencing call.
+
+        :param call: the call.
+        :param report: the answer.
+        :param sent_at: monotonic seconds when the call was sent.
+        :param now: monotonic seconds.
+        :returns: whether the next incarnation of the worker was added.
+        """
+        if not self._adopt_next_incarnation(call.worker_id, report.born, now):
+            return False
+        self.apply_report(call.worker_id, report, sent_at, now)
+        return True
+
     def _log_unseen_ends(
         self, record: WorkerRecord, ended: t.Sequence[EndedTask]
     ) -> None:
@@ -469,7 +488,11 @@
             return False
         if reply.kind is ReplyKind.OTHER_WORKER:
             self.remove_worker(worker_id, "another incarnation at its address", now)
+            self.end_fencing(worker_id)
             return False
+        if reply.kind is ReplyKind.NO_ANSWER and reply.overdue_s is None:
+            # its system has just closed the connection
+            record.alive_at = max(record.alive_at, now)
         record.timed_out = reply.overdue_s is not None
         if reply.overdue_s is not None:
             self.call_timeouts.note_timeout(worker_id)
@@ -519,6 +542,11 @@
         if record is not None:
             proves = self._proves_delivery(task, reply, now)
             note_delivery(record, reply.kind, now, proves)
+            if reply.kind is ReplyKind.NO_ANSWER:
+                ordered = OrderedRun(order.task, order.run)
+                self.note_unanswered_start(record, ordered, now)
+            if reply.clock_ms is not None:
+                record.alive_at = max(record.alive_at, now)
         if reply.overdue_s is not None:
             self.call_timeouts.note_timeout(order.worker_id)
         if job is None or task is None or not task.placed:
--- a/src/onyxgap/jobs/shard_workers.py
+++ b/src/onyxgap/jobs/shard_workers.py
@@ -8,26 +8,16 @@
 
 from .departures import Departures
 from .departures import choose_log
-from .job import Job
-from .job import Task
-from .job import TaskPhase
 from .lives import NO_FORMER_CALLS
-from .lives import FormerCalls
 from .lives import IncarnationMatch
-from .lives import OrderedRun
 from .lives import compare_incarnations
 from .messages import WorkerEntry
 from .placing import RemovedLapses
 from .placing import WorkerRecord
-from .shard_jobs import get_step_key
+from .shard_incarnations import ShardIncarnations
 from .shard_leases import LATE_CALL_S
-from .shard_losses import ShardLosses
-from .shard_losses import may_have_been_sent
 from .workers import MS_PER_S
-from .workers import Reply
-from .workers import ReplyKind
 from .workers import StartOrder
-from .workers import StopOrder
 from .workers import WorkerClock
 
 WALL_CLOCK_ERROR_S = 5.0
@@ -41,30 +31,18 @@
 _LOG = structlog.get_logger()
 
 
-def _may_reach_next_incarnation(task: Task) -> bool:
-    """Return whether the start order of a run may reach the worker after its restart.
-
-    A worker carries out an order once, so not if the previous incarnation listed the
-    run.
-    """
-    return may_have_been_sent(task) and not task.listed_by
-
-
 @attrs.define
-class ShardWorkers(ShardLosses):
+class ShardWorkers(ShardIncarnations):
     """The workers of one shard.
 
     :param listed_workers: workers that a list of VMs has shown as up.
     :param last_live: workers of all VMs that were up in the last list, ``None`` before.
     :param removed_lapses: lapses of workers that were removed while they were silent.
-    :param former_calls: calls to workers that were removed, which they may carry out
-        if they start again under their IDs.
     :param departures: workers that leave as ordered.
     """
 
     listed_workers: set[str] = attrs.field(factory=set)
     removed_lapses: dict[str, RemovedLapses] = attrs.field(factory=dict)
-    former_calls: dict[str, FormerCalls] = attrs.field(factory=dict)
     last_live: frozenset[str] | None = None
     departures: Departures = attrs.field(init=False)
 
@@ -112,6 +90,7 @@
         own = self.former_calls.pop(entry.worker_id, NO_FORMER_CALLS)
         if compare_incarnations(own.born, entry.born) is not IncarnationMatch.SAME:
             self._expect_former_calls(record, own)
+        self._keep_unanswered(record, own)
         until = self._bound_former_owners_calls(entry, now, wall_ms)
         record.former_lease_until = max(
             record.former_lease_until, until + self.longest_lease_s
@@ -140,24 +119,6 @@
         latest_at = min(started_at + WALL_CLOCK_ERROR_S, self.get_former_grants_end())
         return latest_at + LATE_CALL_S
 
-    def _expect_former_calls(self, record: WorkerRecord, calls: FormerCalls) -> None:
-        """Reckon with calls to the former incarnation of a worker.
-
-        A task that it was ordered to start stays placed on the new incarnation until
-        that one confirms that it will not start it, unless the task has been placed
-        elsewhere.
-        """
-        record.former_lease_until = calls.until + self.longest_lease_s
-        worker_id = record.entry.worker_id
-        self.restarts[worker_id] = self.restarts.get(worker_id, 0) + 1
-        for ordered in calls.starts:
-            job = self.jobs.get(ordered.task.job_id)
-            task = job.find_task(ordered.task) if job else None
-            if job is None or task is None or job.state.final:
-                continue
-            if task.phase is TaskPhase.WAITING and task.run == ordered.run:
-                self._bar(record, job, task, ordered.run)
-
     def _update_incarnation(
         self, record: WorkerRecord, born: int, now: float
     ) -> IncarnationMatch:
@@ -200,8 +161,6 @@
     ) -> None:
         """Replace a worker's record by that of a new incarnation.
 
-        No capacity, clock or report of the new incarnation is known yet.
-
         A start order for the previous incarnation may have reached the new one before
         the owner learned of the restart. The new incarnation does not know the owner's
         fencing token, and the order's deadline means nothing on its new clock. So a run
@@ -213,15 +172,12 @@
         """
         worker_id = previous.entry.worker_id
         self.remove_worker(worker_id, "worker restarted under the same id", now)
-        entry = attrs.evolve(
-            previous.entry, cpu=0, memory_mb=0, accelerators=0, clock_ms=0.0, born=born
+        record = self._add_next_incarnation(
+            previous.entry, previous.registered, born, now
         )
-        record = WorkerRecord(entry, previous.registered, WorkerClock(0.0, now))
-        record.born = born
-        record.heard_at = now
-        record.replaces_incarnation = True
-        self.workers[worker_id] = record
-        self._expect_former_calls(record, self.former_calls.pop(worker_id))
+        calls = self.former_calls.pop(worker_id)
+        self._expect_former_calls(record, calls)
+        self._keep_unanswered(record, calls)
         self._log_restart(previous, record, now)
 
     def _log_restart(
@@ -249,31 +205,6 @@
             runs_ruled_out=record.count_present(),
         )
 
-    def _bar(self, record: WorkerRecord, job: Job, task: Task, run: int) -> None:
-        # the deadline of the order is on the clock of the previous incarnation
-        task.place(record.entry.worker_id, 0.0, 0.0, run)
-        task.start_ruled_out_at = math.inf
-        record.reserve(job.get_step(task), get_step_key(task))
-        self._mark_stopping(task)
-        self.dirty.add(job.submission.job_id)
-
-    def apply_stop_reply(self, order: StopOrder, reply: Reply, now: float) -> None:
-        """Record that a worker will not start a run of a previous incarnation.
-
-        Replies to other stop orders are ignored; the worker reports the ends of the
-        runs.
-
-        :param order: the stop order.
-        :param reply: the worker's reply.
-        :param now: monotonic seconds.
-        """
-        job = self.jobs.get(order.task.job_id)
-        task = job.find_task(order.task) if job else None
-        if task is None or task.start_ruled_out_at is None or task.run != order.run:
-            return
-        if reply.kind is ReplyKind.DONE:
-            task.start_ruled_out_at = min(task.start_ruled_out_at, now)
-
     def set_cordons(
         self, cordons: t.Mapping[str, str], due: frozenset[str] = frozenset()
     ) -> None:
@@ -313,7 +244,8 @@
         self.listed_workers.discard(worker_id)
         ordered = self.departures.is_ordered(record, self.cordons.get(worker_id))
         log = choose_log(record, ordered)
-        self._keep_former_calls(record, now)
+        calls = self._keep_former_calls(record, now)
+        left_unanswered = self._list_left_unanswered(record) if crashed else []
         freed = self._release_runs(record, crashed, now)
         if ordered:
             self.departures.note_left(worker_id)
@@ -324,25 +256,14 @@
             service=self.service,
             reason=reason,
             freed=freed,
+            unanswered=len(calls.unanswered),
+            left_unanswered=len(left_unanswered),
         )
         del self.workers[worker_id]
+        self._hold_back(worker_id, left_unanswered, now)
         if record.lapses and not crashed:
             self.removed_lapses[worker_id] = RemovedLapses(record.born, record.lapses)
 
-    def _keep_former_calls(self, record: WorkerRecord, now: float) -> None:
-        """Keep what a removed worker was told, and forget what is over."""
-        for worker_id, calls in list(self.former_calls.items()):
-            if calls.until <= now:
-                del self.former_calls[worker_id]
-        starts = tuple(
-            OrderedRun(task.task_id, task.run)
-            for _, task in self._list_runs_on(record)
-            if _may_reach_next_incarnation(task)
-        )
-        self.former_calls[record.entry.worker_id] = FormerCalls(
-            record.born, now + LATE_CALL_S, starts
-        )
-
     def is_isolated(self, order: StartOrder) -> bool:
         """Return whether a run still keeps runs of other jobs off its worker.
 
@@ -420,6 +341,7 @@
                     record.entry.worker_id, "unregistered, lease expired", now, False
                 )
             elif record.present:
+                self._note_lapsed_starts(record, now)
                 freed = self._release_runs(record, False, now)
                 _LOG.info(
                     "lease expired",
--- a/src/onyxgap/standins/emulator/cloud.py
+++ b/src/onyxgap/standins/emulator/cloud.py
@@ -139,7 +139,7 @@
         """Give the present worker of a VM."""
         return self.workers.lives.get(self.vms[name].worker_id)
 
-    def _boot(self, name: str, worker_id: str = "") -> None:
+    def _boot(self, name: str, worker_id: str = "", first_beat_s: float = 0.0) -> None:
         vm = self.vms[name]
         self.down_since.pop(name, None)
         if vm.pool != self.spare_pool:
@@ -169,7 +169,10 @@
             )
             self.workers.add(worker)
             self.workers.halted.discard(entry.address)
-            self.register(entry)
+            if first_beat_s:
+                self.group.start_soon(self._register_after, worker, first_beat_s)
+            else:
+                self.register(entry)
             if vm.pool in self.unguarded:
                 self.group.start_soon(self._beat, worker)
         self.vms[name] = attrs.evolve(vm, state=VmState.UP, worker_id=worker_id)
@@ -273,12 +276,36 @@
             self.workers.halted.add(worker.entry.address)
             self.rebear(name, for_s)
 
+    def reboot(self, name: str, for_s: float, first_beat_s: float) -> None:
+        """Restart a VM that is listed as down meanwhile; its worker keeps its id.
+
+        :param name: the VM.
+        :param for_s: seconds until its worker takes calls again.
+        :param first_beat_s: seconds from then on until the worker registers.
+        """
+        worker = self.get_worker(name)
+        if worker is None or not worker.alive:
+            return
+        worker.crash()
+        self.vms[name] = attrs.evolve(self.vms[name], state=VmState.DOWN)
+        self.down_since[name] = anyio.current_time()
+        self.group.start_soon(self._start_again, name, worker, for_s, first_beat_s)
+
+    async def _register_after(self, worker: EmulatedWorker, delay_s: float) -> None:
+        await anyio.sleep(delay_s)
+        if worker.alive:
+            self.register(worker.entry)
+
     async def _start_again(
-        self, name: str, worker: EmulatedWorker, for_s: float
+        self,
+        name: str,
+        worker: EmulatedWorker,
+        for_s: float,
+        first_beat_s: float = 0.0,
     ) -> None:
         await anyio.sleep(for_s)
         if self.get_worker(name) is worker:
-            self._boot(name, worker.entry.worker_id)
+            self._boot(name, worker.entry.worker_id, first_beat_s)
 
     def _end_life(self, name: str, state: VmState) -> None:
         vm = self.vms[name]
--- a/src/onyxgap/standins/emulator/fault_draws.py
+++ b/src/onyxgap/standins/emulator/fault_draws.py
@@ -21,6 +21,7 @@
         ("end", "worker"),
         ("refuse", "vm"),
         ("restart", "vm"),
+        ("reboot", "vm"),
         ("late", "holds"),
         ("split", "workers"),
         ("refuse", "writes"),
@@ -96,6 +97,27 @@
     return attrs.evolve(script, faults=[*script.faults, *faults])
 
 
+def draw_reboots(script: Script, seed: int, count: int) -> Script:
+    """Add reboots of VMs whose workers have left start orders unanswered.
+
+    They are drawn apart from the other faults, which stay the same.
+
+    :param script: the day.
+    :param seed: seed of the draw.
+    :param count: number of reboots.
+    """
+    rng = random.Random(f"reboots/{seed}")
+    faults = []
+    for _ in range(count):
+        at = rng.uniform(4.0, script.end_s - 8.0)
+        pool = rng.choice(script.pools).name
+        faults.append(FaultLine(at, "late", "orders", "", 2.0, 0.2))
+        at += rng.uniform(0.5, 2.0)
+        down_s, first_beat_s = rng.uniform(0.5, 3.5), rng.uniform(0.5, 1.5)
+        faults.append(FaultLine(at, "reboot", "vm", pool, down_s, first_beat_s))
+    return attrs.evolve(script, faults=[*script.faults, *faults])
+
+
 def draw_interface_faults(script: Script, seed: int, count: int) -> Script:
     """Add faults of the platform's interface for VMs.
 
--- a/src/onyxgap/standins/emulator/script.py
+++ b/src/onyxgap/standins/emulator/script.py
@@ -46,6 +46,9 @@
 ``restart vm POOL``
     The same, but its address does not answer at all until then: calls time out, or
     reach the next incarnation if it starts within their timeouts.
+``reboot vm POOL``
+    As ``rebear vm``, but the VM is listed as down until then, and the worker registers
+    some seconds (``by``) after it takes calls again.
 ``late orders`` and ``late holds``
     A share (``by``) of start orders, or of hold requests, gets no answer and is carried
     out 1 to 6 s later by the incarnation that then has the ID.
@@ -360,6 +363,7 @@
         ("configure", "routes"),
         ("rebear", "vm"),
         ("restart", "vm"),
+        ("reboot", "vm"),
         ("halt", "vm"),
         ("end", "worker"),
         ("refuse", "vm"),
--- a/src/onyxgap/standins/emulator/worker_faults.py
+++ b/src/onyxgap/standins/emulator/worker_faults.py
@@ -70,6 +70,13 @@
         day.cloud.restart(name, fault.seconds)
 
 
+async def reboot_vm(day: FaultTargets, fault: FaultLine) -> None:
+    """Restart a VM; its worker takes calls a while before it registers again."""
+    name = day.find_vm(fault.name)
+    if name is not None:
+        day.cloud.reboot(name, fault.seconds, fault.strength)
+
+
 async def refuse_orders(day: FaultTargets, fault: FaultLine) -> None:
     """Have a worker refuse new connections; hold requests go over open ones."""
     name = day.find_vm(fault.name)
@@ -134,6 +141,7 @@
     ("shrink", "vm"): shrink_vm,
     ("rebear", "vm"): rebear_vm,
     ("restart", "vm"): restart_vm,
+    ("reboot", "vm"): reboot_vm,
     ("halt", "vm"): halt_vm,
     ("crash", "rack"): crash_rack,
     ("halt", "rack"): halt_rack,
