Keep a job from being stored after its cancellation was answered 410

Cause: a cancellation that found no submission stored nothing, and an insertion expects only that no submission is there. So a write that was held up meanwhile succeeded.

Change: the cancellation stores a tombstone where there is no submission, and the insertion expects it to be absent, each in one transaction over the services of the queue. Whichever comes first wins; a job that was stored meanwhile is cancelled. Emulator and soak: loads with 'withdraw SHARE'.

--- a/src/onyxgap/daemons/desk.py
+++ b/src/onyxgap/daemons/desk.py
@@ -31,6 +31,8 @@
 from ..jobs.tenants import KeyRejection
 from ..jobs.tenants import find_oversized_step
 from .authentication import Authentication
+from .cancellations import Cancellations
+from .cancellations import CancelResult
 from .owner import ShardOwner
 from .queue_lengths import QueueLengths
 from .queue_moves import QueueMoves
@@ -96,6 +98,7 @@
     binder: RouteBinder = attrs.field(init=False)
     _lookup: RouteLookup = attrs.field(init=False)
     _submissions: SubmissionStore = attrs.field(init=False)
+    _cancellations: Cancellations = attrs.field(init=False)
     _statuses: StoredStatuses = attrs.field(init=False)
     _queue_lengths: QueueLengths = attrs.field(init=False)
 
@@ -112,6 +115,7 @@
             lambda shard, key: self.on_stored(shard, key),
             lambda: self.should_forward(),
         )
+        self._cancellations = Cancellations(self._submissions, self.routes)
         self._statuses = StoredStatuses(self.store, self._submissions)
         self._queue_lengths = QueueLengths(
             self.owners, self.views, self.health.store_clock, self.routes
@@ -333,24 +337,12 @@
         )
         return result
 
-    async def _cancel(
-        self, route: Route, job_id: str, caller: Caller
-    ) -> bool | Unavailable | Denied:
+    async def _cancel(self, route: Route, job_id: str, caller: Caller) -> CancelResult:
         if self._is_store_down() or not await self._update_queue_moves():
             return Unavailable.STORE
-        try:
-            for shard in self._list_shards(route):
-                found = await self._submissions.find(shard, job_id)
-                if found is None or not found.belongs_to(route.policy.queue):
-                    continue
-                if not caller.may_access(found.submission.tenant):
-                    return self._deny(route, job_id)
-                return await self._submissions.cancel(found)
-        except PlatformUnavailableError:
-            return Unavailable.STORE
-        except DocumentError:
-            return Unavailable.STORED_JOB
-        return False
+        shards = self._list_shards(route)
+        result = await self._cancellations.cancel(route, shards, job_id, caller)
+        return self._deny(route, job_id) if isinstance(result, Denied) else result
 
     def count_waiting(self, route: Route) -> int | Unavailable:
         """Return the number of jobs of a queue that have not started."""
--- a/src/onyxgap/daemons/expiry.py
+++ b/src/onyxgap/daemons/expiry.py
@@ -27,6 +27,10 @@
 MAX_REMOVED_POINTERS = 4
 """Most pointers removed with one renewal of the owner row."""
 
+MAX_REMOVED_TOMBSTONES = 32
+"""Most tombstones removed with one renewal of the owner row: any caller can have one
+stored with each call."""
+
 _LOG = structlog.get_logger()
 
 
@@ -115,11 +119,11 @@
 
 
 @attrs.frozen(slots=True)
-class NotedPointer:
-    """A pointer of a shard to a job of another shard.
+class NotedMarker:
+    """A row of a shard that stands in for the submission of a job.
 
-    :param job_id: job of the pointer.
-    :param version: version of the pointer's row.
+    :param job_id: the job.
+    :param version: version of the row.
     :param noted_at: monotonic seconds when it was first seen.
     """
 
@@ -129,50 +133,64 @@
 
 
 @attrs.define(eq=False)
-class PointerRemover:
-    """Removes the pointers of a shard to jobs of other shards.
+class MarkerRemover:
+    """Removes rows of a shard that make late writes of submissions fail.
 
-    A pointer is kept as long as the state of an ended job: writes that it has to make
+    A row is kept as long as the state of an ended job: the writes that it has to make
     fail are carried out much earlier.
 
-    :param shard: the shard that has the pointers.
+    :param shard: the shard.
     :param store: the store.
+    :param get_row: returns the row of a shard and a job.
+    :param limit: most rows removed with one renewal of the owner row.
     """
 
     shard: str
     store: Store
-    _noted: dict[str, NotedPointer] = attrs.field(factory=dict)
+    get_row: t.Callable[[str, str], RowId]
+    limit: int
+    _noted: dict[str, NotedMarker] = attrs.field(factory=dict)
 
     def note(self, job_id: str, version: int, now: float) -> None:
-        """Record a pointer.
+        """Record a row.
 
-        :param job_id: job of the pointer.
-        :param version: version of the pointer's row.
+        :param job_id: job of the row.
+        :param version: version of the row.
         :param now: monotonic seconds.
         """
         known = self._noted.get(job_id)
         if known is None or known.version < version:
             self._noted.pop(job_id, None)
-            self._noted[job_id] = NotedPointer(job_id, version, now)
+            self._noted[job_id] = NotedMarker(job_id, version, now)
 
-    def select_due(self, now: float, retention_s: float) -> list[NotedPointer]:
-        """Choose the pointers to be removed now, the oldest first.
+    def select_due(self, now: float, retention_s: float) -> list[NotedMarker]:
+        """Choose the rows to be removed now, the oldest first.
 
         :param now: monotonic seconds.
-        :param retention_s: seconds for which a pointer is kept.
+        :param retention_s: seconds for which a row is kept.
         """
-        oldest = list(self._noted.values())[:MAX_REMOVED_POINTERS]
-        due = [pointer for pointer in oldest if now - pointer.noted_at > retention_s]
-        for pointer in due:
-            del self._noted[pointer.job_id]
+        oldest = list(itertools.islice(self._noted.values(), self.limit))
+        due = [marker for marker in oldest if now - marker.noted_at > retention_s]
+        for marker in due:
+            del self._noted[marker.job_id]
         return due
 
-    async def remove(self, pointer: NotedPointer, now: float) -> None:
-        """Remove a pointer; after a failure it is kept for a further retention period.
+    async def remove(self, marker: NotedMarker, now: float) -> None:
+        """Remove a row; after a failure it is kept for a further retention period.
 
-        :param pointer: a pointer that :meth:`select_due` has chosen.
+        :param marker: a row that :meth:`select_due` has chosen.
         :param now: monotonic seconds.
         """
-        row = tables.get_job_row(self.shard, pointer.job_id)
-        if not await _remove(self.store, row, pointer.version):
-            self.note(pointer.job_id, pointer.version, now)
+        row = self.get_row(self.shard, marker.job_id)
+        if not await _remove(self.store, row, marker.version):
+            self.note(marker.job_id, marker.version, now)
+
+
+def build_pointer_remover(shard: str, store: Store) -> MarkerRemover:
+    """Build what removes the pointers of a shard to jobs of other shards."""
+    return MarkerRemover(shard, store, tables.get_job_row, MAX_REMOVED_POINTERS)
+
+
+def build_tombstone_remover(shard: str, store: Store) -> MarkerRemover:
+    """Build what removes the tombstones of a shard."""
+    return MarkerRemover(shard, store, tables.get_tombstone_row, MAX_REMOVED_TOMBSTONES)
--- a/src/onyxgap/daemons/owner.py
+++ b/src/onyxgap/daemons/owner.py
@@ -327,8 +327,9 @@
         for job_id in self._remover.select_due(expired):
             version = self._versions.get_stored(job_id)
             self._spawn(self._remover.remove_submission, job_id, version)
-        for pointer in self._pointer_remover.select_due(now, retention_s):
-            self._spawn(self._pointer_remover.remove, pointer, now)
+        for remover in (self._pointer_remover, self._tombstone_remover):
+            for marker in remover.select_due(now, retention_s):
+                self._spawn(remover.remove, marker, now)
         self._versions.forget_removals(self._job_follower.after)
 
     def _list_progress_rows(self, job_ids: t.Iterable[str]) -> tuple[RowId, ...]:
--- a/src/onyxgap/daemons/owner_jobs.py
+++ b/src/onyxgap/daemons/owner_jobs.py
@@ -20,7 +20,9 @@
 from ..pools.cordons import receive_cordons
 from ..pools.messages import decode_fleet_row
 from .expiry import JobRemover
-from .expiry import PointerRemover
+from .expiry import MarkerRemover
+from .expiry import build_pointer_remover
+from .expiry import build_tombstone_remover
 from .feed_watch import FeedWatch
 from .fence import RENEWAL_INTERVAL_S
 from .fleet_row_refresh import FleetRowRefresher
@@ -48,7 +50,8 @@
 
     _workers_version: int = 0
     _remover: JobRemover = attrs.field(init=False)
-    _pointer_remover: PointerRemover = attrs.field(init=False)
+    _pointer_remover: MarkerRemover = attrs.field(init=False)
+    _tombstone_remover: MarkerRemover = attrs.field(init=False)
     _feed_watch: FeedWatch = attrs.field(init=False)
     _job_follower: Follower = attrs.field(init=False)
     _fleet_follower: Follower = attrs.field(init=False)
@@ -58,7 +61,10 @@
     def __attrs_post_init__(self) -> None:
         super().__attrs_post_init__()
         self._remover = JobRemover(self.shard, self.context.store)
-        self._pointer_remover = PointerRemover(self.shard, self.context.store)
+        self._pointer_remover = build_pointer_remover(self.shard, self.context.store)
+        self._tombstone_remover = build_tombstone_remover(
+            self.shard, self.context.store
+        )
         self._feed_watch = FeedWatch(self.shard, self.epoch, self._now())
         self._job_follower = self._follow_jobs()
         self._fleet_follower = self._follow_fleet()
@@ -189,7 +195,10 @@
         for row in rows:
             if row.row_id.part not in parts or row.removed:
                 continue
-            if is_pointer(row.value):
+            if tables.is_tombstone(row.row_id):
+                job_id = row.row_id.key.removesuffix(tables.TOMBSTONE_SUFFIX)
+                self._tombstone_remover.note(job_id, row.version, now)
+            elif is_pointer(row.value):
                 self._pointer_remover.note(row.row_id.key, row.version, now)
             elif self._versions.is_outdated(row):
                 _LOG.debug("outdated row skipped", row=row.row_id.key)
--- a/src/onyxgap/daemons/submission_store.py
+++ b/src/onyxgap/daemons/submission_store.py
@@ -1,5 +1,6 @@
 """Reads and writes the submissions of jobs in the store."""
 
+import enum
 import typing as t
 
 import anyio
@@ -21,13 +22,18 @@
 from ..jobs.store import Conflict
 from ..jobs.store import Invalid
 from ..jobs.store import NotApplied
+from ..jobs.store import RowId
 from ..jobs.store import Store
+from ..jobs.store import StoredRow
 from ..jobs.store import WriteOutcome
 from ..jobs.submissions import SubmissionPointer
 from ..jobs.submissions import encode_pointer
 from ..jobs.submissions import encode_submission
 from ..jobs.submissions import is_same_request
 from ..jobs.tenants import Caller
+from ..jobs.tombstones import Tombstone
+from ..jobs.tombstones import decode_tombstone
+from ..jobs.tombstones import encode_tombstone
 from .submission_decoder import SubmissionDecoder
 
 WRITE_RETRY_LIMIT_S = 2.0
@@ -38,6 +44,9 @@
 _USED_BY_OTHER_QUEUE = SubmitResult(
     SubmitOutcome.OTHER_REQUEST, "the id stands for a job of another queue"
 )
+_CANCELLED = SubmitResult(
+    SubmitOutcome.CANCELLED, "the job was cancelled before it was stored"
+)
 _UNREADABLE_JOB = SubmitResult(SubmitOutcome.UNKNOWN, Unavailable.STORED_JOB.value)
 _LOG = structlog.get_logger()
 
@@ -60,6 +69,15 @@
         return self.submission.policy.queue == queue
 
 
+class PreventOutcome(enum.Enum):
+    """Outcome of keeping a job from being stored."""
+
+    PREVENTED = "prevented"
+    STORED = "stored"
+    """The job was stored meanwhile."""
+    UNKNOWN = "unknown"
+
+
 @attrs.define(eq=False)
 class SubmissionStore:
     """Stores submissions and cancellations, each job once.
@@ -138,8 +156,9 @@
         pointer = encode_pointer(SubmissionPointer(service))
         puts = {tables.get_job_row(other, job_id): pointer for other in other_services}
         puts[row] = encode_submission(submission)
-        batch = Batch(dict.fromkeys(puts, ABSENT), puts, across=len(puts) > 1)
-        outcome = await self._write_until_certain(batch)
+        tombstones = _list_tombstone_rows(job_id, (service, *other_services))
+        expected = dict.fromkeys([*puts, *tombstones], ABSENT)
+        outcome = await self._insert_beside_tombstones(submission, expected, puts)
         if isinstance(outcome, Applied):
             self.on_stored(submission.policy.service, row.key)
             return SubmitResult(SubmitOutcome.ACCEPTED)
@@ -153,6 +172,32 @@
                 return found
         return SubmitResult(SubmitOutcome.UNKNOWN, "the write was not confirmed")
 
+    async def _insert_beside_tombstones(
+        self,
+        submission: Submission,
+        expected: dict[RowId, int],
+        puts: dict[RowId, bytes],
+    ) -> WriteOutcome:
+        """Write a submission, also beside tombstones that do not cover it.
+
+        These are left: the submission itself keeps the other job from being stored.
+        """
+        while True:
+            batch = Batch(expected, puts, across=len(puts) > 1)
+            outcome = await self._write_until_certain(batch)
+            if not isinstance(outcome, Conflict):
+                return outcome
+            others = [
+                row
+                for row in outcome.rows
+                if tables.is_tombstone(row.row_id)
+                and not _is_covered(submission, row)
+                and expected.get(row.row_id) != row.version
+            ]
+            if not others or len(others) < len(outcome.rows):
+                return outcome
+            expected = {**expected, **{row.row_id: row.version for row in others}}
+
     async def _find_conflicting(
         self, submission: Submission, conflict: Conflict
     ) -> SubmitResult | None:
@@ -160,6 +205,10 @@
         result = None
         shards = []
         for row in conflict.rows:
+            if tables.is_tombstone(row.row_id):
+                if result is None and _is_covered(submission, row):
+                    result = _CANCELLED
+                continue
             try:
                 stored = self.decoder.decode_row(row)
             except DocumentError:
@@ -194,6 +243,30 @@
         self.on_stored(found.shard, row.key)
         return True
 
+    async def prevent(
+        self, job_id: str, tombstone: Tombstone, services: t.Sequence[str]
+    ) -> PreventOutcome:
+        """Keep a job that is not stored from being stored later.
+
+        :param job_id: id of the job.
+        :param tombstone: who cancels the job, and in which queue.
+        :param services: all services that the queue is known to have had: a submission
+            is written to, or has a pointer in, at least one of them.
+        """
+        value = encode_tombstone(tombstone)
+        puts = dict.fromkeys(_list_tombstone_rows(job_id, services), value)
+        jobs = [tables.get_job_row(service, job_id) for service in services]
+        expected = dict.fromkeys([*jobs, *puts], ABSENT)
+        batch = Batch(expected, puts, across=len(services) > 1)
+        outcome = await self._write_until_certain(batch)
+        if isinstance(outcome, Applied):
+            return PreventOutcome.PREVENTED
+        if not isinstance(outcome, Conflict):
+            return PreventOutcome.UNKNOWN
+        if any(outcome.find(row) is not None for row in jobs):
+            return PreventOutcome.STORED
+        return PreventOutcome.PREVENTED
+
     async def _write_until_certain(self, batch: Batch) -> WriteOutcome:
         """Retry a conditional insert until its outcome is certain or time is up.
 
@@ -216,6 +289,18 @@
             await anyio.sleep(WRITE_RETRY_PAUSE_S)
 
 
+def _list_tombstone_rows(job_id: str, services: t.Iterable[str]) -> list[RowId]:
+    return [tables.get_tombstone_row(service, job_id) for service in services]
+
+
+def _is_covered(submission: Submission, row: StoredRow) -> bool:
+    """Return whether a tombstone covers a submission; a malformed one does."""
+    try:
+        return decode_tombstone(row.value).covers(submission)
+    except DocumentError:
+        return True
+
+
 def _compare(found: LocatedSubmission, submission: Submission) -> SubmitResult:
     stored = found.submission
     _LOG.info(
--- a/src/onyxgap/jobs/desk.py
+++ b/src/onyxgap/jobs/desk.py
@@ -21,6 +21,8 @@
     OTHER_TENANT = "other-tenant"
     ABOVE_CAP = "above-cap"
     TOO_LARGE = "too-large"
+    CANCELLED = "cancelled"
+    """The job was cancelled before it was stored, and never runs."""
     OVERLOADED = "overloaded"
     REFUSED = "refused"
     UNKNOWN = "unknown"
--- a/src/onyxgap/jobs/passing.py
+++ b/src/onyxgap/jobs/passing.py
@@ -188,6 +188,7 @@
         SubmitOutcome.OTHER_REQUEST,
         SubmitOutcome.OTHER_TENANT,
         SubmitOutcome.TOO_LARGE,
+        SubmitOutcome.CANCELLED,
     }
 )
 """Outcomes that hold regardless of the outcome of earlier attempts."""
--- a/src/onyxgap/jobs/tables.py
+++ b/src/onyxgap/jobs/tables.py
@@ -32,6 +32,7 @@
 FLEET_SHARD = "~fleet"
 """Reserved shard of the fleet controller role; no service can have this name."""
 CANCEL_SUFFIX = ".cancel"
+TOMBSTONE_SUFFIX = ".tombstone"
 
 
 def get_job_table(shard: str) -> str:
@@ -64,6 +65,17 @@
     return RowId(row.table, row.part, job_id + CANCEL_SUFFIX)
 
 
+def get_tombstone_row(shard: str, job_id: str) -> RowId:
+    """Return the row that keeps a cancelled job from being stored later."""
+    row = get_job_row(shard, job_id)
+    return RowId(row.table, row.part, job_id + TOMBSTONE_SUFFIX)
+
+
+def is_tombstone(row: RowId) -> bool:
+    """Return whether a row of a job table is a tombstone."""
+    return row.key.endswith(TOMBSTONE_SUFFIX)
+
+
 def get_progress_row(shard: str, key: str) -> RowId:
     """Return a row of a job's progress.
 
--- a/src/onyxgap/platform/job_api.py
+++ b/src/onyxgap/platform/job_api.py
@@ -62,6 +62,7 @@
 _SUBMIT_STATUS: t.Mapping[SubmitOutcome, int] = {
     SubmitOutcome.ACCEPTED: 200,
     SubmitOutcome.OTHER_REQUEST: 409,
+    SubmitOutcome.CANCELLED: 409,
     SubmitOutcome.OTHER_TENANT: 403,
     SubmitOutcome.ABOVE_CAP: 400,
     SubmitOutcome.TOO_LARGE: 400,
--- a/src/onyxgap/standins/emulator/callers.py
+++ b/src/onyxgap/standins/emulator/callers.py
@@ -39,6 +39,9 @@
 MAX_ATTEMPTS = 3
 
 
+_UNCERTAIN = (None, SubmitOutcome.UNKNOWN)
+
+
 class CallerNode(t.Protocol):
     """A node as callers reach it, if it is up."""
 
@@ -153,6 +156,7 @@
                 notes = self._add(route, steps, objective_s, poison, rng)
                 # a load without such jobs draws nothing, so that its day stays the same
                 notes.crashing = bool(load.crashing) and rng.random() < load.crashing
+                notes.withdrawn = bool(load.withdraw) and rng.random() < load.withdraw
                 group.start_soon(self._live, notes, load, on_accepted)
 
     async def run_service(self, serve: ServeLine, route: Route) -> None:
@@ -244,6 +248,9 @@
             if outcome is SubmitOutcome.ACCEPTED:
                 notes.accepted_at = notes.accepted_at or anyio.current_time()
                 return True
+            if notes.withdrawn and outcome in _UNCERTAIN:
+                await self._withdraw(notes)
+                return False
             await anyio.sleep(RETRY_S)
         return False
 
@@ -292,6 +299,18 @@
                         notes.cancelled_at = anyio.current_time()
             await anyio.sleep(RETRY_S)
 
+    async def _withdraw(self, notes: JobNotes) -> None:
+        """Cancel a job that may have been stored, until a node says that it is gone."""
+        notes.cancel_requested = True
+        while notes.cancelled_at is None:
+            nodes = self.nodes()
+            if nodes:
+                with anyio.move_on_after(PATIENCE_S):
+                    node = self.rng.choice(nodes)
+                    if isinstance(await self._call(node.cancel, notes), bool):
+                        notes.cancelled_at = anyio.current_time()
+            await anyio.sleep(RETRY_S)
+
     async def _poll(self, notes: JobNotes) -> None:
         while notes.find_final_at() is None:
             await anyio.sleep(POLL_S)
--- a/src/onyxgap/standins/emulator/job_notes.py
+++ b/src/onyxgap/standins/emulator/job_notes.py
@@ -54,6 +54,8 @@
     :param poison: whether its tasks always fail.
     :param crashing: whether its first task crashes each worker that starts it.
     :param cancel_requested: whether its caller has sent a request to cancel it.
+    :param withdrawn: whether its caller cancels it, in place of handing it in again,
+        if a submission gets no definite answer.
     :param work_s: run time of its tasks.
     :param first_due_s: monotonic seconds when its first occurrence is due.
     """
@@ -69,6 +71,7 @@
     accepted_at: float | None = None
     cancelled_at: float | None = None
     cancel_requested: bool = False
+    withdrawn: bool = False
     shown: list[tuple[float, JobState | None]] = attrs.field(factory=list)
     work_s: dict[TaskId, float] = attrs.field(factory=dict)
     first_due_s: float = 0.0
--- a/src/onyxgap/standins/emulator/script.py
+++ b/src/onyxgap/standins/emulator/script.py
@@ -169,6 +169,8 @@
     :param crashing: share of which the first task crashes each worker that starts it.
     :param resend: share that is handed in a second time, elsewhere.
     :param strangers: share whose IDs callers of public queues use as well.
+    :param withdraw: share that is cancelled, in place of handed in again, if its
+        submission got no definite answer.
     """
 
     pool: str
@@ -185,6 +187,7 @@
     crashing: float = 0.0
     resend: float = 0.0
     strangers: float = 0.0
+    withdraw: float = 0.0
 
 
 @attrs.frozen
--- a/tests/test_moved_submissions.py
+++ b/tests/test_moved_submissions.py
@@ -7,7 +7,7 @@
 import pytest
 
 from onyxgap.daemons.expiry import MAX_REMOVED_POINTERS
-from onyxgap.daemons.expiry import PointerRemover
+from onyxgap.daemons.expiry import build_pointer_remover
 from onyxgap.daemons.node import Node
 from onyxgap.exceptions import DocumentError
 from onyxgap.jobs import tables
@@ -114,7 +114,7 @@
 
 def test_pointers_are_removed_after_the_retention_period() -> None:
     async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
-        remover = PointerRemover("s", scripted)
+        remover = build_pointer_remover("s", scripted)
         jobs = [f"{number:016x}" for number in range(MAX_REMOVED_POINTERS + 1)]
         for job_id in jobs:
             row = tables.get_job_row("s", job_id)
--- a/tests/test_removed_jobs.py
+++ b/tests/test_removed_jobs.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from onyxgap.daemons.expiry import JobRemover
-from onyxgap.daemons.expiry import PointerRemover
+from onyxgap.daemons.expiry import build_pointer_remover
 from onyxgap.daemons.follower import Follower
 from onyxgap.daemons.job_versions import JobVersions
 from onyxgap.daemons.owner import ShardOwner
@@ -179,7 +179,7 @@
 def test_late_removal_of_a_pointer_does_not_remove_a_submission() -> None:
     async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
         store.put(JOB_ROW, encode_pointer(SubmissionPointer("s2")))
-        remover = PointerRemover("shard", scripted)
+        remover = build_pointer_remover("shard", scripted)
         remover.note(JOB_ID, store.version, 0.0)
         store.put(JOB_ROW, encode_submission(SUBMISSION))
         for pointer in remover.select_due(9.0, 1.0):
