Know a job by host, path and ID, not by the name of its queue

Cause: jobs were compared by the name of their queue, which is the operator's to change; a caller knows a job by host, path prefix and ID. Former services were known by name, too, so that a queue that was renamed and moved stored a job that was sent again a second time.

Change: submissions, progress rows and forwarded calls carry the endpoint (host and prefix). Emulator: rename route.

Tests changed: three of test_queue_moves.py expect the endpoints beside the names in the row of moved queues, one of test_route_binder.py and one of test_queue_moves.py call the new signatures.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -14,6 +14,7 @@
 from onyxgap.standins.emulator.fault_draws import draw_interface_faults
 from onyxgap.standins.emulator.fault_draws import draw_rack_faults
 from onyxgap.standins.emulator.fault_draws import draw_reboots
+from onyxgap.standins.emulator.fault_draws import draw_renames
 from onyxgap.standins.emulator.fault_draws import draw_worker_deaths
 from onyxgap.standins.emulator.script import load_script
 
@@ -57,6 +58,12 @@
         default=0,
         help="reboots of workers that leave start orders unanswered, drawn apart",
     )
+    parser.add_argument(
+        "--renames",
+        type=int,
+        default=0,
+        help="versions that give queues other names, drawn apart",
+    )
     parser.add_argument(
         "--node-cores",
         type=int,
@@ -86,6 +93,7 @@
         script = draw_interface_faults(script, seed, arguments.interface_faults)
         script = draw_rack_faults(script, seed, arguments.rack_faults)
         script = draw_reboots(script, seed, arguments.reboots)
+        script = draw_renames(script, seed, arguments.renames)
         with tempfile.TemporaryDirectory(prefix="soak-") as scratch:
             folder = pathlib.Path(scratch)
             if arguments.keep:
--- a/bench/soak/wire.py
+++ b/bench/soak/wire.py
@@ -136,7 +136,7 @@
     raw = orjson.loads(value)
     routes = []
     for prefix, service in raw["routes"].items():
-        route = build_route(prefix, service)
+        route = build_route(prefix, service, raw.get("names", {}).get(prefix, ""))
         policy = route.policy
         routes.append(
             {
--- a/src/onyxgap/adapters/call_link.py
+++ b/src/onyxgap/adapters/call_link.py
@@ -53,6 +53,7 @@
         service_name=call.service,
         submission=call.submission,
         configuration=call.configuration,
+        endpoint=call.endpoint,
     )
     return encode_frame(ttypes.Frame(sender=sender, call=message))
 
@@ -78,6 +79,7 @@
         raw.service_name,
         raw.submission,
         raw.configuration or 0,
+        raw.endpoint or "",
     )
 
 
--- a/src/onyxgap/daemons/cancellations.py
+++ b/src/onyxgap/daemons/cancellations.py
@@ -68,7 +68,9 @@
     ) -> LocatedSubmission | None:
         for shard in shards:
             found = await self.submissions.find(shard, job_id)
-            if found is not None and found.belongs_to(route.policy.queue):
+            if found is not None and self.submissions.belongs_to(
+                found, route.get_queue()
+            ):
                 return found
         return None
 
@@ -82,14 +84,14 @@
     async def _prevent(
         self, route: Route, job_id: str, caller: Caller
     ) -> PreventOutcome:
-        policy = route.policy
-        services = (policy.service, *self.routes.list_other_services(policy))
-        tombstone = Tombstone(policy.queue, caller.tenant)
+        queue, service = route.get_queue(), route.policy.service
+        services = (service, *self.routes.list_other_services(queue, service))
+        tombstone = Tombstone(queue.name, caller.tenant, queue.endpoint)
         outcome = await self.submissions.prevent(job_id, tombstone, services)
         _LOG.info(
             "unknown job cancelled",
             job=job_id,
-            queue=policy.queue,
+            queue=queue.name,
             services=services,
             outcome=outcome.value,
         )
--- a/src/onyxgap/daemons/desk.py
+++ b/src/onyxgap/daemons/desk.py
@@ -112,6 +112,7 @@
             self.store,
             self.clocks,
             self.decoder,
+            self.routes,
             lambda shard, key: self.on_stored(shard, key),
             lambda: self.should_forward(),
         )
@@ -185,13 +186,21 @@
             "configuration_age_s": age_s,
         }
 
+    async def _record_service(self, submission: Submission) -> bool:
+        if self.queue_moves is None:
+            return True
+        queue, service = submission.get_queue(), submission.policy.service
+        return await self.queue_moves.record(queue, service)
+
     async def _submit(self, submission: Submission) -> SubmitResult:
         if self._is_store_down():
             reason = Unavailable.STORE.value
             return SubmitResult(SubmitOutcome.REFUSED, reason, OUTAGE_RETRY_AFTER_S)
-        if self.queue_moves and not await self.queue_moves.record(submission.policy):
+        if not await self._record_service(submission):
             return SubmitResult(SubmitOutcome.REFUSED, Unavailable.QUEUE_MOVES.value)
-        others = self.routes.list_other_services(submission.policy)
+        others = self.routes.list_other_services(
+            submission.get_queue(), submission.policy.service
+        )
         rejection = (
             self._check_queue(submission)
             or self._check_cap(submission)
@@ -255,10 +264,10 @@
 
     def _list_shards(self, route: Route) -> list[str]:
         """List the shards that may have a job, the most likely first."""
-        policy = route.policy
+        service = route.policy.service
         others = self.routes.list_shards()
-        previous = self.routes.list_other_services(policy)
-        return list(dict.fromkeys([policy.service, *previous, *others]))
+        previous = self.routes.list_other_services(route.get_queue(), service)
+        return list(dict.fromkeys([service, *previous, *others]))
 
     async def get_state(
         self, route: Route, job_id: str, caller: Caller = ANONYMOUS
@@ -303,11 +312,13 @@
     async def _get_status(
         self, route: Route, job_id: str
     ) -> JobStatus | None | Unavailable:
-        queue = route.policy.queue
+        queue = route.get_queue()
         owner = self.owners.get(route.policy.service)
         if owner is not None and owner.loaded:
             status = owner.state.get_status(job_id)
-            if status is not None and status.queue == queue:
+            if status is not None and self.routes.is_same_queue(
+                queue, status.get_queue()
+            ):
                 return status
         if self._is_store_down() or not await self._update_queue_moves():
             return Unavailable.STORE
@@ -346,7 +357,7 @@
 
     def count_waiting(self, route: Route) -> int | Unavailable:
         """Return the number of jobs of a queue that have not started."""
-        waiting = self._queue_lengths.count(route.policy, self.clocks.read_boot())
+        waiting = self._queue_lengths.count(route, self.clocks.read_boot())
         self.on_answer("count", waiting.source.value, 0.0)
         _LOG.info(
             "waiting jobs counted",
--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -20,6 +20,7 @@
 from ..jobs.leases import FormerGrants
 from ..jobs.lives import IncarnationMatch
 from ..jobs.lives import compare_incarnations
+from ..jobs.messages import QueueRef
 from ..jobs.messages import WorkerEntry
 from ..jobs.priorities import LearnedForecast
 from ..jobs.rates import TenantRates
@@ -115,6 +116,7 @@
     :param submission_decoder: decodes stored submissions.
     :param store_limits: limits of the store on a write.
     :param work_meter: counts the work of scheduling passes and reports.
+    :param get_queue_name: returns the present name of a queue of jobs.
     :param start_times: times from the start of the process to its first decisions.
     """
 
@@ -135,6 +137,7 @@
     submission_decoder: SubmissionDecoder = attrs.field(factory=SubmissionDecoder)
     store_limits: StoreLimits = StoreLimits()
     work_meter: WorkMeter = attrs.field(factory=NoWorkMeter)
+    get_queue_name: t.Callable[[QueueRef], str] = lambda queue: queue.name
     start_times: StartTimes = attrs.field()
 
     @start_times.default
@@ -183,6 +186,7 @@
             max_lease_s=context.limits.max_lease_s,
             former_grants=self.former_grants,
             call_timeouts=CallTimeouts(lambda: context.lag.seconds),
+            get_queue_name=context.get_queue_name,
         )
         self._fencing = RestartFencing(
             self.state, context.workers, self._now, self._resume_worker
--- a/src/onyxgap/daemons/passing_desk.py
+++ b/src/onyxgap/daemons/passing_desk.py
@@ -136,6 +136,7 @@
             submission.policy.service,
             encode_submission(submission),
             self._versions.get_newest(),
+            submission.endpoint,
         )
         async for answer in self._forward(call, deadline):
             result = _merge_result(result, answer)
@@ -242,6 +243,7 @@
             policy.queue,
             policy.service,
             configuration=self._versions.get_newest(),
+            endpoint=route.endpoint,
         )
 
     async def _forward_idempotent(
@@ -267,8 +269,9 @@
             return PassedAnswer(UNABLE, Unavailable.STORE.value)
         if call.kind is CallKind.SUBMIT:
             return await self._answer_submission(call)
+        host, slash, prefix = call.endpoint.partition("/")
         policy = QueuePolicy(call.queue, call.service)
-        route = Route("", "", policy)
+        route = Route(host, slash + prefix, policy)
         caller = Caller(call.tenant)
         if call.kind is CallKind.STATE:
             return _build_answer(await self.local.get_state(route, call.job_id, caller))
--- a/src/onyxgap/daemons/queue_lengths.py
+++ b/src/onyxgap/daemons/queue_lengths.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from ..jobs.messages import QueuePolicy
 from ..jobs.ownership import OwnerView
+from ..jobs.routing import Route
 from ..jobs.routing import RouteTable
 from ..jobs.store_clock import StoreClock
 from ..jobs.waiting import CountSource
@@ -30,16 +30,16 @@
     store_clock: StoreClock
     routes: RouteTable
 
-    def count(self, policy: QueuePolicy, now: float) -> WaitingCount:
+    def count(self, route: Route, now: float) -> WaitingCount:
         """Count the waiting jobs of a queue.
 
-        :param policy: policy of the queue.
+        :param route: the route of the queue.
         :param now: seconds of the boot clock.
         """
-        former = self._list_former_shards(policy)
-        shards = (policy.service, *former)
-        counts = [self._count_in_shard(shard, policy.queue, now) for shard in shards]
-        total = self._count_in_rows_except(shards, policy.queue)
+        queue = route.policy.queue
+        shards = (route.policy.service, *self._list_former_shards(route))
+        counts = [self._count_in_shard(shard, queue, now) for shard in shards]
+        total = self._count_in_rows_except(shards, queue)
         for item in counts:
             if item.count is None:
                 return _UNKNOWN
@@ -47,10 +47,12 @@
         age_s = max(item.age_s for item in counts)
         return attrs.evolve(counts[0], count=total, age_s=age_s)
 
-    def _list_former_shards(self, policy: QueuePolicy) -> tuple[str, ...]:
+    def _list_former_shards(self, route: Route) -> tuple[str, ...]:
         """List the shards of the queue's former services that have owners."""
         shards = self.routes.list_shards()
-        former = self.routes.list_other_services(policy)
+        former = self.routes.list_other_services(
+            route.get_queue(), route.policy.service
+        )
         return tuple(shard for shard in former if shard in shards)
 
     def _count_in_shard(self, shard: str, queue: str, now: float) -> WaitingCount:
--- a/src/onyxgap/daemons/queue_moves.py
+++ b/src/onyxgap/daemons/queue_moves.py
@@ -19,7 +19,7 @@
 from ..exceptions import Fault
 from ..exceptions import PlatformUnavailableError
 from ..jobs import tables
-from ..jobs.messages import QueuePolicy
+from ..jobs.messages import QueueRef
 from ..jobs.routing import RouteTable
 from ..jobs.store import ABSENT
 from ..jobs.store import Applied
@@ -46,7 +46,7 @@
 _LOG = structlog.get_logger()
 
 Services = dict[str, set[str]]
-"""Services by queue."""
+"""Services by name and by endpoint of a queue."""
 
 
 def encode_moves(moves: t.Mapping[str, t.AbstractSet[str]]) -> bytes:
@@ -119,28 +119,31 @@
         async with self._synchronizing:
             return self._is_read() or await self._try_to_synchronize()
 
-    async def record(self, policy: QueuePolicy) -> bool:
+    async def record(self, queue: QueueRef, service: str) -> bool:
         """Record the service of a queue, unless this node knows that it is recorded.
 
-        :param policy: policy of the queue.
+        :param queue: the queue.
+        :param service: the service.
         :returns: whether the service is recorded, and the row has been read under the
             configuration in force.
         """
-        if self._is_recorded(policy):
+        if self._is_recorded(queue, service):
             return True
+        needed = {key: {service} for key in _list_keys(queue)}
         async with self._synchronizing:
             for _ in range(RECORD_ATTEMPTS):
-                if self._is_recorded(policy):
+                if self._is_recorded(queue, service):
                     return True
-                await self._try_to_synchronize({policy.queue: {policy.service}})
-            return self._is_recorded(policy)
+                await self._try_to_synchronize(needed)
+            return self._is_recorded(queue, service)
 
     def _is_read(self) -> bool:
         return self._read_version == self.routes.get_version()
 
-    def _is_recorded(self, policy: QueuePolicy) -> bool:
-        recorded = self._recorded.get(policy.queue, ())
-        return self._is_read() and policy.service in recorded
+    def _is_recorded(self, queue: QueueRef, service: str) -> bool:
+        return self._is_read() and all(
+            service in self._recorded.get(key, ()) for key in _list_keys(queue)
+        )
 
     async def _try_to_synchronize(self, needed: Services | None = None) -> bool:
         try:
@@ -190,6 +193,10 @@
         return True
 
 
+def _list_keys(queue: QueueRef) -> list[str]:
+    return [key for key in (queue.name, queue.endpoint) if key]
+
+
 def _merge(first: Services, second: Services) -> Services:
     return {
         queue: first.get(queue, set()) | second.get(queue, set())
--- a/src/onyxgap/daemons/submission_store.py
+++ b/src/onyxgap/daemons/submission_store.py
@@ -15,7 +15,9 @@
 from ..jobs.desk import SubmitOutcome
 from ..jobs.desk import SubmitResult
 from ..jobs.desk import Unavailable
+from ..jobs.messages import QueueRef
 from ..jobs.messages import Submission
+from ..jobs.routing import RouteTable
 from ..jobs.store import ABSENT
 from ..jobs.store import Applied
 from ..jobs.store import Batch
@@ -64,10 +66,6 @@
     submission: Submission
     version: int
 
-    def belongs_to(self, queue: str) -> bool:
-        """Return whether the job is one of a queue."""
-        return self.submission.policy.queue == queue
-
 
 class PreventOutcome(enum.Enum):
     """Outcome of keeping a job from being stored."""
@@ -85,6 +83,7 @@
     :param store: the store.
     :param clocks: the process's clocks.
     :param decoder: decodes stored submissions.
+    :param routes: the configuration in force.
     :param on_stored: notifies the owner of a shard, given the shard and the key of the
         stored submission or cancellation.
     :param should_stop: returns whether a write with unknown outcome is retried no more.
@@ -93,6 +92,7 @@
     store: Store
     clocks: Clocks
     decoder: SubmissionDecoder
+    routes: RouteTable
     on_stored: t.Callable[[str, str], None]
     should_stop: t.Callable[[], bool]
 
@@ -107,6 +107,14 @@
             stored = await self._read(stored.service, job_id)
         return stored if isinstance(stored, LocatedSubmission) else None
 
+    def belongs_to(self, found: LocatedSubmission, queue: QueueRef) -> bool:
+        """Return whether a stored job belongs to a queue.
+
+        :param found: the job.
+        :param queue: the queue of the call.
+        """
+        return self.routes.is_same_queue(queue, found.submission.get_queue())
+
     async def _read(
         self, shard: str, job_id: str
     ) -> LocatedSubmission | SubmissionPointer | None:
@@ -133,7 +141,7 @@
                 found = await self.find(shard, submission.job_id)
                 if found is None:
                     continue
-                result = _compare(found, submission)
+                result = self._compare(found, submission)
                 if result is not _USED_BY_OTHER_QUEUE:
                     return result
         except PlatformUnavailableError as error:
@@ -191,7 +199,7 @@
                 row
                 for row in outcome.rows
                 if tables.is_tombstone(row.row_id)
-                and not _is_covered(submission, row)
+                and not self._is_covered(submission, row)
                 and expected.get(row.row_id) != row.version
             ]
             if not others or len(others) < len(outcome.rows):
@@ -206,7 +214,7 @@
         shards = []
         for row in conflict.rows:
             if tables.is_tombstone(row.row_id):
-                if result is None and _is_covered(submission, row):
+                if result is None and self._is_covered(submission, row):
                     result = _CANCELLED
                 continue
             try:
@@ -217,7 +225,7 @@
                 shards.append(stored.service)
                 continue
             found = LocatedSubmission(stored.policy.service, stored, row.version)
-            result = _compare(found, submission)
+            result = self._compare(found, submission)
             if result is not _USED_BY_OTHER_QUEUE:
                 return result
         return await self.find_result(submission, shards) or result
@@ -243,6 +251,37 @@
         self.on_stored(found.shard, row.key)
         return True
 
+    def _is_covered(self, submission: Submission, row: StoredRow) -> bool:
+        """Return whether a tombstone covers a submission; a malformed one does."""
+        try:
+            tombstone = decode_tombstone(row.value)
+        except DocumentError:
+            return True
+        if not self.routes.is_same_queue(submission.get_queue(), tombstone.get_queue()):
+            return False
+        return Caller(tombstone.tenant).may_access(submission.tenant)
+
+    def _compare(
+        self, found: LocatedSubmission, submission: Submission
+    ) -> SubmitResult:
+        stored = found.submission
+        _LOG.info(
+            "stored job found",
+            job=stored.job_id,
+            service=found.shard,
+            wanted=submission.policy.service,
+            stored_under=stored.configuration,
+        )
+        if not self.belongs_to(found, submission.get_queue()):
+            return _USED_BY_OTHER_QUEUE
+        if not Caller(submission.tenant).may_access(stored.tenant):
+            return SubmitResult(SubmitOutcome.OTHER_TENANT, Denied.OTHER_TENANT.value)
+        if is_same_request(stored, submission):
+            return SubmitResult(SubmitOutcome.ACCEPTED, "known")
+        return SubmitResult(
+            SubmitOutcome.OTHER_REQUEST, "the id stands for another request"
+        )
+
     async def prevent(
         self, job_id: str, tombstone: Tombstone, services: t.Sequence[str]
     ) -> PreventOutcome:
@@ -291,31 +330,3 @@
 
 def _list_tombstone_rows(job_id: str, services: t.Iterable[str]) -> list[RowId]:
     return [tables.get_tombstone_row(service, job_id) for service in services]
-
-
-def _is_covered(submission: Submission, row: StoredRow) -> bool:
-    """Return whether a tombstone covers a submission; a malformed one does."""
-    try:
-        return decode_tombstone(row.value).covers(submission)
-    except DocumentError:
-        return True
-
-
-def _compare(found: LocatedSubmission, submission: Submission) -> SubmitResult:
-    stored = found.submission
-    _LOG.info(
-        "stored job found",
-        job=stored.job_id,
-        service=found.shard,
-        wanted=submission.policy.service,
-        stored_under=stored.configuration,
-    )
-    if not found.belongs_to(submission.policy.queue):
-        return _USED_BY_OTHER_QUEUE
-    if not Caller(submission.tenant).may_access(stored.tenant):
-        return SubmitResult(SubmitOutcome.OTHER_TENANT, Denied.OTHER_TENANT.value)
-    if is_same_request(stored, submission):
-        return SubmitResult(SubmitOutcome.ACCEPTED, "known")
-    return SubmitResult(
-        SubmitOutcome.OTHER_REQUEST, "the id stands for another request"
-    )
--- a/src/onyxgap/jobs/encoding.py
+++ b/src/onyxgap/jobs/encoding.py
@@ -100,6 +100,7 @@
         "tenant": job.submission.tenant,
         "configuration": job.submission.configuration,
         "queue": job.submission.policy.queue,
+        "endpoint": job.submission.endpoint,
         "version": job.version,
     }
 
@@ -114,7 +115,11 @@
         raw = orjson.loads(value)
         version = check_version(raw.get("configuration", 0))
         return JobStatus(
-            JobState(raw["state"]), raw.get("tenant", ""), version, raw.get("queue", "")
+            JobState(raw["state"]),
+            raw.get("tenant", ""),
+            version,
+            raw.get("queue", ""),
+            raw.get("endpoint", ""),
         )
     except MALFORMED_ERRORS as error:
         raise DocumentError([Fault("$", f"no stored job: {error!r}")]) from None
--- a/src/onyxgap/jobs/messages.py
+++ b/src/onyxgap/jobs/messages.py
@@ -94,6 +94,18 @@
     advised: bool = False
 
 
+@attrs.frozen(slots=True)
+class QueueRef:
+    """A queue as a caller, or a stored job, refers to it.
+
+    :param name: its name in some version of the configuration.
+    :param endpoint: host and path prefix by which it is reached; empty if not known.
+    """
+
+    name: str
+    endpoint: str = ""
+
+
 @attrs.frozen(slots=True)
 class JobStatus:
     """State of a job, and who may read it.
@@ -103,20 +115,27 @@
     :param configuration: version of the configuration under which the job was accepted,
         0 if it is not known.
     :param queue: queue of the job; empty in rows that were stored without it.
+    :param endpoint: endpoint at which the job was submitted; empty in rows that were
+        stored without it.
     """
 
     state: JobState
     tenant: str = ""
     configuration: int = 0
     queue: str = ""
+    endpoint: str = ""
+
+    def get_queue(self) -> QueueRef:
+        """Return the queue to which the job was submitted."""
+        return QueueRef(self.queue, self.endpoint)
 
 
 @attrs.frozen(slots=True)
 class Submission:
     """An accepted job as it was submitted; immutable.
 
-    A job is identified by its queue and its id. Workers are told only the id, so that
-    within a service no two jobs have the same one.
+    A job is identified by the endpoint at which it was submitted, and its id. Workers
+    are told only the id, so that within a service no two jobs have the same one.
 
     :param job_id: id chosen by the caller.
     :param policy: policy of its queue at the time of acceptance.
@@ -129,6 +148,8 @@
     :param tenant: tenant that it belongs to; empty if its queue is open to anyone.
     :param configuration: version of the configuration under which it was accepted, 0 if
         it is not known.
+    :param endpoint: host and path prefix at which it was submitted; empty in rows that
+        were stored without it.
     """
 
     job_id: str
@@ -141,6 +162,11 @@
     accepted_ms: int = 0
     tenant: str = ""
     configuration: int = 0
+    endpoint: str = ""
+
+    def get_queue(self) -> QueueRef:
+        """Return the queue to which it was submitted."""
+        return QueueRef(self.policy.queue, self.endpoint)
 
 
 class TaskId(t.NamedTuple):
--- a/src/onyxgap/jobs/passing.py
+++ b/src/onyxgap/jobs/passing.py
@@ -46,6 +46,7 @@
     :param submission: the encoded submission, empty for other operations.
     :param configuration: newest version of the configuration that the forwarding node
         knows to exist.
+    :param endpoint: host and path prefix of the queue.
     """
 
     kind: CallKind
@@ -55,6 +56,7 @@
     service: str
     submission: bytes = b""
     configuration: int = 0
+    endpoint: str = ""
 
 
 @attrs.frozen(slots=True)
--- a/src/onyxgap/jobs/routing.py
+++ b/src/onyxgap/jobs/routing.py
@@ -8,6 +8,7 @@
 from .amounts import UNLIMITED
 from .amounts import Amount
 from .messages import QueuePolicy
+from .messages import QueueRef
 from .tenants import Tenant
 from .tenants import index_keys
 
@@ -32,6 +33,15 @@
     timeout_ms: int = 3_000
     public: bool = False
 
+    @property
+    def endpoint(self) -> str:
+        """Host and path prefix in one text; a host has no slash."""
+        return self.host + self.prefix
+
+    def get_queue(self) -> QueueRef:
+        """Return the queue that it leads to."""
+        return QueueRef(self.policy.queue, self.endpoint)
+
 
 @attrs.frozen(slots=True)
 class Service:
@@ -101,10 +111,13 @@
     return policies
 
 
-def _list_services(policies: t.Mapping[str, list[QueuePolicy]]) -> dict[str, set[str]]:
-    return {
-        queue: {policy.service for policy in found} for queue, found in policies.items()
-    }
+def _list_services(routes: t.Iterable[Route]) -> dict[str, set[str]]:
+    """List the services of each queue, by its name and by its endpoint."""
+    services: dict[str, set[str]] = {}
+    for route in routes:
+        for key in (route.policy.queue, route.endpoint):
+            services.setdefault(key, set()).add(route.policy.service)
+    return services
 
 
 @attrs.define
@@ -113,7 +126,8 @@
 
     :param configuration: the active version, ``None`` before the first.
     :param keyed: whether requests need a tenant's key, except on public queues.
-    :param previous_services: services of each queue in other versions, as far as known.
+    :param previous_services: services of each queue in other versions, as far as known,
+        by its name and by its endpoint.
     :param confirmed_at: latest time on the boot clock, in seconds, when the active
         version was known to be the newest.
     :param keys: names of tenants by digest of key.
@@ -130,6 +144,7 @@
     caps: dict[str, Amount] = attrs.field(factory=dict)
     weights: dict[str, float] = attrs.field(factory=dict)
     _index: dict[str, list[Route]] = attrs.field(factory=dict)
+    _endpoints: dict[str, Route] = attrs.field(factory=dict)
     _policies: dict[str, list[QueuePolicy]] = attrs.field(factory=dict)
     _services: dict[str, set[str]] = attrs.field(factory=dict)
 
@@ -146,8 +161,9 @@
             self.add_previous_services(self._services)
         self.configuration = configuration
         self._index = _index_routes(configuration)
+        self._endpoints = {route.endpoint: route for route in configuration.routes}
         self._policies = _index_policies(configuration)
-        self._services = _list_services(self._policies)
+        self._services = _list_services(configuration.routes)
         self.keys = index_keys(configuration.tenants)
         for tenant in configuration.tenants:
             self.caps[tenant.name] = tenant.cap
@@ -187,13 +203,13 @@
     def add_previous_services(self, moves: t.Mapping[str, t.AbstractSet[str]]) -> None:
         """Add services that queues had in versions that other nodes know.
 
-        :param moves: services by queue.
+        :param moves: services by name or endpoint of a queue.
         """
         for queue, services in moves.items():
             self.previous_services.setdefault(queue, set()).update(services)
 
     def list_services(self) -> dict[str, set[str]]:
-        """Return all known services of each queue."""
+        """Return all known services of each queue, by its name and by its endpoint."""
         previous = self.previous_services
         return {
             queue: previous.get(queue, set()) | self._services.get(queue, set())
@@ -235,6 +251,36 @@
                 return route
         return None
 
+    def find_endpoint(self, endpoint: str) -> Route | None:
+        """Find the route that leads from an endpoint.
+
+        :param endpoint: host and path prefix.
+        """
+        return self._endpoints.get(endpoint)
+
+    def is_same_queue(self, asked: QueueRef, stored: QueueRef) -> bool:
+        """Return whether a job belongs to the queue by which a caller asks for it.
+
+        A job belongs to the queue to which its endpoint leads now. If that leads to
+        none any more, or is not known, it belongs to the queue that has its name.
+
+        :param asked: the queue of the call.
+        :param stored: the queue to which the job was submitted.
+        """
+        if not asked.endpoint or not stored.endpoint:
+            return asked.name == stored.name
+        if asked.endpoint == stored.endpoint:
+            return True
+        return asked.name == stored.name and stored.endpoint not in self._endpoints
+
+    def get_queue_name(self, stored: QueueRef) -> str:
+        """Return the present name of the queue to which a job belongs.
+
+        :param stored: the queue to which the job was submitted.
+        """
+        route = self._endpoints.get(stored.endpoint)
+        return stored.name if route is None else route.policy.queue
+
     def list_policies(self, queue: str) -> t.Sequence[QueuePolicy]:
         """List the policies of a queue in the active version, one for each service.
 
@@ -252,11 +298,14 @@
         found = self.configuration.services.get(service)
         return found is not None and found.guarded
 
-    def list_other_services(self, policy: QueuePolicy) -> tuple[str, ...]:
-        """List the services of a queue in all known versions but that of its policy.
+    def list_other_services(self, queue: QueueRef, service: str) -> tuple[str, ...]:
+        """List the services of a queue in all known versions but one.
 
-        :param policy: policy of the queue in one of the versions.
+        :param queue: the queue in one of the versions.
+        :param service: the service that is left out.
         """
-        known = self.previous_services.get(policy.queue, set())
-        known = known | self._services.get(policy.queue, set())
-        return tuple(sorted(known - {policy.service}))
+        known: set[str] = set()
+        for key in (queue.name, queue.endpoint):
+            known |= self.previous_services.get(key, set())
+            known |= self._services.get(key, set())
+        return tuple(sorted(known - {service}))
--- a/src/onyxgap/jobs/shard_jobs.py
+++ b/src/onyxgap/jobs/shard_jobs.py
@@ -15,6 +15,7 @@
 from .lives import compute_token
 from .messages import JobState
 from .messages import JobStatus
+from .messages import QueueRef
 from .messages import TaskId
 from .messages import WorkerEntry
 from .messages import WorkerState
@@ -46,7 +47,11 @@
 def _build_status(job: Job, state: JobState) -> JobStatus:
     submission = job.submission
     return JobStatus(
-        state, submission.tenant, submission.configuration, submission.policy.queue
+        state,
+        submission.tenant,
+        submission.configuration,
+        submission.policy.queue,
+        submission.endpoint,
     )
 
 
@@ -69,6 +74,7 @@
     :param received_cordons: what the latest row of the fleet controller tells about
         cordons, for the log.
     :param undrained_cordons: cordons that this owner may still refuse.
+    :param get_queue_name: returns the present name of a queue of jobs.
     """
 
     service: str
@@ -97,6 +103,7 @@
     forecast: Forecast = DECLARED_FORECAST
     crashes: CrashLog = attrs.field(factory=CrashLog)
     unlogged_done: dict[str, list[str]] = attrs.field(factory=dict)
+    get_queue_name: t.Callable[[QueueRef], str] = lambda queue: queue.name
     unexpected_runs: dict[tuple[str, TaskId, int], StopOrder] = attrs.field(
         factory=dict
     )
@@ -222,11 +229,11 @@
         return not cancelled or job.state.final
 
     def count_waiting(self) -> dict[str, int]:
-        """Count the jobs of which no task has started, by queue."""
+        """Count the jobs of which no task has started, by present name of queue."""
         counts: dict[str, int] = {}
         for job in self.jobs.values():
             if not job.started and not job.state.final:
-                queue = job.submission.policy.queue
+                queue = self.get_queue_name(job.submission.get_queue())
                 counts[queue] = counts.get(queue, 0) + 1
         return counts
 
--- a/src/onyxgap/jobs/submissions.py
+++ b/src/onyxgap/jobs/submissions.py
@@ -129,8 +129,15 @@
         raise DocumentError([Fault("$", f"no pointer to a job: {error!r}")]) from None
 
 
+def _select_fields(kind: type, raw: t.Mapping[str, t.Any]) -> dict[str, t.Any]:
+    """Leave out fields of later versions of the product."""
+    known = {field.name for field in attrs.fields(kind)}
+    return {name: value for name, value in raw.items() if name in known}
+
+
 def _build_step(raw: t.Mapping[str, t.Any]) -> Step:
-    return Step(**{**raw, "after": tuple(raw.get("after", ()))})
+    fields = _select_fields(Step, raw)
+    return Step(**{**fields, "after": tuple(raw.get("after", ()))})
 
 
 def check_version(value: object) -> int:
@@ -153,10 +160,10 @@
     """
     try:
         raw = orjson.loads(value)
-        raw["policy"] = QueuePolicy(**raw["policy"])
+        raw["policy"] = QueuePolicy(**_select_fields(QueuePolicy, raw["policy"]))
         raw["steps"] = tuple(map(_build_step, raw["steps"]))
         check_version(raw.get("configuration", 0))
-        return Submission(**raw)
+        return Submission(**_select_fields(Submission, raw))
     except MALFORMED_ERRORS as error:
         raise DocumentError([Fault("$", f"no stored job: {error!r}")]) from None
 
--- a/src/onyxgap/jobs/tombstones.py
+++ b/src/onyxgap/jobs/tombstones.py
@@ -10,31 +10,27 @@
 from ..documents import parse_json
 from ..exceptions import DocumentError
 from ..exceptions import Fault
-from .messages import Submission
-from .tenants import Caller
+from .messages import QueueRef
 
 
 @attrs.frozen(slots=True)
 class Tombstone:
     """Stands for a job that must not be stored any more.
 
+    Jobs of other queues of the service, and of other tenants, may have the same ID.
+
     :param queue: queue in which the job was cancelled.
     :param tenant: tenant of the caller that cancelled it, or empty.
+    :param endpoint: endpoint of the queue.
     """
 
     queue: str
     tenant: str = ""
+    endpoint: str = ""
 
-    def covers(self, submission: Submission) -> bool:
-        """Return whether the caller that cancelled could have cancelled a job.
-
-        Jobs of other queues of the service, and of other tenants, may have the same ID.
-
-        :param submission: the submission of the job.
-        """
-        if self.queue != submission.policy.queue:
-            return False
-        return Caller(self.tenant).may_access(submission.tenant)
+    def get_queue(self) -> QueueRef:
+        """Return the queue in which the job was cancelled."""
+        return QueueRef(self.queue, self.endpoint)
 
 
 def encode_tombstone(tombstone: Tombstone) -> bytes:
@@ -50,7 +46,7 @@
     raw = parse_json(value)
     if not isinstance(raw, dict):
         raise DocumentError([Fault("$", "no tombstone")])
-    queue, tenant = raw.get("queue"), raw.get("tenant", "")
-    if not isinstance(queue, str) or not isinstance(tenant, str):
+    fields = [raw.get("queue"), raw.get("tenant", ""), raw.get("endpoint", "")]
+    if not all(isinstance(field, str) for field in fields):
         raise DocumentError([Fault("$", "no tombstone")])
-    return Tombstone(queue, tenant)
+    return Tombstone(*fields)
--- a/src/onyxgap/platform/job_api.py
+++ b/src/onyxgap/platform/job_api.py
@@ -141,6 +141,7 @@
         start_at_ms=_check_type("$.start_at_ms", raw.get("start_at_ms", 0), int),
         interval_ms=_check_type("$.interval_ms", raw.get("interval_ms", 0), int),
         tenant=caller.tenant,
+        endpoint=route.endpoint,
     )
     return check_submission(submission)
 
--- a/src/onyxgap/standins/emulator/configuration_faults.py
+++ b/src/onyxgap/standins/emulator/configuration_faults.py
@@ -32,6 +32,16 @@
         await anyio.sleep(fault.strength)
 
 
+async def rename_routes(day: FaultTargets, fault: FaultLine) -> None:
+    """Replace the route of a queue by one of another name, several times."""
+    for number in range(int(fault.seconds)):
+        pools = [line.name for line in day.script.pools]
+        name = fault.name or day.routes_rng.choice(pools)
+        day.routes.names[build_prefix(name)] = f"{name}-{number}"
+        day.configure()
+        await anyio.sleep(fault.strength)
+
+
 async def add_routes(day: FaultTargets, fault: FaultLine) -> None:
     """Add queues, one after the other, with callers that hand jobs in."""
     for _ in range(int(fault.seconds)):
@@ -89,5 +99,6 @@
     ("add", "route"): add_routes,
     ("drop", "route"): drop_routes,
     ("move", "route"): move_routes,
+    ("rename", "route"): rename_routes,
 }
 """What plays each of these faults."""
--- a/src/onyxgap/standins/emulator/day.py
+++ b/src/onyxgap/standins/emulator/day.py
@@ -226,6 +226,7 @@
                 "version": self._version,
                 "pools": pools,
                 "routes": self.routes.services,
+                "names": self.routes.names,
                 "tenants": self.tenancy.encode(),
             }
         )
--- a/src/onyxgap/standins/emulator/fault_draws.py
+++ b/src/onyxgap/standins/emulator/fault_draws.py
@@ -97,6 +97,23 @@
     return attrs.evolve(script, faults=[*script.faults, *faults])
 
 
+def draw_renames(script: Script, seed: int, count: int) -> Script:
+    """Add versions that give queues other names.
+
+    They are drawn apart from the other faults, which stay the same.
+
+    :param script: the day.
+    :param seed: seed of the draw.
+    :param count: number of versions.
+    """
+    rng = random.Random(f"renames/{seed}")
+    faults = []
+    for _ in range(count):
+        at, pool = rng.uniform(4.0, script.end_s - 8.0), rng.choice(script.pools).name
+        faults.append(FaultLine(at, "rename", "route", pool, 1.0, 0.1))
+    return attrs.evolve(script, faults=[*script.faults, *faults])
+
+
 def draw_reboots(script: Script, seed: int, count: int) -> Script:
     """Add reboots of VMs whose workers have left start orders unanswered.
 
--- a/src/onyxgap/standins/emulator/route_history.py
+++ b/src/onyxgap/standins/emulator/route_history.py
@@ -27,15 +27,15 @@
     return f"{PUBLIC_PREFIX}{name}/"
 
 
-def build_route(prefix: str, service: str) -> Route:
+def build_route(prefix: str, service: str, name: str = "") -> Route:
     """Build a route of the emulated configuration.
 
-    :param prefix: path prefix, which determines the name of the queue, and whether
-        callers need a key.
+    :param prefix: path prefix, which determines whether callers need a key.
     :param service: pool whose workers run the jobs of the queue.
+    :param name: name of the queue if it was given another one than that of its prefix.
     """
     public = prefix.startswith(PUBLIC_PREFIX)
-    policy = build_policy(prefix.strip("/").replace("/", "-"), service)
+    policy = build_policy(name or prefix.strip("/").replace("/", "-"), service)
     return Route(HOST, prefix, policy, public=public)
 
 
@@ -62,10 +62,12 @@
     """All versions of the routes of a day.
 
     :param services: services by path prefix in the next version to be written.
+    :param names: names of the queues that were renamed, by path prefix.
     :param versions: the versions written so far.
     """
 
     services: dict[str, str] = attrs.field(factory=dict)
+    names: dict[str, str] = attrs.field(factory=dict)
     versions: list[RouteVersion] = attrs.field(factory=list)
     _starts: dict[str, list[float]] = attrs.field(factory=dict)
 
--- a/src/onyxgap/standins/emulator/rows.py
+++ b/src/onyxgap/standins/emulator/rows.py
@@ -50,7 +50,8 @@
 def _decode_configuration(value: bytes) -> Configuration:
     raw = orjson.loads(value)
     routes = tuple(
-        build_route(prefix, service) for prefix, service in raw["routes"].items()
+        build_route(prefix, service, raw.get("names", {}).get(prefix, ""))
+        for prefix, service in raw["routes"].items()
     )
     services = {pool: Service(pool, guarded) for pool, guarded in raw["pools"].items()}
     services[SPARE_POOL] = Service(SPARE_POOL, spare=True)
--- a/src/onyxgap/standins/emulator/script.py
+++ b/src/onyxgap/standins/emulator/script.py
@@ -309,7 +309,9 @@
 SLOW_NODE = ("slow", "node")
 """Fault of nodes whose work takes time."""
 
-ROUTE_FAULTS = frozenset({("add", "route"), ("drop", "route"), ("move", "route")})
+ROUTE_FAULTS = frozenset(
+    {("add", "route"), ("drop", "route"), ("move", "route"), ("rename", "route")}
+)
 """Faults that change the routes: ``seconds`` versions, each ``strength`` seconds after
 the one before."""
 
--- a/src/onyxgap/standins/emulator/slots.py
+++ b/src/onyxgap/standins/emulator/slots.py
@@ -202,7 +202,12 @@
             return SubmitOutcome.REFUSED
         if isinstance(caller, KeyRejection):
             return caller
-        owned = attrs.evolve(submission, policy=found.policy, tenant=caller.tenant)
+        owned = attrs.evolve(
+            submission,
+            policy=found.policy,
+            tenant=caller.tenant,
+            endpoint=found.endpoint,
+        )
         result = await node.served_api.submit(owned)
         return result.outcome if self.node is node else None
 
--- a/src/onyxgap/wire/peer.thrift
+++ b/src/onyxgap/wire/peer.thrift
@@ -84,6 +84,7 @@
   5: required string service_name;
   6: required binary submission;        // as it would be stored, or empty
   7: optional i64 configuration;        // newest version that the sender knows
+  8: optional string endpoint;          // host and path prefix of the queue
 }
 
 struct PassedAnswer {
--- a/src/onyxgap/wire/peer/ttypes.py
+++ b/src/onyxgap/wire/peer/ttypes.py
@@ -1247,6 +1247,7 @@
      - service_name
      - submission
      - configuration
+     - endpoint
 
     """
 
@@ -1258,10 +1259,11 @@
         'service_name',
         'submission',
         'configuration',
+        'endpoint',
     )
 
 
-    def __init__(self, kind=None, job_id=None, tenant=None, queue=None, service_name=None, submission=None, configuration=None,):
+    def __init__(self, kind=None, job_id=None, tenant=None, queue=None, service_name=None, submission=None, configuration=None, endpoint=None,):
         self.kind = kind
         self.job_id = job_id
         self.tenant = tenant
@@ -1269,6 +1271,7 @@
         self.service_name = service_name
         self.submission = submission
         self.configuration = configuration
+        self.endpoint = endpoint
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1314,6 +1317,11 @@
                     self.configuration = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1352,6 +1360,10 @@
             oprot.writeFieldBegin('configuration', TType.I64, 7)
             oprot.writeI64(self.configuration)
             oprot.writeFieldEnd()
+        if self.endpoint is not None:
+            oprot.writeFieldBegin('endpoint', TType.STRING, 8)
+            oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1929,6 +1941,7 @@
     (5, TType.STRING, 'service_name', 'UTF8', None, ),  # 5
     (6, TType.STRING, 'submission', 'BINARY', None, ),  # 6
     (7, TType.I64, 'configuration', None, None, ),  # 7
+    (8, TType.STRING, 'endpoint', 'UTF8', None, ),  # 8
 )
 all_structs.append(PassedAnswer)
 PassedAnswer.thrift_spec = (
--- a/tests/test_queue_moves.py
+++ b/tests/test_queue_moves.py
@@ -13,6 +13,7 @@
 from onyxgap.daemons.node import Node
 from onyxgap.daemons.queue_moves import READS
 from onyxgap.daemons.queue_moves import RECORD_ATTEMPTS
+from onyxgap.daemons.queue_moves import Services
 from onyxgap.daemons.queue_moves import decode_moves
 from onyxgap.daemons.queue_moves import encode_moves
 from onyxgap.exceptions import DocumentError
@@ -20,6 +21,7 @@
 from onyxgap.jobs.desk import SubmitOutcome
 from onyxgap.jobs.messages import JobState
 from onyxgap.jobs.messages import QueuePolicy
+from onyxgap.jobs.messages import QueueRef
 from onyxgap.jobs.messages import Submission
 from onyxgap.jobs.routing import Configuration
 from onyxgap.jobs.routing import Route
@@ -50,6 +52,12 @@
     node._apply_configuration(row, Configuration(version, routes, services))
 
 
+def name_twice(services: Services) -> Services:
+    """Name the queues by their endpoints, too."""
+    endpoints = {"q": ROUTE.endpoint, "other": "h/o/"}
+    return services | {endpoints[name]: found for name, found in services.items()}
+
+
 def address_to(service: str) -> Submission:
     return attrs.evolve(SUBMISSION, policy=attrs.evolve(POLICY, service=service))
 
@@ -129,7 +137,8 @@
 
         async def record(node: Node, policy: QueuePolicy, at: float) -> None:
             await anyio.sleep(at)
-            recorded.append(await node.queue_moves.record(policy))
+            queue = QueueRef(policy.queue)
+            recorded.append(await node.queue_moves.record(queue, policy.service))
 
         async with anyio.create_task_group() as group:
             for node in [build_node(scripted) for _ in range(40)]:
@@ -151,7 +160,7 @@
         result = await node.job_api.submit(SUBMISSION)
         assert result.outcome is SubmitOutcome.ACCEPTED
         stored = store.rows[tables.get_queue_moves_row()].value
-        assert decode_moves(stored) == {"q": {"s"}, "other": {"s"}}
+        assert decode_moves(stored) == name_twice({"q": {"s"}, "other": {"s"}})
 
     run_with_store(test, *["refuse"] * RECORD_ATTEMPTS)
 
@@ -169,7 +178,8 @@
             await anyio.sleep(8.0)
             group.cancel_scope.cancel()
         stored = store.rows[tables.get_queue_moves_row()].value
-        assert decode_moves(stored) == {"q": {"s", "s2", "s3"}, "other": {"s"}}
+        services = {"q": {"s", "s2", "s3"}, "other": {"s"}}
+        assert decode_moves(stored) == name_twice(services)
 
     run_with_store(test, *script)
 
@@ -226,6 +236,6 @@
         assert node.routes.list_moves() == {}
         configure(node, 2, "s2")
         moves = node.routes.list_moves()
-        assert decode_moves(encode_moves(moves)) == {"q": {"s", "s2"}}
+        assert decode_moves(encode_moves(moves)) == name_twice({"q": {"s", "s2"}})
 
     run_with_store(test)
--- a/tests/test_route_binder.py
+++ b/tests/test_route_binder.py
@@ -39,8 +39,11 @@
 
 def test_former_service_of_a_moved_submission_is_known_to_have_had_its_queue() -> None:
     binder = build_binder("s2")
-    policy = binder.bind(SUBMISSION).policy
-    assert binder.routes.list_other_services(policy) == ("s",)
+    bound = binder.bind(SUBMISSION)
+    services = binder.routes.list_other_services(
+        bound.get_queue(), bound.policy.service
+    )
+    assert services == ("s",)
 
 
 def test_submission_of_a_newer_version_is_left_as_it_is() -> None:
