Ask the policy service for no more than its tickets leave time to use

Cause: the node gave each request up after 3.0 s; the service takes 3.1 s for 15 workers. Had it waited, the tickets would have counted as expired on arrival, as their time was counted from the request. Neither the number of workers in a request, nor its timeout, nor the start of a ticket's time followed the queue's decide_ms, each_ms and valid_ms. Also, a third batch of workers was never asked for if two took over 0.5 s.

Change: requests are sized by these terms and by the line behind them, awaited for as long as they take, and tickets count from the earliest time of the answer. Answers are kept by worker. Pauses grow for steps that no worker may run, and for tickets that are refused. Emulator and soak get a policy service.

Tests changed: test_advice.py reads the fields of a request in place of a tuple.

--- a/bench/soak/platform.py
+++ b/bench/soak/platform.py
@@ -19,10 +19,12 @@
 from onyxgap.jobs.store import Conflict
 from onyxgap.jobs.store import Invalid
 from onyxgap.jobs.store import NotApplied
+from onyxgap.jobs.workers import MS_PER_S
 from onyxgap.jobs.workers import HoldReport
 from onyxgap.platform import registry
 from onyxgap.pools.messages import VmReply
 from onyxgap.standins.emulator.cloud import EmulatedCloudClient
+from onyxgap.standins.emulator.policy import EmulatedPolicyClient
 from onyxgap.standins.emulator.store import EmulatedStoreClient
 from onyxgap.standins.emulator.workers import EmulatedWorker
 from onyxgap.standins.emulator.workers import EmulatedWorkers
@@ -70,6 +72,7 @@
     :param orders: the workers as it reaches them.
     :param workers: incarnations of workers.
     :param address: where this listens.
+    :param policy: the policy service, ``None`` if there is none.
     :param connections: the node's connections to this.
     """
 
@@ -79,6 +82,7 @@
     workers: EmulatedWorkers
     address: str
     connections: PlatformConnections
+    policy: EmulatedPolicyClient | None = None
     _refusals: t.Iterator[int] = attrs.field(factory=lambda: itertools.cycle(REFUSALS))
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -142,12 +146,23 @@
     ) -> Answer:
         if path.startswith("/rows-"):
             return await self._answer_store(path, raw, query)
+        if path == "/advise":
+            return await self._advise(raw)
         if path == "/machines":
             return await self._list_vms()
         if path.startswith("/machine-"):
             return await self._answer_vm_order(path, raw, headers)
         return await self._answer_worker(path, raw, headers["expected-instance"])
 
+    async def _advise(self, raw: wire.Json) -> Answer:
+        if self.policy is None:
+            return 404, {}
+        advice = await self.policy.advise(raw["step"], raw["workers"], 0.0)
+        if advice is None:
+            return None
+        good = [[worker_id, ticket] for worker_id, ticket in advice.tickets.items()]
+        return 200, {"good": good, "valid_ms": round(advice.valid_s * MS_PER_S)}
+
     async def _list_vms(self) -> Answer:
         try:
             vms = await self.cloud.list_vms()
--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -182,6 +182,7 @@
             day.workers,
             str(address),
             self.connections,
+            self._build_policy_client(),
         )
         await group.start(HttpServer(app, address).run)
 
@@ -203,6 +204,8 @@
             "bounds.max_hold_ms": str(int(MAX_LEASE_MS)),
             "platform.row_bytes": str(self.day.script.row_bytes),
         }
+        if self.day.policy is not None:
+            lines["advice"] = lines["platform.address"]
         path = self.folder / f"{self.name}.conf"
         path.write_text("".join(f"{key}={value}\n" for key, value in lines.items()))
         return path
--- a/bench/soak/wire.py
+++ b/bench/soak/wire.py
@@ -40,6 +40,7 @@
     ReplyKind.STALE_RUN: (409, "old"),
     ReplyKind.TOO_LATE: (409, "late"),
     ReplyKind.NO_ROOM: (409, "room"),
+    ReplyKind.NO_TICKET: (409, "ticket"),
     ReplyKind.OTHER_WORKER: (421, ""),
 }
 """Status and reason of a worker's reply; any other has none."""
@@ -148,6 +149,7 @@
                 "stretch": policy.stretch,
                 "slo_ms": policy.slo_ms,
                 "public": route.public,
+                "advice": raw["advice"].get(service),
             }
         )
     services: list[Json] = [
@@ -212,6 +214,7 @@
         raw["deadline_ms"],
         raw["fencing_token"],
         raw.get("checkpoint", ""),
+        raw.get("ticket", ""),
     )
 
 
--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -10,7 +10,9 @@
 
 from ..clocks import Clocks
 from ..exceptions import OwnershipLostError
+from ..jobs.advice import Advice
 from ..jobs.advice import PolicyClient
+from ..jobs.advice import TicketRequest
 from ..jobs.call_timeouts import CallTimeouts
 from ..jobs.crashes import CRASH_WINDOW_MS
 from ..jobs.crashes import START_CRASH_WINDOW_MS
@@ -482,21 +484,43 @@
                 self._tickets_needed = anyio.Event()
                 await self._tickets_needed.wait()
                 continue
-            step_key, workers = request
             requested_at = self._now()
-            step = f"{step_key[0]}.{step_key[1]}.{step_key[2]}"
-            advice = await policy_client.advise(step, workers) if workers else None
-            self.state.ticket_cache.store_advice(step_key, advice, requested_at)
-            _LOG.info(
-                "tickets received",
-                job=step_key[0],
-                step=step,
-                asked=len(workers),
-                allowed=len(advice.tickets) if advice else None,
-                took_s=round(self._now() - requested_at, 3),
-            )
+            advice = await self._request_tickets(policy_client, request)
+            if request.step_key[0] in self.state.jobs:
+                cache = self.state.ticket_cache
+                cache.store_advice(request.step_key, advice, self._now())
+            self._log_tickets(request, advice, requested_at)
             self.wake()
 
+    @staticmethod
+    async def _request_tickets(
+        policy_client: PolicyClient, request: TicketRequest
+    ) -> Advice | None:
+        step = ".".join(map(str, request.step_key))
+        duration_s = request.get_duration()
+        return await policy_client.advise(step, request.workers, duration_s)
+
+    def _log_tickets(
+        self, request: TicketRequest, advice: Advice | None, requested_at: float
+    ) -> None:
+        now = self._now()
+        cache = self.state.ticket_cache
+        in_line_s = None
+        if advice is not None and advice.sent_at is not None:
+            in_line_s = round(advice.sent_at - requested_at, 3)
+        _LOG.info(
+            "tickets received",
+            job=request.step_key[0],
+            step=".".join(map(str, request.step_key)),
+            asked=len(request.workers),
+            allowed=None if advice is None else len(advice.tickets),
+            usable=len(cache.get_tickets(request.step_key, now)),
+            took_s=round(now - requested_at, 3),
+            in_line_s=in_line_s,
+            expected_s=round(request.get_duration(), 3),
+            waiting=len(cache.wanted),
+        )
+
     async def _send_start(self, order: StartOrder) -> None:
         async with self._start_limiter.acquire(order.worker_id):
             ready = self.state.prepare_start(order, self._now())
--- a/src/onyxgap/jobs/messages.py
+++ b/src/onyxgap/jobs/messages.py
@@ -72,6 +72,27 @@
     may_miss: int = 0
 
 
+@attrs.frozen(slots=True)
+class AdviceTerms:
+    """How a policy service answers for a queue; zeros if that is not known.
+
+    :param decide_ms: milliseconds that each request takes.
+    :param each_ms: milliseconds more for each worker that it names.
+    :param valid_ms: milliseconds for which its tickets are valid.
+    """
+
+    decide_ms: int = 0
+    each_ms: int = 0
+    valid_ms: int = 0
+
+    def get_duration(self, workers: int) -> float:
+        """Return the seconds that a request takes.
+
+        :param workers: number of workers that it names.
+        """
+        return (self.decide_ms + self.each_ms * workers) / 1000
+
+
 @attrs.frozen(slots=True)
 class QueuePolicy:
     """How the jobs of a queue are run; copied into each job on acceptance.
@@ -83,6 +104,9 @@
     :param stretch: factor of the critical path in the completion time objective.
     :param slo_ms: constant part of the objective, in milliseconds.
     :param advised: whether a policy service chooses the workers for each step.
+    :param advice_decide_ms: see :class:`AdviceTerms`.
+    :param advice_each_ms: see :class:`AdviceTerms`.
+    :param advice_valid_ms: see :class:`AdviceTerms`.
     """
 
     queue: str
@@ -92,6 +116,15 @@
     stretch: float = 1.0
     slo_ms: int = 0
     advised: bool = False
+    advice_decide_ms: int = 0
+    advice_each_ms: int = 0
+    advice_valid_ms: int = 0
+
+    def get_advice_terms(self) -> AdviceTerms:
+        """Return how the policy service answers for the queue."""
+        return AdviceTerms(
+            self.advice_decide_ms, self.advice_each_ms, self.advice_valid_ms
+        )
 
 
 @attrs.frozen(slots=True)
--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -13,6 +13,7 @@
 from .admission import DelayEstimate
 from .admission import PoolCapacity
 from .admission import estimate_delays
+from .advice import TicketRequest
 from .amounts import ZERO_AMOUNT
 from .amounts import Amount
 from .amounts import get_task_amount
@@ -32,7 +33,6 @@
 from .outliers import PROBE_PATIENCE_S
 from .outliers import list_probeable
 from .outliers import readmit_excess
-from .placing import StepKey
 from .placing import WorkerRecord
 from .placing import choose_worker
 from .placing import is_allowed
@@ -285,7 +285,7 @@
                 if allowed is None:
                     free_capacity.note_unplaceable(step)
                 else:
-                    self._request_more_tickets(step, step_key, now)
+                    self._request_more_tickets(ready, now)
                 return
             if task.waits_for_another_worker(record.entry.worker_id, now):
                 continue
@@ -378,12 +378,13 @@
     def _list_advised_workers(self, ready: ReadyStep, now: float) -> t.Collection[str]:
         """List the workers for which a step has tickets of the policy service.
 
-        If it has no valid tickets, no worker is allowed and the service is asked.
+        If it has no valid tickets, no worker is allowed and the service is asked, for
+        those workers first that have capacity.
         """
         step = ready.job.submission.steps[ready.step]
         step_key = get_step_key(ready.tasks[0])
         tickets = self.ticket_cache.get_tickets(step_key, now)
-        if tickets is not None:
+        if tickets:
             return tickets.keys()
         fitting = [
             record
@@ -393,25 +394,42 @@
         fitting.sort(
             key=lambda record: (not record.has_capacity(step), record.cpu_used)
         )
-        self.ticket_cache.request_tickets(
-            step_key, [record.entry.worker_id for record in fitting]
-        )
+        workers = [record.entry.worker_id for record in fitting]
+        self._request_tickets(ready, workers, now)
         return ()
 
-    def _request_more_tickets(self, step: Step, step_key: StepKey, now: float) -> None:
+    def _request_tickets(
+        self, ready: ReadyStep, workers: t.Sequence[str], now: float
+    ) -> None:
+        """Request tickets for the workers that may be asked for now, if any."""
+        step_key = get_step_key(ready.tasks[0])
+        unasked = self.ticket_cache.list_unasked(step_key, workers, now)
+        if not unasked:
+            return
+        submission = ready.job.submission
+        request = TicketRequest(
+            step_key,
+            tuple(unasked),
+            submission.policy.get_advice_terms(),
+            len(ready.tasks),
+            submission.steps[ready.step].gang,
+        )
+        self.ticket_cache.request_tickets(request)
+
+    def _request_more_tickets(self, ready: ReadyStep, now: float) -> None:
         """Request tickets for workers that have capacity and were not asked for yet.
 
         The policy service allows each worker or not; that a worker was not asked for
         is no reason to leave it unused.
         """
+        step = ready.job.submission.steps[ready.step]
+        step_key = get_step_key(ready.tasks[0])
         eligible = [
             record.entry.worker_id
             for record in self.workers.values()
             if is_eligible(record, step, step_key, now)
         ]
-        unasked = self.ticket_cache.list_unasked(step_key, eligible, now)
-        if unasked:
-            self.ticket_cache.request_tickets(step_key, unasked)
+        self._request_tickets(ready, eligible, now)
 
     def _place_gang(self, ready: ReadyStep, now: float) -> list[StartOrder]:
         step = ready.job.submission.steps[ready.step]
@@ -437,7 +455,7 @@
             record.free(step, get_step_key(task))
         if len(chosen) != step.count:
             if ready.job.submission.policy.advised:
-                self._request_more_tickets(step, get_step_key(ready.tasks[0]), now)
+                self._request_more_tickets(ready, now)
             return []
         run = max(task.run for task in ready.tasks) + 1
         checkpoint = max((task.checkpoint for task in ready.tasks), key=bool)
@@ -485,7 +503,7 @@
     def _get_ticket(self, job: Job, task: Task, now: float) -> str:
         if not job.submission.policy.advised:
             return ""
-        tickets = self.ticket_cache.get_tickets(get_step_key(task), now) or {}
+        tickets = self.ticket_cache.get_tickets(get_step_key(task), now)
         return tickets.get(task.worker_id, "")
 
     def prepare_start(self, order: StartOrder, now: float) -> StartOrder | None:
--- a/src/onyxgap/jobs/shard_reports.py
+++ b/src/onyxgap/jobs/shard_reports.py
@@ -565,6 +565,7 @@
             job.started = True
             job.ran_at = now
             task.confirm(now, clock_ms)
+            self.ticket_cache.note_started(get_step_key(task))
             return
         _LOG.info(
             "start not confirmed",
@@ -576,7 +577,7 @@
         if reply.kind is ReplyKind.NO_ANSWER:
             return
         if reply.kind is ReplyKind.NO_TICKET:
-            self.ticket_cache.remove_tickets(get_step_key(task))
+            self.ticket_cache.remove_tickets(get_step_key(task), now)
         if record is not None and reply.kind in _BLOCKING:
             record.blocked_until = max(record.blocked_until, now + REFUSAL_BLOCK_S)
         self._release(job, task)
--- a/src/onyxgap/platform/advice.py
+++ b/src/onyxgap/platform/advice.py
@@ -14,7 +14,8 @@
 from .http import HttpClient
 
 ADVICE_TIMEOUT_S = 3.0
-"""The service needs time to decide, and answers one call per node at a time."""
+"""Time allowed for an answer beyond that which the service takes to decide. It answers
+one call of a node at a time, also those that were given up."""
 
 
 def _decode_ticket(row: t.Sequence[t.Any]) -> tuple[str, str]:
@@ -50,16 +51,20 @@
     http: HttpClient
     _lock: anyio.Lock = attrs.field(factory=anyio.Lock)
 
-    async def advise(self, step: str, workers: t.Sequence[str]) -> Advice | None:
+    async def advise(
+        self, step: str, workers: t.Sequence[str], duration_s: float
+    ) -> Advice | None:
         """Request tickets for a step.
 
         :param step: ID of the step.
         :param workers: IDs of the workers to ask about.
+        :param duration_s: seconds that the service takes, 0 if that is not known.
         :returns: the tickets; ``None`` without a valid answer.
         """
         body = {"step": step, "workers": list(workers)}
+        timeout_s = ADVICE_TIMEOUT_S + duration_s
         async with self._lock:
-            answer = await self.http.call(
-                "POST", "/advise", body, timeout_s=ADVICE_TIMEOUT_S
-            )
-        return decode_advice(answer)
+            sent_at = anyio.current_time()
+            answer = await self.http.call("POST", "/advise", body, timeout_s=timeout_s)
+        advice = decode_advice(answer)
+        return None if advice is None else attrs.evolve(advice, sent_at=sent_at)
--- a/src/onyxgap/platform/registry.py
+++ b/src/onyxgap/platform/registry.py
@@ -5,6 +5,7 @@
 """
 
 import ipaddress
+import math
 import typing as t
 
 import attrs
@@ -13,6 +14,7 @@
 from ..bounds import MAX_AMOUNT
 from ..bounds import MAX_COUNT
 from ..bounds import read_count
+from ..bounds import read_time_ms
 from ..documents import decode_document
 from ..documents import in_range
 from ..exceptions import MALFORMED_ERRORS
@@ -20,6 +22,7 @@
 from ..exceptions import Fault
 from ..jobs.amounts import NO_LIMIT
 from ..jobs.amounts import Amount
+from ..jobs.messages import AdviceTerms
 from ..jobs.messages import QueuePolicy
 from ..jobs.messages import WorkerEntry
 from ..jobs.messages import WorkerState
@@ -151,7 +154,20 @@
     )
 
 
+def _decode_advice_terms(raw: t.Any) -> AdviceTerms:
+    """Decode the terms of a queue's advice; malformed ones count as not known."""
+    if not isinstance(raw, dict):
+        return AdviceTerms()
+    names = ("decide_ms", "each_ms", "valid_ms")
+    try:
+        terms = [math.ceil(read_time_ms(raw.get(name) or 0)) for name in names]
+    except MALFORMED_ERRORS:
+        return AdviceTerms()
+    return AdviceTerms(*terms) if min(terms) >= 0 else AdviceTerms()
+
+
 def _decode_route(raw: t.Mapping[str, t.Any]) -> Route:
+    terms = _decode_advice_terms(raw.get("advice"))
     policy = QueuePolicy(
         queue=str(raw["name"]),
         service=str(raw["service"]),
@@ -160,6 +176,9 @@
         stretch=float(raw.get("stretch", 1.0)),
         slo_ms=read_count(raw.get("slo_ms", 0)),
         advised=bool(raw.get("advice")),
+        advice_decide_ms=terms.decide_ms,
+        advice_each_ms=terms.each_ms,
+        advice_valid_ms=terms.valid_ms,
     )
     return Route(
         host=str(raw["host"]),
--- a/src/onyxgap/standins/emulator/cloud.py
+++ b/src/onyxgap/standins/emulator/cloud.py
@@ -24,6 +24,7 @@
 from .gate import carry_out_elsewhere
 from .gate import run_late
 from .nature import FindNature
+from .policy import EmulatedPolicy
 from .store import EmulatedStore
 from .vm_list import ANSWER_TIMEOUT_S
 from .vm_list import VmList
@@ -95,6 +96,7 @@
     :param spare_pool: pool whose VMs are off.
     :param unguarded: pools whose workers start whatever they are told to.
     :param wall_start_s: wall-clock time at the start of the day.
+    :param policy: issues the tickets that workers ask for, ``None`` if there are none.
     :param down_since: monotonic seconds of the crash of each VM that is down.
     :param upkeep_hangs_until: monotonic seconds until which no VM returns from
         maintenance that begins before.
@@ -108,6 +110,7 @@
     spare_pool: str
     unguarded: frozenset[str] = frozenset()
     wall_start_s: float = WALL_START_S
+    policy: EmulatedPolicy | None = None
     vms: dict[str, Vm] = attrs.field(factory=dict)
     orders: list[OrderRecord] = attrs.field(factory=list)
     maintained: dict[str, set[int]] = attrs.field(factory=dict)
@@ -167,6 +170,8 @@
                 guarded=vm.pool not in self.unguarded,
                 on_crashing_run=functools.partial(self._crash_after_start, name),
             )
+            if self.policy is not None:
+                worker.admits = self.policy.admits
             self.workers.add(worker)
             self.workers.halted.discard(entry.address)
             if first_beat_s:
--- a/src/onyxgap/standins/emulator/day.py
+++ b/src/onyxgap/standins/emulator/day.py
@@ -9,11 +9,13 @@
 import attrs
 import orjson
 
+from ...jobs.messages import AdviceTerms
 from ...jobs.routing import Route
 from ...jobs.store import RowId
 from ...jobs.store import StoreLimits
 from ...jobs.submissions import is_pointer
 from ...jobs.tables import PROGRESS_TABLE
+from ...jobs.workers import MS_PER_S
 from ...pools.messages import Vm
 from ...pools.messages import VmState
 from ...pools.messages import Wave
@@ -33,6 +35,7 @@
 from .hindsight import plan_in_hindsight
 from .job_notes import JobNotes
 from .peers import EmulatedNetwork
+from .policy import EmulatedPolicy
 from .processor import hold_busy_nodes
 from .route_history import RouteHistory
 from .route_history import build_prefix
@@ -88,6 +91,7 @@
     rng: random.Random = attrs.field(init=False)
     store: EmulatedStore = attrs.field(init=False)
     workers: EmulatedWorkers = attrs.field(init=False)
+    policy: EmulatedPolicy | None = attrs.field(default=None, init=False)
     cloud: EmulatedCloud = attrs.field(init=False)
     network: EmulatedNetwork = attrs.field(init=False)
     callers: Callers = attrs.field(init=False)
@@ -179,6 +183,7 @@
             self.count_callers.choose_key,
             random.Random(f"probes/{self.seed}"),
         )
+        self.policy = self._build_policy()
         self.cloud = EmulatedCloud(
             self.store,
             self.workers,
@@ -188,6 +193,7 @@
             SPARE_POOL,
             frozenset(line.name for line in self.script.pools if not line.guarded),
             self._find_wall_start(),
+            self.policy,
         )
         for line in self.script.pools:
             self.routes.services[build_prefix(line.name)] = line.name
@@ -227,12 +233,35 @@
                 "pools": pools,
                 "routes": self.routes.services,
                 "names": self.routes.names,
+                "advice": self._encode_advice(),
                 "tenants": self.tenancy.encode(),
             }
         )
         self.routes.record_version(self._version)
         self.store.put(RowId(OPERATOR_TABLE, "", "configuration"), value)
 
+    def _build_policy(self) -> EmulatedPolicy | None:
+        if not self.script.advice:
+            return None
+
+        def find_pool(job_id: str) -> str:
+            return self.callers.jobs[job_id].route.policy.service
+
+        policy = EmulatedPolicy(find_pool)
+        for line in self.script.advice:
+            policy.terms[line.pool] = AdviceTerms(
+                round(line.decide * MS_PER_S),
+                round(line.each * MS_PER_S),
+                round(line.valid * MS_PER_S),
+            )
+            policy.shares[line.pool] = line.share
+        return policy
+
+    def _encode_advice(self) -> dict[str, t.Any]:
+        if self.policy is None:
+            return {}
+        return {pool: attrs.asdict(terms) for pool, terms in self.policy.terms.items()}
+
     def _get_route(self, pool: str) -> Route:
         return build_route(build_prefix(pool), pool)
 
--- a/src/onyxgap/standins/emulator/route_history.py
+++ b/src/onyxgap/standins/emulator/route_history.py
@@ -39,6 +39,25 @@
     return Route(HOST, prefix, policy, public=public)
 
 
+def add_advice(route: Route, advice: t.Mapping[str, t.Any]) -> Route:
+    """Have a route tell that its queue asks for tickets, if its pool does.
+
+    :param route: the route.
+    :param advice: terms of the policy service by pool.
+    """
+    terms = advice.get(route.policy.service)
+    if terms is None:
+        return route
+    policy = attrs.evolve(
+        route.policy,
+        advised=True,
+        advice_decide_ms=terms["decide_ms"],
+        advice_each_ms=terms["each_ms"],
+        advice_valid_ms=terms["valid_ms"],
+    )
+    return attrs.evolve(route, policy=policy)
+
+
 @attrs.frozen
 class RouteVersion:
     """Routes of a version of the configuration.
--- a/src/onyxgap/standins/emulator/rows.py
+++ b/src/onyxgap/standins/emulator/rows.py
@@ -18,6 +18,7 @@
 from ...jobs.tenants import digest_key
 from ...pools.messages import Wave
 from .cloud import WORKER_TABLE
+from .route_history import add_advice
 from .route_history import build_route
 
 OPERATOR_TABLE = "operator"
@@ -49,8 +50,9 @@
 
 def _decode_configuration(value: bytes) -> Configuration:
     raw = orjson.loads(value)
+    names, advice = raw.get("names", {}), raw.get("advice", {})
     routes = tuple(
-        build_route(prefix, service, raw.get("names", {}).get(prefix, ""))
+        add_advice(build_route(prefix, service, names.get(prefix, "")), advice)
         for prefix, service in raw["routes"].items()
     )
     services = {pool: Service(pool, guarded) for pool, guarded in raw["pools"].items()}
--- a/src/onyxgap/standins/emulator/script.py
+++ b/src/onyxgap/standins/emulator/script.py
@@ -11,6 +11,7 @@
     turns 5
     tenant north cpu 90 memory 400 weight 3
     public ring
+    advice ring decide 0.1 each 0.02 valid 3 share 0.5
     wave at 3 of 5 cap 2 within 15
     at 5 kill owner ring for 2
     at 6 late vm-orders for 8 by 0.5
@@ -190,6 +191,24 @@
     withdraw: float = 0.0
 
 
+@attrs.frozen
+class AdviceLine:
+    """A pool whose queue asks a policy service for tickets.
+
+    :param pool: the pool.
+    :param decide: seconds that each request takes.
+    :param each: seconds more for each worker that it names.
+    :param valid: seconds for which tickets are valid.
+    :param share: share of the workers that may run a step.
+    """
+
+    pool: str
+    decide: float = 0.05
+    each: float = 0.01
+    valid: float = 3.0
+    share: float = 1.0
+
+
 @attrs.frozen
 class TenantLine:
     """A tenant; jobs belong to tenants by weight where there are any.
@@ -293,6 +312,7 @@
     loads: list[LoadLine] = attrs.field(factory=list)
     waves: list[WaveLine] = attrs.field(factory=list)
     tenants: list[TenantLine] = attrs.field(factory=list)
+    advice: list[AdviceLine] = attrs.field(factory=list)
     faults: list[FaultLine] = attrs.field(factory=list)
     public: list[str] = attrs.field(factory=list)
 
@@ -429,6 +449,11 @@
     script.tenants.append(TenantLine(words[0], **pairs))
 
 
+def _read_advice(script: Script, words: list[str]) -> None:
+    pairs = _read_pairs(words[1:], _kinds_of(AdviceLine))
+    script.advice.append(AdviceLine(words[0], **pairs))
+
+
 def _read_public(script: Script, words: list[str]) -> None:
     script.public += words
 
@@ -478,6 +503,7 @@
     "schedule": _read_schedule,
     "load": _read_load,
     "tenant": _read_tenant,
+    "advice": _read_advice,
     "wave": _read_wave,
     "public": _read_public,
     "at": _read_fault,
--- a/src/onyxgap/standins/emulator/slots.py
+++ b/src/onyxgap/standins/emulator/slots.py
@@ -33,6 +33,8 @@
 from .peers import EmulatedCallLink
 from .peers import EmulatedNetwork
 from .peers import EmulatedPeers
+from .policy import EmulatedPolicy
+from .policy import EmulatedPolicyClient
 from .processor import Processor
 from .route_history import RouteHistory
 from .rows import DECODERS
@@ -58,6 +60,7 @@
     cloud: EmulatedCloud
     network: EmulatedNetwork
     routes: RouteHistory
+    policy: EmulatedPolicy | None
     host: StartHost
     build_sizer: t.Callable[[], Sizer]
 
@@ -145,12 +148,18 @@
             clocks,
             random.Random(day.rng.random()),
             peers=EmulatedPeers(self.name, day.network, self.gate),
+            policy_client=self._build_policy_client(),
             calls=EmulatedCallLink(self.name, day.network, self.gate),
             build_sizer=day.build_sizer,
             memory_mb=self._get_memory_mb(),
             boot=f"{day.rng.getrandbits(48):012x}",
         )
 
+    def _build_policy_client(self) -> EmulatedPolicyClient | None:
+        if self.day.policy is None:
+            return None
+        return EmulatedPolicyClient(self.day.policy, self.gate)
+
     async def _run_node(self, node: Node) -> None:
         if self.gate.processor is None:
             await node.run()
--- a/src/onyxgap/standins/emulator/workers.py
+++ b/src/onyxgap/standins/emulator/workers.py
@@ -62,6 +62,7 @@
     :param drift: share by which its clock is slow.
     :param guarded: whether it refuses what does not fit.
     :param on_crashing_run: called with its id when it starts a task that crashes it.
+    :param admits: tells whether an order to start it has the ticket that it needs.
     :param refusing: whether orders to start or stop do not reach it.
     :param died_at: monotonic seconds of its end.
     :param sound_until: monotonic seconds of the first fault that affected it.
@@ -74,6 +75,7 @@
     drift: float = 0.0
     guarded: bool = True
     on_crashing_run: t.Callable[[str], None] = lambda worker_id: None
+    admits: t.Callable[[StartOrder, WorkerEntry], bool] = lambda order, entry: True
     mood: Mood = Mood.SOUND
     hung_at: float = 0.0
     dark: bool = False
@@ -199,6 +201,8 @@
             return Reply(ReplyKind.STALE_RUN, clock)
         if clock > order.deadline_ms:
             return Reply(ReplyKind.TOO_LATE, clock)
+        if not self.admits(order, self.entry):
+            return Reply(ReplyKind.NO_TICKET, clock)
         nature = self.find_nature(order.task)
         fits = self._has_room(nature.step, self.entry)
         if not fits:
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -40,9 +40,8 @@
     assert shard.plan(NOW, 0.0) == []
     request = shard.ticket_cache.pop_request()
     assert request is not None
-    group, workers = request
-    assert group == GROUP
-    assert len(workers) == MAX_WORKERS_PER_REQUEST
+    assert request.step_key == GROUP
+    assert len(request.workers) == MAX_WORKERS_PER_REQUEST
     assert shard.ticket_cache.pop_request() is None
 
 
@@ -83,7 +82,7 @@
     request = shard.ticket_cache.pop_request()
     assert request is not None
     shard.ticket_cache.store_advice(GROUP, advice, now)
-    return list(request[1])
+    return list(request.workers)
 
 
 def test_workers_beyond_one_request_are_asked_if_the_allowed_ones_are_not_enough(
