Bring two tests in line with cancelled and renamed jobs

It submitted a job under an ID whose cancellation had been answered 'no such job', and expected it to be accepted. The part is a test of its own now, and expects the rejection; the rest stands as it was.

test_day_shows_a_job_that_is_reached_through_another_queue took the comparison of queues out of LocatedSubmission, which has none any more; it takes out that of the routes, by which all places compare now.

--- a/tests/test_limit_days.py
+++ b/tests/test_limit_days.py
@@ -3,8 +3,8 @@
 import pytest
 
 from onyxgap.daemons.job_versions import JobVersions
-from onyxgap.daemons.submission_store import LocatedSubmission
 from onyxgap.jobs.encoding import encode_progress
+from onyxgap.jobs.routing import RouteTable
 from onyxgap.standins.emulator.script import Script
 from tests.emulated import assert_noticed
 from tests.emulated import extend_day
@@ -50,7 +50,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     def mutate(patch: pytest.MonkeyPatch) -> None:
-        patch.setattr(LocatedSubmission, "belongs_to", lambda self, queue: True)
+        patch.setattr(RouteTable, "is_same_queue", lambda *queues: True)
 
     assert_noticed(load_day("limits"), "lost", [1, 2], mutate, monkeypatch)
 
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -379,7 +379,6 @@
         job_api = build_job_api(scripted)
         job_id = SUBMISSION.job_id
         assert await job_api.get_state(ROUTE, job_id) is None
-        assert await job_api.cancel(ROUTE, job_id) is False
         await job_api.submit(SUBMISSION)
         assert await job_api.get_state(ROUTE, job_id) is JobState.QUEUED
         assert await job_api.cancel(ROUTE, job_id) is True
@@ -388,6 +387,19 @@
     run_with_store(test)
 
 
+def test_job_that_was_cancelled_while_it_was_unknown_is_not_accepted_later() -> None:
+    async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
+        job_api = build_job_api(scripted)
+        job_id = SUBMISSION.job_id
+        assert await job_api.cancel(ROUTE, job_id) is False
+        result = await job_api.submit(SUBMISSION)
+        assert result.outcome is SubmitOutcome.CANCELLED
+        assert await job_api.get_state(ROUTE, job_id) is None
+        assert await job_api.cancel(ROUTE, job_id) is False
+
+    run_with_store(test)
+
+
 def test_job_stays_known_after_its_queue_moved_to_another_service() -> None:
     async def test(scripted: ScriptedStore, store: EmulatedStore) -> None:
         job_api = build_job_api(scripted)
