Take no entry for a service without a name in the configuration for a restart

Cause: an entry for another service counted as proof of a restart if its start time was later than the known one.

Change: such an entry only keeps new tasks off the worker. The log tells of every entry for another service. Emulator: overwrite entry.

--- a/src/onyxgap/daemons/node_base.py
+++ b/src/onyxgap/daemons/node_base.py
@@ -244,6 +244,7 @@
             self.job_api.decoder,
             self.settings.store_limits,
             self.work_meter,
+            self.routes.names_service,
             self.routes.get_queue_name,
             self.start_times,
         )
--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -118,6 +118,7 @@
     :param submission_decoder: decodes stored submissions.
     :param store_limits: limits of the store on a write.
     :param work_meter: counts the work of scheduling passes and reports.
+    :param names_service: tells whether the configuration names a service.
     :param get_queue_name: returns the present name of a queue of jobs.
     :param start_times: times from the start of the process to its first decisions.
     """
@@ -139,6 +140,7 @@
     submission_decoder: SubmissionDecoder = attrs.field(factory=SubmissionDecoder)
     store_limits: StoreLimits = StoreLimits()
     work_meter: WorkMeter = attrs.field(factory=NoWorkMeter)
+    names_service: t.Callable[[str], bool] = lambda service: True
     get_queue_name: t.Callable[[QueueRef], str] = lambda queue: queue.name
     start_times: StartTimes = attrs.field()
 
@@ -273,12 +275,23 @@
         """Apply a registration for another service.
 
         Only a new incarnation proves that the runs for this service have ended: the
-        entry may come from another writer while the worker goes on.
+        entry may come from another writer while the worker goes on. An entry for a
+        service that the configuration does not name is one, whatever it says.
         """
         known = self.state.workers.get(entry.worker_id)
         if known is None:
             return
-        if compare_incarnations(known.born, entry.born) is IncarnationMatch.LATER:
+        match = compare_incarnations(known.born, entry.born)
+        is_named = self.context.names_service(entry.service)
+        _LOG.info(
+            "registration of another service",
+            worker=entry.worker_id,
+            service=self.shard,
+            registered_for=entry.service,
+            named=is_named,
+            incarnation=match.value,
+        )
+        if is_named and match is IncarnationMatch.LATER:
             reason = "registered for another service"
             self.state.remove_worker(entry.worker_id, reason, self._now(), False)
         else:
--- a/src/onyxgap/jobs/routing.py
+++ b/src/onyxgap/jobs/routing.py
@@ -288,6 +288,14 @@
         """
         return self._policies.get(queue, ())
 
+    def names_service(self, service: str) -> bool:
+        """Return whether the active version names a service.
+
+        :param service: name of the service.
+        """
+        active = self.configuration
+        return active is not None and service in active.services
+
     def is_guarded(self, service: str) -> bool:
         """Return whether the workers of a service reject tasks that do not fit.
 
--- a/src/onyxgap/standins/emulator/cloud.py
+++ b/src/onyxgap/standins/emulator/cloud.py
@@ -33,6 +33,8 @@
 from .workers import EmulatedWorker
 from .workers import EmulatedWorkers
 
+FOREIGN_SERVICE = "printers"
+"""Service of entries of other writers; no configuration names it."""
 MOVE_S = 1.5
 UPKEEP_S = 2.0
 BEAT_S = 1.5
@@ -188,6 +190,14 @@
         value["state"] = entry.state.value
         self.store.put(RowId(WORKER_TABLE, "", entry.worker_id), orjson.dumps(value))
 
+    def build_foreign_entry(self, entry: WorkerEntry) -> WorkerEntry:
+        """Build an entry of another writer, which has just started, under an ID.
+
+        :param entry: registration of the worker that has the ID.
+        """
+        now_ms = round((self.wall_start_s + anyio.current_time()) * 1000)
+        return attrs.evolve(entry, service=FOREIGN_SERVICE, born=now_ms)
+
     def crash(self, name: str, for_s: float) -> None:
         """Crash a VM; it comes back with another worker."""
         self._end_life(name, VmState.DOWN)
--- a/src/onyxgap/standins/emulator/fault_draws.py
+++ b/src/onyxgap/standins/emulator/fault_draws.py
@@ -22,6 +22,7 @@
         ("refuse", "vm"),
         ("restart", "vm"),
         ("reboot", "vm"),
+        ("overwrite", "entry"),
         ("late", "holds"),
         ("split", "workers"),
         ("refuse", "writes"),
--- a/src/onyxgap/standins/emulator/script.py
+++ b/src/onyxgap/standins/emulator/script.py
@@ -50,6 +50,9 @@
 ``reboot vm POOL``
     As ``rebear vm``, but the VM is listed as down until then, and the worker registers
     some seconds (``by``) after it takes calls again.
+``overwrite entry POOL``
+    Another writer puts an entry with a start time of its own, for a service that the
+    configuration does not name, under the ID of a running worker.
 ``late orders`` and ``late holds``
     A share (``by``) of start orders, or of hold requests, gets no answer and is carried
     out 1 to 6 s later by the incarnation that then has the ID.
@@ -398,6 +401,7 @@
         ("split", "workers"),
         ("refuse", "writes"),
         ("malform", "rows"),
+        ("overwrite", "entry"),
         ("revoke", "keys"),
         ("cap", "tenant"),
     }
--- a/src/onyxgap/standins/emulator/worker_faults.py
+++ b/src/onyxgap/standins/emulator/worker_faults.py
@@ -133,6 +133,18 @@
         day.cloud.register(worker.entry)
 
 
+async def overwrite_entry(day: FaultTargets, fault: FaultLine) -> None:
+    """Write an entry of another writer under the ID of a running worker."""
+    name = day.find_vm(fault.name)
+    worker = None if name is None else day.cloud.get_worker(name)
+    if worker is None:
+        return
+    day.cloud.register(day.cloud.build_foreign_entry(worker.entry))
+    await anyio.sleep(fault.seconds)
+    if worker.alive:
+        day.cloud.register(worker.entry)
+
+
 WORKER_FAULTS: FaultPlayers = {
     ("cut", "vm"): cut_vm,
     ("crash", "vm"): crash_vm,
@@ -149,5 +161,6 @@
     ("end", "worker"): end_worker,
     ("refuse", "vm"): refuse_orders,
     ("malform", "rows"): malform_rows,
+    ("overwrite", "entry"): overwrite_entry,
 }
 """What plays each of these faults."""
