Reset connections whose calls were given up

Cause: the connection of an order that had timed out was closed in order, so that the kernel delivered it once the cut had healed.

Change: a connection is reset when its call fails, to the platform as to workers.

--- a/src/onyxgap/platform/connections.py
+++ b/src/onyxgap/platform/connections.py
@@ -19,6 +19,7 @@
 from .http import Answer
 from .http import CallFailure
 from .http import Headers
+from .resets import reset_on_close
 
 READ_BYTES = 65_536
 """Largest single read; a worker's report is a few kilobytes."""
@@ -156,7 +157,9 @@
             await self.close()
             raise _BadAnswerError(type(error).__name__) from None
         except BaseException:
-            # a late answer would be taken for the answer to the next call
+            # a late answer would be taken for the answer to the next call, and the call
+            # may be held up
+            reset_on_close(self.stream.extra(anyio.abc.SocketAttribute.raw_socket))
             await self.close()
             raise
         self.stays_open = reader.stays_open
--- a/src/onyxgap/platform/http.py
+++ b/src/onyxgap/platform/http.py
@@ -8,6 +8,8 @@
 import httpcore
 import orjson
 
+from .resets import ResettingBackend
+
 KEEPALIVE_S = 60.0
 """Idle seconds after which a connection is closed; workers allow a longer time."""
 IDLE_CONNECTIONS = 16
@@ -118,6 +120,7 @@
         max_connections=connections,
         max_keepalive_connections=IDLE_CONNECTIONS,
         keepalive_expiry=KEEPALIVE_S,
+        network_backend=ResettingBackend(),
     )
 
 
