Complete no wave by a list of VMs that is older than it

Cause: a machine that the list of VMs lacks counted as gone; the list may be older than the wave, and the machine newer than the list.

Change: only a list that was requested after the wave had been read counts.

Evidence: the new test of tests/test_pools.py is red without the change.

--- a/src/onyxgap/pools/fleet_state.py
+++ b/src/onyxgap/pools/fleet_state.py
@@ -102,13 +102,25 @@
         return self.get_vm_list_age_s(self._pass_moment.at)
 
     def list_complete_waves(self) -> list[int]:
-        """List maintenance waves whose VMs have all started maintenance or are gone."""
+        """List maintenance waves whose VMs have all started maintenance or are gone.
+
+        A list of VMs that is older than a wave may lack a VM that was added since.
+        """
         return [
             number
             for number, progress in self.waves.items()
-            if self.vms and not self._list_remaining(progress)
+            if self.vms
+            and not self._list_remaining(progress)
+            and (self._is_list_newer(progress) or self._have_all_started(progress))
         ]
 
+    def _is_list_newer(self, progress: WaveProgress) -> bool:
+        return self.listed is not None and self.listed.at > progress.seen_at
+
+    @staticmethod
+    def _have_all_started(progress: WaveProgress) -> bool:
+        return progress.done.issuperset(progress.wave.vms)
+
     def _list_remaining(self, progress: WaveProgress) -> list[str]:
         return [
             name
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -254,6 +254,23 @@
     assert planner.list_complete_waves() == [1]
 
 
+def test_wave_is_not_complete_by_a_list_that_is_older_than_its_vm(
+    planner: FleetPlanner,
+) -> None:
+    known = list(planner.vms.values())
+    planner.apply_vm_list(known, 1.0)
+    planner.add_wave(Wave(1, ("added",), 20.0, 1), 2.0)
+    assert planner.list_complete_waves() == []
+    # it was requested before the wave was read
+    planner.apply_vm_list(known, 1.9)
+    assert planner.list_complete_waves() == []
+    added = attrs.evolve(known[0], name="added", worker_id="w-added")
+    planner.apply_vm_list([*known, added], 2.4)
+    assert planner.list_complete_waves() == []
+    planner.apply_vm_list(known, 3.0)
+    assert planner.list_complete_waves() == [1]
+
+
 def test_pool_in_a_burst_is_not_drained_until_the_wave_would_be_late(
     planner: FleetPlanner,
 ) -> None:
