--- a/src/onyxgap/daemons/owner.py
+++ b/src/onyxgap/daemons/owner.py
@@ -104,7 +104,7 @@
         if self.share_synchronizer is not None:
             group.start_soon(self.share_synchronizer.build_follower().run)
         if self.context.policy_client is not None:
-            group.start_soon(self._request_tickets_forever, self.context.policy_client)
+            group.start_soon(self._ticket_requester.run, self.context.policy_client)
         group.start_soon(self._report_changes)
         await self._schedule_until_released()
 
@@ -119,8 +119,7 @@
                 orders = self.state.plan(self._now(), self._wall_ms())
             self.context.start_times.note(StartStep.PASS)
             self.context.work_meter.count_steps(self.state.ready_steps)
-            if self.state.ticket_cache.wanted:
-                self._tickets_needed.set()
+            self._ticket_requester.notify()
             if self.share_synchronizer is not None and self._group is not None:
                 self.share_synchronizer.start_due_writes(self._group)
             self._send_stops(self.state.list_stops(self._now()))
--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -10,9 +10,7 @@
 
 from ..clocks import Clocks
 from ..exceptions import OwnershipLostError
-from ..jobs.advice import Advice
 from ..jobs.advice import PolicyClient
-from ..jobs.advice import TicketRequest
 from ..jobs.call_timeouts import CallTimeouts
 from ..jobs.crashes import CRASH_WINDOW_MS
 from ..jobs.crashes import START_CRASH_WINDOW_MS
@@ -56,6 +54,7 @@
 from .start_times import StartStep
 from .start_times import StartTimes
 from .submission_decoder import SubmissionDecoder
+from .ticket_requests import TicketRequester
 from .work_meter import NoWorkMeter
 from .work_meter import WorkMeter
 from .work_times import WorkKind
@@ -171,7 +170,7 @@
     loaded_at: float | None = None
     claim_s: float = attrs.field(default=0.0, init=False)
     _first_start_logged: bool = False
-    _tickets_needed: anyio.Event = attrs.field(factory=anyio.Event)
+    _ticket_requester: TicketRequester = attrs.field(init=False)
     _progress_stored: anyio.Event = attrs.field(factory=anyio.Event)
     _hold_loops: set[str] = attrs.field(factory=set)
     _start_limiter: StartLimiter = attrs.field(factory=StartLimiter)
@@ -192,6 +191,7 @@
             call_timeouts=CallTimeouts(lambda: context.lag.seconds),
             get_queue_name=context.get_queue_name,
         )
+        self._ticket_requester = TicketRequester(self.state, self._now, self.wake)
         self._fencing = RestartFencing(
             self.state, context.workers, self._now, self._resume_worker
         )
@@ -489,51 +489,6 @@
         assert self._group is not None
         self._group.start_soon(run, *args)
 
-    async def _request_tickets_forever(self, policy_client: PolicyClient) -> None:
-        """Request tickets from the policy service, for one step at a time."""
-        while True:
-            request = self.state.ticket_cache.pop_request()
-            if request is None:
-                self._tickets_needed = anyio.Event()
-                await self._tickets_needed.wait()
-                continue
-            requested_at = self._now()
-            advice = await self._request_tickets(policy_client, request)
-            if request.step_key[0] in self.state.jobs:
-                cache = self.state.ticket_cache
-                cache.store_advice(request.step_key, advice, self._now())
-            self._log_tickets(request, advice, requested_at)
-            self.wake()
-
-    @staticmethod
-    async def _request_tickets(
-        policy_client: PolicyClient, request: TicketRequest
-    ) -> Advice | None:
-        step = ".".join(map(str, request.step_key))
-        duration_s = request.get_duration()
-        return await policy_client.advise(step, request.workers, duration_s)
-
-    def _log_tickets(
-        self, request: TicketRequest, advice: Advice | None, requested_at: float
-    ) -> None:
-        now = self._now()
-        cache = self.state.ticket_cache
-        in_line_s = None
-        if advice is not None and advice.sent_at is not None:
-            in_line_s = round(advice.sent_at - requested_at, 3)
-        _LOG.info(
-            "tickets received",
-            job=request.step_key[0],
-            step=".".join(map(str, request.step_key)),
-            asked=len(request.workers),
-            allowed=None if advice is None else len(advice.tickets),
-            usable=len(cache.get_tickets(request.step_key, now)),
-            took_s=round(now - requested_at, 3),
-            in_line_s=in_line_s,
-            expected_s=round(request.get_duration(), 3),
-            waiting=len(cache.wanted),
-        )
-
     async def _send_start(self, order: StartOrder) -> None:
         async with self._start_limiter.acquire(order.worker_id):
             ready = self.state.prepare_start(order, self._now())
--- a/src/onyxgap/jobs/shard.py
+++ b/src/onyxgap/jobs/shard.py
@@ -13,7 +13,6 @@
 from .admission import DelayEstimate
 from .admission import PoolCapacity
 from .admission import estimate_delays
-from .advice import TicketRequest
 from .amounts import ZERO_AMOUNT
 from .amounts import Amount
 from .amounts import get_task_amount
@@ -36,12 +35,11 @@
 from .placing import WorkerRecord
 from .placing import choose_worker
 from .placing import is_allowed
-from .placing import is_eligible
 from .placing import may_ever_run
 from .placing import rank_worker
 from .priorities import rate_urgency
 from .ready import ReadyStep
-from .shard_demand import ShardDemand
+from .shard_advice import ShardAdvice
 from .shard_jobs import get_step_key
 from .share_book import ShardShares
 from .undrained import STANDING_S
@@ -61,7 +59,7 @@
 
 
 @attrs.define
-class Shard(ShardDemand):
+class Shard(ShardAdvice):
     """State of one shard at its owner, and the scheduler of its tasks.
 
     :param shares: its shares of tenants' caps; ``None`` where there are no tenants.
@@ -375,62 +373,6 @@
             fitting, key=lambda item: rank_worker(item, step, avoid), default=None
         )
 
-    def _list_advised_workers(self, ready: ReadyStep, now: float) -> t.Collection[str]:
-        """List the workers for which a step has tickets of the policy service.
-
-        If it has no valid tickets, no worker is allowed and the service is asked, for
-        those workers first that have capacity.
-        """
-        step = ready.job.submission.steps[ready.step]
-        step_key = get_step_key(ready.tasks[0])
-        tickets = self.ticket_cache.get_tickets(step_key, now)
-        if tickets:
-            return tickets.keys()
-        fitting = [
-            record
-            for record in self.workers.values()
-            if may_ever_run(record, step, step_key)
-        ]
-        fitting.sort(
-            key=lambda record: (not record.has_capacity(step), record.cpu_used)
-        )
-        workers = [record.entry.worker_id for record in fitting]
-        self._request_tickets(ready, workers, now)
-        return ()
-
-    def _request_tickets(
-        self, ready: ReadyStep, workers: t.Sequence[str], now: float
-    ) -> None:
-        """Request tickets for the workers that may be asked for now, if any."""
-        step_key = get_step_key(ready.tasks[0])
-        unasked = self.ticket_cache.list_unasked(step_key, workers, now)
-        if not unasked:
-            return
-        submission = ready.job.submission
-        request = TicketRequest(
-            step_key,
-            tuple(unasked),
-            submission.policy.get_advice_terms(),
-            len(ready.tasks),
-            submission.steps[ready.step].gang,
-        )
-        self.ticket_cache.request_tickets(request)
-
-    def _request_more_tickets(self, ready: ReadyStep, now: float) -> None:
-        """Request tickets for workers that have capacity and were not asked for yet.
-
-        The policy service allows each worker or not; that a worker was not asked for
-        is no reason to leave it unused.
-        """
-        step = ready.job.submission.steps[ready.step]
-        step_key = get_step_key(ready.tasks[0])
-        eligible = [
-            record.entry.worker_id
-            for record in self.workers.values()
-            if is_eligible(record, step, step_key, now)
-        ]
-        self._request_tickets(ready, eligible, now)
-
     def _place_gang(self, ready: ReadyStep, now: float) -> list[StartOrder]:
         step = ready.job.submission.steps[ready.step]
         if len(ready.tasks) != step.count:
@@ -500,12 +442,6 @@
             self._get_ticket(job, task, now),
         )
 
-    def _get_ticket(self, job: Job, task: Task, now: float) -> str:
-        if not job.submission.policy.advised:
-            return ""
-        tickets = self.ticket_cache.get_tickets(get_step_key(task), now)
-        return tickets.get(task.worker_id, "")
-
     def prepare_start(self, order: StartOrder, now: float) -> StartOrder | None:
         """Set the deadline of a stored start order just before it is sent.
 
--- a/tests/test_shard.py
+++ b/tests/test_shard.py
@@ -27,10 +27,10 @@
 from onyxgap.jobs.messages import WorkerState
 from onyxgap.jobs.shard import START_WINDOW_MS
 from onyxgap.jobs.shard import Shard
+from onyxgap.jobs.shard_ends import RETRY_ELSEWHERE_S
+from onyxgap.jobs.shard_ends import RETRY_PAUSE_S
 from onyxgap.jobs.shard_leases import LEASE_S
 from onyxgap.jobs.shard_reports import MAX_REPORTED_ENDS
-from onyxgap.jobs.shard_reports import RETRY_ELSEWHERE_S
-from onyxgap.jobs.shard_reports import RETRY_PAUSE_S
 from onyxgap.jobs.workers import HoldReport
 from onyxgap.jobs.workers import Reply
 from onyxgap.jobs.workers import ReplyKind
