Give no token to a worker that may belong to another service by now

A fencing call carries the token of this owner. A worker that has registered for another service, or has left as ordered, may be called by another owner, whose calls it would reject from then on. So such a worker gets no fencing call, and a registration for another service ends the calls. Tasks that are held back wait no longer once their worker registers as the same incarnation. Whether a silent worker is called often follows its unanswered orders alone, without a look at all jobs.

Found by reading; tests in tests/test_late_starts_after_reboots.py.

--- a/src/onyxgap/daemons/owner_workers.py
+++ b/src/onyxgap/daemons/owner_workers.py
@@ -280,6 +280,7 @@
         """
         known = self.state.workers.get(entry.worker_id)
         if known is None:
+            self.state.end_fencing(entry.worker_id)
             return
         match = compare_incarnations(known.born, entry.born)
         is_named = self.context.names_service(entry.service)
@@ -293,7 +294,9 @@
         )
         if is_named and match is IncarnationMatch.LATER:
             reason = "registered for another service"
-            self.state.remove_worker(entry.worker_id, reason, self._now(), False)
+            self.state.remove_worker(
+                entry.worker_id, reason, self._now(), False, returns=False
+            )
         else:
             self._mark_unregistered(entry.worker_id)
 
--- a/src/onyxgap/jobs/shard_incarnations.py
+++ b/src/onyxgap/jobs/shard_incarnations.py
@@ -169,10 +169,20 @@
         :param now: monotonic seconds.
         """
         record = self.workers.get(worker_id)
-        return record is not None and bool(self._list_unanswered_starts(record, now))
+        if record is None:
+            return False
+        return any(now < at + LATE_CALL_S for at in record.unanswered_starts.values())
+
+    def _keep_former_calls(
+        self, record: WorkerRecord, now: float, returns: bool = True
+    ) -> FormerCalls:
+        """Keep what a worker that is removed was told, and forget what is over.
 
-    def _keep_former_calls(self, record: WorkerRecord, now: float) -> FormerCalls:
-        """Keep what a worker that is removed was told, and forget what is over."""
+        :param record: the worker.
+        :param now: monotonic seconds.
+        :param returns: whether it may start again for this service. One that belongs to
+            another service must not get the fencing token of this owner.
+        """
         for worker_id, calls in list(self.former_calls.items()):
             if calls.until <= now:
                 del self.former_calls[worker_id]
@@ -191,7 +201,7 @@
             record.born,
             now + LATE_CALL_S,
             tuple(starts),
-            record.entry if record.born and record.entry.address else None,
+            record.entry if returns and record.born and record.entry.address else None,
             tuple(unanswered),
         )
         self.former_calls[worker_id] = kept
@@ -304,11 +314,15 @@
         calls = self.former_calls.get(worker_id)
         if calls is None:
             return
+        self._end_hold_back(calls)
+        self.former_calls[worker_id] = attrs.evolve(calls, entry=None, held_back=())
+
+    def _end_hold_back(self, calls: FormerCalls) -> None:
         for ordered in calls.held_back:
             found = self._find_task(ordered)
             if found is not None:
-                found[1].not_before = 0.0
-        self.former_calls[worker_id] = attrs.evolve(calls, entry=None, held_back=())
+                _, task = found
+                task.not_before = 0.0
 
     def _adopt_next_incarnation(self, worker_id: str, born: int, now: float) -> bool:
         """Add the next incarnation of a removed worker, before it registers.
--- a/src/onyxgap/jobs/shard_workers.py
+++ b/src/onyxgap/jobs/shard_workers.py
@@ -90,6 +90,8 @@
         own = self.former_calls.pop(entry.worker_id, NO_FORMER_CALLS)
         if compare_incarnations(own.born, entry.born) is not IncarnationMatch.SAME:
             self._expect_former_calls(record, own)
+        else:
+            self._end_hold_back(own)
         self._keep_unanswered(record, own)
         until = self._bound_former_owners_calls(entry, now, wall_ms)
         record.former_lease_until = max(
@@ -227,7 +229,13 @@
             record.registered = False
 
     def remove_worker(
-        self, worker_id: str, reason: str, now: float, crashed: bool = True
+        self,
+        worker_id: str,
+        reason: str,
+        now: float,
+        crashed: bool = True,
+        *,
+        returns: bool = True,
     ) -> None:
         """Remove a worker whose incarnation is over, and release the runs on it.
 
@@ -236,6 +244,7 @@
         :param now: monotonic seconds.
         :param crashed: whether the worker is known to be gone, and not only out of
             reach.
+        :param returns: whether it may start again for this service.
         """
         record = self.workers.get(worker_id)
         if record is None or record.gone:
@@ -244,7 +253,7 @@
         self.listed_workers.discard(worker_id)
         ordered = self.departures.is_ordered(record, self.cordons.get(worker_id))
         log = choose_log(record, ordered)
-        calls = self._keep_former_calls(record, now)
+        calls = self._keep_former_calls(record, now, returns and not ordered)
         left_unanswered = self._list_left_unanswered(record) if crashed else []
         freed = self._release_runs(record, crashed, now)
         if ordered:
--- a/tests/test_late_starts_after_reboots.py
+++ b/tests/test_late_starts_after_reboots.py
@@ -191,6 +191,39 @@
     assert len(harness.plan()) == 1
 
 
+def test_worker_that_registered_for_another_service_gets_no_token_of_this_owner(
+    harness: ShardHarness,
+) -> None:
+    # a higher one would keep the owner of the other service from calling it
+    order_without_answer(harness)
+    harness.shard.remove_worker("w1", "other service", harness.now, returns=False)
+    assert harness.shard.list_unfenced(harness.now) == []
+
+
+def test_worker_that_left_as_ordered_gets_no_token_of_this_owner(
+    harness: ShardHarness,
+) -> None:
+    _, order = order_without_answer(harness)
+    harness.shard.apply_start_reply(order, TIMED_OUT, harness.now + 0.6)
+    harness.now += 1.0
+    harness.report("w1")
+    harness.shard.set_cordons({"w1": "move#1"})
+    harness.shard.departures.note_drained({"w1": "move#1"})
+    harness.shard.remove_worker("w1", "VM is down", harness.now)
+    assert harness.shard.list_unfenced(harness.now) == []
+
+
+def test_task_waits_no_longer_once_its_worker_registers_as_the_same_incarnation(
+    harness: ShardHarness,
+) -> None:
+    order_without_answer(harness)
+    end_worker(harness, 0.3)
+    assert harness.plan() == []
+    entry = attrs.evolve(ENTRY, born=FIRST_START_MS)
+    harness.shard.observe_worker(entry, harness.now)
+    assert len(harness.plan()) == 1
+
+
 @attrs.define
 class ScriptedWorkers:
     """Answers hold requests in turn, the last answer again and again."""
