Ask for few workers at first where a decision on each takes long

The tasks of a step wait for all of a request, and often few workers are enough: with 0.2 s a worker a request for seven took 1.5 s, longer than the objective of a short job. Now it takes 0.5 s, unless the step has more tasks. Services that take some hundredths of a second are asked as before.

--- a/src/onyxgap/jobs/advice.py
+++ b/src/onyxgap/jobs/advice.py
@@ -1,9 +1,10 @@
 """Cache of the tickets with which a policy service allows workers to run a step.
 
 Some queues require a ticket for each start. The service takes time for each worker that
-a request names, and answers one request of a node at a time. So a request names no more
-workers than leave most of the time of their tickets for starts. If the allowed ones are
-not enough, the next request names others. Workers that were allowed before go first.
+a request names, and answers one request of a node at a time. So a request names few
+workers where that takes long, and no more than leave most of the time of their tickets
+for starts. If the allowed ones are not enough, the next request names others. Workers
+that were allowed before go first.
 """
 
 import math
@@ -20,6 +21,9 @@
 MAX_REQUEST_SHARE = 0.5
 """Largest share of the time of its tickets that a request takes, unless it names one
 worker, or tickets for a whole gang."""
+REQUEST_S = 0.5
+"""Time that a request should take: the tasks of the step wait for all of it, and often
+few workers are enough."""
 LINE_S = 1.5
 """Time that all waiting requests should take together: jobs behind them stand still."""
 MAX_REDUCTION = 4
@@ -194,7 +198,8 @@
         limit = MAX_WORKERS_PER_REQUEST
         if terms.each_ms > 0 and terms.valid_ms > 0:
             longest_ms = terms.valid_ms * MAX_REQUEST_SHARE - terms.decide_ms
-            turn_ms = LINE_S * MS_PER_S / (1 + len(self.wanted)) - terms.decide_ms
+            turn_s = min(REQUEST_S, LINE_S / (1 + len(self.wanted)))
+            turn_ms = turn_s * MS_PER_S - terms.decide_ms
             # fewer would have the time go into decisions, or into further requests
             least = max(request.tasks, math.ceil(terms.decide_ms / terms.each_ms))
             in_turn = max(least, int(turn_ms / terms.each_ms))
