--- a/bench/soak/wire.py
+++ b/bench/soak/wire.py
@@ -149,7 +149,7 @@
                 "stretch": policy.stretch,
                 "slo_ms": policy.slo_ms,
                 "public": route.public,
-                "advice": raw["advice"].get(service),
+                "advice": raw.get("advice", {}).get(service),
             }
         )
     services: list[Json] = [
