--- a/src/onyxgap/daemons/cancellations.py
+++ b/src/onyxgap/daemons/cancellations.py
@@ -14,8 +14,8 @@
 from ..jobs.tenants import Caller
 from ..jobs.tombstones import Tombstone
 from .submission_store import LocatedSubmission
-from .submission_store import PreventOutcome
 from .submission_store import SubmissionStore
+from .submission_store import TombstoneOutcome
 
 ATTEMPTS = 3
 """Attempts to cancel a job that is stored, or removed, while it is cancelled."""
@@ -52,14 +52,14 @@
                 found = await self._find(route, shards, job_id)
                 if found is not None:
                     return await self._cancel_stored(found, caller)
-                outcome = await self._prevent(route, job_id, caller)
-                if outcome is not PreventOutcome.STORED:
+                outcome = await self._insert_tombstone(route, job_id, caller)
+                if outcome is not TombstoneOutcome.JOB_STORED:
                     break
         except PlatformUnavailableError:
             return Unavailable.STORE
         except DocumentError:
             return Unavailable.STORED_JOB
-        if outcome is PreventOutcome.UNKNOWN:
+        if outcome is TombstoneOutcome.UNKNOWN:
             return Unavailable.STORE
         return False
 
@@ -81,13 +81,13 @@
             return Denied.OTHER_TENANT
         return await self.submissions.cancel(found)
 
-    async def _prevent(
+    async def _insert_tombstone(
         self, route: Route, job_id: str, caller: Caller
-    ) -> PreventOutcome:
+    ) -> TombstoneOutcome:
         queue, service = route.get_queue(), route.policy.service
         services = (service, *self.routes.list_other_services(queue, service))
         tombstone = Tombstone(queue.name, caller.tenant, queue.endpoint)
-        outcome = await self.submissions.prevent(job_id, tombstone, services)
+        outcome = await self.submissions.insert_tombstone(job_id, tombstone, services)
         _LOG.info(
             "unknown job cancelled",
             job=job_id,
--- a/src/onyxgap/daemons/submission_store.py
+++ b/src/onyxgap/daemons/submission_store.py
@@ -67,11 +67,12 @@
     version: int
 
 
-class PreventOutcome(enum.Enum):
-    """Outcome of keeping a job from being stored."""
+class TombstoneOutcome(enum.Enum):
+    """Outcome of storing the tombstone of a job."""
 
-    PREVENTED = "prevented"
-    STORED = "stored"
+    INSERTED = "inserted"
+    """There is one, and no job."""
+    JOB_STORED = "job-stored"
     """The job was stored meanwhile."""
     UNKNOWN = "unknown"
 
@@ -282,10 +283,10 @@
             SubmitOutcome.OTHER_REQUEST, "the id stands for another request"
         )
 
-    async def prevent(
+    async def insert_tombstone(
         self, job_id: str, tombstone: Tombstone, services: t.Sequence[str]
-    ) -> PreventOutcome:
-        """Keep a job that is not stored from being stored later.
+    ) -> TombstoneOutcome:
+        """Keep a job that is not stored from being stored later, by tombstones.
 
         :param job_id: id of the job.
         :param tombstone: who cancels the job, and in which queue.
@@ -299,12 +300,12 @@
         batch = Batch(expected, puts, across=len(services) > 1)
         outcome = await self._write_until_certain(batch)
         if isinstance(outcome, Applied):
-            return PreventOutcome.PREVENTED
+            return TombstoneOutcome.INSERTED
         if not isinstance(outcome, Conflict):
-            return PreventOutcome.UNKNOWN
+            return TombstoneOutcome.UNKNOWN
         if any(outcome.find(row) is not None for row in jobs):
-            return PreventOutcome.STORED
-        return PreventOutcome.PREVENTED
+            return TombstoneOutcome.JOB_STORED
+        return TombstoneOutcome.INSERTED
 
     async def _write_until_certain(self, batch: Batch) -> WriteOutcome:
         """Retry a conditional insert until its outcome is certain or time is up.
--- a/src/onyxgap/jobs/shard_incarnations.py
+++ b/src/onyxgap/jobs/shard_incarnations.py
@@ -232,19 +232,22 @@
 
         An order that was on its way when the worker ended was most likely lost with it.
         """
-        runs = [
-            ordered
+        given_up = [
+            self._find_task(ordered)
             for ordered, at in record.unanswered_starts.items()
-            if at <= record.alive_at and self._find_task(ordered)
+            if at <= record.alive_at
         ]
+        found = [item for item in given_up if item is not None]
         for job, task in self._list_runs_on(record):
             waited_s = record.alive_at - task.started_at
             is_unanswered = task.sent and task.confirmed_at is None
-            if not is_unanswered or task.listed_by or waited_s < UNANSWERED_S:
-                continue
-            if not job.get_step(task).speculative:
-                runs.append(_get_ordered_run(task))
-        return runs
+            if is_unanswered and not task.listed_by and waited_s >= UNANSWERED_S:
+                found.append((job, task))
+        return [
+            _get_ordered_run(task)
+            for job, task in found
+            if not job.get_step(task).speculative
+        ]
 
     def _hold_back(
         self, worker_id: str, runs: t.Sequence[OrderedRun], now: float
--- a/tests/test_late_starts_after_reboots.py
+++ b/tests/test_late_starts_after_reboots.py
@@ -175,8 +175,16 @@
     assert len(harness.plan()) == 1
 
 
-def test_copy_of_a_speculative_task_does_not_wait(harness: ShardHarness) -> None:
-    order_without_answer(harness, attrs.evolve(SHORT, speculative=True))
+@pytest.mark.parametrize("given_up", [False, True])
+def test_copy_of_a_speculative_task_does_not_wait(
+    harness: ShardHarness, given_up: bool
+) -> None:
+    step = attrs.evolve(SHORT, speculative=True)
+    _, order = order_without_answer(harness, step)
+    if given_up:
+        harness.shard.apply_start_reply(order, TIMED_OUT, harness.now + 0.6)
+        harness.now += 1.0
+        harness.report("w1")
     end_worker(harness, 0.3)
     assert len(harness.plan()) == 1
 
