--- a/src/onyxgap/pools/fleet_state.py
+++ b/src/onyxgap/pools/fleet_state.py
@@ -115,7 +115,7 @@
         ]
 
     def _is_list_newer(self, progress: WaveProgress) -> bool:
-        return self.listed is not None and self.listed.at > progress.seen_at
+        return self.listed is not None and self.listed.at >= progress.seen_at
 
     @staticmethod
     def _have_all_started(progress: WaveProgress) -> bool:
